Set the contracts between the modules and the settings' schema

Cause: several people build modules side by side and need what they share first. Change: contract (places, versions, refusals, time, chance, invariants), the faces of platform, link, membership, distribution, choice, claim, billing, session and endpoint; settings with a strict schema, faults with line and nearest key, and an immutable view; a manual clock and a scriptable table service for tests; one set of bundling options for the shipped program and every trial. Ruled out: running TypeScript through a loader: ts-results has no readable ES exports there. The native cbor-extract: its platform packages are not on every registry, so a local empty package takes its place.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,8 +7,8 @@
 const layers = [
   ['contract'],
   ['observe'],
-  ['settings', 'link', 'store'],
-  ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint'],
+  ['settings', 'link', 'platform'],
+  ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution'],
   ['steward', 'entry'],
   ['daemon', 'standin'],
   ['command']
@@ -35,7 +35,9 @@
   {
     files: ['**/*.ts'],
     rules: {
-      '@typescript-eslint/no-explicit-any': 'error'
+      '@typescript-eslint/no-explicit-any': 'error',
+      // A constant object and the type of its values share a name; the compiler finds real redeclarations.
+      '@typescript-eslint/no-redeclare': 'off'
     }
   },
   ...layers.flatMap((layer, depth) => importRules(layer, depth))
--- /dev/null
+++ b/scripts/absent-cbor-extract/index.js
@@ -0,0 +1,1 @@
+module.exports = {}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,39 @@
+// Bundles one TypeScript entry point for Node. Every program of the repository, the shipped binary
+// as well as trials and benches, is made with these options, so that all run the same code.
+import { build } from 'esbuild'
+import { readFileSync } from 'node:fs'
+import { pathToFileURL } from 'node:url'
+
+const { version } = JSON.parse(readFileSync(new URL('../package.json', import.meta.url), 'utf8'))
+
+/** `cbor-extract` is a native add-on that cbor-x does without; bundling it would print a warning. */
+const withoutNativeExtract = {
+  name: 'without-native-extract',
+  setup (bundler) {
+    bundler.onResolve({ filter: /^cbor-extract$/ }, () => ({ path: 'cbor-extract', namespace: 'absent' }))
+    bundler.onLoad({ filter: /.*/, namespace: 'absent' }, () => ({ contents: 'module.exports = {}' }))
+  }
+}
+
+/** Bundles `entry` into the CommonJS file `outfile`. */
+export async function bundle (entry, outfile, { minify = false } = {}) {
+  await build({
+    entryPoints: [entry],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    mainFields: ['module', 'main'],
+    minify,
+    keepNames: true,
+    sourcemap: minify ? false : 'inline',
+    logLevel: 'warning',
+    define: { LAVENDERDOOR_VERSION: JSON.stringify(version) },
+    plugins: [withoutNativeExtract]
+  })
+}
+
+if (import.meta.url === pathToFileURL(process.argv[1]).href) {
+  await bundle('src/command/main.ts', 'dist/lavenderdoor.cjs')
+}
--- /dev/null
+++ b/src/billing/index.ts
@@ -0,0 +1,2 @@
+/** Billing: each request is billed exactly once. */
+export * from './contract.ts'
--- /dev/null
+++ b/src/choice/index.ts
@@ -0,0 +1,2 @@
+/** The decisions: version, endpoint, limits, attempts and roll-outs. */
+export * from './contract.ts'
--- /dev/null
+++ b/src/command/main.ts
@@ -0,0 +1,2 @@
+/** The program's entry point. */
+process.stdout.write('lavenderdoor\n')
--- /dev/null
+++ b/src/contract/randomness.ts
@@ -0,0 +1,90 @@
+/**
+ * Chance and hashing. Everything random takes a `Randomness`, so that one seed repeats a run; what
+ * daemons must agree on without talking uses `hashOf`, which is the same in every process.
+ */
+import { createHash, randomBytes } from 'node:crypto'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+
+/** A source of random draws. */
+export interface Randomness {
+  /** A number from 0 up to, not including, 1. */
+  fraction (): number
+  /** A whole number from 0 up to, not including, `below`. */
+  below (below: number): number
+  /** A draw from the standard normal distribution. */
+  normal (): number
+  /** An identifier of 128 random bits, in hexadecimal. */
+  identifier (): string
+}
+
+abstract class DerivedRandomness implements Randomness {
+  abstract fraction (): number
+
+  below (below: number): number {
+    return Math.floor(this.fraction() * below)
+  }
+
+  normal (): number {
+    const radius = Math.sqrt(-2 * Math.log(1 - this.fraction()))
+    return radius * Math.cos(2 * Math.PI * this.fraction())
+  }
+
+  identifier (): string {
+    let text = ''
+    while (text.length < 32) text += this.below(0x10000).toString(16).padStart(4, '0')
+    return text
+  }
+}
+
+/**
+ * Repeatable randomness.
+ *
+ * @example
+ * const randomness = new SeededRandomness(7)
+ */
+export class SeededRandomness extends DerivedRandomness {
+  readonly #generator
+
+  constructor (seed: number) {
+    super()
+    this.#generator = xoroshiro128plus(seed | 0)
+  }
+
+  fraction (): number {
+    return (this.#generator.next() >>> 0) / 0x100000000
+  }
+}
+
+/** The randomness of a serving process; identifiers come from the system's secure source. */
+export class SystemRandomness extends DerivedRandomness {
+  fraction (): number {
+    return Math.random()
+  }
+
+  override identifier (): string {
+    return randomBytes(16).toString('hex')
+  }
+}
+
+/**
+ * A hash of a text as a fraction from 0 up to 1, the same in every process.
+ *
+ * @example
+ * const isFirst = hashOf(`${session}/${rollOut}`) < share
+ */
+export function hashOf (text: string): number {
+  const digest = createHash('sha1').update(text).digest()
+  return digest.readUIntBE(0, 6) / 2 ** 48
+}
+
+/**
+ * Orders names by rendezvous hashing: the order of the others stays when one comes or goes.
+ *
+ * @example
+ * const [first, second] = rendezvousOrder('collector', members)
+ */
+export function rendezvousOrder (key: string, names: readonly string[]): string[] {
+  const scored = names.map(name => ({ name, score: hashOf(`${key}\n${name}`) }))
+  scored.sort((left, right) => right.score - left.score || (left.name < right.name ? -1 : 1))
+  return scored.map(entry => entry.name)
+}
--- /dev/null
+++ b/src/contract/refusal.ts
@@ -0,0 +1,63 @@
+/**
+ * A refusal is an outcome, not an exception: why a request has no answer, whether any part of it
+ * may have run, and when coming back can help. `not_run` is a promise: no attempt of the request
+ * has reached an endpoint and none can reach one later.
+ */
+
+/** Whether a refused request was run. */
+export const RunState = {
+  NotRun: 'not_run',
+  Ran: 'ran',
+  Unknown: 'unknown'
+} as const
+export type RunState = typeof RunState[keyof typeof RunState]
+
+/** Why a request is refused, and the HTTP status that says so. */
+export const RefusalCode = {
+  InvalidRequest: { name: 'invalid_request', status: 400 },
+  InvalidSession: { name: 'invalid_session', status: 400 },
+  InvalidApiKey: { name: 'invalid_api_key', status: 401 },
+  ModelNotFound: { name: 'model_not_found', status: 404 },
+  ServiceNotFound: { name: 'service_not_found', status: 404 },
+  RequestTimeout: { name: 'request_timeout', status: 408 },
+  RequestStillRunning: { name: 'request_still_running', status: 409 },
+  SessionVersionWithdrawn: { name: 'session_version_withdrawn', status: 410 },
+  BodyTooLarge: { name: 'body_too_large', status: 413 },
+  IdempotencyKeyReused: { name: 'idempotency_key_reused', status: 422 },
+  IdempotencyKeyMissing: { name: 'idempotency_key_missing', status: 400 },
+  ShareExceeded: { name: 'share_exceeded', status: 429 },
+  DeadlineTooNear: { name: 'deadline_too_near', status: 429 },
+  Overloaded: { name: 'overloaded', status: 503 },
+  NoEndpoint: { name: 'no_endpoint', status: 503 },
+  StoreUnavailable: { name: 'store_unavailable', status: 503 },
+  Stopping: { name: 'stopping', status: 503 },
+  EndpointFailed: { name: 'endpoint_failed', status: 502 },
+  AnswerCutOff: { name: 'answer_cut_off', status: 502 },
+  DeadlineExceeded: { name: 'deadline_exceeded', status: 504 },
+  OutcomeUnknown: { name: 'outcome_unknown', status: 504 }
+} as const
+export type RefusalCode = typeof RefusalCode[keyof typeof RefusalCode]
+
+/**
+ * Why a request has no whole answer.
+ *
+ * @example
+ * return Err(new Refusal(RefusalCode.StoreUnavailable, RunState.NotRun, 'the claim could not be written', 2))
+ */
+export class Refusal {
+  /** The code and its HTTP status. */
+  readonly code: RefusalCode
+  /** Whether any attempt ran or may have run. */
+  readonly run: RunState
+  /** A sentence for the caller. */
+  readonly message: string
+  /** Seconds after which coming back can help; absent where it can't. */
+  readonly retryAfterSeconds: number | undefined
+
+  constructor (code: RefusalCode, run: RunState, message: string, retryAfterSeconds?: number) {
+    this.code = code
+    this.run = run
+    this.message = message
+    this.retryAfterSeconds = retryAfterSeconds
+  }
+}
--- /dev/null
+++ b/src/distribution/contract.ts
@@ -0,0 +1,67 @@
+/** The operators' settings in force at one daemon, and how they come to it. */
+import type { Result } from '../contract/index.ts'
+import type { Fault, SettingsView, Subtree } from '../settings/index.ts'
+
+/** Whether a daemon may count its settings as the latest. */
+export const SettingsLease = {
+  /** Some source confirmed within the lease's time that no later revision was in force. */
+  Held: 'held',
+  /** Cut off: settled versions are served, versions under roll-out take no new session. */
+  Lapsed: 'lapsed'
+} as const
+export type SettingsLease = typeof SettingsLease[keyof typeof SettingsLease]
+
+/** The settings that one daemon holds. */
+export interface SettingsSource {
+  /** The view in force at this daemon; its revision never decreases. */
+  readonly view: SettingsView
+  readonly lease: SettingsLease
+}
+
+/** Another operator was first. */
+export class SettingsConflict {
+  /** The revision that the team's subtree has now. */
+  readonly revision: number
+  readonly current: Subtree
+
+  constructor (revision: number, current: Subtree) {
+    this.revision = revision
+    this.current = current
+  }
+}
+
+/** One accepted change. */
+export interface SettingsChange {
+  readonly revision: number
+  readonly team: string
+  readonly author: string
+  /** Milliseconds since the epoch. */
+  readonly at: number
+  /** Identifies the write, so that a lost reply can be settled by reading it back. */
+  readonly nonce: string
+  readonly subtree: Subtree
+}
+
+/** Why a change was not accepted. */
+export type SettingsRejection =
+  | { readonly reason: 'faults', readonly faults: readonly Fault[] }
+  | { readonly reason: 'conflict', readonly conflict: SettingsConflict }
+  | { readonly reason: 'unavailable', readonly mayHaveApplied: boolean }
+
+/** The operators' settings in the table service. */
+export interface SettingsRepository {
+  /** Reads a team's subtree and its revision; revision 0 where the team has none. */
+  read (team: string): Promise<Result<{ readonly revision: number, readonly subtree: Subtree | undefined }, SettingsRejection>>
+  /**
+   * Replaces a team's subtree if its revision is still `expected`.
+   *
+   * @returns the new global revision
+   * @example
+   * const accepted = await repository.put('fleet', subtree, { expected: 41, author: 'ines' })
+   */
+  put (team: string, subtree: Subtree, options: { readonly expected: number, readonly author: string }): Promise<Result<number, SettingsRejection>>
+  /** The latest global revision. */
+  revision (): Promise<Result<number, SettingsRejection>>
+  /** Changes after a revision, oldest first. */
+  changesAfter (revision: number, limit: number): Promise<Result<readonly SettingsChange[], SettingsRejection>>
+}
--- /dev/null
+++ b/src/distribution/index.ts
@@ -0,0 +1,2 @@
+/** Distribution: settings from the table service to every daemon, never reverting. */
+export * from './contract.ts'
--- /dev/null
+++ b/src/endpoint/index.ts
@@ -0,0 +1,2 @@
+/** Calls to model engines and plain services. */
+export * from './contract.ts'
--- /dev/null
+++ b/src/link/index.ts
@@ -0,0 +1,2 @@
+/** Links: typed messages between daemons over TCP. */
+export * from './contract.ts'
--- /dev/null
+++ b/src/session/index.ts
@@ -0,0 +1,2 @@
+/** Sessions and their signed tokens. */
+export * from './contract.ts'
--- /dev/null
+++ b/src/settings/check.ts
@@ -0,0 +1,125 @@
+/**
+ * Turns TOML text into checked settings, or into the list of all its faults at once: where each
+ * stands, what was expected and what was found.
+ */
+import { parse, TomlError } from 'smol-toml'
+import type { z } from 'zod'
+import { Err, Ok, type Result } from '../contract/index.ts'
+import { lineOf } from './lines.ts'
+import { nearestName } from './nearest.ts'
+
+/** One thing that is wrong with a settings text. */
+export interface Fault {
+  /** The file or the team's path. */
+  readonly source: string
+  /** 1 for the first line; undefined where no line holds it. */
+  readonly line: number | undefined
+  /** Dotted path of the setting. */
+  readonly path: string
+  readonly expected: string
+  readonly found: string
+}
+
+/**
+ * A fault as one line of text.
+ *
+ * @example
+ * describeFault(fault) // 'fleet.toml:3: models.small.price: expected a number, found "cheap"'
+ */
+export function describeFault (fault: Fault): string {
+  const place = fault.line === undefined ? fault.source : `${fault.source}:${fault.line}`
+  const path = fault.path === '' ? '' : `${fault.path}: `
+  return `${place}: ${path}expected ${fault.expected}, found ${fault.found}`
+}
+
+/**
+ * Checks a TOML text against a schema.
+ *
+ * @param source the file's name or the team's path, for the faults
+ * @returns the checked value, or every fault
+ * @example
+ * const checked = checkText(text, 'fleet.toml', subtreeSchema)
+ */
+export function checkText<Schema extends z.ZodType> (text: string, source: string, schema: Schema): Result<z.infer<Schema>, Fault[]> {
+  const document = parseText(text, source)
+  if (document.err) return document
+  return checkDocument(document.val, source, schema, path => lineOf(text, path))
+}
+
+/**
+ * Checks a parsed document against a schema.
+ *
+ * @param lineAt finds the line of a path, where the document came from a text
+ * @example
+ * const checked = checkDocument(row.value, 'settings/fleet', subtreeSchema)
+ */
+export function checkDocument<Schema extends z.ZodType> (
+  document: unknown,
+  source: string,
+  schema: Schema,
+  lineAt: (path: readonly string[]) => number | undefined = () => undefined
+): Result<z.infer<Schema>, Fault[]> {
+  const checked = schema.safeParse(document)
+  if (checked.success) return Ok(checked.data)
+  const faults = checked.error.issues.flatMap(issue => faultsOf(issue, document, source, lineAt))
+  return Err(faults)
+}
+
+function parseText (text: string, source: string): Result<unknown, Fault[]> {
+  try {
+    return Ok(parse(text))
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error
+    const reason = error.message.split('\n')[0] ?? 'a syntax error'
+    return Err([{ source, line: error.line, path: '', expected: 'TOML', found: reason }])
+  }
+}
+
+function faultsOf (issue: z.core.$ZodIssue, document: unknown, source: string, lineAt: (path: readonly string[]) => number | undefined): Fault[] {
+  const path = issue.path.map(String)
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => unknownKeyFault(key, path, issue, source, lineAt))
+  }
+  return [{
+    source,
+    line: lineAt(path),
+    path: path.join('.'),
+    expected: expectedBy(issue),
+    found: describeValue(valueAt(document, path))
+  }]
+}
+
+function unknownKeyFault (key: string, parent: string[], issue: z.core.$ZodIssue, source: string, lineAt: (path: readonly string[]) => number | undefined): Fault {
+  const path = [...parent, key]
+  const near = nearestName(key)
+  return {
+    source,
+    line: lineAt(path),
+    path: path.join('.'),
+    expected: near === undefined ? 'no such key' : `no such key (did you mean "${near}"?)`,
+    found: `"${key}"`
+  }
+}
+
+function expectedBy (issue: z.core.$ZodIssue): string {
+  if (issue.code === 'invalid_type') return `a value of type ${issue.expected}`
+  if (issue.code === 'invalid_value') return `one of ${issue.values.map(value => JSON.stringify(value)).join(', ')}`
+  if (issue.code === 'too_small') return `at least ${issue.minimum}${issue.origin === 'string' ? ' characters' : ''}`
+  if (issue.code === 'too_big') return `at most ${issue.maximum}`
+  return issue.message
+}
+
+function valueAt (document: unknown, path: readonly string[]): unknown {
+  let value = document
+  for (const part of path) {
+    if (typeof value !== 'object' || value === null) return undefined
+    value = (value as Record<string, unknown>)[part]
+  }
+  return value
+}
+
+function describeValue (value: unknown): string {
+  if (value === undefined) return 'nothing'
+  const text = JSON.stringify(value) ?? String(value)
+  return text.length > 60 ? `${text.slice(0, 57)}...` : text
+}
--- /dev/null
+++ b/src/settings/nearest.ts
@@ -0,0 +1,45 @@
+/** Suggests the known name that a mistyped one most likely meant. */
+
+const knownNames = [
+  'data_centres', 'endpoints', 'models', 'services', 'organisations', 'session_keys', 'region',
+  'address', 'data_centre', 'versions', 'service', 'checks_fencing', 'operations', 'method', 'path',
+  'idempotent', 'key_hashes', 'share', 'quality_target', 'price', 'roll_out', 'from', 'to', 'state',
+  'steps', 'name', 'secret', 'listen', 'link', 'platform', 'telemetry', 'limits', 'rack', 'table_service',
+  'object_store', 'virtual_machines', 'rating_service', 'caller', 'tls', 'key', 'certificate', 'level',
+  'traces', 'body_bytes', 'request_seconds', 'connect', 'peers', 'drain_seconds'
+]
+
+const furthestDistance = 3
+
+/**
+ * The known name nearest to `name`, where one is near.
+ *
+ * @example
+ * nearestName('qualty_target') // 'quality_target'
+ */
+export function nearestName (name: string): string | undefined {
+  let best: string | undefined
+  let bestDistance = furthestDistance + 1
+  for (const known of knownNames) {
+    const distance = editDistance(name, known)
+    if (distance >= bestDistance) continue
+    best = known
+    bestDistance = distance
+  }
+  return best
+}
+
+function editDistance (left: string, right: string): number {
+  let previous = Array.from({ length: right.length + 1 }, (_, index) => index)
+  for (let row = 1; row <= left.length; row++) {
+    const current = [row]
+    for (let column = 1; column <= right.length; column++) {
+      const substitution = (previous[column - 1] ?? 0) + (left[row - 1] === right[column - 1] ? 0 : 1)
+      const insertion = (current[column - 1] ?? 0) + 1
+      const deletion = (previous[column] ?? 0) + 1
+      current.push(Math.min(substitution, insertion, deletion))
+    }
+    previous = current
+  }
+  return previous[right.length] ?? 0
+}
--- /dev/null
+++ b/src/settings/schema.ts
@@ -0,0 +1,99 @@
+/**
+ * The operators' settings: one subtree for each team, each a TOML document. Any team's subtree may
+ * hold any section; a name stands in one subtree only. Schemas are strict, so that a mistyped key
+ * is a fault and not a setting that silently does nothing.
+ */
+import { z } from 'zod'
+import { VersionState } from '../contract/index.ts'
+
+const nameText = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, 'a name of lower-case letters, digits, dots, dashes and underscores')
+const versionText = z.string().regex(/^[a-z0-9][a-z0-9._-]*@[a-z0-9][a-z0-9._-]*$/, 'model@version')
+const addressText = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/i, 'IP:port')
+
+/** How far a roll-out has come. */
+export const RollOutState = {
+  Running: 'running',
+  /** Stopped by its guard or an operator: new sessions take the old version. */
+  Halted: 'halted',
+  Done: 'done'
+} as const
+export type RollOutState = typeof RollOutState[keyof typeof RollOutState]
+
+const rollOutSchema = z.strictObject({
+  from: nameText,
+  to: nameText,
+  /** The share of new sessions that take the new version. */
+  share: z.number().min(0).max(1),
+  state: z.enum(Object.values(RollOutState)).default(RollOutState.Running),
+  steps: z.array(z.number().gt(0).max(1)).min(1).default([0.01, 0.05, 0.25, 1])
+})
+
+const versionSchema = z.strictObject({
+  state: z.enum(Object.values(VersionState)).default(VersionState.Serving)
+})
+
+const modelSchema = z.strictObject({
+  /** Cost units a generated token. */
+  price: z.number().positive(),
+  versions: z.record(nameText, versionSchema),
+  roll_out: rollOutSchema.optional()
+})
+
+const organisationSchema = z.strictObject({
+  /** SHA-256 of each API key, in hexadecimal. */
+  key_hashes: z.array(z.string().regex(/^[0-9a-f]{64}$/, 'the SHA-256 of a key, 64 hexadecimal digits')).min(1),
+  /** Models, or single versions as model@version. */
+  models: z.array(z.union([nameText, versionText])).default([]),
+  services: z.array(nameText).default([]),
+  share: z.number().positive().default(1),
+  quality_target: z.number().min(0).max(1).default(0.92)
+})
+
+const operationSchema = z.strictObject({
+  method: z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE']),
+  /** The path below the service's root; a part in braces matches any one part. */
+  path: z.string().startsWith('/'),
+  idempotent: z.boolean()
+})
+
+const serviceSchema = z.strictObject({
+  operations: z.array(operationSchema).default([])
+})
+
+const endpointSchema = z.strictObject({
+  address: addressText,
+  data_centre: nameText,
+  versions: z.array(versionText).optional(),
+  service: nameText.optional(),
+  checks_fencing: z.boolean().default(true)
+})
+
+const dataCentreSchema = z.strictObject({
+  region: nameText
+})
+
+const sessionKeySchema = z.strictObject({
+  name: nameText,
+  secret: z.string().min(32)
+})
+
+/** One team's subtree. */
+export const subtreeSchema = z.strictObject({
+  data_centres: z.record(nameText, dataCentreSchema).default({}),
+  endpoints: z.record(nameText, endpointSchema).default({}),
+  models: z.record(nameText, modelSchema).default({}),
+  services: z.record(nameText, serviceSchema).default({}),
+  organisations: z.record(nameText, organisationSchema).default({}),
+  /** The first key signs new sessions; the others are still read. */
+  session_keys: z.array(sessionKeySchema).max(2).default([])
+})
+
+/** One team's subtree, checked. */
+export type Subtree = z.infer<typeof subtreeSchema>
+export type OrganisationSettings = z.infer<typeof organisationSchema>
+export type ModelSettings = z.infer<typeof modelSchema>
+export type RollOutSettings = z.infer<typeof rollOutSchema>
+export type ServiceSettings = z.infer<typeof serviceSchema>
+export type OperationSettings = z.infer<typeof operationSchema>
+export type EndpointSettings = z.infer<typeof endpointSchema>
+export type SessionKeySettings = z.infer<typeof sessionKeySchema>
--- /dev/null
+++ b/src/standin/memoryTable.ts
@@ -0,0 +1,76 @@
+/**
+ * A table service in memory: the transactional heart of the platform's stand-in and of the tests'
+ * fakes. Rows are kept as encoded text, so that no caller can change a row through a reference.
+ */
+import { Ok, type Result } from '../contract/index.ts'
+import { Commit, type Condition, type Page, type PlatformUnavailable, type Range, type Row, type TableService, type Transaction, type Write } from '../platform/index.ts'
+
+interface StoredRow {
+  readonly version: number
+  readonly text: string
+}
+
+const defaultPageRows = 1_000
+
+/**
+ * A table service that never fails.
+ *
+ * @example
+ * const table = new MemoryTableService()
+ */
+export class MemoryTableService implements TableService {
+  readonly #tables = new Map<string, Map<string, StoredRow>>()
+  /** Versions of deleted rows go on growing, so that a version is never used twice. */
+  readonly #lastVersions = new Map<string, number>()
+
+  async read (table: string, key: string): Promise<Result<Row | undefined, PlatformUnavailable>> {
+    const stored = this.#tables.get(table)?.get(key)
+    return Ok(stored === undefined ? undefined : rowOf(key, stored))
+  }
+
+  async scan (table: string, range: Range): Promise<Result<Page, PlatformUnavailable>> {
+    const limit = range.limit ?? defaultPageRows
+    const after = range.after
+    const rows = this.#tables.get(table) ?? new Map<string, StoredRow>()
+    const keys = [...rows.keys()].filter(key => key.startsWith(range.prefix) && (after === undefined || key > after)).sort()
+    const page = keys.slice(0, limit)
+    const found = page.flatMap(key => {
+      const stored = rows.get(key)
+      return stored === undefined ? [] : [rowOf(key, stored)]
+    })
+    return Ok({ rows: found, next: keys.length > limit ? page.at(-1) : undefined })
+  }
+
+  async transact (transaction: Transaction): Promise<Result<Commit, PlatformUnavailable>> {
+    return Ok(this.apply(transaction))
+  }
+
+  /** Applies a transaction at once, within this turn of the event loop. */
+  apply (transaction: Transaction): Commit {
+    const holds = transaction.conditions.every(condition => this.#versionOf(condition) === condition.version)
+    if (!holds) return Commit.Conflict
+    for (const write of transaction.writes) this.#write(write)
+    return Commit.Committed
+  }
+
+  #versionOf (condition: Condition): number {
+    return this.#tables.get(condition.table)?.get(condition.key)?.version ?? 0
+  }
+
+  #write (write: Write): void {
+    const rows = this.#tables.get(write.table) ?? new Map<string, StoredRow>()
+    this.#tables.set(write.table, rows)
+    if (write.value === undefined) {
+      rows.delete(write.key)
+      return
+    }
+    const path = `${write.table}\n${write.key}`
+    const version = (this.#lastVersions.get(path) ?? 0) + 1
+    this.#lastVersions.set(path, version)
+    rows.set(write.key, { version, text: JSON.stringify(write.value) })
+  }
+}
+
+function rowOf (key: string, stored: StoredRow): Row {
+  return { key, version: stored.version, value: JSON.parse(stored.text) }
+}
--- /dev/null
+++ b/test/fakes/faultyTableService.ts
@@ -0,0 +1,71 @@
+/**
+ * A table service whose faults a test scripts: down, slow, replies lost after the write took
+ * effect, requests lost before it. Each call asks the script what befalls it.
+ */
+import { type Clock, Err, type Result } from '../../src/contract/index.ts'
+import { type Commit, type Page, PlatformUnavailable, type Range, type Row, type TableService, type Transaction } from '../../src/platform/index.ts'
+import { MemoryTableService } from '../../src/standin/index.ts'
+
+/** What befalls one call. */
+export const TableFault = {
+  None: 'none',
+  /** Refused at once; certainly not applied. */
+  Down: 'down',
+  /** Never arrives; the caller can't tell. */
+  RequestLost: 'request_lost',
+  /** Takes effect; the caller can't tell. */
+  ReplyLost: 'reply_lost'
+} as const
+export type TableFault = typeof TableFault[keyof typeof TableFault]
+
+/** One call, as the script sees it. */
+export type TableCall =
+  | { readonly kind: 'read', readonly table: string, readonly key: string }
+  | { readonly kind: 'scan', readonly table: string }
+  | { readonly kind: 'transact', readonly transaction: Transaction }
+
+/** What befalls a call, and how long it takes each way. */
+export interface TableFate {
+  readonly fault: TableFault
+  /** Milliseconds before the call takes effect. */
+  readonly before?: number
+  /** Milliseconds from its effect to the reply. */
+  readonly after?: number
+}
+
+export class FaultyTableService implements TableService {
+  /** The rows themselves, for a test to look at and to share between fakes. */
+  readonly memory: MemoryTableService
+  /** Says what befalls each call. */
+  script: (call: TableCall) => TableFate = () => ({ fault: TableFault.None })
+  readonly #clock: Clock
+
+  constructor (clock: Clock, memory = new MemoryTableService()) {
+    this.#clock = clock
+    this.memory = memory
+  }
+
+  read (table: string, key: string): Promise<Result<Row | undefined, PlatformUnavailable>> {
+    return this.#call({ kind: 'read', table, key }, () => this.memory.read(table, key))
+  }
+
+  scan (table: string, range: Range): Promise<Result<Page, PlatformUnavailable>> {
+    return this.#call({ kind: 'scan', table }, () => this.memory.scan(table, range))
+  }
+
+  transact (transaction: Transaction): Promise<Result<Commit, PlatformUnavailable>> {
+    return this.#call({ kind: 'transact', transaction }, () => this.memory.transact(transaction))
+  }
+
+  async #call<Value> (call: TableCall, act: () => Promise<Result<Value, PlatformUnavailable>>): Promise<Result<Value, PlatformUnavailable>> {
+    const fate = this.script(call)
+    const isWrite = call.kind === 'transact'
+    if (fate.fault === TableFault.Down) return Err(new PlatformUnavailable('down', false))
+    if (fate.before !== undefined) await this.#clock.sleep(fate.before)
+    if (fate.fault === TableFault.RequestLost) return Err(new PlatformUnavailable('timeout', isWrite))
+    const outcome = await act()
+    if (fate.after !== undefined) await this.#clock.sleep(fate.after)
+    if (fate.fault === TableFault.ReplyLost) return Err(new PlatformUnavailable('timeout', isWrite))
+    return outcome
+  }
+}
