Sign session tokens, so that a session keeps its version without a store

Cause: a session must keep its version across daemons, restarts, key rotation and platform outages. Ruled out: rows in the table service (every turn would need the store), encrypted tokens (nothing in them is secret from the caller). Change: HMAC-SHA256 over a short payload; the first key signs, all keys in force read. issue() returns a Result, since the settings may hold no key. Seen to fail first: without the signature check the tests of forged and changed tokens fail.

--- a/src/session/contract.ts
+++ b/src/session/contract.ts
@@ -19,12 +19,20 @@
 
 /** Issues and reads tokens. */
 export interface SessionTokens {
-  /** Signs a token with the first key. */
-  issue (session: Session): string
+  /**
+   * Signs a token with the first key.
+   *
+   * @returns a refusal with run `not_run` where the settings in force hold no key
+   * @example
+   * const token = tokens.issue({ id, organisation: 'harbour', version: 'small@3', issuedAt: clock.now() })
+   */
+  issue (session: Session): Result<string, Refusal>
   /**
    * Reads a token.
    *
-   * @returns `RefusalCode.InvalidSession` for a forged, expired or another organisation's token
+   * @returns `RefusalCode.InvalidSession` with run `not_run` for a forged, expired or another organisation's token
+   * @example
+   * const session = tokens.read(header, 'harbour')
    */
   read (token: string, organisation: string): Result<Session, Refusal>
 }
--- a/src/session/index.ts
+++ b/src/session/index.ts
@@ -1,2 +1,3 @@
 /** Sessions and their signed tokens. */
 export * from './contract.ts'
+export { SignedSessionTokens, type SignedSessionTokensOptions } from './signedSessionTokens.ts'
--- /dev/null
+++ b/src/session/signedSessionTokens.ts
@@ -0,0 +1,105 @@
+/**
+ * A session token is its payload and an HMAC-SHA256 over it, both base64url and joined by a dot. The
+ * payload is a short JSON list that begins with a format number and the signing key's name, so a
+ * reader tries one key only. Nothing is stored: any daemon that holds the settings reads any token,
+ * also while the platform is out, and a token outlives the daemon that issued it. Rotation puts a
+ * new key first and leaves the old one in the list until its last token has expired.
+ */
+import { createHmac, timingSafeEqual } from 'node:crypto'
+import { z } from 'zod'
+import { type Clock, Err, Ok, Refusal, RefusalCode, type Result, RunState, type VersionName } from '../contract/index.ts'
+import type { Session, SessionKey, SessionTokens } from './contract.ts'
+
+const formatNumber = 1
+
+/** Longer texts are refused before any work is done on them. */
+const longestTokenCharacters = 2_048
+
+/** Seconds until a key can be expected in the settings. */
+const retryWithoutKeySeconds = 5
+
+const payloadSchema = z.tuple([
+  z.literal(formatNumber),
+  z.string(),
+  z.string(),
+  z.string(),
+  z.custom<VersionName>(value => typeof value === 'string' && value.includes('@')),
+  z.number()
+])
+
+/** What signed tokens are made with. */
+export interface SignedSessionTokensOptions {
+  /** The keys in force, the signing one first; asked at each use. */
+  readonly keys: () => readonly SessionKey[]
+  readonly clock: Clock
+  /** How long a token is read after its issue. */
+  readonly lifetimeMilliseconds: number
+}
+
+/**
+ * Tokens that carry their session under a signature.
+ *
+ * @example
+ * const tokens = new SignedSessionTokens({ keys: () => view.sessionKeys, clock, lifetimeMilliseconds: 86_400_000 })
+ */
+export class SignedSessionTokens implements SessionTokens {
+  readonly #options: SignedSessionTokensOptions
+
+  constructor (options: SignedSessionTokensOptions) {
+    this.#options = options
+  }
+
+  issue (session: Session): Result<string, Refusal> {
+    const key = this.#options.keys()[0]
+    if (key === undefined) {
+      return Err(new Refusal(RefusalCode.NoEndpoint, RunState.NotRun, 'no session can be opened: the settings hold no session key', retryWithoutKeySeconds))
+    }
+    const fields = [formatNumber, key.name, session.id, session.organisation, session.version, session.issuedAt]
+    const payload = Buffer.from(JSON.stringify(fields)).toString('base64url')
+    return Ok(`${payload}.${signatureOf(payload, key).toString('base64url')}`)
+  }
+
+  read (token: string, organisation: string): Result<Session, Refusal> {
+    if (token.length > longestTokenCharacters) return invalid('the session token is too long')
+    const [payload, signature, ...rest] = token.split('.')
+    if (payload === undefined || signature === undefined || rest.length > 0) return invalid('the session token is malformed')
+    const fields = fieldsOf(payload)
+    if (fields === undefined) return invalid('the session token is malformed')
+    const [, keyName, id, owner, version, issuedAt] = fields
+    const key = this.#options.keys().find(candidate => candidate.name === keyName)
+    if (key === undefined) return invalid('the session token is signed by a key that is not in force')
+    if (!isSignature(signature, payload, key)) return invalid('the session token has a wrong signature')
+    if (owner !== organisation) return invalid('the session belongs to another organisation')
+    if (this.#options.clock.now() >= issuedAt + this.#options.lifetimeMilliseconds) return invalid('the session has expired')
+    return Ok({ id, organisation: owner, version, issuedAt })
+  }
+}
+
+function signatureOf (payload: string, key: SessionKey): Buffer {
+  return createHmac('sha256', key.secret).update(payload).digest()
+}
+
+/** Compares in constant time; the text itself must be the one spelling of its bytes. */
+function isSignature (text: string, payload: string, key: SessionKey): boolean {
+  const given = Buffer.from(text, 'base64url')
+  const expected = signatureOf(payload, key)
+  if (given.length !== expected.length) return false
+  return timingSafeEqual(given, expected) && given.toString('base64url') === text
+}
+
+function fieldsOf (payload: string): z.infer<typeof payloadSchema> | undefined {
+  const parsed = payloadSchema.safeParse(jsonOf(Buffer.from(payload, 'base64url').toString('utf8')))
+  return parsed.success ? parsed.data : undefined
+}
+
+function jsonOf (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+function invalid (message: string): Result<Session, Refusal> {
+  return Err(new Refusal(RefusalCode.InvalidSession, RunState.NotRun, message))
+}
--- /dev/null
+++ b/test/session.test.ts
@@ -0,0 +1,88 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { Refusal, RefusalCode, RunState } from '../src/contract/index.ts'
+import { type SessionKey, SignedSessionTokens } from '../src/session/index.ts'
+import { ManualClock } from './fakes/manualClock.ts'
+
+const lifetimeMilliseconds = 60_000
+const oldKey = { name: 'old', secret: 'o'.repeat(32) }
+const newKey = { name: 'new', secret: 'n'.repeat(32) }
+
+function tokensWith (clock: ManualClock, ...keys: SessionKey[]): SignedSessionTokens {
+  return new SignedSessionTokens({ keys: () => keys, clock, lifetimeMilliseconds })
+}
+
+function sessionAt (clock: ManualClock) {
+  return { id: 'session-1', organisation: 'harbour', version: 'small@3' as const, issuedAt: clock.now() }
+}
+
+function refusalOf (result: { readonly val: unknown }): Refusal {
+  expect(result.val).toBeInstanceOf(Refusal)
+  const refusal = result.val as Refusal
+  expect(refusal.run).toBe(RunState.NotRun)
+  return refusal
+}
+
+test('a session is read at another daemon as it was issued', () => {
+  const clock = new ManualClock()
+  const token = tokensWith(clock, oldKey).issue(sessionAt(clock)).unwrap()
+  expect(tokensWith(clock, oldKey).read(token, 'harbour').unwrap()).toEqual(sessionAt(clock))
+})
+
+test('a key rotation keeps sessions until the old key is taken out', () => {
+  const clock = new ManualClock()
+  const token = tokensWith(clock, oldKey).issue(sessionAt(clock)).unwrap()
+  const both = tokensWith(clock, newKey, oldKey)
+  expect(both.read(token, 'harbour').ok).toBe(true)
+  const renewed = both.issue(sessionAt(clock)).unwrap()
+  expect(tokensWith(clock, newKey).read(renewed, 'harbour').ok).toBe(true)
+  expect(refusalOf(tokensWith(clock, newKey).read(token, 'harbour')).code).toBe(RefusalCode.InvalidSession)
+})
+
+test('another organisation can not use a session', () => {
+  const clock = new ManualClock()
+  const tokens = tokensWith(clock, oldKey)
+  const token = tokens.issue(sessionAt(clock)).unwrap()
+  expect(refusalOf(tokens.read(token, 'archive')).code).toBe(RefusalCode.InvalidSession)
+})
+
+test('a session expires', async () => {
+  const clock = new ManualClock()
+  const tokens = tokensWith(clock, oldKey)
+  const token = tokens.issue(sessionAt(clock)).unwrap()
+  await clock.advance(lifetimeMilliseconds - 1)
+  expect(tokens.read(token, 'harbour').ok).toBe(true)
+  await clock.advance(1)
+  expect(refusalOf(tokens.read(token, 'harbour')).code).toBe(RefusalCode.InvalidSession)
+})
+
+test('a token that names a better version under the same signature is refused', () => {
+  const clock = new ManualClock()
+  const tokens = tokensWith(clock, oldKey)
+  const token = tokens.issue(sessionAt(clock)).unwrap()
+  const fields = JSON.parse(Buffer.from(token.split('.')[0] ?? '', 'base64url').toString())
+  fields[4] = 'large@1'
+  const forged = `${Buffer.from(JSON.stringify(fields)).toString('base64url')}.${token.split('.')[1]}`
+  expect(refusalOf(tokens.read(forged, 'harbour')).code).toBe(RefusalCode.InvalidSession)
+})
+
+test('without a key no session is opened and none is run', () => {
+  const clock = new ManualClock()
+  expect(refusalOf(tokensWith(clock).issue(sessionAt(clock))).retryAfterSeconds).toBeGreaterThan(0)
+})
+
+test('no truncation, change or insertion of characters passes for a token', () => {
+  const clock = new ManualClock()
+  const tokens = tokensWith(clock, newKey, oldKey)
+  const token = tokens.issue(sessionAt(clock)).unwrap()
+  fc.assert(fc.property(fc.nat(token.length), fc.nat(token.length), fc.string({ maxLength: 4 }), (start, end, inserted) => {
+    const changed = token.slice(0, start) + inserted + token.slice(end)
+    fc.pre(changed !== token)
+    expect(refusalOf(tokens.read(changed, 'harbour')).code).toBe(RefusalCode.InvalidSession)
+  }), { seed: 11, numRuns: 500 })
+})
+
+test('the refusal of a token comes before its text is decoded where it is far too long', () => {
+  const clock = new ManualClock()
+  expect(refusalOf(tokensWith(clock, oldKey).read('a'.repeat(10_000_000), 'harbour')).code).toBe(RefusalCode.InvalidSession)
+})
