Claim non-idempotent requests in two writes, so that each runs at most once

Cause: a holder may be paused rather than dead, and a write's reply may be lost. Ruled out: one state (either a paused holder sends after a take-over, or a holder that dies before it sends blocks the key for ever); taking a claim over by lease time alone (the gap between the last check and the send stays open); deleting rows on release (a platform that reuses versions could let a late write land on another's row, so released rows stay). Change: prepared (conditional insert), dispatching (compare-and-set, never taken over), then done, unknown or released; lost replies read back by nonce and version; what can't be told is dropped for good and released in the background.

--- a/src/claim/contract.ts
+++ b/src/claim/contract.ts
@@ -29,12 +29,28 @@
    * The point of no return: marks the claim as dispatching. Only after it succeeds may a byte be sent,
    * and only before `sendBefore`.
    *
-   * @returns a refusal that is truly `not_run` where the claim could not be marked
+   * @returns the moment on this process's clock; a refusal that is truly `not_run` where the claim could not be marked
+   * @example
+   * const dispatched = await claim.dispatch()
    */
   dispatch (): Promise<Result<{ readonly sendBefore: number }, Refusal>>
-  /** Records the answer, so that a repeat of the request is given it. */
+  /**
+   * Records the answer, so that a repeat of the request is given it. Where the store gives no reply
+   * it goes on trying in the background; the answer may be given to the caller meanwhile.
+   *
+   * @returns `StoreUnavailable` with run `ran` where it is not known yet that the answer is kept
+   * @example
+   * await claim.settle({ status: 200, contentType: 'application/json', body })
+   */
   settle (answer: StoredAnswer): Promise<Result<void, Refusal>>
-  /** Records that the request was provably never sent, so that a repeat may run. */
+  /**
+   * Records that the request was provably never sent, so that a repeat may run; it goes on trying in
+   * the background where the store gives no reply.
+   *
+   * @returns `StoreUnavailable` with run `not_run` where the key is not known to be free yet
+   * @example
+   * if (failure.reach === Reach.Never) await claim.release()
+   */
   release (): Promise<Result<void, Refusal>>
   /** Records that it can't be told whether the request ran. */
   leaveUnknown (): Promise<void>
@@ -48,12 +64,27 @@
   | { readonly found: 'unknown' }
   | { readonly found: 'mismatch' }
 
+/** Asks the service whether the request ran; undefined where it can't say or can't be reached. */
+export type OutcomeQuestion = (nonce: string) => Promise<StoredAnswer | 'not_run' | undefined>
+
 /** The claims of all daemons, kept in the table service. */
 export interface Claims {
   /**
    * Claims a request, or finds what became of it.
    *
    * @returns a refusal that is truly `not_run` where the store can't be reached
+   * @example
+   * const opening = await claims.open(request)
    */
   open (request: ClaimRequest): Promise<Result<ClaimOpening, Refusal>>
+  /**
+   * Settles a claim whose outcome is unknown by what the service says, and only then. Where the
+   * service says that it did not run, the key is free once nothing sent under it can be under way.
+   *
+   * @returns `answer` where it ran, `mine` where the key was free and is claimed anew, `unknown` where
+   *   that is still all that can be said; a refusal where the store can't be reached
+   * @example
+   * const resolved = await claims.resolve(request, nonce => askService(nonce))
+   */
+  resolve (request: ClaimRequest, ask: OutcomeQuestion): Promise<Result<ClaimOpening, Refusal>>
 }
