--- /dev/null
+++ b/src/billing/collectors.ts
@@ -0,0 +1,83 @@
+/**
+ * Brings entries to the store. The entries of a data centre go through one collector for each lane,
+ * chosen by rendezvous hashing over the members, so the store gets a few transactions a second from a
+ * data centre whatever its traffic. A collector is no one's master: when it can't be reached, a daemon
+ * writes the lane itself, and the watermark keeps two writers from writing an entry twice.
+ */
+import { type Clock, rendezvousOrder } from '../contract/index.ts'
+import type { Link } from '../link/index.ts'
+import type { TableService } from '../platform/index.ts'
+import type { LedgerMember } from './contract.ts'
+import { LaneWriter } from './laneWriter.ts'
+import { billHandIn } from './messages.ts'
+import { type NumberedEntry, packEntries, unpackEntries } from './packedEntries.ts'
+
+/** Longer than a collector waits for the store. */
+const handInTimeoutMilliseconds = 1_500
+
+/** How long a collector that did not reply is passed over. */
+const avoidMilliseconds = 5_000
+
+/** What collectors work with. */
+export interface CollectorsOptions {
+  readonly table: TableService
+  readonly clock: Clock
+  readonly link: Link
+  /** The daemons known now, without the dead; asked at each use. */
+  readonly members: () => readonly LedgerMember[]
+}
+
+/** The ways from one daemon to the store. */
+export class Collectors {
+  readonly #options: CollectorsOptions
+  readonly #writers = new Map<string, LaneWriter>()
+  readonly #avoidedUntil = new Map<string, number>()
+
+  constructor (options: CollectorsOptions) {
+    this.#options = options
+    options.link.answer(billHandIn, async body => ({ isDurable: await this.#writer(body.lane).append(unpackEntries(body.entries), body.isProbe) }))
+  }
+
+  /** Transactions that this daemon sent. */
+  get transactions (): number {
+    return [...this.#writers.values()].reduce((sum, writer) => sum + writer.transactions, 0)
+  }
+
+  /**
+   * Writes entries of a lane.
+   *
+   * @returns whether they are known to be in the store; false leaves it open
+   * @example
+   * const durable = await collectors.deliver(lane, items, false)
+   */
+  async deliver (lane: string, items: readonly NumberedEntry[], isProbe: boolean): Promise<boolean> {
+    const collector = this.#collectorOf(lane)
+    if (collector === undefined) return this.#writer(lane).append(items, isProbe)
+    const reply = await this.#options.link.ask(collector, billHandIn, { lane, entries: packEntries(items), isProbe }, handInTimeoutMilliseconds)
+    if (reply.ok) return reply.val.isDurable
+    this.#avoidedUntil.set(collector.name, this.#options.clock.now() + avoidMilliseconds)
+    return this.#writer(lane).append(items, isProbe)
+  }
+
+  /** Undefined where this daemon writes the lane itself. */
+  #collectorOf (lane: string): LedgerMember | undefined {
+    const self = this.#options.link.self
+    if (!lane.startsWith(`${self.place.dataCentre}/`)) return undefined
+    const candidates = this.#options.members().filter(member => this.#mayCollect(member))
+    const [first] = rendezvousOrder(lane, [self.name, ...candidates.map(member => member.name)])
+    return candidates.find(member => member.name === first)
+  }
+
+  #mayCollect (member: LedgerMember): boolean {
+    const self = this.#options.link.self
+    if (member.name === self.name || member.state !== 'alive') return false
+    if (member.place.dataCentre !== self.place.dataCentre) return false
+    return this.#options.clock.now() >= (this.#avoidedUntil.get(member.name) ?? 0)
+  }
+
+  #writer (lane: string): LaneWriter {
+    const writer = this.#writers.get(lane) ?? new LaneWriter(lane, this.#options.table, this.#options.clock)
+    this.#writers.set(lane, writer)
+    return writer
+  }
+}
--- /dev/null
+++ b/src/billing/packedEntries.ts
@@ -0,0 +1,74 @@
+/**
+ * Entries as they travel between daemons and stand in the store: grouped by the incarnation that
+ * recorded them, each a list without field names, which halves its bytes.
+ */
+import { z } from 'zod'
+import type { VersionName } from '../contract/index.ts'
+import type { BillEntry } from './contract.ts'
+
+/** An entry with the number its incarnation gave it. */
+export interface NumberedEntry {
+  /** The incarnation that recorded it. */
+  readonly origin: string
+  /** From 1, without gaps. */
+  readonly sequence: number
+  readonly entry: BillEntry
+}
+
+/** Sequence, id, organisation, kind, version or '', service or '', prompt, cached and completion tokens, cost, extra cost, moment. */
+const rowSchema = z.tuple([
+  z.number().int().positive(), z.string(), z.string(), z.string(), z.string(), z.string(),
+  z.number(), z.number(), z.number(), z.number(), z.number(), z.number()
+])
+
+/** The shape of packed entries. */
+export const packedEntriesSchema = z.array(z.object({ origin: z.string(), rows: z.array(rowSchema) }))
+
+/** Entries of some incarnations, packed. */
+export type PackedEntries = z.infer<typeof packedEntriesSchema>
+
+/**
+ * Packs entries.
+ *
+ * @example
+ * const packed = packEntries([{ origin: 'entry-1#17', sequence: 1, entry }])
+ */
+export function packEntries (items: readonly NumberedEntry[]): PackedEntries {
+  const groups = new Map<string, z.infer<typeof rowSchema>[]>()
+  for (const { origin, sequence, entry } of items) {
+    const rows = groups.get(origin) ?? []
+    groups.set(origin, rows)
+    rows.push([
+      sequence, entry.id, entry.organisation, entry.kind, entry.version ?? '', entry.service ?? '',
+      entry.usage.promptTokens, entry.usage.cachedPromptTokens, entry.usage.completionTokens,
+      entry.cost, entry.extraCost, entry.at
+    ])
+  }
+  return [...groups].map(([origin, rows]) => ({ origin, rows }))
+}
+
+/**
+ * Unpacks entries.
+ *
+ * @example
+ * const items = unpackEntries(body.entries)
+ */
+export function unpackEntries (packed: PackedEntries): NumberedEntry[] {
+  return packed.flatMap(({ origin, rows }) => rows.map(row => unpackRow(origin, row)))
+}
+
+function unpackRow (origin: string, row: z.infer<typeof rowSchema>): NumberedEntry {
+  const [sequence, id, organisation, kind, version, service, promptTokens, cachedPromptTokens, completionTokens, cost, extraCost, at] = row
+  const entry: BillEntry = {
+    id,
+    organisation,
+    kind,
+    version: version === '' ? undefined : version as VersionName,
+    service: service === '' ? undefined : service,
+    usage: { promptTokens, cachedPromptTokens, completionTokens },
+    cost,
+    extraCost,
+    at
+  }
+  return { origin, sequence, entry }
+}
--- /dev/null
+++ b/src/billing/sequenceRanges.ts
@@ -0,0 +1,60 @@
+/**
+ * A set of sequence numbers as sorted ranges. Entries of one incarnation are written nearly in order,
+ * so the set is one range and a few bytes; an incarnation whose entries were handed in by the holders
+ * of its copies may leave holes, which stay visible.
+ */
+
+/** The first and the last number of a range. */
+export type SequenceRange = readonly [number, number]
+
+/** An immutable set of sequence numbers. */
+export class SequenceRanges {
+  readonly ranges: readonly SequenceRange[]
+
+  private constructor (ranges: readonly SequenceRange[]) {
+    this.ranges = ranges
+  }
+
+  static readonly empty = new SequenceRanges([])
+
+  /**
+   * A set from ranges in any order, which may overlap.
+   *
+   * @example
+   * SequenceRanges.of([[1, 40], [42, 50]])
+   */
+  static of (ranges: readonly SequenceRange[]): SequenceRanges {
+    const sorted = [...ranges].sort((left, right) => left[0] - right[0])
+    const joined: [number, number][] = []
+    for (const [from, to] of sorted) {
+      const last = joined.at(-1)
+      if (last !== undefined && from <= last[1] + 1) last[1] = Math.max(last[1], to)
+      else joined.push([from, to])
+    }
+    return new SequenceRanges(joined)
+  }
+
+  /** How many numbers the set has. */
+  get size (): number {
+    return this.ranges.reduce((sum, [from, to]) => sum + to - from + 1, 0)
+  }
+
+  /** How many numbers are missing from 1 to the last one. */
+  get holes (): number {
+    return (this.ranges.at(-1)?.[1] ?? 0) - this.size
+  }
+
+  has (number: number): boolean {
+    return this.ranges.some(([from, to]) => from <= number && number <= to)
+  }
+
+  /** The set with more numbers. */
+  with (numbers: readonly number[]): SequenceRanges {
+    return SequenceRanges.of([...this.ranges, ...numbers.map(number => [number, number] as const)])
+  }
+
+  /** Whether every number of the other set is in this one. */
+  covers (other: SequenceRanges): boolean {
+    return other.ranges.every(([from, to]) => this.ranges.some(range => range[0] <= from && to <= range[1]))
+  }
+}
--- /dev/null
+++ b/src/billing/verifyBills.ts
@@ -0,0 +1,118 @@
+/**
+ * Recounts the books from the rows in the store. Watermarks are read before batches, for batches
+ * that are committed in between are then merely newer than the watermarks.
+ */
+import { Ok, type Result } from '../contract/index.ts'
+import type { PlatformUnavailable, Row, TableService } from '../platform/index.ts'
+import type { BillEntry } from './contract.ts'
+import { foldBills } from './foldBills.ts'
+import { batchOf, batchTableName, watermarkOf, watermarkTableName } from './lane.ts'
+import { unpackEntries } from './packedEntries.ts'
+import { SequenceRanges } from './sequenceRanges.ts'
+
+/** What the books hold. */
+export interface BillReport {
+  /** Entries in batches. */
+  readonly entries: number
+  /** Bills: entries folded by id. */
+  readonly bills: number
+  /** Ids recorded more than once, which are billed once. */
+  readonly repeatedIds: number
+  /** Entries whose incarnation and number stand in two batches, as `incarnation/number`; must be empty. */
+  readonly doubled: readonly string[]
+  /** Numbers that a watermark has and no batch, as `incarnation/number`; must be empty. */
+  readonly missing: readonly string[]
+  /** Rows that can't be read; must be empty. */
+  readonly unreadable: readonly string[]
+  /** Numbers below an incarnation's last that never reached the store: entries lost with VMs, or still to come. */
+  readonly holes: number
+  /** Cost units billed, and booked besides. */
+  readonly cost: number
+  readonly extraCost: number
+}
+
+/**
+ * Recounts all bills.
+ *
+ * @example
+ * const report = await verifyBills(table)
+ */
+export async function verifyBills (table: TableService): Promise<Result<BillReport, PlatformUnavailable>> {
+  const watermarks = await readAll(table, watermarkTableName)
+  if (watermarks.err) return watermarks
+  const batches = await readAll(table, batchTableName)
+  if (batches.err) return batches
+  const unreadable: string[] = []
+  const numbers = numbersOf(watermarks.val, unreadable)
+  const { entries, seen, doubled } = entriesOf(batches.val, unreadable)
+  const bills = foldBills(entries)
+  const all = [...bills.values()]
+  return Ok({
+    entries: entries.length,
+    bills: bills.size,
+    repeatedIds: countRepeated(entries),
+    doubled,
+    missing: missingIn(numbers, seen),
+    unreadable,
+    holes: [...numbers.values()].reduce((sum, ranges) => sum + ranges.holes, 0),
+    cost: all.reduce((sum, bill) => sum + bill.cost, 0),
+    extraCost: all.reduce((sum, bill) => sum + bill.extraCost, 0)
+  })
+}
+
+async function readAll (table: TableService, name: string): Promise<Result<Row[], PlatformUnavailable>> {
+  const rows: Row[] = []
+  let after: string | undefined
+  do {
+    const page = await table.scan(name, after === undefined ? { prefix: '' } : { prefix: '', after })
+    if (page.err) return page
+    rows.push(...page.val.rows)
+    after = page.val.next
+  } while (after !== undefined)
+  return Ok(rows)
+}
+
+function numbersOf (rows: readonly Row[], unreadable: string[]): Map<string, SequenceRanges> {
+  const numbers = new Map<string, SequenceRanges>()
+  for (const row of rows) {
+    const watermark = watermarkOf(row.version, row.value)
+    if (watermark === undefined) unreadable.push(row.key)
+    for (const [origin, ranges] of watermark?.origins ?? []) numbers.set(origin, ranges)
+  }
+  return numbers
+}
+
+function entriesOf (rows: readonly Row[], unreadable: string[]): { readonly entries: BillEntry[], readonly seen: Set<string>, readonly doubled: string[] } {
+  const entries: BillEntry[] = []
+  const seen = new Set<string>()
+  const doubled: string[] = []
+  for (const row of rows) {
+    const batch = batchOf(row.value)
+    if (batch === undefined) unreadable.push(row.key)
+    for (const { origin, sequence, entry } of unpackEntries(batch?.entries ?? [])) {
+      const name = `${origin}/${sequence}`
+      if (seen.has(name)) doubled.push(name)
+      seen.add(name)
+      entries.push(entry)
+    }
+  }
+  return { entries, seen, doubled }
+}
+
+function missingIn (numbers: ReadonlyMap<string, SequenceRanges>, seen: ReadonlySet<string>): string[] {
+  const missing: string[] = []
+  for (const [origin, { ranges }] of numbers) {
+    for (const [from, to] of ranges) {
+      for (let sequence = from; sequence <= to; sequence++) {
+        if (!seen.has(`${origin}/${sequence}`)) missing.push(`${origin}/${sequence}`)
+      }
+    }
+  }
+  return missing
+}
+
+function countRepeated (entries: readonly BillEntry[]): number {
+  const counts = new Map<string, number>()
+  for (const { id } of entries) counts.set(id, (counts.get(id) ?? 0) + 1)
+  return [...counts.values()].filter(count => count > 1).length
+}
