--- /dev/null
+++ b/src/choice/endpointEstimate.ts
@@ -0,0 +1,126 @@
+/**
+ * How long a request would wait at an endpoint, from a report that is late. Three corrections make
+ * it usable: what this daemon sent since the report is added; the report's queue is drawn towards
+ * the mean of all candidates as it ages, because an old extreme is mostly gone; and each endpoint's
+ * estimates are corrected by how wrong they were before.
+ */
+import { Priority } from '../contract/index.ts'
+import type { EndpointRequest, EndpointView } from './contract.ts'
+import type { RecentWork } from './endpointInFlight.ts'
+import type { EndpointTuning } from './endpointTuning.ts'
+
+/** A report with its age taken into account. */
+export interface EndpointLoad {
+  /** Streams it runs or has waiting, over the streams it can run. */
+  readonly fullness: number
+  /** Prompt tokens that would be prefilled before a new prompt. */
+  readonly waitingPromptTokens: number
+  /** Streams that wait for a place. */
+  readonly waitingStreams: number
+  readonly streamLimit: number
+  readonly prefillTokensPerSecond: number
+  readonly betweenTokensMilliseconds: number
+}
+
+/** What the mean candidate looks like. */
+export interface MeanLoad {
+  readonly fullness: number
+  readonly waitingPromptTokens: number
+}
+
+/** How much of a queue a request waits for, by its priority. */
+const queueShare: Record<Priority, number> = {
+  [Priority.Interactive]: 0.5,
+  [Priority.Normal]: 1,
+  [Priority.Background]: 2
+}
+
+/** Older reports than this say nothing of when they were made by another machine's clock. */
+const believableLagMilliseconds = 5_000
+
+/** When a report was made by this daemon's clock, as far as can be told. */
+export function reportMoment (view: EndpointView): number {
+  if (view.report === undefined) return Number.NEGATIVE_INFINITY
+  const lag = view.reportedAt - view.report.at
+  if (lag < 0 || lag > believableLagMilliseconds) return view.reportedAt
+  return view.report.at
+}
+
+/**
+ * Reads a report together with this daemon's own work since.
+ *
+ * @example
+ * const load = loadOf(view, inFlight.since(reportMoment(view)), tuning)
+ */
+export function loadOf (view: EndpointView, own: RecentWork, tuning: EndpointTuning): EndpointLoad {
+  const report = view.report
+  const streamLimit = Math.max(1, report?.streamLimit ?? tuning.assumedStreamLimit)
+  const streams = (report === undefined ? 0 : report.running + report.queued) + own.streams
+  return {
+    fullness: streams / streamLimit,
+    waitingPromptTokens: (report?.queuedPromptTokens ?? 0) + own.promptTokens,
+    waitingStreams: Math.max(0, streams - streamLimit),
+    streamLimit,
+    prefillTokensPerSecond: Math.max(1, report?.prefillTokensPerSecond ?? tuning.assumedPrefillTokensPerSecond),
+    betweenTokensMilliseconds: report?.betweenTokensMilliseconds ?? tuning.assumedBetweenTokensMilliseconds
+  }
+}
+
+/** The mean over candidates. */
+export function meanLoad (loads: readonly EndpointLoad[]): MeanLoad {
+  let fullness = 0
+  let waitingPromptTokens = 0
+  for (const load of loads) {
+    fullness += load.fullness
+    waitingPromptTokens += load.waitingPromptTokens
+  }
+  const count = Math.max(1, loads.length)
+  return { fullness: fullness / count, waitingPromptTokens: waitingPromptTokens / count }
+}
+
+/** Draws an old report towards the mean. */
+export function agedLoad (load: EndpointLoad, mean: MeanLoad, ageMilliseconds: number, tuning: EndpointTuning): EndpointLoad {
+  const trust = 0.5 ** (Math.max(0, ageMilliseconds) / tuning.reportHalfLifeMilliseconds)
+  const fullness = mean.fullness + trust * (load.fullness - mean.fullness)
+  return {
+    ...load,
+    fullness,
+    waitingPromptTokens: mean.waitingPromptTokens + trust * (load.waitingPromptTokens - mean.waitingPromptTokens),
+    waitingStreams: Math.max(0, (fullness - 1) * load.streamLimit)
+  }
+}
+
+/** Milliseconds until a request's turn comes. */
+export function waitMilliseconds (load: EndpointLoad, request: EndpointRequest, meanCompletionTokens: number): number {
+  const prefill = load.waitingPromptTokens / load.prefillTokensPerSecond * 1_000
+  const serviceMilliseconds = meanCompletionTokens * load.betweenTokensMilliseconds
+  const place = load.fullness < 1 ? 0 : (load.waitingStreams + 1) / load.streamLimit * serviceMilliseconds
+  return (prefill + place) * queueShare[request.priority]
+}
+
+/** Milliseconds to prefill a prompt of which some tokens are cached. */
+export function prefillMilliseconds (load: EndpointLoad, promptTokens: number, cachedTokens: number): number {
+  return Math.max(1, promptTokens - cachedTokens) / load.prefillTokensPerSecond * 1_000
+}
+
+/** Capacity relative to others; it changes with hardware, not with load. */
+export function capacityOf (load: EndpointLoad): number {
+  return load.streamLimit * Math.sqrt(load.prefillTokensPerSecond)
+}
+
+/**
+ * How full the engines of a version are, for admission: 1 where all places are taken.
+ *
+ * @example
+ * const pressure = pressureOf(views.filter(view => view.report?.versions.includes(version)))
+ */
+export function pressureOf (views: readonly EndpointView[]): number {
+  let streams = 0
+  let places = 0
+  for (const { report, healthy, leaving } of views) {
+    if (report === undefined || !healthy || leaving || report.leaving) continue
+    streams += report.running + report.queued
+    places += report.streamLimit
+  }
+  return places === 0 ? 0 : streams / places
+}
