--- /dev/null
+++ b/bench/world.ts
@@ -0,0 +1,277 @@
+/**
+ * The world that a bench measures in: what versions can do, what they cost and who asks for what.
+ * Policies never see it; they see requests, hints and ratings. All draws take a `Randomness`, so
+ * that two policies can be run on the same requests.
+ */
+import type { Randomness } from '../src/contract/index.ts'
+import { readWorldText, type WorldText } from './worldSchema.ts'
+
+/** The 50th and 95th percentile of a lognormal wait. */
+export interface Percentiles {
+  readonly p50: number
+  readonly p95: number
+}
+
+export interface WorldVersion {
+  readonly name: string
+  /** Cost units for a generated token. */
+  readonly price: number
+  readonly weightGigabytes: number
+  /** Milliseconds of one decode step: base + perStream × streams in the batch, on hardware of speed 1. */
+  readonly decodeMilliseconds: { readonly base: number, readonly perStream: number }
+  readonly prefillTokensPerSecond: number
+  readonly skill: ReadonlyMap<string, number>
+}
+
+export interface WorldHardware {
+  readonly name: string
+  /** Multiplies the speed of prefill and decode. */
+  readonly speed: number
+  /** Batch limit of an accelerator. */
+  readonly streams: number
+  readonly prefixCacheTokens: number
+}
+
+export interface WorldKind {
+  readonly name: string
+  readonly inputTokens: number
+  readonly outputTokens: number
+  readonly sharedPrefixTokens: number
+  /** Absent where each user has its own share. */
+  readonly streamedShare: number | undefined
+  /** Mean turns of a session, geometric; 1 for a kind without sessions. */
+  readonly sessionTurns: number
+}
+
+export interface WorldOrganisation {
+  readonly name: string
+  readonly weight: number
+}
+
+export interface WorldUser {
+  readonly name: string
+  /** Share of each kind among its model requests; sums to 1. */
+  readonly mix: ReadonlyMap<string, number>
+  /** Share of streamed requests of each kind. */
+  readonly streamedShare: ReadonlyMap<string, number>
+  readonly organisations: readonly WorldOrganisation[]
+  readonly serviceCallsShare: number
+  /** Data centres in each region. */
+  readonly dataCentres: ReadonlyMap<string, number>
+  readonly oneWayMilliseconds: { readonly dataCentre: number, readonly region: number, readonly client: number }
+  readonly regionalLinkMegabits: number
+  readonly runners: number
+}
+
+export interface World {
+  /** The rating from which an answer is good. */
+  readonly qualityGood: number
+  /** The share of good answers to reach, for each organisation and kind. */
+  readonly qualityTarget: number
+  readonly difficulty: { readonly low: number, readonly high: number }
+  /** base + slope × (skill − difficulty), kept within low..high. */
+  readonly trueScore: { readonly base: number, readonly slope: number, readonly low: number, readonly high: number }
+  readonly hintNoise: number
+  readonly ratingNoise: number
+  /** Cost units for a rating. */
+  readonly ratingCost: number
+  readonly ratingMilliseconds: Percentiles
+  readonly ratingOutageShare: number
+  /** Cheapest first. */
+  readonly versions: readonly WorldVersion[]
+  readonly hardware: readonly WorldHardware[]
+  readonly kinds: ReadonlyMap<string, WorldKind>
+  readonly users: ReadonlyMap<string, WorldUser>
+  readonly news: {
+    readonly loadReportLagMilliseconds: Percentiles
+    readonly loadReportEveryMilliseconds: number
+    readonly virtualMachineListLagSeconds: Percentiles
+    readonly cacheEventLoss: number
+  }
+}
+
+/** One model request, with what a policy must not see. */
+export interface WorldRequest {
+  readonly organisation: string
+  readonly kind: WorldKind
+  /** Hidden from policies. */
+  readonly difficulty: number
+  /** What is known before the request is run. */
+  readonly hint: number
+  readonly streamed: boolean
+  readonly inputTokens: number
+  readonly outputTokens: number
+}
+
+/** The standard normal distribution's 95th percentile. */
+const NORMAL_P95 = 1.6449
+
+/**
+ * Reads a world.
+ *
+ * @throws where the text is not a world
+ * @example
+ * const world = readWorld(readFileSync('bench/workloads.toml', 'utf8'))
+ */
+export function readWorld (text: string): World {
+  const read = readWorldText(text)
+  const [low = 0, high = 1] = numbersOf(read.difficulty.replace('..', ' '))
+  const [base = 0, slope = 0, lowest = 0, highest = 0] = numbersOf(read.true_score.replace('..', ' '))
+  const kinds = new Map(Object.entries(read.kinds).map(([name, kind]) => [name, kindOf(name, kind)]))
+  return {
+    qualityGood: read.quality_good,
+    qualityTarget: read.quality_target,
+    difficulty: { low, high },
+    trueScore: { base, slope, low: lowest, high: highest },
+    hintNoise: read.hint_noise,
+    ratingNoise: read.rating_noise,
+    ratingCost: read.rating_cost,
+    ratingMilliseconds: percentilesOf(read.rating_milliseconds),
+    ratingOutageShare: read.rating_outage_share,
+    versions: Object.entries(read.versions).map(versionOf).sort((left, right) => left.price - right.price),
+    hardware: Object.entries(read.hardware).map(hardwareOf),
+    kinds,
+    users: new Map(Object.entries(read.users).map(([name, user]) => [name, userOf(name, user, kinds)])),
+    news: {
+      loadReportLagMilliseconds: percentilesOf(read.news.load_report_lag_milliseconds),
+      loadReportEveryMilliseconds: read.news.load_report_every_milliseconds,
+      virtualMachineListLagSeconds: percentilesOf(read.news.virtual_machine_list_lag_seconds),
+      cacheEventLoss: read.news.cache_event_loss
+    }
+  }
+}
+
+/** Draws a first request of a session, or one without a session. */
+export function drawRequest (world: World, user: WorldUser, randomness: Randomness): WorldRequest {
+  const organisation = drawWeighted(user.organisations, entry => entry.weight, randomness)
+  const [name] = drawWeighted([...user.mix], entry => entry[1], randomness)
+  const kind = world.kinds.get(name)!
+  return { ...drawTurn(world, user, kind, kind.inputTokens, randomness), organisation: organisation.name }
+}
+
+/** Draws the next turn of a session: its own difficulty, and a longer prompt. */
+export function drawNextTurn (world: World, user: WorldUser, last: WorldRequest, randomness: Randomness): WorldRequest {
+  const inputTokens = last.inputTokens + last.kind.inputTokens / 4
+  return { ...drawTurn(world, user, last.kind, inputTokens, randomness), organisation: last.organisation }
+}
+
+/** Whether a session goes on after a turn, so that its turns are geometric with the kind's mean. */
+export function drawSessionGoesOn (kind: WorldKind, randomness: Randomness): boolean {
+  return randomness.fraction() < 1 - 1 / kind.sessionTurns
+}
+
+function drawTurn (world: World, user: WorldUser, kind: WorldKind, inputTokens: number, randomness: Randomness) {
+  const { low, high } = world.difficulty
+  const difficulty = low + (high - low) * randomness.fraction()
+  return {
+    kind,
+    difficulty,
+    hint: difficulty + world.hintNoise * randomness.normal(),
+    streamed: randomness.fraction() < (user.streamedShare.get(kind.name) ?? 0),
+    inputTokens,
+    outputTokens: kind.outputTokens
+  }
+}
+
+/**
+ * The true score of an answer, 0 to 100 in the default world.
+ *
+ * @param shift points added, for a version that turned bad
+ */
+export function trueScore (world: World, version: WorldVersion, kind: string, difficulty: number, shift = 0): number {
+  const { base, slope, low, high } = world.trueScore
+  const skill = version.skill.get(kind) ?? 0
+  const score = base + slope * (skill - difficulty) + shift
+  return Math.min(high, Math.max(low, score))
+}
+
+/** What the rating service reads of an answer with this true score. */
+export function drawRating (world: World, score: number, randomness: Randomness): number {
+  const { low, high } = world.trueScore
+  const reading = score + world.ratingNoise * randomness.normal()
+  return Math.min(high, Math.max(low, reading))
+}
+
+/** Draws a lognormal wait from its percentiles, in their unit. */
+export function drawWait ({ p50, p95 }: Percentiles, randomness: Randomness): number {
+  const spread = Math.log(p95 / p50) / NORMAL_P95
+  return p50 * Math.exp(spread * randomness.normal())
+}
+
+/** Cost units of one attempt. */
+export function attemptCost (version: WorldVersion, inputTokens: number, cachedInputTokens: number, outputTokens: number): number {
+  const prefilled = (inputTokens - cachedInputTokens) / 4
+  return version.price * (prefilled + cachedInputTokens / 40 + outputTokens)
+}
+
+/** The share of good answers of a version over a kind's whole mix. */
+export function goodShare (world: World, version: WorldVersion, kind: string): number {
+  const { base, slope } = world.trueScore
+  const { low, high } = world.difficulty
+  const hardestGood = (version.skill.get(kind) ?? 0) - (world.qualityGood - base) / slope
+  return Math.min(1, Math.max(0, (hardestGood - low) / (high - low)))
+}
+
+function drawWeighted<Entry> (entries: readonly Entry[], weightOf: (entry: Entry) => number, randomness: Randomness): Entry {
+  const total = entries.reduce((sum, entry) => sum + weightOf(entry), 0)
+  let left = randomness.fraction() * total
+  for (const entry of entries) {
+    left -= weightOf(entry)
+    if (left < 0) return entry
+  }
+  return entries.at(-1)!
+}
+
+function numbersOf (text: string): number[] {
+  return (text.match(/(?<![\w.])-?\d+(\.\d+)?/g) ?? []).map(Number)
+}
+
+function percentilesOf ([p50, p95]: readonly [number, number]): Percentiles {
+  return { p50, p95 }
+}
+
+function versionOf ([name, version]: [string, WorldText['versions'][string]]): WorldVersion {
+  return {
+    name,
+    price: version.price,
+    weightGigabytes: version.weight_gigabytes,
+    decodeMilliseconds: { base: version.decode_milliseconds.base, perStream: version.decode_milliseconds.per_stream },
+    prefillTokensPerSecond: version.prefill_tokens_per_second,
+    skill: new Map(Object.entries(version.skill))
+  }
+}
+
+function hardwareOf ([name, hardware]: [string, WorldText['hardware'][string]]): WorldHardware {
+  return { name, speed: hardware.speed, streams: hardware.streams, prefixCacheTokens: hardware.prefix_cache_tokens }
+}
+
+function kindOf (name: string, kind: WorldText['kinds'][string]): WorldKind {
+  return {
+    name,
+    inputTokens: kind.input_tokens,
+    outputTokens: kind.output_tokens,
+    sharedPrefixTokens: kind.shared_prefix_tokens,
+    streamedShare: kind.streamed_share,
+    sessionTurns: kind.session_turns ?? 1
+  }
+}
+
+function userOf (name: string, user: WorldText['users'][string], kinds: ReadonlyMap<string, WorldKind>): WorldUser {
+  const total = Object.values(user.mix).reduce((sum, share) => sum + share, 0)
+  const ownShare = user.streamed_summaries ?? 0
+  return {
+    name,
+    mix: new Map(Object.entries(user.mix).map(([kind, share]) => [kind, share / total])),
+    streamedShare: new Map([...kinds].map(([kind, { streamedShare }]) => [kind, streamedShare ?? ownShare])),
+    organisations: user.organisation_weights.map((weight, index) => ({ name: `organisation-${index + 1}`, weight })),
+    serviceCallsShare: user.service_calls_share,
+    dataCentres: new Map(Object.entries(user.data_centres)),
+    oneWayMilliseconds: {
+      dataCentre: user.one_way_milliseconds.data_centre,
+      region: user.one_way_milliseconds.region,
+      client: user.one_way_milliseconds.client
+    },
+    regionalLinkMegabits: user.regional_link_megabits,
+    runners: user.runners
+  }
+}
