Settle unknown calls by asking every endpoint of the service; refuse a session that can't be named

Cause: an unknown outcome stayed unknown though the service can say; a session without a key in the settings would have failed after its answer ran. Change: claims.resolve is asked with the answers of all endpoints of the service, since one runner's not_run proves nothing of the others; the key at the service holds the organisation; a new session's token is tried before anything is sent.

--- /dev/null
+++ b/src/command/platformAccess.ts
@@ -0,0 +1,49 @@
+/** How operators' commands find the platform's table service. */
+import { readFile } from 'node:fs/promises'
+import { Err, Ok, type Result } from '../contract/index.ts'
+import { HttpTableService, type TableService } from '../platform/index.ts'
+import { checkText, localSchema, type LocalSettings } from '../settings/index.ts'
+import { CommandFailure, ExitCode, faultsFailure } from './exit.ts'
+
+/** Options that every operators' command takes. */
+export interface PlatformOptions {
+  readonly platform?: string
+  readonly config?: string
+}
+
+const timeoutMilliseconds = 5_000
+
+/** Reads a file; a missing one is a failure of usage. */
+export async function readText (path: string): Promise<Result<string, CommandFailure>> {
+  try {
+    return Ok(await readFile(path, 'utf8'))
+  } catch (error) {
+    const reason = error instanceof Error && 'code' in error ? String(error.code) : String(error)
+    return Err(new CommandFailure(`${path} can't be read: ${reason}`, ExitCode.Usage))
+  }
+}
+
+/** Reads and checks a daemon's local settings. */
+export async function readLocalSettings (path: string): Promise<Result<LocalSettings, CommandFailure>> {
+  const text = await readText(path)
+  if (text.err) return text
+  const checked = checkText(text.val, path, localSchema)
+  return checked.ok ? Ok(checked.val) : Err(faultsFailure(checked.val))
+}
+
+/** The table service that `--platform`, `--config` or the environment names. */
+export async function tableServiceOf (options: PlatformOptions): Promise<Result<TableService, CommandFailure>> {
+  const address = await addressOf(options)
+  if (address.err) return address
+  return Ok(new HttpTableService({ address: address.val, timeoutMilliseconds }))
+}
+
+async function addressOf (options: PlatformOptions): Promise<Result<string, CommandFailure>> {
+  const named = options.platform ?? process.env.LAVENDERDOOR_PLATFORM
+  if (named !== undefined) return Ok(named)
+  if (options.config === undefined) {
+    return Err(new CommandFailure('name the table service: --platform IP:port, --config FILE, or LAVENDERDOOR_PLATFORM', ExitCode.Usage))
+  }
+  const local = await readLocalSettings(options.config)
+  return local.ok ? Ok(local.val.platform.table_service) : Err(local.val)
+}
--- /dev/null
+++ b/src/command/recordCommands.ts
@@ -0,0 +1,36 @@
+/** `lavenderdoor request show` and `lavenderdoor bill verify`: looks into the records that the store keeps. */
+import { verifyBills } from '../billing/index.ts'
+import { readClaim } from '../claim/index.ts'
+import { Err, Ok, type Result } from '../contract/index.ts'
+import { CommandFailure, unavailableFailure } from './exit.ts'
+import { printJson, printLine } from './output.ts'
+import { type PlatformOptions, tableServiceOf } from './platformAccess.ts'
+
+/** Options of the record commands. */
+export interface RecordOptions extends PlatformOptions {
+  readonly json?: boolean
+}
+
+/** Prints what became of a request that is not idempotent. */
+export async function requestShow (organisation: string, key: string, options: RecordOptions): Promise<Result<void, CommandFailure>> {
+  const table = await tableServiceOf(options)
+  if (table.err) return table
+  const claim = await readClaim(table.val, organisation, key)
+  if (claim.err) return Err(unavailableFailure(false))
+  if (claim.val === undefined) return Err(new CommandFailure(`organisation ${organisation} has no request with the key ${key}`))
+  if (options.json) printJson(claim.val)
+  else for (const [name, value] of Object.entries(claim.val)) printLine(`${name}: ${typeof value === 'object' ? JSON.stringify(value) : String(value)}`)
+  return Ok(undefined)
+}
+
+/** Recounts all bills. */
+export async function billVerify (options: RecordOptions): Promise<Result<void, CommandFailure>> {
+  const table = await tableServiceOf(options)
+  if (table.err) return table
+  const report = await verifyBills(table.val)
+  if (report.err) return Err(unavailableFailure(false))
+  const { faults, ...sums } = report.val
+  if (options.json) printJson(report.val)
+  else for (const [name, value] of Object.entries(sums)) printLine(`${name}: ${String(value)}`)
+  return faults.length === 0 ? Ok(undefined) : Err(new CommandFailure(faults.join('\n')))
+}
--- /dev/null
+++ b/src/command/settingsCommands.ts
@@ -0,0 +1,114 @@
+/** `lavenderdoor settings …`: reads and writes the operators' settings in the table service. */
+import { userInfo } from 'node:os'
+import { stringify } from 'smol-toml'
+import { Err, Ok, type Result } from '../contract/index.ts'
+import { type SettingsChange, type SettingsRejection, type SettingsRepository, TableSettingsRepository } from '../distribution/index.ts'
+import { checkText, type Subtree, subtreeSchema } from '../settings/index.ts'
+import { CommandFailure, ExitCode, faultsFailure, unavailableFailure } from './exit.ts'
+import { lineDifference } from './lineDifference.ts'
+import { printJson, printLine, printTable } from './output.ts'
+import { type PlatformOptions, readText, tableServiceOf } from './platformAccess.ts'
+import { SystemClock, SystemRandomness } from '../contract/index.ts'
+
+/** Options of the settings commands. */
+export interface SettingsOptions extends PlatformOptions {
+  readonly json?: boolean
+  readonly expected?: string
+  readonly author?: string
+}
+
+const revisionLine = /^# revision (\d+)/m
+const historyPageChanges = 500
+
+/** The repository that the options name. */
+export async function repositoryOf (options: PlatformOptions): Promise<Result<SettingsRepository, CommandFailure>> {
+  const table = await tableServiceOf(options)
+  if (table.err) return table
+  return Ok(new TableSettingsRepository({ table: table.val, clock: new SystemClock(), randomness: new SystemRandomness() }))
+}
+
+/** Prints a team's subtree, with its revision as the first line. */
+export async function settingsGet (team: string, options: SettingsOptions): Promise<Result<void, CommandFailure>> {
+  const found = await readSubtree(team, options)
+  if (found.err) return found
+  const { revision, subtree } = found.val
+  if (options.json) printJson({ team, revision, subtree })
+  else printLine(`# revision ${revision}\n${subtree === undefined ? '' : tomlOf(subtree)}`.trimEnd())
+  return Ok(undefined)
+}
+
+/** Replaces a team's subtree if nobody else has since the revision it was read at. */
+export async function settingsPut (team: string, file: string, options: SettingsOptions): Promise<Result<void, CommandFailure>> {
+  const repository = await repositoryOf(options)
+  if (repository.err) return repository
+  const text = await readText(file)
+  if (text.err) return text
+  const expected = options.expected ?? revisionLine.exec(text.val)?.[1]
+  if (expected === undefined || !/^\d+$/.test(expected)) {
+    return Err(new CommandFailure('name the revision that was edited: --expected N, or the "# revision N" line that "settings get" prints (0 for a new team)', ExitCode.Usage))
+  }
+  const checked = checkText(text.val, file, subtreeSchema)
+  if (checked.err) return Err(faultsFailure(checked.val))
+  const put = await repository.val.put(team, checked.val, { expected: Number(expected), author: authorOf(options) })
+  if (put.err) return Err(rejectionFailure(put.val, checked.val))
+  if (options.json) printJson({ team, revision: put.val })
+  else printLine(`accepted as revision ${put.val}`)
+  return Ok(undefined)
+}
+
+/** Prints how a file differs from a team's subtree. */
+export async function settingsDiff (team: string, file: string, options: SettingsOptions): Promise<Result<void, CommandFailure>> {
+  const text = await readText(file)
+  if (text.err) return text
+  const checked = checkText(text.val, file, subtreeSchema)
+  if (checked.err) return Err(faultsFailure(checked.val))
+  const found = await readSubtree(team, options)
+  if (found.err) return found
+  const current = found.val.subtree === undefined ? '' : tomlOf(found.val.subtree)
+  for (const line of lineDifference(current, tomlOf(checked.val))) printLine(line)
+  return Ok(undefined)
+}
+
+/** Prints the accepted changes, oldest first. */
+export async function settingsHistory (team: string | undefined, options: SettingsOptions): Promise<Result<void, CommandFailure>> {
+  const repository = await repositoryOf(options)
+  if (repository.err) return repository
+  const changes: SettingsChange[] = []
+  for (let after = 0; ;) {
+    const page = await repository.val.changesAfter(after, historyPageChanges)
+    if (page.err) return Err(rejectionFailure(page.val))
+    changes.push(...page.val)
+    const last = page.val.at(-1)
+    if (last === undefined || page.val.length < historyPageChanges) break
+    after = last.revision
+  }
+  const wanted = changes.filter(change => team === undefined || change.team === team)
+  if (options.json) printJson(wanted)
+  else printTable(wanted.map(change => ({ revision: change.revision, team: change.team, author: change.author, at: new Date(change.at).toISOString() })))
+  return Ok(undefined)
+}
+
+/** Who writes a change. */
+export function authorOf (options: SettingsOptions): string {
+  return options.author ?? userInfo().username
+}
+
+/** A rejection in words; a conflict shows how the subtree differs from what was put. */
+export function rejectionFailure (rejection: SettingsRejection, put?: Subtree): CommandFailure {
+  if (rejection.reason === 'faults') return faultsFailure(rejection.faults)
+  if (rejection.reason === 'unavailable') return unavailableFailure(rejection.mayHaveApplied)
+  const { conflict } = rejection
+  const difference = put === undefined ? [] : lineDifference(tomlOf(conflict.current), tomlOf(put))
+  return new CommandFailure([`somebody else was first: the subtree is at revision ${conflict.revision}; nothing was changed`, ...difference].join('\n'))
+}
+
+async function readSubtree (team: string, options: SettingsOptions): Promise<Result<{ readonly revision: number, readonly subtree: Subtree | undefined }, CommandFailure>> {
+  const repository = await repositoryOf(options)
+  if (repository.err) return repository
+  const found = await repository.val.read(team)
+  return found.ok ? Ok(found.val) : Err(rejectionFailure(found.val))
+}
+
+function tomlOf (subtree: Subtree): string {
+  return stringify(JSON.parse(JSON.stringify(subtree)))
+}
--- /dev/null
+++ b/src/command/standInCommand.ts
@@ -0,0 +1,57 @@
+/** `lavenderdoor stand-in …`: the platform and endpoints of a trial, in one process each. */
+import { Err, Ok, type Result, type VersionName } from '../contract/index.ts'
+import { startEngine, startPlatform, startService } from '../standin/index.ts'
+import { CommandFailure, ExitCode } from './exit.ts'
+import { printLine } from './output.ts'
+
+/** Options of the stand-ins. */
+export interface StandInOptions {
+  readonly listen: string
+  readonly name?: string
+  readonly versions?: readonly string[]
+  readonly speed?: string
+  readonly streams?: string
+  readonly ignoreFencing?: boolean
+}
+
+/** Something that runs until it is closed. */
+interface Running {
+  readonly address: string
+  close (): Promise<void>
+}
+
+/** Runs a stand-in until the process is told to stop. */
+export async function standIn (kind: string, options: StandInOptions): Promise<Result<void, CommandFailure>> {
+  const running = await start(kind, options)
+  if (running === undefined) return Err(new CommandFailure(`no stand-in ${JSON.stringify(kind)}: platform, engine or service`, ExitCode.Usage))
+  printLine(JSON.stringify({ event: 'stand_in_listening', kind, address: running.address }))
+  await stopSignal()
+  await running.close()
+  return Ok(undefined)
+}
+
+async function start (kind: string, options: StandInOptions): Promise<Running | undefined> {
+  const { listen } = options
+  const name = options.name ?? kind
+  switch (kind) {
+    case 'platform': return await startPlatform({ listen })
+    case 'service': return await startService({ listen, name })
+    case 'engine': return await startEngine({
+      listen,
+      name,
+      versions: (options.versions ?? []) as VersionName[],
+      speed: Number(options.speed ?? 1),
+      streamLimit: Number(options.streams ?? 32),
+      checksFencing: options.ignoreFencing !== true
+    })
+    default: return undefined
+  }
+}
+
+/** Waits for the signal of a planned stop. */
+export function stopSignal (): Promise<NodeJS.Signals> {
+  return new Promise(resolve => {
+    process.once('SIGTERM', resolve)
+    process.once('SIGINT', resolve)
+  })
+}
--- /dev/null
+++ b/src/command/statusCommand.ts
@@ -0,0 +1,34 @@
+/** `lavenderdoor status`: what a daemon says of itself. */
+import { request } from 'undici'
+import { Err, Ok, type Result } from '../contract/index.ts'
+import { CommandFailure } from './exit.ts'
+import type { DaemonStatus } from '../daemon/index.ts'
+import { printJson, printLine, printTable } from './output.ts'
+
+const timeoutMilliseconds = 3_000
+
+/** Asks a daemon for its status. */
+export async function daemonStatus (address: string): Promise<Result<DaemonStatus, CommandFailure>> {
+  try {
+    const response = await request(`http://${address}/status`, { headersTimeout: timeoutMilliseconds, bodyTimeout: timeoutMilliseconds, signal: AbortSignal.timeout(timeoutMilliseconds) })
+    return Ok(await response.body.json() as DaemonStatus)
+  } catch (error) {
+    return Err(new CommandFailure(`${address} does not answer: ${error instanceof Error ? error.message : String(error)}`))
+  }
+}
+
+/** Prints a daemon's status. */
+export async function status (address: string, options: { readonly json?: boolean }): Promise<Result<void, CommandFailure>> {
+  const found = await daemonStatus(address)
+  if (found.err) return found
+  if (options.json) {
+    printJson(found.val)
+    return Ok(undefined)
+  }
+  const { settings, ...daemon } = found.val
+  printLine(`${daemon.name} in ${daemon.dataCentre} (${daemon.region}), ${daemon.ready ? 'ready' : 'not ready'}, ${daemon.requestsInFlight} requests in flight`)
+  printLine(`settings revision ${settings.revision}, lease ${settings.lease}; steward: ${daemon.steward ? 'yes' : 'no'}; bills waiting: ${daemon.billBacklog}`)
+  printTable(daemon.members.map(member => ({ daemon: member.name, data_centre: member.dataCentre, state: member.state })))
+  printTable(daemon.endpoints.map(endpoint => ({ ...endpoint })))
+  return Ok(undefined)
+}
--- /dev/null
+++ b/src/command/versionCommands.ts
@@ -0,0 +1,111 @@
+/** `lavenderdoor version …`: roll-outs and withdrawals, as changes of the settings. */
+import { Err, modelOf, Ok, type Result, type VersionName, VersionState } from '../contract/index.ts'
+import type { SettingsRejection, SettingsRepository } from '../distribution/index.ts'
+import { RollOutState, type Subtree } from '../settings/index.ts'
+import { CommandFailure, ExitCode } from './exit.ts'
+import { printJson, printLine, printTable, type TableRow } from './output.ts'
+import { authorOf, rejectionFailure, repositoryOf, type SettingsOptions } from './settingsCommands.ts'
+import { daemonStatus } from './statusCommand.ts'
+
+/** Options of the version commands. */
+export interface VersionOptions extends SettingsOptions {
+  readonly team: string
+  readonly share?: string
+  readonly daemon?: readonly string[]
+}
+
+type Edit = (subtree: Subtree) => Result<Subtree, CommandFailure>
+
+const triesOnConflict = 5
+
+/** Starts, or takes up again, a roll-out of a model from one version to another. */
+export async function versionRollOut (model: string, from: string, to: string, options: VersionOptions): Promise<Result<void, CommandFailure>> {
+  return await edit(options, subtree => {
+    const settings = subtree.models[model]
+    if (settings === undefined) return Err(unknownModel(model, options.team))
+    const steps = settings.roll_out?.steps ?? [0.01, 0.05, 0.25, 1]
+    const share = options.share === undefined ? steps[0] ?? 0 : Number(options.share)
+    const versions = settings.versions[to] === undefined ? { ...settings.versions, [to]: { state: VersionState.Candidate } } : settings.versions
+    const rollOut = { from, to, share, steps, state: RollOutState.Running }
+    return Ok({ ...subtree, models: { ...subtree.models, [model]: { ...settings, versions, roll_out: rollOut } } })
+  })
+}
+
+/** Withdraws a version: it receives no new work. */
+export async function versionWithdraw (version: string, options: VersionOptions): Promise<Result<void, CommandFailure>> {
+  const model = modelOf(version as VersionName)
+  const name = version.slice(model.length + 1)
+  return await edit(options, subtree => {
+    const settings = subtree.models[model]
+    if (settings?.versions[name] === undefined) return Err(unknownModel(version, options.team))
+    const versions = { ...settings.versions, [name]: { state: VersionState.Withdrawn } }
+    return Ok({ ...subtree, models: { ...subtree.models, [model]: { ...settings, versions } } })
+  })
+}
+
+/** Prints every version of a team, its roll-out, and the revision that each named daemon has in force. */
+export async function versionStatus (options: VersionOptions): Promise<Result<void, CommandFailure>> {
+  const repository = await repositoryOf(options)
+  if (repository.err) return repository
+  const read = await repository.val.read(options.team)
+  if (read.err) return Err(rejectionFailure(read.val))
+  const versions = Object.entries(read.val.subtree?.models ?? {}).flatMap(([model, settings]) => versionRows(model, settings))
+  const daemons = await Promise.all((options.daemon ?? []).map(daemonRow(read.val.revision)))
+  if (options.json) {
+    printJson({ revision: read.val.revision, versions, daemons })
+    return Ok(undefined)
+  }
+  printLine(`team ${options.team} at revision ${read.val.revision}`)
+  printTable(versions)
+  if (daemons.length > 0) printTable(daemons)
+  return Ok(undefined)
+}
+
+function versionRows (model: string, settings: Subtree['models'][string]): TableRow[] {
+  const rollOut = settings.roll_out
+  return Object.entries(settings.versions).map(([version, { state }]) => ({
+    version: `${model}@${version}`,
+    state,
+    roll_out: rollOut !== undefined && rollOut.to === version ? rollOut.state : '',
+    share: rollOut !== undefined && rollOut.to === version ? rollOut.share : ''
+  }))
+}
+
+function daemonRow (revision: number): (address: string) => Promise<TableRow> {
+  return async address => {
+    const status = await daemonStatus(address)
+    if (status.err) return { daemon: address, revision: '', in_force: 'not known: no answer' }
+    const { settings } = status.val
+    return { daemon: address, revision: settings.revision, in_force: settings.revision >= revision ? 'yes' : settings.lease === 'lapsed' ? 'no: cut off' : 'not yet' }
+  }
+}
+
+/** Edits a team's subtree, again from the start where somebody else was first. */
+async function edit (options: VersionOptions, change: Edit): Promise<Result<void, CommandFailure>> {
+  const repository = await repositoryOf(options)
+  if (repository.err) return repository
+  for (let attempt = 0; attempt < triesOnConflict; attempt++) {
+    const written = await editOnce(repository.val, options, change)
+    if (written.ok) {
+      if (options.json) printJson({ team: options.team, revision: written.val })
+      else printLine(`accepted as revision ${written.val}`)
+      return Ok(undefined)
+    }
+    if (written.val instanceof CommandFailure) return Err(written.val)
+    if (written.val.reason !== 'conflict') return Err(rejectionFailure(written.val))
+  }
+  return Err(new CommandFailure('others went on changing the subtree; nothing was changed: try again'))
+}
+
+async function editOnce (repository: SettingsRepository, options: VersionOptions, change: Edit): Promise<Result<number, SettingsRejection | CommandFailure>> {
+  const read = await repository.read(options.team)
+  if (read.err) return read
+  if (read.val.subtree === undefined) return Err(new CommandFailure(`team ${options.team} has no settings`, ExitCode.Usage))
+  const changed = change(read.val.subtree)
+  if (changed.err) return changed
+  return await repository.put(options.team, changed.val, { expected: read.val.revision, author: authorOf(options) })
+}
+
+function unknownModel (name: string, team: string): CommandFailure {
+  return new CommandFailure(`team ${team} has no ${name}`, ExitCode.Usage)
+}
--- /dev/null
+++ b/src/daemon/composition.ts
@@ -0,0 +1,188 @@
+/**
+ * Puts a daemon together: the list of its parts and what each is made of. A test gives its own parts
+ * in place of the usual ones; nothing else knows which class stands behind an interface.
+ */
+import { asFunction, asValue, type AwilixContainer, createContainer, InjectionMode, type Resolver } from 'awilix'
+import { BatchedLedger } from '../billing/index.ts'
+import {
+  type AdmissionPolicy, AffinityEndpointPolicy, type AttemptBudget, type EndpointPolicy, LearnedVersionPolicy, LinkBudget,
+  RatioAttemptBudget, SequentialRollOutGuard, ShareAdmissionPolicy, type VersionPolicy
+} from '../choice/index.ts'
+import { type Claims, TableClaims } from '../claim/index.ts'
+import { type Clock, type Place, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
+import { SettingsFollower, type SettingsRepository, TableSettingsRepository } from '../distribution/index.ts'
+import { type EngineClient, HttpEngineClient, HttpServiceClient, type ServiceClient } from '../endpoint/index.ts'
+import { CallerServer, ChatRouter, Drain, EndpointDirectory, RollOutWatch, ServiceRouter } from '../entry/index.ts'
+import { type Link, TcpLink } from '../link/index.ts'
+import { GossipMembership } from '../membership/index.ts'
+import { Log, Metrics, openTelemetryTracer, SilentTracer, type Tracer } from '../observe/index.ts'
+import {
+  HttpRatingService, HttpTableService, HttpVirtualMachineList, type RatingService, type TableService, type VirtualMachineList
+} from '../platform/index.ts'
+import { SignedSessionTokens, type SessionTokens } from '../session/index.ts'
+import type { LocalSettings } from '../settings/index.ts'
+import { Steward, StewardLease } from '../steward/index.ts'
+import type { TlsTexts } from './tlsFiles.ts'
+
+/** A link that can be opened and closed. */
+export interface DaemonLink extends Link {
+  listen (address: string): Promise<unknown>
+  close (): Promise<void>
+}
+
+/** Every part of a daemon. */
+export interface DaemonParts {
+  readonly local: LocalSettings
+  readonly tls: TlsTexts | undefined
+  readonly here: Place
+  readonly clock: Clock
+  readonly randomness: Randomness
+  readonly log: Log
+  readonly metrics: Metrics
+  readonly tracer: Tracer
+  readonly table: TableService
+  readonly machines: VirtualMachineList
+  readonly ratings: RatingService
+  readonly engines: EngineClient
+  readonly services: ServiceClient
+  readonly link: DaemonLink
+  readonly membership: GossipMembership
+  readonly repository: SettingsRepository
+  readonly follower: SettingsFollower
+  readonly sessions: SessionTokens
+  readonly claims: Claims
+  readonly ledger: BatchedLedger
+  readonly directory: EndpointDirectory
+  readonly versions: VersionPolicy
+  readonly endpoints: EndpointPolicy
+  readonly admission: AdmissionPolicy
+  readonly retries: AttemptBudget
+  readonly rollOuts: RollOutWatch
+  readonly chat: ChatRouter
+  readonly serviceRouter: ServiceRouter
+  readonly drain: Drain
+  readonly callerServer: CallerServer
+  readonly lease: StewardLease
+  readonly steward: Steward
+}
+
+/** Parts to take in place of the usual ones. */
+export type PartOverrides = Partial<DaemonParts>
+
+type Recipes = { [Name in keyof DaemonParts]: (parts: DaemonParts) => DaemonParts[Name] }
+
+const platformTimeoutMilliseconds = 2_000
+const connectTimeoutMilliseconds = 1_000
+const engineSilenceMilliseconds = 2_000
+const serviceSilenceMilliseconds = 10_000
+const sessionLifetimeMilliseconds = 24 * 60 * 60 * 1_000
+const leaseMilliseconds = 8_000
+
+/** How each part is made from others. */
+const recipes = {
+  here: ({ local }) => ({ region: local.region, dataCentre: local.data_centre }),
+  clock: () => new SystemClock(),
+  randomness: () => new SystemRandomness(),
+  log: ({ local }) => new Log(local.telemetry.level, { virtual_machine: local.name }),
+  metrics: () => new Metrics(true),
+  table: ({ local }) => new HttpTableService({ address: local.platform.table_service, timeoutMilliseconds: platformTimeoutMilliseconds }),
+  machines: ({ local }) => new HttpVirtualMachineList({ address: local.platform.virtual_machines, timeoutMilliseconds: platformTimeoutMilliseconds }),
+  ratings: ({ local }) => new HttpRatingService({ address: local.platform.rating_service, timeoutMilliseconds: platformTimeoutMilliseconds }),
+  engines: ({ clock }) => new HttpEngineClient({ clock, connectTimeoutMilliseconds, silenceMilliseconds: engineSilenceMilliseconds }),
+  services: ({ clock }) => new HttpServiceClient({ clock, connectTimeoutMilliseconds, silenceMilliseconds: serviceSilenceMilliseconds }),
+  link: ({ clock, here, local }) => new TcpLink({
+    identity: { name: local.name, address: local.listen.link, place: here, rack: local.rack, incarnation: Math.floor(clock.now()) },
+    secret: local.link.secret,
+    clock,
+    tls: local.link.tls
+  }),
+  membership: parts => new GossipMembership({
+    link: parts.link,
+    clock: parts.clock,
+    randomness: parts.randomness,
+    machines: parts.machines,
+    engines: parts.engines,
+    endpoints: () => [...parts.follower.view.endpoints.values()]
+  }),
+  repository: ({ clock, randomness, table }) => new TableSettingsRepository({ table, clock, randomness }),
+  follower: parts => new SettingsFollower({
+    repository: parts.repository,
+    link: parts.link,
+    clock: parts.clock,
+    randomness: parts.randomness,
+    members: () => parts.membership.members()
+  }),
+  sessions: parts => new SignedSessionTokens({ keys: () => parts.follower.view.sessionKeys, clock: parts.clock, lifetimeMilliseconds: sessionLifetimeMilliseconds }),
+  claims: ({ clock, local, randomness, table }) => new TableClaims({ table, clock, randomness, holder: local.name }),
+  ledger: parts => new BatchedLedger({
+    table: parts.table,
+    clock: parts.clock,
+    link: parts.link,
+    members: () => parts.membership.members()
+  }),
+  directory: ({ follower, membership }) => new EndpointDirectory(follower, membership),
+  versions: ({ randomness }) => new LearnedVersionPolicy({ randomness }),
+  endpoints: ({ here, local, randomness }) => new AffinityEndpointPolicy({ here, randomness, link: new LinkBudget(local.limits.regional_link_bytes_per_second) }),
+  admission: () => new ShareAdmissionPolicy(),
+  retries: () => new RatioAttemptBudget(),
+  rollOuts: ({ follower }) => new RollOutWatch(follower, (from, to) => new SequentialRollOutGuard({ from, to })),
+  chat: parts => new ChatRouter({ ...routing(parts), versions: parts.versions, admission: parts.admission, ledger: parts.ledger, sessions: parts.sessions, ratings: parts.ratings, rollOuts: parts.rollOuts, log: parts.log }),
+  serviceRouter: ({ claims, clock, directory, here, ledger, randomness, retries, services, tracer }) => new ServiceRouter({ claims, clock, directory, here, ledger, randomness, retries, services, tracer }),
+  drain: () => new Drain(),
+  callerServer: parts => new CallerServer({
+    clock: parts.clock,
+    randomness: parts.randomness,
+    settings: parts.follower,
+    sessions: parts.sessions,
+    chat: parts.chat,
+    services: parts.serviceRouter,
+    drain: parts.drain,
+    metrics: parts.metrics,
+    tracer: parts.tracer,
+    log: parts.log,
+    bodyBytes: parts.local.callers.body_bytes,
+    requestSeconds: parts.local.callers.request_seconds,
+    tls: parts.tls
+  }),
+  lease: ({ clock, local, table }) => new StewardLease({ table, clock, name: `steward/${local.data_centre}`, holder: local.name, milliseconds: leaseMilliseconds }),
+  steward: parts => new Steward({
+    clock: parts.clock,
+    randomness: parts.randomness,
+    lease: parts.lease,
+    settings: parts.follower,
+    repository: parts.repository,
+    membership: parts.membership,
+    engines: parts.engines,
+    rollOuts: parts.rollOuts,
+    metrics: parts.metrics,
+    log: parts.log,
+    name: parts.local.name,
+    dataCentre: parts.local.data_centre
+  })
+} satisfies Omit<Recipes, 'local' | 'tls' | 'tracer'>
+
+/**
+ * Makes a daemon's parts; each is made once.
+ *
+ * @example
+ * const parts = await composeParts(local, undefined, { clock, table })
+ */
+export async function composeParts (local: LocalSettings, tls: TlsTexts | undefined, overrides: PartOverrides): Promise<DaemonParts> {
+  const tracer = await tracerOf(local)
+  const container: AwilixContainer<DaemonParts> = createContainer<DaemonParts>({ injectionMode: InjectionMode.PROXY, strict: true })
+  const resolvers: Record<string, Resolver<unknown>> = { local: asValue(local), tls: asValue(tls), tracer: asValue(tracer) }
+  for (const [name, recipe] of Object.entries(recipes)) resolvers[name] = asFunction(recipe as (parts: DaemonParts) => unknown).singleton()
+  for (const [name, part] of Object.entries(overrides)) resolvers[name] = asValue(part)
+  container.register(resolvers)
+  return container.cradle
+}
+
+function routing (parts: DaemonParts) {
+  const { clock, directory, endpoints, engines, follower, metrics, randomness, retries, tracer } = parts
+  return { clock, randomness, settings: follower, directory, endpoints, retries, engines, metrics, tracer }
+}
+
+async function tracerOf (local: LocalSettings): Promise<Tracer> {
+  const receiver = local.telemetry.traces
+  return receiver === undefined ? new SilentTracer() : await openTelemetryTracer(receiver, local.name)
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,130 @@
+/**
+ * One daemon from its start to its stop. The stop goes outwards in: callers first, then the duties,
+ * and last what has to be in the store before the VM may go.
+ */
+import { Err, Ok, type Result } from '../contract/index.ts'
+import { type CallerServer, OperatorServer } from '../entry/index.ts'
+import type { Log } from '../observe/index.ts'
+import type { LocalSettings } from '../settings/index.ts'
+import { composeParts, type DaemonParts, type PartOverrides } from './composition.ts'
+import type { TlsTexts } from './tlsFiles.ts'
+
+/** What a daemon says of itself. */
+export interface DaemonStatus {
+  readonly name: string
+  readonly region: string
+  readonly dataCentre: string
+  readonly ready: boolean
+  readonly steward: boolean
+  readonly requestsInFlight: number
+  readonly billBacklog: number
+  readonly settings: { readonly revision: number, readonly lease: string }
+  readonly members: ReadonlyArray<{ readonly name: string, readonly dataCentre: string, readonly state: string }>
+  readonly endpoints: ReadonlyArray<{ readonly name: string, readonly healthy: boolean, readonly leaving: boolean, readonly running: number | undefined, readonly queued: number | undefined }>
+}
+
+/** A running daemon. */
+export class Daemon {
+  readonly #local: LocalSettings
+  readonly #parts: DaemonParts
+  readonly #operators: OperatorServer
+  #ready = false
+
+  /**
+   * Puts a daemon together.
+   *
+   * @param overrides parts to take instead of the usual ones, for tests
+   * @example
+   * const daemon = await Daemon.compose(local, undefined)
+   */
+  static async compose (local: LocalSettings, tls: TlsTexts | undefined, overrides: PartOverrides = {}): Promise<Daemon> {
+    return new Daemon(local, await composeParts(local, tls, overrides))
+  }
+
+  private constructor (local: LocalSettings, parts: DaemonParts) {
+    this.#local = local
+    this.#parts = parts
+    this.#operators = new OperatorServer({ metrics: parts.metrics, ready: () => this.#ready, status: () => this.status() })
+  }
+
+  /** The daemon's log. */
+  get log (): Log {
+    return this.#parts.log
+  }
+
+  /** The daemon's parts. */
+  get parts (): DaemonParts {
+    return this.#parts
+  }
+
+  /** The server that callers reach. */
+  get callerServer (): CallerServer {
+    return this.#parts.callerServer
+  }
+
+  /**
+   * Starts to serve.
+   *
+   * @returns a sentence that says which address can't be listened on
+   */
+  async start (): Promise<Result<void, string>> {
+    const { callerServer, follower, ledger, link, log, membership, steward } = this.#parts
+    try {
+      await this.#operators.listen(this.#local.listen.operators)
+      await link.listen(this.#local.listen.link)
+      membership.start()
+      await follower.start()
+      ledger.start()
+      steward.start()
+      await callerServer.listen(this.#local.listen.callers)
+    } catch (error) {
+      return Err(`the daemon can't start: ${error instanceof Error ? error.message : String(error)}`)
+    }
+    this.#ready = true
+    log.info('daemon_started', { callers: this.#local.listen.callers, link: this.#local.listen.link, revision: follower.view.revision })
+    return Ok(undefined)
+  }
+
+  /** Lets every request end, flushes what must last, and stops. */
+  async stop (): Promise<void> {
+    const { callerServer, clock, drain, follower, ledger, link, log, membership, steward, tracer } = this.#parts
+    log.info('daemon_stopping', { requests: drain.running })
+    this.#ready = false
+    drain.begin()
+    await Promise.race([drain.empty(), clock.sleep(this.#local.drain_seconds * 1_000)])
+    if (drain.running > 0) log.error('daemon_stopped_with_requests', { requests: drain.running })
+    await callerServer.close()
+    await steward.stop()
+    await ledger.stop()
+    await follower.stop()
+    await membership.stop()
+    await link.close()
+    await tracer.close()
+    await this.#operators.close()
+    log.info('daemon_stopped', {})
+  }
+
+  /** Takes new key files into use for callers. */
+  reloadCallerTls (tls: TlsTexts): void {
+    this.#parts.callerServer.reloadTls(tls)
+    this.#parts.log.info('tls_reloaded', {})
+  }
+
+  /** What this daemon says of itself. */
+  status (): DaemonStatus {
+    const { drain, follower, ledger, lease, membership } = this.#parts
+    const endpoints = [...follower.view.endpoints.keys()].flatMap(name => membership.endpoint(name) ?? [])
+    return {
+      name: this.#local.name,
+      region: this.#local.region,
+      dataCentre: this.#local.data_centre,
+      ready: this.#ready,
+      steward: lease.held !== undefined,
+      requestsInFlight: drain.running,
+      billBacklog: ledger.backlog,
+      settings: { revision: follower.view.revision, lease: follower.lease },
+      members: membership.members().map(member => ({ name: member.name, dataCentre: member.place.dataCentre, state: member.state })),
+      endpoints: endpoints.map(news => ({ name: news.name, healthy: news.healthy, leaving: news.leaving, running: news.report?.running, queued: news.report?.queued }))
+    }
+  }
+}
--- a/src/entry/chatRouter.ts
+++ b/src/entry/chatRouter.ts
@@ -131,6 +131,10 @@
     const { clock, directory, settings, versions } = this.#parts
     const allowed = this.#allowed(call, sessionId)
     if (allowed.err) return allowed
+    // A session that could not be named afterwards is refused before anything runs.
+    const [anyVersion] = allowed.val
+    const token = sessionId === undefined || anyVersion === undefined ? undefined : this.#token(call, sessionId, anyVersion)
+    if (token?.err) return token
     const candidates = allowed.val.flatMap(name => {
       const version = settings.view.versions.get(name)
       return version === undefined ? [] : [{ name, price: version.price, available: directory.available(name) }]
@@ -168,8 +172,10 @@
         return yield refused(event.refusal)
       }
       if (!started) {
+        const start = this.#started(call, step.version, session)
+        yield start
+        if (start.type === 'refused') return
         started = true
-        yield this.#started(call, step.version, session)
       }
       if (event.type === 'chunk') {
         text += event.chunk.text
@@ -196,18 +202,25 @@
   }
 
   async * #release (call: ChatCall, version: VersionName, session: { readonly id: string } | undefined, held: HeldAnswer, extraCost: number): AsyncGenerator<AnswerEvent> {
-    yield this.#started(call, version, session)
+    const start = this.#started(call, version, session)
+    yield start
+    if (start.type === 'refused') return
     yield { type: 'text', text: held.text }
     yield await this.#end(call, version, held.finish, extraCost)
   }
 
   #started (call: ChatCall, version: VersionName, session: { readonly id: string } | undefined): AnswerEvent {
-    const { clock, sessions } = this.#parts
     if (session === undefined) return { type: 'started', version, sessionToken: undefined }
-    const token = { id: session.id, organisation: call.organisation.name, version, issuedAt: clock.now() }
     invariant(!isPinned(call.session) || call.session.version === version, 'a session keeps its version',
       () => ({ session: session.id, version }))
-    return { type: 'started', version, sessionToken: sessions.issue(token) }
+    const token = this.#token(call, session.id, version)
+    if (token.ok) return { type: 'started', version, sessionToken: token.val }
+    return refused(new Refusal(token.val.code, RunState.Ran, token.val.message, token.val.retryAfterSeconds))
+  }
+
+  #token (call: ChatCall, sessionId: string, version: VersionName): Result<string, Refusal> {
+    const { clock, sessions } = this.#parts
+    return sessions.issue({ id: sessionId, organisation: call.organisation.name, version, issuedAt: clock.now() })
   }
 
   /** Bills an answer and lets its end go, in this order. */
--- a/src/entry/serviceRouter.ts
+++ b/src/entry/serviceRouter.ts
@@ -7,7 +7,7 @@
 import { type Clock, Err, invariant, Nearness, nearnessOf, Ok, type Place, type Randomness, Refusal, RefusalCode, type Result, RunState } from '../contract/index.ts'
 import type { Ledger } from '../billing/index.ts'
 import type { AttemptBudget, EndpointView } from '../choice/index.ts'
-import type { Claim, Claims, StoredAnswer } from '../claim/index.ts'
+import type { Claim, ClaimOpening, ClaimRequest, Claims, StoredAnswer } from '../claim/index.ts'
 import { Reach, type ServiceAnswer, type ServiceCall, type ServiceClient } from '../endpoint/index.ts'
 import { formatTraceParent, type TraceContext, type Tracer } from '../observe/index.ts'
 import type { OrganisationView } from '../settings/index.ts'
@@ -44,6 +44,7 @@
 
 const furtherAttempts = 2
 const comeBackSeconds = 1
+const questionMilliseconds = 2_000
 const noUsage = { promptTokens: 0, cachedPromptTokens: 0, completionTokens: 0 }
 const always = (): boolean => true
 
@@ -87,23 +88,47 @@
     if (request.idempotencyKey === undefined) {
       return Err(new Refusal(RefusalCode.IdempotencyKeyMissing, RunState.NotRun, 'this call is not idempotent and needs an Idempotency-Key header'))
     }
-    const opening = await this.#parts.claims.open({
+    const wanted = {
       organisation: request.organisation.name,
       idempotencyKey: request.idempotencyKey,
       requestHash: requestHashOf(request),
       deadline: request.deadline
-    })
+    }
+    const opening = await this.#parts.claims.open(wanted)
     if (opening.err) return opening
-    switch (opening.val.found) {
-      case 'mine': return await this.#claimed(request, opening.val.claim)
+    if (opening.val.found !== 'unknown') return await this.#opened(request, opening.val)
+    const resolved = await this.#resolved(request, wanted)
+    return resolved.ok ? await this.#opened(request, resolved.val) : Err(resolved.val)
+  }
+
+  async #opened (request: ServiceRequest, opening: ClaimOpening): Promise<Result<StoredAnswer, Refusal>> {
+    switch (opening.found) {
+      case 'mine': return await this.#claimed(request, opening.claim)
       // The first run may have been stopped between its answer and its bill: the bill's id is the same.
-      case 'answer': return await this.#billed(request, opening.val.answer)
+      case 'answer': return await this.#billed(request, opening.answer)
       case 'running': return Err(new Refusal(RefusalCode.RequestStillRunning, RunState.Unknown, 'a request with this key is still running', comeBackSeconds))
       case 'unknown': return Err(outcomeUnknown())
       case 'mismatch': return Err(new Refusal(RefusalCode.IdempotencyKeyReused, RunState.NotRun, 'the key was used for another request'))
     }
   }
 
+  /** Asks every endpoint of the service: only all of them together can say that a call did not run. */
+  async #resolved (request: ServiceRequest, wanted: ClaimRequest): Promise<Result<ClaimOpening, Refusal>> {
+    const { claims, clock, directory, services } = this.#parts
+    const key = serviceKeyOf(request)
+    if (key === undefined) return Ok({ found: 'unknown' })
+    return await claims.resolve(wanted, async () => {
+      const signal = AbortSignal.timeout(Math.max(1, Math.min(questionMilliseconds, request.deadline - clock.now())))
+      const views = directory.services(request.service)
+      const said = await Promise.all(views.map(view => services.hasRun(view.endpoint, key, signal)))
+      for (const answer of said) {
+        if (answer.ok && typeof answer.val === 'object') return stored(answer.val)
+      }
+      const isDenied = said.length > 0 && said.every(answer => answer.ok && answer.val === 'not_run')
+      return isDenied ? 'not_run' : undefined
+    })
+  }
+
   async #claimed (request: ServiceRequest, claim: Claim): Promise<Result<StoredAnswer, Refusal>> {
     const endpoint = this.#choose(request, new Set())
     if (endpoint.err) return await this.#released(claim, endpoint.val)
@@ -135,7 +160,7 @@
   async #billed (request: ServiceRequest, answer: StoredAnswer): Promise<Result<StoredAnswer, Refusal>> {
     const organisation = request.organisation.name
     const safe = await this.#parts.ledger.record({
-      id: request.idempotencyKey === undefined ? request.id : `${organisation}/${request.idempotencyKey}`,
+      id: serviceKeyOf(request) ?? request.id,
       organisation,
       kind: 'service',
       version: undefined,
@@ -157,7 +182,7 @@
       path: request.path,
       contentType: request.contentType,
       body: request.body,
-      idempotencyKey: request.idempotencyKey,
+      idempotencyKey: serviceKeyOf(request),
       traceParent: formatTraceParent(span.context)
     }
     const answer = await this.#parts.services.call(target.endpoint, call, mayStillSend, signal)
@@ -177,6 +202,11 @@
   }
 }
 
+/** The key as the service sees it: two organisations may use the same one. */
+function serviceKeyOf (request: ServiceRequest): string | undefined {
+  return request.idempotencyKey === undefined ? undefined : `${request.organisation.name}/${request.idempotencyKey}`
+}
+
 function requestHashOf (request: ServiceRequest): string {
   const hash = createHash('sha256')
   hash.update(`${request.service}\n${request.method}\n${request.path}\n${request.contentType ?? ''}\n`)
--- a/src/settings/local.ts
+++ b/src/settings/local.ts
@@ -48,6 +48,10 @@
     body_bytes: z.number().int().min(1024).default(1_048_576),
     request_seconds: z.number().positive().max(3600).default(120)
   }).prefault({}),
+  limits: z.strictObject({
+    /** Bytes a second that this daemon may put on the link between regions. */
+    regional_link_bytes_per_second: z.number().positive().default(300_000)
+  }).prefault({}),
   telemetry: z.strictObject({
     level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
     /** URL of an OTLP trace receiver; absent: no spans are made. */
--- a/src/settings/nearest.ts
+++ b/src/settings/nearest.ts
@@ -6,7 +6,7 @@
   'idempotent', 'key_hashes', 'share', 'quality_target', 'price', 'roll_out', 'from', 'to', 'state',
   'steps', 'name', 'secret', 'listen', 'link', 'platform', 'telemetry', 'limits', 'rack', 'table_service',
   'object_store', 'virtual_machines', 'rating_service', 'caller', 'tls', 'key', 'certificate', 'level',
-  'traces', 'body_bytes', 'request_seconds', 'connect', 'peers', 'drain_seconds'
+  'traces', 'body_bytes', 'request_seconds', 'connect', 'peers', 'drain_seconds', 'regional_link_bytes_per_second', 'secret', 'authority'
 ]
 
 const furthestDistance = 3
