Add the platform's HTTP clients, the stand-ins and the endpoint clients

Cause: a trial of separate processes needs something on the far side of every face that the daemon speaks to. Change: clients of the platform (undici, never sent twice, a failed write says whether it may have been applied); stand-ins of the platform, engines and plain services over plain node:http, each with faults by POST /faults and records for a judge; clients of engines and plain services that read by pulling, find silence by missing heartbeats and resume at the offset. Ruled out: corking the socket to lose a reply (bytes still left); the HTTP library's decorator handler (its types lack the handler's methods).

--- /dev/null
+++ b/src/endpoint/assembly.ts
@@ -0,0 +1,119 @@
+/**
+ * Puts one answer together from frames that may come twice, crossed with another's, or with some
+ * missing. Every frame names its attempt and the number of its first token. A frame that was passed
+ * on before is dropped; any other frame that does not follow on exactly is a fault of the
+ * connection, and the reader takes the stream up again elsewhere at `next`. The end counts only
+ * when the finish agrees with the number of tokens passed on and the end mark came after it.
+ */
+import { z } from 'zod'
+import type { TokenUsage } from '../contract/index.ts'
+import type { EngineChunk, EngineFinish } from './contract.ts'
+
+const finishReasons = ['stop', 'length'] as const
+const frameShape = z.object({
+  id: z.string(),
+  choices: z.array(z.object({
+    delta: z.object({ content: z.string().nullish() }),
+    finish_reason: z.enum(finishReasons).nullish()
+  })).min(1),
+  token_offset: z.number().int().nonnegative(),
+  token_count: z.number().int().nonnegative(),
+  usage: z.object({
+    prompt_tokens: z.number(),
+    completion_tokens: z.number(),
+    prompt_tokens_details: z.object({ cached_tokens: z.number() }).nullish()
+  }).nullish()
+})
+type Frame = z.infer<typeof frameShape>
+
+const endMark = '[DONE]'
+
+/** What became of a frame. */
+export type Assembled =
+  | { readonly type: 'chunk', readonly attemptId: string, readonly chunk: EngineChunk }
+  | { readonly type: 'finish', readonly finish: EngineFinish }
+  /** Seen before, or the finish that waits for its end mark. */
+  | { readonly type: 'nothing' }
+  /** The connection can't be trusted any more. */
+  | { readonly type: 'fault', readonly reason: string }
+
+const nothing: Assembled = { type: 'nothing' }
+
+/** The answer of one attempt, as far as it has come. */
+export class Assembly {
+  readonly #attemptId: string
+  #next = 0
+  #finish: EngineFinish | undefined
+
+  constructor (attemptId: string) {
+    this.#attemptId = attemptId
+  }
+
+  /** The number of the first token that is still missing. */
+  get next (): number {
+    return this.#next
+  }
+
+  /**
+   * Takes the data of one event.
+   *
+   * @example
+   * const assembled = assembly.accept(data)
+   * if (assembled.type === 'fault') connection.giveUp(assembled.reason)
+   */
+  accept (data: string): Assembled {
+    if (data === endMark) return this.#end()
+    const frame = parseFrame(data)
+    if (frame === undefined) return fault('a frame is malformed')
+    if (frame.id !== this.#attemptId) return fault('a frame belongs to another attempt')
+    const choice = frame.choices[0]
+    const reason = choice?.finish_reason ?? undefined
+    if (reason !== undefined) return this.#acceptFinish(frame, reason)
+    return this.#acceptChunk(frame, choice?.delta.content ?? '')
+  }
+
+  #acceptChunk (frame: Frame, text: string): Assembled {
+    const end = frame.token_offset + frame.token_count
+    if (end <= this.#next) return nothing
+    if (frame.token_offset !== this.#next) return fault('a frame does not follow on')
+    this.#next = end
+    const chunk = { offset: frame.token_offset, text, tokens: frame.token_count }
+    return { type: 'chunk', attemptId: frame.id, chunk }
+  }
+
+  #acceptFinish (frame: Frame, reason: EngineFinish['reason']): Assembled {
+    const usage = usageOf(frame)
+    if (usage === undefined) return fault('a finish has no usage')
+    const agrees = frame.token_offset === this.#next && usage.completionTokens === this.#next
+    if (!agrees) return fault('a finish does not follow on')
+    this.#finish = { reason, usage }
+    return nothing
+  }
+
+  #end (): Assembled {
+    if (this.#finish === undefined) return fault('the end mark came without a finish')
+    return { type: 'finish', finish: this.#finish }
+  }
+}
+
+function parseFrame (data: string): Frame | undefined {
+  try {
+    const parsed = frameShape.safeParse(JSON.parse(data))
+    return parsed.success ? parsed.data : undefined
+  } catch {
+    return undefined
+  }
+}
+
+function usageOf (frame: Frame): TokenUsage | undefined {
+  if (frame.usage === undefined || frame.usage === null) return undefined
+  return {
+    promptTokens: frame.usage.prompt_tokens,
+    cachedPromptTokens: frame.usage.prompt_tokens_details?.cached_tokens ?? 0,
+    completionTokens: frame.usage.completion_tokens
+  }
+}
+
+function fault (reason: string): Assembled {
+  return { type: 'fault', reason }
+}
--- /dev/null
+++ b/src/endpoint/exchange.ts
@@ -0,0 +1,173 @@
+/**
+ * One HTTP exchange, read by pulling. Three things are settled here for everything above.
+ *
+ * Whether bytes can have left: `mayStillSend` is asked in the handler that the HTTP client calls
+ * from the very function that then writes the head to the connected socket, with no turn of the
+ * event loop between. Where it says no, or the exchange was given up before, the write is
+ * prevented, so `mayHaveSent` stays false for good. What remains is outside the process: bytes
+ * handed to the kernel may arrive late, or after this process is gone. The HTTP client can queue a
+ * request again when a connection breaks; the second start is prevented, so nothing is sent twice.
+ *
+ * Backpressure: what has arrived and was not taken is bounded; beyond that the socket is paused.
+ *
+ * Silence: a task watches how long nothing has arrived. Time in which the reader itself holds the
+ * socket paused does not count.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { Dispatcher } from 'undici'
+import { type Clock, invariant, sleepUntil } from '../contract/index.ts'
+
+/** What an exchange yields, in this order: a head, pieces, and an end; or a failure at any point. */
+export type ExchangeEvent =
+  | { readonly type: 'head', readonly status: number, readonly headers: IncomingHttpHeaders }
+  | { readonly type: 'data', readonly bytes: Buffer }
+  | { readonly type: 'end' }
+  | { readonly type: 'failure', readonly reason: string, readonly silent: boolean }
+
+/** What one exchange sends and how long it waits. */
+export interface ExchangeOptions {
+  readonly clock: Clock
+  readonly method: string
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Uint8Array | string | undefined
+  /** Milliseconds without any byte after which the connection counts as silent. */
+  readonly silenceMilliseconds: number
+  /** Asked in the turn of the write. */
+  readonly mayStillSend: () => boolean
+}
+
+/** Bytes kept for a reader that is slower than the sender. */
+export const bufferedBytesLimit = 64 * 1024
+
+/** One HTTP exchange. */
+export class Exchange implements Dispatcher.DispatchHandler {
+  readonly #options: ExchangeOptions
+  readonly #stopWatching = new AbortController()
+  readonly #events: ExchangeEvent[] = []
+  #bufferedBytes = 0
+  #heardAt: number
+  #controller: Dispatcher.DispatchController | undefined
+  #mayHaveSent = false
+  #last: ExchangeEvent | undefined
+  #wake: (() => void) | undefined
+
+  constructor (options: ExchangeOptions) {
+    this.#options = options
+    this.#heardAt = options.clock.now()
+  }
+
+  /**
+   * Sends a request through a pool or client of the HTTP library.
+   *
+   * @example
+   * const exchange = Exchange.start(pool, options)
+   * const head = await exchange.next()
+   */
+  static start (dispatcher: Dispatcher, options: ExchangeOptions): Exchange {
+    const exchange = new Exchange(options)
+    dispatcher.dispatch({
+      origin: undefined,
+      method: options.method as Dispatcher.HttpMethod,
+      path: options.path,
+      headers: options.headers,
+      body: options.body ?? null
+    }, exchange)
+    exchange.#watch().catch(() => undefined)
+    return exchange
+  }
+
+  /** False only where no byte of the request has left and none can leave later. */
+  get mayHaveSent (): boolean {
+    return this.#mayHaveSent
+  }
+
+  /** Bytes that have arrived and were not taken yet. */
+  get bufferedBytes (): number {
+    return this.#bufferedBytes
+  }
+
+  /** The next event; after an end or a failure it is the same again. */
+  async next (): Promise<ExchangeEvent> {
+    for (;;) {
+      const event = this.#events.shift() ?? this.#last
+      if (event !== undefined) return this.#taken(event)
+      await new Promise<void>(resolve => { this.#wake = resolve })
+    }
+  }
+
+  /** Gives the exchange up: its connection is cut and never used again. */
+  giveUp (reason: string, silent = false): void {
+    if (this.#last !== undefined) return
+    this.#finish({ type: 'failure', reason, silent })
+    this.#controller?.abort(new Error(reason))
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    if (this.#last !== undefined || this.#mayHaveSent) {
+      controller.abort(new Error('not sent a second time'))
+      return
+    }
+    this.#controller = controller
+    if (!this.#options.mayStillSend()) {
+      this.giveUp('too late to send')
+      return
+    }
+    this.#mayHaveSent = true
+    this.#heardAt = this.#options.clock.now()
+  }
+
+  onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+    this.#heardAt = this.#options.clock.now()
+    this.#push({ type: 'head', status, headers })
+  }
+
+  onResponseData (controller: Dispatcher.DispatchController, bytes: Buffer): void {
+    this.#heardAt = this.#options.clock.now()
+    this.#bufferedBytes += bytes.length
+    this.#push({ type: 'data', bytes })
+    if (this.#bufferedBytes > bufferedBytesLimit) controller.pause()
+  }
+
+  onResponseEnd (): void {
+    this.#finish({ type: 'end' })
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    this.#finish({ type: 'failure', reason: error.message || error.name, silent: false })
+  }
+
+  #taken (event: ExchangeEvent): ExchangeEvent {
+    if (event.type !== 'data') return event
+    this.#bufferedBytes -= event.bytes.length
+    invariant(this.#bufferedBytes >= 0, 'buffered bytes are counted', () => ({ bufferedBytes: this.#bufferedBytes }))
+    if (this.#controller?.paused === true && this.#bufferedBytes <= bufferedBytesLimit / 2) {
+      this.#heardAt = this.#options.clock.now()
+      this.#controller.resume()
+    }
+    return event
+  }
+
+  #push (event: ExchangeEvent): void {
+    if (this.#last !== undefined) return
+    this.#events.push(event)
+    this.#wake?.()
+  }
+
+  #finish (event: ExchangeEvent): void {
+    if (this.#last !== undefined) return
+    this.#last = event
+    this.#stopWatching.abort()
+    this.#wake?.()
+  }
+
+  async #watch (): Promise<void> {
+    const { clock, silenceMilliseconds } = this.#options
+    while (this.#last === undefined) {
+      await sleepUntil(clock, this.#heardAt + silenceMilliseconds, this.#stopWatching.signal)
+      if (this.#controller?.paused === true) this.#heardAt = clock.now()
+      const isSilent = clock.now() - this.#heardAt >= silenceMilliseconds
+      if (isSilent) this.giveUp('nothing was heard on the connection', true)
+    }
+  }
+}
--- a/src/endpoint/index.ts
+++ b/src/endpoint/index.ts
@@ -1,2 +1,4 @@
 /** Calls to model engines and plain services. */
 export * from './contract.ts'
+export { HttpEngineClient, type HttpEngineClientOptions } from './engineClient.ts'
+export { HttpServiceClient, type HttpServiceClientOptions } from './serviceClient.ts'
--- /dev/null
+++ b/src/endpoint/serviceClient.ts
@@ -0,0 +1,103 @@
+/**
+ * Plain services over HTTP. A call that may not be repeated gets a connection of its own: a pooled
+ * one may have gone silent, and the call's fate would be open for nothing. `Reach.Never` is said
+ * only where the exchange was stopped before its first byte, which `Exchange` settles in the turn
+ * of the write. After that turn the bytes are the kernel's: they may arrive late, also after this
+ * process has given up, so a claim stays open until its own deadline has passed.
+ */
+import { z } from 'zod'
+import { type Clock, type EndpointDescription, Err, type Result } from '../contract/index.ts'
+import { collect, type Collected } from './collect.ts'
+import { Connections } from './connections.ts'
+import { AttemptFailure, Reach, type ServiceAnswer, type ServiceCall, type ServiceClient } from './contract.ts'
+import type { ExchangeOptions } from './exchange.ts'
+import { parseJson } from './json.ts'
+
+/** How plain services are called. */
+export interface HttpServiceClientOptions {
+  readonly clock: Clock
+  /** Milliseconds that connecting may take. */
+  readonly connectTimeoutMilliseconds: number
+  /** Milliseconds without a byte after which an answer is no longer waited for. */
+  readonly silenceMilliseconds: number
+}
+
+const okStatus = 200
+const absentStatus = 404
+const notRunShape = z.object({ run: z.literal(false) })
+const runShape = z.object({
+  run: z.literal(true),
+  answer: z.object({ status: z.number().int(), contentType: z.string(), body: z.string() })
+})
+
+/**
+ * Calls plain services.
+ *
+ * @example
+ * const services = new HttpServiceClient({ clock, connectTimeoutMilliseconds: 1_000, silenceMilliseconds: 10_000 })
+ * const answer = await services.call(endpoint, call, () => clock.now() < sendBefore, signal)
+ */
+export class HttpServiceClient implements ServiceClient {
+  readonly #options: HttpServiceClientOptions
+  readonly #connections: Connections
+
+  constructor (options: HttpServiceClientOptions) {
+    this.#options = options
+    this.#connections = new Connections(options)
+  }
+
+  async call (endpoint: EndpointDescription, call: ServiceCall, mayStillSend: () => boolean, signal: AbortSignal): Promise<Result<ServiceAnswer, AttemptFailure>> {
+    const isRepeatable = call.idempotencyKey === undefined
+    const answer = await this.#exchange(endpoint, call, isRepeatable, mayStillSend, signal)
+    return answer.map(({ status, contentType, body }) => ({ status, contentType, body }))
+  }
+
+  async hasRun (endpoint: EndpointDescription, idempotencyKey: string, signal: AbortSignal): Promise<Result<ServiceAnswer | 'not_run' | undefined, AttemptFailure>> {
+    const call = { method: 'GET', path: `/runs/${encodeURIComponent(idempotencyKey)}`, contentType: undefined, body: undefined, idempotencyKey: undefined, traceParent: undefined }
+    const answer = await this.#exchange(endpoint, call, true, () => true, signal)
+    return answer.map(readRun)
+  }
+
+  /** Cuts the connections at once; a graceful stop waits for its calls first. */
+  close (): Promise<void> {
+    return this.#connections.close()
+  }
+
+  async #exchange (endpoint: EndpointDescription, call: ServiceCall, isRepeatable: boolean, mayStillSend: () => boolean, signal: AbortSignal): Promise<Result<Collected, AttemptFailure>> {
+    if (signal.aborted) return Err(new AttemptFailure(Reach.Never, 'cancelled'))
+    const options: ExchangeOptions = {
+      clock: this.#options.clock,
+      method: call.method,
+      path: call.path,
+      headers: headersOf(call),
+      body: call.body,
+      silenceMilliseconds: this.#options.silenceMilliseconds,
+      mayStillSend: () => !signal.aborted && mayStillSend()
+    }
+    const { address } = endpoint
+    const exchange = isRepeatable ? this.#connections.pooled(address, options) : this.#connections.fresh(address, options)
+    const cancel = () => exchange.giveUp('cancelled')
+    signal.addEventListener('abort', cancel)
+    const answer = await collect(exchange)
+    signal.removeEventListener('abort', cancel)
+    if (answer.err) this.#connections.retire(address)
+    return answer
+  }
+}
+
+function headersOf (call: ServiceCall): Record<string, string> {
+  const headers: Record<string, string> = {}
+  if (call.contentType !== undefined) headers['content-type'] = call.contentType
+  if (call.idempotencyKey !== undefined) headers['idempotency-key'] = call.idempotencyKey
+  if (call.traceParent !== undefined) headers.traceparent = call.traceParent
+  return headers
+}
+
+function readRun (answer: Collected): ServiceAnswer | 'not_run' | undefined {
+  const value = parseJson(answer.body)
+  if (answer.status === absentStatus && notRunShape.safeParse(value).success) return 'not_run'
+  if (answer.status !== okStatus) return undefined
+  const run = runShape.safeParse(value)
+  if (!run.success) return undefined
+  return { ...run.data.answer, body: Buffer.from(run.data.answer.body) }
+}
--- /dev/null
+++ b/src/platform/httpConnection.ts
@@ -0,0 +1,129 @@
+/**
+ * One connection pool to one of the platform's services. What a failure can have done to a write
+ * rests on where it struck: an error of the connecting phase precedes every byte of the request, so
+ * nothing was applied; anything later may have been. Requests are not pipelined and never sent
+ * twice: a second copy of an applied transaction would be answered with a conflict that is not one.
+ * An answer of 503 with `{"applied": false}` is the service's own word that nothing was applied.
+ */
+import { type Dispatcher, Pool } from 'undici'
+import { Err, Ok, type Result } from '../contract/index.ts'
+import { SentOnce } from './sentOnce.ts'
+import { PlatformUnavailable } from './tableService.ts'
+
+/** Where a service of the platform listens and how long it is waited for. */
+export interface HttpPlatformOptions {
+  /** `IP:port`. */
+  readonly address: string
+  /** Milliseconds for a whole call, connecting included. */
+  readonly timeoutMilliseconds: number
+  /** Connections held at most; 8 where it is not given. */
+  readonly connections?: number
+}
+
+/** A whole answer of the platform. */
+export interface PlatformReply {
+  readonly status: number
+  readonly body: Uint8Array
+}
+
+/** What is asked of the platform. */
+export interface PlatformQuestion {
+  readonly method: 'GET' | 'PUT' | 'POST'
+  readonly path: string
+  readonly body?: string | Uint8Array
+  /** Whether it changes anything when it arrives. */
+  readonly isWrite: boolean
+}
+
+const defaultConnections = 8
+/** An idle connection is given up after this, before something in between can lose track of it. */
+const idleMilliseconds = 4_000
+const absentStatus = 404
+const unavailableStatus = 503
+const connectingErrors: ReadonlySet<string> = new Set([
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'
+])
+
+/** A pool of connections that answers every question with a reply or the reason for none. */
+export class HttpConnection {
+  readonly #pool: Pool
+  readonly #dispatcher: Dispatcher
+  readonly #timeoutMilliseconds: number
+
+  constructor (options: HttpPlatformOptions) {
+    this.#timeoutMilliseconds = options.timeoutMilliseconds
+    this.#pool = new Pool(`http://${options.address}`, {
+      connections: options.connections ?? defaultConnections,
+      pipelining: 1,
+      keepAliveTimeout: idleMilliseconds,
+      keepAliveMaxTimeout: idleMilliseconds,
+      connect: { timeout: options.timeoutMilliseconds },
+      headersTimeout: 0,
+      bodyTimeout: 0
+    })
+    this.#dispatcher = this.#pool.compose(dispatch => (options, handler) => dispatch(options, new SentOnce(handler)))
+  }
+
+  /** Asks once; a reply of 404 is passed on, any other failure is `PlatformUnavailable`. */
+  async ask (question: PlatformQuestion): Promise<Result<PlatformReply, PlatformUnavailable>> {
+    try {
+      const response = await this.#dispatcher.request({
+        method: question.method,
+        path: question.path,
+        body: question.body ?? null,
+        headers: typeof question.body === 'string' ? { 'content-type': 'application/json' } : {},
+        signal: AbortSignal.timeout(this.#timeoutMilliseconds)
+      })
+      const body = new Uint8Array(await response.body.arrayBuffer())
+      return judge({ status: response.statusCode, body }, question.isWrite)
+    } catch (error) {
+      return Err(new PlatformUnavailable(reasonOf(error), question.isWrite && !isConnectingError(error)))
+    }
+  }
+
+  /** Asks with a JSON body and reads a JSON reply; undefined where the reply is 404. */
+  async askJson (question: PlatformQuestion): Promise<Result<unknown, PlatformUnavailable>> {
+    const reply = await this.ask(question)
+    if (reply.err) return reply
+    if (reply.val.status === absentStatus) return Ok(undefined)
+    const value = parseJson(reply.val.body)
+    if (value === undefined) return Err(new PlatformUnavailable('the reply is not JSON', question.isWrite))
+    return Ok(value)
+  }
+
+  /** Closes the connections at once; calls that run fail. */
+  async close (): Promise<void> {
+    await this.#pool.destroy()
+  }
+}
+
+/** Decodes a JSON body; undefined where it is not JSON. */
+export function parseJson (body: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(body).toString('utf8'))
+  } catch {
+    return undefined
+  }
+}
+
+function judge (reply: PlatformReply, isWrite: boolean): Result<PlatformReply, PlatformUnavailable> {
+  const isWhole = reply.status < 300 || reply.status === absentStatus
+  if (isWhole) return Ok(reply)
+  const mayHaveApplied = isWrite && !saysNotApplied(reply)
+  return Err(new PlatformUnavailable(`status ${reply.status}`, mayHaveApplied))
+}
+
+function saysNotApplied (reply: PlatformReply): boolean {
+  if (reply.status !== unavailableStatus) return false
+  const value = parseJson(reply.body)
+  return typeof value === 'object' && value !== null && 'applied' in value && value.applied === false
+}
+
+function isConnectingError (error: unknown): boolean {
+  const code = error instanceof Error && 'code' in error ? error.code : undefined
+  return typeof code === 'string' && connectingErrors.has(code)
+}
+
+function reasonOf (error: unknown): string {
+  return error instanceof Error ? `${error.name}: ${error.message}` : String(error)
+}
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -4,3 +4,6 @@
   type RatingService, type RatingRequest, type Row, type Page, type Range, type Condition,
   type Write, type Transaction, Commit, PlatformUnavailable
 } from './tableService.ts'
+export { type HttpPlatformOptions } from './httpConnection.ts'
+export { HttpTableService } from './httpTableService.ts'
+export { HttpObjectStore, HttpVirtualMachineList, HttpRatingService } from './httpServices.ts'
--- a/src/standin/index.ts
+++ b/src/standin/index.ts
@@ -1,2 +1,9 @@
 /** Stand-ins for the platform and the endpoints, for trials and tests. */
 export { MemoryTableService } from './memoryTable.ts'
+export { type StandIn } from './httpFrame.ts'
+export { startPlatform, type PlatformOptions } from './platform.ts'
+export { PlatformFault, PlatformTarget } from './platformFaults.ts'
+export { startEngine, type EngineOptions, type EngineRun } from './engine.ts'
+export { EngineFault } from './engineFaults.ts'
+export { startService, ServiceFault, type ServiceOptions, type ServiceRun } from './service.ts'
+export { isWholeAnswer, readAnswer, readPrompt, trueScore, type AnswerMarks, type PromptMarks } from './marker.ts'
--- /dev/null
+++ b/test/platform.test.ts
@@ -0,0 +1,118 @@
+/** The platform's clients against the stand-in, calm and under each of its faults. */
+import { type AddressInfo, createServer, type Server } from 'node:net'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { Commit, HttpObjectStore, HttpTableService, HttpVirtualMachineList, type Transaction } from '../src/platform/index.ts'
+import { startPlatform, type StandIn } from '../src/standin/index.ts'
+
+let platform: StandIn
+let table: HttpTableService
+let objects: HttpObjectStore
+let machines: HttpVirtualMachineList
+
+beforeEach(async () => {
+  platform = await startPlatform({ listen: '127.0.0.1:0', listLagMilliseconds: 0 })
+  const options = { address: platform.address, timeoutMilliseconds: 400 }
+  table = new HttpTableService(options)
+  objects = new HttpObjectStore(options)
+  machines = new HttpVirtualMachineList(options)
+})
+
+afterEach(async () => {
+  await Promise.all([table.close(), objects.close(), machines.close()])
+  await platform.close()
+})
+
+const insert: Transaction = {
+  conditions: [{ table: 'claims', key: 'harbour/1', version: 0 }],
+  writes: [{ table: 'claims', key: 'harbour/1', value: { state: 'open' } }]
+}
+
+async function fail (target: string, fault: string, milliseconds = 0): Promise<void> {
+  await fetch(`http://${platform.address}/faults`, { method: 'POST', body: JSON.stringify({ target, fault, milliseconds }) })
+}
+
+test('a transaction is applied whole or not at all, and rows are read back', async () => {
+  expect((await table.transact(insert)).unwrap()).toBe(Commit.Committed)
+  expect((await table.transact(insert)).unwrap()).toBe(Commit.Conflict)
+  expect((await table.read('claims', 'harbour/1')).unwrap()).toEqual({ key: 'harbour/1', version: 1, value: { state: 'open' } })
+  expect((await table.read('claims', 'harbour/2')).unwrap()).toBeUndefined()
+  const page = (await table.scan('claims', { prefix: 'harbour/', limit: 1 })).unwrap()
+  expect(page.rows.map(row => row.key)).toEqual(['harbour/1'])
+  const remove = { conditions: [], writes: [{ table: 'claims', key: 'harbour/1', value: undefined }] }
+  expect((await table.transact(remove)).unwrap()).toBe(Commit.Committed)
+  expect((await table.read('claims', 'harbour/1')).unwrap()).toBeUndefined()
+})
+
+test('objects are kept as they were given and listed in order', async () => {
+  const content = Uint8Array.from([0, 255, 10, 13])
+  expect((await objects.put('bills/2 ü', content)).ok).toBe(true)
+  expect((await objects.put('bills/1', new Uint8Array())).ok).toBe(true)
+  expect((await objects.get('bills/2 ü')).unwrap()).toEqual(content)
+  expect((await objects.get('bills/3')).unwrap()).toBeUndefined()
+  expect((await objects.list('bills/')).unwrap()).toEqual(['bills/1', 'bills/2 ü'])
+})
+
+test('the list of VMs shows what was set and marked leaving', async () => {
+  const entry = { address: '127.0.0.1:1', region: 'r', dataCentre: 'd' }
+  await fetch(`http://${platform.address}/virtual-machines/entry-1`, { method: 'PUT', body: JSON.stringify(entry) })
+  expect((await machines.read()).unwrap()).toEqual([{ ...entry, name: 'entry-1', leaving: false }])
+  await fetch(`http://${platform.address}/virtual-machines/entry-1`, { method: 'PUT', body: JSON.stringify({ ...entry, leaving: true }) })
+  expect((await machines.read()).unwrap()).toMatchObject([{ leaving: true }])
+})
+
+test('a write whose reply is lost may have been applied, and was', async () => {
+  await fail('tables', 'lose_replies')
+  expect((await table.transact(insert)).val).toMatchObject({ mayHaveApplied: true })
+  await fail('tables', 'none')
+  expect((await table.read('claims', 'harbour/1')).unwrap()).toMatchObject({ version: 1 })
+})
+
+test('a write that is never answered may have been applied; a read has no such doubt', async () => {
+  await fail('tables', 'hang')
+  expect((await table.transact(insert)).val).toMatchObject({ mayHaveApplied: true })
+  expect((await table.read('claims', 'harbour/1')).val).toMatchObject({ mayHaveApplied: false })
+})
+
+test('a service that is down says that nothing was applied', async () => {
+  await fail('all', 'down')
+  expect((await table.transact(insert)).val).toMatchObject({ mayHaveApplied: false })
+  expect((await objects.put('a', new Uint8Array())).val).toMatchObject({ mayHaveApplied: false })
+})
+
+test('a slow service is waited for within the time-out', async () => {
+  await fail('tables', 'slow', 50)
+  expect((await table.transact(insert)).unwrap()).toBe(Commit.Committed)
+})
+
+test('a refused connection certainly applied nothing, and the service is found again when it is back', async () => {
+  const { address } = platform
+  expect((await table.transact(insert)).ok).toBe(true)
+  await platform.close()
+  const refused = await table.transact(insert)
+  expect(refused.val).toMatchObject({ mayHaveApplied: false })
+  platform = await startPlatform({ listen: address })
+  expect((await table.transact(insert)).unwrap()).toBe(Commit.Committed)
+})
+
+/** Reads requests, cuts each connection at its first bytes, and counts what came. */
+async function cuttingServer (): Promise<{ server: Server, address: string, seen: () => number }> {
+  let seen = 0
+  const server = createServer(socket => {
+    socket.on('error', () => socket.destroy())
+    socket.once('data', () => {
+      seen++
+      socket.destroy()
+    })
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, seen: () => seen }
+}
+
+test('a write that was cut is in doubt and is not sent a second time', async () => {
+  const cutting = await cuttingServer()
+  const client = new HttpTableService({ address: cutting.address, timeoutMilliseconds: 400 })
+  expect((await client.transact(insert)).val).toMatchObject({ mayHaveApplied: true })
+  expect(cutting.seen()).toBe(1)
+  await client.close()
+  cutting.server.close()
+})
--- /dev/null
+++ b/test/standin.test.ts
@@ -0,0 +1,146 @@
+/** The stand-ins as trials use them: through the clients that the daemon uses, and their own records. */
+import { afterEach, expect, test } from 'vitest'
+import { type EndpointDescription, Priority, SeededRandomness, SystemClock } from '../src/contract/index.ts'
+import { type EngineCall, type EngineEvent, HttpEngineClient, HttpServiceClient, Reach } from '../src/endpoint/index.ts'
+import { HttpRatingService } from '../src/platform/index.ts'
+import { isWholeAnswer, startEngine, startPlatform, startService, trueScore, type StandIn } from '../src/standin/index.ts'
+
+const clock = new SystemClock()
+const engines = new HttpEngineClient({ clock, connectTimeoutMilliseconds: 1_000, silenceMilliseconds: 800 })
+const services = new HttpServiceClient({ clock, connectTimeoutMilliseconds: 1_000, silenceMilliseconds: 800 })
+const running: StandIn[] = []
+const never = new AbortController().signal
+
+afterEach(async () => {
+  await Promise.all(running.splice(0).map(standIn => standIn.close()))
+})
+
+async function kept (starting: Promise<StandIn>): Promise<StandIn> {
+  const standIn = await starting
+  running.push(standIn)
+  return standIn
+}
+
+function endpointAt (standIn: StandIn): EndpointDescription {
+  return { name: 'e', kind: 'engine', address: standIn.address, place: { region: 'r', dataCentre: 'd' }, versions: ['small@1'], service: 'ledger', checksFencing: true }
+}
+
+function callFor (request: string, extra = 'tokens=12'): EngineCall {
+  return {
+    attemptId: `${request}-1`,
+    version: 'small@1',
+    messages: [{ role: 'user', content: `kind=tagging difficulty=0.6 request=${request} ${extra}` }],
+    maximumTokens: 400,
+    priority: Priority.Normal,
+    prefixKey: 'p',
+    traceParent: undefined
+  }
+}
+
+async function all (events: AsyncIterable<EngineEvent>): Promise<{ text: string, last: EngineEvent | undefined }> {
+  let text = ''
+  let last: EngineEvent | undefined
+  for await (const event of events) {
+    if (event.type === 'chunk') text += event.chunk.text
+    last = event
+  }
+  return { text, last }
+}
+
+function post (standIn: StandIn, path: string, value: unknown = {}): Promise<Response> {
+  return fetch(`http://${standIn.address}${path}`, { method: 'POST', body: JSON.stringify(value) })
+}
+
+async function recordsOf (standIn: StandIn): Promise<Array<Record<string, unknown>>> {
+  return await (await fetch(`http://${standIn.address}/records`)).json() as Array<Record<string, unknown>>
+}
+
+test('an engine answers whole and its records say so', async () => {
+  const engine = await kept(startEngine({ listen: '127.0.0.1:0', name: 'e', versions: ['small@1'] }))
+  const { text, last } = await all(engines.generate(endpointAt(engine), callFor('r1'), never))
+  expect(last).toMatchObject({ type: 'finish', finish: { reason: 'stop', usage: { completionTokens: 12 } } })
+  expect(isWholeAnswer(text, 'r1')).toBe(true)
+  expect(isWholeAnswer(text, 'r2')).toBe(false)
+  expect(isWholeAnswer(text.slice(0, -4), 'r1')).toBe(false)
+  expect(await recordsOf(engine)).toMatchObject([{ attemptId: 'r1-1', request: 'r1', wholly: true, tokens: 12 }])
+})
+
+test('an engine answers a request that is not streamed in the shape of OpenAI', async () => {
+  const engine = await kept(startEngine({ listen: '127.0.0.1:0', name: 'e', versions: ['small@1'] }))
+  const response = await post(engine, '/v1/chat/completions', { model: 'small@1', messages: [{ role: 'user', content: 'request=r tokens=3' }] })
+  expect(await response.json()).toMatchObject({ object: 'chat.completion', choices: [{ message: { role: 'assistant' }, finish_reason: 'stop' }], usage: { completion_tokens: 3 } })
+})
+
+test('a version that is not loaded is refused before it runs, and an order loads it', async () => {
+  const engine = await kept(startEngine({ listen: '127.0.0.1:0', name: 'e', versions: [], loadMilliseconds: 1 }))
+  const endpoint = endpointAt(engine)
+  const refused = await all(engines.generate(endpoint, callFor('r1'), never))
+  expect(refused.last).toMatchObject({ type: 'failure', failure: { reach: Reach.Refused } })
+  expect((await engines.order(endpoint, { fencing: 2, action: 'load', version: 'small@1' }, never)).ok).toBe(true)
+  expect((await engines.report(endpoint, never)).unwrap().versions).toEqual(['small@1'])
+  const old = await engines.order(endpoint, { fencing: 1, action: 'unload', version: 'small@1' }, never)
+  expect(old.val).toMatchObject({ reach: Reach.Refused })
+})
+
+test('an engine that ignores fencing carries out an old order', async () => {
+  const engine = await kept(startEngine({ listen: '127.0.0.1:0', name: 'e', versions: ['small@1'], checksFencing: false, loadMilliseconds: 1 }))
+  const endpoint = endpointAt(engine)
+  await engines.order(endpoint, { fencing: 2, action: 'load', version: 'small@1' }, never)
+  expect((await engines.order(endpoint, { fencing: 1, action: 'unload', version: 'small@1' }, never)).ok).toBe(true)
+})
+
+test('more urgent requests leave the queue first', async () => {
+  const engine = await kept(startEngine({ listen: '127.0.0.1:0', name: 'e', versions: ['small@1'], streamLimit: 1 }))
+  const endpoint = endpointAt(engine)
+  const first = all(engines.generate(endpoint, callFor('first', 'tokens=40'), never))
+  while ((await engines.report(endpoint, never)).unwrap().running === 0) await clock.sleep(2)
+  const background = all(engines.generate(endpoint, { ...callFor('background'), priority: Priority.Background }, never))
+  while ((await engines.report(endpoint, never)).unwrap().queued === 0) await clock.sleep(2)
+  const interactive = all(engines.generate(endpoint, { ...callFor('interactive'), priority: Priority.Interactive }, never))
+  await Promise.all([first, background, interactive])
+  const runs = await recordsOf(engine)
+  const order = runs.sort((left, right) => Number(left.startedAt) - Number(right.startedAt)).map(run => run.request)
+  expect(order).toEqual(['first', 'interactive', 'background'])
+})
+
+test('cached prefixes are counted and can be exported and imported', async () => {
+  const engine = await kept(startEngine({ listen: '127.0.0.1:0', name: 'e', versions: ['small@1'] }))
+  await fetch(`http://${engine.address}/kv/p`, { method: 'PUT', body: JSON.stringify({ tokens: 5 }) })
+  const { last } = await all(engines.generate(endpointAt(engine), callFor('r1'), never))
+  expect(last).toMatchObject({ finish: { usage: { cachedPromptTokens: 5 } } })
+  expect(await (await fetch(`http://${engine.address}/kv/p`)).json()).toMatchObject({ tokens: 12 })
+})
+
+test('a bad version scores lower, and a rating reads the score with noise', async () => {
+  const engine = await kept(startEngine({ listen: '127.0.0.1:0', name: 'e', versions: ['small@1'] }))
+  const platform = await kept(startPlatform({ listen: '127.0.0.1:0', randomness: new SeededRandomness(3), ratingMilliseconds: 1, ratingNoise: 1 }))
+  const ratings = new HttpRatingService({ address: platform.address, timeoutMilliseconds: 5_000 })
+  const prompt = callFor('r').messages[0]?.content ?? ''
+  const good = await all(engines.generate(endpointAt(engine), callFor('good'), never))
+  await post(engine, '/faults', { fault: 'bad_version', version: 'small@1', points: 20 })
+  const bad = await all(engines.generate(endpointAt(engine), callFor('bad'), never))
+  expect(trueScore(prompt, good.text) - trueScore(prompt, bad.text)).toBeCloseTo(20, 0)
+  const rating = (await ratings.rate({ organisation: 'o', kind: 'tagging', prompt, answer: bad.text })).unwrap()
+  expect(Math.abs(rating - trueScore(prompt, bad.text))).toBeLessThan(6)
+  await ratings.close()
+})
+
+test('a plain service runs a repeated key again and its records tell', async () => {
+  const service = await kept(startService({ listen: '127.0.0.1:0', name: 'ledger' }))
+  const refund = { method: 'POST', path: '/refunds', contentType: 'application/json', body: Buffer.from('{"amount":5}'), idempotencyKey: 'k1', traceParent: undefined }
+  expect((await services.hasRun(endpointAt(service), 'k1', never)).unwrap()).toBe('not_run')
+  const first = (await services.call(endpointAt(service), refund, () => true, never)).unwrap()
+  await services.call(endpointAt(service), refund, () => true, never)
+  expect(await recordsOf(service)).toMatchObject([{ idempotencyKey: 'k1' }, { idempotencyKey: 'k1' }])
+  expect((await services.hasRun(endpointAt(service), 'k1', never)).unwrap()).toMatchObject({ status: 201, body: Buffer.from(first.body) })
+})
+
+test('a plain service that keeps keys repeats its answer, and one that cannot tell says so', async () => {
+  const service = await kept(startService({ listen: '127.0.0.1:0', name: 'ledger', deduplicates: true, tellsRuns: false }))
+  const release = { method: 'POST', path: '/releases', contentType: undefined, body: undefined, idempotencyKey: 'k1', traceParent: undefined }
+  const first = (await services.call(endpointAt(service), release, () => true, never)).unwrap()
+  const second = (await services.call(endpointAt(service), release, () => true, never)).unwrap()
+  expect(second.body).toEqual(first.body)
+  expect(await recordsOf(service)).toHaveLength(1)
+  expect((await services.hasRun(endpointAt(service), 'k1', never)).unwrap()).toBeUndefined()
+})
