Expect an answer's length by its kind, not by the caller's limit

Cause: a streamed request with a limit of 2,000 tokens was refused deadline_too_near (60 s expected) though the engine would have ended within 13 s: the limit was taken for the expected length. Ruled out: the endpoint policy: it was told 2,000 tokens and was right to refuse that. Change: CompletionLengths learns the mean length of each kind; admission, plan and endpoint choice use it.

--- a/src/billing/index.ts
+++ b/src/billing/index.ts
@@ -1,7 +1,7 @@
 /** Billing: each request is billed exactly once. */
 export * from './contract.ts'
 export { BatchedLedger, type BatchedLedgerOptions } from './batchedLedger.ts'
-export { verifyBills, type BillReport } from './verifyBills.ts'
+export { readBillRecords, verifyBills, type BillReport } from './verifyBills.ts'
 export { foldBills } from './foldBills.ts'
 export { billHandIn, billCopy, billForget } from './messages.ts'
 export { batchTableName, watermarkTableName } from './lane.ts'
--- a/src/billing/verifyBills.ts
+++ b/src/billing/verifyBills.ts
@@ -60,6 +60,17 @@
   })
 }
 
+/**
+ * Reads every record of every bill, unfolded.
+ *
+ * @example
+ * const records = await readBillRecords(table)
+ */
+export async function readBillRecords (table: TableService): Promise<Result<BillEntry[], PlatformUnavailable>> {
+  const batches = await readAll(table, batchTableName)
+  return batches.map(rows => entriesOf(rows, []).entries)
+}
+
 async function readAll (table: TableService, name: string): Promise<Result<Row[], PlatformUnavailable>> {
   const rows: Row[] = []
   let after: string | undefined
--- a/src/contract/chat.ts
+++ b/src/contract/chat.ts
@@ -45,7 +45,7 @@
 }
 
 /** Prompt tokens that cost as much as one generated token. */
-const promptTokensPerUnit = 4
+export const promptTokensPerUnit = 4
 /** Prompt tokens found in an engine's cache that cost as much as one generated token. */
 const cachedPromptTokensPerUnit = 40
 
--- a/src/contract/index.ts
+++ b/src/contract/index.ts
@@ -10,4 +10,4 @@
 export { Refusal, RefusalCode, RunState } from './refusal.ts'
 export { invariant, InvariantBroken, invariantCounts } from './invariant.ts'
 export { EndpointKind, type EndpointDescription, type LoadReport } from './endpoint.ts'
-export { type ChatMessage, type ChatRequest, type TokenUsage, Priority, attemptCost } from './chat.ts'
+export { type ChatMessage, type ChatRequest, type TokenUsage, Priority, attemptCost, promptTokensPerUnit } from './chat.ts'
--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -11,6 +11,7 @@
 import type { SettingsSource } from '../distribution/index.ts'
 import { type AttemptFailure, type EngineChunk, type EngineClient, type EngineFinish, Reach } from '../endpoint/index.ts'
 import { formatTraceParent, type Metrics, type TraceContext, type Tracer } from '../observe/index.ts'
+import type { CompletionLengths } from './completionLengths.ts'
 import type { EndpointDirectory } from './endpointDirectory.ts'
 
 /** What a version's run yields: pieces, and last a finish or a refusal. */
@@ -28,6 +29,7 @@
   readonly endpoints: EndpointPolicy
   readonly retries: AttemptBudget
   readonly engines: EngineClient
+  readonly lengths: CompletionLengths
   readonly metrics: Metrics
   readonly tracer: Tracer
 }
@@ -94,6 +96,7 @@
         }
         if (event.type === 'finish') {
           end = AttemptEnd.Answered
+          this.#parts.lengths.observe(request.kind, event.finish.usage.completionTokens)
           yield { type: 'finish', finish: event.finish }
           return undefined
         }
@@ -127,7 +130,7 @@
       prefixKey: request.prefixKey,
       session,
       promptTokens: request.promptTokens,
-      expectedCompletionTokens: request.maximumTokens,
+      expectedCompletionTokens: this.#parts.lengths.expected(request.kind, request.maximumTokens),
       priority: request.priority,
       remainingMilliseconds: request.deadline - this.#parts.clock.now(),
       excluded
--- a/src/entry/chatRouter.ts
+++ b/src/entry/chatRouter.ts
@@ -4,7 +4,7 @@
  * a caller counts an answer as whole by its end.
  */
 import {
-  attemptCost, type ChatRequest, type Clock, Err, hashOf, invariant, Ok, type Randomness, Refusal, RefusalCode, type Result, RunState, type VersionName
+  attemptCost, promptTokensPerUnit, type ChatRequest, type Clock, Err, hashOf, invariant, Ok, type Randomness, Refusal, RefusalCode, type Result, RunState, type VersionName
 } from '../contract/index.ts'
 import type { BillEntry, Ledger } from '../billing/index.ts'
 import type { Admission, AdmissionPolicy, PlanStep, VersionPlan, VersionPolicy } from '../choice/index.ts'
@@ -116,11 +116,15 @@
       share: call.organisation.settings.share,
       totalShares: settings.view.totalShares,
       priority: call.request.priority,
-      work: call.request.maximumTokens + call.request.promptTokens / 4
+      work: this.#expectedTokens(call) + call.request.promptTokens / promptTokensPerUnit
     }
     return admission.admit(wanted, directory.pressure(call.organisation.versions), clock.now())
   }
 
+  #expectedTokens (call: ChatCall): number {
+    return this.#parts.lengths.expected(call.request.kind, call.request.maximumTokens)
+  }
+
   #sessionOf (call: ChatCall): { readonly id: string, readonly pinned: Session | undefined } | undefined {
     if (call.session === SessionWish.None) return undefined
     if (call.session === SessionWish.Start) return { id: this.#parts.randomness.identifier(), pinned: undefined }
@@ -146,7 +150,7 @@
       pinned: isPinned(call.session) ? call.session.version : undefined,
       streamed: request.streamed,
       promptTokens: request.promptTokens,
-      expectedCompletionTokens: request.maximumTokens,
+      expectedCompletionTokens: this.#expectedTokens(call),
       difficultyHint: request.difficultyHint,
       remainingMilliseconds: request.deadline - clock.now(),
       qualityTarget: organisation.settings.quality_target
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -3,6 +3,7 @@
 export { type AnswerEvent } from './answer.ts'
 export { ServiceRouter, type ServiceRequest, type ServiceParts } from './serviceRouter.ts'
 export { EndpointDirectory } from './endpointDirectory.ts'
+export { CompletionLengths } from './completionLengths.ts'
 export { Drain } from './drain.ts'
 export { CallerServer, type CallerServerOptions } from './callerServer.ts'
 export { OperatorServer, type OperatorServerOptions } from './operatorServer.ts'
--- /dev/null
+++ b/test/fakes/entryWorld.ts
@@ -0,0 +1,191 @@
+/** A daemon's entry with its servers, before stand-in engines and services in the same process. */
+import { createHash } from 'node:crypto'
+import type { BillEntry, Ledger } from '../../src/billing/index.ts'
+import { AffinityEndpointPolicy, LinkBudget, RatioAttemptBudget, type RollOutGuard, RollOutVerdict, ShareAdmissionPolicy, type VersionPolicy } from '../../src/choice/index.ts'
+import { TableClaims } from '../../src/claim/index.ts'
+import { Ok, SeededRandomness, SystemClock, SystemRandomness } from '../../src/contract/index.ts'
+import { SettingsLease, type SettingsSource } from '../../src/distribution/index.ts'
+import { HttpEngineClient, HttpServiceClient } from '../../src/endpoint/index.ts'
+import { CallerServer, ChatRouter, CompletionLengths, Drain, EndpointDirectory, RollOutWatch, ServiceRouter } from '../../src/entry/index.ts'
+import type { Membership } from '../../src/membership/index.ts'
+import { Log, Metrics, SilentTracer } from '../../src/observe/index.ts'
+import { SignedSessionTokens } from '../../src/session/index.ts'
+import { checkText, SettingsView, subtreeSchema } from '../../src/settings/index.ts'
+import { type EngineRun, MemoryTableService, type ServiceRun, startEngine, startService } from '../../src/standin/index.ts'
+import { FaultyTableService } from './faultyTableService.ts'
+
+/** The API key of the organisation `harbour`, which may use `small` and the ledger. */
+export const harbourKey = 'key-of-harbour'
+/** The API key of the organisation `guides`, which may use `large` only. */
+export const guidesKey = 'key-of-guides'
+
+/** A version policy that takes the cheapest candidate. */
+export const cheapestVersion: VersionPolicy = {
+  plan: (_request, candidates) => {
+    const [first] = [...candidates].sort((left, right) => left.price - right.price)
+    return Ok({ steps: first === undefined ? [] : [{ version: first.name, releaseAtRating: undefined, rateAfterwards: false }] })
+  },
+  observeRating: () => {}
+}
+
+const patientGuard: RollOutGuard = { observe: () => {}, verdict: () => RollOutVerdict.Continue }
+
+/** Settings whose view a test replaces. */
+export class ChangeableSettings implements SettingsSource {
+  view = SettingsView.empty()
+  lease: SettingsLease = SettingsLease.Held
+
+  /** Puts a text in force as the next revision. */
+  install (text: string): void {
+    const subtree = checkText(text, 'fleet', subtreeSchema).unwrap()
+    this.view = SettingsView.of(this.view.revision + 1, new Map([['fleet', subtree]])).unwrap()
+  }
+
+  onChange (): () => void {
+    return () => {}
+  }
+}
+
+/** An entry and what stands around it. */
+export class EntryWorld {
+  readonly settings = new ChangeableSettings()
+  readonly bills: BillEntry[] = []
+  readonly clock = new SystemClock()
+  readonly table = new FaultyTableService(this.clock, new MemoryTableService())
+  readonly drain = new Drain()
+  readonly metrics = new Metrics()
+  readonly leaving = new Set<string>()
+  readonly #closers: Array<() => Promise<void>> = []
+  #engineAddress = ''
+  #serviceAddress = ''
+  address = ''
+
+  /** Starts an engine, a ledger and an entry. */
+  static async start (versions: VersionPolicy = cheapestVersion, bodyBytes = 65_536): Promise<EntryWorld> {
+    const world = new EntryWorld()
+    const engine = await startEngine({ listen: '127.0.0.1:0', name: 'engine-1', versions: ['small@1', 'small@2', 'large@1'] })
+    const service = await startService({ listen: '127.0.0.1:0', name: 'ledger' })
+    world.#engineAddress = engine.address
+    world.#serviceAddress = service.address
+    world.settings.install(world.settingsText())
+    const server = world.#server(versions, bodyBytes)
+    world.address = await server.listen('127.0.0.1:0')
+    world.#closers.push(() => server.close(), () => engine.close(), () => service.close())
+    return world
+  }
+
+  /** The settings in force; `extra` is added to them. */
+  settingsText (extra = ''): string {
+    return `
+kinds = ["tagging", "lookup"]
+session_keys = [{ name = "first", secret = "a session secret of the tests, long enough" }]
+[data_centres.lower-mainland-a]
+region = "lower-mainland"
+[models.small]
+price = 1
+[models.small.versions.1]
+[models.small.versions.2]
+state = "candidate"
+[models.large]
+price = 20
+[models.large.versions.1]
+[services.ledger]
+operations = [{ method = "POST", path = "/refunds", idempotent = false }]
+[endpoints.engine-1]
+address = "${this.#engineAddress}"
+data_centre = "lower-mainland-a"
+versions = ["small@1", "small@2", "large@1"]
+[endpoints.ledger-1]
+address = "${this.#serviceAddress}"
+data_centre = "lower-mainland-a"
+service = "ledger"
+[organisations.harbour]
+key_hashes = ["${sha256(harbourKey)}"]
+models = ["small"]
+services = ["ledger"]
+[organisations.guides]
+key_hashes = ["${sha256(guidesKey)}"]
+models = ["large"]
+${extra}`
+  }
+
+  /** Calls the entry. */
+  async call (path: string, options: { readonly key?: string, readonly body?: unknown, readonly headers?: Record<string, string> } = {}): Promise<Response> {
+    const body = options.body === undefined ? undefined : typeof options.body === 'string' ? options.body : JSON.stringify(options.body)
+    return await fetch(`http://${this.address}${path}`, {
+      method: body === undefined ? 'GET' : 'POST',
+      headers: { authorization: `Bearer ${options.key ?? harbourKey}`, 'content-type': 'application/json', ...options.headers },
+      ...(body === undefined ? {} : { body })
+    })
+  }
+
+  /** Makes the engine or the ledger fail. */
+  async fault (target: 'engine' | 'service', fault: Record<string, unknown>): Promise<void> {
+    const address = target === 'engine' ? this.#engineAddress : this.#serviceAddress
+    await fetch(`http://${address}/faults`, { method: 'POST', body: JSON.stringify(fault), headers: { 'content-type': 'application/json' } })
+  }
+
+  async engineRuns (): Promise<EngineRun[]> {
+    return await (await fetch(`http://${this.#engineAddress}/records`)).json() as EngineRun[]
+  }
+
+  async serviceRuns (): Promise<ServiceRun[]> {
+    return await (await fetch(`http://${this.#serviceAddress}/records`)).json() as ServiceRun[]
+  }
+
+  async close (): Promise<void> {
+    for (const close of this.#closers) await close()
+  }
+
+  #server (versions: VersionPolicy, bodyBytes: number): CallerServer {
+    const { clock, drain, metrics, settings, table } = this
+    const randomness = new SystemRandomness()
+    const here = { region: 'lower-mainland', dataCentre: 'lower-mainland-a' }
+    const membership: Membership = {
+      members: () => [],
+      endpoint: name => this.leaving.has(name) ? { name, healthy: true, leaving: true, report: undefined, reportedAt: 0 } : undefined,
+      sawLeaving: () => {}
+    }
+    const directory = new EndpointDirectory(settings, membership)
+    const sessions = new SignedSessionTokens({ keys: () => settings.view.sessionKeys, clock, lifetimeMilliseconds: 3_600_000 })
+    const ledger: Ledger = { record: async entry => { this.bills.push(entry); return Ok('durable') } }
+    const tracer = new SilentTracer()
+    const log = new Log('error')
+    const retries = new RatioAttemptBudget()
+    const chat = new ChatRouter({
+      clock,
+      randomness,
+      settings,
+      directory,
+      endpoints: new AffinityEndpointPolicy({ here, randomness: new SeededRandomness(1), link: new LinkBudget(1_000_000) }),
+      retries,
+      lengths: new CompletionLengths(),
+      engines: new HttpEngineClient({ clock, connectTimeoutMilliseconds: 500, silenceMilliseconds: 1_000 }),
+      metrics,
+      tracer,
+      versions,
+      admission: new ShareAdmissionPolicy(),
+      ledger,
+      sessions,
+      ratings: { rate: async () => Ok(90) },
+      rollOuts: new RollOutWatch(settings, () => patientGuard),
+      log
+    })
+    const services = new ServiceRouter({
+      here,
+      clock,
+      randomness,
+      directory,
+      services: new HttpServiceClient({ clock, connectTimeoutMilliseconds: 500, silenceMilliseconds: 1_000 }),
+      claims: new TableClaims({ table, clock, randomness, holder: 'entry-1' }),
+      ledger,
+      retries,
+      tracer
+    })
+    return new CallerServer({ clock, randomness, settings, sessions, chat, services, drain, metrics, tracer, log, bodyBytes, requestSeconds: 20, tls: undefined })
+  }
+}
+
+function sha256 (text: string): string {
+  return createHash('sha256').update(text).digest('hex')
+}
