Add the settings' repository and their distribution to every daemon

A change is one transaction conditioned on the team's row and the global row. Each data centre's polling daemons read the store; the others ask one of them.

Ruled out: telling the news instead of asking for it. A receiver can't know how long a message lay in a buffer, so a daemon that was frozen would renew its lease from an old one; an asker counts from the moment of its question. Ruled out: a log of changes between daemons. Subtrees with the revision of their last change need no log without gaps.

--- /dev/null
+++ b/src/distribution/confirmations.ts
@@ -0,0 +1,64 @@
+/**
+ * Which daemons have which revision in force, as they said themselves when they asked for news. A
+ * daemon that has not confirmed a revision holds a lease that rests on a read of the store from
+ * before the revision was accepted; so when the lease's time has passed since, it has run out.
+ */
+import type { Confirmation } from './rows.ts'
+
+/** How far a revision is in force. */
+export interface ForceReport {
+  readonly revision: number
+  /** Daemons that have it, or a later one, in force. */
+  readonly confirmed: readonly string[]
+  /** Daemons whose lease has run out. */
+  readonly lapsed: readonly string[]
+  /** Daemons that may still act on an earlier revision. */
+  readonly pending: readonly string[]
+}
+
+interface Heard {
+  readonly revision: number
+  readonly at: number
+}
+
+/** How long a daemon that is heard of no more is remembered, milliseconds. */
+const forgetMilliseconds = 60_000
+
+export class Confirmations {
+  readonly #heard = new Map<string, Heard>()
+
+  hear (name: string, revision: number, now: number): void {
+    this.#heard.set(name, { revision, at: now })
+  }
+
+  list (now: number): Confirmation[] {
+    for (const [name, heard] of this.#heard) {
+      if (now - heard.at > forgetMilliseconds) this.#heard.delete(name)
+    }
+    return [...this.#heard].map(([name, { revision, at }]) => ({ name, revision, age: now - at }))
+  }
+}
+
+/**
+ * Joins what several daemons heard into a report.
+ *
+ * @param members the live daemons
+ * @param leaseMilliseconds how long a daemon may act on settings without a new confirmation
+ * @example
+ * const report = reportForce(42, members, confirmations, 3_000)
+ */
+export function reportForce (revision: number, members: readonly string[], confirmations: readonly Confirmation[], leaseMilliseconds: number): ForceReport {
+  const latest = new Map<string, Confirmation>()
+  for (const confirmation of confirmations) {
+    const known = latest.get(confirmation.name)
+    if (known === undefined || isNewer(confirmation, known)) latest.set(confirmation.name, confirmation)
+  }
+  const confirmed = members.filter(name => (latest.get(name)?.revision ?? 0) >= revision)
+  const others = members.filter(name => !confirmed.includes(name))
+  const lapsed = others.filter(name => (latest.get(name)?.age ?? 0) > leaseMilliseconds)
+  return { revision, confirmed, lapsed, pending: others.filter(name => !lapsed.includes(name)) }
+}
+
+function isNewer (left: Confirmation, right: Confirmation): boolean {
+  return left.revision > right.revision || (left.revision === right.revision && left.age < right.age)
+}
--- a/src/distribution/contract.ts
+++ b/src/distribution/contract.ts
@@ -16,6 +16,24 @@
   /** The view in force at this daemon; its revision never decreases. */
   readonly view: SettingsView
   readonly lease: SettingsLease
+  /**
+   * Tells of each new view from now on, after it is in force.
+   *
+   * @returns stops telling
+   */
+  onChange (listener: (view: SettingsView) => void): () => void
+}
+
+/** A team's subtree and the global revision that its last change made. */
+export interface TeamSettings {
+  readonly revision: number
+  readonly subtree: Subtree
+}
+
+/** All teams' settings at one revision. */
+export interface SettingsSnapshot {
+  readonly revision: number
+  readonly teams: ReadonlyMap<string, TeamSettings>
 }
 
 /** Another operator was first. */
@@ -64,4 +82,6 @@
   revision (): Promise<Result<number, SettingsRejection>>
   /** Changes after a revision, oldest first. */
   changesAfter (revision: number, limit: number): Promise<Result<readonly SettingsChange[], SettingsRejection>>
+  /** All teams' settings as they stand together at one revision. */
+  snapshot (): Promise<Result<SettingsSnapshot, SettingsRejection>>
 }
--- /dev/null
+++ b/src/distribution/installedSettings.ts
@@ -0,0 +1,59 @@
+/**
+ * The settings installed at one daemon. Each team's subtree is kept with the revision of its last
+ * change, so what another daemon lacks is just the subtrees that are newer than its revision: there
+ * is no log that could have a gap, and news that comes twice or out of order changes nothing.
+ */
+import { invariant } from '../contract/index.ts'
+import { SettingsView } from '../settings/index.ts'
+import type { TeamSettings } from './contract.ts'
+
+/** Subtrees that bring a daemon from an earlier revision to this one. */
+export interface SettingsAdvance {
+  readonly revision: number
+  readonly teams: Iterable<readonly [string, TeamSettings]>
+}
+
+export class InstalledSettings {
+  readonly #listeners = new Set<(view: SettingsView) => void>()
+  #view = SettingsView.empty()
+  #teams: ReadonlyMap<string, TeamSettings> = new Map()
+
+  get view (): SettingsView {
+    return this.#view
+  }
+
+  get revision (): number {
+    return this.#view.revision
+  }
+
+  /**
+   * Installs what is newer than the view in force. An advance that was made for an earlier revision
+   * than this daemon's is as good: it holds all that changed since.
+   *
+   * @returns false where the subtrees do not join into a view; the view in force then stays
+   */
+  install (advance: SettingsAdvance): boolean {
+    if (advance.revision <= this.revision) return true
+    const teams = new Map(this.#teams)
+    for (const [team, settings] of advance.teams) {
+      if (settings.revision > (teams.get(team)?.revision ?? 0)) teams.set(team, settings)
+    }
+    const joined = SettingsView.of(advance.revision, new Map([...teams].map(([team, { subtree }]) => [team, subtree])))
+    if (joined.err) return false
+    invariant(joined.val.revision > this.revision, 'settings revision never decreases', () => ({ held: this.revision, next: joined.val.revision }))
+    this.#teams = teams
+    this.#view = joined.val
+    for (const listener of this.#listeners) listener(joined.val)
+    return true
+  }
+
+  /** The subtrees that changed after a revision. */
+  changedSince (revision: number): Record<string, TeamSettings> {
+    return Object.fromEntries([...this.#teams].filter(([, settings]) => settings.revision > revision))
+  }
+
+  onChange (listener: (view: SettingsView) => void): () => void {
+    this.#listeners.add(listener)
+    return () => this.#listeners.delete(listener)
+  }
+}
--- /dev/null
+++ b/src/distribution/rows.ts
@@ -0,0 +1,74 @@
+/** The shapes of the settings' rows and of what daemons tell each other about settings. */
+import { z } from 'zod'
+import type { MessageType } from '../link/index.ts'
+import { subtreeSchema } from '../settings/index.ts'
+import type { SettingsChange, TeamSettings } from './contract.ts'
+
+/** A team's row. */
+export const teamRowSchema = z.strictObject({
+  revision: z.number().int().min(1),
+  subtree: subtreeSchema,
+  nonce: z.string()
+})
+export type TeamRow = z.infer<typeof teamRowSchema>
+
+/** The row of the global revision. */
+export const revisionRowSchema = z.strictObject({
+  revision: z.number().int().min(1)
+})
+
+/** One accepted change. */
+export const changeSchema: z.ZodType<SettingsChange> = z.strictObject({
+  revision: z.number().int().min(1),
+  team: z.string(),
+  author: z.string(),
+  at: z.number(),
+  nonce: z.string(),
+  subtree: subtreeSchema
+})
+
+/** A daemon asks another for what came after its own revision. */
+export interface SettingsQuestion {
+  /** The revision in force at the daemon that asks: a confirmation that it has it. */
+  readonly revision: number
+}
+
+/** What the other daemon holds. */
+export interface SettingsNews {
+  readonly revision: number
+  /** Milliseconds since the start of a read of the store that found no later revision. */
+  readonly age: number
+  /** The subtrees that changed after the asker's revision. */
+  readonly teams: Readonly<Record<string, TeamSettings>>
+}
+
+const revisionSchema = z.number().int().min(0)
+const ageSchema = z.number().min(0)
+
+/** Asks for news of settings. */
+export const settingsQuestion: MessageType<SettingsQuestion, SettingsNews> = {
+  name: 'settings.question',
+  body: z.strictObject({ revision: revisionSchema }),
+  reply: z.strictObject({
+    revision: revisionSchema,
+    age: ageSchema,
+    teams: z.record(z.string(), z.strictObject({ revision: revisionSchema, subtree: subtreeSchema }))
+  })
+}
+
+/** A revision that a daemon said it has in force. */
+export interface Confirmation {
+  readonly name: string
+  readonly revision: number
+  /** Milliseconds since it said so. */
+  readonly age: number
+}
+
+/** Asks which daemons confirmed which revisions. */
+export const confirmationsQuestion: MessageType<Record<string, never>, { readonly confirmations: readonly Confirmation[] }> = {
+  name: 'settings.confirmations',
+  body: z.strictObject({}),
+  reply: z.strictObject({
+    confirmations: z.array(z.strictObject({ name: z.string(), revision: revisionSchema, age: ageSchema }))
+  })
+}
--- /dev/null
+++ b/src/distribution/tableSettings.ts
@@ -0,0 +1,233 @@
+/**
+ * The operators' settings in the table service. A change is one transaction over three rows: the
+ * team's subtree, the one global revision, and the change itself under its revision. It is applied
+ * only if the team's row and the global row are still as they were read; so revisions have no gaps,
+ * one of two racing operators wins, and what was checked across all teams is what comes into force.
+ * Each write carries a nonce, by which a write whose reply was lost is recognised.
+ */
+import { type Clock, Err, Ok, type Randomness, type Result } from '../contract/index.ts'
+import { Commit, type PlatformUnavailable, type Row, type TableService, type Transaction } from '../platform/index.ts'
+import { checkDocument, SettingsView, type Subtree, subtreeSchema } from '../settings/index.ts'
+import { type SettingsChange, SettingsConflict, type SettingsRejection, type SettingsRepository, type SettingsSnapshot, type TeamSettings } from './contract.ts'
+import { changeSchema, revisionRowSchema, teamRowSchema, type TeamRow } from './rows.ts'
+
+const teamTable = 'settings'
+const revisionTable = 'settings_revision'
+const historyTable = 'settings_history'
+const revisionKey = 'global'
+const revisionDigits = 12
+/** Times that a change is tried again after another team's change came between. */
+const attemptLimit = 50
+/** Milliseconds between two tries to find out what became of a write; with `attemptLimit` it bounds the wait to 5 s. */
+const settlePauseMilliseconds = 100
+
+/** What a `TableSettingsRepository` is made of. */
+export interface TableSettingsOptions {
+  readonly table: TableService
+  readonly clock: Clock
+  readonly randomness: Randomness
+}
+
+interface StoredTeam extends TeamRow {
+  readonly version: number
+}
+
+/** All rows that a change depends on, as they were read. */
+interface StoredSettings {
+  readonly revision: number
+  readonly revisionVersion: number
+  readonly teams: ReadonlyMap<string, StoredTeam>
+}
+
+interface Proposal {
+  readonly team: string
+  readonly subtree: Subtree
+  readonly expected: number
+  readonly author: string
+  readonly nonce: string
+}
+
+/**
+ * Settings kept in the table service.
+ *
+ * @example
+ * const repository = new TableSettingsRepository({ table, clock, randomness })
+ */
+export class TableSettingsRepository implements SettingsRepository {
+  readonly #table: TableService
+  readonly #clock: Clock
+  readonly #randomness: Randomness
+
+  constructor ({ table, clock, randomness }: TableSettingsOptions) {
+    this.#table = table
+    this.#clock = clock
+    this.#randomness = randomness
+  }
+
+  async read (team: string): Promise<Result<{ readonly revision: number, readonly subtree: Subtree | undefined }, SettingsRejection>> {
+    const row = await this.#table.read(teamTable, team)
+    if (row.err) return unavailable(row.val)
+    if (row.val === undefined) return Ok({ revision: 0, subtree: undefined })
+    const stored = teamOf(row.val)
+    if (stored.err) return stored
+    return Ok({ revision: stored.val.revision, subtree: stored.val.subtree })
+  }
+
+  async put (team: string, subtree: Subtree, options: { readonly expected: number, readonly author: string }): Promise<Result<number, SettingsRejection>> {
+    const checked = checkDocument(subtree, `settings/${team}`, subtreeSchema)
+    if (checked.err) return Err({ reason: 'faults', faults: checked.val })
+    const proposal = { team, subtree: checked.val, ...options, nonce: this.#randomness.identifier() }
+    for (let attempt = 0; attempt < attemptLimit; attempt++) {
+      const outcome = await this.#try(proposal)
+      if (outcome.err) return outcome
+      if (outcome.val !== undefined) return Ok(outcome.val)
+    }
+    return Err({ reason: 'unavailable', mayHaveApplied: false })
+  }
+
+  async revision (): Promise<Result<number, SettingsRejection>> {
+    const row = await this.#table.read(revisionTable, revisionKey)
+    if (row.err) return unavailable(row.val)
+    return revisionOf(row.val)
+  }
+
+  async changesAfter (revision: number, limit: number): Promise<Result<readonly SettingsChange[], SettingsRejection>> {
+    const page = await this.#table.scan(historyTable, { prefix: '', after: historyKey(revision), limit })
+    if (page.err) return unavailable(page.val)
+    const changes: SettingsChange[] = []
+    for (const row of page.val.rows) {
+      const change = checkDocument(row.value, `settings_history/${row.key}`, changeSchema)
+      if (change.err) return Err({ reason: 'faults', faults: change.val })
+      changes.push(change.val)
+    }
+    return Ok(changes)
+  }
+
+  async snapshot (): Promise<Result<SettingsSnapshot, SettingsRejection>> {
+    for (let attempt = 0; attempt < attemptLimit; attempt++) {
+      const stored = await this.#readAll()
+      if (stored.err) return stored
+      const revision = await this.revision()
+      if (revision.err) return revision
+      // Rows that were read while a change came between may be of two revisions.
+      if (revision.val !== stored.val.revision) continue
+      return Ok({ revision: revision.val, teams: teamsOf(stored.val) })
+    }
+    return Err({ reason: 'unavailable', mayHaveApplied: false })
+  }
+
+  /** Tries a change once; undefined where it lost a race with another team's change and may be tried again. */
+  async #try (proposal: Proposal): Promise<Result<number | undefined, SettingsRejection>> {
+    const stored = await this.#readAll()
+    if (stored.err) return stored
+    const current = stored.val.teams.get(proposal.team)
+    if ((current?.revision ?? 0) !== proposal.expected) return conflictWith(current)
+    const revision = stored.val.revision + 1
+    const joined = SettingsView.of(revision, subtreesOf(stored.val).set(proposal.team, proposal.subtree))
+    if (joined.err) return Err({ reason: 'faults', faults: joined.val })
+    return this.#commit(this.#transactionOf(proposal, stored.val), proposal, revision)
+  }
+
+  async #commit (transaction: Transaction, proposal: Proposal, revision: number): Promise<Result<number | undefined, SettingsRejection>> {
+    const commit = await this.#table.transact(transaction)
+    if (commit.ok && commit.val === Commit.Committed) return Ok(revision)
+    if (commit.ok) return Ok(undefined)
+    if (!commit.val.mayHaveApplied) return Err({ reason: 'unavailable', mayHaveApplied: false })
+    return this.#settle(transaction, proposal, revision)
+  }
+
+  /**
+   * Finds out what became of a write whose reply was lost. While no change stands under its revision
+   * the write may still be on its way; giving the same transaction again decides it, since only one
+   * of the two can be applied.
+   */
+  async #settle (transaction: Transaction, proposal: Proposal, revision: number): Promise<Result<number | undefined, SettingsRejection>> {
+    for (let attempt = 0; attempt < attemptLimit; attempt++) {
+      const found = await this.#table.read(historyTable, historyKey(revision))
+      if (found.err) {
+        await this.#clock.sleep(settlePauseMilliseconds)
+        continue
+      }
+      if (found.val !== undefined) return this.#recognise(found.val, proposal, revision)
+      await this.#table.transact(transaction)
+    }
+    return Err({ reason: 'unavailable', mayHaveApplied: true })
+  }
+
+  #recognise (row: Row, proposal: Proposal, revision: number): Result<number | undefined, SettingsRejection> {
+    const change = checkDocument(row.value, `settings_history/${row.key}`, changeSchema)
+    if (change.err) return Err({ reason: 'faults', faults: change.val })
+    return Ok(change.val.nonce === proposal.nonce ? revision : undefined)
+  }
+
+  #transactionOf (proposal: Proposal, stored: StoredSettings): Transaction {
+    const { team, subtree, author, nonce } = proposal
+    const revision = stored.revision + 1
+    const change: SettingsChange = { revision, team, author, at: this.#clock.now(), nonce, subtree }
+    return {
+      conditions: [
+        { table: teamTable, key: team, version: stored.teams.get(team)?.version ?? 0 },
+        { table: revisionTable, key: revisionKey, version: stored.revisionVersion }
+      ],
+      writes: [
+        { table: teamTable, key: team, value: { revision, subtree, nonce } },
+        { table: revisionTable, key: revisionKey, value: { revision } },
+        { table: historyTable, key: historyKey(revision), value: change }
+      ]
+    }
+  }
+
+  /** Reads the global revision first: a change that comes after it makes the transaction a conflict. */
+  async #readAll (): Promise<Result<StoredSettings, SettingsRejection>> {
+    const global = await this.#table.read(revisionTable, revisionKey)
+    if (global.err) return unavailable(global.val)
+    const revision = revisionOf(global.val)
+    if (revision.err) return revision
+    const teams = new Map<string, StoredTeam>()
+    let after: string | undefined
+    do {
+      const page = await this.#table.scan(teamTable, after === undefined ? { prefix: '' } : { prefix: '', after })
+      if (page.err) return unavailable(page.val)
+      for (const row of page.val.rows) {
+        const team = teamOf(row)
+        if (team.err) return team
+        teams.set(row.key, team.val)
+      }
+      after = page.val.next
+    } while (after !== undefined)
+    return Ok({ revision: revision.val, revisionVersion: global.val?.version ?? 0, teams })
+  }
+}
+
+function historyKey (revision: number): string {
+  return String(revision).padStart(revisionDigits, '0')
+}
+
+function revisionOf (row: Row | undefined): Result<number, SettingsRejection> {
+  if (row === undefined) return Ok(0)
+  const checked = checkDocument(row.value, `settings_revision/${row.key}`, revisionRowSchema)
+  return checked.err ? Err({ reason: 'faults', faults: checked.val }) : Ok(checked.val.revision)
+}
+
+function teamOf (row: Row): Result<StoredTeam, SettingsRejection> {
+  const checked = checkDocument(row.value, `settings/${row.key}`, teamRowSchema)
+  if (checked.err) return Err({ reason: 'faults', faults: checked.val })
+  return Ok({ ...checked.val, version: row.version })
+}
+
+function subtreesOf (stored: StoredSettings): Map<string, Subtree> {
+  return new Map([...stored.teams].map(([team, row]) => [team, row.subtree]))
+}
+
+function teamsOf (stored: StoredSettings): Map<string, TeamSettings> {
+  return new Map([...stored.teams].map(([team, { revision, subtree }]) => [team, { revision, subtree }]))
+}
+
+function conflictWith (current: StoredTeam | undefined): Result<never, SettingsRejection> {
+  const subtree = current?.subtree ?? subtreeSchema.parse({})
+  return Err({ reason: 'conflict', conflict: new SettingsConflict(current?.revision ?? 0, subtree) })
+}
+
+function unavailable (failure: PlatformUnavailable): Result<never, SettingsRejection> {
+  return Err({ reason: 'unavailable', mayHaveApplied: failure.mayHaveApplied })
+}
--- a/test/fakes/fakeLink.ts
+++ b/test/fakes/fakeLink.ts
@@ -33,7 +33,7 @@
 
   /** The link of a daemon; a later link with the same address replaces the earlier, as a restarted process does. */
   linkFor (identity: LinkIdentity): FakeLink {
-    const link = new FakeLink(identity, this, this.#clock)
+    const link = new FakeLink(identity, this, this.clockFor(identity.name))
     this.#links.set(identity.address, link)
     return link
   }
--- /dev/null
+++ b/test/fakes/fakeLinkFollowers.ts
@@ -0,0 +1,77 @@
+/** Data centres of settings followers on a fake network, for tests of distribution. */
+import { SeededRandomness } from '../../src/contract/index.ts'
+import { SettingsFollower, TableSettingsRepository } from '../../src/distribution/index.ts'
+import type { LinkIdentity } from '../../src/link/index.ts'
+import { FakeNetwork } from './fakeLink.ts'
+import { FaultyTableService } from './faultyTableService.ts'
+import { ManualClock } from './manualClock.ts'
+
+export class FollowerFleet {
+  readonly clock = new ManualClock()
+  readonly network: FakeNetwork
+  readonly table: FaultyTableService
+  readonly repository: TableSettingsRepository
+  readonly identities: readonly LinkIdentity[]
+  readonly followers = new Map<string, SettingsFollower>()
+  readonly #seed: number
+
+  /** @param sizes the number of daemons in each data centre */
+  constructor (seed: number, sizes: Readonly<Record<string, number>>) {
+    this.#seed = seed
+    this.network = new FakeNetwork(this.clock, new SeededRandomness(seed))
+    this.table = new FaultyTableService(this.clock)
+    this.repository = new TableSettingsRepository({ table: this.table, clock: this.clock, randomness: new SeededRandomness(seed + 1) })
+    this.identities = Object.entries(sizes).flatMap(([dataCentre, size]) => Array.from({ length: size }, (_, index) => identityOf(dataCentre, index)))
+  }
+
+  startAll (): void {
+    for (const identity of this.identities) this.start(identity.name)
+  }
+
+  /** Starts a daemon anew; it knows nothing of what an earlier one of its name held. */
+  start (name: string): SettingsFollower {
+    const identity = this.identities.find(candidate => candidate.name === name)
+    if (identity === undefined) throw new Error(`no daemon ${name}`)
+    const follower = new SettingsFollower({
+      repository: this.#repositoryOf(identity),
+      link: this.network.linkFor(identity),
+      clock: this.network.clockFor(name),
+      randomness: new SeededRandomness(this.#seed + 100 + this.identities.indexOf(identity)),
+      members: () => this.identities
+    })
+    this.followers.set(name, follower)
+    follower.start()
+    return follower
+  }
+
+  follower (name: string): SettingsFollower {
+    const follower = this.followers.get(name)
+    if (follower === undefined) throw new Error(`no daemon ${name}`)
+    return follower
+  }
+
+  revisions (): number[] {
+    return [...this.followers.values()].map(follower => follower.view.revision)
+  }
+
+  /** Which data centres can't reach the store. */
+  readonly withoutStore = new Set<string>()
+
+  async stopAll (): Promise<void> {
+    const stopped = Promise.all([...this.followers.values()].map(follower => follower.stop()))
+    await this.clock.advance(5_000)
+    await stopped
+  }
+
+  /** The store as one daemon reaches it. */
+  #repositoryOf (identity: LinkIdentity): TableSettingsRepository {
+    const table = new FaultyTableService(this.clock, this.table.memory)
+    table.script = call => this.withoutStore.has(identity.place.dataCentre) || this.withoutStore.has(identity.name) ? { fault: 'down' } : this.table.script(call)
+    return new TableSettingsRepository({ table, clock: this.clock, randomness: new SeededRandomness(this.#seed) })
+  }
+}
+
+function identityOf (dataCentre: string, index: number): LinkIdentity {
+  const name = `${dataCentre}-${index}`
+  return { name, address: `${name}:7000`, place: { region: `region-${dataCentre}`, dataCentre }, rack: `rack-${index % 3}`, incarnation: 1 }
+}
