--- /dev/null
+++ b/test/fakes/fakeEngineClient.ts
@@ -0,0 +1,133 @@
+/**
+ * A model engine in process, behind the face of its client. Each attempt asks a script what befalls
+ * it; `runs` is the judge's truth of what was run. Faults below the face (frames twice, crossed,
+ * missing, silent connections) are brought about by the fake network instead.
+ */
+import { type Clock, type EndpointDescription, Err, type LoadReport, Ok, type Result, type VersionName } from '../../src/contract/index.ts'
+import { AttemptFailure, type EngineCall, type EngineClient, type EngineEvent, type EngineOrder, Reach } from '../../src/endpoint/index.ts'
+
+/** What befalls one attempt. */
+export const EngineFate = {
+  Answer: 'answer',
+  /** The connection is refused: it never runs. */
+  Unreachable: 'unreachable',
+  /** The engine refuses it in a whole answer. */
+  Refuse: 'refuse',
+  /** It is lost before it runs, and the client can't tell. */
+  LoseRequest: 'lose_request',
+  /** It dies after `chunks` chunks. */
+  DieAfter: 'die_after'
+} as const
+export type EngineFate = typeof EngineFate[keyof typeof EngineFate]
+
+/** What befalls one attempt, and its times in milliseconds. */
+export interface ScriptedEngineFate {
+  readonly fate: EngineFate
+  /** Until the first chunk or the failure. */
+  readonly before?: number
+  /** Between two chunks. */
+  readonly between?: number
+  /** Chunks before it dies. */
+  readonly chunks?: number
+}
+
+/** One attempt that reached the engine. */
+export interface FakeEngineRun {
+  readonly endpoint: string
+  readonly attemptId: string
+  readonly version: VersionName
+  /** Milliseconds of the clock. */
+  readonly at: number
+}
+
+const answerTokens = 8
+const streamLimit = 32
+const prefillTokensPerSecond = 16_000
+const betweenTokensMilliseconds = 6
+
+export class FakeEngineClient implements EngineClient {
+  /** Every attempt that reached an engine, in order. */
+  readonly runs: FakeEngineRun[] = []
+  /** Orders that were carried out. */
+  readonly orders: EngineOrder[] = []
+  /** Endpoints that report that they are leaving. */
+  readonly leaving = new Set<string>()
+  /** Says what befalls each attempt. */
+  script: (call: EngineCall, endpoint: EndpointDescription) => ScriptedEngineFate = () => ({ fate: EngineFate.Answer })
+  readonly #clock: Clock
+  readonly #loaded = new Map<string, Set<VersionName>>()
+  readonly #fencing = new Map<string, number>()
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  /** The text of a whole answer to a call. */
+  textOf (call: EngineCall): string {
+    return Array.from({ length: tokensOf(call) }, (_, index) => tokenOf(call, index)).join('')
+  }
+
+  async * generate (endpoint: EndpointDescription, call: EngineCall, signal: AbortSignal): AsyncGenerator<EngineEvent, void, undefined> {
+    const scripted = this.script(call, endpoint)
+    await this.#clock.sleep(scripted.before ?? 0, signal)
+    if (scripted.fate === EngineFate.Unreachable || signal.aborted) return yield failure(Reach.Never, 'not sent')
+    if (scripted.fate === EngineFate.Refuse || !this.#versionsOf(endpoint).has(call.version)) return yield failure(Reach.Refused, 'status 503')
+    if (scripted.fate === EngineFate.LoseRequest) return yield failure(Reach.Maybe, 'lost')
+    this.runs.push({ endpoint: endpoint.name, attemptId: call.attemptId, version: call.version, at: this.#clock.now() })
+    const count = tokensOf(call)
+    for (let offset = 0; offset < count; offset++) {
+      if (scripted.fate === EngineFate.DieAfter && offset >= (scripted.chunks ?? 0)) return yield failure(Reach.Maybe, 'died')
+      yield { type: 'chunk', chunk: { offset, text: tokenOf(call, offset), tokens: 1 } }
+      await this.#clock.sleep(scripted.between ?? 0, signal)
+      if (signal.aborted) return yield failure(Reach.Maybe, 'cancelled')
+    }
+    const reason = count < answerTokens ? 'length' : 'stop'
+    yield { type: 'finish', finish: { reason, usage: { promptTokens: 10, cachedPromptTokens: 0, completionTokens: count } } }
+  }
+
+  async report (endpoint: EndpointDescription): Promise<Result<LoadReport, AttemptFailure>> {
+    await this.#clock.sleep(0)
+    return Ok({
+      at: this.#clock.now(),
+      incarnation: 1,
+      versions: [...this.#versionsOf(endpoint)],
+      running: 0,
+      queued: 0,
+      queuedPromptTokens: 0,
+      streamLimit,
+      prefillTokensPerSecond,
+      betweenTokensMilliseconds,
+      leaving: this.leaving.has(endpoint.name)
+    })
+  }
+
+  async order (endpoint: EndpointDescription, order: EngineOrder): Promise<Result<void, AttemptFailure>> {
+    await this.#clock.sleep(0)
+    const highest = this.#fencing.get(endpoint.name) ?? 0
+    if (endpoint.checksFencing && order.fencing < highest) return Err(new AttemptFailure(Reach.Refused, 'status 409'))
+    this.#fencing.set(endpoint.name, Math.max(highest, order.fencing))
+    this.orders.push(order)
+    const versions = this.#versionsOf(endpoint)
+    if (order.action === 'load') versions.add(order.version)
+    else versions.delete(order.version)
+    return Ok(undefined)
+  }
+
+  #versionsOf (endpoint: EndpointDescription): Set<VersionName> {
+    const versions = this.#loaded.get(endpoint.name) ?? new Set(endpoint.versions)
+    this.#loaded.set(endpoint.name, versions)
+    return versions
+  }
+}
+
+function tokensOf (call: EngineCall): number {
+  return Math.min(answerTokens, call.maximumTokens)
+}
+
+function tokenOf (call: EngineCall, index: number): string {
+  return `${call.attemptId}#${index} `
+}
+
+function failure (reach: Reach, reason: string): EngineEvent {
+  return { type: 'failure', failure: new AttemptFailure(reach, reason) }
+}
