Let a test put its own network under the endpoint clients

Cause: property tests of cuts and silences need thousands of connections on a manual clock; the engine's stand-in also polled each millisecond. Change: connections are opened by a ConnectionSource, over TCP unless one is given; the stand-in's batch waits for a change in place of polling.

--- a/src/endpoint/connections.ts
+++ b/src/endpoint/connections.ts
@@ -4,7 +4,7 @@
  * when one was found silent the whole pool is retired. Its running exchanges go on, and nothing new
  * is put on its connections. An idle connection is closed after a few seconds for the same reason.
  */
-import { Client, Pool } from 'undici'
+import { Client, type Dispatcher, Pool } from 'undici'
 import { Exchange, type ExchangeOptions } from './exchange.ts'
 
 /** How connections are opened. */
@@ -13,17 +13,36 @@
   readonly connectTimeoutMilliseconds: number
   /** Milliseconds after which an idle connection is closed; 4,000 where it is not given. */
   readonly idleMilliseconds?: number
+  /** Opens the connections; over TCP where it is not given. */
+  readonly source?: ConnectionSource
+}
+
+/** Connections to one address that can be used again. */
+export interface ConnectionPool extends Pick<Dispatcher, 'dispatch'> {
+  /** Connections that stand, and exchanges that run or wait. */
+  readonly used: number
+  /** Closes it when its exchanges have ended. */
+  close (): Promise<void>
+  /** Cuts its connections. */
+  destroy (): Promise<void>
+}
+
+/** Opens connections; a test puts a network of its own in its place. */
+export interface ConnectionSource {
+  pool (address: string): ConnectionPool
+  /** A connection for one exchange, which closes after it. */
+  single (address: string): Pick<Dispatcher, 'dispatch'>
 }
 
 const defaultIdleMilliseconds = 4_000
 
 /** All connections of one client to its endpoints. */
 export class Connections {
-  readonly #options: ConnectionOptions
-  readonly #pools = new Map<string, Pool>()
+  readonly #source: ConnectionSource
+  readonly #pools = new Map<string, ConnectionPool>()
 
   constructor (options: ConnectionOptions) {
-    this.#options = options
+    this.#source = options.source ?? new TcpSource(options)
   }
 
   /** Starts an exchange on a connection that may have served others before. */
@@ -33,9 +52,7 @@
 
   /** Starts an exchange on a connection of its own, which is closed after it. */
   fresh (address: string, exchange: ExchangeOptions): Exchange {
-    const client = new Client(`http://${address}`, this.#clientOptions())
-    const headers = { ...exchange.headers, connection: 'close' }
-    return Exchange.start(client, { ...exchange, headers })
+    return Exchange.start(this.#source.single(address), { ...exchange, closesConnection: true })
   }
 
   /** Puts nothing new on the connections that are open to an address. */
@@ -53,21 +70,37 @@
     await Promise.all(pools.map(pool => pool.destroy()))
   }
 
-  #poolOf (address: string): Pool {
+  #poolOf (address: string): ConnectionPool {
     const known = this.#pools.get(address)
     if (known !== undefined) return known
     this.#dropUnused()
-    const pool = new Pool(`http://${address}`, this.#clientOptions())
+    const pool = this.#source.pool(address)
     this.#pools.set(address, pool)
     return pool
   }
 
   /** Addresses come and go with their VMs; pools without a connection are forgotten. */
   #dropUnused (): void {
-    for (const [address, { stats }] of this.#pools) {
-      if (stats.connected + stats.pending + stats.running === 0) this.retire(address)
+    for (const [address, pool] of this.#pools) {
+      if (pool.used === 0) this.retire(address)
     }
   }
+}
+
+class TcpSource implements ConnectionSource {
+  readonly #options: ConnectionOptions
+
+  constructor (options: ConnectionOptions) {
+    this.#options = options
+  }
+
+  pool (address: string): ConnectionPool {
+    return new TcpPool(`http://${address}`, this.#clientOptions())
+  }
+
+  single (address: string): Dispatcher {
+    return new Client(`http://${address}`, this.#clientOptions())
+  }
 
   #clientOptions () {
     const idleMilliseconds = this.#options.idleMilliseconds ?? defaultIdleMilliseconds
@@ -81,3 +114,10 @@
     }
   }
 }
+
+class TcpPool extends Pool implements ConnectionPool {
+  get used (): number {
+    const { connected, pending, running } = this.stats
+    return connected + pending + running
+  }
+}
--- a/src/endpoint/engineClient.ts
+++ b/src/endpoint/engineClient.ts
@@ -3,7 +3,7 @@
 import { type Clock, type EndpointDescription, Err, type LoadReport, Ok, type Result, type VersionName } from '../contract/index.ts'
 import { Attempt } from './attempt.ts'
 import { collect, type Collected } from './collect.ts'
-import { Connections } from './connections.ts'
+import { Connections, type ConnectionSource } from './connections.ts'
 import { AttemptFailure, type EngineCall, type EngineClient, type EngineEvent, type EngineOrder, Reach } from './contract.ts'
 import { parseJson } from './json.ts'
 
@@ -20,6 +20,8 @@
   readonly resumeLimit?: number
   /** Milliseconds before the second such try, doubling; 50 where it is not given. */
   readonly resumePauseMilliseconds?: number
+  /** Opens the connections; over TCP where it is not given. */
+  readonly source?: ConnectionSource
 }
 
 const defaultOrderMilliseconds = 60_000
--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -35,6 +35,8 @@
   readonly silenceMilliseconds: number
   /** Asked in the turn of the write. */
   readonly mayStillSend: () => boolean
+  /** Whether its connection is closed after it; off where it is not given. */
+  readonly closesConnection?: boolean
 }
 
 /** Bytes kept for a reader that is slower than the sender. */
@@ -64,14 +66,14 @@
    * const exchange = Exchange.start(pool, options)
    * const head = await exchange.next()
    */
-  static start (dispatcher: Dispatcher, options: ExchangeOptions): Exchange {
+  static start (dispatcher: Pick<Dispatcher, 'dispatch'>, options: ExchangeOptions): Exchange {
     const exchange = new Exchange(options)
     dispatcher.dispatch({
-      origin: undefined,
       method: options.method as Dispatcher.HttpMethod,
       path: options.path,
       headers: options.headers,
-      body: options.body ?? null
+      body: options.body ?? null,
+      reset: options.closesConnection ?? false
     }, exchange)
     exchange.#watch().catch(() => undefined)
     return exchange
--- a/src/endpoint/index.ts
+++ b/src/endpoint/index.ts
@@ -2,3 +2,4 @@
 export * from './contract.ts'
 export { HttpEngineClient, type HttpEngineClientOptions } from './engineClient.ts'
 export { HttpServiceClient, type HttpServiceClientOptions } from './serviceClient.ts'
+export { type ConnectionPool, type ConnectionSource } from './connections.ts'
--- a/src/endpoint/serviceClient.ts
+++ b/src/endpoint/serviceClient.ts
@@ -8,7 +8,7 @@
 import { z } from 'zod'
 import { type Clock, type EndpointDescription, Err, type Result } from '../contract/index.ts'
 import { collect, type Collected } from './collect.ts'
-import { Connections } from './connections.ts'
+import { Connections, type ConnectionSource } from './connections.ts'
 import { AttemptFailure, Reach, type ServiceAnswer, type ServiceCall, type ServiceClient } from './contract.ts'
 import type { ExchangeOptions } from './exchange.ts'
 import { parseJson } from './json.ts'
@@ -20,6 +20,8 @@
   readonly connectTimeoutMilliseconds: number
   /** Milliseconds without a byte after which an answer is no longer waited for. */
   readonly silenceMilliseconds: number
+  /** Opens the connections; over TCP where it is not given. */
+  readonly source?: ConnectionSource
 }
 
 const okStatus = 200
--- a/src/standin/batch.ts
+++ b/src/standin/batch.ts
@@ -19,7 +19,8 @@
 }
 
 const millisecondsInSecond = 1_000
-const idleMilliseconds = 20
+/** How far behind its pace the decoder may fall and still catch up. */
+const catchUpMilliseconds = 20
 
 /** An engine's queue, batch and prefix cache. */
 export class Batch {
@@ -33,6 +34,7 @@
   readonly #prefixes = new Map<string, number>()
   #prefilling: Generation | undefined
   #stopped = false
+  #wakeUps: Array<() => void> = []
 
   constructor (hardware: BatchHardware) {
     this.hardware = hardware
@@ -73,6 +75,7 @@
     const position = this.#queue.findIndex(queued => queued.plan.priority > generation.plan.priority)
     if (position === -1) this.#queue.push(generation)
     else this.#queue.splice(position, 0, generation)
+    this.#wake()
   }
 
   /** Keeps a prefix as cached, as an import of KV cache does. */
@@ -91,6 +94,7 @@
   /** Ends both tasks. */
   stop (): void {
     this.#stopped = true
+    this.#wake()
   }
 
   async #prefill (): Promise<void> {
@@ -98,7 +102,7 @@
       await this.#thaw()
       const hasPlace = this.#running.size < this.hardware.streamLimit
       const next = hasPlace ? this.#queue.shift() : undefined
-      if (next === undefined) await pause(1)
+      if (next === undefined) await this.#change()
       else if (!next.isOver) await this.#admit(next)
     }
   }
@@ -114,14 +118,19 @@
     this.remember(plan.prefixKey, plan.promptTokens)
     this.#prefilling = undefined
     if (!generation.isOver) this.#running.add(generation)
+    this.#wake()
   }
 
   async #decode (): Promise<void> {
     let due = performance.now()
     while (!this.#stopped) {
       await this.#thaw()
-      const step = this.#running.size === 0 ? 1 : this.betweenTokensMilliseconds
-      due = Math.max(due + step, performance.now() - idleMilliseconds)
+      if (this.#running.size === 0) {
+        await this.#change()
+        due = performance.now()
+        continue
+      }
+      due = Math.max(due + this.betweenTokensMilliseconds, performance.now() - catchUpMilliseconds)
       await pause(due - performance.now())
       if (this.frozenUntil <= Date.now()) this.#makeTokens()
     }
@@ -130,10 +139,23 @@
   #makeTokens (): void {
     for (const generation of this.#running) {
       if (!generation.isOver) generation.step()
-      if (generation.isOver) this.#running.delete(generation)
+      if (!generation.isOver) continue
+      this.#running.delete(generation)
+      this.#wake()
     }
   }
 
+  /** Fulfilled when the queue or the batch changes. */
+  #change (): Promise<void> {
+    return new Promise(resolve => this.#wakeUps.push(resolve))
+  }
+
+  #wake (): void {
+    const wakeUps = this.#wakeUps
+    this.#wakeUps = []
+    for (const wake of wakeUps) wake()
+  }
+
   async #thaw (): Promise<void> {
     while (this.frozenUntil > Date.now()) await pause(this.frozenUntil - Date.now())
   }
