Test the whole answer to its own request over a failing network

Cause: cuts, silences, crossed, repeated and missing frames had no test. Ruled out: expecting a pooled connection to be used again at once; the HTTP library waits for a turn of the event loop and opens a second one.

--- /dev/null
+++ b/test/fakes/fakeEngineServer.ts
@@ -0,0 +1,108 @@
+/**
+ * A model engine on the fake network: it makes a token each few milliseconds whether it is read or
+ * not, so a stream can be taken up at any offset. `textOf` is the judge's truth of each answer.
+ */
+import type { Clock } from '../../src/contract/index.ts'
+import type { NetworkReply, NetworkRequest, NetworkServer } from './fakeNetwork.ts'
+
+/** How the fake engine answers, in milliseconds and tokens. */
+export interface FakeEngineServerOptions {
+  readonly tokens: number
+  readonly betweenTokens: number
+  /** Between the arrival and the first token. */
+  readonly before?: number
+}
+
+interface Stream {
+  readonly attemptId: string
+  readonly startedAt: number
+  cancelled: boolean
+}
+
+const heartbeatMilliseconds = 250
+const heartbeat = ': heartbeat\n\n'
+
+export class FakeEngineServer implements NetworkServer {
+  readonly #clock: Clock
+  readonly #options: FakeEngineServerOptions
+  readonly #streams = new Map<string, Stream>()
+
+  constructor (clock: Clock, options: FakeEngineServerOptions) {
+    this.#clock = clock
+    this.#options = options
+  }
+
+  /** Attempts that arrived, in order, and whether each was cancelled. */
+  get runs (): ReadonlyArray<{ readonly attemptId: string, readonly cancelled: boolean }> {
+    return [...this.#streams.values()]
+  }
+
+  /** The whole answer of an attempt. */
+  textOf (attemptId: string): string {
+    return this.#text(attemptId, 0, this.#options.tokens)
+  }
+
+  answer (request: NetworkRequest): NetworkReply {
+    const attemptId = request.headers['x-attempt-id'] ?? ''
+    if (request.method === 'POST') {
+      const stream = { attemptId, startedAt: this.#clock.now() + (this.#options.before ?? 0), cancelled: false }
+      this.#streams.set(attemptId, stream)
+      return this.#stream(stream, 0)
+    }
+    const stream = this.#streams.get(attemptId)
+    if (stream === undefined || stream.cancelled) return short(404)
+    if (request.method === 'DELETE') {
+      stream.cancelled = true
+      return short(200)
+    }
+    return this.#stream(stream, Number(/offset=(\d+)/.exec(request.path)?.[1] ?? 0))
+  }
+
+  #stream (stream: Stream, offset: number): NetworkReply {
+    return { status: 200, headers: { 'content-type': 'text/event-stream' }, pieces: this.#frames(stream, offset) }
+  }
+
+  async * #frames (stream: Stream, offset: number): AsyncGenerator<string, void, undefined> {
+    const { tokens, betweenTokens } = this.#options
+    let next = offset
+    while (next < tokens) {
+      const due = stream.startedAt + (next + 1) * betweenTokens
+      await this.#clock.sleep(Math.min(heartbeatMilliseconds, due - this.#clock.now()))
+      if (stream.cancelled) return
+      const made = Math.min(tokens, Math.floor((this.#clock.now() - stream.startedAt) / betweenTokens))
+      if (made <= next) {
+        yield heartbeat
+        continue
+      }
+      yield frameOf(stream.attemptId, next, made - next, this.#text(stream.attemptId, next, made))
+      next = made
+    }
+    yield finishOf(stream.attemptId, tokens)
+    yield 'data: [DONE]\n\n'
+  }
+
+  #text (attemptId: string, from: number, to: number): string {
+    let text = ''
+    for (let index = from; index < to; index++) text += `${attemptId}#${index}/ü `
+    return text
+  }
+}
+
+/** A frame of an answer, as an engine writes it. */
+export function frameOf (attemptId: string, offset: number, count: number, content: string): string {
+  return `data: ${JSON.stringify({ id: attemptId, choices: [{ delta: { content }, finish_reason: null }], token_offset: offset, token_count: count })}\n\n`
+}
+
+/** The last frame of an answer of so many tokens. */
+export function finishOf (attemptId: string, tokens: number): string {
+  const usage = { prompt_tokens: 10, completion_tokens: tokens, prompt_tokens_details: { cached_tokens: 0 } }
+  return `data: ${JSON.stringify({ id: attemptId, choices: [{ delta: {}, finish_reason: 'stop' }], token_offset: tokens, token_count: 0, usage })}\n\n`
+}
+
+function short (status: number): NetworkReply {
+  return { status, headers: { 'content-length': '2' }, pieces: one('{}') }
+}
+
+async function * one (piece: string): AsyncGenerator<string, void, undefined> {
+  yield piece
+}
--- /dev/null
+++ b/test/fakes/scriptedServer.ts
@@ -0,0 +1,45 @@
+/** A TCP server whose connections a test answers byte by byte, for what no HTTP library would send. */
+import { type AddressInfo, createServer, type Socket } from 'node:net'
+
+export interface ScriptedServer {
+  readonly address: string
+  /** What each connection has received, in order of the connections. */
+  readonly received: readonly string[]
+  close (): Promise<void>
+}
+
+/**
+ * Starts a server on the loopback.
+ *
+ * @param answer called for each piece that arrives, with the connection's number and all it has received
+ */
+export async function scriptedServer (answer: (socket: Socket, connection: number, received: string) => void): Promise<ScriptedServer> {
+  const received: string[] = []
+  const sockets = new Set<Socket>()
+  const server = createServer(socket => {
+    const connection = received.push('') - 1
+    sockets.add(socket)
+    socket.on('error', () => socket.destroy())
+    socket.on('close', () => sockets.delete(socket))
+    socket.on('data', bytes => {
+      received[connection] += bytes.toString('utf8')
+      answer(socket, connection, received[connection] ?? '')
+    })
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  return {
+    address: `127.0.0.1:${port}`,
+    received,
+    close: async () => {
+      const closed = new Promise<void>(resolve => server.close(() => resolve()))
+      for (const socket of sockets) socket.destroy()
+      await closed
+    }
+  }
+}
+
+/** A whole HTTP reply. */
+export function httpReply (body: string, status = '200 OK'): string {
+  return `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`
+}
