Let an endpoint that was away come back slowly

Cause: the policy read the news of only those endpoints that could be used, so it never saw one go away and gave it its whole weight at its return. Change: the news of all endpoints is read before the candidates are chosen. The test's bounds are set by the endpoint's even share of 1/8, with fresh reports at each moment.

--- a/src/choice/endpointMemory.ts
+++ b/src/choice/endpointMemory.ts
@@ -33,11 +33,11 @@
     return memory
   }
 
-  /** The memory of an endpoint, told of its latest news. */
-  read (view: EndpointView, now: number): EndpointMemory {
-    const memory = this.of(view.endpoint.name)
-    memory.standing.observeNews(view.healthy, view.report?.incarnation, now)
-    return memory
+  /** Takes in the news of all endpoints, also of those that can't be used now. */
+  readNews (views: readonly EndpointView[], now: number): void {
+    for (const view of views) {
+      this.of(view.endpoint.name).standing.observeNews(view.healthy, view.report?.incarnation, now)
+    }
   }
 
   /** Learns from an attempt's times. */
--- a/src/choice/endpointPolicy.ts
+++ b/src/choice/endpointPolicy.ts
@@ -55,6 +55,7 @@
   }
 
   choose (request: EndpointRequest, views: readonly EndpointView[], now: number): Result<EndpointChoice, Refusal> {
+    this.#memories.readNews(views, now)
     const candidates = this.#read(request, views, now)
     if (candidates.length === 0) return noEndpoint(request.version)
     const near = candidates.filter(candidate => candidate.nearness !== Nearness.OtherRegion)
@@ -94,7 +95,7 @@
       tuning: this.#tuning,
       now,
       meanCompletionTokens: this.#memories.meanCompletionTokens(request.version),
-      memoryOf: view => this.#memories.read(view, now)
+      memoryOf: view => this.#memories.of(view.endpoint.name)
     })
   }
 
