Choose versions by learned limits: first whole policy

Beliefs per kind and version over the difficulty up to which answers are good, plans by expected worth less cost, a quality account per organisation and kind.

--- /dev/null
+++ b/bench/versionBaselines.ts
@@ -0,0 +1,86 @@
+/**
+ * The version policies that the learned one is measured against. Those that are made from a world
+ * know its figures, which no real policy can; they mark what knowing would be worth.
+ */
+import { Err, Ok, Refusal, RefusalCode, RunState, type Result, type VersionName } from '../src/contract/index.ts'
+import type { PlanStep, VersionCandidate, VersionPlan, VersionPolicy, VersionRequest } from '../src/choice/index.ts'
+import { cheapestFixedVersion } from './worldLoad.ts'
+import { trueScore, type World } from './world.ts'
+
+/** The version name that a bench gives a world's version. */
+export function benchVersionName (name: string): VersionName {
+  return `${name}@1`
+}
+
+abstract class FixedVersionPolicy implements VersionPolicy {
+  plan (request: VersionRequest, candidates: readonly VersionCandidate[]): Result<VersionPlan, Refusal> {
+    const available = candidates.filter(candidate => candidate.available).sort((left, right) => left.price - right.price)
+    if (request.pinned !== undefined) return Ok({ steps: [released(request.pinned)] })
+    if (available.length === 0) return Err(new Refusal(RefusalCode.NoEndpoint, RunState.NotRun, 'no version is available', 1))
+    return Ok({ steps: this.steps(request, available) })
+  }
+
+  /** @param available cheapest first, not empty */
+  protected abstract steps (request: VersionRequest, available: readonly VersionCandidate[]): PlanStep[]
+
+  observeRating (): void {}
+
+  observeRatingMissing (): void {}
+}
+
+/** Every request on the dearest version. */
+export class AlwaysStrongPolicy extends FixedVersionPolicy {
+  protected steps (_request: VersionRequest, available: readonly VersionCandidate[]): PlanStep[] {
+    return [released(available.at(-1)!.name)]
+  }
+}
+
+/** Every request on the cheapest version. */
+export class AlwaysCheapPolicy extends FixedVersionPolicy {
+  protected steps (_request: VersionRequest, available: readonly VersionCandidate[]): PlanStep[] {
+    return [released(available[0]!.name)]
+  }
+}
+
+/** Each kind on the cheapest version that meets the target; it knows the world. */
+export class CheapestFixedPolicy extends FixedVersionPolicy {
+  readonly #world: World
+
+  constructor (world: World) {
+    super()
+    this.#world = world
+  }
+
+  protected steps (request: VersionRequest, available: readonly VersionCandidate[]): PlanStep[] {
+    const wanted = benchVersionName(cheapestFixedVersion(this.#world, request.kind).name)
+    const found = available.find(candidate => candidate.name === wanted) ?? available.at(-1)!
+    return [released(found.name)]
+  }
+}
+
+/** From the cheapest version upwards until a rating reaches a fixed threshold; streams as in `CheapestFixedPolicy`. */
+export class FixedThresholdCascadePolicy extends CheapestFixedPolicy {
+  readonly #threshold: number
+
+  /** @param threshold the rating from which an answer is released */
+  constructor (world: World, threshold: number) {
+    super(world)
+    this.#threshold = threshold
+  }
+
+  protected override steps (request: VersionRequest, available: readonly VersionCandidate[]): PlanStep[] {
+    if (request.streamed) return super.steps(request, available)
+    const judged = available.slice(0, -1).map(({ name }) => ({ version: name, releaseAtRating: this.#threshold, rateAfterwards: false }))
+    return [...judged, released(available.at(-1)!.name)]
+  }
+}
+
+/** The cheapest version whose answer will be good: what only a clairvoyant can know. */
+export function clairvoyantVersion (world: World, kind: string, difficulty: number): VersionName {
+  const good = world.versions.find(version => trueScore(world, version, kind, difficulty) >= world.qualityGood)
+  return benchVersionName((good ?? world.versions[0]!).name)
+}
+
+function released (version: VersionName): PlanStep {
+  return { version, releaseAtRating: undefined, rateAfterwards: false }
+}
--- /dev/null
+++ b/src/choice/cascadePlanner.ts
@@ -0,0 +1,249 @@
+/**
+ * Plans one request: which versions to try, and from which rating on an answer is released. A good
+ * answer is worth a number of cost units; the plan with the highest expected worth less cost wins.
+ * Ratings are reasoned about in bins: after each bin the difficulty's weights change, and with them
+ * the worth of releasing, of a further version and of a further rating. Because a higher rating
+ * only makes release more attractive, the best decisions form ranges, which a plan's thresholds say.
+ */
+import type { VersionName } from '../contract/index.ts'
+import { CELL_COUNT } from './ratingGrid.ts'
+import type { PlanStep } from './contract.ts'
+
+/** Width of a rating bin, points. */
+export const RATING_BIN_POINTS = 5
+export const RATING_BIN_COUNT = 20
+
+/** What planning knows of a version for a kind of request. */
+export interface VersionOutlook {
+  readonly version: VersionName
+  /** Cost units of one attempt. */
+  readonly cost: number
+  /** The chance of a good answer, by cell of difficulty. */
+  readonly goodByCell: Float64Array
+  /** The chance of each rating bin, by cell: `bin * CELL_COUNT + cell`. */
+  readonly ratingByCell: Float64Array
+  /** The chance of a good answer over the kind's whole mix. */
+  readonly goodOverall: number
+}
+
+/** What a plan is weighed by. */
+export interface PlanTerms {
+  /** Cost units that one more good answer is worth. */
+  readonly worth: number
+  /** Cost units of a rating. */
+  readonly ratingCost: number
+  /** Whether an answer may wait for its rating. */
+  readonly cascade: boolean
+  /** Later requests that will be bound to the version that is released. */
+  readonly boundTurns: number
+}
+
+/** A plan and what is expected of it. */
+export interface PlannedCascade {
+  readonly steps: readonly PlanStep[]
+  /** The chance that the released answer is good. */
+  readonly expectedGood: number
+  /** Expected good answers among the bound turns. */
+  readonly boundGood: number
+  /** Expected cost units of this request alone. */
+  readonly expectedCost: number
+  /** Worth less cost, bound turns included. */
+  readonly value: number
+}
+
+const Action = {
+  Release: 0,
+  Middle: 1,
+  Last: 2
+} as const
+type Action = typeof Action[keyof typeof Action]
+
+interface Totals {
+  good: number
+  boundGood: number
+  cost: number
+  value: number
+}
+
+/**
+ * Plans one request.
+ *
+ * @param weights what is known of its difficulty, by cell; they sum to 1
+ * @param outlooks the versions that may be used, cheapest first; at least one
+ * @example
+ * const { steps } = planCascade(model.weights(hint, []), outlooks, { worth: 900, ratingCost: 60, cascade: true, boundTurns: 0 })
+ */
+export function planCascade (weights: Float64Array, outlooks: readonly VersionOutlook[], terms: PlanTerms): PlannedCascade {
+  let best = planSingle(weights, outlooks[0]!, terms)
+  for (const outlook of outlooks.slice(1)) best = better(best, planSingle(weights, outlook, terms))
+  if (!terms.cascade) return best
+  for (let first = 0; first < outlooks.length - 1; first++) {
+    for (let last = first + 1; last < outlooks.length; last++) {
+      best = better(best, planChain(weights, [outlooks[first]!, outlooks[last]!], terms))
+      for (let middle = first + 1; middle < last; middle++) {
+        best = better(best, planChain(weights, [outlooks[first]!, outlooks[middle]!, outlooks[last]!], terms))
+      }
+    }
+  }
+  return best
+}
+
+/** Plans a request for one version, unrated. */
+export function planSingle (weights: Float64Array, outlook: VersionOutlook, terms: PlanTerms): PlannedCascade {
+  const totals = newTotals()
+  totals.cost = outlook.cost
+  totals.value = -outlook.cost
+  release(totals, weights, outlook, terms)
+  return planned([{ version: outlook.version, releaseAtRating: undefined, rateAfterwards: false }], totals)
+}
+
+/** Plans a chain of two or three versions, each but the last rated before its release. */
+export function planChain (weights: Float64Array, chain: readonly VersionOutlook[], terms: PlanTerms): PlannedCascade {
+  const [first, second, third] = chain as [VersionOutlook, VersionOutlook, VersionOutlook | undefined]
+  const bins = splitByRating(weights, first)
+  const actions = bins.map(bin => bestAction(bin, first, second, third, terms))
+  const ranges = rangesOf(actions)
+  const totals = newTotals()
+  payRated(totals, weights, first, terms)
+  const toMiddle = new Float64Array(CELL_COUNT)
+  const toLast = new Float64Array(CELL_COUNT)
+  for (const [index, bin] of bins.entries()) {
+    const action = actionIn(ranges, index)
+    if (action === Action.Release) release(totals, bin, first, terms)
+    else addTo(action === Action.Middle ? toMiddle : toLast, bin)
+  }
+  const steps: PlanStep[] = [stepOf(first, ranges)]
+  if (!third) {
+    payUnrated(totals, toMiddle, second, terms)
+    release(totals, toMiddle, second, terms)
+    return planned([...steps, lastStep(second)], totals)
+  }
+  payRated(totals, toMiddle, second, terms)
+  const middleBins = splitByRating(toMiddle, second)
+  const middleActions = middleBins.map(bin => bestAction(bin, second, third, undefined, terms))
+  const middleRanges = rangesOf(middleActions)
+  for (const [index, bin] of middleBins.entries()) {
+    if (actionIn(middleRanges, index) === Action.Release) release(totals, bin, second, terms)
+    else addTo(toLast, bin)
+  }
+  payUnrated(totals, toLast, third, terms)
+  release(totals, toLast, third, terms)
+  return planned([...steps, stepOf(second, middleRanges), lastStep(third)], totals)
+}
+
+/** Bins from `releaseFrom` on release; those below `giveUpBelow` too; those below `skipBelow` skip a step. */
+interface Ranges {
+  readonly releaseFrom: number
+  readonly skipBelow: number
+  readonly giveUpBelow: number
+}
+
+function rangesOf (actions: readonly Action[]): Ranges {
+  const lastEscalated = actions.findLastIndex(action => action !== Action.Release)
+  if (lastEscalated < 0) return { releaseFrom: 0, skipBelow: 0, giveUpBelow: 0 }
+  const giveUpBelow = actions.findIndex(action => action !== Action.Release)
+  const lastSkipped = actions.findLastIndex(action => action === Action.Last)
+  return { releaseFrom: lastEscalated + 1, skipBelow: lastSkipped + 1, giveUpBelow }
+}
+
+function actionIn (ranges: Ranges, bin: number): Action {
+  if (bin >= ranges.releaseFrom || bin < ranges.giveUpBelow) return Action.Release
+  return bin < ranges.skipBelow ? Action.Last : Action.Middle
+}
+
+function stepOf (outlook: VersionOutlook, ranges: Ranges): PlanStep {
+  return {
+    version: outlook.version,
+    releaseAtRating: ranges.releaseFrom * RATING_BIN_POINTS,
+    rateAfterwards: false,
+    skipNextBelowRating: ranges.skipBelow * RATING_BIN_POINTS,
+    giveUpBelowRating: ranges.giveUpBelow * RATING_BIN_POINTS
+  }
+}
+
+function lastStep (outlook: VersionOutlook): PlanStep {
+  return { version: outlook.version, releaseAtRating: undefined, rateAfterwards: false }
+}
+
+function bestAction (weights: Float64Array, current: VersionOutlook, next: VersionOutlook, last: VersionOutlook | undefined, terms: PlanTerms): Action {
+  const mass = massOf(weights)
+  const released = releaseValue(weights, mass, current, terms)
+  if (!last) return released >= releaseValue(weights, mass, next, terms) - mass * next.cost ? Action.Release : Action.Middle
+  const skipped = releaseValue(weights, mass, last, terms) - mass * last.cost
+  const middle = ratedValue(weights, mass, next, last, terms)
+  if (released >= skipped && released >= middle) return Action.Release
+  return middle >= skipped ? Action.Middle : Action.Last
+}
+
+/** The value of a rated attempt on `current` that is followed, where that pays, by one on `last`. */
+function ratedValue (weights: Float64Array, mass: number, current: VersionOutlook, last: VersionOutlook, terms: PlanTerms): number {
+  let value = -mass * (current.cost + terms.ratingCost)
+  for (const bin of splitByRating(weights, current)) {
+    const binMass = massOf(bin)
+    const released = releaseValue(bin, binMass, current, terms)
+    value += Math.max(released, releaseValue(bin, binMass, last, terms) - binMass * last.cost)
+  }
+  return value
+}
+
+function releaseValue (weights: Float64Array, mass: number, outlook: VersionOutlook, terms: PlanTerms): number {
+  const bound = terms.boundTurns === 0 ? 0 : terms.boundTurns * mass * (terms.worth * outlook.goodOverall - outlook.cost)
+  return terms.worth * goodOf(weights, outlook) + bound
+}
+
+function release (totals: Totals, weights: Float64Array, outlook: VersionOutlook, terms: PlanTerms): void {
+  const mass = massOf(weights)
+  totals.good += goodOf(weights, outlook)
+  totals.boundGood += terms.boundTurns * mass * outlook.goodOverall
+  totals.value += releaseValue(weights, mass, outlook, terms)
+}
+
+function payRated (totals: Totals, weights: Float64Array, outlook: VersionOutlook, terms: PlanTerms): void {
+  pay(totals, massOf(weights) * (outlook.cost + terms.ratingCost))
+}
+
+function payUnrated (totals: Totals, weights: Float64Array, outlook: VersionOutlook, terms: PlanTerms): void {
+  pay(totals, massOf(weights) * outlook.cost)
+}
+
+function pay (totals: Totals, cost: number): void {
+  totals.cost += cost
+  totals.value -= cost
+}
+
+function splitByRating (weights: Float64Array, outlook: VersionOutlook): Float64Array[] {
+  return Array.from({ length: RATING_BIN_COUNT }, (_, bin) => {
+    const split = new Float64Array(CELL_COUNT)
+    const start = bin * CELL_COUNT
+    for (let cell = 0; cell < CELL_COUNT; cell++) split[cell] = weights[cell]! * outlook.ratingByCell[start + cell]!
+    return split
+  })
+}
+
+function massOf (weights: Float64Array): number {
+  let mass = 0
+  for (let cell = 0; cell < CELL_COUNT; cell++) mass += weights[cell]!
+  return mass
+}
+
+function goodOf (weights: Float64Array, outlook: VersionOutlook): number {
+  let good = 0
+  for (let cell = 0; cell < CELL_COUNT; cell++) good += weights[cell]! * outlook.goodByCell[cell]!
+  return good
+}
+
+function addTo (sum: Float64Array, weights: Float64Array): void {
+  for (let cell = 0; cell < CELL_COUNT; cell++) sum[cell]! += weights[cell]!
+}
+
+function newTotals (): Totals {
+  return { good: 0, boundGood: 0, cost: 0, value: 0 }
+}
+
+function planned (steps: readonly PlanStep[], totals: Totals): PlannedCascade {
+  return { steps, expectedGood: totals.good, boundGood: totals.boundGood, expectedCost: totals.cost, value: totals.value }
+}
+
+function better (left: PlannedCascade, right: PlannedCascade): PlannedCascade {
+  return right.value > left.value ? right : left
+}
--- a/src/choice/contract.ts
+++ b/src/choice/contract.ts
@@ -29,6 +29,8 @@
   readonly remainingMilliseconds: number
   /** The share of good answers the organisation asks for, 0 to 1. */
   readonly qualityTarget: number
+  /** It opens a session: later turns will be pinned to the version that answers it. */
+  readonly opensSession?: boolean
 }
 
 /** One step of a cascade. */
@@ -38,9 +40,16 @@
   readonly releaseAtRating: number | undefined
   /** Rate the answer after its release, to learn. */
   readonly rateAfterwards: boolean
+  /** With a rating below this the next step is left out, where another follows it. */
+  readonly skipNextBelowRating?: number
+  /** With a rating below this the answer is released: no version is expected to do enough better. */
+  readonly giveUpBelowRating?: number
 }
 
-/** The versions to try, in order; the last step always releases. */
+/**
+ * The versions to try, in order; the last step always releases. A step that waits for a rating
+ * which does not come counts as rated too low: the next step is taken.
+ */
 export interface VersionPlan {
   readonly steps: readonly PlanStep[]
 }
@@ -51,6 +60,8 @@
   readonly kind: string
   readonly version: VersionName
   readonly difficultyHint: number | undefined
+  /** Ratings of earlier steps of the same request; without them a later step's version looks weaker than it is. */
+  readonly earlier?: readonly { readonly version: VersionName, readonly rating: number }[]
   /** 0 to 100, as the rating service read it. */
   readonly rating: number
   /** Milliseconds since the epoch. */
@@ -70,6 +81,8 @@
   plan (request: VersionRequest, candidates: readonly VersionCandidate[], now: number): Result<VersionPlan, Refusal>
   /** Learns from a rating. */
   observeRating (answer: RatedAnswer): void
+  /** Learns that a rating did not come in time: for a while no answer is planned to wait for one. */
+  observeRatingMissing (now: number): void
 }
 
 /** What is known of an endpoint at one daemon. */
--- /dev/null
+++ b/src/choice/versionKind.ts
@@ -0,0 +1,171 @@
+/**
+ * What the policy keeps for one kind of request: its beliefs about versions, the plans made from
+ * them, and each organisation's account of quality. Beliefs are shared by all organisations, for
+ * they ask the same versions the same kind of thing; the accounts are not.
+ */
+import type { VersionName } from '../contract/index.ts'
+import { RATING_BIN_COUNT, RATING_BIN_POINTS, type VersionOutlook } from './cascadePlanner.ts'
+import type { RatedAnswer, VersionCandidate } from './contract.ts'
+import { CELL_COUNT, cellDifficulty, LOWEST_RATING, normalBelow, scoreAt } from './ratingGrid.ts'
+import { RatingDriftWatch } from './ratingDriftWatch.ts'
+import { RatingModel } from './ratingModel.ts'
+import type { RatingScale } from './ratingScale.ts'
+import { QualityLedger } from './versionLedger.ts'
+import { ContextCounts, PlanTable } from './versionPlanTable.ts'
+
+/** Ratings from which a version is planned with. */
+export const SETTLED_RATINGS = 30
+/** After a version turned bad, the share of its evidence that still counts. */
+const KEPT_AFTER_DRIFT = 0.02
+/** Beliefs that rest on few ratings move fast: plans are made anew after this share of them. */
+const REFRESH_SHARE = 0.08
+const REFRESH_FEWEST = 10
+const REFRESH_MOST = 150
+const KIND_MEMORY_REQUESTS = 4_000
+const ORGANISATION_MEMORY_REQUESTS = 500
+/** The kind's mix counts as this many requests of an organisation. */
+const KIND_MIX_REQUESTS = 40
+
+/** The account of one organisation. */
+export interface OrganisationQuality {
+  readonly ledger: QualityLedger
+  readonly contexts: ContextCounts
+}
+
+/** What is kept for one kind of request. */
+export class VersionKind {
+  readonly model: RatingModel
+  readonly organisations = new Map<string, OrganisationQuality>()
+  readonly contexts = new ContextCounts(KIND_MEMORY_REQUESTS)
+  readonly #scale: RatingScale
+  readonly #goodRating: number
+  readonly #ratingCost: number
+  readonly #watches = new Map<VersionName, RatingDriftWatch>()
+  readonly #tables = new Map<string, PlanTable>()
+  readonly #levels = new Map<string, { goal: number, level: number, requests: number }>()
+  #ratingsSinceRefresh = 0
+  #ratings = 0
+  #work = 0
+  #opened = 0
+  #bound = 0
+
+  constructor (scale: RatingScale, goodRating: number, ratingCost: number) {
+    this.#scale = scale
+    this.#goodRating = goodRating
+    this.#ratingCost = ratingCost
+    this.model = new RatingModel(scale, goodRating)
+  }
+
+  /** The account of an organisation. */
+  organisation (name: string): OrganisationQuality {
+    const known = this.organisations.get(name)
+    if (known) return known
+    const quality = { ledger: new QualityLedger(), contexts: new ContextCounts(ORGANISATION_MEMORY_REQUESTS) }
+    this.organisations.set(name, quality)
+    return quality
+  }
+
+  /** Mean later turns of a session, from the sessions seen. */
+  get boundTurns (): number {
+    return this.#bound / Math.max(1, this.#opened)
+  }
+
+  /** Counts a request's work, in tokens that cost as much as a generated one. */
+  countWork (work: number): void {
+    this.#work += (work - this.#work) / Math.min(KIND_MEMORY_REQUESTS, this.contexts.total + 1)
+  }
+
+  countSession (bound: boolean): void {
+    if (bound) this.#bound += 1
+    else this.#opened += 1
+  }
+
+  /** Whether a version's quality is known well enough to plan with it. */
+  settled (version: VersionName): boolean {
+    return this.model.ratings(version) >= SETTLED_RATINGS
+  }
+
+  /** Learns from a rating. */
+  observe (answer: RatedAnswer): void {
+    const { version, difficultyHint, earlier = [], rating } = answer
+    const { shortfall, scaleChanged } = this.model.observe(version, difficultyHint, earlier, rating)
+    const watch = this.#watches.get(version) ?? new RatingDriftWatch()
+    this.#watches.set(version, watch)
+    const wasSettled = this.model.ratings(version) > SETTLED_RATINGS + 1
+    const drifted = wasSettled && watch.observe(shortfall)
+    if (drifted) this.model.forget(version, KEPT_AFTER_DRIFT)
+    this.#ratings += 1
+    this.#ratingsSinceRefresh += 1
+    const due = Math.min(REFRESH_MOST, Math.max(REFRESH_FEWEST, this.#ratings * REFRESH_SHARE))
+    if (drifted || scaleChanged || this.#ratingsSinceRefresh >= due) this.refresh()
+  }
+
+  /** Makes plans anew from now on. */
+  refresh (): void {
+    this.#ratingsSinceRefresh = 0
+    this.#tables.clear()
+    this.#levels.clear()
+  }
+
+  /** The plans for a set of versions, cheapest first. */
+  table (versions: readonly VersionCandidate[]): PlanTable {
+    const key = keyOf(versions)
+    const known = this.#tables.get(key)
+    if (known) return known
+    const table = new PlanTable({
+      outlooks: versions.map(version => this.outlook(version)),
+      ratingCost: this.#ratingCost,
+      boundTurns: this.boundTurns,
+      weightsOf: hint => this.model.weights(hint, [])
+    })
+    this.#tables.set(key, table)
+    return table
+  }
+
+  /** The level of worth that an organisation's requests are planned at, found anew as its goal moves. */
+  levelFor (organisation: string, goal: number, versions: readonly VersionCandidate[]): number {
+    const quality = this.organisation(organisation)
+    const key = `${organisation}\n${keyOf(versions)}`
+    const known = this.#levels.get(key)
+    const moved = !known || Math.abs(known.goal - goal) > GOAL_STEP || quality.contexts.total > known.requests * 1.2
+    if (!moved) return known.level
+    const ownWeight = quality.contexts.total / (quality.contexts.total + KIND_MIX_REQUESTS)
+    const level = this.table(versions).levelFor(goal, [quality.contexts, this.contexts], [ownWeight, 1 - ownWeight])
+    this.#levels.set(key, { goal, level, requests: quality.contexts.total })
+    return level
+  }
+
+  /** What planning knows of a version. */
+  outlook ({ name, price }: VersionCandidate): VersionOutlook {
+    const goodByCell = this.model.goodByCell(name)
+    return {
+      version: name,
+      cost: price * this.#work,
+      goodByCell,
+      goodOverall: goodByCell.reduce((sum, good) => sum + good, 0) / CELL_COUNT,
+      ratingByCell: this.#ratingByCell(this.model.limit(name))
+    }
+  }
+
+  #ratingByCell (limit: number): Float64Array {
+    const table = new Float64Array(RATING_BIN_COUNT * CELL_COUNT)
+    for (let cell = 0; cell < CELL_COUNT; cell++) {
+      const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.slope)
+      let below = 0
+      for (let bin = 0; bin < RATING_BIN_COUNT; bin++) {
+        const upper = LOWEST_RATING + (bin + 1) * RATING_BIN_POINTS
+        const next = bin === RATING_BIN_COUNT - 1 ? 1 : normalBelow((upper - score) / this.#scale.ratingNoise)
+        table[bin * CELL_COUNT + cell] = Math.max(0, next - below)
+        below = next
+      }
+    }
+    return table
+  }
+}
+
+/** A goal that moved by less keeps its level. */
+const GOAL_STEP = 0.001
+
+function keyOf (versions: readonly VersionCandidate[]): string {
+  return versions.map(version => version.name).join(' ')
+}
--- /dev/null
+++ b/src/choice/versionPolicy.ts
@@ -0,0 +1,216 @@
+/**
+ * Chooses versions by what ratings have shown. For each kind of request it believes in a limit for
+ * every version: the difficulty up to which its answers are good. A request's plan is the one with
+ * the highest worth less cost, where the worth of a good answer is set for each organisation and
+ * kind so that the share of good answers meets the target with a margin of confidence (a Lagrange
+ * multiplier, solved for on the learned model). Cheap versions are tried where an answer can be
+ * rated before its release, so exploring doesn't cost quality; with nothing known the dearest
+ * version answers.
+ */
+import { Err, Ok, Refusal, RefusalCode, RunState, type Randomness, type Result, type VersionName } from '../contract/index.ts'
+import type { PlanStep, RatedAnswer, VersionCandidate, VersionPlan, VersionPolicy, VersionRequest } from './contract.ts'
+import { RatingScale } from './ratingScale.ts'
+import { type VersionDigest, VersionDigests } from './versionDigest.ts'
+import { VersionKind } from './versionKind.ts'
+import { PlanMode } from './versionPlanTable.ts'
+
+/** What the policy is made with. */
+export interface LearnedVersionPolicyOptions {
+  readonly randomness: Randomness
+  /** The rating from which an answer is good, 0 to 100. */
+  readonly goodRating?: number
+  /** Cost units of one rating. */
+  readonly ratingCost?: number
+  /** The cost of a prompt token, relative to a generated one. */
+  readonly promptTokenCost?: number
+  /** The longest that a rated attempt is expected to take for each generated token. */
+  readonly tokenMilliseconds?: number
+}
+
+const GOOD_RATING = 70
+const RATING_COST = 60
+const PROMPT_TOKEN_COST = 0.25
+const TOKEN_MILLISECONDS = 25
+/** The longest wait for a rating that a plan allows for. */
+const RATING_MILLISECONDS = 400
+/** Attempts that a cascade must have time for. */
+const CASCADE_ATTEMPTS = 3
+/** After a rating that did not come, the time without cascades. */
+const RATING_PAUSE_MILLISECONDS = 3_000
+/** The share of cascades that try a version about which little is known. */
+const EXPLORING_SHARE = 0.3
+/** The same for requests whose answers can't be rated before their release. */
+const EXPLORING_SHARE_UNRATED = 0.02
+/** Points above a good rating at which an explored version's answer is released. */
+const EXPLORING_MARGIN_POINTS = 8
+/** Unrated answers are rated afterwards often while ratings are few, and never less than the least share. */
+const RATINGS_WANTED = 12
+const LARGEST_RATED_SHARE = 0.25
+const SMALLEST_RATED_SHARE = 0.01
+/** Kinds with beliefs of their own; further ones share one. */
+const MOST_KINDS = 64
+const OTHER_KINDS = '(other kinds)'
+
+/** The version policy that a daemon runs. */
+export class LearnedVersionPolicy implements VersionPolicy {
+  readonly #randomness: Randomness
+  readonly #goodRating: number
+  readonly #ratingCost: number
+  readonly #promptTokenCost: number
+  readonly #tokenMilliseconds: number
+  readonly #scale: RatingScale
+  readonly #kinds = new Map<string, VersionKind>()
+  readonly #digests = new VersionDigests()
+  #cascadesFrom = 0
+  #sequence = 0
+
+  constructor (options: LearnedVersionPolicyOptions) {
+    this.#randomness = options.randomness
+    this.#goodRating = options.goodRating ?? GOOD_RATING
+    this.#ratingCost = options.ratingCost ?? RATING_COST
+    this.#promptTokenCost = options.promptTokenCost ?? PROMPT_TOKEN_COST
+    this.#tokenMilliseconds = options.tokenMilliseconds ?? TOKEN_MILLISECONDS
+    this.#scale = new RatingScale(this.#goodRating)
+  }
+
+  plan (request: VersionRequest, candidates: readonly VersionCandidate[], now: number): Result<VersionPlan, Refusal> {
+    const available = candidates.filter(candidate => candidate.available)
+    if (request.pinned !== undefined) return this.#planPinned(request, available)
+    if (available.length === 0) return Err(noEndpoint('no endpoint has a version that this organisation may use'))
+    return Ok({ steps: this.#planFree(request, available, now) })
+  }
+
+  #planPinned (request: VersionRequest, available: readonly VersionCandidate[]): Result<VersionPlan, Refusal> {
+    const pinned = available.find(candidate => candidate.name === request.pinned)
+    if (!pinned) return Err(noEndpoint('no endpoint has the version of this session'))
+    const kind = this.#kindFor(request)
+    kind.model.admit(pinned.name, false)
+    kind.countSession(true)
+    const chance = kind.table([pinned]).chanceOf(kind.outlook(pinned), request.difficultyHint)
+    kind.organisation(request.organisation).ledger.add(chance)
+    return Ok({ steps: [this.#released(kind, pinned.name)] })
+  }
+
+  #planFree (request: VersionRequest, available: readonly VersionCandidate[], now: number): PlanStep[] {
+    const kind = this.#kindFor(request)
+    const byPrice = [...available].sort((left, right) => left.price - right.price || (left.name < right.name ? -1 : 1))
+    const strongest = byPrice.at(-1)!
+    for (const { name } of byPrice) kind.model.admit(name, name === strongest.name)
+    if (request.opensSession) kind.countSession(false)
+    const mode = this.#modeOf(request, now)
+    const quality = kind.organisation(request.organisation)
+    quality.contexts.add(mode, request.difficultyHint)
+    kind.contexts.add(mode, request.difficultyHint)
+    const explored = this.#explore(kind, byPrice, mode)
+    if (explored) {
+      quality.ledger.add(request.qualityTarget)
+      return explored
+    }
+    const known = byPrice.filter(({ name }) => name === strongest.name || kind.settled(name))
+    const level = kind.levelFor(request.organisation, quality.ledger.goal(request.qualityTarget), known)
+    const whole = Math.floor(level) + (this.#randomness.fraction() < level % 1 ? 1 : 0)
+    const plan = kind.table(known).plan(mode, request.difficultyHint, whole)
+    quality.ledger.add(plan.expectedGood)
+    return plan.steps.map(step => step.releaseAtRating === undefined ? this.#released(kind, step.version) : step)
+  }
+
+  /** Tries a version that is not the dearest and of which too little is known. */
+  #explore (kind: VersionKind, byPrice: readonly VersionCandidate[], mode: PlanMode): PlanStep[] | undefined {
+    const unknown = byPrice.slice(0, -1).filter(({ name }) => !kind.settled(name))
+    if (unknown.length === 0) return undefined
+    const cascade = mode === PlanMode.Cascade || mode === PlanMode.CascadeBound
+    const share = cascade ? EXPLORING_SHARE : EXPLORING_SHARE_UNRATED
+    if (this.#randomness.fraction() >= share) return undefined
+    const { name } = unknown[this.#randomness.below(unknown.length)]!
+    if (!cascade) return [{ version: name, releaseAtRating: undefined, rateAfterwards: true }]
+    const releaseAtRating = Math.min(99, this.#goodRating + EXPLORING_MARGIN_POINTS)
+    return [
+      { version: name, releaseAtRating, rateAfterwards: false },
+      this.#released(kind, byPrice.at(-1)!.name)
+    ]
+  }
+
+  #released (kind: VersionKind, version: VersionName): PlanStep {
+    const wanted = RATINGS_WANTED / Math.max(1, kind.model.ratings(version))
+    const share = Math.min(LARGEST_RATED_SHARE, Math.max(SMALLEST_RATED_SHARE, wanted))
+    return { version, releaseAtRating: undefined, rateAfterwards: this.#randomness.fraction() < share }
+  }
+
+  #modeOf (request: VersionRequest, now: number): PlanMode {
+    const needed = CASCADE_ATTEMPTS * (request.expectedCompletionTokens * this.#tokenMilliseconds + RATING_MILLISECONDS)
+    const cascade = !request.streamed && now >= this.#cascadesFrom && request.remainingMilliseconds >= needed
+    if (request.opensSession) return cascade ? PlanMode.CascadeBound : PlanMode.SingleBound
+    return cascade ? PlanMode.Cascade : PlanMode.Single
+  }
+
+  #kindFor (request: VersionRequest): VersionKind {
+    const kind = this.#kind(request.kind)
+    if (request.difficultyHint !== undefined) this.#scale.observeHint(request.difficultyHint)
+    kind.countWork(request.promptTokens * this.#promptTokenCost + request.expectedCompletionTokens)
+    return kind
+  }
+
+  #kind (name: string): VersionKind {
+    const known = this.#kinds.get(name)
+    if (known) return known
+    if (this.#kinds.size >= MOST_KINDS && name !== OTHER_KINDS) return this.#kind(OTHER_KINDS)
+    const kind = new VersionKind(this.#scale, this.#goodRating, this.#ratingCost)
+    this.#kinds.set(name, kind)
+    return kind
+  }
+
+  observeRating (answer: RatedAnswer): void {
+    this.#kind(answer.kind).observe(answer)
+  }
+
+  observeRatingMissing (now: number): void {
+    this.#cascadesFrom = now + RATING_PAUSE_MILLISECONDS
+  }
+
+  /**
+   * What this daemon has seen itself, for other daemons. A few kilobytes at ten organisations and
+   * three kinds; worth sending every few seconds.
+   *
+   * @param incarnation the process's start, larger than that of an earlier process of this origin
+   * @example
+   * for (const peer of peers) peer.send(policy.digest(daemon.name, daemon.startedAt))
+   */
+  digest (origin: string, incarnation: number): VersionDigest {
+    this.#sequence += 1
+    const kinds = [...this.#kinds]
+    const beliefs = kinds.flatMap(([kind, state]) => [...state.model.news()].map(([version, news]) => ({ kind, version, ...news })))
+    const ledgers = kinds.flatMap(([kind, state]) => [...state.organisations].map(([organisation, { ledger }]) => ({ organisation, kind, ...ledger.own })))
+    return { origin, incarnation, sequence: this.#sequence, beliefs, ledgers }
+  }
+
+  /**
+   * Learns what another daemon has seen. Repeats and older digests change nothing.
+   *
+   * @example
+   * link.on('digest', digest => policy.absorb(digest))
+   */
+  absorb (digest: VersionDigest): void {
+    if (!this.#digests.keep(digest)) return
+    this.#readDigests(digest)
+  }
+
+  #readDigests (changed: VersionDigest): void {
+    const all = this.#digests.all()
+    for (const { kind, version } of changed.beliefs) {
+      const news = all.flatMap(digest => digest.beliefs.filter(belief => belief.kind === kind && belief.version === version))
+      this.#kind(kind).model.setNews(version, news)
+    }
+    for (const { kind, organisation } of changed.ledgers) {
+      const sums = all.flatMap(digest => digest.ledgers.filter(ledger => ledger.kind === kind && ledger.organisation === organisation))
+      this.#kind(kind).organisation(organisation).ledger.setOthers(sums)
+    }
+    for (const kind of new Set(changed.beliefs.map(belief => belief.kind))) this.#kind(kind).refresh()
+  }
+}
+
+function noEndpoint (message: string): Refusal {
+  return new Refusal(RefusalCode.NoEndpoint, RunState.NotRun, message, RETRY_SECONDS)
+}
+
+/** Seconds after which an endpoint may have the version. */
+const RETRY_SECONDS = 2
