Learn faster from other daemons' digests and plan without needless copies

Cause: each daemon told others of a version only from 30 own ratings, and plans were made anew after every digest. Ruled out: too little exploring.

--- a/src/choice/cascadePlanner.ts
+++ b/src/choice/cascadePlanner.ts
@@ -51,6 +51,9 @@
   readonly value: number
 }
 
+/** A range of ratings rarer than this is not worth a decision of its own. */
+const SMALLEST_MASS = 1e-3
+
 const Action = {
   Release: 0,
   Middle: 1,
@@ -167,6 +170,7 @@
 
 function bestAction (weights: Float64Array, current: VersionOutlook, next: VersionOutlook, last: VersionOutlook | undefined, terms: PlanTerms): Action {
   const mass = massOf(weights)
+  if (mass < SMALLEST_MASS) return Action.Release
   const released = releaseValue(weights, mass, current, terms)
   if (!last) return released >= releaseValue(weights, mass, next, terms) - mass * next.cost ? Action.Release : Action.Middle
   const skipped = releaseValue(weights, mass, last, terms) - mass * last.cost
@@ -177,11 +181,21 @@
 
 /** The value of a rated attempt on `current` that is followed, where that pays, by one on `last`. */
 function ratedValue (weights: Float64Array, mass: number, current: VersionOutlook, last: VersionOutlook, terms: PlanTerms): number {
+  const { worth } = terms
+  const boundCurrent = terms.boundTurns * (worth * current.goodOverall - current.cost)
+  const boundLast = terms.boundTurns * (worth * last.goodOverall - last.cost) - last.cost
   let value = -mass * (current.cost + terms.ratingCost)
-  for (const bin of splitByRating(weights, current)) {
-    const binMass = massOf(bin)
-    const released = releaseValue(bin, binMass, current, terms)
-    value += Math.max(released, releaseValue(bin, binMass, last, terms) - binMass * last.cost)
+  for (let start = 0; start < RATING_BIN_COUNT * CELL_COUNT; start += CELL_COUNT) {
+    let binMass = 0
+    let currentGood = 0
+    let lastGood = 0
+    for (let cell = 0; cell < CELL_COUNT; cell++) {
+      const weight = weights[cell]! * current.ratingByCell[start + cell]!
+      binMass += weight
+      currentGood += weight * current.goodByCell[cell]!
+      lastGood += weight * last.goodByCell[cell]!
+    }
+    value += Math.max(worth * currentGood + binMass * boundCurrent, worth * lastGood + binMass * boundLast)
   }
   return value
 }
--- a/src/choice/ratingModel.ts
+++ b/src/choice/ratingModel.ts
@@ -44,6 +44,9 @@
 /** Ratings from which a version's limit may inform the shared scale. */
 const SETTLED_RATINGS = 30
 
+/** Ratings from which other daemons are told of a version. */
+const TOLD_RATINGS = 3
+
 class LimitBelief {
   readonly own = new Float64Array(LIMIT_COUNT)
   count = 0
@@ -94,6 +97,11 @@
     this.#beliefs.set(version, new LimitBelief(prior))
   }
 
+  /** The versions that are known. */
+  versions (): readonly VersionName[] {
+    return [...this.#beliefs.keys()]
+  }
+
   /** Ratings that the belief about a version rests on, other daemons' included. */
   ratings (version: VersionName): number {
     return this.#beliefs.get(version)?.totalCount ?? 0
@@ -129,7 +137,7 @@
     const belief = this.#beliefs.get(version)!
     const weights = this.weights(hint, earlier)
     const shortfall = this.#shortfall(weights, belief.mean, rating)
-    const scaleChanged = belief.count >= SETTLED_RATINGS && this.#scale.observeRating(weights, belief.mean, rating)
+    const scaleChanged = belief.totalCount >= SETTLED_RATINGS && this.#scale.observeRating(weights, belief.mean, rating)
     this.#learn(belief, weights, rating)
     return { shortfall, scaleChanged }
   }
@@ -178,7 +186,7 @@
 
   /** What this daemon's own ratings say, for other daemons; versions with too few are left out. */
   news (): Map<VersionName, LimitNews> {
-    const settled = [...this.#beliefs].filter(([, belief]) => belief.count >= SETTLED_RATINGS)
+    const settled = [...this.#beliefs].filter(([, belief]) => belief.count >= TOLD_RATINGS)
     return new Map(settled.map(([version, belief]) => [version, { count: belief.count, ...momentsOf(belief.own) }]))
   }
 
--- a/src/choice/versionKind.ts
+++ b/src/choice/versionKind.ts
@@ -43,6 +43,7 @@
   readonly #watches = new Map<VersionName, RatingDriftWatch>()
   readonly #tables = new Map<string, PlanTable>()
   readonly #levels = new Map<string, { goal: number, level: number, requests: number }>()
+  #plannedOn: readonly number[] = []
   #ratingsSinceRefresh = 0
   #ratings = 0
   #work = 0
@@ -100,13 +101,22 @@
     if (drifted || scaleChanged || this.#ratingsSinceRefresh >= due) this.refresh()
   }
 
-  /** Makes plans anew from now on. */
+  /** Makes plans anew from now on, if beliefs have moved since they were made. */
   refresh (): void {
     this.#ratingsSinceRefresh = 0
+    const ground = this.#ground()
+    if (ground.length === this.#plannedOn.length && ground.every((value, index) => Math.abs(value - this.#plannedOn[index]!) < GROUND_STEP)) return
+    this.#plannedOn = ground
     this.#tables.clear()
     this.#levels.clear()
   }
 
+  /** What plans are made from, as plain numbers. */
+  #ground (): number[] {
+    const limits = this.model.versions().flatMap(version => [this.model.cautiousLimit(version), this.settled(version) ? 1 : 0])
+    return [this.#scale.slope, this.#scale.ratingNoise, this.#scale.hintNoise, this.boundTurns / 50, ...limits]
+  }
+
   /** The plans for a set of versions, cheapest first. */
   table (versions: readonly VersionCandidate[]): PlanTable {
     const key = keyOf(versions)
@@ -163,6 +173,8 @@
   }
 }
 
+/** Beliefs that moved by less leave the plans as they are. */
+const GROUND_STEP = 0.004
 /** A goal that moved by less keeps its level. */
 const GOAL_STEP = 0.001
 
--- a/src/choice/versionPlanTable.ts
+++ b/src/choice/versionPlanTable.ts
@@ -21,11 +21,11 @@
 
 const MODE_COUNT = 4
 const HINT_LOWEST = -0.5
-const HINT_STEP = 0.05
-const HINT_BINS = 41
+const HINT_STEP = 0.1
+const HINT_BINS = 21
 /** Hint bins and one for requests without a hint. */
 const CONTEXT_BINS = HINT_BINS + 1
-const LEVEL_COUNT = 26
+const LEVEL_COUNT = 24
 /** The lowest worth, in attempts of the cheapest version, and the highest, in attempts of the dearest. */
 const LOWEST_WORTH = 0.5
 const HIGHEST_WORTH = 300
@@ -140,7 +140,7 @@
 }
 
 /** Contexts rarer than this don't move a level. */
-const SMALLEST_WEIGHT = 1e-3
+const SMALLEST_WEIGHT = 2e-3
 
 function mixOf (contexts: readonly ContextCounts[], weights: readonly number[]): Float64Array {
   const mix = new Float64Array(MODE_COUNT * CONTEXT_BINS)
