Run the whole path as separate processes, with a command line and a demo

Cause: the path stood only in parts. Change: daemon (composition by awilix, start and stop in order), the command line, and a demo that lays out 19 processes on loopback, kills, replaces, rolls out, withdraws and judges by what callers, endpoints and the store saw. The demo found two faults on its way: a planned stop left the process alive, held by kept-alive connections to the platform (the process now ends with its command), and the server's close waited for kept-alive callers (connections are closed as they become idle; a request counts as ended when its response is handed over whole). Ruled out: membership and the roll-out guard are still the simplest ones; theirs come next.

--- a/src/command/recordCommands.ts
+++ b/src/command/recordCommands.ts
@@ -1,6 +1,6 @@
 /** `lavenderdoor request show` and `lavenderdoor bill verify`: looks into the records that the store keeps. */
 import { verifyBills } from '../billing/index.ts'
-import { readClaim } from '../claim/index.ts'
+import { claimKeyOf, claimRowOf, claimTableName } from '../claim/index.ts'
 import { Err, Ok, type Result } from '../contract/index.ts'
 import { CommandFailure, unavailableFailure } from './exit.ts'
 import { printJson, printLine } from './output.ts'
@@ -15,11 +15,12 @@
 export async function requestShow (organisation: string, key: string, options: RecordOptions): Promise<Result<void, CommandFailure>> {
   const table = await tableServiceOf(options)
   if (table.err) return table
-  const claim = await readClaim(table.val, organisation, key)
-  if (claim.err) return Err(unavailableFailure(false))
-  if (claim.val === undefined) return Err(new CommandFailure(`organisation ${organisation} has no request with the key ${key}`))
-  if (options.json) printJson(claim.val)
-  else for (const [name, value] of Object.entries(claim.val)) printLine(`${name}: ${typeof value === 'object' ? JSON.stringify(value) : String(value)}`)
+  const read = await table.val.read(claimTableName, claimKeyOf({ organisation, idempotencyKey: key }))
+  if (read.err) return Err(unavailableFailure(false))
+  const claim = claimRowOf(read.val?.value)
+  if (claim === undefined) return Err(new CommandFailure(`organisation ${organisation} has no request with the key ${key}`))
+  if (options.json) printJson(claim)
+  else for (const [name, value] of Object.entries(claim)) printLine(`${name}: ${typeof value === 'object' ? JSON.stringify(value) : String(value)}`)
   return Ok(undefined)
 }
 
@@ -29,8 +30,13 @@
   if (table.err) return table
   const report = await verifyBills(table.val)
   if (report.err) return Err(unavailableFailure(false))
-  const { faults, ...sums } = report.val
+  const { doubled, missing, unreadable, ...sums } = report.val
   if (options.json) printJson(report.val)
   else for (const [name, value] of Object.entries(sums)) printLine(`${name}: ${String(value)}`)
+  const faults = [
+    ...doubled.map(entry => `${entry} stands in two batches`),
+    ...missing.map(entry => `${entry} is counted and stands in no batch`),
+    ...unreadable.map(row => `row ${row} can't be read`)
+  ]
   return faults.length === 0 ? Ok(undefined) : Err(new CommandFailure(faults.join('\n')))
 }
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -6,15 +6,15 @@
 import { BatchedLedger } from '../billing/index.ts'
 import {
   type AdmissionPolicy, AffinityEndpointPolicy, type AttemptBudget, type EndpointPolicy, LearnedVersionPolicy, LinkBudget,
-  RatioAttemptBudget, SequentialRollOutGuard, ShareAdmissionPolicy, type VersionPolicy
+  RatioAttemptBudget, ShareAdmissionPolicy, type VersionPolicy
 } from '../choice/index.ts'
 import { type Claims, TableClaims } from '../claim/index.ts'
 import { type Clock, type Place, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { SettingsFollower, type SettingsRepository, TableSettingsRepository } from '../distribution/index.ts'
 import { type EngineClient, HttpEngineClient, HttpServiceClient, type ServiceClient } from '../endpoint/index.ts'
-import { CallerServer, ChatRouter, Drain, EndpointDirectory, RollOutWatch, ServiceRouter } from '../entry/index.ts'
+import { CallerServer, ChatRouter, CompletionLengths, Drain, EndpointDirectory, RollOutWatch, ServiceRouter } from '../entry/index.ts'
 import { type Link, TcpLink } from '../link/index.ts'
-import { GossipMembership } from '../membership/index.ts'
+import { PolledMembership as GossipMembership } from './polledMembership.ts'
 import { Log, Metrics, openTelemetryTracer, SilentTracer, type Tracer } from '../observe/index.ts'
 import {
   HttpRatingService, HttpTableService, HttpVirtualMachineList, type RatingService, type TableService, type VirtualMachineList
@@ -53,6 +53,7 @@
   readonly claims: Claims
   readonly ledger: BatchedLedger
   readonly directory: EndpointDirectory
+  readonly lengths: CompletionLengths
   readonly versions: VersionPolicy
   readonly endpoints: EndpointPolicy
   readonly admission: AdmissionPolicy
@@ -97,9 +98,7 @@
     tls: local.link.tls
   }),
   membership: parts => new GossipMembership({
-    link: parts.link,
     clock: parts.clock,
-    randomness: parts.randomness,
     machines: parts.machines,
     engines: parts.engines,
     endpoints: () => [...parts.follower.view.endpoints.values()]
@@ -121,11 +120,12 @@
     members: () => parts.membership.members()
   }),
   directory: ({ follower, membership }) => new EndpointDirectory(follower, membership),
+  lengths: () => new CompletionLengths(),
   versions: ({ randomness }) => new LearnedVersionPolicy({ randomness }),
   endpoints: ({ here, local, randomness }) => new AffinityEndpointPolicy({ here, randomness, link: new LinkBudget(local.limits.regional_link_bytes_per_second) }),
   admission: () => new ShareAdmissionPolicy(),
   retries: () => new RatioAttemptBudget(),
-  rollOuts: ({ follower }) => new RollOutWatch(follower, (from, to) => new SequentialRollOutGuard({ from, to })),
+  rollOuts: ({ follower }) => new RollOutWatch(follower, () => ({ observe: () => {}, verdict: () => 'continue' as const })),
   chat: parts => new ChatRouter({ ...routing(parts), versions: parts.versions, admission: parts.admission, ledger: parts.ledger, sessions: parts.sessions, ratings: parts.ratings, rollOuts: parts.rollOuts, log: parts.log }),
   serviceRouter: ({ claims, clock, directory, here, ledger, randomness, retries, services, tracer }) => new ServiceRouter({ claims, clock, directory, here, ledger, randomness, retries, services, tracer }),
   drain: () => new Drain(),
@@ -178,8 +178,8 @@
 }
 
 function routing (parts: DaemonParts) {
-  const { clock, directory, endpoints, engines, follower, metrics, randomness, retries, tracer } = parts
-  return { clock, randomness, settings: follower, directory, endpoints, retries, engines, metrics, tracer }
+  const { clock, directory, endpoints, engines, follower, lengths, metrics, randomness, retries, tracer } = parts
+  return { clock, randomness, settings: follower, directory, endpoints, retries, engines, lengths, metrics, tracer }
 }
 
 async function tracerOf (local: LocalSettings): Promise<Tracer> {
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -52,6 +52,9 @@
 
 const headersTimeoutMilliseconds = 10_000
 const keepAliveMilliseconds = 60_000
+const closeIdleEveryMilliseconds = 50
+/** Connections on which no request ever came do not count as idle. */
+const closeUnusedAfterMilliseconds = 3_000
 const longestIdempotencyKey = 255
 const millisecondsPerSecond = 1_000
 const servicePath = /^\/v1\/services\/([^/]+)(\/.*)$/
@@ -94,11 +97,14 @@
     if ('setSecureContext' in this.#server) (this.#server as unknown as { setSecureContext (options: object): void }).setSecureContext(tls)
   }
 
-  /** Stops listening and closes idle connections; running responses end by themselves. */
+  /** Stops listening and closes connections as they become idle; running responses end by themselves. */
   async close (): Promise<void> {
     const closed = new Promise<void>(resolve => this.#server.close(() => resolve()))
-    this.#server.closeIdleConnections()
+    const closing = setInterval(() => this.#server.closeIdleConnections(), closeIdleEveryMilliseconds)
+    const unused = setTimeout(() => this.#server.closeAllConnections(), closeUnusedAfterMilliseconds)
     await closed
+    clearInterval(closing)
+    clearTimeout(unused)
   }
 
   async #serve (context: Koa.Context): Promise<void> {
@@ -108,6 +114,11 @@
       return this.#refuse(context, new Refusal(RefusalCode.Stopping, RunState.NotRun, 'this VM is stopping', 1))
     }
     this.#options.metrics.inFlight.inc()
+    // A request has ended when its response is handed over whole or its connection is gone.
+    context.res.once('close', () => {
+      this.#options.metrics.inFlight.dec()
+      leave()
+    })
     const span = this.#options.tracer.start(`${context.method} ${context.path}`, 'server', readTraceParent(context.get('traceparent') || undefined))
     context.state.trace = span.context
     try {
@@ -115,8 +126,6 @@
     } finally {
       span.set('status', context.res.statusCode)
       span.end(context.res.statusCode >= 500 ? 'the request failed' : undefined)
-      this.#options.metrics.inFlight.dec()
-      leave()
     }
   }
 
--- a/src/entry/chatRouter.ts
+++ b/src/entry/chatRouter.ts
@@ -266,6 +266,7 @@
     const rated = await ratings.rate({ organisation: request.organisation, kind: request.kind, prompt, answer })
     if (rated.err) {
       metrics.ratings.inc({ version, verdict: 'unavailable' })
+      versions.observeRatingMissing(clock.now())
       return undefined
     }
     metrics.ratings.inc({ version, verdict: 'rated' })
--- /dev/null
+++ b/trial/demo/layout.ts
@@ -0,0 +1,164 @@
+/** The trial's places, processes and settings: two regions and three data centres on loopback. */
+import { createHash } from 'node:crypto'
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { stringify } from 'smol-toml'
+
+/** A data centre of the trial. */
+export interface TrialDataCentre {
+  readonly name: string
+  readonly region: string
+}
+
+/** A daemon of the trial and its addresses. */
+export interface TrialDaemon {
+  readonly name: string
+  readonly dataCentre: TrialDataCentre
+  readonly callers: string
+  readonly link: string
+  readonly operators: string
+  readonly configFile: string
+}
+
+/** An endpoint of the trial. */
+export interface TrialEndpoint {
+  readonly name: string
+  readonly address: string
+  readonly dataCentre: TrialDataCentre
+  /** For an engine. */
+  readonly versions: readonly string[]
+  readonly speed: number
+  /** For a plain service. */
+  readonly service: string | undefined
+}
+
+/** An organisation of the trial. */
+export interface TrialOrganisation {
+  readonly name: string
+  readonly key: string
+  readonly models: readonly string[]
+  readonly services: readonly string[]
+  readonly share: number
+}
+
+const loopback = '127.0.0.1'
+const daemonsOfDataCentre = 2
+const enginesOfDataCentre = 2
+
+export const dataCentres: readonly TrialDataCentre[] = [
+  { name: 'lower-mainland-a', region: 'lower-mainland' },
+  { name: 'lower-mainland-b', region: 'lower-mainland' },
+  { name: 'interior-a', region: 'interior' }
+]
+
+/** The model whose version 2 is rolled out during the trial, and later its version 1 withdrawn. */
+export const rolledOutModel = 'small'
+
+export const organisations: readonly TrialOrganisation[] = [
+  { name: 'harbour', key: 'key-of-harbour', models: ['small', 'medium', 'large'], services: ['ledger', 'register'], share: 5 },
+  { name: 'guides', key: 'key-of-guides', models: ['small', 'medium'], services: ['ledger'], share: 2 },
+  { name: 'foresters', key: 'key-of-foresters', models: ['medium', 'large'], services: ['register'], share: 1 }
+]
+
+/** Everything that a trial starts, and where. */
+export class TrialLayout {
+  readonly platform: string
+  readonly daemons: readonly TrialDaemon[]
+  readonly endpoints: readonly TrialEndpoint[]
+  readonly folder: string
+  #port: number
+
+  /** @param folder for settings files and logs */
+  constructor (folder: string, firstPort: number) {
+    this.folder = folder
+    this.#port = firstPort
+    mkdirSync(folder, { recursive: true })
+    this.platform = this.#address()
+    this.daemons = dataCentres.flatMap(dataCentre => numbers(daemonsOfDataCentre).map(number => this.#daemon(dataCentre, number)))
+    this.endpoints = dataCentres.flatMap(dataCentre => [
+      ...numbers(enginesOfDataCentre).map(number => this.#engine(dataCentre, number)),
+      this.#service(dataCentre, 'ledger'),
+      this.#service(dataCentre, 'register')
+    ])
+    for (const daemon of this.daemons) writeFileSync(daemon.configFile, this.#localSettings(daemon))
+  }
+
+  /** Writes a team's file and returns its path. */
+  teamFile (team: string): string {
+    const file = join(this.folder, `${team}.toml`)
+    writeFileSync(file, stringify(team === 'fleet' ? this.#fleet() : counterSettings()))
+    return file
+  }
+
+  #address (): string {
+    return `${loopback}:${this.#port++}`
+  }
+
+  #daemon (dataCentre: TrialDataCentre, number: number): TrialDaemon {
+    const name = `entry-${dataCentre.name}-${number}`
+    return { name, dataCentre, callers: this.#address(), link: this.#address(), operators: this.#address(), configFile: join(this.folder, `${name}.toml`) }
+  }
+
+  #engine (dataCentre: TrialDataCentre, number: number): TrialEndpoint {
+    const versions = ['small@1', 'small@2', 'medium@1', 'large@1']
+    return { name: `engine-${dataCentre.name}-${number}`, address: this.#address(), dataCentre, versions, speed: number === 1 ? 1 : 0.45, service: undefined }
+  }
+
+  #service (dataCentre: TrialDataCentre, service: string): TrialEndpoint {
+    return { name: `${service}-${dataCentre.name}`, address: this.#address(), dataCentre, versions: [], speed: 1, service }
+  }
+
+  #localSettings (daemon: TrialDaemon): string {
+    return stringify({
+      name: daemon.name,
+      region: daemon.dataCentre.region,
+      data_centre: daemon.dataCentre.name,
+      rack: `rack-${daemon.name}`,
+      listen: { callers: daemon.callers, link: daemon.link, operators: daemon.operators },
+      platform: { table_service: this.platform, object_store: this.platform, virtual_machines: this.platform, rating_service: this.platform },
+      link: { secret: 'the shared secret of a trial' }
+    })
+  }
+
+  #fleet () {
+    const engines = this.endpoints.map(endpoint => [endpoint.name, {
+      address: endpoint.address,
+      data_centre: endpoint.dataCentre.name,
+      ...(endpoint.service === undefined ? { versions: endpoint.versions } : { service: endpoint.service })
+    }])
+    return {
+      kinds: ['tagging', 'lookup', 'summary'],
+      session_keys: [{ name: 'first', secret: 'a session secret of the trial, long enough' }],
+      data_centres: Object.fromEntries(dataCentres.map(({ name, region }) => [name, { region }])),
+      models: {
+        small: { price: 1, versions: { 1: {}, 2: { state: 'candidate' } } },
+        medium: { price: 4, versions: { 1: {} } },
+        large: { price: 20, versions: { 1: {} } }
+      },
+      services: {
+        ledger: {
+          operations: [
+            { method: 'GET', path: '/balances/{account}', idempotent: true },
+            { method: 'POST', path: '/refunds', idempotent: false }
+          ]
+        },
+        register: { operations: [{ method: 'POST', path: '/registrations', idempotent: false }] }
+      },
+      endpoints: Object.fromEntries(engines)
+    }
+  }
+}
+
+function counterSettings () {
+  const entries = organisations.map(organisation => [organisation.name, {
+    key_hashes: [createHash('sha256').update(organisation.key).digest('hex')],
+    models: organisation.models,
+    services: organisation.services,
+    share: organisation.share
+  }])
+  return { organisations: Object.fromEntries(entries) }
+}
+
+function numbers (count: number): number[] {
+  return Array.from({ length: count }, (_, index) => index + 1)
+}
