Exchange rating digests between daemons and measure the path

Cause: each daemon learned of versions only from its own ratings; what a daemon adds was not known. Change: RatingExchange sends digests within 2 KB/s whatever the number of peers; gauges are read when metrics are scraped; measure/path.ts measures added time, throughput by processor time and memory.

--- /dev/null
+++ b/measure/path.ts
@@ -0,0 +1,149 @@
+/**
+ * What one daemon adds to a request, what it carries on one core and what it holds in memory, with
+ * real processes on loopback: `node scripts/run.mjs measure/path.ts [--seconds 5]`. Prints JSON.
+ */
+import { createHash } from 'node:crypto'
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { build } from 'hdr-histogram-js'
+import { stringify } from 'smol-toml'
+import { Agent, request } from 'undici'
+import { answering, pause, runCommand, TrialProcess } from '../trial/demo/processes.ts'
+
+const platform = '127.0.0.1:22000'
+const callers = '127.0.0.1:22001'
+const operators = '127.0.0.1:22003'
+const engines = [0, 1, 2, 3].map(number => `127.0.0.1:${22_010 + number}`)
+const apiKey = 'key-of-measure'
+const settleMilliseconds = 3_000
+const pairs = 1_500
+const warmUpPairs = 200
+
+async function main (seconds: number): Promise<void> {
+  const folder = mkdtempSync(join(tmpdir(), 'lavenderdoor-measure-'))
+  const processes: TrialProcess[] = []
+  try {
+    processes.push(new TrialProcess('platform', ['stand-in', 'platform', '--listen', platform], folder))
+    engines.forEach((address, number) => {
+      processes.push(new TrialProcess(`engine-${number}`, ['stand-in', 'engine', '--listen', address, '--name', `engine-${number}`, '--versions', 'small@1', '--speed', '20', '--streams', '2000'], folder))
+    })
+    await answering(`http://${platform}/virtual-machines`)
+    await installSettings(folder)
+    const daemon = new TrialProcess('daemon', ['serve', '--config', localFile(folder)], folder)
+    processes.push(daemon)
+    await answering(`http://${operators}/health/ready`)
+    await pause(settleMilliseconds)
+    const agent = new Agent({ connections: 512 })
+    const memory: Record<string, number> = { idle: residentMegabytes(daemon.pid) }
+    const added = await addedTime(agent)
+    const whole = await throughput(agent, daemon.pid, seconds, false)
+    const streamed = await throughput(agent, daemon.pid, seconds, true)
+    for (const streams of [40, 400]) memory[`streams${streams}`] = await memoryWith(agent, daemon.pid, streams)
+    console.log(JSON.stringify({ measure: 'path', node: process.version, addedMilliseconds: added, whole, streamed, residentMegabytes: memory }, undefined, 2))
+    await agent.destroy()
+  } finally {
+    for (const process of processes.reverse()) await process.kill()
+  }
+}
+
+function localFile (folder: string): string {
+  const file = join(folder, 'daemon.toml')
+  writeFileSync(file, stringify({
+    name: 'entry-1',
+    region: 'lower-mainland',
+    data_centre: 'lower-mainland-a',
+    listen: { callers, link: '127.0.0.1:22002', operators },
+    platform: { table_service: platform, object_store: platform, virtual_machines: platform, rating_service: platform },
+    link: { secret: 'the shared secret of a measurement' },
+    telemetry: { level: 'warn' }
+  }))
+  return file
+}
+
+async function installSettings (folder: string): Promise<void> {
+  const file = join(folder, 'fleet.toml')
+  writeFileSync(file, stringify({
+    kinds: ['lookup'],
+    data_centres: { 'lower-mainland-a': { region: 'lower-mainland' } },
+    models: { small: { price: 1, versions: { 1: {} } } },
+    endpoints: Object.fromEntries(engines.map((address, number) => [`engine-${number}`, { address, data_centre: 'lower-mainland-a', versions: ['small@1'] }])),
+    organisations: { harbour: { key_hashes: [createHash('sha256').update(apiKey).digest('hex')], models: ['small'] } }
+  }))
+  const { code, output } = await runCommand(['settings', 'put', 'fleet', file, '--expected', '0', '--platform', platform])
+  if (code !== 0) throw new Error(output)
+}
+
+function bodyOf (tokens: number, streamed: boolean, model: string): string {
+  return JSON.stringify({ model, stream: streamed, max_tokens: tokens, metadata: { kind: 'lookup' }, messages: [{ role: 'user', content: `kind=lookup tokens=${tokens} request=m` }] })
+}
+
+async function ask (agent: Agent, address: string, body: string): Promise<void> {
+  const response = await request(`http://${address}/v1/chat/completions`, {
+    method: 'POST', body, dispatcher: agent, headers: { authorization: `Bearer ${apiKey}`, 'content-type': 'application/json' }
+  })
+  const text = await response.body.text()
+  if (response.statusCode !== 200) throw new Error(`${address}: ${response.statusCode} ${text}`)
+}
+
+/** One request at a time, direct and through the daemon in turn. */
+async function addedTime (agent: Agent): Promise<unknown> {
+  const direct = build({ useWebAssembly: false })
+  const routed = build({ useWebAssembly: false })
+  const first = engines[0] ?? ''
+  for (let pair = 0; pair < pairs + warmUpPairs; pair++) {
+    for (const [histogram, address, model] of [[direct, first, 'small@1'], [routed, callers, 'auto']] as const) {
+      const startedAt = performance.now()
+      await ask(agent, address, bodyOf(1, false, model))
+      if (pair >= warmUpPairs) histogram.recordValue(Math.round((performance.now() - startedAt) * 1_000))
+    }
+  }
+  const at = (share: number) => ({ direct: direct.getValueAtPercentile(share) / 1_000, routed: routed.getValueAtPercentile(share) / 1_000 })
+  return { pairs, p50: at(50), p99: at(99) }
+}
+
+/** Keeps many requests going and divides by the processor time that the daemon used. */
+async function throughput (agent: Agent, pid: number, seconds: number, streamed: boolean): Promise<unknown> {
+  const tokens = streamed ? 60 : 1
+  const end = Date.now() + seconds * 1_000
+  const startedAt = Date.now()
+  const processorBefore = processorSeconds(pid)
+  let requests = 0
+  const work = async () => {
+    while (Date.now() < end) {
+      await ask(agent, callers, bodyOf(tokens, streamed, 'auto'))
+      requests++
+    }
+  }
+  await Promise.all(Array.from({ length: streamed ? 200 : 64 }, work))
+  const elapsed = (Date.now() - startedAt) / 1_000
+  const used = processorSeconds(pid) - processorBefore
+  return { requestsPerSecond: requests / elapsed, tokensPerSecond: requests * tokens / elapsed, coresUsed: used / elapsed, tokensPerCoreSecond: requests * tokens / used, requestsPerCoreSecond: requests / used }
+}
+
+async function memoryWith (agent: Agent, pid: number, streams: number): Promise<number> {
+  const open = Array.from({ length: streams }, () => ask(agent, callers, bodyOf(1_500, true, 'auto')))
+  const all = Promise.allSettled(open)
+  await pause(1_000)
+  const megabytes = residentMegabytes(pid)
+  await all
+  return megabytes
+}
+
+function residentMegabytes (pid: number): number {
+  const line = /VmRSS:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))
+  return Math.round(Number(line?.[1]) / 1_024)
+}
+
+/** User and system time so far. */
+function processorSeconds (pid: number): number {
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? []
+  const ticksPerSecond = 100
+  return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond
+}
+
+const seconds = Number(process.argv[process.argv.indexOf('--seconds') + 1]) || 5
+main(seconds).then(() => process.exit(0), error => {
+  console.error(error)
+  process.exit(1)
+})
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -12,7 +12,7 @@
 import { type Clock, type Place, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { SettingsFollower, type SettingsRepository, TableSettingsRepository } from '../distribution/index.ts'
 import { type EngineClient, HttpEngineClient, HttpServiceClient, type ServiceClient } from '../endpoint/index.ts'
-import { CallerServer, ChatRouter, CompletionLengths, Drain, EndpointDirectory, RollOutWatch, ServiceRouter } from '../entry/index.ts'
+import { type DigestingPolicy, CallerServer, ChatRouter, CompletionLengths, Drain, EndpointDirectory, RatingExchange, RollOutWatch, ServiceRouter } from '../entry/index.ts'
 import { type Link, TcpLink } from '../link/index.ts'
 import { PolledMembership as GossipMembership } from './polledMembership.ts'
 import { Log, Metrics, openTelemetryTracer, SilentTracer, type Tracer } from '../observe/index.ts'
@@ -54,7 +54,8 @@
   readonly ledger: BatchedLedger
   readonly directory: EndpointDirectory
   readonly lengths: CompletionLengths
-  readonly versions: VersionPolicy
+  readonly versions: VersionPolicy & DigestingPolicy
+  readonly ratingExchange: RatingExchange
   readonly endpoints: EndpointPolicy
   readonly admission: AdmissionPolicy
   readonly retries: AttemptBudget
@@ -122,6 +123,7 @@
   directory: ({ follower, membership }) => new EndpointDirectory(follower, membership),
   lengths: () => new CompletionLengths(),
   versions: ({ randomness }) => new LearnedVersionPolicy({ randomness }),
+  ratingExchange: ({ clock, link, membership, randomness, versions }) => new RatingExchange({ policy: versions, link, membership, clock, randomness }),
   endpoints: ({ here, local, randomness }) => new AffinityEndpointPolicy({ here, randomness, link: new LinkBudget(local.limits.regional_link_bytes_per_second) }),
   admission: () => new ShareAdmissionPolicy(),
   retries: () => new RatioAttemptBudget(),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,6 +3,7 @@
  * and last what has to be in the store before the VM may go.
  */
 import { Err, Ok, type Result } from '../contract/index.ts'
+import { SettingsLease } from '../distribution/index.ts'
 import { type CallerServer, OperatorServer } from '../entry/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { LocalSettings } from '../settings/index.ts'
@@ -44,7 +45,7 @@
   private constructor (local: LocalSettings, parts: DaemonParts) {
     this.#local = local
     this.#parts = parts
-    this.#operators = new OperatorServer({ metrics: parts.metrics, ready: () => this.#ready, status: () => this.status() })
+    this.#operators = new OperatorServer({ metrics: { text: () => this.#measured() }, ready: () => this.#ready, status: () => this.status() })
   }
 
   /** The daemon's log. */
@@ -68,13 +69,14 @@
    * @returns a sentence that says which address can't be listened on
    */
   async start (): Promise<Result<void, string>> {
-    const { callerServer, follower, ledger, link, log, membership, steward } = this.#parts
+    const { callerServer, follower, ledger, link, log, membership, ratingExchange, steward } = this.#parts
     try {
       await this.#operators.listen(this.#local.listen.operators)
       await link.listen(this.#local.listen.link)
       membership.start()
       await follower.start()
       ledger.start()
+      ratingExchange.start()
       steward.start()
       await callerServer.listen(this.#local.listen.callers)
     } catch (error) {
@@ -87,7 +89,7 @@
 
   /** Lets every request end, flushes what must last, and stops. */
   async stop (): Promise<void> {
-    const { callerServer, clock, drain, follower, ledger, link, log, membership, steward, tracer } = this.#parts
+    const { callerServer, clock, drain, follower, ledger, link, log, membership, ratingExchange, steward, tracer } = this.#parts
     log.info('daemon_stopping', { requests: drain.running })
     this.#ready = false
     drain.begin()
@@ -95,6 +97,7 @@
     if (drain.running > 0) log.error('daemon_stopped_with_requests', { requests: drain.running })
     await callerServer.close()
     await steward.stop()
+    await ratingExchange.stop()
     await ledger.stop()
     await follower.stop()
     await membership.stop()
@@ -110,6 +113,18 @@
     this.#parts.log.info('tls_reloaded', {})
   }
 
+  /** The metrics, with the gauges read now. */
+  async #measured (): Promise<string> {
+    const { follower, ledger, membership, metrics } = this.#parts
+    metrics.settingsRevision.set(follower.view.revision)
+    metrics.settingsLease.set(follower.lease === SettingsLease.Held ? 1 : 0)
+    metrics.billBacklog.set(ledger.backlog)
+    metrics.billsLost.set(ledger.entriesLost)
+    metrics.members.reset()
+    for (const { state } of membership.members()) metrics.members.inc({ state })
+    return await metrics.text()
+  }
+
   /** What this daemon says of itself. */
   status (): DaemonStatus {
     const { drain, follower, ledger, lease, membership } = this.#parts
--- a/src/entry/chatRouter.ts
+++ b/src/entry/chatRouter.ts
@@ -153,7 +153,8 @@
       expectedCompletionTokens: this.#expectedTokens(call),
       difficultyHint: request.difficultyHint,
       remainingMilliseconds: request.deadline - clock.now(),
-      qualityTarget: organisation.settings.quality_target
+      qualityTarget: organisation.settings.quality_target,
+      opensSession: call.session === SessionWish.Start
     }, candidates, clock.now())
   }
 
--- a/src/entry/operatorServer.ts
+++ b/src/entry/operatorServer.ts
@@ -2,11 +2,11 @@
 import { createServer, type Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import Koa from 'koa'
-import type { Metrics } from '../observe/index.ts'
 
 /** What the server shows. */
 export interface OperatorServerOptions {
-  readonly metrics: Metrics
+  /** Metrics in Prometheus' text format. */
+  readonly metrics: { text (): Promise<string> }
   /** Whether callers may be sent here. */
   readonly ready: () => boolean
   /** A JSON document of this daemon's state. */
--- /dev/null
+++ b/src/entry/ratingExchange.ts
@@ -0,0 +1,99 @@
+/**
+ * Tells other daemons what this one has learned of versions, so that each decides from all ratings.
+ * A digest replaces the earlier one of its origin, so it may be lost or repeated. The pause between
+ * two rounds grows with the number of peers and the digest's size: what is spent on it stays bounded.
+ */
+import { z } from 'zod'
+import type { VersionDigest } from '../choice/index.ts'
+import type { Clock, Randomness, VersionName } from '../contract/index.ts'
+import type { Link, MessageType } from '../link/index.ts'
+import { type Membership, MemberState, type MemberView } from '../membership/index.ts'
+
+/** A policy that can tell what it has learned. */
+export interface DigestingPolicy {
+  digest (origin: string, incarnation: number): VersionDigest
+  absorb (digest: VersionDigest): void
+}
+
+const versionNameShape = z.custom<VersionName>(value => typeof value === 'string' && value.includes('@'))
+
+const digestShape = z.object({
+  origin: z.string(),
+  incarnation: z.number(),
+  sequence: z.number(),
+  beliefs: z.array(z.object({ kind: z.string(), version: versionNameShape, count: z.number(), mean: z.number(), variance: z.number() })),
+  ledgers: z.array(z.object({ kind: z.string(), organisation: z.string(), requests: z.number(), good: z.number(), variance: z.number() }))
+})
+
+/** A daemon's digest; the reply says nothing. */
+export const ratingDigest: MessageType<VersionDigest, Record<string, never>> = {
+  name: 'choice.rating-digest',
+  body: digestShape,
+  reply: z.record(z.string(), z.never())
+}
+
+const shortestPauseMilliseconds = 2_000
+const bytesPerSecond = 2_048
+const bytesPerEntry = 80
+const timeoutMilliseconds = 2_000
+
+/** What the exchange works with. */
+export interface RatingExchangeParts {
+  readonly policy: DigestingPolicy
+  readonly link: Link
+  readonly membership: Membership
+  readonly clock: Clock
+  readonly randomness: Randomness
+}
+
+/** Sends digests and takes in those of others. */
+export class RatingExchange {
+  readonly #parts: RatingExchangeParts
+  readonly #stopping = new AbortController()
+  #running: Promise<void> | undefined
+
+  constructor (parts: RatingExchangeParts) {
+    this.#parts = parts
+    parts.link.answer(ratingDigest, async digest => {
+      parts.policy.absorb(digest)
+      return {}
+    })
+  }
+
+  /** Begins to send. */
+  start (): void {
+    this.#running ??= this.#run()
+  }
+
+  /** Stops sending. */
+  async stop (): Promise<void> {
+    this.#stopping.abort()
+    await this.#running
+  }
+
+  async #run (): Promise<void> {
+    const { clock, link, policy, randomness } = this.#parts
+    while (!this.#stopping.signal.aborted) {
+      const peers = this.#peers()
+      const digest = policy.digest(link.self.name, link.self.incarnation)
+      await Promise.all(peers.map(peer => link.ask(peer, ratingDigest, digest, timeoutMilliseconds)))
+      const bytes = peers.length * bytesPerEntry * (digest.beliefs.length + digest.ledgers.length)
+      const pause = Math.max(shortestPauseMilliseconds, bytes / bytesPerSecond * 1_000)
+      await clock.sleep(pause * (0.75 + randomness.fraction() / 2), this.#stopping.signal)
+    }
+  }
+
+  /** All of this region, and one by chance of each other one: the link between regions is narrow. */
+  #peers (): MemberView[] {
+    const { link, membership, randomness } = this.#parts
+    const others = membership.members().filter(member => member.name !== link.self.name && member.state === MemberState.Alive)
+    const near = others.filter(member => member.place.region === link.self.place.region)
+    const regions = new Set(others.map(member => member.place.region))
+    regions.delete(link.self.place.region)
+    const far = [...regions].flatMap(region => {
+      const members = others.filter(member => member.place.region === region)
+      return members[randomness.below(members.length)] ?? []
+    })
+    return [...near, ...far]
+  }
+}
--- a/trial/demo/processes.ts
+++ b/trial/demo/processes.ts
@@ -29,6 +29,11 @@
     this.ended = new Promise(resolve => this.#child.once('exit', (code, signal) => resolve({ code, signal })))
   }
 
+  /** Its process id. */
+  get pid (): number {
+    return this.#child.pid ?? 0
+  }
+
   /** Asks it to stop, and waits until it has. */
   async stop (): Promise<ProcessEnd> {
     this.#child.kill('SIGTERM')
