Add the membership of daemons and endpoints

Members are probed as in SWIM; endpoints are polled by two daemons and their news goes over a binary tree in the ring of a data centre's members; two daemons of each data centre ask the others for digests. All records are joined, so that order and repetition do not matter and a leaving mark stays within an incarnation.

Ruled out: telling every daemon of each report directly (69 messages a second and daemon), and infect-and-die gossip (three copies of each report where the tree sends one). Failed try: a refutation was news like any other and was spent on messages whose senders no longer waited, so a daemon that had been frozen for 32 s was never alive again. A daemon now always says how it is itself, tells three others at once when it refutes, and suspicion lasts two periods for each doubling of the members (4 s before): the tests of frozen daemons fail before and pass after.

The follower's start now ends when the store or peers were asked once.

--- a/src/distribution/settingsFollower.ts
+++ b/src/distribution/settingsFollower.ts
@@ -86,11 +86,15 @@
     return this.#installed.onChange(listener)
   }
 
-  /** Answers other daemons and keeps the settings up to date until `stop`. */
-  start (): void {
+  /**
+   * Answers other daemons and keeps the settings up to date until `stop`. It returns once the store
+   * or other daemons have been asked for the first time, whether or not they answered.
+   */
+  async start (): Promise<void> {
     this.#link.answer(settingsQuestion, async (question, from) => this.#answer(question.revision, from))
     this.#link.answer(confirmationsQuestion, async () => ({ confirmations: this.#heardConfirmations() }))
-    this.#running = this.#follow(this.#stopping.signal)
+    await this.#update()
+    if (!this.#stopping.signal.aborted) this.#running = this.#follow(this.#stopping.signal)
   }
 
   /** Stops following; what is installed stays. */
@@ -131,14 +135,17 @@
 
   async #follow (stopping: AbortSignal): Promise<void> {
     while (!stopping.aborted) {
-      const isPoller = this.#isPoller()
-      if (isPoller) await this.#poll()
-      else await this.#hear()
-      const pause = isPoller ? pollMilliseconds : askMilliseconds
+      const pause = this.#isPoller() ? pollMilliseconds : askMilliseconds
       await this.#clock.sleep(pause * (0.75 + 0.5 * this.#randomness.fraction()), stopping)
+      if (!stopping.aborted) await this.#update()
     }
   }
 
+  async #update (): Promise<void> {
+    if (this.#isPoller()) await this.#poll()
+    else await this.#hear()
+  }
+
   /** A polling daemon that the store does not answer asks whoever may know more. */
   async #poll (): Promise<void> {
     if (await this.refresh()) return
--- /dev/null
+++ b/src/membership/endpointRecord.ts
@@ -0,0 +1,62 @@
+/**
+ * What daemons tell each other of an endpoint. Records are joined: whatever order, however often
+ * they come, all daemons arrive at the same record. A later incarnation replaces an earlier one
+ * whole. Within one, a leaving mark is never taken back, and the later report wins; failures count
+ * since a report, so that a later report, whoever read it, shows that the endpoint can be reached,
+ * and no clock of a daemon takes part.
+ */
+import type { LoadReport } from '../contract/index.ts'
+
+/** What is known of an endpoint. */
+export interface EndpointRecord {
+  readonly name: string
+  /** Of the endpoint's process; 0 while it has never reported. */
+  readonly incarnation: number
+  readonly leaving: boolean
+  /** When the endpoint made its latest report, milliseconds by its clock; 0 before the first. */
+  readonly at: number
+  /** Polls in a row that failed since then. */
+  readonly failures: number
+  readonly report: LoadReport | undefined
+}
+
+/**
+ * The record of an endpoint that nothing is known of.
+ *
+ * @example
+ * const record = unknownEndpoint('engine-1')
+ */
+export function unknownEndpoint (name: string): EndpointRecord {
+  return { name, incarnation: 0, leaving: false, at: 0, failures: 0, report: undefined }
+}
+
+/**
+ * The record that a report makes.
+ *
+ * @example
+ * table.merge(recordOfReport('engine-1', report))
+ */
+export function recordOfReport (name: string, report: LoadReport): EndpointRecord {
+  return { name, incarnation: report.incarnation, leaving: report.leaving, at: report.at, failures: 0, report }
+}
+
+/**
+ * Joins two records of one endpoint.
+ *
+ * @returns `known` itself where `told` adds nothing
+ * @example
+ * const joined = joinEndpoints(known, told)
+ */
+export function joinEndpoints (known: EndpointRecord, told: EndpointRecord): EndpointRecord {
+  if (told.incarnation < known.incarnation) return known
+  if (told.incarnation > known.incarnation) return told
+  const leaving = known.leaving || told.leaving
+  const later = isLater(told, known) ? told : known
+  if (later === known && leaving === known.leaving) return known
+  return { ...later, leaving }
+}
+
+function isLater (told: EndpointRecord, known: EndpointRecord): boolean {
+  if (told.at !== known.at) return told.at > known.at
+  return told.failures > known.failures
+}
--- /dev/null
+++ b/src/membership/messages.ts
@@ -0,0 +1,49 @@
+/** What daemons say to each other about members and endpoints. */
+import { z } from 'zod'
+import type { MessageType, Peer } from '../link/index.ts'
+import { type EndpointRow, endpointRowSchema } from './endpointRow.ts'
+import { type MemberRow, memberRowSchema } from './memberRecord.ts'
+
+/** News of members that rides on a message. */
+export interface MemberNews {
+  readonly members: readonly MemberRow[]
+}
+
+const memberNewsSchema: z.ZodType<MemberNews> = z.strictObject({ members: z.array(memberRowSchema) })
+
+/** Asks a daemon whether it is there. */
+export const probe: MessageType<MemberNews, MemberNews> = {
+  name: 'membership.probe',
+  body: memberNewsSchema,
+  reply: memberNewsSchema
+}
+
+/** Asks a daemon to probe another one, which can't be reached from here. */
+export const indirectProbe: MessageType<Peer, { readonly reached: boolean }> = {
+  name: 'membership.indirect_probe',
+  body: z.strictObject({ name: z.string(), address: z.string() }),
+  reply: z.strictObject({ reached: z.boolean() })
+}
+
+/** An endpoint's row and how many of the ring's members after the receiver it is to be told to. */
+export type EndpointItem = readonly [reach: number, row: EndpointRow]
+
+/** Tells of endpoints. */
+export const endpointNews: MessageType<{ readonly items: readonly EndpointItem[] }, Record<string, never>> = {
+  name: 'membership.endpoint_news',
+  body: z.strictObject({ items: z.array(z.tuple([z.number().int().min(0), endpointRowSchema])) }),
+  reply: z.strictObject({})
+}
+
+/** What a daemon knows of its data centre. */
+export interface Digest {
+  readonly members: readonly MemberRow[]
+  readonly endpoints: readonly EndpointRow[]
+}
+
+/** Asks for a digest: of everything, or only of what is leaving or failing. */
+export const digestQuestion: MessageType<{ readonly whole: boolean }, Digest> = {
+  name: 'membership.digest',
+  body: z.strictObject({ whole: z.boolean() }),
+  reply: z.strictObject({ members: z.array(memberRowSchema), endpoints: z.array(endpointRowSchema) })
+}
