Retire the platform's pool when one of its connections fails

Cause: after a connection went silent the next call could be put on another of the same pool that was silent too, and waited for its time-out again; and an object whose reply had no length could be cut without being noticed. Change: a failed or timed-out call retires the pool; a reply without a length is no whole reply.

--- a/src/platform/httpConnection.ts
+++ b/src/platform/httpConnection.ts
@@ -3,9 +3,11 @@
  * rests on where it struck: an error of the connecting phase precedes every byte of the request, so
  * nothing was applied; anything later may have been. Requests are not pipelined, for the HTTP
  * library sends those behind a broken one again: a second copy of an applied transaction would be
- * answered with a conflict that is not one.
+ * answered with a conflict that is not one. Where a connection fails or stays silent until the
+ * time-out, those that were open beside it may be silent too, so nothing new is put on them.
  * An answer of 503 with `{"applied": false}` is the service's own word that nothing was applied.
  */
+import type { IncomingHttpHeaders } from 'node:http'
 import { Pool } from 'undici'
 import { Err, Ok, type Result } from '../contract/index.ts'
 import { PlatformUnavailable } from './tableService.ts'
@@ -46,36 +48,32 @@
 
 /** A pool of connections that answers every question with a reply or the reason for none. */
 export class HttpConnection {
-  readonly #pool: Pool
-  readonly #timeoutMilliseconds: number
+  readonly #options: HttpPlatformOptions
+  #pool: Pool
 
   constructor (options: HttpPlatformOptions) {
-    this.#timeoutMilliseconds = options.timeoutMilliseconds
-    this.#pool = new Pool(`http://${options.address}`, {
-      connections: options.connections ?? defaultConnections,
-      pipelining: 1,
-      keepAliveTimeout: idleMilliseconds,
-      keepAliveMaxTimeout: idleMilliseconds,
-      connect: { timeout: options.timeoutMilliseconds },
-      headersTimeout: 0,
-      bodyTimeout: 0
-    })
+    this.#options = options
+    this.#pool = openPool(options)
   }
 
   /** Asks once; a reply of 404 is passed on, any other failure is `PlatformUnavailable`. */
   async ask (question: PlatformQuestion): Promise<Result<PlatformReply, PlatformUnavailable>> {
+    const pool = this.#pool
     try {
-      const response = await this.#pool.request({
+      const response = await pool.request({
         method: question.method,
         path: question.path,
         body: question.body ?? null,
         headers: typeof question.body === 'string' ? { 'content-type': 'application/json' } : {},
-        signal: AbortSignal.timeout(this.#timeoutMilliseconds)
+        signal: AbortSignal.timeout(this.#options.timeoutMilliseconds)
       })
       const body = new Uint8Array(await response.body.arrayBuffer())
+      if (!isFramed(response.headers)) return Err(new PlatformUnavailable('the reply has no length', question.isWrite))
       return judge({ status: response.statusCode, body }, question.isWrite)
     } catch (error) {
-      return Err(new PlatformUnavailable(reasonOf(error), question.isWrite && !isConnectingError(error)))
+      const isConnecting = isConnectingError(error)
+      if (!isConnecting) this.#retire(pool)
+      return Err(new PlatformUnavailable(reasonOf(error), question.isWrite && !isConnecting))
     }
   }
 
@@ -93,6 +91,25 @@
   async close (): Promise<void> {
     await this.#pool.destroy()
   }
+
+  /** Puts nothing new on connections that were open when one of them failed. */
+  #retire (pool: Pool): void {
+    if (pool !== this.#pool) return
+    this.#pool = openPool(this.#options)
+    pool.close().catch(() => undefined)
+  }
+}
+
+function openPool (options: HttpPlatformOptions): Pool {
+  return new Pool(`http://${options.address}`, {
+    connections: options.connections ?? defaultConnections,
+    pipelining: 1,
+    keepAliveTimeout: idleMilliseconds,
+    keepAliveMaxTimeout: idleMilliseconds,
+    connect: { timeout: options.timeoutMilliseconds },
+    headersTimeout: 0,
+    bodyTimeout: 0
+  })
 }
 
 /** Decodes a JSON body; undefined where it is not JSON. */
@@ -104,6 +121,11 @@
   }
 }
 
+/** A body that is ended only by the connection's close can't be told from one that was cut. */
+function isFramed (headers: IncomingHttpHeaders): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 function judge (reply: PlatformReply, isWrite: boolean): Result<PlatformReply, PlatformUnavailable> {
   const isWhole = reply.status < 300 || reply.status === absentStatus
   if (isWhole) return Ok(reply)
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,8 +1,8 @@
 /** The platform's clients against the stand-in, calm and under each of its faults. */
-import { type AddressInfo, createServer, type Server } from 'node:net'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { Commit, HttpObjectStore, HttpTableService, HttpVirtualMachineList, type Transaction } from '../src/platform/index.ts'
 import { startPlatform, type StandIn } from '../src/standin/index.ts'
+import { httpReply, scriptedServer } from './fakes/scriptedServer.ts'
 
 let platform: StandIn
 let table: HttpTableService
@@ -96,25 +96,56 @@
   expect((await table.transact(insert)).unwrap()).toBe(Commit.Committed)
 })
 
-/** Reads requests, cuts each connection at its first bytes, and counts what came. */
-async function cuttingServer (): Promise<{ server: Server, address: string, seen: () => number }> {
-  let seen = 0
-  const server = createServer(socket => {
-    socket.on('error', () => socket.destroy())
-    socket.once('data', () => {
-      seen++
-      socket.destroy()
-    })
-  })
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, seen: () => seen }
-}
-
 test('a write that was cut is in doubt and is not sent a second time', async () => {
-  const cutting = await cuttingServer()
+  const cutting = await scriptedServer(socket => socket.destroy())
   const client = new HttpTableService({ address: cutting.address, timeoutMilliseconds: 10_000 })
   expect((await client.transact(insert)).val).toMatchObject({ mayHaveApplied: true })
-  expect(cutting.seen()).toBe(1)
+  expect(cutting.received.filter(text => text !== '')).toHaveLength(1)
+  await client.close()
+  await cutting.close()
+})
+
+test('a reply that is not the service\'s own leaves a write in doubt', async () => {
+  for (const reply of [httpReply('{"commit":"perhaps"}'), httpReply('no JSON'), httpReply('{}', '503 Service Unavailable')]) {
+    const odd = await scriptedServer(socket => socket.write(reply))
+    const client = new HttpTableService({ address: odd.address, timeoutMilliseconds: 10_000 })
+    expect((await client.transact(insert)).val).toMatchObject({ mayHaveApplied: true })
+    await client.close()
+    await odd.close()
+  }
+})
+
+test('an object that is cut short is not taken for a whole one', async () => {
+  for (const head of ['HTTP/1.1 200 OK\r\n\r\n', 'HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n']) {
+    const cut = await scriptedServer(socket => socket.end(`${head}half of it`))
+    const client = new HttpObjectStore({ address: cut.address, timeoutMilliseconds: 10_000 })
+    expect((await client.get('bills/1')).err).toBe(true)
+    await client.close()
+    await cut.close()
+  }
+})
+
+test('where one connection is silent, the others of its time are not used again either', async () => {
+  let isMute = false
+  const server = await scriptedServer((socket, connection) => {
+    if (!isMute || connection > 1) setTimeout(() => socket.write(httpReply('{"row":null}')), 20)
+  })
+  const client = new HttpTableService({ address: server.address, timeoutMilliseconds: 300 })
+  await Promise.all([client.read('t', 'a'), client.read('t', 'b')])
+  isMute = true
+  await new Promise(resolve => setTimeout(resolve, 20))
+  expect((await client.read('t', 'a')).err).toBe(true)
+  expect((await client.read('t', 'a')).ok).toBe(true)
+  await client.close()
+  await server.close()
+})
+
+test('no more connections are opened than are allowed', async () => {
+  const server = await scriptedServer(socket => socket.write(httpReply('{"row":null}')))
+  const client = new HttpTableService({ address: server.address, timeoutMilliseconds: 10_000, connections: 2 })
+  const reads = await Promise.all(Array.from({ length: 20 }, (_, number) => client.read('t', String(number))))
+  expect(reads.every(read => read.ok)).toBe(true)
+  expect(server.received).toHaveLength(2)
   await client.close()
-  cutting.server.close()
+  await server.close()
 })
