Keep an engine's connection after a whole answer, and flatten the reading

Cause: a stream that ended cut its pooled connection where the last chunk of its encoding came after the end mark, so the next request connected anew; and three generators within each other read one stream. Change: after the end mark the connection is left to end by itself within the silence time; a StreamReader reads one connection, the attempt is one loop, with its own count for the invariants. Ruled out: that the nested generators cost much.

--- a/src/endpoint/attempt.ts
+++ b/src/endpoint/attempt.ts
@@ -9,9 +9,9 @@
 import { Assembly } from './assembly.ts'
 import { collect } from './collect.ts'
 import type { Connections } from './connections.ts'
-import { AttemptFailure, type EngineCall, type EngineEvent, type EngineFinish, Reach } from './contract.ts'
-import { EventStreamDecoder } from './eventStream.ts'
+import { AttemptFailure, type EngineCall, type EngineEvent, Reach } from './contract.ts'
 import type { Exchange } from './exchange.ts'
+import { type StreamEvent, StreamReader } from './streamReader.ts'
 
 /** What an attempt needs besides its call. */
 export interface AttemptOptions {
@@ -25,27 +25,19 @@
   readonly resumePauseMilliseconds: number
 }
 
-/** Why a connection is no longer read. */
-type ConnectionEnd =
-  | { readonly type: 'finish', readonly finish: EngineFinish }
-  | { readonly type: 'failure', readonly failure: AttemptFailure }
-  /** Another connection may take the stream up. */
-  | { readonly type: 'lost', readonly reason: string }
-
-const okStatus = 200
-const firstServerErrorStatus = 500
-const refusingServerStatus = 503
-const conflictStatus = 409
-
 /** One attempt at an engine. */
 export class Attempt {
   readonly #options: AttemptOptions
   readonly #call: EngineCall
   readonly #signal: AbortSignal
   readonly #assembly: Assembly
-  #exchange: Exchange | undefined
+  #reader: StreamReader | undefined
   #mayHaveSent = false
+  /** The number of the first token that was not passed on yet. */
+  #passed = 0
   #resumes = 0
+  #isResumed = false
+  #isFinished = false
 
   constructor (options: AttemptOptions, call: EngineCall, signal: AbortSignal) {
     this.#options = options
@@ -56,83 +48,69 @@
 
   /** Runs it; the last event is a finish or a failure. A reader that leaves early cancels the stream. */
   async * run (): AsyncGenerator<EngineEvent, void, undefined> {
-    const cancel = () => this.#exchange?.giveUp('cancelled')
+    const cancel = () => this.#reader?.giveUp('cancelled')
     this.#signal.addEventListener('abort', cancel)
     let isOver = false
     try {
-      const end = yield * this.#follow()
-      isOver = end.type === 'finish'
-      yield end
+      while (!isOver) {
+        const event = await this.#next()
+        isOver = event.type !== 'chunk'
+        yield event
+      }
     } finally {
       this.#signal.removeEventListener('abort', cancel)
-      this.#exchange?.giveUp('left')
-      if (!isOver && this.#mayHaveSent) this.#cancelStream()
+      this.#reader?.giveUp('left')
+      if (!this.#isFinished && this.#mayHaveSent) this.#cancelStream()
     }
   }
 
-  async * #follow (): AsyncGenerator<EngineEvent, Exclude<ConnectionEnd, { type: 'lost' }>, undefined> {
+  /** The next event, from whichever connection brings it. */
+  async #next (): Promise<EngineEvent> {
     for (;;) {
       if (this.#signal.aborted) return this.#failed('cancelled')
-      const isFirst = !this.#mayHaveSent
-      const exchange = isFirst ? this.#send() : this.#resume()
-      this.#exchange = exchange
-      const end = yield * this.#read(exchange, isFirst)
-      exchange.giveUp('read to its end')
-      this.#mayHaveSent ||= exchange.mayHaveSent
-      if (end.type !== 'lost') return end
+      const reader = this.#reader ??= this.#connect()
+      const event = await reader.next()
+      this.#mayHaveSent ||= reader.mayHaveSent
+      if (event.type === 'chunk') return this.#pass(event)
+      if (event.type === 'finish') return this.#finish(event, reader)
+      if (event.type === 'refused') return this.#refused(event.failure)
+      reader.giveUp('not trusted any more')
+      this.#reader = undefined
+      if (event.silent) this.#options.connections.retire(this.#options.address)
       const mayResume = this.#mayHaveSent && this.#resumes < this.#options.resumeLimit
-      if (!mayResume || this.#signal.aborted) return this.#failed(end.reason)
+      if (!mayResume) return this.#failed(event.reason)
       await this.#pause()
     }
   }
 
-  async * #read (exchange: Exchange, isFirst: boolean): AsyncGenerator<EngineEvent, ConnectionEnd, undefined> {
-    const head = await exchange.next()
-    this.#mayHaveSent ||= exchange.mayHaveSent
-    if (head.type !== 'head') return this.#lost(head)
-    if (head.status !== okStatus) return this.#refused(exchange, head.status, head.headers['retry-after'], isFirst)
-    const decoder = new EventStreamDecoder()
-    for (;;) {
-      const event = await exchange.next()
-      if (event.type !== 'data') return this.#lost(event)
-      const events = decoder.decode(event.bytes)
-      if (events === undefined) return { type: 'lost', reason: 'a line is too long' }
-      for (const data of events) {
-        const end = yield * this.#accept(data)
-        if (end !== undefined) return end
-      }
-    }
+  #connect (): StreamReader {
+    const exchange = this.#mayHaveSent ? this.#resume() : this.#send()
+    return new StreamReader(exchange, this.#assembly)
   }
 
-  async * #accept (data: string): AsyncGenerator<EngineEvent, ConnectionEnd | undefined, undefined> {
-    const expected = this.#assembly.next
-    const assembled = this.#assembly.accept(data)
-    if (assembled.type === 'nothing') return undefined
-    if (assembled.type === 'finish') return assembled
-    if (assembled.type === 'fault') return { type: 'lost', reason: assembled.reason }
-    const { attemptId, chunk } = assembled
+  #pass ({ attemptId, chunk }: Extract<StreamEvent, { type: 'chunk' }>): EngineEvent {
     invariant(attemptId === this.#call.attemptId, 'chunk belongs to its attempt', () => ({ attemptId, call: this.#call.attemptId }))
-    invariant(chunk.offset === expected, 'chunk offsets are contiguous', () => ({ offset: chunk.offset, expected }))
+    invariant(chunk.offset === this.#passed, 'chunk offsets are contiguous', () => ({ offset: chunk.offset, expected: this.#passed }))
+    this.#passed += chunk.tokens
     this.#resumes = 0
-    yield { type: 'chunk', chunk }
-    return undefined
+    return { type: 'chunk', chunk }
   }
 
-  #lost (event: { readonly type: string, readonly reason?: string, readonly silent?: boolean }): ConnectionEnd {
-    if (event.silent === true) this.#options.connections.retire(this.#options.address)
-    return { type: 'lost', reason: event.reason ?? 'the stream ended before the answer' }
+  #finish ({ finish }: Extract<StreamEvent, { type: 'finish' }>, reader: StreamReader): EngineEvent {
+    invariant(finish.usage.completionTokens === this.#passed, 'a finished answer is whole', () => ({ finish, passed: this.#passed }))
+    this.#isFinished = true
+    this.#reader = undefined
+    reader.letEnd()
+    return { type: 'finish', finish }
   }
 
-  async #refused (exchange: Exchange, status: number, retryAfter: string | undefined, isFirst: boolean): Promise<ConnectionEnd> {
-    const body = await collect(exchange)
-    const isRefusal = status < firstServerErrorStatus ? status !== conflictStatus : status === refusingServerStatus
-    const reach = isFirst && isRefusal && body.ok ? Reach.Refused : Reach.Maybe
-    const seconds = Number(retryAfter)
-    const retryAfterSeconds = Number.isFinite(seconds) ? seconds : undefined
-    return { type: 'failure', failure: new AttemptFailure(reach, `status ${status}`, retryAfterSeconds) }
+  /** What a stream's resumption is refused for says nothing of the attempt's first send. */
+  #refused (failure: AttemptFailure): EngineEvent {
+    if (!this.#isResumed) return { type: 'failure', failure }
+    return this.#failed(failure.reason)
   }
 
-  #failed (reason: string): { type: 'failure', failure: AttemptFailure } {
+  #failed (reason: string): EngineEvent {
     const reach = this.#mayHaveSent ? Reach.Maybe : Reach.Never
     return { type: 'failure', failure: new AttemptFailure(reach, reason) }
   }
@@ -151,6 +129,7 @@
 
   #resume (): Exchange {
     this.#resumes++
+    this.#isResumed = true
     const path = `${this.#streamPath}?offset=${this.#assembly.next}`
     return this.#options.connections.fresh(this.#options.address, this.#exchangeOptions('GET', path, undefined))
   }
--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -53,6 +53,7 @@
   #mayHaveSent = false
   #last: ExchangeEvent | undefined
   #wake: (() => void) | undefined
+  #isLeft = false
 
   constructor (options: ExchangeOptions) {
     this.#options = options
@@ -105,6 +106,12 @@
     this.#controller?.abort(new Error(reason))
   }
 
+  /** Reads no more. The connection can serve others if the end comes soon; otherwise it is cut. */
+  letEnd (): void {
+    this.#isLeft = true
+    if (this.#controller?.paused === true) this.#controller.resume()
+  }
+
   onRequestStart (controller: Dispatcher.DispatchController): void {
     if (this.#last !== undefined || this.#mayHaveSent) {
       controller.abort(new Error('not sent a second time'))
@@ -125,6 +132,7 @@
   }
 
   onResponseData (controller: Dispatcher.DispatchController, bytes: Buffer): void {
+    if (this.#isLeft) return
     this.#heardAt = this.#options.clock.now()
     this.#bufferedBytes += bytes.length
     this.#push({ type: 'data', bytes })
--- a/test/endpoint.test.ts
+++ b/test/endpoint.test.ts
@@ -1,9 +1,11 @@
 /** The endpoint clients over real sockets: what is said of how far a call came, and whose reply is whose. */
+import type { Socket } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
 import { type EndpointDescription, Priority, SystemClock } from '../src/contract/index.ts'
 import { type EngineCall, type EngineEvent, HttpEngineClient, HttpServiceClient, Reach, type ServiceCall } from '../src/endpoint/index.ts'
 import { type EngineRun, isWholeAnswer, type ServiceRun, startEngine, startService, type StandIn } from '../src/standin/index.ts'
-import { httpReply, scriptedServer } from './fakes/scriptedServer.ts'
+import { finishOf, frameOf } from './fakes/fakeEngineServer.ts'
+import { httpChunk, httpReply, scriptedServer } from './fakes/scriptedServer.ts'
 
 const clock = new SystemClock()
 const services = new HttpServiceClient({ clock, connectTimeoutMilliseconds: 5_000, silenceMilliseconds: 10_000 })
@@ -184,14 +186,58 @@
   expect(last).toMatchObject({ type: 'failure', failure: { reach: Reach.Maybe } })
 })
 
+/** Serves a one-token answer; what comes after its end mark is the test's. */
+function apartServer (after: (socket: Socket) => void) {
+  return scriptedServer((socket, _connection, received) => {
+    if (!received.endsWith('}')) return
+    socket.write('HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n')
+    socket.write(httpChunk(frameOf('a-1', 0, 1, 'w') + finishOf('a-1', 1) + 'data: [DONE]\n\n'))
+    after(socket)
+  })
+}
+
+test('a connection is kept where its last bytes come a little after the end mark', async () => {
+  const server = await kept(apartServer(socket => { setTimeout(() => socket.write('0\r\n\r\n'), 30) }))
+  const endpoint = endpointAt(server.address)
+  expect((await read(engines.generate(endpoint, call, never))).last?.type).toBe('finish')
+  await clock.sleep(100)
+  expect((await read(engines.generate(endpoint, call, never))).last?.type).toBe('finish')
+  expect(server.received).toHaveLength(1)
+})
+
+test('a connection that goes on after the end mark is cut', async () => {
+  let closed = (): void => undefined
+  const closing = new Promise<void>(resolve => { closed = resolve })
+  const server = await kept(apartServer(socket => {
+    const beating = setInterval(() => socket.write(httpChunk(': heartbeat\n\n')), 50)
+    socket.on('close', () => {
+      clearInterval(beating)
+      closed()
+    })
+  }))
+  const hasty = new HttpEngineClient({ clock, connectTimeoutMilliseconds: 5_000, silenceMilliseconds: 200 })
+  expect((await read(hasty.generate(endpointAt(server.address), call, never))).last?.type).toBe('finish')
+  await closing
+})
+
+test('a refusal names when to come back, and is believed only where it came whole', async () => {
+  const head = 'HTTP/1.1 503 Service Unavailable\r\nretry-after: 7\r\n'
+  const whole = await kept(scriptedServer(socket => socket.end(`${head}content-length: 2\r\n\r\n{}`)))
+  const refused = await read(engines.generate(endpointAt(whole.address), call, never))
+  expect(refused.last).toMatchObject({ failure: { reach: Reach.Refused, retryAfterSeconds: 7 } })
+  const cut = await kept(scriptedServer(socket => socket.end(`${head}content-length: 20\r\n\r\n{}`)))
+  const unclear = await read(engines.generate(endpointAt(cut.address), call, never))
+  expect(unclear.last).toMatchObject({ failure: { reach: Reach.Maybe } })
+})
+
 test('a reader that takes nothing holds no more than a bounded part of the answer', async () => {
   const frame = `: ${'x'.repeat(1_000)}\n\n`
   let written = 0
   const server = await kept(scriptedServer(socket => {
     socket.write('HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n')
     const data = 'data: {"id":"a-1","choices":[{"delta":{"content":"w"}}],"token_offset":0,"token_count":1}\n\n'
-    socket.write(`${data.length.toString(16)}\r\n${data}\r\n`)
-    const piece = `${frame.length.toString(16)}\r\n${frame}\r\n`
+    socket.write(httpChunk(data))
+    const piece = httpChunk(frame)
     const more = () => {
       while (written < 64_000_000 && socket.write(piece)) written += piece.length
     }
--- a/test/fakes/scriptedServer.ts
+++ b/test/fakes/scriptedServer.ts
@@ -43,3 +43,8 @@
 export function httpReply (body: string, status = '200 OK'): string {
   return `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`
 }
+
+/** One chunk of a reply in chunked encoding. */
+export function httpChunk (text: string): string {
+  return `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`
+}
