Learn again from kept ratings when the shared scale changes, and tell likelihoods whole

Cause of the overconfidence: limits were fitted with an early, wrong slope, and a normal approximation of one-sided likelihoods added up wrongly. Ruled out: hint noise and selection by escalation (limits were off for unselected versions too).

--- a/src/choice/cascadePlanner.ts
+++ b/src/choice/cascadePlanner.ts
@@ -82,7 +82,8 @@
   if (!terms.cascade) return best
   for (let first = 0; first < outlooks.length - 1; first++) {
     for (let last = first + 1; last < outlooks.length; last++) {
-      best = better(best, planChain(weights, [outlooks[first]!, outlooks[last]!], terms))
+      // With a version between the two, the chain of three can leave it out by rating.
+      if (last === first + 1) best = better(best, planChain(weights, [outlooks[first]!, outlooks[last]!], terms))
       for (let middle = first + 1; middle < last; middle++) {
         best = better(best, planChain(weights, [outlooks[first]!, outlooks[middle]!, outlooks[last]!], terms))
       }
@@ -103,35 +104,46 @@
 /** Plans a chain of two or three versions, each but the last rated before its release. */
 export function planChain (weights: Float64Array, chain: readonly VersionOutlook[], terms: PlanTerms): PlannedCascade {
   const [first, second, third] = chain as [VersionOutlook, VersionOutlook, VersionOutlook | undefined]
-  const bins = splitByRating(weights, first)
-  const actions = bins.map(bin => bestAction(bin, first, second, third, terms))
-  const ranges = rangesOf(actions)
   const totals = newTotals()
-  payRated(totals, weights, first, terms)
   const toMiddle = new Float64Array(CELL_COUNT)
   const toLast = new Float64Array(CELL_COUNT)
-  for (const [index, bin] of bins.entries()) {
-    const action = actionIn(ranges, index)
-    if (action === Action.Release) release(totals, bin, first, terms)
-    else addTo(action === Action.Middle ? toMiddle : toLast, bin)
-  }
-  const steps: PlanStep[] = [stepOf(first, ranges)]
+  const ranges = splitRated(totals, weights, [first, second, third], terms, toMiddle, toLast)
+  const firstStep = stepOf(first, ranges)
   if (!third) {
-    payUnrated(totals, toMiddle, second, terms)
+    payUnrated(totals, toMiddle, second)
     release(totals, toMiddle, second, terms)
-    return planned([...steps, lastStep(second)], totals)
+    return planned([firstStep, lastStep(second)], totals)
   }
-  payRated(totals, toMiddle, second, terms)
-  const middleBins = splitByRating(toMiddle, second)
-  const middleActions = middleBins.map(bin => bestAction(bin, second, third, undefined, terms))
-  const middleRanges = rangesOf(middleActions)
-  for (const [index, bin] of middleBins.entries()) {
-    if (actionIn(middleRanges, index) === Action.Release) release(totals, bin, second, terms)
-    else addTo(toLast, bin)
-  }
-  payUnrated(totals, toLast, third, terms)
+  const middleRanges = splitRated(totals, toMiddle, [second, third, undefined], terms, toLast, toLast)
+  payUnrated(totals, toLast, third)
   release(totals, toLast, third, terms)
-  return planned([...steps, stepOf(second, middleRanges), lastStep(third)], totals)
+  return planned([firstStep, stepOf(second, middleRanges), lastStep(third)], totals)
+}
+
+/** Pays for a rated attempt and splits what follows it into released, next and last. */
+function splitRated (
+  totals: Totals,
+  weights: Float64Array,
+  [current, next, last]: readonly [VersionOutlook, VersionOutlook, VersionOutlook | undefined],
+  terms: PlanTerms,
+  toNext: Float64Array,
+  toLast: Float64Array
+): Ranges {
+  payRated(totals, weights, current, terms)
+  const bin = new Float64Array(CELL_COUNT)
+  const actions: Action[] = []
+  for (let index = 0; index < RATING_BIN_COUNT; index++) {
+    fillBin(bin, weights, current, index)
+    actions.push(bestAction(bin, current, next, last, terms))
+  }
+  const ranges = rangesOf(actions)
+  for (let index = 0; index < RATING_BIN_COUNT; index++) {
+    const action = actionIn(ranges, index)
+    fillBin(bin, weights, current, index)
+    if (action === Action.Release) release(totals, bin, current, terms)
+    else addTo(action === Action.Middle ? toNext : toLast, bin)
+  }
+  return ranges
 }
 
 /** Bins from `releaseFrom` on release; those below `giveUpBelow` too; those below `skipBelow` skip a step. */
@@ -216,7 +228,7 @@
   pay(totals, massOf(weights) * (outlook.cost + terms.ratingCost))
 }
 
-function payUnrated (totals: Totals, weights: Float64Array, outlook: VersionOutlook, terms: PlanTerms): void {
+function payUnrated (totals: Totals, weights: Float64Array, outlook: VersionOutlook): void {
   pay(totals, massOf(weights) * outlook.cost)
 }
 
@@ -225,13 +237,9 @@
   totals.value -= cost
 }
 
-function splitByRating (weights: Float64Array, outlook: VersionOutlook): Float64Array[] {
-  return Array.from({ length: RATING_BIN_COUNT }, (_, bin) => {
-    const split = new Float64Array(CELL_COUNT)
-    const start = bin * CELL_COUNT
-    for (let cell = 0; cell < CELL_COUNT; cell++) split[cell] = weights[cell]! * outlook.ratingByCell[start + cell]!
-    return split
-  })
+function fillBin (bin: Float64Array, weights: Float64Array, outlook: VersionOutlook, index: number): void {
+  const start = index * CELL_COUNT
+  for (let cell = 0; cell < CELL_COUNT; cell++) bin[cell] = weights[cell]! * outlook.ratingByCell[start + cell]!
 }
 
 function massOf (weights: Float64Array): number {
--- a/src/choice/ratingGrid.ts
+++ b/src/choice/ratingGrid.ts
@@ -8,7 +8,7 @@
 /** Spacing of the limit grid, in difficulty. */
 export const LIMIT_STEP = 0.02
 export const LIMIT_LOWEST = -0.6
-export const LIMIT_COUNT = 111
+export const LIMIT_COUNT = 86
 /** Two limit steps, so that every limit minus a cell's centre lies on the limit grid's lattice. */
 const CELL_WIDTH = 2 * LIMIT_STEP
 export const CELL_COUNT = Math.round(1 / CELL_WIDTH)
--- a/src/choice/ratingModel.ts
+++ b/src/choice/ratingModel.ts
@@ -16,23 +16,21 @@
   readonly rating: number
 }
 
-/** What another daemon knows of a version's limit: a normal approximation of its likelihood. */
+/** What another daemon's ratings say of a version's limit. */
 export interface LimitNews {
   readonly count: number
-  readonly mean: number
-  readonly variance: number
+  /** The logarithm of the likelihood at each limit of the grid, its highest being 0. */
+  readonly likelihood: Float32Array
 }
 
-/** What a rating said beyond what was expected. */
-export interface RatingSurprise {
-  /** Points below what was expected, in standard deviations of the expectation; negative if better. */
-  readonly shortfall: number
-  /** Whether the shared slope or noise changed. */
-  readonly scaleChanged: boolean
+interface RatingRecord {
+  readonly hint: number | undefined
+  readonly earlier: readonly EarlierRating[]
+  readonly rating: number
 }
 
 /** Ratings that count fully before older ones fade. */
-const MEMORY_RATINGS = 800
+const MEMORY_RATINGS = 600
 const KEPT = 1 - 1 / MEMORY_RATINGS
 const PRIOR_LIMIT = 0.7
 const PRIOR_SPREAD = 0.35
@@ -40,7 +38,7 @@
 const STRONGEST_PRIOR_LIMIT = 0.96
 const STRONGEST_PRIOR_SPREAD = 0.06
 /** Standard deviations below the mean at which a version's limit is relied on. */
-const CAUTION = 0.6
+const CAUTION = 1
 /** Ratings from which a version's limit may inform the shared scale. */
 const SETTLED_RATINGS = 30
 
@@ -50,9 +48,14 @@
 class LimitBelief {
   readonly own = new Float64Array(LIMIT_COUNT)
   count = 0
+  /** The mean difficulty of what was rated. */
+  typical = 0.5
+  /** The newest records, to learn from again when the shared scale changes. */
+  readonly records: RatingRecord[] = []
   mean: number
   spread: number
-  others: readonly LimitNews[] = []
+  readonly #others = new Float64Array(LIMIT_COUNT)
+  #othersCount = 0
   readonly #prior: { readonly limit: number, readonly spread: number }
 
   constructor (prior: { readonly limit: number, readonly spread: number }) {
@@ -66,15 +69,29 @@
   }
 
   get totalCount (): number {
-    return this.others.reduce((sum, news) => sum + news.count, this.count)
+    return this.count + this.#othersCount
   }
 
   refresh (): void {
-    const sources = [{ mean: this.#prior.limit, variance: this.#prior.spread ** 2 }, ...this.others]
-    const moments = momentsOf(this.own.map((own, index) => own + sources.reduce((sum, source) => sum - (limitAt(index) - source.mean) ** 2 / (2 * source.variance), 0)))
+    const total = new Float64Array(LIMIT_COUNT)
+    for (let index = 0; index < LIMIT_COUNT; index++) {
+      const distance = (limitAt(index) - this.#prior.limit) / this.#prior.spread
+      total[index] = this.own[index]! + this.#others[index]! - distance * distance / 2
+    }
+    const moments = momentsOf(total)
     this.mean = moments.mean
     this.spread = Math.sqrt(moments.variance)
   }
+
+  setOthers (news: readonly LimitNews[]): void {
+    this.#others.fill(0)
+    this.#othersCount = 0
+    for (const { count, likelihood } of news) {
+      this.#othersCount += count
+      for (let index = 0; index < LIMIT_COUNT; index++) this.#others[index]! += likelihood[index] ?? 0
+    }
+    this.refresh()
+  }
 }
 
 /** The beliefs about all versions for one kind of request. */
@@ -131,15 +148,32 @@
     return weights
   }
 
-  /** Learns from a rating of this daemon. */
-  observe (version: VersionName, hint: number | undefined, earlier: readonly EarlierRating[], rating: number): RatingSurprise {
+  /**
+   * Learns from a rating of this daemon.
+   *
+   * @returns points below what was expected, in standard deviations; negative if better
+   */
+  observe (version: VersionName, hint: number | undefined, earlier: readonly EarlierRating[], rating: number): number {
     this.admit(version, false)
     const belief = this.#beliefs.get(version)!
     const weights = this.weights(hint, earlier)
     const shortfall = this.#shortfall(weights, belief.mean, rating)
-    const scaleChanged = belief.totalCount >= SETTLED_RATINGS && this.#scale.observeRating(weights, belief.mean, rating)
+    if (belief.totalCount >= SETTLED_RATINGS) this.#scale.observeRating(weights, belief.mean, belief.typical, rating)
     this.#learn(belief, weights, rating)
-    return { shortfall, scaleChanged }
+    belief.records.push({ hint, earlier, rating })
+    if (belief.records.length > MEMORY_RATINGS) belief.records.shift()
+    belief.refresh()
+    return shortfall
+  }
+
+  /** Learns again from the kept records, because the shared scale has changed. */
+  relearn (): void {
+    for (const belief of this.#beliefs.values()) {
+      belief.own.fill(0)
+      belief.count = 0
+      for (const { hint, earlier, rating } of belief.records) this.#learn(belief, this.weights(hint, earlier), rating)
+      belief.refresh()
+    }
   }
 
   #learn (belief: LimitBelief, weights: Float64Array, rating: number): void {
@@ -150,7 +184,7 @@
       belief.own[index] = belief.own[index]! * KEPT + Math.log(density)
     }
     belief.count = belief.count * KEPT + 1
-    belief.refresh()
+    belief.typical += (meanOf(weights) - belief.typical) / Math.min(MEMORY_RATINGS, belief.count)
   }
 
   #likelihoodCurve (rating: number): Float64Array {
@@ -178,24 +212,22 @@
   forget (version: VersionName, keptShare: number): void {
     const belief = this.#beliefs.get(version)
     if (!belief) return
+    belief.records.splice(0, Math.round(belief.records.length * (1 - keptShare)))
     for (let index = 0; index < LIMIT_COUNT; index++) belief.own[index]! *= keptShare
     belief.count *= keptShare
-    belief.others = []
-    belief.refresh()
+    belief.setOthers([])
   }
 
   /** What this daemon's own ratings say, for other daemons; versions with too few are left out. */
   news (): Map<VersionName, LimitNews> {
     const settled = [...this.#beliefs].filter(([, belief]) => belief.count >= TOLD_RATINGS)
-    return new Map(settled.map(([version, belief]) => [version, { count: belief.count, ...momentsOf(belief.own) }]))
+    return new Map(settled.map(([version, belief]) => [version, { count: belief.count, likelihood: likelihoodNews(belief.own) }]))
   }
 
   /** Replaces what is known from other daemons' ratings of a version. */
   setNews (version: VersionName, news: readonly LimitNews[]): void {
     this.admit(version, false)
-    const belief = this.#beliefs.get(version)!
-    belief.others = news
-    belief.refresh()
+    this.#beliefs.get(version)!.setOthers(news)
   }
 
   /** The chance that an answer of a version is good, by cell of difficulty. */
@@ -205,6 +237,17 @@
   }
 }
 
+function meanOf (weights: Float64Array): number {
+  let mean = 0
+  for (let cell = 0; cell < CELL_COUNT; cell++) mean += weights[cell]! * cellDifficulty(cell)
+  return mean
+}
+
+function likelihoodNews (logarithms: Float64Array): Float32Array {
+  const highest = Math.max(...logarithms)
+  return Float32Array.from(logarithms, logarithm => logarithm - highest)
+}
+
 function momentsOf (logarithms: Float64Array): { mean: number, variance: number } {
   const highest = Math.max(...logarithms)
   let total = 0
--- a/src/choice/ratingScale.ts
+++ b/src/choice/ratingScale.ts
@@ -10,6 +10,7 @@
 const SLOPES = [15, 20, 27, 35, 42, 50, 60, 70, 85, 110, 140]
 /** Standard deviations of a reading, points. */
 const NOISES = [1.5, 3, 4.5, 6, 8, 10, 13, 17, 22]
+const SCALE_COUNT = SLOPES.length * NOISES.length
 /** Of one more record on what was known before. */
 const KEPT = 1 - 1 / 3_000
 const EVEN_VARIANCE = 1 / 12
@@ -20,8 +21,10 @@
 /** The learned scale of ratings and hints. */
 export class RatingScale {
   readonly #goodRating: number
-  readonly #likelihood = new Float64Array(SLOPES.length * NOISES.length)
+  readonly #own = new Float64Array(SCALE_COUNT)
+  readonly #others = new Float64Array(SCALE_COUNT)
   #best: number
+  #revision = 0
   #hints = 0
   #hintMean = 0.5
   #hintSquares = 0
@@ -32,6 +35,11 @@
     this.#best = SLOPES.indexOf(50) * NOISES.length + NOISES.indexOf(8)
   }
 
+  /** Grows when the slope or the noise changes, so that what was derived from them is stale. */
+  get revision (): number {
+    return this.#revision
+  }
+
   /** Points that a score falls from difficulty 0 to 1. */
   get slope (): number {
     return SLOPES[Math.floor(this.#best / NOISES.length)]!
@@ -62,21 +70,46 @@
    *
    * @param weights what was known of the difficulty before the rating
    * @param limit the version's limit, as far as it is known
-   * @returns whether the slope or the noise changed, so that what was derived from them is stale
+   * @param typical the mean difficulty of what the version was rated on: there its mean score is
+   * held while other slopes are tried, for the limit was fitted with the present one
    */
-  observeRating (weights: Float64Array, limit: number, rating: number): boolean {
+  observeRating (weights: Float64Array, limit: number, typical: number, rating: number): void {
+    const lead = (limit - typical) * this.slope
     let index = 0
+    const scores = new Float64Array(CELL_COUNT)
     for (const slope of SLOPES) {
-      const scores = weights.map((_, cell) => scoreAt(limit - cellDifficulty(cell), this.#goodRating, slope))
+      for (let cell = 0; cell < CELL_COUNT; cell++) scores[cell] = scoreAt(typical + lead / slope - cellDifficulty(cell), this.#goodRating, slope)
       for (const noise of NOISES) {
         let density = 0
         for (let cell = 0; cell < CELL_COUNT; cell++) density += weights[cell]! * ratingLikelihood(rating, scores[cell]!, noise)
-        this.#likelihood[index] = this.#likelihood[index]! * KEPT + Math.log(density)
+        this.#own[index] = this.#own[index]! * KEPT + Math.log(density)
         index += 1
       }
     }
+    this.#findBest()
+  }
+
+  /** What this daemon's own ratings say of slope and noise, for other daemons. */
+  news (): Float32Array {
+    const highest = Math.max(...this.#own)
+    return Float32Array.from(this.#own, logarithm => logarithm - highest)
+  }
+
+  /** Replaces what is known from other daemons' ratings. */
+  setNews (news: readonly Float32Array[]): void {
+    for (let index = 0; index < SCALE_COUNT; index++) this.#others[index] = news.reduce((sum, likelihood) => sum + (likelihood[index] ?? 0), 0)
+    this.#findBest()
+  }
+
+  #findBest (): void {
     const before = this.#best
-    this.#best = this.#likelihood.indexOf(Math.max(...this.#likelihood))
-    return this.#best !== before
+    for (let index = 0; index < SCALE_COUNT; index++) {
+      if (this.#totalAt(index) > this.#totalAt(this.#best)) this.#best = index
+    }
+    if (this.#best !== before) this.#revision += 1
+  }
+
+  #totalAt (index: number): number {
+    return this.#own[index]! + this.#others[index]!
   }
 }
--- a/src/choice/versionDigest.ts
+++ b/src/choice/versionDigest.ts
@@ -8,7 +8,7 @@
 import type { LimitNews } from './ratingModel.ts'
 import type { QualitySums } from './versionLedger.ts'
 
-/** One daemon's ratings of a version on a kind of request, as a normal likelihood over its limit. */
+/** One daemon's ratings of a version on a kind of request, as a likelihood over its limit. */
 export interface BeliefNews extends LimitNews {
   readonly kind: string
   readonly version: VersionName
@@ -28,6 +28,8 @@
   readonly incarnation: number
   /** Grows with each digest of an incarnation. */
   readonly sequence: number
+  /** The logarithm of the likelihood of each slope and noise of ratings. */
+  readonly scale: Float32Array
   readonly beliefs: readonly BeliefNews[]
   readonly ledgers: readonly LedgerNews[]
 }
--- a/src/choice/versionKind.ts
+++ b/src/choice/versionKind.ts
@@ -45,6 +45,7 @@
   readonly #levels = new Map<string, { goal: number, level: number, requests: number }>()
   #plannedOn: readonly number[] = []
   #ratingsSinceRefresh = 0
+  #learnedAt = 0
   #ratings = 0
   #work = 0
   #opened = 0
@@ -89,7 +90,7 @@
   /** Learns from a rating. */
   observe (answer: RatedAnswer): void {
     const { version, difficultyHint, earlier = [], rating } = answer
-    const { shortfall, scaleChanged } = this.model.observe(version, difficultyHint, earlier, rating)
+    const shortfall = this.model.observe(version, difficultyHint, earlier, rating)
     const watch = this.#watches.get(version) ?? new RatingDriftWatch()
     this.#watches.set(version, watch)
     const wasSettled = this.model.ratings(version) > SETTLED_RATINGS + 1
@@ -98,12 +99,14 @@
     this.#ratings += 1
     this.#ratingsSinceRefresh += 1
     const due = Math.min(REFRESH_MOST, Math.max(REFRESH_FEWEST, this.#ratings * REFRESH_SHARE))
-    if (drifted || scaleChanged || this.#ratingsSinceRefresh >= due) this.refresh()
+    if (drifted || this.#ratingsSinceRefresh >= due) this.refresh()
   }
 
   /** Makes plans anew from now on, if beliefs have moved since they were made. */
   refresh (): void {
     this.#ratingsSinceRefresh = 0
+    if (this.#learnedAt !== this.#scale.revision) this.model.relearn()
+    this.#learnedAt = this.#scale.revision
     const ground = this.#ground()
     if (ground.length === this.#plannedOn.length && ground.every((value, index) => Math.abs(value - this.#plannedOn[index]!) < GROUND_STEP)) return
     this.#plannedOn = ground
--- a/src/choice/versionPolicy.ts
+++ b/src/choice/versionPolicy.ts
@@ -163,6 +163,10 @@
     this.#kind(answer.kind).observe(answer)
   }
 
+  state (): string {
+    return JSON.stringify({ slope: this.#scale.slope, noise: this.#scale.ratingNoise, hint: this.#scale.hintNoise, kinds: [...this.#kinds].map(([name, kind]) => [name, kind.model.versions().map(v => [v, kind.model.limit(v), kind.model.cautiousLimit(v), kind.model.ratings(v)])]) })
+  }
+
   observeRatingMissing (now: number): void {
     this.#cascadesFrom = now + RATING_PAUSE_MILLISECONDS
   }
@@ -180,7 +184,7 @@
     const kinds = [...this.#kinds]
     const beliefs = kinds.flatMap(([kind, state]) => [...state.model.news()].map(([version, news]) => ({ kind, version, ...news })))
     const ledgers = kinds.flatMap(([kind, state]) => [...state.organisations].map(([organisation, { ledger }]) => ({ organisation, kind, ...ledger.own })))
-    return { origin, incarnation, sequence: this.#sequence, beliefs, ledgers }
+    return { origin, incarnation, sequence: this.#sequence, scale: this.#scale.news(), beliefs, ledgers }
   }
 
   /**
@@ -196,6 +200,7 @@
 
   #readDigests (changed: VersionDigest): void {
     const all = this.#digests.all()
+    this.#scale.setNews(all.map(digest => digest.scale))
     for (const { kind, version } of changed.beliefs) {
       const news = all.flatMap(digest => digest.beliefs.filter(belief => belief.kind === kind && belief.version === version))
       this.#kind(kind).model.setNews(version, news)
