Fit limits and scale together, and add the roll-out guard

Ruled out: hint noise. Each belief is now kept for each point of a small grid of slope and noise, summed out for the scale. The guard is whole but not measured yet.

--- a/src/choice/ratingModel.ts
+++ b/src/choice/ratingModel.ts
@@ -8,7 +8,7 @@
  */
 import type { VersionName } from '../contract/index.ts'
 import { CELL_COUNT, LIMIT_COUNT, limitAt, normalise, OFFSET_COUNT, offsetAt, offsetIndex, ratingLikelihood, scoreAt, shareBelow, weightsOfHint, cellDifficulty } from './ratingGrid.ts'
-import type { RatingScale } from './ratingScale.ts'
+import { type RatingScale, SCALE_POINTS, type ScalePoint } from './ratingScale.ts'
 
 /** A rating of an earlier step of the same request. */
 export interface EarlierRating {
@@ -38,22 +38,19 @@
 const STRONGEST_PRIOR_LIMIT = 0.96
 const STRONGEST_PRIOR_SPREAD = 0.06
 /** Standard deviations below the mean at which a version's limit is relied on. */
-const CAUTION = 1
-/** Ratings from which a version's limit may inform the shared scale. */
-const SETTLED_RATINGS = 30
+const CAUTION = 0.5
 
 /** Ratings from which other daemons are told of a version. */
 const TOLD_RATINGS = 3
 
 class LimitBelief {
-  readonly own = new Float64Array(LIMIT_COUNT)
+  /** The logarithm of own ratings' likelihood: scale point × `LIMIT_COUNT` + limit. */
+  readonly own = new Float64Array(SCALE_POINTS.length * LIMIT_COUNT)
   count = 0
-  /** The mean difficulty of what was rated. */
-  typical = 0.5
-  /** The newest records, to learn from again when the shared scale changes. */
-  readonly records: RatingRecord[] = []
   mean: number
   spread: number
+  /** The newest records, to learn from again when the shared scale changes. */
+  readonly records: RatingRecord[] = []
   readonly #others = new Float64Array(LIMIT_COUNT)
   #othersCount = 0
   readonly #prior: { readonly limit: number, readonly spread: number }
@@ -72,25 +69,30 @@
     return this.count + this.#othersCount
   }
 
-  refresh (): void {
+  ownAt (scalePoint: number): Float64Array {
+    return this.own.subarray(scalePoint * LIMIT_COUNT, (scalePoint + 1) * LIMIT_COUNT)
+  }
+
+  refresh (scalePoint: number): void {
+    const own = this.ownAt(scalePoint)
     const total = new Float64Array(LIMIT_COUNT)
     for (let index = 0; index < LIMIT_COUNT; index++) {
       const distance = (limitAt(index) - this.#prior.limit) / this.#prior.spread
-      total[index] = this.own[index]! + this.#others[index]! - distance * distance / 2
+      total[index] = own[index]! + this.#others[index]! - distance * distance / 2
     }
     const moments = momentsOf(total)
     this.mean = moments.mean
     this.spread = Math.sqrt(moments.variance)
   }
 
-  setOthers (news: readonly LimitNews[]): void {
+  setOthers (news: readonly LimitNews[], scalePoint: number): void {
     this.#others.fill(0)
     this.#othersCount = 0
     for (const { count, likelihood } of news) {
       this.#othersCount += count
       for (let index = 0; index < LIMIT_COUNT; index++) this.#others[index]! += likelihood[index] ?? 0
     }
-    this.refresh()
+    this.refresh(scalePoint)
   }
 }
 
@@ -158,42 +160,43 @@
     const belief = this.#beliefs.get(version)!
     const weights = this.weights(hint, earlier)
     const shortfall = this.#shortfall(weights, belief.mean, rating)
-    if (belief.totalCount >= SETTLED_RATINGS) this.#scale.observeRating(weights, belief.mean, belief.typical, rating)
     this.#learn(belief, weights, rating)
     belief.records.push({ hint, earlier, rating })
     if (belief.records.length > MEMORY_RATINGS) belief.records.shift()
-    belief.refresh()
+    belief.refresh(this.#scale.best)
     return shortfall
   }
 
+  /** Tells the shared scale what the beliefs of this kind say of it. */
+  informScale (kind: string): void {
+    for (const [version, belief] of this.#beliefs) {
+      if (belief.count > 0) this.#scale.setProfile(`${kind}\n${version}`, profileOf(belief))
+    }
+  }
+
   /** Learns again from the kept records, because the shared scale has changed. */
   relearn (): void {
     for (const belief of this.#beliefs.values()) {
       belief.own.fill(0)
       belief.count = 0
       for (const { hint, earlier, rating } of belief.records) this.#learn(belief, this.weights(hint, earlier), rating)
-      belief.refresh()
+      belief.refresh(this.#scale.best)
     }
   }
 
   #learn (belief: LimitBelief, weights: Float64Array, rating: number): void {
-    const curve = this.#likelihoodCurve(rating)
-    for (let index = 0; index < LIMIT_COUNT; index++) {
-      let density = 0
-      for (let cell = 0; cell < CELL_COUNT; cell++) density += weights[cell]! * curve[offsetIndex(index, cell)]!
-      belief.own[index] = belief.own[index]! * KEPT + Math.log(density)
+    const curve = new Float64Array(OFFSET_COUNT)
+    for (const [point, scale] of SCALE_POINTS.entries()) {
+      this.#fillCurve(curve, scale, rating)
+      addLikelihood(belief.ownAt(point), weights, curve)
     }
     belief.count = belief.count * KEPT + 1
-    belief.typical += (meanOf(weights) - belief.typical) / Math.min(MEMORY_RATINGS, belief.count)
   }
 
-  #likelihoodCurve (rating: number): Float64Array {
-    const curve = new Float64Array(OFFSET_COUNT)
+  #fillCurve (curve: Float64Array, { slope, noise }: ScalePoint, rating: number): void {
     for (let index = 0; index < OFFSET_COUNT; index++) {
-      const score = scoreAt(offsetAt(index), this.#goodRating, this.#scale.slope)
-      curve[index] = ratingLikelihood(rating, score, this.#scale.ratingNoise)
+      curve[index] = ratingLikelihood(rating, scoreAt(offsetAt(index), this.#goodRating, slope), noise)
     }
-    return curve
   }
 
   #shortfall (weights: Float64Array, limit: number, rating: number): number {
@@ -213,21 +216,21 @@
     const belief = this.#beliefs.get(version)
     if (!belief) return
     belief.records.splice(0, Math.round(belief.records.length * (1 - keptShare)))
-    for (let index = 0; index < LIMIT_COUNT; index++) belief.own[index]! *= keptShare
+    for (let index = 0; index < belief.own.length; index++) belief.own[index]! *= keptShare
     belief.count *= keptShare
-    belief.setOthers([])
+    belief.setOthers([], this.#scale.best)
   }
 
   /** What this daemon's own ratings say, for other daemons; versions with too few are left out. */
   news (): Map<VersionName, LimitNews> {
     const settled = [...this.#beliefs].filter(([, belief]) => belief.count >= TOLD_RATINGS)
-    return new Map(settled.map(([version, belief]) => [version, { count: belief.count, likelihood: likelihoodNews(belief.own) }]))
+    return new Map(settled.map(([version, belief]) => [version, { count: belief.count, likelihood: likelihoodNews(belief.ownAt(this.#scale.best)) }]))
   }
 
   /** Replaces what is known from other daemons' ratings of a version. */
   setNews (version: VersionName, news: readonly LimitNews[]): void {
     this.admit(version, false)
-    this.#beliefs.get(version)!.setOthers(news)
+    this.#beliefs.get(version)!.setOthers(news, this.#scale.best)
   }
 
   /** The chance that an answer of a version is good, by cell of difficulty. */
@@ -237,10 +240,29 @@
   }
 }
 
-function meanOf (weights: Float64Array): number {
-  let mean = 0
-  for (let cell = 0; cell < CELL_COUNT; cell++) mean += weights[cell]! * cellDifficulty(cell)
-  return mean
+/** Fades what was known at each limit and adds one rating. */
+function addLikelihood (logarithms: Float64Array, weights: Float64Array, curve: Float64Array): void {
+  const density = new Float64Array(LIMIT_COUNT)
+  for (let cell = 0; cell < CELL_COUNT; cell++) {
+    const weight = weights[cell]!
+    if (weight < SMALLEST_WEIGHT) continue
+    const first = offsetIndex(0, cell)
+    for (let index = 0; index < LIMIT_COUNT; index++) density[index]! += weight * curve[first + index]!
+  }
+  for (let index = 0; index < LIMIT_COUNT; index++) logarithms[index] = logarithms[index]! * KEPT + Math.log(density[index]!)
+}
+
+/** Cells with less weight don't change what a rating says. */
+const SMALLEST_WEIGHT = 1e-4
+
+/** The likelihood of own ratings at each scale point, with the limit summed out. */
+function profileOf (belief: LimitBelief): Float64Array {
+  return Float64Array.from(SCALE_POINTS, (_, point) => {
+    const logarithms = belief.ownAt(point)
+    const highest = Math.max(...logarithms)
+    const sum = logarithms.reduce((total, logarithm) => total + Math.exp(logarithm - highest), 0)
+    return highest + Math.log(sum)
+  })
 }
 
 function likelihoodNews (logarithms: Float64Array): Float32Array {
--- a/src/choice/ratingScale.ts
+++ b/src/choice/ratingScale.ts
@@ -1,115 +1,112 @@
 /**
  * What all kinds and versions share about ratings: how many points an answer loses as requests get
- * harder, how noisy a reading is, and how noisy a hint is. Slope and noise are learned as a
- * likelihood over a small fixed grid; the hint's noise from the spread of all hints, since the
- * difficulty itself spreads evenly over 0 to 1.
+ * harder, how noisy a reading is, and how noisy a hint is. Slope and noise are taken from a small
+ * fixed grid. Every belief about a version is kept for each point of that grid, so that limits and
+ * scale are fitted together: fitted in turns they settle on a wrong pair that agrees with itself.
+ * The hint's noise follows from the spread of all hints, for difficulty spreads evenly over 0 to 1.
  */
-import { CELL_COUNT, cellDifficulty, ratingLikelihood, scoreAt } from './ratingGrid.ts'
 
 /** Points that a score falls from difficulty 0 to 1. */
-const SLOPES = [15, 20, 27, 35, 42, 50, 60, 70, 85, 110, 140]
+const SLOPES = [18, 26, 38, 54, 78, 110]
 /** Standard deviations of a reading, points. */
-const NOISES = [1.5, 3, 4.5, 6, 8, 10, 13, 17, 22]
-const SCALE_COUNT = SLOPES.length * NOISES.length
-/** Of one more record on what was known before. */
-const KEPT = 1 - 1 / 3_000
+const NOISES = [2.5, 4, 6.5, 10, 16]
+const FIRST_SLOPE = 54
+const FIRST_NOISE = 10
 const EVEN_VARIANCE = 1 / 12
 const SMALLEST_HINT_NOISE = 0.02
 const FIRST_HINT_NOISE = 0.2
-const HINTS_BEFORE_LEARNING = 200
+const HINTS_BEFORE_LEARNING = 300
+/** Hints that count fully before older ones fade. */
+const MEMORY_HINTS = 20_000
+
+/** One point of the grid. */
+export interface ScalePoint {
+  readonly slope: number
+  readonly noise: number
+}
+
+/** The grid of slopes and noises. */
+export const SCALE_POINTS: readonly ScalePoint[] = SLOPES.flatMap(slope => NOISES.map(noise => ({ slope, noise })))
 
 /** The learned scale of ratings and hints. */
 export class RatingScale {
-  readonly #goodRating: number
-  readonly #own = new Float64Array(SCALE_COUNT)
-  readonly #others = new Float64Array(SCALE_COUNT)
-  #best: number
-  #revision = 0
+  readonly #profiles = new Map<string, Float64Array>()
+  #others = new Float64Array(SCALE_POINTS.length)
+  #best = SCALE_POINTS.findIndex(({ slope, noise }) => slope === FIRST_SLOPE && noise === FIRST_NOISE)
   #hints = 0
   #hintMean = 0.5
-  #hintSquares = 0
-
-  /** @param goodRating the rating from which an answer is good */
-  constructor (goodRating: number) {
-    this.#goodRating = goodRating
-    this.#best = SLOPES.indexOf(50) * NOISES.length + NOISES.indexOf(8)
-  }
+  #hintVariance = 0
 
-  /** Grows when the slope or the noise changes, so that what was derived from them is stale. */
-  get revision (): number {
-    return this.#revision
+  /** The index of the best point of the grid. */
+  get best (): number {
+    return this.#best
   }
 
   /** Points that a score falls from difficulty 0 to 1. */
   get slope (): number {
-    return SLOPES[Math.floor(this.#best / NOISES.length)]!
+    return SCALE_POINTS[this.#best]!.slope
   }
 
   /** Standard deviation of a reading, points. */
   get ratingNoise (): number {
-    return NOISES[this.#best % NOISES.length]!
+    return SCALE_POINTS[this.#best]!.noise
   }
 
   /** Standard deviation of a hint, in difficulty. */
   get hintNoise (): number {
     if (this.#hints < HINTS_BEFORE_LEARNING) return FIRST_HINT_NOISE
-    const variance = this.#hintSquares / this.#hints - EVEN_VARIANCE
-    return Math.sqrt(Math.max(SMALLEST_HINT_NOISE ** 2, variance))
+    return Math.sqrt(Math.max(SMALLEST_HINT_NOISE ** 2, this.#hintVariance - EVEN_VARIANCE))
   }
 
   /** Counts the hint of a request, rated or not. */
   observeHint (hint: number): void {
     this.#hints += 1
+    const share = 1 / Math.min(this.#hints, MEMORY_HINTS)
     const before = hint - this.#hintMean
-    this.#hintMean += before / this.#hints
-    this.#hintSquares += before * (hint - this.#hintMean)
+    this.#hintMean += before * share
+    this.#hintVariance += (before * (hint - this.#hintMean) - this.#hintVariance) * share
   }
 
   /**
-   * Learns from a rating.
+   * Replaces what one belief says of the grid.
    *
-   * @param weights what was known of the difficulty before the rating
-   * @param limit the version's limit, as far as it is known
-   * @param typical the mean difficulty of what the version was rated on: there its mean score is
-   * held while other slopes are tried, for the limit was fitted with the present one
+   * @param belief names the belief among this daemon's own
+   * @param profile the logarithm of its ratings' likelihood at each point
    */
-  observeRating (weights: Float64Array, limit: number, typical: number, rating: number): void {
-    const lead = (limit - typical) * this.slope
-    let index = 0
-    const scores = new Float64Array(CELL_COUNT)
-    for (const slope of SLOPES) {
-      for (let cell = 0; cell < CELL_COUNT; cell++) scores[cell] = scoreAt(typical + lead / slope - cellDifficulty(cell), this.#goodRating, slope)
-      for (const noise of NOISES) {
-        let density = 0
-        for (let cell = 0; cell < CELL_COUNT; cell++) density += weights[cell]! * ratingLikelihood(rating, scores[cell]!, noise)
-        this.#own[index] = this.#own[index]! * KEPT + Math.log(density)
-        index += 1
-      }
-    }
+  setProfile (belief: string, profile: Float64Array): void {
+    this.#profiles.set(belief, profile)
     this.#findBest()
   }
 
-  /** What this daemon's own ratings say of slope and noise, for other daemons. */
+  /** What this daemon's own ratings say of the grid, for other daemons. */
   news (): Float32Array {
-    const highest = Math.max(...this.#own)
-    return Float32Array.from(this.#own, logarithm => logarithm - highest)
+    const own = this.#ownSum()
+    const highest = Math.max(...own)
+    return Float32Array.from(own, logarithm => logarithm - highest)
   }
 
   /** Replaces what is known from other daemons' ratings. */
   setNews (news: readonly Float32Array[]): void {
-    for (let index = 0; index < SCALE_COUNT; index++) this.#others[index] = news.reduce((sum, likelihood) => sum + (likelihood[index] ?? 0), 0)
+    this.#others = new Float64Array(SCALE_POINTS.length)
+    for (const likelihood of news) addTo(this.#others, likelihood)
     this.#findBest()
   }
 
+  #ownSum (): Float64Array {
+    const sum = new Float64Array(SCALE_POINTS.length)
+    for (const profile of this.#profiles.values()) addTo(sum, profile)
+    return sum
+  }
+
   #findBest (): void {
-    const before = this.#best
-    for (let index = 0; index < SCALE_COUNT; index++) {
-      if (this.#totalAt(index) > this.#totalAt(this.#best)) this.#best = index
+    const total = this.#ownSum()
+    addTo(total, this.#others)
+    for (let index = 0; index < total.length; index++) {
+      if (total[index]! > total[this.#best]!) this.#best = index
     }
-    if (this.#best !== before) this.#revision += 1
   }
+}
 
-  #totalAt (index: number): number {
-    return this.#own[index]! + this.#others[index]!
-  }
+function addTo (sum: Float64Array, terms: Float64Array | Float32Array): void {
+  for (let index = 0; index < sum.length; index++) sum[index]! += terms[index] ?? 0
 }
--- a/src/choice/versionKind.ts
+++ b/src/choice/versionKind.ts
@@ -37,6 +37,7 @@
   readonly model: RatingModel
   readonly organisations = new Map<string, OrganisationQuality>()
   readonly contexts = new ContextCounts(KIND_MEMORY_REQUESTS)
+  readonly #name: string
   readonly #scale: RatingScale
   readonly #goodRating: number
   readonly #ratingCost: number
@@ -45,14 +46,16 @@
   readonly #levels = new Map<string, { goal: number, level: number, requests: number }>()
   #plannedOn: readonly number[] = []
   #ratingsSinceRefresh = 0
-  #learnedAt = 0
+  #learnedAt: number
   #ratings = 0
   #work = 0
   #opened = 0
   #bound = 0
 
-  constructor (scale: RatingScale, goodRating: number, ratingCost: number) {
+  constructor (name: string, scale: RatingScale, goodRating: number, ratingCost: number) {
+    this.#name = name
     this.#scale = scale
+    this.#learnedAt = scale.best
     this.#goodRating = goodRating
     this.#ratingCost = ratingCost
     this.model = new RatingModel(scale, goodRating)
@@ -105,8 +108,9 @@
   /** Makes plans anew from now on, if beliefs have moved since they were made. */
   refresh (): void {
     this.#ratingsSinceRefresh = 0
-    if (this.#learnedAt !== this.#scale.revision) this.model.relearn()
-    this.#learnedAt = this.#scale.revision
+    this.model.informScale(this.#name)
+    if (this.#learnedAt !== this.#scale.best) this.model.relearn()
+    this.#learnedAt = this.#scale.best
     const ground = this.#ground()
     if (ground.length === this.#plannedOn.length && ground.every((value, index) => Math.abs(value - this.#plannedOn[index]!) < GROUND_STEP)) return
     this.#plannedOn = ground
--- a/src/choice/versionLedger.ts
+++ b/src/choice/versionLedger.ts
@@ -19,7 +19,7 @@
 const MEMORY_REQUESTS = 5_000
 const KEPT = 1 - 1 / MEMORY_REQUESTS
 /** Standard deviations by which the share of good answers is to lie above the target. */
-const CONFIDENCE = 1.8
+const CONFIDENCE = 1.5
 /** A lack or a surplus is spread over this share of the requests counted so far. */
 const CATCH_UP_SHARE = 0.4
 const SHORTEST_CATCH_UP_REQUESTS = 40
--- a/src/choice/versionPlanTable.ts
+++ b/src/choice/versionPlanTable.ts
@@ -51,6 +51,16 @@
     this.#kept = 1 - 1 / memory
   }
 
+  /** The share of requests whose answers may wait for ratings. */
+  get cascadeShare (): number {
+    let cascades = 0
+    for (const [index, count] of this.counts.entries()) {
+      const mode = Math.floor(index / CONTEXT_BINS)
+      if (mode === PlanMode.Cascade || mode === PlanMode.CascadeBound) cascades += count
+    }
+    return this.total > 0 ? cascades / this.total : 0
+  }
+
   add (mode: PlanMode, hint: number | undefined): void {
     for (let index = 0; index < this.counts.length; index++) this.counts[index]! *= this.#kept
     this.counts[mode * CONTEXT_BINS + contextBin(hint)]! += 1
--- a/src/choice/versionPolicy.ts
+++ b/src/choice/versionPolicy.ts
@@ -40,7 +40,9 @@
 /** The share of cascades that try a version about which little is known. */
 const EXPLORING_SHARE = 0.3
 /** The same for requests whose answers can't be rated before their release. */
-const EXPLORING_SHARE_UNRATED = 0.02
+const EXPLORING_SHARE_UNRATED = 0.05
+/** Where this share of a kind's requests may be cascades, nothing is explored without them. */
+const ENOUGH_CASCADES = 0.15
 /** Points above a good rating at which an explored version's answer is released. */
 const EXPLORING_MARGIN_POINTS = 8
 /** Unrated answers are rated afterwards often while ratings are few, and never less than the least share. */
@@ -70,7 +72,7 @@
     this.#ratingCost = options.ratingCost ?? RATING_COST
     this.#promptTokenCost = options.promptTokenCost ?? PROMPT_TOKEN_COST
     this.#tokenMilliseconds = options.tokenMilliseconds ?? TOKEN_MILLISECONDS
-    this.#scale = new RatingScale(this.#goodRating)
+    this.#scale = new RatingScale()
   }
 
   plan (request: VersionRequest, candidates: readonly VersionCandidate[], now: number): Result<VersionPlan, Refusal> {
@@ -119,7 +121,8 @@
     const unknown = byPrice.slice(0, -1).filter(({ name }) => !kind.settled(name))
     if (unknown.length === 0) return undefined
     const cascade = mode === PlanMode.Cascade || mode === PlanMode.CascadeBound
-    const share = cascade ? EXPLORING_SHARE : EXPLORING_SHARE_UNRATED
+    const unrated = kind.contexts.cascadeShare >= ENOUGH_CASCADES ? 0 : EXPLORING_SHARE_UNRATED
+    const share = cascade ? EXPLORING_SHARE : unrated
     if (this.#randomness.fraction() >= share) return undefined
     const { name } = unknown[this.#randomness.below(unknown.length)]!
     if (!cascade) return [{ version: name, releaseAtRating: undefined, rateAfterwards: true }]
@@ -154,7 +157,7 @@
     const known = this.#kinds.get(name)
     if (known) return known
     if (this.#kinds.size >= MOST_KINDS && name !== OTHER_KINDS) return this.#kind(OTHER_KINDS)
-    const kind = new VersionKind(this.#scale, this.#goodRating, this.#ratingCost)
+    const kind = new VersionKind(name, this.#scale, this.#goodRating, this.#ratingCost)
     this.#kinds.set(name, kind)
     return kind
   }
