--- a/src/choice/ratingModel.ts
+++ b/src/choice/ratingModel.ts
@@ -8,7 +8,7 @@
  */
 import type { VersionName } from '../contract/index.ts'
 import { CELL_COUNT, LIMIT_COUNT, limitAt, normalise, OFFSET_COUNT, offsetAt, offsetIndex, ratingLikelihood, scoreAt, shareBelow, weightsOfHint, cellDifficulty } from './ratingGrid.ts'
-import type { RatingScale } from './ratingScale.ts'
+import { type RatingScale, SCALE_POINTS, type ScalePoint } from './ratingScale.ts'
 
 /** A rating of an earlier step of the same request. */
 export interface EarlierRating {
@@ -16,23 +16,21 @@
   readonly rating: number
 }
 
-/** What another daemon knows of a version's limit: a normal approximation of its likelihood. */
+/** What another daemon's ratings say of a version's limit. */
 export interface LimitNews {
   readonly count: number
-  readonly mean: number
-  readonly variance: number
+  /** The logarithm of the likelihood at each limit of the grid, its highest being 0. */
+  readonly likelihood: Float32Array
 }
 
-/** What a rating said beyond what was expected. */
-export interface RatingSurprise {
-  /** Points below what was expected, in standard deviations of the expectation; negative if better. */
-  readonly shortfall: number
-  /** Whether the shared slope or noise changed. */
-  readonly scaleChanged: boolean
+interface RatingRecord {
+  readonly hint: number | undefined
+  readonly earlier: readonly EarlierRating[]
+  readonly rating: number
 }
 
 /** Ratings that count fully before older ones fade. */
-const MEMORY_RATINGS = 800
+const MEMORY_RATINGS = 600
 const KEPT = 1 - 1 / MEMORY_RATINGS
 const PRIOR_LIMIT = 0.7
 const PRIOR_SPREAD = 0.35
@@ -40,19 +38,21 @@
 const STRONGEST_PRIOR_LIMIT = 0.96
 const STRONGEST_PRIOR_SPREAD = 0.06
 /** Standard deviations below the mean at which a version's limit is relied on. */
-const CAUTION = 0.6
-/** Ratings from which a version's limit may inform the shared scale. */
-const SETTLED_RATINGS = 30
+const CAUTION = 0.5
 
 /** Ratings from which other daemons are told of a version. */
 const TOLD_RATINGS = 3
 
 class LimitBelief {
-  readonly own = new Float64Array(LIMIT_COUNT)
+  /** The logarithm of own ratings' likelihood: scale point × `LIMIT_COUNT` + limit. */
+  readonly own = new Float64Array(SCALE_POINTS.length * LIMIT_COUNT)
   count = 0
   mean: number
   spread: number
-  others: readonly LimitNews[] = []
+  /** The newest records, to learn from again when the shared scale changes. */
+  readonly records: RatingRecord[] = []
+  readonly #others = new Float64Array(LIMIT_COUNT)
+  #othersCount = 0
   readonly #prior: { readonly limit: number, readonly spread: number }
 
   constructor (prior: { readonly limit: number, readonly spread: number }) {
@@ -66,15 +66,34 @@
   }
 
   get totalCount (): number {
-    return this.others.reduce((sum, news) => sum + news.count, this.count)
+    return this.count + this.#othersCount
+  }
+
+  ownAt (scalePoint: number): Float64Array {
+    return this.own.subarray(scalePoint * LIMIT_COUNT, (scalePoint + 1) * LIMIT_COUNT)
   }
 
-  refresh (): void {
-    const sources = [{ mean: this.#prior.limit, variance: this.#prior.spread ** 2 }, ...this.others]
-    const moments = momentsOf(this.own.map((own, index) => own + sources.reduce((sum, source) => sum - (limitAt(index) - source.mean) ** 2 / (2 * source.variance), 0)))
+  refresh (scalePoint: number): void {
+    const own = this.ownAt(scalePoint)
+    const total = new Float64Array(LIMIT_COUNT)
+    for (let index = 0; index < LIMIT_COUNT; index++) {
+      const distance = (limitAt(index) - this.#prior.limit) / this.#prior.spread
+      total[index] = own[index]! + this.#others[index]! - distance * distance / 2
+    }
+    const moments = momentsOf(total)
     this.mean = moments.mean
     this.spread = Math.sqrt(moments.variance)
   }
+
+  setOthers (news: readonly LimitNews[], scalePoint: number): void {
+    this.#others.fill(0)
+    this.#othersCount = 0
+    for (const { count, likelihood } of news) {
+      this.#othersCount += count
+      for (let index = 0; index < LIMIT_COUNT; index++) this.#others[index]! += likelihood[index] ?? 0
+    }
+    this.refresh(scalePoint)
+  }
 }
 
 /** The beliefs about all versions for one kind of request. */
@@ -131,35 +150,53 @@
     return weights
   }
 
-  /** Learns from a rating of this daemon. */
-  observe (version: VersionName, hint: number | undefined, earlier: readonly EarlierRating[], rating: number): RatingSurprise {
+  /**
+   * Learns from a rating of this daemon.
+   *
+   * @returns points below what was expected, in standard deviations; negative if better
+   */
+  observe (version: VersionName, hint: number | undefined, earlier: readonly EarlierRating[], rating: number): number {
     this.admit(version, false)
     const belief = this.#beliefs.get(version)!
     const weights = this.weights(hint, earlier)
     const shortfall = this.#shortfall(weights, belief.mean, rating)
-    const scaleChanged = belief.totalCount >= SETTLED_RATINGS && this.#scale.observeRating(weights, belief.mean, rating)
     this.#learn(belief, weights, rating)
-    return { shortfall, scaleChanged }
+    belief.records.push({ hint, earlier, rating })
+    if (belief.records.length > MEMORY_RATINGS) belief.records.shift()
+    belief.refresh(this.#scale.best)
+    return shortfall
+  }
+
+  /** Tells the shared scale what the beliefs of this kind say of it. */
+  informScale (kind: string): void {
+    for (const [version, belief] of this.#beliefs) {
+      if (belief.count > 0) this.#scale.setProfile(`${kind}\n${version}`, profileOf(belief))
+    }
+  }
+
+  /** Learns again from the kept records, because the shared scale has changed. */
+  relearn (): void {
+    for (const belief of this.#beliefs.values()) {
+      belief.own.fill(0)
+      belief.count = 0
+      for (const { hint, earlier, rating } of belief.records) this.#learn(belief, this.weights(hint, earlier), rating)
+      belief.refresh(this.#scale.best)
+    }
   }
 
   #learn (belief: LimitBelief, weights: Float64Array, rating: number): void {
-    const curve = this.#likelihoodCurve(rating)
-    for (let index = 0; index < LIMIT_COUNT; index++) {
-      let density = 0
-      for (let cell = 0; cell < CELL_COUNT; cell++) density += weights[cell]! * curve[offsetIndex(index, cell)]!
-      belief.own[index] = belief.own[index]! * KEPT + Math.log(density)
+    const curve = new Float64Array(OFFSET_COUNT)
+    for (const [point, scale] of SCALE_POINTS.entries()) {
+      this.#fillCurve(curve, scale, rating)
+      addLikelihood(belief.ownAt(point), weights, curve)
     }
     belief.count = belief.count * KEPT + 1
-    belief.refresh()
   }
 
-  #likelihoodCurve (rating: number): Float64Array {
-    const curve = new Float64Array(OFFSET_COUNT)
+  #fillCurve (curve: Float64Array, { slope, noise }: ScalePoint, rating: number): void {
     for (let index = 0; index < OFFSET_COUNT; index++) {
-      const score = scoreAt(offsetAt(index), this.#goodRating, this.#scale.slope)
-      curve[index] = ratingLikelihood(rating, score, this.#scale.ratingNoise)
+      curve[index] = ratingLikelihood(rating, scoreAt(offsetAt(index), this.#goodRating, slope), noise)
     }
-    return curve
   }
 
   #shortfall (weights: Float64Array, limit: number, rating: number): number {
@@ -178,24 +215,22 @@
   forget (version: VersionName, keptShare: number): void {
     const belief = this.#beliefs.get(version)
     if (!belief) return
-    for (let index = 0; index < LIMIT_COUNT; index++) belief.own[index]! *= keptShare
+    belief.records.splice(0, Math.round(belief.records.length * (1 - keptShare)))
+    for (let index = 0; index < belief.own.length; index++) belief.own[index]! *= keptShare
     belief.count *= keptShare
-    belief.others = []
-    belief.refresh()
+    belief.setOthers([], this.#scale.best)
   }
 
   /** What this daemon's own ratings say, for other daemons; versions with too few are left out. */
   news (): Map<VersionName, LimitNews> {
     const settled = [...this.#beliefs].filter(([, belief]) => belief.count >= TOLD_RATINGS)
-    return new Map(settled.map(([version, belief]) => [version, { count: belief.count, ...momentsOf(belief.own) }]))
+    return new Map(settled.map(([version, belief]) => [version, { count: belief.count, likelihood: likelihoodNews(belief.ownAt(this.#scale.best)) }]))
   }
 
   /** Replaces what is known from other daemons' ratings of a version. */
   setNews (version: VersionName, news: readonly LimitNews[]): void {
     this.admit(version, false)
-    const belief = this.#beliefs.get(version)!
-    belief.others = news
-    belief.refresh()
+    this.#beliefs.get(version)!.setOthers(news, this.#scale.best)
   }
 
   /** The chance that an answer of a version is good, by cell of difficulty. */
@@ -205,6 +240,36 @@
   }
 }
 
+/** Fades what was known at each limit and adds one rating. */
+function addLikelihood (logarithms: Float64Array, weights: Float64Array, curve: Float64Array): void {
+  const density = new Float64Array(LIMIT_COUNT)
+  for (let cell = 0; cell < CELL_COUNT; cell++) {
+    const weight = weights[cell]!
+    if (weight < SMALLEST_WEIGHT) continue
+    const first = offsetIndex(0, cell)
+    for (let index = 0; index < LIMIT_COUNT; index++) density[index]! += weight * curve[first + index]!
+  }
+  for (let index = 0; index < LIMIT_COUNT; index++) logarithms[index] = logarithms[index]! * KEPT + Math.log(density[index]!)
+}
+
+/** Cells with less weight don't change what a rating says. */
+const SMALLEST_WEIGHT = 1e-4
+
+/** The likelihood of own ratings at each scale point, with the limit summed out. */
+function profileOf (belief: LimitBelief): Float64Array {
+  return Float64Array.from(SCALE_POINTS, (_, point) => {
+    const logarithms = belief.ownAt(point)
+    const highest = Math.max(...logarithms)
+    const sum = logarithms.reduce((total, logarithm) => total + Math.exp(logarithm - highest), 0)
+    return highest + Math.log(sum)
+  })
+}
+
+function likelihoodNews (logarithms: Float64Array): Float32Array {
+  const highest = Math.max(...logarithms)
+  return Float32Array.from(logarithms, logarithm => logarithm - highest)
+}
+
 function momentsOf (logarithms: Float64Array): { mean: number, variance: number } {
   const highest = Math.max(...logarithms)
   let total = 0
