Measure endpoint policies in virtual time, and mend what that showed

Cause: the first policies had never met an engine. Change: a fake engine, arrivals, late news and deciders in virtual time. A choice weighs the prefill that others then wait for; the other region must be a second sooner; how much of a queue a priority waits for is learned, since reports don't say who queues; the admission steers the admitted part by the pressure and spreads refusals evenly, with no bucket that a small organisation's one summary empties; pressure counts the wait in seconds, for short answers free their places fast.

--- /dev/null
+++ b/bench/prefixCache.ts
@@ -0,0 +1,36 @@
+/** An engine's cache of prompt prefixes: bounded in tokens, the least recently used goes first. */
+export class PrefixCache {
+  readonly #entries = new Map<string, number>()
+  readonly #limit: number
+  #tokens = 0
+
+  constructor (limitTokens: number) {
+    this.#limit = limitTokens
+  }
+
+  /** Tokens cached under a key, which becomes the most recently used. */
+  use (key: string): number {
+    const tokens = this.#entries.get(key)
+    if (tokens === undefined) return 0
+    this.#entries.delete(key)
+    this.#entries.set(key, tokens)
+    return tokens
+  }
+
+  /** Keeps so many tokens under a key, in place of what was there. */
+  keep (key: string, tokens: number): void {
+    this.#tokens += tokens - (this.#entries.get(key) ?? 0)
+    this.#entries.delete(key)
+    this.#entries.set(key, tokens)
+    for (const [oldest, size] of this.#entries) {
+      if (this.#tokens <= this.#limit) return
+      this.#entries.delete(oldest)
+      this.#tokens -= size
+    }
+  }
+
+  clear (): void {
+    this.#entries.clear()
+    this.#tokens = 0
+  }
+}
--- a/src/choice/endpointCandidates.ts
+++ b/src/choice/endpointCandidates.ts
@@ -2,10 +2,10 @@
  * The endpoints that one request may go to, each with what is expected of it. Everything is read
  * once from the views, so that the choice compares figures of one moment.
  */
-import { EndpointKind, Nearness, nearnessOf, type Place } from '../contract/index.ts'
+import { EndpointKind, Nearness, nearnessOf, type Place, type VersionName } from '../contract/index.ts'
 import type { EndpointRequest, EndpointView } from './contract.ts'
 import { type EndpointStanding, standingWeights } from './ejection.ts'
-import { agedLoad, capacityOf, type EndpointLoad, loadOf, meanLoad, prefillMilliseconds, reportMoment, waitMilliseconds } from './endpointEstimate.ts'
+import { agedLoad, capacityOf, type EndpointLoad, loadOf, meanLoad, prefillMilliseconds, queueMilliseconds, reportMoment } from './endpointEstimate.ts'
 import type { InFlight } from './endpointInFlight.ts'
 import type { EndpointTuning } from './endpointTuning.ts'
 
@@ -26,7 +26,9 @@
   /** 0 while it is ejected, growing to 1 after its return. */
   readonly standing: number
   readonly capacity: number
-  /** Expected milliseconds until a request's turn comes. */
+  /** Milliseconds until everything is served that waits now. */
+  readonly queue: number
+  /** Expected milliseconds until the request's turn comes. */
   readonly wait: number
   /** Expected milliseconds until the first token with nothing cached. */
   readonly expected: number
@@ -45,11 +47,19 @@
   return view.report === undefined || view.report.versions.includes(request.version)
 }
 
+/** Whether an endpoint of the own region has a version loaded and takes work. */
+export function servesNear (view: EndpointView, version: VersionName, here: Place): boolean {
+  if (!view.healthy || view.leaving || view.report === undefined || view.report.leaving) return false
+  return view.endpoint.place.region === here.region && view.report.versions.includes(version)
+}
+
 /** What a candidate's figures are read by. */
 export interface CandidateReading {
   readonly here: Place
   readonly tuning: EndpointTuning
   readonly meanCompletionTokens: number
+  /** The part of a queue that a request of this priority waits for. */
+  readonly queueShare: number
   readonly now: number
   memoryOf (view: EndpointView): EndpointMemory
 }
@@ -75,7 +85,8 @@
     const load = agedLoad(loads[index]!, mean, age, reading.tuning)
     const memory = memories[index]!
     const nearness = nearnessOf(reading.here, view.endpoint.place)
-    const wait = cold + waitMilliseconds(load, request, reading.meanCompletionTokens)
+    const queue = queueMilliseconds(load, reading.meanCompletionTokens)
+    const wait = cold + queue * reading.queueShare
     const run = prefillMilliseconds(load, request.promptTokens, 0) + load.betweenTokensMilliseconds
     return {
       view,
@@ -84,6 +95,7 @@
       load,
       standing: standings[index]!,
       capacity: capacityOf(load),
+      queue,
       wait,
       expected: (wait + run) * memory.slowness + roundTrip(nearness, reading.tuning)
     }
--- a/src/choice/endpointEstimate.ts
+++ b/src/choice/endpointEstimate.ts
@@ -4,8 +4,7 @@
  * the mean of all candidates as it ages, because an old extreme is mostly gone; and each endpoint's
  * estimates are corrected by how wrong they were before.
  */
-import { Priority } from '../contract/index.ts'
-import type { EndpointRequest, EndpointView } from './contract.ts'
+import type { EndpointView } from './contract.ts'
 import type { RecentWork } from './endpointInFlight.ts'
 import type { EndpointTuning } from './endpointTuning.ts'
 
@@ -28,13 +27,6 @@
   readonly waitingPromptTokens: number
 }
 
-/** How much of a queue a request waits for, by its priority. */
-const queueShare: Record<Priority, number> = {
-  [Priority.Interactive]: 0.5,
-  [Priority.Normal]: 1,
-  [Priority.Background]: 2
-}
-
 /** Older reports than this say nothing of when they were made by another machine's clock. */
 const believableLagMilliseconds = 5_000
 
@@ -90,12 +82,12 @@
   }
 }
 
-/** Milliseconds until a request's turn comes. */
-export function waitMilliseconds (load: EndpointLoad, request: EndpointRequest, meanCompletionTokens: number): number {
+/** Milliseconds until everything is served that waits now, whatever its priority. */
+export function queueMilliseconds (load: EndpointLoad, meanCompletionTokens: number): number {
   const prefill = load.waitingPromptTokens / load.prefillTokensPerSecond * 1_000
   const serviceMilliseconds = meanCompletionTokens * load.betweenTokensMilliseconds
   const place = load.fullness < 1 ? 0 : (load.waitingStreams + 1) / load.streamLimit * serviceMilliseconds
-  return (prefill + place) * queueShare[request.priority]
+  return prefill + place
 }
 
 /** Milliseconds to prefill a prompt of which some tokens are cached. */
@@ -108,19 +100,19 @@
   return load.streamLimit * Math.sqrt(load.prefillTokensPerSecond)
 }
 
-/**
- * How full the engines of a version are, for admission: 1 where all places are taken.
- *
- * @example
- * const pressure = pressureOf(views.filter(view => view.report?.versions.includes(version)))
- */
-export function pressureOf (views: readonly EndpointView[]): number {
-  let streams = 0
+/** A wait of so many milliseconds counts as much as all places taken. */
+const pressingWaitMilliseconds = 2_000
+
+/** How pressed a pool is: the share of its places that is taken, and on top the wait for one. */
+export function pressureOf (loads: readonly EndpointLoad[], meanCompletionTokens: number): number {
+  let taken = 0
   let places = 0
-  for (const { report, healthy, leaving } of views) {
-    if (report === undefined || !healthy || leaving || report.leaving) continue
-    streams += report.running + report.queued
-    places += report.streamLimit
+  let wait = 0
+  for (const load of loads) {
+    taken += Math.min(1, load.fullness) * load.streamLimit
+    places += load.streamLimit
+    wait += queueMilliseconds(load, meanCompletionTokens) * load.streamLimit
   }
-  return places === 0 ? 0 : streams / places
+  if (places === 0) return 0
+  return (taken + wait / pressingWaitMilliseconds) / places
 }
--- a/src/choice/endpointMemory.ts
+++ b/src/choice/endpointMemory.ts
@@ -3,7 +3,7 @@
  * answers are, and where a prefix was sent last. All of it is bounded and may be lost; it only makes
  * estimates better.
  */
-import type { VersionName } from '../contract/index.ts'
+import { Priority, type VersionName } from '../contract/index.ts'
 import type { AttemptOutcome, EndpointView } from './contract.ts'
 import { EndpointStanding } from './ejection.ts'
 import type { EndpointMemory } from './endpointCandidates.ts'
@@ -14,13 +14,20 @@
 const firstMeanCompletionTokens = 150
 const learningRate = 0.05
 const slownessBounds = { least: 0.5, most: 4 } as const
-/** Shorter estimates are too near to noise to learn from. */
-const shortestEstimateMilliseconds = 20
+const queueShareBounds = { least: 0.05, most: 4 } as const
+/** Shorter queues are too near to noise to learn from. */
+const shortestQueueMilliseconds = 100
 
 /** A daemon's own memory of endpoints. */
 export class EndpointMemories {
   readonly #endpoints = new Map<string, EndpointMemory>()
   readonly #uses = new Map<string, string>()
+  readonly #queueShares: Record<Priority, number> = {
+    [Priority.Interactive]: 0.5,
+    [Priority.Normal]: 1,
+    [Priority.Background]: 2
+  }
+
   readonly #completionTokens = new Map<VersionName, number>()
 
   /** The memory of an endpoint. */
@@ -40,17 +47,23 @@
     }
   }
 
-  /** Learns from an attempt's times. */
-  observeTimes (memory: EndpointMemory, version: VersionName, outcome: AttemptOutcome, expected: number): void {
-    if (outcome.completionTokens > 0) {
-      const mean = this.meanCompletionTokens(version)
-      this.#completionTokens.set(version, mean + learningRate * (outcome.completionTokens - mean))
-    }
-    const first = outcome.firstTokenMilliseconds
-    if (first === undefined || expected < shortestEstimateMilliseconds) return
-    const ratio = Math.min(slownessBounds.most, Math.max(slownessBounds.least, first / expected))
-    const target = Math.min(slownessBounds.most, Math.max(slownessBounds.least, memory.slowness * ratio))
-    memory.slowness += learningRate * (target - memory.slowness)
+  /** Learns how long a version's answers are. */
+  observeLength (version: VersionName, { completionTokens }: AttemptOutcome): void {
+    if (completionTokens === 0) return
+    const mean = this.meanCompletionTokens(version)
+    this.#completionTokens.set(version, mean + learningRate * (completionTokens - mean))
+  }
+
+  /** Learns how much of a queue a priority waits for: a report does not say who is in it. */
+  observeQueue (priority: Priority, queueMilliseconds: number, waitedMilliseconds: number): void {
+    if (queueMilliseconds < shortestQueueMilliseconds) return
+    const seen = Math.min(queueShareBounds.most, Math.max(queueShareBounds.least, waitedMilliseconds / queueMilliseconds))
+    this.#queueShares[priority] += learningRate * (seen - this.#queueShares[priority])
+  }
+
+  /** The part of a queue that a priority waits for. */
+  queueShare (priority: Priority): number {
+    return this.#queueShares[priority]
   }
 
   /** The mean length of a version's answers, in tokens. */
@@ -83,3 +96,9 @@
     }
   }
 }
+
+/** An endpoint's slowness after an attempt that took `ratio` times as long as was expected. */
+export function learnedSlowness (slowness: number, ratio: number): number {
+  const seen = Math.min(slownessBounds.most, Math.max(slownessBounds.least, slowness * ratio))
+  return slowness + learningRate * (seen - slowness)
+}
--- a/src/choice/endpointPolicy.ts
+++ b/src/choice/endpointPolicy.ts
@@ -6,16 +6,17 @@
  * soonest first token wins, with the prefill that a cached prefix saves counted in. An endpoint
  * loaded well above the mean loses its claim on prefixes (hashing with bounded load).
  */
-import { Nearness, Ok, type Place, type Randomness, type Refusal, type Result } from '../contract/index.ts'
+import { Nearness, Ok, type Place, type Randomness, type Refusal, type Result, type VersionName } from '../contract/index.ts'
 import {
   AttemptEnd, type AttemptOutcome, type EndpointChoice, type EndpointPolicy, type EndpointRequest,
   type EndpointView, type OpenAttempt
 } from './contract.ts'
 import { AffinityKey } from './endpointAffinity.ts'
-import { type Candidate, readCandidates } from './endpointCandidates.ts'
-import { meanLoad, prefillMilliseconds } from './endpointEstimate.ts'
+import { type Candidate, readCandidates, servesNear } from './endpointCandidates.ts'
+import { loadOf, meanLoad, prefillMilliseconds, pressureOf } from './endpointEstimate.ts'
+import type { RecentWork } from './endpointInFlight.ts'
 import { LinkBudget } from './endpointLink.ts'
-import { EndpointMemories } from './endpointMemory.ts'
+import { EndpointMemories, learnedSlowness } from './endpointMemory.ts'
 import { deadlineTooNear, linkUsedUp, noEndpoint, overloaded } from './endpointRefusal.ts'
 import { type EndpointTuning, endpointTuning } from './endpointTuning.ts'
 
@@ -32,6 +33,7 @@
 /** Below this fullness an endpoint always keeps its prefixes. */
 const fullnessAlwaysKept = 0.5
 const leastRoom = 0.02
+const noOwnWork: RecentWork = { streams: 0, promptTokens: 0 }
 
 /**
  * Chooses endpoints by expected time to the first token.
@@ -46,6 +48,7 @@
   readonly #link: LinkBudget
   readonly #tuning: EndpointTuning
   readonly #memories = new EndpointMemories()
+  readonly #picks = new WeakMap<EndpointChoice, Pick>()
 
   constructor (parts: EndpointPolicyParts) {
     this.#here = parts.here
@@ -67,13 +70,30 @@
     const chosen = this.#nearOrFar(nearChoice, farChoice)
     if (chosen === undefined) return noEndpoint(request.version)
     const reachable = mayLeave ? candidates : near
-    return this.#refusalOf(request, chosen, reachable) ?? Ok(choiceOf(chosen))
+    const refusal = this.#refusalOf(request, chosen, reachable)
+    if (refusal !== undefined) return refusal
+    const choice = choiceOf(chosen)
+    this.#picks.set(choice, chosen)
+    return Ok(choice)
+  }
+
+  /**
+   * How full the engines of a version are, for admission: 1 where all places are taken, and 1 more
+   * for each two seconds that a request would wait for one. The other region's engines don't count.
+   *
+   * @example
+   * const admission = limits.admit(request, policy.pressure('small@1', views), clock.now())
+   */
+  pressure (version: VersionName, views: readonly EndpointView[]): number {
+    const able = views.filter(view => servesNear(view, version, this.#here))
+    const loads = able.map(view => loadOf(view, noOwnWork, this.#tuning))
+    return pressureOf(loads, this.#memories.meanCompletionTokens(version))
   }
 
   open (request: EndpointRequest, choice: EndpointChoice, now: number): OpenAttempt {
     const memory = this.#memories.of(choice.endpoint.name)
     const flying = memory.inFlight.add(request.promptTokens, now)
-    const expected = choice.expectedFirstTokenMilliseconds
+    const pick = this.#picks.get(choice)
     const crosses = choice.endpoint.place.region !== this.#here.region
     if (crosses) this.#link.charge(bytesOf(request), now)
     this.#memories.rememberUse(keyOf(request), choice.endpoint.name)
@@ -83,17 +103,26 @@
         flying.prefilled = true
         flying.ended = true
         memory.standing.observe(outcome.end, closedAt)
-        this.#memories.observeTimes(memory, request.version, outcome, expected)
+        this.#memories.observeLength(request.version, outcome)
+        if (pick !== undefined) this.#learnTimes(request, pick, outcome)
         if (outcome.end === AttemptEnd.Failed) this.#memories.forgetUse(keyOf(request))
       }
     }
   }
 
+  #learnTimes (request: EndpointRequest, pick: Pick, { firstTokenMilliseconds }: AttemptOutcome): void {
+    if (firstTokenMilliseconds === undefined) return
+    const { queue, memory } = pick.candidate
+    this.#memories.observeQueue(request.priority, queue, firstTokenMilliseconds - pick.prefill)
+    memory.slowness = learnedSlowness(memory.slowness, firstTokenMilliseconds / pick.expected)
+  }
+
   #read (request: EndpointRequest, views: readonly EndpointView[], now: number): Candidate[] {
     return readCandidates(request, views, {
       here: this.#here,
       tuning: this.#tuning,
       now,
+      queueShare: this.#memories.queueShare(request.priority),
       meanCompletionTokens: this.#memories.meanCompletionTokens(request.version),
       memoryOf: view => this.#memories.of(view.endpoint.name)
     })
@@ -102,8 +131,8 @@
   #soonest (request: EndpointRequest, candidates: readonly Candidate[]): Pick | undefined {
     if (candidates.length === 0) return undefined
     const owners = this.#owners(request, candidates)
-    const picks = [...owners, ...this.#sampled(candidates)]
-    return picks.reduce((best, pick) => pick.expected < best.expected ? pick : best)
+    const picks = [...owners, ...this.#sampled(request, candidates)]
+    return picks.reduce((best, pick) => this.#burden(pick) < this.#burden(best) ? pick : best)
   }
 
   /** The endpoints that the request's prefix or session belongs to and that aren't loaded too far. */
@@ -122,18 +151,28 @@
 
   #cachedPick (request: EndpointRequest, candidate: Candidate): Pick {
     const share = request.session === undefined ? this.#tuning.prefixCachedShare : this.#tuning.sessionCachedShare
-    const saved = prefillMilliseconds(candidate.load, request.promptTokens, 0) * share * candidate.memory.slowness
-    return { candidate, expected: Math.max(1, candidate.expected - saved) }
+    const prefill = prefillMilliseconds(candidate.load, request.promptTokens, request.promptTokens * share)
+    const saved = prefillMilliseconds(candidate.load, request.promptTokens, 0) - prefill
+    return { candidate, prefill, expected: Math.max(1, candidate.expected - saved * candidate.memory.slowness) }
+  }
+
+  #plainPick (request: EndpointRequest, candidate: Candidate): Pick {
+    return { candidate, prefill: prefillMilliseconds(candidate.load, request.promptTokens, 0), expected: candidate.expected }
+  }
+
+  /** What a choice costs this request and, by the prefill that others then wait for, the next ones. */
+  #burden (pick: Pick): number {
+    return pick.expected + this.#tuning.prefillBurden * pick.prefill
   }
 
   /** Endpoints drawn in proportion to their expected room. */
-  #sampled (candidates: readonly Candidate[]): Pick[] {
+  #sampled (request: EndpointRequest, candidates: readonly Candidate[]): Pick[] {
     const rooms = candidates.map(candidate => candidate.standing * candidate.capacity * Math.max(leastRoom, 1 - candidate.load.fullness))
     const total = rooms.reduce((sum, room) => sum + room, 0)
     const picks: Pick[] = []
     for (let draw = 0; draw < this.#tuning.sampledChoices; draw++) {
       const candidate = candidates[this.#drawn(rooms, total)]!
-      picks.push({ candidate, expected: candidate.expected })
+      picks.push(this.#plainPick(request, candidate))
     }
     return picks
   }
@@ -156,7 +195,7 @@
   #refusalOf (request: EndpointRequest, chosen: Pick, reachable: readonly Candidate[]): Result<never, Refusal> | undefined {
     const wholeOf = (pick: Pick) => pick.expected + request.expectedCompletionTokens * pick.candidate.load.betweenTokensMilliseconds
     if (wholeOf(chosen) <= request.remainingMilliseconds) return undefined
-    const picks = [chosen, ...reachable.map(candidate => ({ candidate, expected: candidate.expected }))]
+    const picks = [chosen, ...reachable.map(candidate => this.#plainPick(request, candidate))]
     const soonest = picks.reduce((best, pick) => wholeOf(pick) < wholeOf(best) ? pick : best)
     const needed = wholeOf(soonest)
     if (needed <= request.remainingMilliseconds) return undefined
@@ -168,6 +207,8 @@
 
 interface Pick {
   readonly candidate: Candidate
+  /** Milliseconds of an accelerator that the prompt takes. */
+  readonly prefill: number
   /** Expected milliseconds until the first token, with what is cached counted in. */
   readonly expected: number
 }
--- a/src/choice/endpointTuning.ts
+++ b/src/choice/endpointTuning.ts
@@ -15,6 +15,8 @@
   readonly sessionCachedShare: number
   /** The share of a prompt without a session that the prefix's endpoint is expected to have cached. */
   readonly prefixCachedShare: number
+  /** How much a millisecond of prefill weighs beside one of waiting: the requests behind wait for it too. */
+  readonly prefillBurden: number
   /** After so many milliseconds a report says as much about an endpoint as the mean of all does. */
   readonly reportHalfLifeMilliseconds: number
   /** Estimated round trip to another data centre of the region. */
@@ -40,10 +42,11 @@
   loadBound: 1.25,
   sessionCachedShare: 0.7,
   prefixCachedShare: 0.6,
+  prefillBurden: 1,
   reportHalfLifeMilliseconds: 1_500,
   regionRoundTripMilliseconds: 2,
   otherRegionRoundTripMilliseconds: 45,
-  otherRegionGainMilliseconds: 250,
+  otherRegionGainMilliseconds: 1_000,
   coldLoadMilliseconds: 20_000,
   assumedPrefillTokensPerSecond: 4_000,
   assumedBetweenTokensMilliseconds: 30,
--- a/src/choice/index.ts
+++ b/src/choice/index.ts
@@ -2,7 +2,6 @@
 export * from './contract.ts'
 export { AffinityEndpointPolicy, type EndpointPolicyParts } from './endpointPolicy.ts'
 export { type EndpointTuning, endpointTuning } from './endpointTuning.ts'
-export { pressureOf } from './endpointEstimate.ts'
 export { LinkBudget } from './endpointLink.ts'
 export { ShareAdmissionPolicy, type ShareAdmissionTuning } from './limits.ts'
 export { fairAllowances, type Claimant } from './limitsFairness.ts'
--- a/src/choice/limits.ts
+++ b/src/choice/limits.ts
@@ -1,48 +1,45 @@
 /**
  * Each organisation's share without a counter that all daemons share. The balancer spreads every
  * organisation's requests over the daemons, so a daemon that divides what it lets in itself by the
- * shares divides the fleet by them. How much a daemon may let in follows the pressure that the
- * engines report: the level falls while they are too full and grows while they are not. The level is
- * divided by weighted max-min fairness: nobody is given more than it asks for, and what is left over
- * is lent to the others in proportion to their shares.
+ * shares divides the fleet by them. How much it lets in is a part of what is asked of it, steered by
+ * the pressure that the engines report: all of it while they have room, less while their places are
+ * all taken. That part is divided by weighted max-min fairness: who keeps within its share is always
+ * let in, and what it leaves unused is lent to the others in proportion to their shares.
  */
 import { Err, Ok, Priority, Refusal, RefusalCode, type Result, RunState } from '../contract/index.ts'
 import type { Admission, AdmissionPolicy, AdmissionRequest } from './contract.ts'
-import { fairAllowances } from './limitsFairness.ts'
 import { OrganisationDemand } from './limitsDemand.ts'
+import { fairAllowances } from './limitsFairness.ts'
 
 /** The figures of the admission by shares. */
 export interface ShareAdmissionTuning {
-  /** The pressure that the level steers to. */
+  /** The pressure that the admitted part is steered to. */
   readonly targetPressure: number
-  /** Below this pressure everybody is let in. */
-  readonly freePressure: number
-  /** How fast the level follows the pressure: the exponent of one step. */
-  readonly gain: number
-  /** Milliseconds between two divisions of the level. */
+  /** How much of the part is cut at once for each unit of pressure above the target. */
+  readonly proportionalGain: number
+  /** How much the part changes in each step for each unit of pressure off the target. */
+  readonly integralGain: number
+  /** Milliseconds between two steps. */
   readonly stepMilliseconds: number
-  /** Seconds of its allowance that an organisation may use at once. */
-  readonly burstSeconds: number
+  /** An organisation that asks for more than so many times its allowance runs after the others. */
+  readonly demotedExcess: number
 }
 
 const defaultTuning: ShareAdmissionTuning = {
-  targetPressure: 0.95,
-  freePressure: 0.6,
-  gain: 0.15,
+  targetPressure: 1.25,
+  proportionalGain: 0.5,
+  integralGain: 0.1,
   stepMilliseconds: 250,
-  burstSeconds: 2
+  demotedExcess: 2
 }
 
+const leastPart = 0.02
+const mostSteps = 8
 const longestRetrySeconds = 30
-/** The level is at least this part of what is being let in. */
-const leastLevel = 0.5
-/** The level is at most this factor above what is being let in, or what the pressure leaves room for. */
-const mostLevel = 1.2
-const leastPressure = 0.05
-/** The part of a burst that is kept back from work of this priority. */
-const keptBack: Record<Priority, number> = {
-  [Priority.Interactive]: 0,
-  [Priority.Normal]: 0.1,
+/** The part of its allowance that work of a priority may use, so that less urgent work gives way first. */
+const allowedPart: Record<Priority, number> = {
+  [Priority.Interactive]: 1,
+  [Priority.Normal]: 1,
   [Priority.Background]: 0.5
 }
 
@@ -50,12 +47,12 @@
  * Weighted fair admission at one daemon, for one pool of engines.
  *
  * @example
- * const admission = policy.admit(request, pressureOf(views), clock.now())
+ * const admission = policy.admit(request, endpoints.pressure(version, views), clock.now())
  */
 export class ShareAdmissionPolicy implements AdmissionPolicy {
   readonly #tuning: ShareAdmissionTuning
   readonly #demands = new Map<string, OrganisationDemand>()
-  #level: number | undefined
+  #part = 1
   #steppedAt: number | undefined
 
   constructor (tuning: Partial<ShareAdmissionTuning> = {}) {
@@ -66,15 +63,11 @@
     const demand = this.#demandOf(request, now)
     demand.offer(request.work, now)
     this.#step(pressure, now)
-    const withinShare = demand.withinShare(this.#levelNow(), request.totalShares, now)
-    if (pressure < this.#tuning.freePressure) return this.#letIn(demand, request, withinShare, now)
-    const missing = demand.missing(keptBack[request.priority], this.#tuning.burstSeconds, now)
-    if (missing > 0) return this.#refuse(request, demand, missing)
-    return this.#letIn(demand, request, withinShare, now)
-  }
-
-  #levelNow (): number {
-    return this.#level ?? Number.POSITIVE_INFINITY
+    const excess = demand.excess(request.work, now)
+    const part = allowedPart[request.priority]
+    const withinShare = excess <= this.#tuning.demotedExcess
+    if (excess > part && !demand.isNext(excess, part)) return this.#refuse(request, demand)
+    return Ok({ withinShare, close: () => {} })
   }
 
   #demandOf (request: AdmissionRequest, now: number): OrganisationDemand {
@@ -88,41 +81,36 @@
     return demand
   }
 
-  #letIn (demand: OrganisationDemand, request: AdmissionRequest, withinShare: boolean, now: number): Result<Admission, Refusal> {
-    demand.take(request.work, now)
-    return Ok({ withinShare, close: () => {} })
-  }
-
-  #refuse (request: AdmissionRequest, demand: OrganisationDemand, missing: number): Result<Admission, Refusal> {
-    const seconds = Math.min(longestRetrySeconds, Math.max(1, Math.ceil(missing / Math.max(1e-9, demand.allowance))))
+  #refuse (request: AdmissionRequest, demand: OrganisationDemand): Result<Admission, Refusal> {
+    const seconds = Math.ceil(request.work / Math.max(Number.MIN_VALUE, demand.allowance))
+    const retryAfter = Math.min(longestRetrySeconds, Math.max(1, seconds))
     const message = `${request.organisation} has used its share, and nothing is left over to lend`
-    return Err(new Refusal(RefusalCode.ShareExceeded, RunState.NotRun, message, seconds))
+    return Err(new Refusal(RefusalCode.ShareExceeded, RunState.NotRun, message, retryAfter))
   }
 
   #step (pressure: number, now: number): void {
-    if (this.#steppedAt !== undefined && now - this.#steppedAt < this.#tuning.stepMilliseconds) return
-    const steps = this.#steppedAt === undefined ? 1 : Math.min(8, (now - this.#steppedAt) / this.#tuning.stepMilliseconds)
+    const since = now - (this.#steppedAt ?? Number.NEGATIVE_INFINITY)
+    if (since < this.#tuning.stepMilliseconds) return
     this.#steppedAt = now
     this.#forgetIdle(now)
-    this.#moveLevel(pressure, steps, now)
-    const demands = [...this.#demands.values()]
-    const wanted = demands.map(demand => ({ share: demand.share, wanted: demand.offeredPerSecond(now) }))
-    const allowances = fairAllowances(wanted, this.#levelNow())
-    demands.forEach((demand, index) => demand.allow(allowances[index]!, this.#tuning.burstSeconds, now))
+    const part = this.#movedPart(pressure, Math.min(mostSteps, since / this.#tuning.stepMilliseconds))
+    this.#divide(part, now)
   }
 
-  #moveLevel (pressure: number, steps: number, now: number): void {
-    const taken = this.#sum(demand => demand.takenPerSecond(now))
-    const level = this.#level ?? taken
-    const room = this.#tuning.targetPressure / Math.max(leastPressure, pressure)
-    const moved = level * room ** (this.#tuning.gain * steps)
-    this.#level = Math.min(taken * Math.max(mostLevel, room), Math.max(taken * leastLevel, moved))
+  /** Moves the admitted part towards the target; the share that is cut at once is not kept. */
+  #movedPart (pressure: number, steps: number): number {
+    const room = this.#tuning.targetPressure - pressure
+    this.#part = clamped(this.#part * (1 + this.#tuning.integralGain * room * steps))
+    return clamped(this.#part + Math.min(0, this.#tuning.proportionalGain * room))
   }
 
-  #sum (read: (demand: OrganisationDemand) => number): number {
-    let sum = 0
-    for (const demand of this.#demands.values()) sum += read(demand)
-    return sum
+  #divide (part: number, now: number): void {
+    const demands = [...this.#demands.values()]
+    if (part >= 1) return demands.forEach(demand => demand.allow(Number.POSITIVE_INFINITY))
+    const claimants = demands.map(demand => ({ share: demand.share, wanted: demand.offeredPerSecond(now) }))
+    const wanted = claimants.reduce((sum, claimant) => sum + claimant.wanted, 0)
+    const allowances = fairAllowances(claimants, wanted * part)
+    demands.forEach((demand, index) => demand.allow(allowances[index]!))
   }
 
   #forgetIdle (now: number): void {
@@ -131,3 +119,7 @@
     }
   }
 }
+
+function clamped (part: number): number {
+  return Math.min(1, Math.max(leastPart, part))
+}
--- a/src/choice/limitsDemand.ts
+++ b/src/choice/limitsDemand.ts
@@ -1,53 +1,25 @@
 /**
- * What one organisation asks for at one daemon and what it was given: two rates that forget over a
- * few seconds, and a token bucket that is filled at its allowance.
+ * What one organisation asks for at one daemon, as a rate that forgets over some seconds, and which
+ * of its requests are let in when it may have only a part of that.
  */
 
-const memoryMilliseconds = 4_000
+const memoryMilliseconds = 8_000
 const idleMilliseconds = 60_000
-/** The bucket may be overdrawn by one request; this bounds how long that can shut the organisation out. */
-const deepestDebtSeconds = 2
-
-class Rate {
-  #amount = 0
-  #at: number
-
-  constructor (now: number) {
-    this.#at = now
-  }
-
-  add (work: number, now: number): void {
-    this.#forget(now)
-    this.#amount += work
-  }
-
-  perSecond (now: number): number {
-    this.#forget(now)
-    return this.#amount / memoryMilliseconds * 1_000
-  }
-
-  #forget (now: number): void {
-    if (now <= this.#at) return
-    this.#amount *= Math.exp(-(now - this.#at) / memoryMilliseconds)
-    this.#at = now
-  }
-}
+/** So many requests in a row are not yet a rate: a small organisation's two may come together. */
+const forgivenRequests = 2
 
 /** One organisation's demand at one daemon. */
 export class OrganisationDemand {
   share: number
-  readonly #offered: Rate
-  readonly #taken: Rate
-  #allowance = 0
-  #bucket = 0
-  #filledAt: number
+  #offered = 0
+  #countedAt: number
+  #allowance = Number.POSITIVE_INFINITY
+  #credit = 1
   #lastOfferAt: number
 
   constructor (share: number, now: number) {
     this.share = share
-    this.#offered = new Rate(now)
-    this.#taken = new Rate(now)
-    this.#filledAt = now
+    this.#countedAt = now
     this.#lastOfferAt = now
   }
 
@@ -56,41 +28,40 @@
     return this.#allowance
   }
 
+  /** Sets the work a second that it may use from now on. */
+  allow (workPerSecond: number): void {
+    this.#allowance = workPerSecond
+  }
+
   /** Counts work that is asked for, whether or not it is let in. */
   offer (work: number, now: number): void {
-    this.#offered.add(work, now)
+    this.#forget(now)
+    this.#offered += work
     this.#lastOfferAt = now
   }
 
-  /** Counts work that is let in. */
-  take (work: number, now: number): void {
-    this.#taken.add(work, now)
-    this.#bucket = Math.max(-this.#allowance * deepestDebtSeconds - work, this.#bucket - work)
-  }
-
+  /** Work a second that it asks for. */
   offeredPerSecond (now: number): number {
-    return this.#offered.perSecond(now)
-  }
-
-  takenPerSecond (now: number): number {
-    return this.#taken.perSecond(now)
-  }
-
-  /** Sets the allowance from now on. */
-  allow (workPerSecond: number, burstSeconds: number, now: number): void {
-    this.#fill(burstSeconds, now)
-    this.#allowance = workPerSecond
+    this.#forget(now)
+    return this.#offered / memoryMilliseconds * 1_000
   }
 
-  /** The work by which the bucket falls short of letting a request in; zero or less where it may go. */
-  missing (keptBackShare: number, burstSeconds: number, now: number): number {
-    this.#fill(burstSeconds, now)
-    return this.#allowance * burstSeconds * keptBackShare - this.#bucket
+  /**
+   * How many times its allowance it asks for, before a request of so much work.
+   *
+   * @returns 1 or less where it keeps within the allowance
+   */
+  excess (work: number, now: number): number {
+    const asked = Math.max(0, this.offeredPerSecond(now) - forgivenRequests * work / memoryMilliseconds * 1_000)
+    return asked / Math.max(Number.MIN_VALUE, this.#allowance)
   }
 
-  /** Whether what it takes is within its share of a level, without anything lent. */
-  withinShare (level: number, totalShares: number, now: number): boolean {
-    return this.#taken.perSecond(now) <= level * this.share / totalShares
+  /** Spreads what is let in evenly over what is asked for: true for one request of `excess`. */
+  isNext (excess: number, part: number): boolean {
+    this.#credit = Math.min(1 + part, this.#credit + part / excess)
+    if (this.#credit < 1) return false
+    this.#credit -= 1
+    return true
   }
 
   /** Whether it has asked for nothing for long. */
@@ -98,9 +69,9 @@
     return now - this.#lastOfferAt > idleMilliseconds
   }
 
-  #fill (burstSeconds: number, now: number): void {
-    const seconds = Math.max(0, now - this.#filledAt) / 1_000
-    this.#bucket = Math.min(this.#allowance * burstSeconds, this.#bucket + seconds * this.#allowance)
-    this.#filledAt = now
+  #forget (now: number): void {
+    if (now <= this.#countedAt) return
+    this.#offered *= Math.exp(-(now - this.#countedAt) / memoryMilliseconds)
+    this.#countedAt = now
   }
 }
