--- a/bench/engine.ts
+++ b/bench/engine.ts
@@ -73,6 +73,12 @@
     return this.#alive
   }
 
+  /** Streams that run or wait, over its places. */
+  get fullness (): number {
+    const waiting = this.#queues.reduce((sum, queue) => sum + queue.length, 0)
+    return (this.#decoding.length + this.#prefilling.size + waiting) / this.#places()
+  }
+
   /** Takes a request; one that reaches a dead engine fails. */
   submit (job: EngineJob): void {
     if (!this.#alive) return job.onFailure()
--- /dev/null
+++ b/bench/jobs.ts
@@ -0,0 +1,114 @@
+/** What a default run of the decision bench consists of, and how one job of it is run. */
+import type { Randomness } from '../src/contract/index.ts'
+import { EndpointChoiceName, type PolicyPair, PolicyFactory, randomnessOf, VersionChoice } from './policies.ts'
+import { type RunResult, runScenario } from './run.ts'
+import { type ScenarioName, scenarios } from './scenario.ts'
+import { workShares } from './workShares.ts'
+import type { World } from './world.ts'
+import { fullLoad } from './worldLoad.ts'
+
+/** One run: a user, a scenario, a pair of policies and a seed. */
+export interface Job {
+  readonly user: string
+  readonly scenario: ScenarioName
+  readonly pair: PolicyPair
+  readonly seed: number
+}
+
+/** A job with what came of it. */
+export interface JobResult extends RunResult {
+  readonly job: Job
+  readonly milliseconds: number
+}
+
+/** Entry VMs of a user. */
+const deciders = 8
+
+/** The name of a pair in tables and JSON. */
+export function pairName ({ version, endpoint }: PolicyPair): string {
+  return `${version} + ${endpoint}`
+}
+
+const fixed = VersionChoice.CheapestFixed
+const affinity = EndpointChoiceName.Affinity
+/** Choices of endpoint under one choice of version. */
+const endpointPairs: readonly PolicyPair[] = Object.values(EndpointChoiceName).map(endpoint => ({ version: fixed, endpoint }))
+/** Choices of version under one choice of endpoint. */
+const versionPairs: readonly PolicyPair[] = Object.values(VersionChoice).filter(version => version !== fixed).map(version => ({ version, endpoint: affinity }))
+const wholeProduct: PolicyPair = { version: VersionChoice.Learned, endpoint: affinity }
+/** What one would run without the project. */
+const wholeBaselines: readonly PolicyPair[] = [
+  { version: VersionChoice.AlwaysStrong, endpoint: EndpointChoiceName.RoundRobin },
+  { version: VersionChoice.ThresholdCascade, endpoint: EndpointChoiceName.LeastLoaded }
+]
+
+const pairsOf: Record<ScenarioName, readonly PolicyPair[]> = {
+  calm: [...endpointPairs, ...versionPairs, ...wholeBaselines],
+  'load-90': [...endpointPairs, wholeProduct, ...wholeBaselines],
+  'load-100': [...endpointPairs, wholeProduct],
+  'load-130': [...endpointPairs, wholeProduct, ...wholeBaselines],
+  'pool-lost': [...endpointPairs, wholeProduct],
+  'stale-reports': [...endpointPairs, wholeProduct],
+  'turns-bad': [{ version: fixed, endpoint: affinity }, wholeProduct],
+  'flood-before': [{ version: fixed, endpoint: affinity }],
+  flood: [{ version: fixed, endpoint: affinity }]
+}
+
+/** Names what a job compares, whatever its seed. */
+export function jobPlace ({ user, scenario, pair }: Job): string {
+  return `${user}/${scenario}/${pairName(pair)}`
+}
+
+/** The jobs of some scenarios, in the order of their report. */
+export function jobsOf (world: World, names: readonly ScenarioName[], seeds: readonly number[]): Job[] {
+  return [...world.users.keys()].flatMap(user => names.flatMap(scenario =>
+    pairsOf[scenario].flatMap(pair => seeds.map(seed => ({ user, scenario, pair, seed })))))
+}
+
+/** Runs jobs in one thread and keeps between them what is dear to learn. */
+export class JobRunner {
+  readonly #world: World
+  readonly #factories = new Map<string, PolicyFactory>()
+  readonly #shares = new Map<string, ReadonlyMap<string, number>>()
+
+  constructor (world: World) {
+    this.#world = world
+  }
+
+  /** Runs a job. */
+  run (job: Job): JobResult {
+    const startedAt = performance.now()
+    const user = this.#world.users.get(job.user)!
+    const factory = this.#factoryOf(job.user)
+    const result = runScenario({
+      world: this.#world,
+      user,
+      scenario: scenarios.find(scenario => scenario.name === job.scenario)!,
+      seed: job.seed,
+      fullRequestsPerSecond: fullLoad(this.#world, user).requestsPerSecond,
+      acceleratorShares: this.#sharesOf(job, factory),
+      deciders,
+      policiesOf: (here, randomness: Randomness) => factory.make(job.pair, job.seed, here, randomness)
+    })
+    return { ...result, job, milliseconds: performance.now() - startedAt }
+  }
+
+  #factoryOf (name: string): PolicyFactory {
+    const known = this.#factories.get(name)
+    if (known !== undefined) return known
+    const factory = new PolicyFactory(this.#world, this.#world.users.get(name)!, deciders)
+    this.#factories.set(name, factory)
+    return factory
+  }
+
+  /** Accelerators are given out by the work that the choice of version makes. */
+  #sharesOf ({ user, pair, seed }: Job, factory: PolicyFactory): ReadonlyMap<string, number> {
+    const key = `${user}/${pair.version}/${pair.version === VersionChoice.Learned ? seed : ''}`
+    const known = this.#shares.get(key)
+    if (known !== undefined) return known
+    const policy = factory.version(pair.version, seed, randomnessOf(seed, 1))
+    const shares = workShares(this.#world, this.#world.users.get(user)!, policy, randomnessOf(1, 2))
+    this.#shares.set(key, shares)
+    return shares
+  }
+}
--- /dev/null
+++ b/bench/report.ts
@@ -0,0 +1,82 @@
+/** What a default run prints: medians over the seeds with their spread. */
+import { jobPlace, type JobResult, pairName } from './jobs.ts'
+import { type Figures, percentile } from './measure.ts'
+
+type Spread = readonly [least: number, most: number]
+
+/** One scenario and policy over all seeds. */
+export interface ReportRow extends Figures {
+  readonly user: string
+  readonly scenario: string
+  readonly policy: string
+  readonly seeds: number
+  /** p95 of the first token of all organisations but the first, which is the one that floods. */
+  readonly others_first_token_ms: number
+  /** The share of prompt tokens that engines had cached. */
+  readonly cached_share: number
+  readonly spread: {
+    readonly cost_per_good_answer: Spread
+    readonly quality_met: Spread
+    readonly first_token_ms_p95: Spread
+    readonly goodput: Spread
+  }
+}
+
+/** Groups results by user, scenario and policy. */
+export function rowsOf (results: readonly JobResult[]): ReportRow[] {
+  const groups = new Map<string, JobResult[]>()
+  for (const result of results) {
+    const key = jobPlace(result.job)
+    groups.set(key, [...groups.get(key) ?? [], result])
+  }
+  return [...groups.values()].map(rowOf)
+}
+
+function rowOf (results: readonly JobResult[]): ReportRow {
+  const { user, scenario, pair } = results[0]!.job
+  const values = (of: (figures: Figures) => number) => results.map(result => of(result.figures))
+  const median = (of: (figures: Figures) => number) => percentile(values(of), 0.5)
+  const spread = (of: (figures: Figures) => number): Spread => [Math.min(...values(of)), Math.max(...values(of))]
+  return {
+    user,
+    scenario,
+    policy: pairName(pair),
+    seeds: results.length,
+    cost_per_good_answer: median(figures => figures.cost_per_good_answer),
+    quality_met: median(figures => figures.quality_met),
+    first_token_ms: {
+      p50: median(figures => figures.first_token_ms.p50),
+      p95: median(figures => figures.first_token_ms.p95),
+      p99: median(figures => figures.first_token_ms.p99)
+    },
+    between_tokens_ms: median(figures => figures.between_tokens_ms),
+    goodput: median(figures => figures.goodput),
+    exposed_requests: median(figures => figures.exposed_requests),
+    link_bytes: median(figures => figures.link_bytes),
+    refused: median(figures => figures.refused),
+    others_first_token_ms: percentile(results.map(result => result.othersFirstTokenP95), 0.5),
+    cached_share: percentile(results.map(result => result.cachedShare), 0.5),
+    spread: {
+      cost_per_good_answer: spread(figures => figures.cost_per_good_answer),
+      quality_met: spread(figures => figures.quality_met),
+      first_token_ms_p95: spread(figures => figures.first_token_ms.p95),
+      goodput: spread(figures => figures.goodput)
+    }
+  }
+}
+
+/** Prints the rows as a table. */
+export function printTable (rows: readonly ReportRow[]): void {
+  const header = ['user', 'scenario', 'policy', 'cost/good', 'met', 'first p50', 'p95', '(least..most)', 'p99', 'between', 'good/s', 'exposed', 'link MB', 'refused', 'cached']
+  const lines = rows.map(row => [
+    row.user, row.scenario, row.policy, round(row.cost_per_good_answer), row.quality_met.toFixed(2),
+    round(row.first_token_ms.p50), round(row.first_token_ms.p95), row.spread.first_token_ms_p95.map(round).join('..'), round(row.first_token_ms.p99),
+    row.between_tokens_ms.toFixed(1), row.goodput.toFixed(1), round(row.exposed_requests), (row.link_bytes / 1e6).toFixed(1), round(row.refused), row.cached_share.toFixed(2)
+  ])
+  const widths = header.map((_, column) => Math.max(...[header, ...lines].map(line => line[column]!.length)))
+  for (const line of [header, ...lines]) console.log(line.map((cell, column) => column < 3 ? cell.padEnd(widths[column]!) : cell.padStart(widths[column]!)).join('  '))
+}
+
+function round (value: number): string {
+  return String(Math.round(value))
+}
--- /dev/null
+++ b/bench/workShares.ts
@@ -0,0 +1,65 @@
+/**
+ * How the work of a version policy falls on the versions, so that the accelerators can be given out
+ * in proportion to it, as an operator would. Requests are planned and rated without any engine.
+ */
+import { modelOf, type Randomness } from '../src/contract/index.ts'
+import type { PlanStep, VersionPolicy } from '../src/choice/index.ts'
+import { isReleased, nextPosition } from './planSteps.ts'
+import { benchVersionName } from './versionBaselines.ts'
+import { drawRating, drawRequest, trueScore, type World, type WorldRequest, type WorldUser } from './world.ts'
+
+const sampledRequests = 2_000
+const amplyMilliseconds = 120_000
+
+/**
+ * The share of the decode time that each version has.
+ *
+ * @example
+ * const shares = workShares(world, user, policy, new SeededRandomness(1))
+ */
+export function workShares (world: World, user: WorldUser, policy: VersionPolicy, randomness: Randomness): Map<string, number> {
+  const candidates = world.versions.map(({ name, price }) => ({ name: benchVersionName(name), price, available: true }))
+  const work = new Map<string, number>(world.versions.map(version => [version.name, 0]))
+  for (let index = 0; index < sampledRequests; index++) {
+    const request = drawRequest(world, user, randomness)
+    const plan = policy.plan({
+      organisation: request.organisation,
+      kind: request.kind.name,
+      pinned: undefined,
+      streamed: request.streamed,
+      promptTokens: request.inputTokens,
+      expectedCompletionTokens: request.outputTokens,
+      difficultyHint: request.hint,
+      remainingMilliseconds: amplyMilliseconds,
+      qualityTarget: world.qualityTarget,
+      opensSession: false
+    }, candidates, index)
+    if (!plan.ok) continue
+    for (const name of runVersions(world, request, plan.val.steps, randomness)) work.set(name, work.get(name)! + decodeTime(world, name, request))
+  }
+  const total = [...work.values()].reduce((sum, time) => sum + time, 0)
+  return new Map([...work].map(([name, time]) => [name, time / total]))
+}
+
+/** The versions that a plan comes to run. */
+function runVersions (world: World, request: WorldRequest, steps: readonly PlanStep[], randomness: Randomness): string[] {
+  const names: string[] = []
+  for (let position = 0; position < steps.length;) {
+    const step = steps[position]!
+    const name = modelOf(step.version)
+    names.push(name)
+    if (step.releaseAtRating === undefined) return names
+    const version = world.versions.find(entry => entry.name === name)!
+    const rating = drawRating(world, trueScore(world, version, request.kind.name, request.difficulty), randomness)
+    if (isReleased(step, rating)) return names
+    position = nextPosition(steps, position, rating)
+  }
+  return names
+}
+
+/** Milliseconds of a fast accelerator with a full batch. */
+function decodeTime (world: World, name: string, request: WorldRequest): number {
+  const { base, perStream } = world.versions.find(version => version.name === name)!.decodeMilliseconds
+  const { streams } = world.hardware[0]!
+  return request.outputTokens * (base + perStream * streams) / streams
+}
