Decode strings without the native extractor, and commit bills as fast as the budget allows

Cause: the empty package in place of cbor-extract made cbor-x call a function that is not there when a frame held long strings: 'extractStrings is not a function'. A lane of bills waited 100 ms between commits even where few lanes share the store. Ruled out: the environment variable that turns the extractor off: a daemon must not depend on it. Change: the package throws, which cbor-x takes as absent; a lane's interval follows from 100 transactions a second over all lanes (20 ms in one data centre, 100 ms in five); gossip membership and the sequential guard take the place of the first simple ones.

--- a/scripts/absent-cbor-extract/index.js
+++ b/scripts/absent-cbor-extract/index.js
@@ -1,1 +1,1 @@
-module.exports = {}
+throw new Error('cbor-extract is not installed')
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,7 +11,7 @@
   name: 'without-native-extract',
   setup (bundler) {
     bundler.onResolve({ filter: /^cbor-extract$/ }, () => ({ path: 'cbor-extract', namespace: 'absent' }))
-    bundler.onLoad({ filter: /.*/, namespace: 'absent' }, () => ({ contents: 'module.exports = {}' }))
+    bundler.onLoad({ filter: /.*/, namespace: 'absent' }, () => ({ contents: 'throw new Error("cbor-extract is not installed")' }))
   }
 }
 
--- a/src/billing/batchedLedger.ts
+++ b/src/billing/batchedLedger.ts
@@ -19,7 +19,7 @@
 import type { NumberedEntry } from './packedEntries.ts'
 
 /** Milliseconds between two messages with entries. */
-const handInIntervalMilliseconds = 20
+const handInIntervalMilliseconds = 5
 
 /** Milliseconds between two looks at what is left to write. */
 const retryMilliseconds = 1_000
@@ -82,7 +82,7 @@
     this.#lane = laneOf(place.dataCentre, this.#origin)
     this.#collectors = new Collectors(options)
     this.#copies = new Copies({ ...options, collectors: this.#collectors })
-    const grouped = { clock: options.clock, intervalMilliseconds: handInIntervalMilliseconds, mostItems: mostInMessage }
+    const grouped = { clock: options.clock, intervalMilliseconds: () => handInIntervalMilliseconds, mostItems: mostInMessage }
     this.#handIn = new Grouping({ ...grouped, work: items => this.#collectors.deliver(this.#lane, items, false) })
     this.#giving = new Grouping({ ...grouped, work: items => this.#copies.give(this.#lane, items, copiesOfEntry) })
   }
--- a/src/billing/collectors.ts
+++ b/src/billing/collectors.ts
@@ -8,10 +8,14 @@
 import type { Link } from '../link/index.ts'
 import type { TableService } from '../platform/index.ts'
 import type { LedgerMember } from './contract.ts'
+import { lanesOfDataCentre } from './lane.ts'
 import { LaneWriter } from './laneWriter.ts'
 import { billHandIn } from './messages.ts'
 import { type NumberedEntry, packEntries, unpackEntries } from './packedEntries.ts'
 
+/** Transactions a second that all lanes of all data centres may send together. */
+const writesPerSecond = 100
+
 /** Longer than a collector waits for the store. */
 const handInTimeoutMilliseconds = 1_500
 
@@ -75,8 +79,15 @@
     return this.#options.clock.now() >= (this.#avoidedUntil.get(member.name) ?? 0)
   }
 
+  /** All lanes of all data centres share the writes that billing may send to the store. */
+  #intervalMilliseconds (): number {
+    const { link, members } = this.#options
+    const dataCentres = new Set([link.self.place.dataCentre, ...members().map(member => member.place.dataCentre)])
+    return dataCentres.size * lanesOfDataCentre * 1_000 / writesPerSecond
+  }
+
   #writer (lane: string): LaneWriter {
-    const writer = this.#writers.get(lane) ?? new LaneWriter(lane, this.#options.table, this.#options.clock)
+    const writer = this.#writers.get(lane) ?? new LaneWriter(lane, this.#options.table, this.#options.clock, () => this.#intervalMilliseconds())
     this.#writers.set(lane, writer)
     return writer
   }
--- a/src/billing/grouping.ts
+++ b/src/billing/grouping.ts
@@ -7,8 +7,8 @@
 /** How items are grouped. */
 export interface GroupingOptions<Item, Outcome> {
   readonly clock: Clock
-  /** Milliseconds between the beginnings of two groups. */
-  readonly intervalMilliseconds: number
+  /** Milliseconds between the beginnings of two groups, asked before each. */
+  readonly intervalMilliseconds: () => number
   /** Items in a group, at most. */
   readonly mostItems: number
   /** What is done with a group; its outcome is that of each item. */
@@ -48,7 +48,7 @@
   async #run (): Promise<void> {
     this.#isRunning = true
     while (this.#waiting.length > 0) {
-      const pause = this.#lastBegan + this.#options.intervalMilliseconds - this.#options.clock.now()
+      const pause = this.#lastBegan + this.#options.intervalMilliseconds() - this.#options.clock.now()
       if (pause > 0) await this.#options.clock.sleep(pause)
       const group = this.#takeGroup()
       this.#lastBegan = this.#options.clock.now()
--- a/src/billing/lane.ts
+++ b/src/billing/lane.ts
@@ -15,7 +15,7 @@
 export const batchTableName = 'bill_batches'
 
 /** Lanes of a data centre: two halve the load of a collector and the harm of losing one. */
-const lanesOfDataCentre = 2
+export const lanesOfDataCentre = 2
 
 const versionDigits = 12
 
--- a/src/billing/laneWriter.ts
+++ b/src/billing/laneWriter.ts
@@ -13,9 +13,6 @@
 import { SequenceRanges } from './sequenceRanges.ts'
 import { within } from './within.ts'
 
-/** Milliseconds between two transactions of a lane. */
-const commitIntervalMilliseconds = 100
-
 /** Entries in a transaction, at most. */
 const mostEntriesInBatch = 2_000
 
@@ -33,13 +30,14 @@
   #isStoreOut = false
   #transactions = 0
 
-  constructor (lane: string, table: TableService, clock: Clock) {
+  /** @param intervalMilliseconds between two transactions, asked before each */
+  constructor (lane: string, table: TableService, clock: Clock, intervalMilliseconds: () => number) {
     this.#lane = lane
     this.#table = table
     this.#clock = clock
     this.#groups = new Grouping({
       clock,
-      intervalMilliseconds: commitIntervalMilliseconds,
+      intervalMilliseconds,
       mostItems: mostEntriesInBatch,
       work: items => this.#commit(items)
     })
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -6,7 +6,7 @@
 import { BatchedLedger } from '../billing/index.ts'
 import {
   type AdmissionPolicy, AffinityEndpointPolicy, type AttemptBudget, type EndpointPolicy, LearnedVersionPolicy, LinkBudget,
-  RatioAttemptBudget, ShareAdmissionPolicy, type VersionPolicy
+  RatioAttemptBudget, SequentialRollOutGuard, ShareAdmissionPolicy, type VersionPolicy
 } from '../choice/index.ts'
 import { type Claims, TableClaims } from '../claim/index.ts'
 import { type Clock, type Place, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
@@ -14,7 +14,7 @@
 import { type EngineClient, HttpEngineClient, HttpServiceClient, type ServiceClient } from '../endpoint/index.ts'
 import { type DigestingPolicy, CallerServer, ChatRouter, CompletionLengths, Drain, EndpointDirectory, RatingExchange, RollOutWatch, ServiceRouter } from '../entry/index.ts'
 import { type Link, TcpLink } from '../link/index.ts'
-import { PolledMembership as GossipMembership } from './polledMembership.ts'
+import { GossipMembership } from '../membership/index.ts'
 import { Log, Metrics, openTelemetryTracer, SilentTracer, type Tracer } from '../observe/index.ts'
 import {
   HttpRatingService, HttpTableService, HttpVirtualMachineList, type RatingService, type TableService, type VirtualMachineList
@@ -99,7 +99,9 @@
     tls: local.link.tls
   }),
   membership: parts => new GossipMembership({
+    link: parts.link,
     clock: parts.clock,
+    randomness: parts.randomness,
     machines: parts.machines,
     engines: parts.engines,
     endpoints: () => [...parts.follower.view.endpoints.values()]
@@ -127,7 +129,7 @@
   endpoints: ({ here, local, randomness }) => new AffinityEndpointPolicy({ here, randomness, link: new LinkBudget(local.limits.regional_link_bytes_per_second) }),
   admission: () => new ShareAdmissionPolicy(),
   retries: () => new RatioAttemptBudget(),
-  rollOuts: ({ follower }) => new RollOutWatch(follower, () => ({ observe: () => {}, verdict: () => 'continue' as const })),
+  rollOuts: ({ follower }) => new RollOutWatch(follower, (from, to) => new SequentialRollOutGuard({ from, to })),
   chat: parts => new ChatRouter({ ...routing(parts), versions: parts.versions, admission: parts.admission, ledger: parts.ledger, sessions: parts.sessions, ratings: parts.ratings, rollOuts: parts.rollOuts, log: parts.log }),
   serviceRouter: ({ claims, clock, directory, here, ledger, randomness, retries, services, tracer }) => new ServiceRouter({ claims, clock, directory, here, ledger, randomness, retries, services, tracer }),
   drain: () => new Drain(),
--- a/src/entry/ratingExchange.ts
+++ b/src/entry/ratingExchange.ts
@@ -5,7 +5,7 @@
  */
 import { z } from 'zod'
 import type { VersionDigest } from '../choice/index.ts'
-import type { Clock, Randomness, VersionName } from '../contract/index.ts'
+import type { Clock, Randomness } from '../contract/index.ts'
 import type { Link, MessageType } from '../link/index.ts'
 import { type Membership, MemberState, type MemberView } from '../membership/index.ts'
 
@@ -15,14 +15,14 @@
   absorb (digest: VersionDigest): void
 }
 
-const versionNameShape = z.custom<VersionName>(value => typeof value === 'string' && value.includes('@'))
-
-const digestShape = z.object({
+/** The frame is checked here; the policy bounds and reads the entries. */
+const digestShape = z.custom<VersionDigest>(value => frameShape.safeParse(value).success)
+const frameShape = z.looseObject({
   origin: z.string(),
   incarnation: z.number(),
   sequence: z.number(),
-  beliefs: z.array(z.object({ kind: z.string(), version: versionNameShape, count: z.number(), mean: z.number(), variance: z.number() })),
-  ledgers: z.array(z.object({ kind: z.string(), organisation: z.string(), requests: z.number(), good: z.number(), variance: z.number() }))
+  beliefs: z.array(z.looseObject({ kind: z.string(), version: z.string() })),
+  ledgers: z.array(z.looseObject({ kind: z.string(), organisation: z.string() }))
 })
 
 /** A daemon's digest; the reply says nothing. */
