Test whole daemons: rolling replacement under load, traces, TLS, outage

Cause: the stop, the traces and TLS were built and not yet seen to hold over real sockets. Not proved: that race of HTTP's kept-alive connections can't be excluded by a server.

--- /dev/null
+++ b/test/daemon.test.ts
@@ -0,0 +1,130 @@
+import { readFileSync } from 'node:fs'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { Agent, request } from 'undici'
+import { verifyBills } from '../src/billing/index.ts'
+import { isWholeAnswer } from '../src/standin/index.ts'
+import { apiKey, DaemonWorld, type RunningDaemon } from './fakes/daemonWorld.ts'
+
+let world: DaemonWorld
+
+beforeEach(async () => { world = await DaemonWorld.start() })
+afterEach(async () => { await world.close() })
+
+const headers = { authorization: `Bearer ${apiKey}`, 'content-type': 'application/json' }
+
+function chat (name: string, more: Record<string, unknown> = {}): string {
+  return JSON.stringify({ model: 'auto', max_tokens: 400, metadata: { kind: 'lookup' }, messages: [{ role: 'user', content: `kind=lookup tokens=120 request=${name}` }], ...more })
+}
+
+/** A caller behind a balancer: a stopping daemon's refusal and a closed port send it to the next daemon. */
+async function callThrough (daemons: readonly RunningDaemon[], path: string, body: string, more: Record<string, string> = {}): Promise<{ status: number, text: string }> {
+  for (let next = 0; ; next++) {
+    const daemon = daemons[next % daemons.length]
+    const reply = await fetch(`http://${daemon?.callers}${path}`, { method: 'POST', headers: { ...headers, ...more }, body })
+      .then(async response => ({ status: response.status, text: await response.text() }), error => ({ status: 0, text: String(error.cause?.code) }))
+    const isTurnedAway = reply.text.includes('"stopping"') || reply.text === 'ECONNREFUSED'
+    if (!isTurnedAway || next > 20) return reply
+  }
+}
+
+test('every VM is replaced under load and no request is cut off', async () => {
+  const first = [await world.startDaemon('entry-1'), await world.startDaemon('entry-2')]
+  const load = { isOn: true }
+  const outcomes: Array<{ name: string, status: number, text: string }> = []
+  const caller = async (number: number) => {
+    for (let turn = 0; load.isOn; turn++) {
+      const name = `r${number}-${turn}`
+      const daemons = [...world.daemons]
+      const isRefund = number % 3 === 0
+      const reply = isRefund
+        ? await callThrough(daemons, '/v1/services/ledger/refunds', JSON.stringify({ name }), { 'idempotency-key': name })
+        : await callThrough(daemons, '/v1/chat/completions', chat(name, { stream: number % 3 === 1 }))
+      outcomes.push({ name, ...reply })
+    }
+  }
+  const callers = Array.from({ length: 6 }, (_, number) => caller(number))
+  for (const [index, old] of first.entries()) {
+    await new Promise(resolve => setTimeout(resolve, 400))
+    await world.startDaemon(`entry-new-${index}`)
+    await world.stopDaemon(old)
+  }
+  load.isOn = false
+  await Promise.all(callers)
+  expect(outcomes.length).toBeGreaterThan(12)
+  expect(outcomes.filter(outcome => outcome.status !== 200 && outcome.status !== 201)).toEqual([])
+  const streams = outcomes.filter(outcome => outcome.text.startsWith('data: '))
+  expect(streams.filter(outcome => !outcome.text.endsWith('data: [DONE]\n\n'))).toEqual([])
+  const keys = (await world.serviceRuns()).flatMap(run => run.idempotencyKey ?? [])
+  expect(new Set(keys).size).toBe(keys.length)
+  const table = world.table()
+  const report = (await verifyBills(table)).unwrap()
+  await table.close()
+  expect(report).toMatchObject({ bills: outcomes.length, doubled: [], missing: [] })
+})
+
+test('a change of settings is in force at every daemon', async () => {
+  for (const name of ['entry-1', 'entry-2', 'entry-3']) await world.startDaemon(name)
+  const revision = await world.put(subtree => ({ ...subtree, kinds: ['lookup', 'tagging'] }))
+  await expect.poll(() => world.daemons.map(({ daemon }) => daemon.status().settings.revision), { timeout: 10_000 }).toEqual([revision, revision, revision])
+})
+
+test('each hop of a request has a span in the caller\'s trace', async () => {
+  const spans: Array<{ name: string, traceId: string, spanId: string, parentSpanId: string }> = []
+  const receiver = createServer(async (message, response) => {
+    let body = ''
+    for await (const part of message) body += String(part)
+    for (const resource of JSON.parse(body).resourceSpans) for (const scope of resource.scopeSpans) spans.push(...scope.spans)
+    response.end('{}')
+  })
+  await new Promise<void>(resolve => receiver.listen(0, '127.0.0.1', resolve))
+  const { port } = receiver.address() as AddressInfo
+  const daemon = await world.startDaemon('entry-1', { traces: `http://127.0.0.1:${port}/v1/traces` })
+  const traceId = '0af7651916cd43dd8448eb211c80319c'
+  await fetch(`http://${daemon.callers}/v1/chat/completions`, { method: 'POST', headers: { ...headers, traceparent: `00-${traceId}-b7ad6b7169203331-01` }, body: chat('traced') })
+  await world.stopDaemon(daemon)
+  await new Promise(resolve => receiver.close(resolve))
+  const served = spans.find(span => span.name === 'POST /v1/chat/completions')
+  const attempt = spans.find(span => span.name === 'attempt')
+  expect([served?.traceId, attempt?.traceId]).toEqual([traceId, traceId])
+  expect(served?.parentSpanId).toBe('b7ad6b7169203331')
+  expect(attempt?.parentSpanId).toBe(served?.spanId)
+})
+
+test('callers are served over TLS where the settings name key files', async () => {
+  const files = { key: 'test/keys/daemon.key.pem', certificate: 'test/keys/daemon.certificate.pem' }
+  const daemon = await world.startDaemon('entry-1', { callersTls: files })
+  const agent = new Agent({ connect: { ca: readFileSync(files.certificate) } })
+  const response = await request(`https://${daemon.callers}/v1/chat/completions`, { method: 'POST', headers, body: chat('secret'), dispatcher: agent })
+  const answer = await response.body.json() as { choices: Array<{ message: { content: string } }> }
+  expect(isWholeAnswer(answer.choices[0]?.message.content ?? '', 'secret')).toBe(true)
+  await agent.close()
+})
+
+test('daemons know each other over TLS, and one without the certificate is not let in', async () => {
+  const tls = { key: 'test/keys/daemon.key.pem', certificate: 'test/keys/daemon.certificate.pem', authority: 'test/keys/daemon.certificate.pem' }
+  const [first] = [await world.startDaemon('entry-1', { linkTls: tls }), await world.startDaemon('entry-2', { linkTls: tls }), await world.startDaemon('entry-plain')]
+  const names = () => first.daemon.status().members.filter(member => member.state === 'alive').map(member => member.name).sort()
+  await expect.poll(names, { timeout: 10_000 }).toEqual(['entry-1', 'entry-2'])
+})
+
+test('a refund waits for nothing while the store is out, and is answered when it is back', async () => {
+  const daemon = await world.startDaemon('entry-1')
+  await world.fault('platform', { target: 'tables', fault: 'down' })
+  const refund = () => fetch(`http://${daemon.callers}/v1/services/ledger/refunds`, { method: 'POST', headers: { ...headers, 'idempotency-key': 'k1' }, body: '{}' })
+  const refused = await refund()
+  expect(refused.status).toBe(503)
+  expect((await refused.json() as { error: { run: string } }).error.run).toBe('not_run')
+  await world.fault('platform', { target: 'tables', fault: 'none' })
+  await expect.poll(async () => (await refund()).status, { timeout: 10_000 }).toBe(201)
+  expect(await world.serviceRuns()).toHaveLength(1)
+})
+
+test('metrics, health and status are shown to operators', async () => {
+  const daemon = await world.startDaemon('entry-1')
+  const read = async (path: string) => await (await fetch(`http://${daemon.operators}${path}`)).text()
+  expect(await read('/health/ready')).toBe('{"ready":true}')
+  expect(await read('/metrics')).toContain('lavenderdoor_settings_revision 1')
+  expect(JSON.parse(await read('/status'))).toMatchObject({ name: 'entry-1', ready: true })
+})
--- a/trial/demo/processes.ts
+++ b/trial/demo/processes.ts
@@ -3,7 +3,7 @@
 import { createWriteStream } from 'node:fs'
 import { join } from 'node:path'
 
-const programFile = join('dist', 'lavenderdoor.cjs')
+const programFile = process.env.LAVENDERDOOR_PROGRAM ?? join('dist', 'lavenderdoor.cjs')
 const readyPollMilliseconds = 50
 const readyTimeoutMilliseconds = 15_000
 
