Test TLS between daemons: strangers, reload and unreadable files

Checked: npx vitest run test/linkTls.test.ts, 4 passed; without the reload of key files its test fails by design, since the first certificate is another authority's.

--- /dev/null
+++ b/test/linkTls.test.ts
@@ -0,0 +1,79 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, expect, test } from 'vitest'
+import { z } from 'zod'
+import { SystemClock } from '../src/contract/index.ts'
+import { type LinkCertificateFiles, type MessageType, type Peer, TcpLink } from '../src/link/index.ts'
+import { authority, firstPair, type KeyPair, secondPair, strangerPair } from './fakes/fakeLinkKeys.ts'
+import { ManualClock } from './fakes/manualClock.ts'
+
+const echo: MessageType<{ text: string }, { text: string }> = {
+  name: 'test.echo',
+  body: z.strictObject({ text: z.string() }),
+  reply: z.strictObject({ text: z.string() })
+}
+
+const openLinks: TcpLink[] = []
+const directories: string[] = []
+
+afterEach(async () => {
+  await Promise.all(openLinks.splice(0).map(link => link.close()))
+  await Promise.all(directories.splice(0).map(path => rm(path, { recursive: true })))
+})
+
+async function writeFiles (pair: KeyPair): Promise<LinkCertificateFiles> {
+  const directory = await mkdtemp(join(tmpdir(), 'lavenderdoor-tls-'))
+  directories.push(directory)
+  const files = { key: join(directory, 'key.pem'), certificate: join(directory, 'certificate.pem'), authority: join(directory, 'authority.pem') }
+  await Promise.all([writeFile(files.key, pair.key), writeFile(files.certificate, pair.certificate), writeFile(files.authority, authority)])
+  return files
+}
+
+async function startLink (name: string, tls?: LinkCertificateFiles, clock: SystemClock | ManualClock = new SystemClock()): Promise<{ link: TcpLink, peer: Peer }> {
+  const identity = { name, address: '127.0.0.1:0', place: { region: 'r', dataCentre: 'a' }, rack: 'r1', incarnation: 1 }
+  const link = new TcpLink({ identity, secret: 'a secret of all daemons', clock, ...(tls === undefined ? {} : { tls }) })
+  openLinks.push(link)
+  link.answer(echo, async body => body)
+  return { link, peer: { name, address: (await link.listen('127.0.0.1:0')).unwrap() } }
+}
+
+test('daemons whose certificates the authority signed talk over TLS', async () => {
+  const { peer } = await startLink('left', await writeFiles(firstPair))
+  const asker = await startLink('right', await writeFiles(secondPair))
+  expect((await asker.link.ask(peer, echo, { text: 'x' }, 2_000)).unwrap()).toEqual({ text: 'x' })
+})
+
+test('a daemon without TLS and one whose certificate another authority signed are not let in', async () => {
+  const { peer } = await startLink('left', await writeFiles(firstPair))
+  const plain = await startLink('plain')
+  const stranger = await startLink('stranger', await writeFiles(strangerPair))
+  expect((await plain.link.ask(peer, echo, { text: 'x' }, 2_000)).val).toMatchObject({ mayHaveArrived: false })
+  expect((await stranger.link.ask(peer, echo, { text: 'x' }, 2_000)).val).toMatchObject({ mayHaveArrived: false })
+})
+
+test('key files that changed are taken into use without a restart', async () => {
+  const strangerFiles = await writeFiles(strangerPair)
+  const clock = new ManualClock()
+  const { link, peer } = await startLink('left', strangerFiles, clock)
+  const asker = await startLink('right', await writeFiles(firstPair))
+  expect((await asker.link.ask(peer, echo, { text: 'x' }, 2_000)).ok).toBe(false)
+  await Promise.all([writeFile(strangerFiles.key, secondPair.key), writeFile(strangerFiles.certificate, secondPair.certificate)])
+  const later = new SystemClock()
+  let reply = await asker.link.ask(peer, echo, { text: 'x' }, 2_000)
+  for (let attempt = 0; attempt < 50 && reply.err; attempt++) {
+    await clock.advance(5_000)
+    await later.sleep(20)
+    reply = await asker.link.ask(peer, echo, { text: 'x' }, 2_000)
+  }
+  expect(reply.ok).toBe(true)
+  await link.close()
+})
+
+test('a key file that can\'t be read is a clear failure at the start', async () => {
+  const files = await writeFiles(firstPair)
+  const identity = { name: 'left', address: '127.0.0.1:0', place: { region: 'r', dataCentre: 'a' }, rack: 'r1', incarnation: 1 }
+  const link = new TcpLink({ identity, secret: 'a secret of all daemons', clock: new SystemClock(), tls: { ...files, key: `${files.key}.missing` } })
+  const listening = await link.listen('127.0.0.1:0')
+  expect(listening.val).toMatchObject({ mayHaveArrived: false })
+})
