Prove what a service call is said to have done by random schedules

Cause: that 'never sent' is true and that nothing runs twice or is sent too late rested on single cases. Change: a property test over refused and slow connections, lost and late requests, second starts, cut and silent replies, lapsed permission to send and callers that leave.

--- /dev/null
+++ b/test/endpointService.test.ts
@@ -0,0 +1,83 @@
+/** What a call to a plain service is said to have done, against what it did, over a failing network. */
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import type { EndpointDescription } from '../src/contract/index.ts'
+import { HttpServiceClient, Reach, type ServiceCall } from '../src/endpoint/index.ts'
+import { type ExchangeFate, FakeNetwork, type NetworkReply, type NetworkServer } from './fakes/fakeNetwork.ts'
+import { ManualClock } from './fakes/manualClock.ts'
+
+const address = '127.0.0.1:1'
+const endpoint: EndpointDescription = { name: 's', kind: 'service', address, place: { region: 'r', dataCentre: 'd' }, versions: [], service: 'ledger', checksFencing: false }
+const refund: ServiceCall = { method: 'POST', path: '/refunds', contentType: undefined, body: Buffer.from('{}'), idempotencyKey: 'key', traceParent: undefined }
+const answer = '{"refunded":true}'
+const silenceMilliseconds = 800
+const longAfter = 60_000
+
+class CountingService implements NetworkServer {
+  readonly runsAt: number[] = []
+  readonly #clock: ManualClock
+  readonly #workMilliseconds: number
+
+  constructor (clock: ManualClock, workMilliseconds: number) {
+    this.#clock = clock
+    this.#workMilliseconds = workMilliseconds
+  }
+
+  answer (): NetworkReply {
+    this.runsAt.push(this.#clock.now())
+    return { status: 200, headers: { 'content-type': 'application/json', 'content-length': String(answer.length) }, pieces: this.#pieces() }
+  }
+
+  async * #pieces (): AsyncGenerator<string, void, undefined> {
+    await this.#clock.sleep(this.#workMilliseconds)
+    yield answer.slice(0, 5)
+    yield answer.slice(5)
+  }
+}
+
+const rarely = fc.integer({ min: 0, max: 7 }).map(draw => draw === 0)
+const schedule = fc.record({
+  refused: rarely,
+  requestLost: rarely,
+  connect: fc.constantFrom(0, 5, 300, 900),
+  late: fc.constantFrom(0, 0, 50, 900),
+  startsTwice: fc.boolean(),
+  endAt: fc.constantFrom(-1, -1, -1, 0, 1),
+  end: fc.constantFrom('cut' as const, 'silent' as const),
+  work: fc.constantFrom(0, 20, 500, 2_000),
+  sendBefore: fc.constantFrom(-1, 4, 250, 5_000, 5_000, 5_000),
+  cancelAfter: fc.constantFrom(0, 3, 200, 700, 5_000, 5_000, 5_000)
+})
+
+test('a call that is said never to have been sent never runs, and no call runs twice or is sent too late', async () => {
+  const outcomes = { answered: 0, never: 0, maybe: 0 }
+  await fc.assert(fc.asyncProperty(schedule, async plan => {
+    const clock = new ManualClock()
+    const network = new FakeNetwork(clock)
+    const service = new CountingService(clock, plan.work)
+    network.serve(address, service)
+    const fate: ExchangeFate = { ...plan, piece: (text, index) => index === plan.endAt ? { arrive: [text.slice(0, 2)], then: plan.end } : { arrive: [text] } }
+    network.script = () => fate
+    const client = new HttpServiceClient({ clock, connectTimeoutMilliseconds: 500, silenceMilliseconds, source: network })
+    const cancelling = new AbortController()
+    clock.sleep(plan.cancelAfter).then(() => cancelling.abort()).catch(() => undefined)
+    const sendBefore = clock.now() + plan.sendBefore
+    const calling = client.call(endpoint, refund, () => clock.now() < sendBefore, cancelling.signal)
+    await clock.advance(longAfter)
+    const outcome = await calling
+    expect(service.runsAt.length).toBeLessThanOrEqual(1)
+    expect(network.secondCopies).toBe(0)
+    for (const at of service.runsAt) expect(at - plan.late).toBeLessThan(sendBefore)
+    if (outcome.ok) {
+      outcomes.answered++
+      expect(service.runsAt).toHaveLength(1)
+      expect(Buffer.from(outcome.val.body).toString('utf8')).toBe(answer)
+    } else if (outcome.val.reach === Reach.Never) {
+      outcomes.never++
+      expect(service.runsAt).toHaveLength(0)
+    } else {
+      outcomes.maybe++
+    }
+  }), { seed: 22, numRuns: 600 })
+  for (const count of Object.values(outcomes)) expect(count).toBeGreaterThan(30)
+})
