Give each call to a plain service a connection of its own

Cause: on a pooled connection a reply that came twice, ten milliseconds late, answered the next balance lookup: plain services' replies do not say which call they answer. Ruled out: the HTTP library's check of idle connections, which finds only what arrives before the next request is written; pools for services, since at the size to design for (4 requests a second over 120 runners) an idle connection is closed before its next use anyway. Change: plain services and orders get a connection for each exchange; streams and reports go on sharing, for frames name their attempt and an old report is only old. An engine's refusal counts only where it names the attempt, an answer that names another key is not taken; the stand-ins name both.

--- a/src/endpoint/assembly.ts
+++ b/src/endpoint/assembly.ts
@@ -41,12 +41,13 @@
 
 /** The answer of one attempt, as far as it has come. */
 export class Assembly {
-  readonly #attemptId: string
+  /** The attempt whose answer this is. */
+  readonly attemptId: string
   #next = 0
   #finish: EngineFinish | undefined
 
   constructor (attemptId: string) {
-    this.#attemptId = attemptId
+    this.attemptId = attemptId
   }
 
   /** The number of the first token that is still missing. */
@@ -65,7 +66,7 @@
     if (data === endMark) return this.#end()
     const frame = parseFrame(data)
     if (frame === undefined) return fault('a frame is malformed')
-    if (frame.id !== this.#attemptId) return fault('a frame belongs to another attempt')
+    if (frame.id !== this.attemptId) return fault('a frame belongs to another attempt')
     const choice = frame.choices[0]
     const reason = choice?.finish_reason ?? undefined
     if (reason !== undefined) return this.#acceptFinish(frame, reason)
--- a/src/endpoint/collect.ts
+++ b/src/endpoint/collect.ts
@@ -2,6 +2,7 @@
  * Reads a short answer whole. A body that is ended only by the connection's close can't be told
  * from one that was cut, so it does not count as whole.
  */
+import type { IncomingHttpHeaders } from 'node:http'
 import { Err, Ok, type Result } from '../contract/index.ts'
 import { AttemptFailure, Reach } from './contract.ts'
 import type { Exchange } from './exchange.ts'
@@ -9,7 +10,7 @@
 /** A whole answer. */
 export interface Collected {
   readonly status: number
-  readonly contentType: string
+  readonly headers: IncomingHttpHeaders
   readonly body: Buffer
 }
 
@@ -28,15 +29,15 @@
   const pieces: Buffer[] = []
   let bytes = 0
   let status = 0
-  let contentType = ''
+  let headers: IncomingHttpHeaders = {}
   for (;;) {
     const event = await exchange.next()
     if (event.type === 'failure') return failed(exchange, event.reason)
-    if (event.type === 'end') return Ok({ status, contentType, body: Buffer.concat(pieces) })
+    if (event.type === 'end') return Ok({ status, headers, body: Buffer.concat(pieces) })
     if (event.type === 'head') {
       status = event.status
-      contentType = String(event.headers['content-type'] ?? '')
-      const isFramed = event.headers['content-length'] !== undefined || event.headers['transfer-encoding'] !== undefined
+      headers = event.headers
+      const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
       if (!isFramed && !bodilessStatuses.has(status)) return refuse(exchange, 'the answer has no length')
       continue
     }
--- a/src/endpoint/connections.ts
+++ b/src/endpoint/connections.ts
@@ -1,7 +1,11 @@
 /**
- * Connections to endpoints: a pool for each address, and connections for one exchange only.
+ * Connections to endpoints. A pool for each address carries what names its answers itself: streams,
+ * whose frames name their attempt, and reports. Everything else gets a connection for its one
+ * exchange, for on a connection that is used again a reply that comes twice or late would be taken
+ * for the next one's.
+ *
  * Something between the two ends can lose track of connections, and then does so of many at once:
- * when one was found silent the whole pool is retired. Its running exchanges go on, and nothing new
+ * when one was found silent its whole pool is retired. Its running exchanges go on, and nothing new
  * is put on its connections. An idle connection is closed after a few seconds for the same reason.
  */
 import { Client, type Dispatcher, Pool } from 'undici'
--- a/src/endpoint/engineClient.ts
+++ b/src/endpoint/engineClient.ts
@@ -5,6 +5,7 @@
 import { collect, type Collected } from './collect.ts'
 import { Connections, type ConnectionSource } from './connections.ts'
 import { AttemptFailure, type EngineCall, type EngineClient, type EngineEvent, type EngineOrder, Reach } from './contract.ts'
+import type { Exchange } from './exchange.ts'
 import { parseJson } from './json.ts'
 
 /** How engines are called. */
@@ -28,6 +29,7 @@
 const defaultResumeLimit = 4
 const defaultResumePauseMilliseconds = 50
 const okStatus = 200
+const jsonHeaders = { 'content-type': 'application/json' }
 const firstServerErrorStatus = 500
 
 const loadShape = z.object({
@@ -71,17 +73,27 @@
     return attempt.run()
   }
 
+  /** Reports share connections, for they come each second; one that came twice is only an older report. */
   async report (endpoint: EndpointDescription, signal: AbortSignal): Promise<Result<LoadReport, AttemptFailure>> {
-    const answer = await this.#ask(endpoint, 'GET', '/load', undefined, this.#options.silenceMilliseconds, signal)
-    if (answer.err) return answer
+    const { clock, silenceMilliseconds } = this.#options
+    const answer = await this.#collect(this.#connections.pooled(endpoint.address, {
+      clock, silenceMilliseconds, method: 'GET', path: '/load', headers: {}, body: undefined, mayStillSend: () => !signal.aborted
+    }), signal)
+    if (answer.err) {
+      this.#connections.retire(endpoint.address)
+      return answer
+    }
     const parsed = loadShape.safeParse(parseJson(answer.val.body))
     if (!parsed.success) return Err(new AttemptFailure(Reach.Maybe, 'the report is malformed'))
     return Ok(parsed.data)
   }
 
+  /** An order gets a connection of its own, for its reply does not say which order it answers. */
   async order (endpoint: EndpointDescription, order: EngineOrder, signal: AbortSignal): Promise<Result<void, AttemptFailure>> {
-    const milliseconds = this.#options.orderMilliseconds ?? defaultOrderMilliseconds
-    const answer = await this.#ask(endpoint, 'POST', '/orders', JSON.stringify(order), milliseconds, signal)
+    const { clock, orderMilliseconds: silenceMilliseconds = defaultOrderMilliseconds } = this.#options
+    const answer = await this.#collect(this.#connections.fresh(endpoint.address, {
+      clock, silenceMilliseconds, method: 'POST', path: '/orders', headers: jsonHeaders, body: JSON.stringify(order), mayStillSend: () => !signal.aborted
+    }), signal)
     return answer.map(() => undefined)
   }
 
@@ -90,21 +102,13 @@
     return this.#connections.close()
   }
 
-  async #ask (endpoint: EndpointDescription, method: string, path: string, body: string | undefined, silenceMilliseconds: number, signal: AbortSignal): Promise<Result<Collected, AttemptFailure>> {
-    const headers: Record<string, string> = body === undefined ? {} : { 'content-type': 'application/json' }
-    const exchange = this.#connections.pooled(endpoint.address, {
-      clock: this.#options.clock, method, path, headers, body, silenceMilliseconds, mayStillSend: () => !signal.aborted
-    })
+  async #collect (exchange: Exchange, signal: AbortSignal): Promise<Result<Collected, AttemptFailure>> {
     const cancel = () => exchange.giveUp('cancelled')
     signal.addEventListener('abort', cancel)
     const answer = await collect(exchange)
     signal.removeEventListener('abort', cancel)
-    if (answer.err) {
-      this.#connections.retire(endpoint.address)
-      return answer
-    }
+    if (answer.err || answer.val.status === okStatus) return answer
     const { status } = answer.val
-    if (status === okStatus) return answer
     const reach = status < firstServerErrorStatus ? Reach.Refused : Reach.Maybe
     return Err(new AttemptFailure(reach, `status ${status}`))
   }
--- a/src/endpoint/serviceClient.ts
+++ b/src/endpoint/serviceClient.ts
@@ -1,12 +1,13 @@
 /**
- * Plain services over HTTP. A call that may not be repeated gets a connection of its own: a pooled
- * one may have gone silent, and the call's fate would be open for nothing. `Reach.Never` is said
- * only where the exchange was stopped before its first byte, which `Exchange` settles in the turn
- * of the write. After that turn the bytes are the kernel's: they may arrive late, also after this
- * process has given up, so a claim stays open until its own deadline has passed.
+ * Plain services over HTTP. Their replies do not say which call they answer, so a connection serves
+ * one call only: on one that is used again, a reply that comes twice or late would be taken for the
+ * next call's. `Reach.Never` is said only where the exchange was stopped before its first byte,
+ * which `Exchange` settles in the turn of the write. After that turn the bytes are the kernel's:
+ * they may arrive late, also after this process has given up, so a claim stays open until its own
+ * deadline has passed.
  */
 import { z } from 'zod'
-import { type Clock, type EndpointDescription, Err, type Result } from '../contract/index.ts'
+import { type Clock, type EndpointDescription, Err, Ok, type Result } from '../contract/index.ts'
 import { collect, type Collected } from './collect.ts'
 import { Connections, type ConnectionSource } from './connections.ts'
 import { AttemptFailure, Reach, type ServiceAnswer, type ServiceCall, type ServiceClient } from './contract.ts'
@@ -49,23 +50,21 @@
   }
 
   async call (endpoint: EndpointDescription, call: ServiceCall, mayStillSend: () => boolean, signal: AbortSignal): Promise<Result<ServiceAnswer, AttemptFailure>> {
-    const isRepeatable = call.idempotencyKey === undefined
-    const answer = await this.#exchange(endpoint, call, isRepeatable, mayStillSend, signal)
-    return answer.map(({ status, contentType, body }) => ({ status, contentType, body }))
+    const answer = await this.#exchange(endpoint, call, mayStillSend, signal)
+    if (answer.err) return answer
+    const { status, headers, body } = answer.val
+    const named = headers['idempotency-key']
+    if (named !== undefined && named !== call.idempotencyKey) return Err(new AttemptFailure(Reach.Maybe, 'the answer names another call'))
+    return Ok({ status, contentType: headers['content-type'] ?? '', body })
   }
 
   async hasRun (endpoint: EndpointDescription, idempotencyKey: string, signal: AbortSignal): Promise<Result<ServiceAnswer | 'not_run' | undefined, AttemptFailure>> {
     const call = { method: 'GET', path: `/runs/${encodeURIComponent(idempotencyKey)}`, contentType: undefined, body: undefined, idempotencyKey: undefined, traceParent: undefined }
-    const answer = await this.#exchange(endpoint, call, true, () => true, signal)
+    const answer = await this.#exchange(endpoint, call, () => true, signal)
     return answer.map(readRun)
   }
 
-  /** Cuts the connections at once; a graceful stop waits for its calls first. */
-  close (): Promise<void> {
-    return this.#connections.close()
-  }
-
-  async #exchange (endpoint: EndpointDescription, call: ServiceCall, isRepeatable: boolean, mayStillSend: () => boolean, signal: AbortSignal): Promise<Result<Collected, AttemptFailure>> {
+  async #exchange (endpoint: EndpointDescription, call: ServiceCall, mayStillSend: () => boolean, signal: AbortSignal): Promise<Result<Collected, AttemptFailure>> {
     if (signal.aborted) return Err(new AttemptFailure(Reach.Never, 'cancelled'))
     const options: ExchangeOptions = {
       clock: this.#options.clock,
@@ -76,13 +75,11 @@
       silenceMilliseconds: this.#options.silenceMilliseconds,
       mayStillSend: () => !signal.aborted && mayStillSend()
     }
-    const { address } = endpoint
-    const exchange = isRepeatable ? this.#connections.pooled(address, options) : this.#connections.fresh(address, options)
+    const exchange = this.#connections.fresh(endpoint.address, options)
     const cancel = () => exchange.giveUp('cancelled')
     signal.addEventListener('abort', cancel)
     const answer = await collect(exchange)
     signal.removeEventListener('abort', cancel)
-    if (answer.err) this.#connections.retire(address)
     return answer
   }
 }
--- a/src/endpoint/streamReader.ts
+++ b/src/endpoint/streamReader.ts
@@ -75,10 +75,12 @@
     return undefined
   }
 
+  /** A refusal counts as one only where it names the attempt: a connection may bring another's. */
   async #refused (head: Extract<ExchangeEvent, { type: 'head' }>): Promise<StreamEvent> {
     const body = await collect(this.#exchange)
     const isRefusal = head.status < firstServerErrorStatus ? head.status !== conflictStatus : head.status === unavailableStatus
-    const reach = isRefusal && body.ok ? Reach.Refused : Reach.Maybe
+    const isOwn = head.headers['x-attempt-id'] === this.#assembly.attemptId
+    const reach = isRefusal && isOwn && body.ok ? Reach.Refused : Reach.Maybe
     const seconds = Number(head.headers['retry-after'])
     const retryAfterSeconds = Number.isFinite(seconds) ? seconds : undefined
     return { type: 'refused', failure: new AttemptFailure(reach, `status ${head.status}`, retryAfterSeconds) }
--- a/src/standin/engine.ts
+++ b/src/standin/engine.ts
@@ -144,8 +144,9 @@
   async #complete (visit: Visit): Promise<void> {
     const request = requestShape.parse(bodyJson(visit))
     const version = request.model as VersionName
-    if (!this.#versions.has(version)) return replyJson(visit, 404, { error: { code: 'model_not_loaded' } })
     const attemptId = headerOf(visit, 'x-attempt-id') ?? `attempt-${this.#all.length}`
+    visit.response.setHeader('x-attempt-id', attemptId)
+    if (!this.#versions.has(version)) return replyJson(visit, 404, { error: { code: 'model_not_loaded' } })
     if (this.#generations.has(attemptId)) return replyJson(visit, 409, { error: { code: 'attempt_exists' } })
     const generation = new Generation(this.#plan(attemptId, version, request))
     this.#generations.set(attemptId, generation)
--- a/src/standin/service.ts
+++ b/src/standin/service.ts
@@ -116,6 +116,7 @@
     }
     const header = visit.headers['idempotency-key']
     const key = typeof header === 'string' ? header : undefined
+    if (key !== undefined) visit.response.setHeader('idempotency-key', key)
     const kept = key === undefined ? undefined : this.#answers.get(key)
     const answer = kept !== undefined && this.#options.deduplicates === true ? kept : await this.#work(visit, key)
     if (this.#repliesToDrop > 0) {
