--- a/bench/qualityRun.ts
+++ b/bench/qualityRun.ts
@@ -127,7 +127,7 @@
   }
 }
 
-class QualityRun {
+export class QualityRun {
   readonly #world: World
   readonly #options: QualityOptions
   readonly #randomness: Randomness
--- a/src/choice/ratingModel.ts
+++ b/src/choice/ratingModel.ts
@@ -38,15 +38,20 @@
 const STRONGEST_PRIOR_LIMIT = 0.96
 const STRONGEST_PRIOR_SPREAD = 0.06
 /** Standard deviations below the mean at which a version's limit is relied on. */
-const CAUTION = 0.5
+const CAUTION = 0.7
 
 /** Ratings from which other daemons are told of a version. */
 const TOLD_RATINGS = 3
 
 class LimitBelief {
-  /** The logarithm of own ratings' likelihood: scale point × `LIMIT_COUNT` + limit. */
-  readonly own = new Float64Array(SCALE_POINTS.length * LIMIT_COUNT)
+  /** The logarithm of own ratings' likelihood by limit, at the present scale. */
+  readonly own = new Float64Array(LIMIT_COUNT)
+  /** The same at each point of the scale's grid. */
+  readonly atPoints = SCALE_POINTS.map(() => new Float64Array(LIMIT_COUNT))
+  /** Own ratings, older ones faded. */
   count = 0
+  /** Own ratings ever. */
+  seen = 0
   mean: number
   spread: number
   /** The newest records, to learn from again when the shared scale changes. */
@@ -69,30 +74,25 @@
     return this.count + this.#othersCount
   }
 
-  ownAt (scalePoint: number): Float64Array {
-    return this.own.subarray(scalePoint * LIMIT_COUNT, (scalePoint + 1) * LIMIT_COUNT)
-  }
-
-  refresh (scalePoint: number): void {
-    const own = this.ownAt(scalePoint)
+  refresh (): void {
     const total = new Float64Array(LIMIT_COUNT)
     for (let index = 0; index < LIMIT_COUNT; index++) {
       const distance = (limitAt(index) - this.#prior.limit) / this.#prior.spread
-      total[index] = own[index]! + this.#others[index]! - distance * distance / 2
+      total[index] = this.own[index]! + this.#others[index]! - distance * distance / 2
     }
     const moments = momentsOf(total)
     this.mean = moments.mean
     this.spread = Math.sqrt(moments.variance)
   }
 
-  setOthers (news: readonly LimitNews[], scalePoint: number): void {
+  setOthers (news: readonly LimitNews[]): void {
     this.#others.fill(0)
     this.#othersCount = 0
     for (const { count, likelihood } of news) {
       this.#othersCount += count
       for (let index = 0; index < LIMIT_COUNT; index++) this.#others[index]! += likelihood[index] ?? 0
     }
-    this.refresh(scalePoint)
+    this.refresh()
   }
 }
 
@@ -142,8 +142,8 @@
     for (const { version, rating } of earlier) {
       const limit = this.limit(version)
       for (let cell = 0; cell < CELL_COUNT; cell++) {
-        const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.slope)
-        weights[cell]! *= ratingLikelihood(rating, score, this.#scale.ratingNoise)
+        const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.point.slope)
+        weights[cell]! *= ratingLikelihood(rating, score, this.#scale.point.noise)
       }
     }
     normalise(weights)
@@ -163,7 +163,7 @@
     this.#learn(belief, weights, rating)
     belief.records.push({ hint, earlier, rating })
     if (belief.records.length > MEMORY_RATINGS) belief.records.shift()
-    belief.refresh(this.#scale.best)
+    belief.refresh()
     return shortfall
   }
 
@@ -178,19 +178,30 @@
   relearn (): void {
     for (const belief of this.#beliefs.values()) {
       belief.own.fill(0)
-      belief.count = 0
-      for (const { hint, earlier, rating } of belief.records) this.#learn(belief, this.weights(hint, earlier), rating)
-      belief.refresh(this.#scale.best)
+      for (const { hint, earlier, rating } of belief.records) this.#learnLimit(belief, this.weights(hint, earlier), rating)
+      belief.refresh()
     }
   }
 
   #learn (belief: LimitBelief, weights: Float64Array, rating: number): void {
+    this.#learnLimit(belief, weights, rating)
+    belief.count = belief.count * KEPT + 1
+    belief.seen += 1
+    if (belief.seen <= SCALE_RATINGS || belief.seen % SCALE_EVERY === 0) this.#learnScale(belief, weights, rating)
+  }
+
+  #learnScale (belief: LimitBelief, weights: Float64Array, rating: number): void {
     const curve = new Float64Array(OFFSET_COUNT)
-    for (const [point, scale] of SCALE_POINTS.entries()) {
-      this.#fillCurve(curve, scale, rating)
-      addLikelihood(belief.ownAt(point), weights, curve)
+    for (const [index, point] of SCALE_POINTS.entries()) {
+      this.#fillCurve(curve, point, rating)
+      addLikelihood(belief.atPoints[index]!, weights, curve)
     }
-    belief.count = belief.count * KEPT + 1
+  }
+
+  #learnLimit (belief: LimitBelief, weights: Float64Array, rating: number): void {
+    const curve = new Float64Array(OFFSET_COUNT)
+    this.#fillCurve(curve, this.#scale.point, rating)
+    addLikelihood(belief.own, weights, curve)
   }
 
   #fillCurve (curve: Float64Array, { slope, noise }: ScalePoint, rating: number): void {
@@ -203,11 +214,11 @@
     let mean = 0
     let squares = 0
     for (let cell = 0; cell < CELL_COUNT; cell++) {
-      const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.slope)
+      const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.point.slope)
       mean += weights[cell]! * score
       squares += weights[cell]! * score * score
     }
-    const spread = Math.sqrt(Math.max(0, squares - mean * mean) + this.#scale.ratingNoise ** 2)
+    const spread = Math.sqrt(Math.max(0, squares - mean * mean) + this.#scale.point.noise ** 2)
     return (mean - rating) / spread
   }
 
@@ -216,21 +227,21 @@
     const belief = this.#beliefs.get(version)
     if (!belief) return
     belief.records.splice(0, Math.round(belief.records.length * (1 - keptShare)))
-    for (let index = 0; index < belief.own.length; index++) belief.own[index]! *= keptShare
+    for (const logarithms of [belief.own, ...belief.atPoints]) scaleBy(logarithms, keptShare)
     belief.count *= keptShare
-    belief.setOthers([], this.#scale.best)
+    belief.setOthers([])
   }
 
   /** What this daemon's own ratings say, for other daemons; versions with too few are left out. */
   news (): Map<VersionName, LimitNews> {
     const settled = [...this.#beliefs].filter(([, belief]) => belief.count >= TOLD_RATINGS)
-    return new Map(settled.map(([version, belief]) => [version, { count: belief.count, likelihood: likelihoodNews(belief.ownAt(this.#scale.best)) }]))
+    return new Map(settled.map(([version, belief]) => [version, { count: belief.count, likelihood: likelihoodNews(belief.own) }]))
   }
 
   /** Replaces what is known from other daemons' ratings of a version. */
   setNews (version: VersionName, news: readonly LimitNews[]): void {
     this.admit(version, false)
-    this.#beliefs.get(version)!.setOthers(news, this.#scale.best)
+    this.#beliefs.get(version)!.setOthers(news)
   }
 
   /** The chance that an answer of a version is good, by cell of difficulty. */
@@ -240,6 +251,10 @@
   }
 }
 
+function scaleBy (logarithms: Float64Array, factor: number): void {
+  for (let index = 0; index < logarithms.length; index++) logarithms[index]! *= factor
+}
+
 /** Fades what was known at each limit and adds one rating. */
 function addLikelihood (logarithms: Float64Array, weights: Float64Array, curve: Float64Array): void {
   const density = new Float64Array(LIMIT_COUNT)
@@ -252,13 +267,16 @@
   for (let index = 0; index < LIMIT_COUNT; index++) logarithms[index] = logarithms[index]! * KEPT + Math.log(density[index]!)
 }
 
+/** Of a belief's ratings the first ones and then every so many teach the scale, which moves slowly. */
+const SCALE_RATINGS = 80
+const SCALE_EVERY = 4
 /** Cells with less weight don't change what a rating says. */
 const SMALLEST_WEIGHT = 1e-4
 
 /** The likelihood of own ratings at each scale point, with the limit summed out. */
 function profileOf (belief: LimitBelief): Float64Array {
   return Float64Array.from(SCALE_POINTS, (_, point) => {
-    const logarithms = belief.ownAt(point)
+    const logarithms = belief.atPoints[point]!
     const highest = Math.max(...logarithms)
     const sum = logarithms.reduce((total, logarithm) => total + Math.exp(logarithm - highest), 0)
     return highest + Math.log(sum)
--- a/src/choice/ratingScale.ts
+++ b/src/choice/ratingScale.ts
@@ -3,6 +3,7 @@
  * harder, how noisy a reading is, and how noisy a hint is. Slope and noise are taken from a small
  * fixed grid. Every belief about a version is kept for each point of that grid, so that limits and
  * scale are fitted together: fitted in turns they settle on a wrong pair that agrees with itself.
+ * Between the points of the grid a parabola through the best one and its neighbours is used.
  * The hint's noise follows from the spread of all hints, for difficulty spreads evenly over 0 to 1.
  */
 
@@ -10,8 +11,9 @@
 const SLOPES = [18, 26, 38, 54, 78, 110]
 /** Standard deviations of a reading, points. */
 const NOISES = [2.5, 4, 6.5, 10, 16]
-const FIRST_SLOPE = 54
-const FIRST_NOISE = 10
+const FIRST: ScalePoint = { slope: 54, noise: 10 }
+/** Changes of slope or noise by a smaller part are not worth learning again for. */
+const SMALLEST_CHANGE = 0.03
 const EVEN_VARIANCE = 1 / 12
 const SMALLEST_HINT_NOISE = 0.02
 const FIRST_HINT_NOISE = 0.2
@@ -32,24 +34,20 @@
 export class RatingScale {
   readonly #profiles = new Map<string, Float64Array>()
   #others = new Float64Array(SCALE_POINTS.length)
-  #best = SCALE_POINTS.findIndex(({ slope, noise }) => slope === FIRST_SLOPE && noise === FIRST_NOISE)
+  #point = FIRST
+  #revision = 0
   #hints = 0
   #hintMean = 0.5
   #hintVariance = 0
 
-  /** The index of the best point of the grid. */
-  get best (): number {
-    return this.#best
+  /** Grows when slope or noise change, so that what was derived from them is stale. */
+  get revision (): number {
+    return this.#revision
   }
 
-  /** Points that a score falls from difficulty 0 to 1. */
-  get slope (): number {
-    return SCALE_POINTS[this.#best]!.slope
-  }
-
-  /** Standard deviation of a reading, points. */
-  get ratingNoise (): number {
-    return SCALE_POINTS[this.#best]!.noise
+  /** The present slope and noise. */
+  get point (): ScalePoint {
+    return this.#point
   }
 
   /** Standard deviation of a hint, in difficulty. */
@@ -101,12 +99,36 @@
   #findBest (): void {
     const total = this.#ownSum()
     addTo(total, this.#others)
-    for (let index = 0; index < total.length; index++) {
-      if (total[index]! > total[this.#best]!) this.#best = index
+    const best = total.indexOf(Math.max(...total))
+    const noiseIndex = best % NOISES.length
+    const slopeIndex = (best - noiseIndex) / NOISES.length
+    const point = {
+      slope: peak(SLOPES, slopeIndex, index => total[index * NOISES.length + noiseIndex]!),
+      noise: peak(NOISES, noiseIndex, index => total[slopeIndex * NOISES.length + index]!)
     }
+    const moved = Math.max(Math.abs(Math.log(point.slope / this.#point.slope)), Math.abs(Math.log(point.noise / this.#point.noise)))
+    if (moved < SMALLEST_CHANGE) return
+    this.#point = point
+    this.#revision += 1
   }
 }
 
+/** The peak of the parabola, over the logarithms of values, through the best one and its neighbours. */
+function peak (values: readonly number[], best: number, heightAt: (index: number) => number): number {
+  const lower = values[best - 1]
+  const middle = values[best]!
+  const upper = values[best + 1]
+  if (lower === undefined || upper === undefined) return middle
+  const left = Math.log(lower / middle)
+  const right = Math.log(upper / middle)
+  const leftFall = heightAt(best) - heightAt(best - 1)
+  const rightFall = heightAt(best) - heightAt(best + 1)
+  const divisor = 2 * (leftFall * right - rightFall * left)
+  if (!(divisor > 0)) return middle
+  const offset = (leftFall * right * right - rightFall * left * left) / divisor
+  return middle * Math.exp(Math.min(right / 2, Math.max(left / 2, offset)))
+}
+
 function addTo (sum: Float64Array, terms: Float64Array | Float32Array): void {
   for (let index = 0; index < sum.length; index++) sum[index]! += terms[index] ?? 0
 }
--- a/src/choice/rollOutGuard.ts
+++ b/src/choice/rollOutGuard.ts
@@ -24,7 +24,7 @@
   readonly missedHarmRate?: number
 }
 
-const FALSE_HALT_RATE = 0.005
+const FALSE_HALT_RATE = 0.0008
 const HARM_POINTS = 10
 const MISSED_HARM_RATE = 0.02
 /** Sizes of harm that are looked for, in standard deviations of an adjusted rating. */
--- a/src/choice/versionKind.ts
+++ b/src/choice/versionKind.ts
@@ -14,7 +14,7 @@
 import { ContextCounts, PlanTable } from './versionPlanTable.ts'
 
 /** Ratings from which a version is planned with. */
-export const SETTLED_RATINGS = 30
+export const SETTLED_RATINGS = 14
 /** After a version turned bad, the share of its evidence that still counts. */
 const KEPT_AFTER_DRIFT = 0.02
 /** Beliefs that rest on few ratings move fast: plans are made anew after this share of them. */
@@ -55,7 +55,7 @@
   constructor (name: string, scale: RatingScale, goodRating: number, ratingCost: number) {
     this.#name = name
     this.#scale = scale
-    this.#learnedAt = scale.best
+    this.#learnedAt = scale.revision
     this.#goodRating = goodRating
     this.#ratingCost = ratingCost
     this.model = new RatingModel(scale, goodRating)
@@ -109,8 +109,8 @@
   refresh (): void {
     this.#ratingsSinceRefresh = 0
     this.model.informScale(this.#name)
-    if (this.#learnedAt !== this.#scale.best) this.model.relearn()
-    this.#learnedAt = this.#scale.best
+    if (this.#learnedAt !== this.#scale.revision) this.model.relearn()
+    this.#learnedAt = this.#scale.revision
     const ground = this.#ground()
     if (ground.length === this.#plannedOn.length && ground.every((value, index) => Math.abs(value - this.#plannedOn[index]!) < GROUND_STEP)) return
     this.#plannedOn = ground
@@ -121,7 +121,7 @@
   /** What plans are made from, as plain numbers. */
   #ground (): number[] {
     const limits = this.model.versions().flatMap(version => [this.model.cautiousLimit(version), this.settled(version) ? 1 : 0])
-    return [this.#scale.slope, this.#scale.ratingNoise, this.#scale.hintNoise, this.boundTurns / 50, ...limits]
+    return [this.#scale.point.slope, this.#scale.point.noise, this.#scale.hintNoise, this.boundTurns / 50, ...limits]
   }
 
   /** The plans for a set of versions, cheapest first. */
@@ -167,11 +167,11 @@
   #ratingByCell (limit: number): Float64Array {
     const table = new Float64Array(RATING_BIN_COUNT * CELL_COUNT)
     for (let cell = 0; cell < CELL_COUNT; cell++) {
-      const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.slope)
+      const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.point.slope)
       let below = 0
       for (let bin = 0; bin < RATING_BIN_COUNT; bin++) {
         const upper = LOWEST_RATING + (bin + 1) * RATING_BIN_POINTS
-        const next = bin === RATING_BIN_COUNT - 1 ? 1 : normalBelow((upper - score) / this.#scale.ratingNoise)
+        const next = bin === RATING_BIN_COUNT - 1 ? 1 : normalBelow((upper - score) / this.#scale.point.noise)
         table[bin * CELL_COUNT + cell] = Math.max(0, next - below)
         below = next
       }
--- a/src/choice/versionPolicy.ts
+++ b/src/choice/versionPolicy.ts
@@ -38,7 +38,7 @@
 /** After a rating that did not come, the time without cascades. */
 const RATING_PAUSE_MILLISECONDS = 3_000
 /** The share of cascades that try a version about which little is known. */
-const EXPLORING_SHARE = 0.3
+const EXPLORING_SHARE = 0.6
 /** The same for requests whose answers can't be rated before their release. */
 const EXPLORING_SHARE_UNRATED = 0.05
 /** Where this share of a kind's requests may be cascades, nothing is explored without them. */
@@ -167,7 +167,7 @@
   }
 
   state (): string {
-    return JSON.stringify({ slope: this.#scale.slope, noise: this.#scale.ratingNoise, hint: this.#scale.hintNoise, kinds: [...this.#kinds].map(([name, kind]) => [name, kind.model.versions().map(v => [v, kind.model.limit(v), kind.model.cautiousLimit(v), kind.model.ratings(v)])]) })
+    return JSON.stringify({ slope: this.#scale.point.slope, noise: this.#scale.point.noise, hint: this.#scale.hintNoise, kinds: [...this.#kinds].map(([name, kind]) => [name, kind.model.versions().map(v => [v, kind.model.limit(v), kind.model.cautiousLimit(v), kind.model.ratings(v)])]) })
   }
 
   observeRatingMissing (now: number): void {
