--- a/src/choice/ratingModel.ts
+++ b/src/choice/ratingModel.ts
@@ -52,6 +52,8 @@
   count = 0
   /** Own ratings ever. */
   seen = 0
+  /** `seen` when the scale was last told. */
+  profiledAt = 0
   mean: number
   spread: number
   /** The newest records, to learn from again when the shared scale changes. */
@@ -170,7 +172,10 @@
   /** Tells the shared scale what the beliefs of this kind say of it. */
   informScale (kind: string): void {
     for (const [version, belief] of this.#beliefs) {
-      if (belief.count > 0) this.#scale.setProfile(`${kind}\n${version}`, profileOf(belief))
+      const due = Math.max(FEWEST_NEW_RATINGS, belief.profiledAt * NEW_RATINGS_SHARE)
+      if (belief.seen - belief.profiledAt < due) continue
+      belief.profiledAt = belief.seen
+      this.#scale.setProfile(`${kind}\n${version}`, profileOf(belief))
     }
   }
 
@@ -267,6 +272,9 @@
   for (let index = 0; index < LIMIT_COUNT; index++) logarithms[index] = logarithms[index]! * KEPT + Math.log(density[index]!)
 }
 
+/** New ratings, at least and as a share of the earlier ones, from which the scale is told again. */
+const FEWEST_NEW_RATINGS = 4
+const NEW_RATINGS_SHARE = 0.1
 /** Of a belief's ratings the first ones and then every so many teach the scale, which moves slowly. */
 const SCALE_RATINGS = 80
 const SCALE_EVERY = 4
--- a/src/choice/versionKind.ts
+++ b/src/choice/versionKind.ts
@@ -181,7 +181,7 @@
 }
 
 /** Beliefs that moved by less leave the plans as they are. */
-const GROUND_STEP = 0.004
+const GROUND_STEP = 0.007
 /** A goal that moved by less keeps its level. */
 const GOAL_STEP = 0.001
 
--- a/src/choice/versionPlanTable.ts
+++ b/src/choice/versionPlanTable.ts
@@ -28,7 +28,7 @@
 const LEVEL_COUNT = 24
 /** The lowest worth, in attempts of the cheapest version, and the highest, in attempts of the dearest. */
 const LOWEST_WORTH = 0.5
-const HIGHEST_WORTH = 300
+const HIGHEST_WORTH = 60
 
 /** What the table is made from. */
 export interface PlanGround {
