Count the old version's own uncertainty in the roll-out guard

Cause: the test compared each new rating with the old version's line as if that were exact; with 60 old ratings its error is common to all new ones. Ruled out: skewed ratings alone (a stricter error rate, 0.0008, did not suffice there). Now the likelihood ratio is of the difference of means with both variances.

--- a/src/choice/rollOutGuard.ts
+++ b/src/choice/rollOutGuard.ts
@@ -1,16 +1,17 @@
 /**
  * Watches a roll-out by a sequential test. Old and new versions serve the same kinds of work, so
- * each rating is first adjusted for its kind and hint by a regression over both versions; what is
- * left is compared in standard deviations. Two sums are kept. One is the logarithm of an e-process:
- * a mean over several sizes of harm of the likelihood ratio "worse by that much" against "not
- * worse". By Ville's inequality it passes 1/α for a version that is not worse with a chance of at
- * most α, however often it is looked at, which bounds false halts. The other is the sequential
- * ratio that the harm to be found is absent, which decides when a step may be taken. Attempts that
- * fail are a test of their own, of two binomial shares, in the same form.
+ * ratings are compared within a kind and at like hints, by a regression over the old version's. The
+ * evidence for harm is a mean, over several sizes of harm, of the likelihood ratio of the observed
+ * difference of means between "worse by that much" and "not worse"; the difference's variance holds
+ * the old version's own uncertainty, for an error there is common to all later ratings. Such a ratio
+ * is an e-process: by Ville's inequality it passes 1/α for a version that is not worse with a chance
+ * of at most α however often it is looked at, which bounds false halts. The same ratio for one size
+ * of harm, with the evidence since the last step, says when that harm is refuted and a step may be
+ * taken. Attempts that fail are a test of their own, of two shares, in the same form.
  */
 import type { VersionName } from '../contract/index.ts'
 import { type RollOutEvidence, type RollOutGuard, RollOutVerdict } from './contract.ts'
-import { RollOutRegression } from './rollOutRegression.ts'
+import { type RatedSums, RollOutRegression, UNKNOWN_HINT } from './rollOutRegression.ts'
 
 /** What the guard is made with. */
 export interface SequentialRollOutGuardOptions {
@@ -24,7 +25,7 @@
   readonly missedHarmRate?: number
 }
 
-const FALSE_HALT_RATE = 0.0008
+const FALSE_HALT_RATE = 0.002
 const HARM_POINTS = 10
 const MISSED_HARM_RATE = 0.02
 /** Sizes of harm that are looked for, in standard deviations of an adjusted rating. */
@@ -50,10 +51,9 @@
   readonly #harmPoints: number
   readonly #regression = new RollOutRegression()
   readonly #waiting: RollOutEvidence[] = []
-  readonly #harm = new Float64Array(HARM_SIZES.length)
+  readonly #rated = new Map<string, RatedSums>()
+  readonly #ratedInStep = new Map<string, RatedSums>()
   readonly #failureHarm = new Float64Array(FAILURE_SIZES.length)
-  #absence = 0
-  #ratedSinceStep = 0
   #halted = false
   #oldAttempts = 0
   #oldFailures = 0
@@ -85,13 +85,22 @@
   /** Says what to do; after `Advance` the evidence for the next step starts anew. */
   verdict (): RollOutVerdict {
     if (this.#halted) return RollOutVerdict.Halt
-    const ready = this.#absence >= this.#stepAt && this.#ratedSinceStep >= FEWEST_RATINGS_FOR_STEP
-    if (!ready) return RollOutVerdict.Continue
-    this.#absence = 0
-    this.#ratedSinceStep = 0
+    if (!this.#harmRefuted()) return RollOutVerdict.Continue
+    this.#ratedInStep.clear()
     return RollOutVerdict.Advance
   }
 
+  #harmRefuted (): boolean {
+    let count = 0
+    let evidence = 0
+    for (const [kind, rated] of this.#ratedInStep) {
+      const { deviation } = this.#regression.expect(kind, undefined)
+      count += rated.count
+      evidence += this.#evidence(kind, rated, this.#harmPoints / deviation)
+    }
+    return count >= FEWEST_RATINGS_FOR_STEP && evidence <= -this.#stepAt
+  }
+
   /** Tests ratings of the new version once the old one's are known for their kind. */
   #test (): void {
     const ready = this.#waiting.filter(({ kind }) => this.#regression.ratings(kind) >= WARM_UP_RATINGS)
@@ -103,12 +112,19 @@
 
   #testRating (kind: string, hint: number | undefined, rating: number): void {
     const { expected, deviation } = this.#regression.expect(kind, hint)
-    const shortfall = clamp((expected - rating) / deviation, LARGEST_DEVIATION)
-    for (const [index, size] of HARM_SIZES.entries()) this.#harm[index]! += size * shortfall - size * size / 2
-    if (logarithmOfMean(this.#harm) >= this.#haltAt) this.#halted = true
-    const harm = this.#harmPoints / deviation
-    this.#absence = Math.max(0, this.#absence - harm * shortfall + harm * harm / 2)
-    this.#ratedSinceStep += 1
+    const counted = expected + clamp(rating - expected, LARGEST_DEVIATION * deviation)
+    addRated(this.#rated, kind, hint, counted)
+    addRated(this.#ratedInStep, kind, hint, counted)
+    const harm = Float64Array.from(HARM_SIZES, size => {
+      return [...this.#rated].reduce((sum, [ratedKind, rated]) => sum + this.#evidence(ratedKind, rated, size), 0)
+    })
+    if (logarithmOfMean(harm) >= this.#haltAt) this.#halted = true
+  }
+
+  /** The logarithm of the likelihood ratio of a harm, in standard deviations of a rating, against none. */
+  #evidence (kind: string, rated: RatedSums, size: number): number {
+    const { shortfall, variance } = this.#regression.compare(kind, rated)
+    return (size * shortfall - size * size / 2) / variance
   }
 
   #observeFailure ({ version, rating }: RollOutEvidence): void {
@@ -128,6 +144,11 @@
   }
 }
 
+function addRated (sums: Map<string, RatedSums>, kind: string, hint: number | undefined, rating: number): void {
+  const { count, hint: hints, rating: ratings } = sums.get(kind) ?? { count: 0, hint: 0, rating: 0 }
+  sums.set(kind, { count: count + 1, hint: hints + (hint ?? UNKNOWN_HINT), rating: ratings + rating })
+}
+
 function clamp (value: number, limit: number): number {
   return Math.min(limit, Math.max(-limit, value))
 }
--- a/src/choice/rollOutRegression.ts
+++ b/src/choice/rollOutRegression.ts
@@ -12,17 +12,34 @@
   ratingSquares: number
 }
 
-/** What is expected of a rating. */
+/** What is expected of one rating. */
 export interface ExpectedRating {
   readonly expected: number
-  /** Standard deviation of a rating from what is expected, the expectation's own error included; points. */
+  /** Standard deviation of a rating from what is expected, points. */
   readonly deviation: number
 }
 
+/** Ratings of the new version on one kind. */
+export interface RatedSums {
+  readonly count: number
+  readonly hint: number
+  readonly rating: number
+}
+
+/** How a mean of the new version's ratings compares with what the old version would get. */
+export interface MeanShortfall {
+  /** In standard deviations of one rating; positive where the new version is worse. */
+  readonly shortfall: number
+  /** The variance of `shortfall`, the old version's own uncertainty included. */
+  readonly variance: number
+}
+
 const SMALLEST_DEVIATION = 3
 /** Weakens the slope while hints are few. */
 const RIDGE = 0.5
-const UNKNOWN_HINT = 0.5
+/** Stands for a hint that is not known. */
+export const UNKNOWN_HINT = 0.5
+const DEVIATION_CAUTION = 6
 
 /** A line for each kind of request. */
 export class RollOutRegression {
@@ -48,16 +65,32 @@
 
   /** What a rating of a kind with ratings is expected to be. */
   expect (kind: string, hint: number | undefined): ExpectedRating {
+    const line = lineOf(this.#kinds.get(kind)!)
+    return { expected: line.ratingMean + line.slope * ((hint ?? UNKNOWN_HINT) - line.hintMean), deviation: line.deviation }
+  }
+
+  /** Compares a mean of ratings of a kind with ratings. */
+  compare (kind: string, rated: RatedSums): MeanShortfall {
     const sums = this.#kinds.get(kind)!
-    const hintMean = sums.hint / sums.count
-    const ratingMean = sums.rating / sums.count
-    const spread = sums.hintSquares - sums.count * hintMean * hintMean
-    const covariance = sums.product - sums.count * hintMean * ratingMean
-    const slope = covariance / (spread + RIDGE)
-    const distance = (hint ?? UNKNOWN_HINT) - hintMean
-    const squares = Math.max(0, sums.ratingSquares - sums.count * ratingMean * ratingMean - slope * covariance)
-    const variance = squares / Math.max(1, sums.count - 2)
-    const error = 1 + 1 / sums.count + distance * distance / (spread + RIDGE)
-    return { expected: ratingMean + slope * distance, deviation: Math.max(SMALLEST_DEVIATION, Math.sqrt(variance * error)) }
+    const line = lineOf(sums)
+    const distance = rated.hint / rated.count - line.hintMean
+    const expected = line.ratingMean + line.slope * distance
+    return {
+      shortfall: (expected - rated.rating / rated.count) / line.deviation,
+      variance: 1 / rated.count + 1 / sums.count + distance * distance / line.spread
+    }
   }
 }
+
+function lineOf (sums: Sums) {
+  const hintMean = sums.hint / sums.count
+  const ratingMean = sums.rating / sums.count
+  const spread = sums.hintSquares - sums.count * hintMean * hintMean + RIDGE
+  const covariance = sums.product - sums.count * hintMean * ratingMean
+  const slope = covariance / spread
+  const squares = Math.max(0, sums.ratingSquares - sums.count * ratingMean * ratingMean - slope * covariance)
+  const freedom = Math.max(1, sums.count - 2)
+  // Few ratings understate the deviation as often as they overstate it; only the former does harm.
+  const variance = squares / freedom * (1 + DEVIATION_CAUTION / freedom)
+  return { hintMean, ratingMean, spread, slope, deviation: Math.max(SMALLEST_DEVIATION, Math.sqrt(variance)) }
+}
--- /dev/null
+++ b/test/choice-rollOut.test.ts
@@ -0,0 +1,100 @@
+import { expect, test } from 'vitest'
+import { SeededRandomness } from '../src/contract/index.ts'
+import { type RollOutEvidence, RollOutVerdict, SequentialRollOutGuard } from '../src/choice/index.ts'
+
+const from = 'small@1'
+const to = 'small@2'
+
+/** Ratings that fall with the hint, as both versions' do. */
+class Evidence {
+  readonly #randomness: SeededRandomness
+
+  constructor (seed: number) {
+    this.#randomness = new SeededRandomness(seed)
+  }
+
+  of (version: typeof from | typeof to, shift = 0): RollOutEvidence {
+    const hint = this.#randomness.fraction()
+    const rating = Math.min(100, Math.max(0, 100 - 40 * hint + shift + 9 * this.#randomness.normal()))
+    return { version, kind: 'tagging', rating, difficultyHint: hint, at: 0 }
+  }
+
+  failed (version: typeof from | typeof to): RollOutEvidence {
+    return { ...this.of(version), rating: undefined }
+  }
+}
+
+function warmed (seed: number): { guard: SequentialRollOutGuard, evidence: Evidence } {
+  const guard = new SequentialRollOutGuard({ from, to })
+  const evidence = new Evidence(seed)
+  for (let index = 0; index < 60; index++) guard.observe(evidence.of(from))
+  return { guard, evidence }
+}
+
+test('a version 20 points worse is halted within a few dozen ratings, and stays halted', () => {
+  for (let seed = 1; seed <= 50; seed++) {
+    const { guard, evidence } = warmed(seed)
+    let rated = 0
+    while (guard.verdict() !== RollOutVerdict.Halt && rated < 60) {
+      guard.observe(evidence.of(to, -20))
+      rated += 1
+    }
+    expect(rated).toBeLessThan(60)
+    guard.observe(evidence.of(to, 20))
+    expect(guard.verdict()).toBe(RollOutVerdict.Halt)
+  }
+})
+
+test('of two thousand good roll-outs watched over 150 ratings fewer than one in a hundred are halted', () => {
+  let halted = 0
+  for (let seed = 1; seed <= 2_000; seed++) {
+    const { guard, evidence } = warmed(10_000 + seed)
+    for (let index = 0; index < 150; index++) guard.observe(evidence.of(to))
+    halted += guard.halted ? 1 : 0
+  }
+  expect(halted).toBeLessThan(20)
+})
+
+test('a good version takes its steps, each on evidence of its own', () => {
+  const { guard, evidence } = warmed(3)
+  const verdicts = Array.from({ length: 200 }, () => {
+    guard.observe(evidence.of(to))
+    return guard.verdict()
+  })
+  const steps = verdicts.flatMap((verdict, index) => verdict === RollOutVerdict.Advance ? [index] : [])
+  expect(steps.length).toBeGreaterThanOrEqual(4)
+  expect(steps[0]).toBeGreaterThanOrEqual(11)
+  expect(steps[1]! - steps[0]!).toBeGreaterThanOrEqual(12)
+})
+
+test('a version that fails where the old one did not is halted without any rating', () => {
+  const { guard, evidence } = warmed(4)
+  for (let index = 0; index < 12; index++) guard.observe(evidence.failed(to))
+  expect(guard.verdict()).toBe(RollOutVerdict.Halt)
+})
+
+test('failures that the old version has as well do not halt the new one', () => {
+  const guard = new SequentialRollOutGuard({ from, to })
+  const evidence = new Evidence(5)
+  for (let index = 0; index < 600; index++) guard.observe(index % 5 === 0 ? evidence.failed(from) : evidence.of(from))
+  for (let index = 0; index < 300; index++) guard.observe(index % 5 === 0 ? evidence.failed(to) : evidence.of(to))
+  expect(guard.halted).toBe(false)
+})
+
+test('harder work on the new version is not taken for a worse version', () => {
+  const { guard } = warmed(6)
+  const randomness = new SeededRandomness(7)
+  for (let index = 0; index < 200; index++) {
+    const difficultyHint = 0.7 + 0.3 * randomness.fraction()
+    guard.observe({ version: to, kind: 'tagging', rating: 100 - 40 * difficultyHint + 9 * randomness.normal(), difficultyHint, at: 0 })
+  }
+  expect(guard.halted).toBe(false)
+})
+
+test('a rating of a kind that the old version has not been rated on waits until it has', () => {
+  const { guard, evidence } = warmed(8)
+  for (let index = 0; index < 40; index++) guard.observe({ ...evidence.of(to, -60), kind: 'lookup' })
+  expect(guard.halted).toBe(false)
+  for (let index = 0; index < 40; index++) guard.observe({ ...evidence.of(from), kind: 'lookup' })
+  expect(guard.halted).toBe(true)
+})
