--- /dev/null
+++ b/trial/prove/mechanisms.ts
@@ -0,0 +1,81 @@
+/**
+ * The mechanisms that a run can leave out, to show that its checks can fail. Each is left out through a
+ * fake or a part given to the composition; the program itself has no such switch.
+ */
+import { type Claims } from '../../src/claim/index.ts'
+import { Ok, type Randomness } from '../../src/contract/index.ts'
+import { SettingsFollower, SettingsLease } from '../../src/distribution/index.ts'
+import { Drain } from '../../src/entry/index.ts'
+import { watermarkTableName } from '../../src/billing/index.ts'
+import type { TableService, Transaction } from '../../src/platform/index.ts'
+
+/** Each mechanism and what happens without it. */
+export const Mechanism = {
+  claim: 'each call of a service is sent at once, whatever the store holds',
+  fencing: 'engines carry out orders with an old fencing number',
+  watermark: 'bill entries are written without the condition on their watermark',
+  'settings-lease': 'a daemon that is cut off takes its settings for the latest',
+  'leaving-mark': 'engines do not say that they are leaving',
+  'silence-detection': 'a silent connection is waited on for ever',
+  resume: 'a stream that broke is not taken up again',
+  drain: 'a planned stop does not wait for running requests'
+} as const
+export type Mechanism = keyof typeof Mechanism
+
+/** Claims that claim nothing. */
+export class AbsentClaims implements Claims {
+  readonly #randomness: Randomness
+
+  constructor (randomness: Randomness) {
+    this.#randomness = randomness
+  }
+
+  async open () {
+    const claim = {
+      nonce: this.#randomness.identifier(),
+      dispatch: async () => Ok({ sendBefore: Number.MAX_SAFE_INTEGER }),
+      settle: async () => Ok(undefined),
+      release: async () => Ok(undefined),
+      leaveUnknown: async () => {}
+    }
+    return Ok({ found: 'mine' as const, claim })
+  }
+
+  async resolve () {
+    return Ok({ found: 'unknown' as const })
+  }
+}
+
+/** A table service that forgets the conditions on watermarks. */
+export class UnconditionalWatermarks implements TableService {
+  readonly #table: TableService
+
+  constructor (table: TableService) {
+    this.#table = table
+  }
+
+  read (...args: Parameters<TableService['read']>): ReturnType<TableService['read']> {
+    return this.#table.read(...args)
+  }
+
+  scan (...args: Parameters<TableService['scan']>): ReturnType<TableService['scan']> {
+    return this.#table.scan(...args)
+  }
+
+  transact (transaction: Transaction): ReturnType<TableService['transact']> {
+    const conditions = transaction.conditions.filter(condition => condition.table !== watermarkTableName)
+    return this.#table.transact({ ...transaction, conditions })
+  }
+}
+
+/** Settings whose lease never lapses. */
+export class LeaselessFollower extends SettingsFollower {
+  override get lease (): SettingsLease {
+    return SettingsLease.Held
+  }
+}
+
+/** A drain that does not wait. */
+export class ImpatientDrain extends Drain {
+  override async empty (): Promise<void> {}
+}
--- /dev/null
+++ b/trial/prove/processGate.ts
@@ -0,0 +1,125 @@
+/**
+ * The life of one daemon's process: it runs, is frozen between two of its steps, or is dead. Its clock,
+ * its way to the store and its links pass the gate before and after each step, so a frozen process
+ * wakes late where it stood, and a dead one never sees a reply.
+ */
+import type { Clock, Result } from '../../src/contract/index.ts'
+import type { DaemonParts } from '../../src/daemon/index.ts'
+import type { LinkFailure, LinkIdentity, MessageType, Peer } from '../../src/link/index.ts'
+import type { TableService } from '../../src/platform/index.ts'
+import type { FakeLink } from '../../test/fakes/fakeLink.ts'
+
+/** Whether a process runs. */
+export class ProcessGate {
+  #isDead = false
+  #thawed: Promise<void> | undefined
+  #thaw: () => void = () => {}
+
+  get isDead (): boolean {
+    return this.#isDead
+  }
+
+  get isFrozen (): boolean {
+    return this.#thawed !== undefined
+  }
+
+  kill (): void {
+    this.#isDead = true
+  }
+
+  freeze (): void {
+    this.#thawed ??= new Promise(resolve => { this.#thaw = resolve })
+  }
+
+  thaw (): void {
+    this.#thawed = undefined
+    this.#thaw()
+  }
+
+  /** Fulfilled while the process runs; never once it is dead. */
+  async pass (): Promise<void> {
+    while (this.#thawed !== undefined) await this.#thawed
+    if (this.#isDead) await never()
+  }
+
+  /** Takes a step of the process. */
+  async step<Value> (work: () => Promise<Value>): Promise<Value> {
+    await this.pass()
+    const value = await work()
+    await this.pass()
+    return value
+  }
+}
+
+/** A process's clock. */
+export class GatedClock implements Clock {
+  readonly #clock: Clock
+  readonly #gate: ProcessGate
+
+  constructor (clock: Clock, gate: ProcessGate) {
+    this.#clock = clock
+    this.#gate = gate
+  }
+
+  now (): number {
+    return this.#clock.now()
+  }
+
+  async sleep (milliseconds: number, signal?: AbortSignal): Promise<void> {
+    await this.#clock.sleep(milliseconds, signal)
+    await this.#gate.pass()
+  }
+}
+
+/** A process's way to the store. */
+export class GatedTable implements TableService {
+  readonly #table: TableService
+  readonly #gate: ProcessGate
+
+  constructor (table: TableService, gate: ProcessGate) {
+    this.#table = table
+    this.#gate = gate
+  }
+
+  read (...args: Parameters<TableService['read']>): ReturnType<TableService['read']> {
+    return this.#gate.step(() => this.#table.read(...args))
+  }
+
+  scan (...args: Parameters<TableService['scan']>): ReturnType<TableService['scan']> {
+    return this.#gate.step(() => this.#table.scan(...args))
+  }
+
+  transact (...args: Parameters<TableService['transact']>): ReturnType<TableService['transact']> {
+    return this.#gate.step(() => this.#table.transact(...args))
+  }
+}
+
+type DaemonLink = DaemonParts['link']
+
+/** A process's links. */
+export class GatedLink implements DaemonLink {
+  readonly self: LinkIdentity
+  readonly #link: FakeLink
+  readonly #gate: ProcessGate
+
+  constructor (link: FakeLink, gate: ProcessGate) {
+    this.self = link.self
+    this.#link = link
+    this.#gate = gate
+  }
+
+  ask<Body, Reply> (peer: Peer, type: MessageType<Body, Reply>, body: Body, timeoutMilliseconds: number): Promise<Result<Reply, LinkFailure>> {
+    return this.#gate.step(() => this.#link.ask(peer, type, body, timeoutMilliseconds))
+  }
+
+  answer<Body, Reply> (type: MessageType<Body, Reply>, handler: (body: Body, from: LinkIdentity) => Promise<Reply>): void {
+    this.#link.answer(type, (body, from) => this.#gate.step(() => handler(body, from)))
+  }
+
+  async listen (): Promise<void> {}
+  async close (): Promise<void> {}
+}
+
+function never (): Promise<never> {
+  return new Promise(() => {})
+}
--- /dev/null
+++ b/trial/prove/virtualClock.ts
@@ -0,0 +1,106 @@
+/**
+ * Virtual time for a run of many daemons: sleepers wait in a heap, all that are due at one moment wake
+ * together, and one turn of the event loop lets everything that became ready run to its next wait.
+ */
+import type { Clock } from '../../src/contract/index.ts'
+
+interface Sleeper {
+  readonly wakeAt: number
+  readonly order: number
+  wake: (() => void) | undefined
+}
+
+/** A clock that moves only by `advance`. */
+export class VirtualClock implements Clock {
+  readonly #heap: Sleeper[] = []
+  #now = 1_000_000
+  #order = 0
+
+  now (): number {
+    return this.#now
+  }
+
+  sleep (milliseconds: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) return Promise.resolve()
+    return new Promise(resolve => {
+      const sleeper: Sleeper = { wakeAt: this.#now + Math.max(0, milliseconds), order: this.#order++, wake: undefined }
+      const wake = () => {
+        sleeper.wake = undefined
+        signal?.removeEventListener('abort', wake)
+        resolve()
+      }
+      sleeper.wake = wake
+      signal?.addEventListener('abort', wake, { once: true })
+      this.#push(sleeper)
+    })
+  }
+
+  /** Moves time on, waking each sleeper at its moment. */
+  async advance (milliseconds: number): Promise<void> {
+    const end = this.#now + milliseconds
+    await settle()
+    for (let first = this.#heap[0]; first !== undefined && first.wakeAt <= end; first = this.#heap[0]) {
+      this.#now = Math.max(this.#now, first.wakeAt)
+      if (this.#wakeDue()) await settle()
+    }
+    this.#now = end
+  }
+
+  #wakeDue (): boolean {
+    let isAnyAwake = false
+    for (let first = this.#heap[0]; first !== undefined && first.wakeAt <= this.#now; first = this.#heap[0]) {
+      this.#pop()
+      isAnyAwake ||= first.wake !== undefined
+      first.wake?.()
+    }
+    return isAnyAwake
+  }
+
+  #push (sleeper: Sleeper): void {
+    const heap = this.#heap
+    let index = heap.push(sleeper) - 1
+    while (index > 0) {
+      const parent = (index - 1) >> 1
+      if (!this.#isBefore(index, parent)) return
+      this.#swap(index, parent)
+      index = parent
+    }
+  }
+
+  #pop (): void {
+    const heap = this.#heap
+    const last = heap.pop()
+    if (last === undefined || heap.length === 0) return
+    heap[0] = last
+    let index = 0
+    for (;;) {
+      const left = 2 * index + 1
+      const right = left + 1
+      let least = index
+      if (left < heap.length && this.#isBefore(left, least)) least = left
+      if (right < heap.length && this.#isBefore(right, least)) least = right
+      if (least === index) return
+      this.#swap(index, least)
+      index = least
+    }
+  }
+
+  #isBefore (left: number, right: number): boolean {
+    const first = this.#heap[left]
+    const second = this.#heap[right]
+    if (first === undefined || second === undefined) return false
+    return first.wakeAt < second.wakeAt || (first.wakeAt === second.wakeAt && first.order < second.order)
+  }
+
+  #swap (left: number, right: number): void {
+    const first = this.#heap[left]
+    const second = this.#heap[right]
+    if (first === undefined || second === undefined) return
+    this.#heap[left] = second
+    this.#heap[right] = first
+  }
+}
+
+async function settle (): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve))
+}
