--- a/trial/prove/disturbances.ts
+++ b/trial/prove/disturbances.ts
@@ -22,6 +22,11 @@
     return !this.#list.some(entry => (entry.scope === everywhere || scopes.includes(entry.scope)) && entry.from <= to && entry.to >= from)
   }
 
+  /** Whether one scope itself was disturbed within a time. */
+  hasTouched (scope: string, from: number, to: number): boolean {
+    return this.#list.some(entry => entry.scope === scope && entry.from <= to && entry.to >= from)
+  }
+
   forgetBefore (moment: number): void {
     this.#list = this.#list.filter(entry => entry.to >= moment)
   }
--- a/trial/prove/faults.ts
+++ b/trial/prove/faults.ts
@@ -30,6 +30,7 @@
     this.#operators = parts.operators
     this.#disturbances = parts.disturbances
     this.#randomness = parts.randomness
+    this.#fleet.engines.freezeDaemon = (name, milliseconds) => this.#freezeInOrder(name, milliseconds)
   }
 
   /** Begins a round: something small befalls single messages all the time. */
@@ -80,7 +81,17 @@
     const daemon = this.#anyDaemon()
     if (daemon === undefined) return
     this.#count('freeze')
-    const length = 1_000 + this.#randomness.below(14_000)
+    await this.#freezeFor(daemon, 1_000 + this.#randomness.below(14_000))
+  }
+
+  #freezeInOrder (name: string, length: number): void {
+    const daemon = this.#fleet.daemons.find(candidate => candidate.name === name)
+    if (daemon === undefined) return
+    this.#count('freeze_in_order')
+    this.#freezeFor(daemon, length)
+  }
+
+  async #freezeFor (daemon: FleetDaemon, length: number): Promise<void> {
     this.#disturb(daemon.name, length)
     daemon.gate.freeze()
     this.#fleet.network.freeze(daemon.name)
--- a/trial/prove/judge.ts
+++ b/trial/prove/judge.ts
@@ -204,7 +204,7 @@
   }
 
   #wasFrozen (daemon: FleetDaemon, from: number, to: number): boolean {
-    return !this.#parts.disturbances.isCalm([daemon.name], from, to)
+    return this.#parts.disturbances.hasTouched(daemon.name, from, to)
   }
 
   #check (name: PromiseName, holds: boolean, evidence: () => string): void {
--- a/trial/prove/traffic.ts
+++ b/trial/prove/traffic.ts
@@ -45,6 +45,7 @@
 
 const deadlineMilliseconds = 20_000
 const mostAttempts = 3
+const prefixes = 24
 const repeatShare = 0.7
 const twinShare = 0.1
 const longestPauseMilliseconds = 3_000
@@ -128,7 +129,7 @@
       priority: Priority.Normal,
       difficultyHint: undefined,
       promptTokens: 40,
-      prefixKey: 'trial',
+      prefixKey: `prompt ${this.#randomness.below(prefixes)}`,
       deadline: record.startedAt + deadlineMilliseconds
     }
     const call = { request, organisation, session: session?.val ?? (isFirst ? SessionWish.Start : SessionWish.None), billId: record.id, parent: undefined }
