--- a/src/choice/versionKind.ts
+++ b/src/choice/versionKind.ts
@@ -14,7 +14,7 @@
 import { ContextCounts, PlanTable } from './versionPlanTable.ts'
 
 /** Ratings from which a version is planned with. */
-export const SETTLED_RATINGS = 30
+export const SETTLED_RATINGS = 14
 /** After a version turned bad, the share of its evidence that still counts. */
 const KEPT_AFTER_DRIFT = 0.02
 /** Beliefs that rest on few ratings move fast: plans are made anew after this share of them. */
@@ -37,6 +37,7 @@
   readonly model: RatingModel
   readonly organisations = new Map<string, OrganisationQuality>()
   readonly contexts = new ContextCounts(KIND_MEMORY_REQUESTS)
+  readonly #name: string
   readonly #scale: RatingScale
   readonly #goodRating: number
   readonly #ratingCost: number
@@ -45,13 +46,16 @@
   readonly #levels = new Map<string, { goal: number, level: number, requests: number }>()
   #plannedOn: readonly number[] = []
   #ratingsSinceRefresh = 0
+  #learnedAt: number
   #ratings = 0
   #work = 0
   #opened = 0
   #bound = 0
 
-  constructor (scale: RatingScale, goodRating: number, ratingCost: number) {
+  constructor (name: string, scale: RatingScale, goodRating: number, ratingCost: number) {
+    this.#name = name
     this.#scale = scale
+    this.#learnedAt = scale.revision
     this.#goodRating = goodRating
     this.#ratingCost = ratingCost
     this.model = new RatingModel(scale, goodRating)
@@ -89,7 +93,7 @@
   /** Learns from a rating. */
   observe (answer: RatedAnswer): void {
     const { version, difficultyHint, earlier = [], rating } = answer
-    const { shortfall, scaleChanged } = this.model.observe(version, difficultyHint, earlier, rating)
+    const shortfall = this.model.observe(version, difficultyHint, earlier, rating)
     const watch = this.#watches.get(version) ?? new RatingDriftWatch()
     this.#watches.set(version, watch)
     const wasSettled = this.model.ratings(version) > SETTLED_RATINGS + 1
@@ -98,12 +102,15 @@
     this.#ratings += 1
     this.#ratingsSinceRefresh += 1
     const due = Math.min(REFRESH_MOST, Math.max(REFRESH_FEWEST, this.#ratings * REFRESH_SHARE))
-    if (drifted || scaleChanged || this.#ratingsSinceRefresh >= due) this.refresh()
+    if (drifted || this.#ratingsSinceRefresh >= due) this.refresh()
   }
 
   /** Makes plans anew from now on, if beliefs have moved since they were made. */
   refresh (): void {
     this.#ratingsSinceRefresh = 0
+    this.model.informScale(this.#name)
+    if (this.#learnedAt !== this.#scale.revision) this.model.relearn()
+    this.#learnedAt = this.#scale.revision
     const ground = this.#ground()
     if (ground.length === this.#plannedOn.length && ground.every((value, index) => Math.abs(value - this.#plannedOn[index]!) < GROUND_STEP)) return
     this.#plannedOn = ground
@@ -114,7 +121,7 @@
   /** What plans are made from, as plain numbers. */
   #ground (): number[] {
     const limits = this.model.versions().flatMap(version => [this.model.cautiousLimit(version), this.settled(version) ? 1 : 0])
-    return [this.#scale.slope, this.#scale.ratingNoise, this.#scale.hintNoise, this.boundTurns / 50, ...limits]
+    return [this.#scale.point.slope, this.#scale.point.noise, this.#scale.hintNoise, this.boundTurns / 50, ...limits]
   }
 
   /** The plans for a set of versions, cheapest first. */
@@ -160,11 +167,11 @@
   #ratingByCell (limit: number): Float64Array {
     const table = new Float64Array(RATING_BIN_COUNT * CELL_COUNT)
     for (let cell = 0; cell < CELL_COUNT; cell++) {
-      const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.slope)
+      const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.point.slope)
       let below = 0
       for (let bin = 0; bin < RATING_BIN_COUNT; bin++) {
         const upper = LOWEST_RATING + (bin + 1) * RATING_BIN_POINTS
-        const next = bin === RATING_BIN_COUNT - 1 ? 1 : normalBelow((upper - score) / this.#scale.ratingNoise)
+        const next = bin === RATING_BIN_COUNT - 1 ? 1 : normalBelow((upper - score) / this.#scale.point.noise)
         table[bin * CELL_COUNT + cell] = Math.max(0, next - below)
         below = next
       }
@@ -174,7 +181,7 @@
 }
 
 /** Beliefs that moved by less leave the plans as they are. */
-const GROUND_STEP = 0.004
+const GROUND_STEP = 0.007
 /** A goal that moved by less keeps its level. */
 const GOAL_STEP = 0.001
 
--- a/trial/demo/processes.ts
+++ b/trial/demo/processes.ts
@@ -3,7 +3,7 @@
 import { createWriteStream } from 'node:fs'
 import { join } from 'node:path'
 
-const programFile = join('dist', 'lavenderdoor.cjs')
+const programFile = process.env.LAVENDERDOOR_PROGRAM ?? join('dist', 'lavenderdoor.cjs')
 const readyPollMilliseconds = 50
 const readyTimeoutMilliseconds = 15_000
 
@@ -29,6 +29,11 @@
     this.ended = new Promise(resolve => this.#child.once('exit', (code, signal) => resolve({ code, signal })))
   }
 
+  /** Its process id. */
+  get pid (): number {
+    return this.#child.pid ?? 0
+  }
+
   /** Asks it to stop, and waits until it has. */
   async stop (): Promise<ProcessEnd> {
     this.#child.kill('SIGTERM')
