--- a/trial/demo/processes.ts
+++ b/trial/demo/processes.ts
@@ -3,7 +3,9 @@
 import { createWriteStream } from 'node:fs'
 import { join } from 'node:path'
 
+/** The bundled program, or the built binary where LAVENDERDOOR_PROGRAM names it. */
 const programFile = process.env.LAVENDERDOOR_PROGRAM ?? join('dist', 'lavenderdoor.cjs')
+const [programCommand, ...programWords] = programFile.endsWith('.cjs') ? [process.execPath, programFile] : [programFile]
 const readyPollMilliseconds = 50
 const readyTimeoutMilliseconds = 15_000
 
@@ -22,7 +24,7 @@
   /** @param logFolder where its output goes, one file a process */
   constructor (name: string, words: readonly string[], logFolder: string) {
     this.name = name
-    this.#child = spawn(process.execPath, [programFile, ...words], { stdio: ['ignore', 'pipe', 'pipe'] })
+    this.#child = spawn(programCommand ?? programFile, [...programWords, ...words], { stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(logFolder, `${name}.log`), { flags: 'a' })
     this.#child.stdout?.pipe(log, { end: false })
     this.#child.stderr?.pipe(log, { end: false })
@@ -49,7 +51,7 @@
 
 /** Runs one command of the program to its end. */
 export async function runCommand (words: readonly string[]): Promise<{ readonly code: number | null, readonly output: string }> {
-  const child = spawn(process.execPath, [programFile, ...words], { stdio: ['ignore', 'pipe', 'pipe'] })
+  const child = spawn(programCommand ?? programFile, [...programWords, ...words], { stdio: ['ignore', 'pipe', 'pipe'] })
   let output = ''
   child.stdout.on('data', part => { output += String(part) })
   child.stderr.on('data', part => { output += String(part) })
