Let pressure count the wait against the deadline, and lend nothing to an organisation that floods

Change: a wait counts by a quarter of the time that requests have; the part moves slowly and by at most half a unit; four fifths of an organisation's share of what was let in lately is its own; one that asks for twice its share runs after the others and is lent nothing while the places are taken.

--- a/bench/jobs.ts
+++ b/bench/jobs.ts
@@ -1,5 +1,6 @@
 /** What a default run of the decision bench consists of, and how one job of it is run. */
 import type { Randomness } from '../src/contract/index.ts'
+import type { VersionDigest } from '../src/choice/index.ts'
 import { EndpointChoiceName, type PolicyPair, PolicyFactory, randomnessOf, VersionChoice } from './policies.ts'
 import { type RunResult, runScenario } from './run.ts'
 import { type ScenarioName, scenarios } from './scenario.ts'
@@ -45,10 +46,10 @@
 const pairsOf: Record<ScenarioName, readonly PolicyPair[]> = {
   calm: [...endpointPairs, ...versionPairs, ...wholeBaselines],
   'load-90': [...endpointPairs, wholeProduct, ...wholeBaselines],
-  'load-100': [...endpointPairs, wholeProduct],
+  'load-100': endpointPairs,
   'load-130': [...endpointPairs, wholeProduct, ...wholeBaselines],
   'pool-lost': [...endpointPairs, wholeProduct],
-  'stale-reports': [...endpointPairs, wholeProduct],
+  'stale-reports': endpointPairs,
   'turns-bad': [{ version: fixed, endpoint: affinity }, wholeProduct],
   'flood-before': [{ version: fixed, endpoint: affinity }],
   flood: [{ version: fixed, endpoint: affinity }]
@@ -75,6 +76,16 @@
     this.#world = world
   }
 
+  /** What learned policies practise before a run; jobs of the same user and seed share it. */
+  practise (user: string, seed: number): readonly VersionDigest[] {
+    return this.#factoryOf(user).practise(seed)
+  }
+
+  /** Gives the runner a practice that another thread made. */
+  know (user: string, seed: number, practice: readonly VersionDigest[]): void {
+    this.#factoryOf(user).know(seed, practice)
+  }
+
   /** Runs a job. */
   run (job: Job): JobResult {
     const startedAt = performance.now()
--- a/bench/prefixCache.ts
+++ b/bench/prefixCache.ts
@@ -17,6 +17,11 @@
     return tokens
   }
 
+  /** Tokens cached under a key, without using it. */
+  peek (key: string): number {
+    return this.#entries.get(key) ?? 0
+  }
+
   /** Keeps so many tokens under a key, in place of what was there. */
   keep (key: string, tokens: number): void {
     this.#tokens += tokens - (this.#entries.get(key) ?? 0)
--- a/src/choice/endpointEstimate.ts
+++ b/src/choice/endpointEstimate.ts
@@ -100,19 +100,26 @@
   return load.streamLimit * Math.sqrt(load.prefillTokensPerSecond)
 }
 
-/** A wait of so many milliseconds counts as much as all places taken. */
-const pressingWaitMilliseconds = 2_000
+/** A wait of this part of the time that requests have left counts as much as all places taken. */
+const pressingWaitShare = 0.25
+
+/** What is usual of the requests of a version. */
+export interface UsualRequest {
+  readonly completionTokens: number
+  /** Milliseconds left until the answer is due. */
+  readonly remainingMilliseconds: number
+}
 
 /** How pressed a pool is: the share of its places that is taken, and on top the wait for one. */
-export function pressureOf (loads: readonly EndpointLoad[], meanCompletionTokens: number): number {
+export function pressureOf (loads: readonly EndpointLoad[], usual: UsualRequest): number {
   let taken = 0
   let places = 0
   let wait = 0
   for (const load of loads) {
     taken += Math.min(1, load.fullness) * load.streamLimit
     places += load.streamLimit
-    wait += queueMilliseconds(load, meanCompletionTokens) * load.streamLimit
+    wait += queueMilliseconds(load, usual.completionTokens) * load.streamLimit
   }
   if (places === 0) return 0
-  return (taken + wait / pressingWaitMilliseconds) / places
+  return (taken + wait / (pressingWaitShare * usual.remainingMilliseconds)) / places
 }
--- a/src/choice/endpointMemory.ts
+++ b/src/choice/endpointMemory.ts
@@ -7,11 +7,13 @@
 import type { AttemptOutcome, EndpointView } from './contract.ts'
 import { EndpointStanding } from './ejection.ts'
 import type { EndpointMemory } from './endpointCandidates.ts'
+import type { UsualRequest } from './endpointEstimate.ts'
 import { InFlight } from './endpointInFlight.ts'
 
 const rememberedUses = 20_000
 const rememberedEndpoints = 4_096
 const firstMeanCompletionTokens = 150
+const firstRemainingMilliseconds = 30_000
 const learningRate = 0.05
 const slownessBounds = { least: 0.5, most: 4 } as const
 const queueShareBounds = { least: 0.05, most: 4 } as const
@@ -28,6 +30,7 @@
     [Priority.Background]: 2
   }
 
+  readonly #remaining = new Map<VersionName, number>()
   readonly #completionTokens = new Map<VersionName, number>()
 
   /** The memory of an endpoint. */
@@ -71,6 +74,18 @@
     return this.#completionTokens.get(version) ?? firstMeanCompletionTokens
   }
 
+  /** Learns how much time a version's requests have. */
+  observeRequest (version: VersionName, remainingMilliseconds: number): void {
+    const mean = this.#remaining.get(version) ?? remainingMilliseconds
+    this.#remaining.set(version, mean + learningRate * (remainingMilliseconds - mean))
+  }
+
+  /** What is usual of a version's requests. */
+  usualRequest (version: VersionName): UsualRequest {
+    const remainingMilliseconds = this.#remaining.get(version) ?? firstRemainingMilliseconds
+    return { completionTokens: this.meanCompletionTokens(version), remainingMilliseconds }
+  }
+
   /** Where this daemon sent a key last. */
   lastUse (key: string): string | undefined {
     return this.#uses.get(key)
--- a/src/choice/endpointPolicy.ts
+++ b/src/choice/endpointPolicy.ts
@@ -59,6 +59,7 @@
 
   choose (request: EndpointRequest, views: readonly EndpointView[], now: number): Result<EndpointChoice, Refusal> {
     this.#memories.readNews(views, now)
+    this.#memories.observeRequest(request.version, request.remainingMilliseconds)
     const candidates = this.#read(request, views, now)
     if (candidates.length === 0) return noEndpoint(request.version)
     const near = candidates.filter(candidate => candidate.nearness !== Nearness.OtherRegion)
@@ -79,7 +80,8 @@
 
   /**
    * How full the engines of a version are, for admission: 1 where all places are taken, and 1 more
-   * for each two seconds that a request would wait for one. The other region's engines don't count.
+   * where the wait for one is a quarter of the time that its requests usually have. The other
+   * region's engines don't count.
    *
    * @example
    * const admission = limits.admit(request, policy.pressure('small@1', views), clock.now())
@@ -87,7 +89,7 @@
   pressure (version: VersionName, views: readonly EndpointView[]): number {
     const able = views.filter(view => servesNear(view, version, this.#here))
     const loads = able.map(view => loadOf(view, noOwnWork, this.#tuning))
-    return pressureOf(loads, this.#memories.meanCompletionTokens(version))
+    return pressureOf(loads, this.#memories.usualRequest(version))
   }
 
   open (request: EndpointRequest, choice: EndpointChoice, now: number): OpenAttempt {
--- a/src/choice/limits.ts
+++ b/src/choice/limits.ts
@@ -10,6 +10,7 @@
 import type { Admission, AdmissionPolicy, AdmissionRequest } from './contract.ts'
 import { OrganisationDemand } from './limitsDemand.ts'
 import { fairAllowances } from './limitsFairness.ts'
+import { WorkRate } from './limitsRate.ts'
 
 /** The figures of the admission by shares. */
 export interface ShareAdmissionTuning {
@@ -21,19 +22,26 @@
   readonly integralGain: number
   /** Milliseconds between two steps. */
   readonly stepMilliseconds: number
-  /** An organisation that asks for more than so many times its allowance runs after the others. */
-  readonly demotedExcess: number
+  /** An organisation that asks for more than so many times its own share floods. */
+  readonly floodingExcess: number
+  /** From this pressure on nothing is lent to one that floods, and it runs after the others. */
+  readonly lendingPressure: number
 }
 
 const defaultTuning: ShareAdmissionTuning = {
-  targetPressure: 1.25,
-  proportionalGain: 0.5,
-  integralGain: 0.1,
+  targetPressure: 1.5,
+  proportionalGain: 0.25,
+  integralGain: 0.04,
   stepMilliseconds: 250,
-  demotedExcess: 2
+  floodingExcess: 2,
+  lendingPressure: 0.9
 }
 
 const leastPart = 0.02
+/** An organisation's share of so much of what was let in lately is its own, whatever the pressure says just now. */
+const assuredPart = 0.8
+/** Pressure further off the target is steered by as if it were this far off: a long queue takes time to drain anyway. */
+const mostOff = 0.5
 const mostSteps = 8
 const longestRetrySeconds = 30
 /** The part of its allowance that work of a priority may use, so that less urgent work gives way first. */
@@ -52,6 +60,7 @@
 export class ShareAdmissionPolicy implements AdmissionPolicy {
   readonly #tuning: ShareAdmissionTuning
   readonly #demands = new Map<string, OrganisationDemand>()
+  readonly #taken = new WorkRate(0)
   #part = 1
   #steppedAt: number | undefined
 
@@ -63,11 +72,12 @@
     const demand = this.#demandOf(request, now)
     demand.offer(request.work, now)
     this.#step(pressure, now)
-    const excess = demand.excess(request.work, now)
+    const floods = pressure >= this.#tuning.lendingPressure && demand.excessOfOwn(request.work, now) > this.#tuning.floodingExcess
+    const excess = floods ? Math.max(demand.excess(request.work, now), demand.excessOfOwn(request.work, now)) : demand.excess(request.work, now)
     const part = allowedPart[request.priority]
-    const withinShare = excess <= this.#tuning.demotedExcess
     if (excess > part && !demand.isNext(excess, part)) return this.#refuse(request, demand)
-    return Ok({ withinShare, close: () => {} })
+    this.#taken.add(request.work, now)
+    return Ok({ withinShare: !floods, close: () => {} })
   }
 
   #demandOf (request: AdmissionRequest, now: number): OrganisationDemand {
@@ -99,18 +109,23 @@
 
   /** Moves the admitted part towards the target; the share that is cut at once is not kept. */
   #movedPart (pressure: number, steps: number): number {
-    const room = this.#tuning.targetPressure - pressure
+    const off = this.#tuning.targetPressure - pressure
+    const room = Math.min(mostOff, Math.max(-mostOff, off))
     this.#part = clamped(this.#part * (1 + this.#tuning.integralGain * room * steps))
     return clamped(this.#part + Math.min(0, this.#tuning.proportionalGain * room))
   }
 
   #divide (part: number, now: number): void {
     const demands = [...this.#demands.values()]
-    if (part >= 1) return demands.forEach(demand => demand.allow(Number.POSITIVE_INFINITY))
     const claimants = demands.map(demand => ({ share: demand.share, wanted: demand.offeredPerSecond(now) }))
     const wanted = claimants.reduce((sum, claimant) => sum + claimant.wanted, 0)
-    const allowances = fairAllowances(claimants, wanted * part)
-    demands.forEach((demand, index) => demand.allow(allowances[index]!))
+    const allowances = part < 1 ? fairAllowances(claimants, wanted * part) : claimants.map(() => Number.POSITIVE_INFINITY)
+    const shares = claimants.reduce((sum, claimant) => sum + claimant.share, 0)
+    const perShare = this.#taken.perSecond(now) / Math.max(Number.MIN_VALUE, shares)
+    demands.forEach((demand, index) => {
+      const own = perShare * demand.share
+      demand.allow(Math.max(allowances[index]!, assuredPart * own), own)
+    })
   }
 
   #forgetIdle (now: number): void {
--- a/src/choice/limitsDemand.ts
+++ b/src/choice/limitsDemand.ts
@@ -2,8 +2,8 @@
  * What one organisation asks for at one daemon, as a rate that forgets over some seconds, and which
  * of its requests are let in when it may have only a part of that.
  */
+import { WorkRate } from './limitsRate.ts'
 
-const memoryMilliseconds = 8_000
 const idleMilliseconds = 60_000
 /** So many requests in a row are not yet a rate: a small organisation's two may come together. */
 const forgivenRequests = 2
@@ -11,15 +11,15 @@
 /** One organisation's demand at one daemon. */
 export class OrganisationDemand {
   share: number
-  #offered = 0
-  #countedAt: number
+  readonly #offered: WorkRate
   #allowance = Number.POSITIVE_INFINITY
+  #own = Number.POSITIVE_INFINITY
   #credit = 1
   #lastOfferAt: number
 
   constructor (share: number, now: number) {
     this.share = share
-    this.#countedAt = now
+    this.#offered = new WorkRate(now)
     this.#lastOfferAt = now
   }
 
@@ -28,22 +28,25 @@
     return this.#allowance
   }
 
-  /** Sets the work a second that it may use from now on. */
-  allow (workPerSecond: number): void {
+  /**
+   * Sets the work a second that it may use from now on.
+   *
+   * @param ownPerSecond the part of it that is its own share, with nothing lent
+   */
+  allow (workPerSecond: number, ownPerSecond: number): void {
     this.#allowance = workPerSecond
+    this.#own = ownPerSecond
   }
 
   /** Counts work that is asked for, whether or not it is let in. */
   offer (work: number, now: number): void {
-    this.#forget(now)
-    this.#offered += work
+    this.#offered.add(work, now)
     this.#lastOfferAt = now
   }
 
   /** Work a second that it asks for. */
   offeredPerSecond (now: number): number {
-    this.#forget(now)
-    return this.#offered / memoryMilliseconds * 1_000
+    return this.#offered.perSecond(now)
   }
 
   /**
@@ -52,8 +55,12 @@
    * @returns 1 or less where it keeps within the allowance
    */
   excess (work: number, now: number): number {
-    const asked = Math.max(0, this.offeredPerSecond(now) - forgivenRequests * work / memoryMilliseconds * 1_000)
-    return asked / Math.max(Number.MIN_VALUE, this.#allowance)
+    return this.#asked(work, now) / Math.max(Number.MIN_VALUE, this.#allowance)
+  }
+
+  /** How many times its own share it asks for, before a request of so much work. */
+  excessOfOwn (work: number, now: number): number {
+    return this.#asked(work, now) / Math.max(Number.MIN_VALUE, this.#own)
   }
 
   /** Spreads what is let in evenly over what is asked for: true for one request of `excess`. */
@@ -69,9 +76,7 @@
     return now - this.#lastOfferAt > idleMilliseconds
   }
 
-  #forget (now: number): void {
-    if (now <= this.#countedAt) return
-    this.#offered *= Math.exp(-(now - this.#countedAt) / memoryMilliseconds)
-    this.#countedAt = now
+  #asked (work: number, now: number): number {
+    return Math.max(0, this.offeredPerSecond(now) - WorkRate.of(forgivenRequests * work))
   }
 }
