Test the steward's lease, orders and roll-outs

Cause: the steward had no tests of its own. Change: leases under pauses, late and lost writes; orders to an engine that ignores fencing; roll-outs that stop half-way; a halt without a lease.

--- /dev/null
+++ b/test/steward.test.ts
@@ -0,0 +1,211 @@
+import { expect, test } from 'vitest'
+import { RollOutVerdict, type RollOutGuard } from '../src/choice/index.ts'
+import { EndpointKind, Ok, Err, SeededRandomness } from '../src/contract/index.ts'
+import { TableSettingsRepository } from '../src/distribution/index.ts'
+import { AttemptFailure, type EngineClient, type EngineOrder, Reach } from '../src/endpoint/index.ts'
+import { RollOutWatch } from '../src/entry/index.ts'
+import type { EndpointNews, Membership } from '../src/membership/index.ts'
+import { Log, Metrics } from '../src/observe/index.ts'
+import { RollOutState, SettingsView, type Subtree, subtreeSchema } from '../src/settings/index.ts'
+import { Steward, StewardLease } from '../src/steward/index.ts'
+import { ChangeableSettings } from './fakes/entryWorld.ts'
+import { FaultyTableService, TableFault } from './fakes/faultyTableService.ts'
+import { ManualClock } from './fakes/manualClock.ts'
+
+const leaseMilliseconds = 8_000
+
+function leaseOf (clock: ManualClock, table: FaultyTableService, holder: string): StewardLease {
+  return new StewardLease({ table, clock, name: 'steward/lower-mainland-a', holder, milliseconds: leaseMilliseconds })
+}
+
+function fleet (share = 0.05): Subtree {
+  return subtreeSchema.parse({
+    data_centres: { 'lower-mainland-a': { region: 'lower-mainland' } },
+    models: { small: { price: 1, versions: { 1: {}, 2: { state: 'candidate' } }, roll_out: { from: '1', to: '2', share, steps: [0.05, 0.5, 1] } } },
+    endpoints: { 'engine-1': { address: '127.0.0.1:9001', data_centre: 'lower-mainland-a', versions: ['small@1', 'small@2'], checks_fencing: false } }
+  })
+}
+
+/** A steward over settings in a table, with an engine that writes down its orders. */
+class StewardWorld {
+  readonly clock = new ManualClock()
+  readonly table = new FaultyTableService(this.clock)
+  readonly orders: Array<EngineOrder & { readonly at: number }> = []
+  readonly loaded = new Set(['small@1'])
+  readonly repository = new TableSettingsRepository({ table: this.table, clock: this.clock, randomness: new SeededRandomness(1) })
+  verdict: RollOutVerdict = RollOutVerdict.Continue
+
+  steward (holder: string): { readonly steward: Steward, readonly settings: ChangeableSettings, readonly lease: StewardLease } {
+    const settings = new ChangeableSettings()
+    const lease = leaseOf(this.clock, this.table, holder)
+    const guard: RollOutGuard = { observe: () => {}, verdict: () => this.verdict }
+    const steward = new Steward({
+      clock: this.clock,
+      randomness: new SeededRandomness(2),
+      lease,
+      settings,
+      repository: this.repository,
+      membership: this.#membership(),
+      engines: this.#engines(),
+      rollOuts: new RollOutWatch(settings, () => guard),
+      metrics: new Metrics(),
+      log: new Log('error', {}, () => {}),
+      name: holder,
+      dataCentre: 'lower-mainland-a'
+    })
+    return { steward, settings, lease }
+  }
+
+  /** Puts the table's settings in force at a daemon. */
+  async install (settings: ChangeableSettings): Promise<void> {
+    const { revision, subtree } = (await this.repository.read('fleet')).unwrap()
+    settings.view = SettingsView.of(revision, new Map([['fleet', subtree ?? fleet()]])).unwrap()
+  }
+
+  async rollOut (): Promise<Subtree['models'][string]['roll_out']> {
+    return (await this.repository.read('fleet')).unwrap().subtree?.models.small?.roll_out
+  }
+
+  #membership (): Membership {
+    const news = (): EndpointNews => ({
+      name: 'engine-1',
+      healthy: true,
+      leaving: false,
+      reportedAt: this.clock.now(),
+      report: { at: this.clock.now(), incarnation: 1, versions: [...this.loaded] as never, running: 0, queued: 0, queuedPromptTokens: 0, streamLimit: 32, prefillTokensPerSecond: 1_000, betweenTokensMilliseconds: 10, leaving: false }
+    })
+    return { members: () => [], endpoint: news, sawLeaving: () => {} }
+  }
+
+  #engines (): EngineClient {
+    return {
+      generate: () => { throw new Error('no stream is asked for') },
+      report: async () => Err(new AttemptFailure(Reach.Never, 'not asked for')),
+      order: async (endpoint, order) => {
+        expect(endpoint.kind).toBe(EndpointKind.Engine)
+        this.orders.push({ ...order, at: this.clock.now() })
+        this.loaded.add(order.version)
+        return Ok(undefined)
+      }
+    }
+  }
+}
+
+test('one of two contenders holds the lease, and the other takes it with a higher number when the first is gone', async () => {
+  const clock = new ManualClock()
+  const table = new FaultyTableService(clock)
+  const [first, second] = [leaseOf(clock, table, 'entry-1'), leaseOf(clock, table, 'entry-2')]
+  expect((await first.tend()).unwrap()?.fencing).toBe(1)
+  expect((await second.tend()).unwrap()).toBeUndefined()
+  await clock.advance(leaseMilliseconds + 1)
+  expect(first.held).toBeUndefined()
+  expect((await second.tend()).unwrap()?.fencing).toBe(2)
+})
+
+test('the holder\'s own time is over before anyone else can hold the lease, however late its renewal took effect', async () => {
+  const clock = new ManualClock()
+  const table = new FaultyTableService(clock)
+  const [first, second] = [leaseOf(clock, table, 'entry-1'), leaseOf(clock, table, 'entry-2')]
+  table.script = call => ({ fault: TableFault.None, before: call.kind === 'transact' ? 3_000 : 0 })
+  const taken = first.tend()
+  await clock.advance(3_000)
+  await taken
+  table.script = () => ({ fault: TableFault.None })
+  for (let tick = 0; tick < 20; tick++) {
+    await second.tend()
+    expect([first.held, second.held].filter(held => held !== undefined).length).toBeLessThan(2)
+    await clock.advance(500)
+  }
+  expect(second.held?.fencing).toBe(2)
+})
+
+test('a renewal whose reply was lost is not counted as held beyond the earlier one', async () => {
+  const clock = new ManualClock()
+  const table = new FaultyTableService(clock)
+  const lease = leaseOf(clock, table, 'entry-1')
+  await lease.tend()
+  await clock.advance(4_000)
+  table.script = call => ({ fault: call.kind === 'transact' ? TableFault.ReplyLost : TableFault.None })
+  await lease.tend()
+  await clock.advance(4_000)
+  expect(lease.held).toBeUndefined()
+})
+
+test('a lease that is given back is free at once', async () => {
+  const clock = new ManualClock()
+  const table = new FaultyTableService(clock)
+  const [first, second] = [leaseOf(clock, table, 'entry-1'), leaseOf(clock, table, 'entry-2')]
+  await first.tend()
+  await first.release()
+  expect((await second.tend()).unwrap()?.fencing).toBe(2)
+})
+
+test('a steward loads what the settings want and an engine lacks, after the last holder\'s orders are over', async () => {
+  const world = new StewardWorld()
+  const { steward, settings } = world.steward('entry-1')
+  settings.view = SettingsView.of(1, new Map([['fleet', fleet()]])).unwrap()
+  const startedAt = world.clock.now()
+  steward.start()
+  await world.clock.advance(10_000)
+  expect(world.orders.map(({ action, version, fencing }) => ({ action, version, fencing }))).toEqual([{ action: 'load', version: 'small@2', fencing: 1 }])
+  expect(world.orders[0]?.at).toBeGreaterThan(startedAt + 2_000)
+  const stopped = steward.stop()
+  await world.clock.advance(2_000)
+  await stopped
+})
+
+test('a steward whose lease lapsed in a pause gives no order when it wakes', async () => {
+  const world = new StewardWorld()
+  const { steward, settings } = world.steward('entry-1')
+  settings.view = SettingsView.of(1, new Map([['fleet', fleet()]])).unwrap()
+  steward.start()
+  await world.clock.advance(1_000)
+  world.table.script = () => ({ fault: TableFault.Down })
+  await world.clock.advance(60_000)
+  const lateOrders = world.orders.filter(order => order.at > 1_000_000 + 1_000 + leaseMilliseconds)
+  expect(lateOrders).toEqual([])
+  const stopped = steward.stop()
+  await world.clock.advance(2_000)
+  await stopped
+})
+
+test('a roll-out that stopped half-way is carried on by another steward, each step once', async () => {
+  const world = new StewardWorld()
+  ;(await world.repository.put('fleet', fleet(), { expected: 0, author: 'ines' })).unwrap()
+  world.verdict = RollOutVerdict.Advance
+  const first = world.steward('entry-1')
+  await world.install(first.settings)
+  first.steward.start()
+  await world.clock.advance(3_000)
+  expect((await world.rollOut())?.share).toBe(0.5)
+  const stopped = first.steward.stop()
+  await world.clock.advance(2_000)
+  await stopped
+  const second = world.steward('entry-2')
+  await world.install(second.settings)
+  second.steward.start()
+  await world.clock.advance(3_000)
+  expect((await world.rollOut())?.share).toBe(1)
+  await world.install(second.settings)
+  await world.clock.advance(3_000)
+  expect((await world.rollOut())?.state).toBe(RollOutState.Done)
+  const ended = second.steward.stop()
+  await world.clock.advance(2_000)
+  await ended
+})
+
+test('a daemon that finds a version bad stops it at once and makes the halt durable without a lease', async () => {
+  const world = new StewardWorld()
+  ;(await world.repository.put('fleet', fleet(), { expected: 0, author: 'ines' })).unwrap()
+  await world.steward('entry-1').lease.tend()
+  const other = world.steward('entry-2')
+  await world.install(other.settings)
+  world.verdict = RollOutVerdict.Halt
+  other.steward.start()
+  await world.clock.advance(2_500)
+  expect(other.lease.held).toBeUndefined()
+  expect((await world.rollOut())?.state).toBe(RollOutState.Halted)
+  const stopped = other.steward.stop()
+  await world.clock.advance(2_000)
+  await stopped
+})
