Refuse a platform's reply that names another request

Cause: on a pooled connection a reply that came twice, ten milliseconds late, answered the next read of the table service: the client got the row of another key. A commit could be believed in the same way. Change: each request carries an x-request-id; a reply that names another is 'may have applied' for a write and retires the pool. The stand-in names it. What remains: a platform that does not return the id is believed as before.

--- a/src/platform/httpConnection.ts
+++ b/src/platform/httpConnection.ts
@@ -1,12 +1,18 @@
 /**
- * One connection pool to one of the platform's services. What a failure can have done to a write
- * rests on where it struck: an error of the connecting phase precedes every byte of the request, so
- * nothing was applied; anything later may have been. Requests are not pipelined, for the HTTP
- * library sends those behind a broken one again: a second copy of an applied transaction would be
- * answered with a conflict that is not one. Where a connection fails or stays silent until the
- * time-out, those that were open beside it may be silent too, so nothing new is put on them.
- * An answer of 503 with `{"applied": false}` is the service's own word that nothing was applied.
+ * One connection pool to one of the platform's services.
+ *
+ * What a failure can have done to a write rests on where it struck: an error of the connecting phase
+ * precedes every byte of the request, so nothing was applied; anything later may have been. An
+ * answer of 503 with `{"applied": false}` is the service's own word that nothing was applied.
+ *
+ * Requests are not pipelined, for the HTTP library sends those behind a broken one again: a second
+ * copy of an applied transaction would be answered with a conflict that is not one.
+ *
+ * Where a connection fails or stays silent until the time-out, those that were open beside it may
+ * be silent too, so nothing new is put on them. Each request carries an id; a reply that names
+ * another is not taken, for a reply that comes twice would answer the next question.
  */
+import { randomUUID } from 'node:crypto'
 import type { IncomingHttpHeaders } from 'node:http'
 import { Pool } from 'undici'
 import { Err, Ok, type Result } from '../contract/index.ts'
@@ -40,6 +46,8 @@
 const defaultConnections = 8
 /** An idle connection is given up after this, before something in between can lose track of it. */
 const idleMilliseconds = 4_000
+const jsonType = 'application/json'
+const binaryType = 'application/octet-stream'
 const absentStatus = 404
 const unavailableStatus = 503
 const connectingErrors: ReadonlySet<string> = new Set([
@@ -49,6 +57,9 @@
 /** A pool of connections that answers every question with a reply or the reason for none. */
 export class HttpConnection {
   readonly #options: HttpPlatformOptions
+  /** Tells this connection's requests from every other's. */
+  readonly #name = randomUUID()
+  #asked = 0
   #pool: Pool
 
   constructor (options: HttpPlatformOptions) {
@@ -59,16 +70,21 @@
   /** Asks once; a reply of 404 is passed on, any other failure is `PlatformUnavailable`. */
   async ask (question: PlatformQuestion): Promise<Result<PlatformReply, PlatformUnavailable>> {
     const pool = this.#pool
+    const requestId = `${this.#name}-${this.#asked++}`
     try {
       const response = await pool.request({
         method: question.method,
         path: question.path,
         body: question.body ?? null,
-        headers: typeof question.body === 'string' ? { 'content-type': 'application/json' } : {},
+        headers: { 'x-request-id': requestId, 'content-type': typeof question.body === 'string' ? jsonType : binaryType },
         signal: AbortSignal.timeout(this.#options.timeoutMilliseconds)
       })
       const body = new Uint8Array(await response.body.arrayBuffer())
-      if (!isFramed(response.headers)) return Err(new PlatformUnavailable('the reply has no length', question.isWrite))
+      const fault = faultOf(response.headers, requestId)
+      if (fault !== undefined) {
+        this.#retire(pool)
+        return Err(new PlatformUnavailable(fault, question.isWrite))
+      }
       return judge({ status: response.statusCode, body }, question.isWrite)
     } catch (error) {
       const isConnecting = isConnectingError(error)
@@ -121,9 +137,12 @@
   }
 }
 
-/** A body that is ended only by the connection's close can't be told from one that was cut. */
-function isFramed (headers: IncomingHttpHeaders): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+/** Why a reply can't be believed, if so. A body that is ended only by the connection's close may have been cut. */
+function faultOf (headers: IncomingHttpHeaders, requestId: string): string | undefined {
+  const named = headers['x-request-id']
+  if (named !== undefined && named !== requestId) return 'the reply names another request'
+  const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+  return isFramed ? undefined : 'the reply has no length'
 }
 
 function judge (reply: PlatformReply, isWrite: boolean): Result<PlatformReply, PlatformUnavailable> {
--- a/src/standin/httpFrame.ts
+++ b/src/standin/httpFrame.ts
@@ -51,6 +51,8 @@
       request.on('end', () => {
         const url = new URL(request.url ?? '/', 'http://stand-in')
         const path = url.pathname.split('/').filter(segment => segment !== '').map(decodeURIComponent)
+        const requestId = request.headers['x-request-id']
+        if (requestId !== undefined) response.setHeader('x-request-id', requestId)
         const visit = { method: request.method ?? 'GET', path, query: url.searchParams, headers: request.headers, body: Buffer.concat(chunks), response, socket: request.socket, isMuted: false }
         handler(visit).catch(() => replyJson(visit, 400, { error: 'malformed request' }))
       })
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -125,6 +125,25 @@
   }
 })
 
+test('a reply that comes twice never answers the next question', async () => {
+  const server = await scriptedServer((socket, _connection, received) => {
+    const request = received.split('POST ').at(-1) ?? ''
+    const id = /x-request-id: (\S+)/.exec(request)?.[1] ?? ''
+    const key = /"key":"(\d+)"/.exec(request)?.[1] ?? ''
+    const reply = httpReply(JSON.stringify({ row: { key, version: 1, value: 0 } }), `200 OK\r\nx-request-id: ${id}`)
+    socket.write(reply)
+    setTimeout(() => socket.write(reply), 10)
+  })
+  const client = new HttpTableService({ address: server.address, timeoutMilliseconds: 10_000 })
+  for (let number = 0; number < 8; number++) {
+    const read = await client.read('t', String(number))
+    if (read.ok) expect(read.val?.key).toBe(String(number))
+    await new Promise(resolve => setTimeout(resolve, number))
+  }
+  await client.close()
+  await server.close()
+})
+
 test('where one connection is silent, the others of its time are not used again either', async () => {
   let isMute = false
   const server = await scriptedServer((socket, connection) => {
