--- a/bench/decider.ts
+++ b/bench/decider.ts
@@ -3,71 +3,15 @@
  * and tells the policies how it ended. The policies are the daemon's own objects; they are given
  * late news, the caller's request and ratings that have arrived, and nothing else.
  */
-import { Priority, type Place, type Randomness, type VersionName } from '../src/contract/index.ts'
+import { Priority, type Place, type VersionName } from '../src/contract/index.ts'
 import {
-  type AdmissionPolicy, type AttemptBudget, AttemptEnd, type EndpointChoice, type EndpointPolicy, type EndpointRequest, type EndpointView,
-  LearnedVersionPolicy, LinkBudget, type OpenAttempt, type PlanStep, type VersionCandidate, type VersionDigest,
-  type VersionPolicy
+  AttemptEnd, type EndpointChoice, type EndpointRequest, LearnedVersionPolicy, LinkBudget, type OpenAttempt, type VersionDigest
 } from '../src/choice/index.ts'
 import type { Arrival } from './arrivals.ts'
+import type { Attempt, DeciderParts, Serving } from './deciderParts.ts'
 import type { FakeEngine } from './engine.ts'
-import type { Measure } from './measure.ts'
-import type { NewsFeed } from './news.ts'
 import { isReleased, nextPosition } from './planSteps.ts'
-import type { Ratings } from './ratings.ts'
-import type { VirtualTime } from './virtualTime.ts'
-import { attemptCost, type World, type WorldUser } from './world.ts'
-
-/** Admission to the pool of a version. */
-export interface Limits {
-  policyOf (version: VersionName): AdmissionPolicy
-  pressure (version: VersionName, views: readonly EndpointView[]): number
-}
-
-/** The policies of one decider. */
-export interface DeciderPolicies {
-  readonly version: VersionPolicy
-  readonly endpoint: EndpointPolicy
-  readonly budget: AttemptBudget
-  /** Undefined where nothing is limited. */
-  readonly limits: Limits | undefined
-}
-
-/** What a decider stands in. */
-export interface DeciderParts {
-  readonly world: World
-  readonly user: WorldUser
-  readonly here: Place
-  readonly time: VirtualTime
-  readonly news: NewsFeed
-  readonly engines: ReadonlyMap<string, FakeEngine>
-  readonly candidates: () => readonly VersionCandidate[]
-  readonly policies: DeciderPolicies
-  readonly ratings: Ratings
-  readonly measure: Measure
-  readonly randomness: Randomness
-  /** Sessions' versions, which their tokens carry from daemon to daemon. */
-  readonly pins: Map<string, VersionName>
-  deadlineOf (kind: string): number
-  measured (arrival: Arrival): boolean
-}
-
-/** One request on its way. */
-export interface Serving {
-  readonly arrival: Arrival
-  readonly arrivedAt: number
-  readonly deadline: number
-  readonly priority: Priority
-  readonly measured: boolean
-}
-
-interface Attempt {
-  readonly serving: Serving
-  readonly steps: readonly PlanStep[]
-  readonly position: number
-  readonly excluded: ReadonlySet<string>
-  readonly earlier: readonly { readonly version: VersionName, readonly rating: number }[]
-}
+import { attemptCost } from './world.ts'
 
 /** A daemon in virtual time. */
 export class Decider {
--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -4,7 +4,7 @@
   AffinityEndpointPolicy, type EndpointPolicy, LearnedVersionPolicy, LinkBudget, RatioAttemptBudget, ShareAdmissionPolicy,
   type VersionDigest, type VersionPolicy
 } from '../src/choice/index.ts'
-import type { DeciderPolicies, Limits } from './decider.ts'
+import type { DeciderPolicies, Limits } from './deciderParts.ts'
 import { LeastLoadedPolicy, RoundRobinPolicy } from './endpointBaselines.ts'
 import { drawWorkload, runPolicy, SessionRule } from './qualityRun.ts'
 import { AlwaysCheapPolicy, AlwaysStrongPolicy, CheapestFixedPolicy, FixedThresholdCascadePolicy } from './versionBaselines.ts'
