--- a/trial/prove/faults.ts
+++ b/trial/prove/faults.ts
@@ -8,6 +8,8 @@
 
 /** After a fault is over daemons have this long to come right. */
 const recoveryMilliseconds = 8_000
+/** A change is known everywhere after this. */
+const spreadMilliseconds = 4_000
 const mostKillsInRound = 2
 const replacementMilliseconds = 2_000
 const leavingMilliseconds = 15_000
@@ -58,7 +60,7 @@
   /** Brings one fault about. */
   async strike (): Promise<void> {
     const kinds: readonly (() => Promise<void>)[] = [
-      () => this.#kill(), () => this.#freeze(), () => this.#replace(), () => this.#replace(), () => this.#cut(), () => this.#cutAndHalt(),
+      () => this.#kill(), () => this.#freeze(), () => this.#replace(), () => this.#replace(), () => this.#cut(), () => this.#cutAndHalt(), () => this.#cutAndHalt(),
       () => this.#storeDown(), () => this.#storeSlow(), () => this.#storeLossy(), () => this.#race(),
       () => this.#set(CandidateState.Withdrawn), () => this.#set(CandidateState.Halted), () => this.#set(CandidateState.Open),
       () => this.#leave(), () => this.#silence(), () => this.#silence()
@@ -115,6 +117,7 @@
 
   async #cutAndHalt (): Promise<void> {
     await this.#operators.set(CandidateState.Open)
+    await this.#fleet.clock.sleep(spreadMilliseconds)
     const cut = this.#cutFor(18_000, 1 + this.#randomness.below(2))
     await this.#fleet.clock.sleep(1_000)
     await this.#operators.set(CandidateState.Halted)
--- a/trial/prove/fleet.ts
+++ b/trial/prove/fleet.ts
@@ -116,6 +116,7 @@
     this.daemons.push(daemon)
     parts.membership.start()
     parts.follower.start()
+    parts.ratingExchange.start()
     parts.ledger.start()
     parts.steward.start()
     return daemon
@@ -130,11 +131,12 @@
 
   /** Stops a daemon as planned, as `Daemon.stop` does without its servers. */
   async stop (daemon: FleetDaemon): Promise<void> {
-    const { drain, follower, ledger, membership, steward } = daemon.parts
+    const { drain, follower, ledger, membership, ratingExchange, steward } = daemon.parts
     daemon.isStopping = true
     drain.begin()
     await Promise.race([drain.empty(), this.clock.sleep(drainMilliseconds)])
     await steward.stop()
+    await ratingExchange.stop()
     await ledger.stop()
     await follower.stop()
     await membership.stop()
