--- a/src/billing/collectors.ts
+++ b/src/billing/collectors.ts
@@ -36,6 +36,7 @@
   readonly #options: CollectorsOptions
   readonly #writers = new Map<string, LaneWriter>()
   readonly #avoidedUntil = new Map<string, number>()
+  readonly #chosen = new Map<string, { readonly among: string, readonly name: string | undefined }>()
 
   constructor (options: CollectorsOptions) {
     this.#options = options
@@ -68,10 +69,20 @@
     const self = this.#options.link.self
     if (!lane.startsWith(`${self.place.dataCentre}/`)) return undefined
     const candidates = this.#options.members().filter(member => this.#mayCollect(member))
-    const [first] = rendezvousOrder(lane, [self.name, ...candidates.map(member => member.name)])
+    const first = this.#firstOf(lane, [self.name, ...candidates.map(member => member.name)])
     return candidates.find(member => member.name === first)
   }
 
+  /** Hashing every member for every message would cost more than the message: the choice is kept while it lasts. */
+  #firstOf (lane: string, names: readonly string[]): string | undefined {
+    const among = names.join(' ')
+    const kept = this.#chosen.get(lane)
+    if (kept?.among === among) return kept.name
+    const [name] = rendezvousOrder(lane, names)
+    this.#chosen.set(lane, { among, name })
+    return name
+  }
+
   #mayCollect (member: LedgerMember): boolean {
     const self = this.#options.link.self
     if (member.name === self.name || member.state !== 'alive') return false
--- a/trial/prove/ledgerGroup.ts
+++ b/trial/prove/ledgerGroup.ts
@@ -1,6 +1,6 @@
 /** A few ledgers with their links and a shared store, for tests and the randomised run. */
 import { BatchedLedger, type BillEntry, type LedgerMember } from '../../src/billing/index.ts'
-import type { Clock } from '../../src/contract/index.ts'
+import type { Clock, Place } from '../../src/contract/index.ts'
 import type { TableService } from '../../src/platform/index.ts'
 import { ScriptedNetwork } from './scriptedLinks.ts'
 
@@ -63,9 +63,9 @@
   }
 
   /** Starts a daemon. */
-  add (name: string, rack = name): LedgerDaemon {
+  add (name: string, rack = name, place: Place = dataCentre): LedgerDaemon {
     this.#incarnations += 1
-    const identity = { name, address: `127.0.0.1:${9_000 + this.#incarnations}`, place: dataCentre, rack, incarnation: this.#incarnations }
+    const identity = { name, address: `127.0.0.1:${9_000 + this.#incarnations}`, place, rack, incarnation: this.#incarnations }
     const member = { ...identity, state: 'alive' }
     const store = new SeveredTable(this.#table)
     const link = this.network.join(identity)
