--- a/bench/endpointBaselines.ts
+++ b/bench/endpointBaselines.ts
@@ -18,6 +18,11 @@
     return Ok({ endpoint: this.pick(request, usable).endpoint, expectedFirstTokenMilliseconds: 0 })
   }
 
+  /** The baselines admit everything, so they know no pressure. */
+  pressure (): number {
+    return 0
+  }
+
   open (): OpenAttempt {
     return { firstToken: () => {}, close: () => {} }
   }
--- a/src/choice/contract.ts
+++ b/src/choice/contract.ts
@@ -156,6 +156,8 @@
    * const choice = policy.choose(request, views, clock.now())
    */
   choose (request: EndpointRequest, views: readonly EndpointView[], now: number): Result<EndpointChoice, Refusal>
+  /** How full a version's endpoints are: 1 where all places are taken, more where requests wait. */
+  pressure (version: VersionName, views: readonly EndpointView[]): number
   /** Counts an attempt as in flight from now on. */
   open (request: EndpointRequest, choice: EndpointChoice, now: number): OpenAttempt
 }
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -5,14 +5,14 @@
 import { asFunction, asValue, type AwilixContainer, createContainer, InjectionMode, type Resolver } from 'awilix'
 import { BatchedLedger } from '../billing/index.ts'
 import {
-  type AdmissionPolicy, AffinityEndpointPolicy, type AttemptBudget, type EndpointPolicy, LearnedVersionPolicy, LinkBudget,
+  AffinityEndpointPolicy, type AttemptBudget, type EndpointPolicy, LearnedVersionPolicy, LinkBudget,
   RatioAttemptBudget, SequentialRollOutGuard, ShareAdmissionPolicy, type VersionPolicy
 } from '../choice/index.ts'
 import { type Claims, TableClaims } from '../claim/index.ts'
 import { type Clock, type Place, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { SettingsFollower, type SettingsRepository, TableSettingsRepository } from '../distribution/index.ts'
 import { type EngineClient, HttpEngineClient, HttpServiceClient, type ServiceClient } from '../endpoint/index.ts'
-import { type DigestingPolicy, CallerServer, ChatRouter, CompletionLengths, Drain, EndpointDirectory, RatingExchange, RollOutWatch, ServiceRouter } from '../entry/index.ts'
+import { type DigestingPolicy, CallerServer, ChatRouter, CompletionLengths, Drain, EndpointDirectory, PoolAdmission, RatingExchange, RollOutWatch, ServiceRouter } from '../entry/index.ts'
 import { type Link, TcpLink } from '../link/index.ts'
 import { GossipMembership } from '../membership/index.ts'
 import { Log, Metrics, openTelemetryTracer, SilentTracer, type Tracer } from '../observe/index.ts'
@@ -57,7 +57,7 @@
   readonly versions: VersionPolicy & DigestingPolicy
   readonly ratingExchange: RatingExchange
   readonly endpoints: EndpointPolicy
-  readonly admission: AdmissionPolicy
+  readonly admission: PoolAdmission
   readonly retries: AttemptBudget
   readonly rollOuts: RollOutWatch
   readonly chat: ChatRouter
@@ -127,7 +127,7 @@
   versions: ({ randomness }) => new LearnedVersionPolicy({ randomness }),
   ratingExchange: ({ clock, link, membership, randomness, versions }) => new RatingExchange({ policy: versions, link, membership, clock, randomness }),
   endpoints: ({ here, local, randomness }) => new AffinityEndpointPolicy({ here, randomness, link: new LinkBudget(local.limits.regional_link_bytes_per_second) }),
-  admission: () => new ShareAdmissionPolicy(),
+  admission: () => new PoolAdmission(() => new ShareAdmissionPolicy()),
   retries: () => new RatioAttemptBudget(),
   rollOuts: ({ follower }) => new RollOutWatch(follower, (from, to) => new SequentialRollOutGuard({ from, to })),
   chat: parts => new ChatRouter({ ...routing(parts), versions: parts.versions, admission: parts.admission, ledger: parts.ledger, sessions: parts.sessions, ratings: parts.ratings, rollOuts: parts.rollOuts, log: parts.log }),
--- a/src/entry/chatRouter.ts
+++ b/src/entry/chatRouter.ts
@@ -4,18 +4,18 @@
  * a caller counts an answer as whole by its end.
  */
 import {
-  attemptCost, promptTokensPerUnit, type ChatRequest, type Clock, Err, hashOf, invariant, Ok, type Randomness, Refusal, RefusalCode, type Result, RunState, type VersionName
+  attemptCost, promptTokensPerUnit, type ChatRequest, type Clock, Err, hashOf, invariant, Ok, Priority, type Randomness, Refusal, RefusalCode, type Result, RunState, type VersionName
 } from '../contract/index.ts'
 import type { BillEntry, Ledger } from '../billing/index.ts'
-import type { Admission, AdmissionPolicy, PlanStep, VersionPlan, VersionPolicy } from '../choice/index.ts'
+import type { Admission, PlanStep, VersionPlan } from '../choice/index.ts'
 import type { EngineFinish } from '../endpoint/index.ts'
-import type { Log, TraceContext } from '../observe/index.ts'
-import type { RatingService } from '../platform/index.ts'
+import type { TraceContext } from '../observe/index.ts'
 import type { Session, SessionTokens } from '../session/index.ts'
 import type { OrganisationView } from '../settings/index.ts'
 import type { AnswerEvent } from './answer.ts'
+import { AnswerRater, type EarlierRating, ratingCost, type RaterParts } from './answerRater.ts'
 import { type AttemptParts, AttemptRunner } from './attemptRunner.ts'
-import type { RollOutWatch } from './rollOutWatch.ts'
+import type { PoolAdmission } from './poolAdmission.ts'
 import { versionOfSession, versionsForNewWork } from './versionSelection.ts'
 
 /** What a caller wants of sessions. */
@@ -38,21 +38,14 @@
 }
 
 /** What the router works with. */
-export interface ChatParts extends AttemptParts {
+export interface ChatParts extends AttemptParts, RaterParts {
   readonly clock: Clock
   readonly randomness: Randomness
-  readonly versions: VersionPolicy
-  readonly admission: AdmissionPolicy
+  readonly admission: PoolAdmission
   readonly ledger: Ledger
   readonly sessions: SessionTokens
-  readonly ratings: RatingService
-  readonly rollOuts: RollOutWatch
-  readonly log: Log
 }
 
-/** Cost units of one rating. */
-const ratingCost = 60
-
 /** A step's whole answer, held back until it is judged. */
 interface HeldAnswer {
   readonly text: string
@@ -63,10 +56,12 @@
 export class ChatRouter {
   readonly #parts: ChatParts
   readonly #attempts: AttemptRunner
+  readonly #rater: AnswerRater
 
   constructor (parts: ChatParts) {
     this.#parts = parts
     this.#attempts = new AttemptRunner(parts)
+    this.#rater = new AnswerRater(parts)
   }
 
   /**
@@ -77,40 +72,51 @@
    * for await (const event of router.answer(call, signal)) write(event)
    */
   async * answer (call: ChatCall, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
-    const admission = this.#admit(call)
+    const session = this.#sessionOf(call)
+    const plan = this.#plan(call, session?.id)
+    if (plan.err) return yield refused(plan.val)
+    const [first] = plan.val.steps
+    invariant(first !== undefined, 'a plan has a step', () => ({ request: call.request.id }))
+    const admission = this.#admit(call, first.version)
     if (admission.err) return yield refused(admission.val)
     try {
-      yield * this.#routed(call, signal)
+      yield * this.#planned(admission.val.withinShare ? call : behindOthers(call), plan.val, session, signal)
     } finally {
       admission.val.close()
     }
   }
 
-  async * #routed (call: ChatCall, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
-    const session = this.#sessionOf(call)
-    const plan = this.#plan(call, session?.id)
-    if (plan.err) return yield refused(plan.val)
+  /** Takes the steps of a plan until one's answer is released. */
+  async * #planned (call: ChatCall, plan: VersionPlan, session: { readonly id: string } | undefined, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
+    const earlier: EarlierRating[] = []
     let extraCost = 0
-    for (const step of plan.val.steps) {
-      if (step.releaseAtRating === undefined) {
+    let skipsNext = false
+    for (const [index, step] of plan.steps.entries()) {
+      const isLast = index === plan.steps.length - 1
+      if (skipsNext && !isLast) {
+        skipsNext = false
+        continue
+      }
+      if (isLast || step.releaseAtRating === undefined) {
         yield * this.#streamed(call, step, session, extraCost, signal)
         return
       }
       const held = await this.#held(call, step, signal)
       if (held.err) return yield refused(held.val)
-      const rating = await this.#rate(call, step.version, held.val.text)
+      const rating = await this.#rater.rate(call.request, step.version, held.val.text, earlier)
       extraCost += ratingCost
-      if (rating !== undefined && rating >= step.releaseAtRating) {
+      if (rating !== undefined && isReleased(step, step.releaseAtRating, rating)) {
         yield * this.#release(call, step.version, session, held.val, extraCost)
         return
       }
+      if (rating !== undefined) earlier.push({ version: step.version, rating })
+      skipsNext = rating !== undefined && step.skipNextBelowRating !== undefined && rating < step.skipNextBelowRating
       extraCost += this.#costOf(step.version, held.val.finish)
     }
-    invariant(false, 'the last step of a plan releases', () => ({ steps: plan.val.steps.length }))
   }
 
-  #admit (call: ChatCall): Result<Admission, Refusal> {
-    const { admission, clock, directory, settings } = this.#parts
+  #admit (call: ChatCall, version: VersionName): Result<Admission, Refusal> {
+    const { admission, clock, directory, endpoints, settings } = this.#parts
     const wanted = {
       organisation: call.organisation.name,
       share: call.organisation.settings.share,
@@ -118,7 +124,7 @@
       priority: call.request.priority,
       work: this.#expectedTokens(call) + call.request.promptTokens / promptTokensPerUnit
     }
-    return admission.admit(wanted, directory.pressure(call.organisation.versions), clock.now())
+    return admission.admit(version, wanted, endpoints.pressure(version, directory.engines(version)), clock.now())
   }
 
   #expectedTokens (call: ChatCall): number {
@@ -173,7 +179,7 @@
     let started = false
     for await (const event of this.#attempts.run(call.request, step.version, session?.id, call.parent, signal)) {
       if (event.type === 'refused') {
-        this.#observeFailure(call, step.version, event.refusal)
+        if (event.refusal.run !== RunState.NotRun) this.#rater.observeFailure(call.request, step.version)
         return yield refused(event.refusal)
       }
       if (!started) {
@@ -188,7 +194,7 @@
         continue
       }
       yield await this.#end(call, step.version, event.finish, extraCost)
-      if (step.rateAfterwards) this.#rateLater(call, step.version, text)
+      if (step.rateAfterwards) this.#rater.rateLater(call.request, step.version, text)
     }
   }
 
@@ -197,7 +203,7 @@
     let text = ''
     for await (const event of this.#attempts.run(call.request, step.version, undefined, call.parent, signal)) {
       if (event.type === 'refused') {
-        this.#observeFailure(call, step.version, event.refusal)
+        if (event.refusal.run !== RunState.NotRun) this.#rater.observeFailure(call.request, step.version)
         return Err(event.refusal)
       }
       if (event.type === 'finish') return Ok({ text, finish: event.finish })
@@ -254,34 +260,16 @@
   #costOf (version: VersionName, finish: EngineFinish): number {
     return attemptCost(this.#parts.settings.view.versions.get(version)?.price ?? 0, finish.usage)
   }
+}
 
-  #rateLater (call: ChatCall, version: VersionName, text: string): void {
-    this.#rate(call, version, text).catch(error => this.#parts.log.error('rating_failed', { reason: String(error) }))
-  }
-
-  /** Rates an answer and learns from it; undefined where no rating was to be had. */
-  async #rate (call: ChatCall, version: VersionName, answer: string): Promise<number | undefined> {
-    const { clock, metrics, ratings, rollOuts, versions } = this.#parts
-    const { request } = call
-    const prompt = request.messages.map(message => message.content).join('\n')
-    const rated = await ratings.rate({ organisation: request.organisation, kind: request.kind, prompt, answer })
-    if (rated.err) {
-      metrics.ratings.inc({ version, verdict: 'unavailable' })
-      versions.observeRatingMissing(clock.now())
-      return undefined
-    }
-    metrics.ratings.inc({ version, verdict: 'rated' })
-    const { kind, difficultyHint } = request
-    versions.observeRating({ organisation: request.organisation, kind, version, difficultyHint, rating: rated.val, at: clock.now() })
-    rollOuts.observe({ version, kind, rating: rated.val, difficultyHint, at: clock.now() })
-    return rated.val
-  }
+/** An organisation that asks for more than its share runs after the others. */
+function behindOthers (call: ChatCall): ChatCall {
+  return { ...call, request: { ...call.request, priority: Priority.Background } }
+}
 
-  #observeFailure (call: ChatCall, version: VersionName, refusal: Refusal): void {
-    if (refusal.run === RunState.NotRun) return
-    const { kind, difficultyHint } = call.request
-    this.#parts.rollOuts.observe({ version, kind, rating: undefined, difficultyHint, at: this.#parts.clock.now() })
-  }
+/** Good enough, or so poor that no later step is expected to do enough better. */
+function isReleased (step: PlanStep, releaseAtRating: number, rating: number): boolean {
+  return rating >= releaseAtRating || (step.giveUpBelowRating !== undefined && rating < step.giveUpBelowRating)
 }
 
 function isPinned (session: Session | SessionWish): session is Session {
--- a/src/entry/endpointDirectory.ts
+++ b/src/entry/endpointDirectory.ts
@@ -37,19 +37,6 @@
     return this.engines(version).some(takesWork)
   }
 
-  /** How full the engines are that serve any of the versions: 0 idle, 1 all places taken, above 1 queued. */
-  pressure (versions: readonly VersionName[]): number {
-    let taken = 0
-    let places = 0
-    for (const view of this.#views(EndpointKind.Engine)) {
-      if (view.report === undefined || !takesWork(view)) continue
-      if (!versions.some(version => hasLoaded(view, version))) continue
-      taken += view.report.running + view.report.queued
-      places += view.report.streamLimit
-    }
-    return places === 0 ? 0 : taken / places
-  }
-
   #views (kind: EndpointKind): EndpointView[] {
     const views: EndpointView[] = []
     for (const endpoint of this.#settings.view.endpoints.values()) {
--- a/test/fakes/entryWorld.ts
+++ b/test/fakes/entryWorld.ts
@@ -6,7 +6,7 @@
 import { Ok, SeededRandomness, SystemClock, SystemRandomness } from '../../src/contract/index.ts'
 import { SettingsLease, type SettingsSource } from '../../src/distribution/index.ts'
 import { HttpEngineClient, HttpServiceClient } from '../../src/endpoint/index.ts'
-import { CallerServer, ChatRouter, CompletionLengths, Drain, EndpointDirectory, RollOutWatch, ServiceRouter } from '../../src/entry/index.ts'
+import { CallerServer, ChatRouter, CompletionLengths, Drain, EndpointDirectory, PoolAdmission, RollOutWatch, ServiceRouter } from '../../src/entry/index.ts'
 import type { Membership } from '../../src/membership/index.ts'
 import { Log, Metrics, SilentTracer } from '../../src/observe/index.ts'
 import { SignedSessionTokens } from '../../src/session/index.ts'
@@ -165,7 +165,7 @@
       metrics,
       tracer,
       versions,
-      admission: new ShareAdmissionPolicy(),
+      admission: new PoolAdmission(() => new ShareAdmissionPolicy()),
       ledger,
       sessions,
       ratings: { rate: async () => Ok(90) },
