--- a/measure/membershipFleet.ts
+++ b/measure/membershipFleet.ts
@@ -47,7 +47,7 @@
 /** Each daemon has a loopback address of its own, so that ports of other programs do not matter. */
 const loopbackNetwork = '127.77.0'
 const port = 7_300
-const stateMilliseconds = Date.now()
+const startedAtMilliseconds = 1_790_000_000_000
 
 export class MeasuredFleet {
   readonly clock = new SystemClock()
@@ -57,13 +57,16 @@
   readonly #listed: readonly ListedVirtualMachine[]
   readonly #endpoints: readonly EndpointDescription[]
 
-  constructor (sizes: readonly DataCentreSize[]) {
+  /**
+   * @param share which of how many equal shares of the daemons run here; the others run elsewhere
+   */
+  constructor (sizes: readonly DataCentreSize[], share = { index: 0, of: 1 }) {
     this.repository = this.#newRepository()
     const identities = sizes.flatMap(size => Array.from({ length: size.members }, (_, index) => identityOf(size.name, index)))
       .map((identity, index) => ({ ...identity, address: `${loopbackNetwork}.${index + 1}:${port}` }))
     this.#listed = identities.map(identity => ({ name: identity.name, address: identity.address, ...identity.place, leaving: false }))
     this.#endpoints = sizes.flatMap(size => Array.from({ length: size.runners }, (_, index) => engineOf(size.name, index)))
-    this.daemons = identities.map(identity => this.#daemon(identity))
+    this.daemons = identities.filter((_, index) => index % share.of === share.index).map(identity => this.#daemon(identity))
   }
 
   async start (): Promise<void> {
@@ -103,7 +106,7 @@
   #report (endpoint: EndpointDescription): LoadReport {
     return {
       at: this.clock.now(),
-      incarnation: stateMilliseconds,
+      incarnation: startedAtMilliseconds,
       versions: endpoint.versions,
       running: Math.floor(Math.random() * 128),
       queued: Math.floor(Math.random() * 20),
@@ -117,7 +120,7 @@
 }
 
 function identityOf (dataCentre: string, index: number): LinkIdentity {
-  return { name: `entry-${dataCentre}-${index}`, address: '', place: { region: `region-${dataCentre}`, dataCentre }, rack: `rack-${index % 8}`, incarnation: stateMilliseconds }
+  return { name: `entry-${dataCentre}-${index}`, address: '', place: { region: `region-${dataCentre}`, dataCentre }, rack: `rack-${index % 8}`, incarnation: startedAtMilliseconds }
 }
 
 function engineOf (dataCentre: string, index: number): EndpointDescription {
--- a/src/link/tcpLink.ts
+++ b/src/link/tcpLink.ts
@@ -13,7 +13,7 @@
 import { encodeFrame, handshakeFrameBytes, maximumFrameBytes, readFrames } from './frames.ts'
 import { acceptHandshake, dialHandshake, type FrameChannel } from './handshake.ts'
 
-const tickMilliseconds = 250
+const tickMilliseconds = 500
 const handshakeMilliseconds = 2_000
 const certificateCheckMilliseconds = 5_000
 const drainMilliseconds = 5_000
--- a/src/membership/endpointRow.ts
+++ b/src/membership/endpointRow.ts
@@ -42,6 +42,8 @@
 export class VersionLists {
   readonly #lists = new Map<number, readonly VersionName[]>()
   readonly #hashes = new Map<string, number>()
+  /** Spares the joining of a list that is sent again. */
+  readonly #hashOfArray = new WeakMap<readonly VersionName[], number>()
 
   constructor () {
     // A row that brings no list may mean the empty one.
@@ -50,6 +52,18 @@
 
   /** The hash of a list, which is known from then on. */
   hash (versions: readonly VersionName[]): number {
+    const met = this.#hashOfArray.get(versions)
+    if (met !== undefined) return met
+    const hash = this.#hashOfText(versions)
+    this.#hashOfArray.set(versions, hash)
+    return hash
+  }
+
+  list (hash: number): readonly VersionName[] | undefined {
+    return this.#lists.get(hash)
+  }
+
+  #hashOfText (versions: readonly VersionName[]): number {
     const text = versions.join(' ')
     const known = this.#hashes.get(text)
     if (known !== undefined) return known
@@ -58,10 +72,6 @@
     this.#lists.set(hash, versions)
     return hash
   }
-
-  list (hash: number): readonly VersionName[] | undefined {
-    return this.#lists.get(hash)
-  }
 }
 
 /**
