Wire the stop, claims and counters as their modules ask

Change: membership.leave() when the drain begins, claims.stop() after it; the link's listen is checked; the answer is billed and given; the wait for a service's word is on the clock; within() is in contract; the call to a service is a ClaimPoint in the router too; counters of copies and unsafe entries are shown.

--- a/src/billing/laneWriter.ts
+++ b/src/billing/laneWriter.ts
@@ -5,13 +5,12 @@
  * by reading the watermark, and entries whose numbers are in it are left out. While the store does not
  * answer, only a probe tries; everyone else is told at once, so that answers need not wait.
  */
-import { type Clock, invariant } from '../contract/index.ts'
+import { type Clock, invariant, within } from '../contract/index.ts'
 import { Commit, type TableService } from '../platform/index.ts'
 import { Grouping } from './grouping.ts'
 import { batchKeyOf, batchTableName, type Watermark, watermarkOf, watermarkTableName, watermarkValueOf } from './lane.ts'
 import { type NumberedEntry, packEntries } from './packedEntries.ts'
 import { SequenceRanges } from './sequenceRanges.ts'
-import { within } from './within.ts'
 
 /** Entries in a transaction, at most. */
 const mostEntriesInBatch = 2_000
--- a/src/claim/claimTable.ts
+++ b/src/claim/claimTable.ts
@@ -5,11 +5,10 @@
  * be the change's own work, and a row whose version is still the one to replace takes the change
  * again. What can't be told within the time given is reported as untold, never guessed.
  */
-import type { Clock } from '../contract/index.ts'
+import { type Clock, within } from '../contract/index.ts'
 import { Commit, type TableService } from '../platform/index.ts'
 import { ClaimPoint, type ClaimSteps } from './claimPoint.ts'
 import { type ClaimRow, claimRowOf, claimTableName, type ReadClaim } from './claimRow.ts'
-import { within } from './within.ts'
 
 /** Milliseconds before a read that gave no reply is tried again. */
 const pauseMilliseconds = 50
--- a/src/claim/contract.ts
+++ b/src/claim/contract.ts
@@ -3,6 +3,7 @@
  * to an endpoint and is never passed on: its holder may be paused rather than dead.
  */
 import type { Refusal, Result } from '../contract/index.ts'
+import type { ClaimSteps } from './claimPoint.ts'
 
 /** The answer of a plain service, as it is kept and given again. */
 export interface StoredAnswer {
@@ -70,6 +71,8 @@
 
 /** The claims of all daemons, kept in the table service. */
 export interface Claims {
+  /** The waits of claims; the one who calls the service waits for it at `ClaimPoint.Call`. */
+  readonly steps: ClaimSteps
   /**
    * Claims a request, or finds what became of it.
    *
@@ -88,4 +91,6 @@
    * const resolved = await claims.resolve(request, nonce => askService(nonce))
    */
   resolve (request: ClaimRequest, ask: OutcomeQuestion): Promise<Result<ClaimOpening, Refusal>>
+  /** Makes the changes that can still be made, then ends; called after the last request. */
+  stop (): Promise<void>
 }
--- a/src/contract/index.ts
+++ b/src/contract/index.ts
@@ -4,6 +4,7 @@
  */
 export { Ok, Err, Result } from 'ts-results'
 export { type Clock, SystemClock, sleepUntil } from './clock.ts'
+export { within } from './within.ts'
 export { type Randomness, SeededRandomness, SystemRandomness, hashOf, rendezvousOrder } from './randomness.ts'
 export { type Place, Nearness, nearnessOf } from './place.ts'
 export { type VersionName, versionName, modelOf, VersionState } from './version.ts'
--- a/src/claim/within.ts
+++ b/src/contract/within.ts
@@ -1,5 +1,5 @@
 /** Bounds a wait for the store, whose replies may never come. */
-import type { Clock } from '../contract/index.ts'
+import type { Clock } from './clock.ts'
 
 /**
  * Waits for a promise until a moment of the clock.
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -9,7 +9,7 @@
   RatioAttemptBudget, SequentialRollOutGuard, ShareAdmissionPolicy, type VersionPolicy
 } from '../choice/index.ts'
 import { type Claims, TableClaims } from '../claim/index.ts'
-import { type Clock, type Place, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
+import { type Clock, type Place, type Randomness, type Result, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { SettingsFollower, type SettingsRepository, TableSettingsRepository } from '../distribution/index.ts'
 import { type EngineClient, HttpEngineClient, HttpServiceClient, type ServiceClient } from '../endpoint/index.ts'
 import { type DigestingPolicy, CallerServer, ChatRouter, CompletionLengths, Drain, EndpointDirectory, PoolAdmission, RatingExchange, RollOutWatch, ServiceRouter } from '../entry/index.ts'
@@ -26,7 +26,7 @@
 
 /** A link that can be opened and closed. */
 export interface DaemonLink extends Link {
-  listen (address: string): Promise<unknown>
+  listen (address: string): Promise<Result<unknown, { readonly reason: string }>>
   close (): Promise<void>
 }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -72,7 +72,8 @@
     const { callerServer, follower, ledger, link, log, membership, ratingExchange, steward } = this.#parts
     try {
       await this.#operators.listen(this.#local.listen.operators)
-      await link.listen(this.#local.listen.link)
+      const linked = await link.listen(this.#local.listen.link)
+      if (linked.err) return Err(`the daemon can't start: ${linked.val.reason}`)
       membership.start()
       await follower.start()
       ledger.start()
@@ -89,13 +90,15 @@
 
   /** Lets every request end, flushes what must last, and stops. */
   async stop (): Promise<void> {
-    const { callerServer, clock, drain, follower, ledger, link, log, membership, ratingExchange, steward, tracer } = this.#parts
+    const { callerServer, claims, clock, drain, follower, ledger, link, log, membership, ratingExchange, steward, tracer } = this.#parts
     log.info('daemon_stopping', { requests: drain.running })
     this.#ready = false
     drain.begin()
+    await membership.leave()
     await Promise.race([drain.empty(), clock.sleep(this.#local.drain_seconds * 1_000)])
     if (drain.running > 0) log.error('daemon_stopped_with_requests', { requests: drain.running })
     await callerServer.close()
+    await claims.stop()
     await steward.stop()
     await ratingExchange.stop()
     await ledger.stop()
@@ -120,6 +123,8 @@
     metrics.settingsLease.set(follower.lease === SettingsLease.Held ? 1 : 0)
     metrics.billBacklog.set(ledger.backlog)
     metrics.billsLost.set(ledger.entriesLost)
+    metrics.billsCopied.set(ledger.entriesCopied)
+    metrics.billsUnsafe.set(ledger.entriesUnsafe)
     metrics.members.reset()
     for (const { state } of membership.members()) metrics.members.inc({ state })
     return await metrics.text()
--- a/src/entry/serviceRouter.ts
+++ b/src/entry/serviceRouter.ts
@@ -4,10 +4,10 @@
  * once, and is answered from its claim when it is repeated.
  */
 import { createHash } from 'node:crypto'
-import { type Clock, Err, invariant, Nearness, nearnessOf, Ok, type Place, type Randomness, Refusal, RefusalCode, type Result, RunState } from '../contract/index.ts'
+import { type Clock, Err, invariant, Nearness, nearnessOf, Ok, type Place, type Randomness, Refusal, RefusalCode, type Result, RunState, within } from '../contract/index.ts'
 import type { Ledger } from '../billing/index.ts'
 import type { AttemptBudget, EndpointView } from '../choice/index.ts'
-import type { Claim, ClaimOpening, ClaimRequest, Claims, StoredAnswer } from '../claim/index.ts'
+import { type Claim, type ClaimOpening, type ClaimRequest, type Claims, type StoredAnswer, ClaimPoint } from '../claim/index.ts'
 import { Reach, type ServiceAnswer, type ServiceCall, type ServiceClient } from '../endpoint/index.ts'
 import { formatTraceParent, type TraceContext, type Tracer } from '../observe/index.ts'
 import type { OrganisationView } from '../settings/index.ts'
@@ -118,9 +118,11 @@
     const key = serviceKeyOf(request)
     if (key === undefined) return Ok({ found: 'unknown' })
     return await claims.resolve(wanted, async () => {
-      const signal = AbortSignal.timeout(Math.max(1, Math.min(questionMilliseconds, request.deadline - clock.now())))
       const views = directory.services(request.service)
-      const said = await Promise.all(views.map(view => services.hasRun(view.endpoint, key, signal)))
+      const over = new AbortController()
+      const questions = Promise.all(views.map(view => services.hasRun(view.endpoint, key, over.signal)))
+      const said = await within(clock, Math.min(clock.now() + questionMilliseconds, request.deadline), questions) ?? []
+      over.abort()
       for (const answer of said) {
         if (answer.ok && typeof answer.val === 'object') return stored(answer.val)
       }
@@ -135,8 +137,9 @@
     const dispatched = await claim.dispatch()
     if (dispatched.err) return dispatched
     const { sendBefore } = dispatched.val
-    const clock = this.#parts.clock
-    const answer = await this.#send(request, endpoint.val, () => clock.now() < sendBefore, new AbortController().signal)
+    const { claims, clock } = this.#parts
+    const answer = await claims.steps.wait(ClaimPoint.Call,
+      () => this.#send(request, endpoint.val, () => clock.now() < sendBefore, new AbortController().signal))
     if (answer.ok) return await this.#settled(request, claim, stored(answer.val))
     if (answer.val.reach === Reach.Never) {
       return await this.#released(claim, new Refusal(RefusalCode.EndpointFailed, RunState.NotRun, answer.val.reason, comeBackSeconds))
@@ -145,9 +148,9 @@
     return Err(outcomeUnknown())
   }
 
+  /** The answer is given even where the store is silent: the claim goes on recording it by itself. */
   async #settled (request: ServiceRequest, claim: Claim, answer: StoredAnswer): Promise<Result<StoredAnswer, Refusal>> {
-    const settled = await claim.settle(answer)
-    if (settled.err) return settled
+    await claim.settle(answer)
     return await this.#billed(request, answer)
   }
 
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -31,6 +31,8 @@
   readonly members = this.#gauge('members', 'Daemons that this one knows.', ['state'])
   readonly leaseHeld = this.#gauge('steward_lease_held', '1 while this daemon is its data centre\'s steward.', [])
   readonly billBacklog = this.#gauge('bill_backlog_entries', 'Bill entries that are not in the store yet.', [])
+  readonly billsCopied = this.#gauge('bill_entries_copied', 'Answers released on copies with other VMs while the store was out.', [])
+  readonly billsUnsafe = this.#gauge('bill_entries_unsafe', 'Bill entries that were neither in the store nor copied when their answer waited.', [])
   readonly billsLost = this.#gauge('bill_entries_lost', 'Bill entries known to be lost.', [])
 
   /** @param withProcess whether the process's own processor time and memory are shown too */
--- a/trial/prove/mechanisms.ts
+++ b/trial/prove/mechanisms.ts
@@ -2,7 +2,7 @@
  * The mechanisms that a run can leave out, to show that its checks can fail. Each is left out through a
  * fake or a part given to the composition; the program itself has no such switch.
  */
-import { type Claims } from '../../src/claim/index.ts'
+import { type Claims, ClaimSteps } from '../../src/claim/index.ts'
 import { Ok, type Randomness } from '../../src/contract/index.ts'
 import { SettingsFollower, SettingsLease } from '../../src/distribution/index.ts'
 import { Drain } from '../../src/entry/index.ts'
@@ -24,6 +24,7 @@
 
 /** Claims that claim nothing. */
 export class AbsentClaims implements Claims {
+  readonly steps = new ClaimSteps()
   readonly #randomness: Randomness
 
   constructor (randomness: Randomness) {
@@ -44,6 +45,8 @@
   async resolve () {
     return Ok({ found: 'unknown' as const })
   }
+
+  async stop () {}
 }
 
 /** A table service that forgets the conditions on watermarks. */
--- a/trial/prove/processGate.ts
+++ b/trial/prove/processGate.ts
@@ -116,7 +116,10 @@
     this.#link.answer(type, (body, from) => this.#gate.step(() => handler(body, from)))
   }
 
-  async listen (): Promise<void> {}
+  async listen () {
+    return Ok(undefined)
+  }
+
   async close (): Promise<void> {}
 }
 
