Rate what is cheap to rate, and steady the margins of quality

Ratings after a release may now cost 2 % of the attempts. Digests are summed in the order of origins and the scale is rounded, so that what is learned does not depend on the order of arrival (found by a property test).

--- a/bench/quality.ts
+++ b/bench/quality.ts
@@ -28,6 +28,8 @@
   /** Groups whose share is at least the target, or below it by no more than chance explains. */
   readonly metWithinChance: number
   readonly worst: number
+  /** Groups below the target by kind. */
+  readonly missed: Record<string, number>
   readonly ratedShare: number
   readonly byKind: Record<string, string>
 }
@@ -85,6 +87,7 @@
     met: shares.filter(share => share >= target).length,
     metWithinChance: withinChance.length,
     worst: Math.min(...shares),
+    missed: Object.fromEntries([...world.kinds.keys()].map(kind => [kind, counts.filter((count, index) => count.kind === kind && shares[index]! < target).length])),
     ratedShare: sum(counts, count => count.ratings) / requests,
     byKind: Object.fromEntries([...world.kinds.keys()].map(kind => [kind, kindText(counts.filter(count => count.kind === kind))]))
   }
@@ -111,6 +114,7 @@
     met: `${row.met}/${row.groups}`,
     chance: `${row.metWithinChance}/${row.groups}`,
     'worst %': percent(row.worst),
+    missed: Object.values(row.missed).join('+'),
     'rated %': percent(row.ratedShare),
     ...row.byKind
   })))
--- a/src/choice/ratingModel.ts
+++ b/src/choice/ratingModel.ts
@@ -38,7 +38,7 @@
 const STRONGEST_PRIOR_LIMIT = 0.96
 const STRONGEST_PRIOR_SPREAD = 0.06
 /** Standard deviations below the mean at which a version's limit is relied on. */
-const CAUTION = 0.7
+const CAUTION = 0.6
 
 /** Ratings from which other daemons are told of a version. */
 const TOLD_RATINGS = 3
--- a/src/choice/ratingScale.ts
+++ b/src/choice/ratingScale.ts
@@ -12,8 +12,8 @@
 /** Standard deviations of a reading, points. */
 const NOISES = [2.5, 4, 6.5, 10, 16]
 const FIRST: ScalePoint = { slope: 54, noise: 10 }
-/** Changes of slope or noise by a smaller part are not worth learning again for. */
-const SMALLEST_CHANGE = 0.03
+/** Slope and noise are rounded to this part, so that small changes need no learning again. */
+const ROUNDED_TO = 0.04
 const EVEN_VARIANCE = 1 / 12
 const SMALLEST_HINT_NOISE = 0.02
 const FIRST_HINT_NOISE = 0.2
@@ -103,16 +103,19 @@
     const noiseIndex = best % NOISES.length
     const slopeIndex = (best - noiseIndex) / NOISES.length
     const point = {
-      slope: peak(SLOPES, slopeIndex, index => total[index * NOISES.length + noiseIndex]!),
-      noise: peak(NOISES, noiseIndex, index => total[slopeIndex * NOISES.length + index]!)
+      slope: rounded(peak(SLOPES, slopeIndex, index => total[index * NOISES.length + noiseIndex]!)),
+      noise: rounded(peak(NOISES, noiseIndex, index => total[slopeIndex * NOISES.length + index]!))
     }
-    const moved = Math.max(Math.abs(Math.log(point.slope / this.#point.slope)), Math.abs(Math.log(point.noise / this.#point.noise)))
-    if (moved < SMALLEST_CHANGE) return
+    if (point.slope === this.#point.slope && point.noise === this.#point.noise) return
     this.#point = point
     this.#revision += 1
   }
 }
 
+function rounded (value: number): number {
+  return Math.exp(Math.round(Math.log(value) / ROUNDED_TO) * ROUNDED_TO)
+}
+
 /** The peak of the parabola, over the logarithms of values, through the best one and its neighbours. */
 function peak (values: readonly number[], best: number, heightAt: (index: number) => number): number {
   const lower = values[best - 1]
--- a/src/choice/versionDigest.ts
+++ b/src/choice/versionDigest.ts
@@ -43,9 +43,9 @@
 export class VersionDigests {
   readonly #newest = new Map<string, VersionDigest>()
 
-  /** All that is kept. */
+  /** All that is kept, in the order of origins, so that sums don't depend on the order of arrival. */
   all (): readonly VersionDigest[] {
-    return [...this.#newest.values()]
+    return [...this.#newest.values()].sort((left, right) => left.origin < right.origin ? -1 : 1)
   }
 
   /**
--- a/src/choice/versionKind.ts
+++ b/src/choice/versionKind.ts
@@ -18,7 +18,7 @@
 /** After a version turned bad, the share of its evidence that still counts. */
 const KEPT_AFTER_DRIFT = 0.02
 /** Beliefs that rest on few ratings move fast: plans are made anew after this share of them. */
-const REFRESH_SHARE = 0.08
+const REFRESH_SHARE = 0.12
 const REFRESH_FEWEST = 10
 const REFRESH_MOST = 150
 const KIND_MEMORY_REQUESTS = 4_000
@@ -70,6 +70,11 @@
     return quality
   }
 
+  /** Mean work of a request, in tokens that cost as much as a generated one. */
+  get work (): number {
+    return this.#work
+  }
+
   /** Mean later turns of a session, from the sessions seen. */
   get boundTurns (): number {
     return this.#bound / Math.max(1, this.#opened)
--- a/src/choice/versionLedger.ts
+++ b/src/choice/versionLedger.ts
@@ -19,14 +19,14 @@
 const MEMORY_REQUESTS = 5_000
 const KEPT = 1 - 1 / MEMORY_REQUESTS
 /** Standard deviations by which the share of good answers is to lie above the target. */
-const CONFIDENCE = 1.5
+const CONFIDENCE = 1.6
 /** A lack or a surplus is spread over this share of the requests counted so far. */
 const CATCH_UP_SHARE = 0.4
 const SHORTEST_CATCH_UP_REQUESTS = 40
 /** How far below the target the goal may go while there is a surplus. */
 const LARGEST_EASING = 0.05
-/** Above this, one more good answer is not to be had at any price. */
-const HIGHEST_GOAL = 0.995
+/** How far above the target the goal may go: few requests would ask for more than any version gives. */
+const LARGEST_RAISE = 0.03
 
 const EMPTY: QualitySums = { requests: 0, good: 0, variance: 0 }
 
@@ -68,7 +68,7 @@
     const surplus = this.#own.good + this.#others.good - target * requests
     const margin = CONFIDENCE * Math.sqrt(this.#own.variance + this.#others.variance + target * (1 - target))
     const catchUp = Math.max(SHORTEST_CATCH_UP_REQUESTS, requests * CATCH_UP_SHARE)
-    const goal = target + Math.max(-LARGEST_EASING, (margin - surplus) / catchUp)
-    return Math.min(HIGHEST_GOAL, goal)
+    const raise = (margin - surplus) / catchUp
+    return target + Math.min(LARGEST_RAISE, Math.max(-LARGEST_EASING, raise))
   }
 }
--- a/src/choice/versionPlanTable.ts
+++ b/src/choice/versionPlanTable.ts
@@ -21,11 +21,11 @@
 
 const MODE_COUNT = 4
 const HINT_LOWEST = -0.5
-const HINT_STEP = 0.1
-const HINT_BINS = 21
+const HINT_STEP = 0.125
+const HINT_BINS = 17
 /** Hint bins and one for requests without a hint. */
 const CONTEXT_BINS = HINT_BINS + 1
-const LEVEL_COUNT = 24
+const LEVEL_COUNT = 18
 /** The lowest worth, in attempts of the cheapest version, and the highest, in attempts of the dearest. */
 const LOWEST_WORTH = 0.5
 const HIGHEST_WORTH = 60
@@ -87,6 +87,12 @@
     return this.#planAt(mode, contextBin(hint), level)
   }
 
+  /** The level of a worth in cost units, within the table's range. */
+  levelOf (worth: number): number {
+    const level = Math.log(Math.max(worth, this.#lowest) / this.#lowest) / Math.log(this.#ratio)
+    return Math.min(LEVEL_COUNT - 1, level)
+  }
+
   /**
    * The level of worth at which a mix of requests reaches a goal; the fraction between two levels
    * is the chance to take the upper one.
--- a/src/choice/versionPolicy.ts
+++ b/src/choice/versionPolicy.ts
@@ -7,7 +7,7 @@
  * rated before its release, so exploring doesn't cost quality; with nothing known the dearest
  * version answers.
  */
-import { Err, Ok, Refusal, RefusalCode, RunState, type Randomness, type Result, type VersionName } from '../contract/index.ts'
+import { Err, Ok, Refusal, RefusalCode, RunState, type Randomness, type Result } from '../contract/index.ts'
 import type { PlanStep, RatedAnswer, VersionCandidate, VersionPlan, VersionPolicy, VersionRequest } from './contract.ts'
 import { RatingScale } from './ratingScale.ts'
 import { type VersionDigest, VersionDigests } from './versionDigest.ts'
@@ -45,10 +45,15 @@
 const ENOUGH_CASCADES = 0.15
 /** Points above a good rating at which an explored version's answer is released. */
 const EXPLORING_MARGIN_POINTS = 8
-/** Unrated answers are rated afterwards often while ratings are few, and never less than the least share. */
+/** Ratings after a release may cost this part of the attempts, for a rating is cheap beside a strong version. */
+const RATING_BUDGET = 0.02
+/** Besides, answers of a version are rated until about this many ratings are known, up to the largest share. */
 const RATINGS_WANTED = 12
-const LARGEST_RATED_SHARE = 0.25
-const SMALLEST_RATED_SHARE = 0.01
+const LARGEST_WANTED_SHARE = 0.25
+/** A good answer is worth at least this many mean requests, so that cheap kinds don't skimp. */
+const LEAST_WORTH = 2
+/** The part of one request in the mean cost. */
+const COST_SHARE = 1 / 500
 /** Kinds with beliefs of their own; further ones share one. */
 const MOST_KINDS = 64
 const OTHER_KINDS = '(other kinds)'
@@ -64,6 +69,8 @@
   readonly #kinds = new Map<string, VersionKind>()
   readonly #digests = new VersionDigests()
   #cascadesFrom = 0
+  /** Mean expected cost of a request over all kinds, cost units. */
+  #meanCost = 0
   #sequence = 0
 
   constructor (options: LearnedVersionPolicyOptions) {
@@ -90,7 +97,7 @@
     kind.countSession(true)
     const chance = kind.table([pinned]).chanceOf(kind.outlook(pinned), request.difficultyHint)
     kind.organisation(request.organisation).ledger.add(chance)
-    return Ok({ steps: [this.#released(kind, pinned.name)] })
+    return Ok({ steps: [this.#released(kind, pinned)] })
   }
 
   #planFree (request: VersionRequest, available: readonly VersionCandidate[], now: number): PlanStep[] {
@@ -109,11 +116,14 @@
       return explored
     }
     const known = byPrice.filter(({ name }) => name === strongest.name || kind.settled(name))
-    const level = kind.levelFor(request.organisation, quality.ledger.goal(request.qualityTarget), known)
+    const table = kind.table(known)
+    const needed = kind.levelFor(request.organisation, quality.ledger.goal(request.qualityTarget), known)
+    const level = Math.max(needed, table.levelOf(LEAST_WORTH * this.#meanCost))
     const whole = Math.floor(level) + (this.#randomness.fraction() < level % 1 ? 1 : 0)
-    const plan = kind.table(known).plan(mode, request.difficultyHint, whole)
+    const plan = table.plan(mode, request.difficultyHint, whole)
+    this.#meanCost += (plan.expectedCost - this.#meanCost) * COST_SHARE
     quality.ledger.add(plan.expectedGood)
-    return plan.steps.map(step => step.releaseAtRating === undefined ? this.#released(kind, step.version) : step)
+    return plan.steps.map(step => step.releaseAtRating === undefined ? this.#released(kind, byPrice.find(({ name }) => name === step.version)!) : step)
   }
 
   /** Tries a version that is not the dearest and of which too little is known. */
@@ -129,14 +139,15 @@
     const releaseAtRating = Math.min(99, this.#goodRating + EXPLORING_MARGIN_POINTS)
     return [
       { version: name, releaseAtRating, rateAfterwards: false },
-      this.#released(kind, byPrice.at(-1)!.name)
+      this.#released(kind, byPrice.at(-1)!)
     ]
   }
 
-  #released (kind: VersionKind, version: VersionName): PlanStep {
-    const wanted = RATINGS_WANTED / Math.max(1, kind.model.ratings(version))
-    const share = Math.min(LARGEST_RATED_SHARE, Math.max(SMALLEST_RATED_SHARE, wanted))
-    return { version, releaseAtRating: undefined, rateAfterwards: this.#randomness.fraction() < share }
+  #released (kind: VersionKind, { name, price }: VersionCandidate): PlanStep {
+    const wanted = Math.min(LARGEST_WANTED_SHARE, RATINGS_WANTED / Math.max(1, kind.model.ratings(name)))
+    const affordable = RATING_BUDGET * price * kind.work / this.#ratingCost
+    const share = Math.max(wanted, affordable)
+    return { version: name, releaseAtRating: undefined, rateAfterwards: this.#randomness.fraction() < share }
   }
 
   #modeOf (request: VersionRequest, now: number): PlanMode {
