--- a/src/choice/versionLedger.ts
+++ b/src/choice/versionLedger.ts
@@ -19,14 +19,14 @@
 const MEMORY_REQUESTS = 5_000
 const KEPT = 1 - 1 / MEMORY_REQUESTS
 /** Standard deviations by which the share of good answers is to lie above the target. */
-const CONFIDENCE = 1.6
+const CONFIDENCE = 2
 /** A lack or a surplus is spread over this share of the requests counted so far. */
 const CATCH_UP_SHARE = 0.4
 const SHORTEST_CATCH_UP_REQUESTS = 40
 /** How far below the target the goal may go while there is a surplus. */
 const LARGEST_EASING = 0.05
 /** How far above the target the goal may go: few requests would ask for more than any version gives. */
-const LARGEST_RAISE = 0.03
+const LARGEST_RAISE = 0.035
 
 const EMPTY: QualitySums = { requests: 0, good: 0, variance: 0 }
 
