--- a/src/choice/versionDigest.ts
+++ b/src/choice/versionDigest.ts
@@ -5,7 +5,7 @@
  * repeated, reordered and lost, and nothing is counted twice.
  */
 import type { VersionName } from '../contract/index.ts'
-import type { LimitNews } from './ratingModel.ts'
+import type { LimitNews } from './ratingBelief.ts'
 import type { QualitySums } from './versionLedger.ts'
 
 /** One daemon's ratings of a version on a kind of request, as a likelihood over its limit. */
@@ -43,9 +43,9 @@
 export class VersionDigests {
   readonly #newest = new Map<string, VersionDigest>()
 
-  /** All that is kept. */
+  /** All that is kept, in the order of origins, so that sums don't depend on the order of arrival. */
   all (): readonly VersionDigest[] {
-    return [...this.#newest.values()]
+    return [...this.#newest.values()].sort((left, right) => left.origin < right.origin ? -1 : 1)
   }
 
   /**
