--- a/trial/prove/processGate.ts
+++ b/trial/prove/processGate.ts
@@ -3,7 +3,7 @@
  * its way to the store and its links pass the gate before and after each step, so a frozen process
  * wakes late where it stood, and a dead one never sees a reply.
  */
-import type { Clock, Result } from '../../src/contract/index.ts'
+import { type Clock, Ok, type Result } from '../../src/contract/index.ts'
 import type { DaemonParts } from '../../src/daemon/index.ts'
 import type { LinkFailure, LinkIdentity, MessageType, Peer } from '../../src/link/index.ts'
 import type { TableService } from '../../src/platform/index.ts'
