--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -1,9 +1,10 @@
 /**
  * The decisions measured against baselines in virtual time:
- *   node scripts/run.mjs bench/decisions.ts --seed 101 [--seeds 5] [--scenario NAME] [--world FILE] [--workers 8] [--json]
+ *   node scripts/run.mjs bench/decisions.ts --seed 101 [--seeds 5] [--scenario NAME] [--world FILE] [--workers N] [--json]
  * Seeds 1 to 5 are for tuning, 101 and up for tests. A run starts itself again as worker threads.
  */
 import { readFileSync } from 'node:fs'
+import { availableParallelism } from 'node:os'
 import { parseArgs } from 'node:util'
 import { isMainThread, workerData } from 'node:worker_threads'
 import { printHerding } from './herding.ts'
@@ -24,7 +25,7 @@
       seeds: { type: 'string', default: '5' },
       scenario: { type: 'string' },
       world: { type: 'string', default: 'bench/workloads.toml' },
-      workers: { type: 'string', default: '8' },
+      workers: { type: 'string', default: String(Math.max(1, availableParallelism() - 1)) },
       json: { type: 'boolean', default: false }
     }
   })
--- a/bench/world.ts
+++ b/bench/world.ts
@@ -104,7 +104,7 @@
 }
 
 /** The standard normal distribution's 95th percentile. */
-const NORMAL_P95 = 1.6449
+const normalP95 = 1.6449
 
 /**
  * Reads a world.
@@ -194,7 +194,7 @@
 
 /** Draws a lognormal wait from its percentiles, in their unit. */
 export function drawWait ({ p50, p95 }: Percentiles, randomness: Randomness): number {
-  const spread = Math.log(p95 / p50) / NORMAL_P95
+  const spread = Math.log(p95 / p50) / normalP95
   return p50 * Math.exp(spread * randomness.normal())
 }
 
--- a/bench/worldLoad.ts
+++ b/bench/worldLoad.ts
@@ -2,7 +2,7 @@
 import { goodShare, type World, type WorldUser, type WorldVersion } from './world.ts'
 
 /** Accelerators of a runner. */
-export const ACCELERATORS_PER_RUNNER = 4
+export const acceleratorsPerRunner = 4
 
 /** The cheapest version whose share of good answers meets the target, or else the best. */
 export function cheapestFixedVersion (world: World, kind: string): WorldVersion {
@@ -35,7 +35,7 @@
     work.set(version.name, (work.get(version.name) ?? 0) + milliseconds)
   }
   const perRequest = [...work.values()].reduce((sum, milliseconds) => sum + milliseconds, 0)
-  const accelerators = user.runners * ACCELERATORS_PER_RUNNER
+  const accelerators = user.runners * acceleratorsPerRunner
   const acceleratorShares = new Map([...work].map(([name, milliseconds]) => [name, milliseconds / perRequest]))
   return { requestsPerSecond: 1_000 * accelerators / perRequest, acceleratorShares }
 }
--- /dev/null
+++ b/measure/capacity.ts
@@ -0,0 +1,40 @@
+/**
+ * `npm run measure:capacity`: runs every measurement of the slopes one after the other and prints what
+ * they found as one JSON document. Takes some minutes; nothing else should run on the machine.
+ */
+import { spawnSync } from 'node:child_process'
+import { cpus, totalmem } from 'node:os'
+
+const programs = [
+  ['measure/settings.ts'],
+  ['measure/settingsConvergence.ts'],
+  ['measure/claims.ts'],
+  ['measure/billing.ts'],
+  ['measure/membership.ts'],
+  ['measure/path.ts', '--seconds', '5']
+] as const
+
+const bytesPerGigabyte = 2 ** 30
+
+/** A program's output: JSON documents, one a line or spread over lines. */
+function documentsOf (output: string): unknown[] {
+  const whole = parsed(output)
+  if (whole !== undefined) return [whole]
+  return output.split('\n').flatMap(line => parsed(line) ?? [])
+}
+
+function parsed (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+const results = programs.map(([program, ...words]) => {
+  process.stderr.write(`${program}\n`)
+  const run = spawnSync(process.execPath, ['--expose-gc', 'scripts/run.mjs', program, ...words], { encoding: 'utf8', maxBuffer: 64 * 2 ** 20 })
+  return { program, exitCode: run.status, results: documentsOf(run.stdout) }
+})
+console.log(JSON.stringify({ date: new Date().toISOString(), node: process.version, cores: cpus().length, gigabytes: Math.round(totalmem() / bytesPerGigabyte), measurements: results }, undefined, 1))
+process.exit(results.every(result => result.exitCode === 0) ? 0 : 1)
--- a/src/choice/cascadePlanner.ts
+++ b/src/choice/cascadePlanner.ts
@@ -6,12 +6,12 @@
  * only makes release more attractive, the best decisions form ranges, which a plan's thresholds say.
  */
 import type { VersionName } from '../contract/index.ts'
-import { CELL_COUNT } from './ratingGrid.ts'
+import { cellCount } from './ratingGrid.ts'
 import type { PlanStep } from './contract.ts'
 
 /** Width of a rating bin, points. */
-export const RATING_BIN_POINTS = 5
-export const RATING_BIN_COUNT = 20
+export const ratingBinPoints = 5
+export const ratingBinCount = 20
 
 /** What planning knows of a version for a kind of request. */
 export interface VersionOutlook {
@@ -20,7 +20,7 @@
   readonly cost: number
   /** The chance of a good answer, by cell of difficulty. */
   readonly goodByCell: Float64Array
-  /** The chance of each rating bin, by cell: `bin * CELL_COUNT + cell`. */
+  /** The chance of each rating bin, by cell: `bin * cellCount + cell`. */
   readonly ratingByCell: Float64Array
   /** The chance of a good answer over the kind's whole mix. */
   readonly goodOverall: number
@@ -52,7 +52,7 @@
 }
 
 /** A range of ratings rarer than this is not worth a decision of its own. */
-const SMALLEST_MASS = 1e-3
+const smallestMass = 1e-3
 
 const Action = {
   Release: 0,
@@ -105,8 +105,8 @@
 export function planChain (weights: Float64Array, chain: readonly VersionOutlook[], terms: PlanTerms): PlannedCascade {
   const [first, second, third] = chain as [VersionOutlook, VersionOutlook, VersionOutlook | undefined]
   const totals = newTotals()
-  const toMiddle = new Float64Array(CELL_COUNT)
-  const toLast = new Float64Array(CELL_COUNT)
+  const toMiddle = new Float64Array(cellCount)
+  const toLast = new Float64Array(cellCount)
   const ranges = splitRated(totals, weights, [first, second, third], terms, toMiddle, toLast)
   const firstStep = stepOf(first, ranges)
   if (!third) {
@@ -130,14 +130,14 @@
   toLast: Float64Array
 ): Ranges {
   payRated(totals, weights, current, terms)
-  const bin = new Float64Array(CELL_COUNT)
+  const bin = new Float64Array(cellCount)
   const actions: Action[] = []
-  for (let index = 0; index < RATING_BIN_COUNT; index++) {
+  for (let index = 0; index < ratingBinCount; index++) {
     fillBin(bin, weights, current, index)
     actions.push(bestAction(bin, current, next, last, terms))
   }
   const ranges = rangesOf(actions)
-  for (let index = 0; index < RATING_BIN_COUNT; index++) {
+  for (let index = 0; index < ratingBinCount; index++) {
     const action = actionIn(ranges, index)
     fillBin(bin, weights, current, index)
     if (action === Action.Release) release(totals, bin, current, terms)
@@ -169,10 +169,10 @@
 function stepOf (outlook: VersionOutlook, ranges: Ranges): PlanStep {
   return {
     version: outlook.version,
-    releaseAtRating: ranges.releaseFrom * RATING_BIN_POINTS,
+    releaseAtRating: ranges.releaseFrom * ratingBinPoints,
     rateAfterwards: false,
-    skipNextBelowRating: ranges.skipBelow * RATING_BIN_POINTS,
-    giveUpBelowRating: ranges.giveUpBelow * RATING_BIN_POINTS
+    skipNextBelowRating: ranges.skipBelow * ratingBinPoints,
+    giveUpBelowRating: ranges.giveUpBelow * ratingBinPoints
   }
 }
 
@@ -182,7 +182,7 @@
 
 function bestAction (weights: Float64Array, current: VersionOutlook, next: VersionOutlook, last: VersionOutlook | undefined, terms: PlanTerms): Action {
   const mass = massOf(weights)
-  if (mass < SMALLEST_MASS) return Action.Release
+  if (mass < smallestMass) return Action.Release
   const released = releaseValue(weights, mass, current, terms)
   if (!last) return released >= releaseValue(weights, mass, next, terms) - mass * next.cost ? Action.Release : Action.Middle
   const skipped = releaseValue(weights, mass, last, terms) - mass * last.cost
@@ -197,11 +197,11 @@
   const boundCurrent = terms.boundTurns * (worth * current.goodOverall - current.cost)
   const boundLast = terms.boundTurns * (worth * last.goodOverall - last.cost) - last.cost
   let value = -mass * (current.cost + terms.ratingCost)
-  for (let start = 0; start < RATING_BIN_COUNT * CELL_COUNT; start += CELL_COUNT) {
+  for (let start = 0; start < ratingBinCount * cellCount; start += cellCount) {
     let binMass = 0
     let currentGood = 0
     let lastGood = 0
-    for (let cell = 0; cell < CELL_COUNT; cell++) {
+    for (let cell = 0; cell < cellCount; cell++) {
       const weight = weights[cell]! * current.ratingByCell[start + cell]!
       binMass += weight
       currentGood += weight * current.goodByCell[cell]!
@@ -238,24 +238,24 @@
 }
 
 function fillBin (bin: Float64Array, weights: Float64Array, outlook: VersionOutlook, index: number): void {
-  const start = index * CELL_COUNT
-  for (let cell = 0; cell < CELL_COUNT; cell++) bin[cell] = weights[cell]! * outlook.ratingByCell[start + cell]!
+  const start = index * cellCount
+  for (let cell = 0; cell < cellCount; cell++) bin[cell] = weights[cell]! * outlook.ratingByCell[start + cell]!
 }
 
 function massOf (weights: Float64Array): number {
   let mass = 0
-  for (let cell = 0; cell < CELL_COUNT; cell++) mass += weights[cell]!
+  for (let cell = 0; cell < cellCount; cell++) mass += weights[cell]!
   return mass
 }
 
 function goodOf (weights: Float64Array, outlook: VersionOutlook): number {
   let good = 0
-  for (let cell = 0; cell < CELL_COUNT; cell++) good += weights[cell]! * outlook.goodByCell[cell]!
+  for (let cell = 0; cell < cellCount; cell++) good += weights[cell]! * outlook.goodByCell[cell]!
   return good
 }
 
 function addTo (sum: Float64Array, weights: Float64Array): void {
-  for (let cell = 0; cell < CELL_COUNT; cell++) sum[cell]! += weights[cell]!
+  for (let cell = 0; cell < cellCount; cell++) sum[cell]! += weights[cell]!
 }
 
 function newTotals (): Totals {
--- a/src/choice/ratingBelief.ts
+++ b/src/choice/ratingBelief.ts
@@ -3,8 +3,8 @@
  * and at each point of the scale's grid, with a prior and what other daemons told added.
  */
 import type { VersionName } from '../contract/index.ts'
-import { CELL_COUNT, LIMIT_COUNT, limitAt, offsetIndex } from './ratingGrid.ts'
-import { SCALE_POINTS } from './ratingScale.ts'
+import { cellCount, limitCount, limitAt, offsetIndex } from './ratingGrid.ts'
+import { scalePoints } from './ratingScale.ts'
 
 /** A rating of an earlier step of the same request. */
 export interface EarlierRating {
@@ -27,22 +27,22 @@
 }
 
 /** Ratings that count fully before older ones fade. */
-export const MEMORY_RATINGS = 600
+export const memoryRatings = 600
 /** The part of an older rating's weight that one more rating leaves. */
-export const KEPT = 1 - 1 / MEMORY_RATINGS
+export const keptShare = 1 - 1 / memoryRatings
 /** Standard deviations below the mean at which a version's limit is relied on. */
-const CAUTION = 0.3
+const caution = 0.3
 /** Cells with less weight don't change what a rating says. */
-const SMALLEST_WEIGHT = 1e-4
+const smallestWeight = 1e-4
 /** A quarter of a grid step, squared. */
-const SMALLEST_VARIANCE = 0.005 ** 2
+const smallestVariance = 0.005 ** 2
 
 /** The belief about one version. */
 export class LimitBelief {
   /** The logarithm of own ratings' likelihood by limit, at the present scale. */
-  readonly own = new Float64Array(LIMIT_COUNT)
+  readonly own = new Float64Array(limitCount)
   /** The same at each point of the scale's grid. */
-  readonly atPoints = SCALE_POINTS.map(() => new Float64Array(LIMIT_COUNT))
+  readonly atPoints = scalePoints.map(() => new Float64Array(limitCount))
   /** Own ratings, older ones faded. */
   count = 0
   /** Own ratings ever. */
@@ -53,7 +53,7 @@
   spread: number
   /** The newest records, to learn from again when the shared scale changes. */
   readonly records: RatingRecord[] = []
-  readonly #others = new Float64Array(LIMIT_COUNT)
+  readonly #others = new Float64Array(limitCount)
   #othersCount = 0
   readonly #prior: { readonly limit: number, readonly spread: number }
 
@@ -64,7 +64,7 @@
   }
 
   get cautiousLimit (): number {
-    return this.mean - CAUTION * this.spread
+    return this.mean - caution * this.spread
   }
 
   get totalCount (): number {
@@ -72,8 +72,8 @@
   }
 
   refresh (): void {
-    const total = new Float64Array(LIMIT_COUNT)
-    for (let index = 0; index < LIMIT_COUNT; index++) {
+    const total = new Float64Array(limitCount)
+    for (let index = 0; index < limitCount; index++) {
       const distance = (limitAt(index) - this.#prior.limit) / this.#prior.spread
       total[index] = this.own[index]! + this.#others[index]! - distance * distance / 2
     }
@@ -87,7 +87,7 @@
     this.#othersCount = 0
     for (const { count, likelihood } of news) {
       this.#othersCount += count
-      for (let index = 0; index < LIMIT_COUNT; index++) this.#others[index]! += likelihood[index] ?? 0
+      for (let index = 0; index < limitCount; index++) this.#others[index]! += likelihood[index] ?? 0
     }
     this.refresh()
   }
@@ -100,19 +100,19 @@
 
 /** Fades what was known at each limit and adds one rating. */
 export function addLikelihood (logarithms: Float64Array, weights: Float64Array, curve: Float64Array): void {
-  const density = new Float64Array(LIMIT_COUNT)
-  for (let cell = 0; cell < CELL_COUNT; cell++) {
+  const density = new Float64Array(limitCount)
+  for (let cell = 0; cell < cellCount; cell++) {
     const weight = weights[cell]!
-    if (weight < SMALLEST_WEIGHT) continue
+    if (weight < smallestWeight) continue
     const first = offsetIndex(0, cell)
-    for (let index = 0; index < LIMIT_COUNT; index++) density[index]! += weight * curve[first + index]!
+    for (let index = 0; index < limitCount; index++) density[index]! += weight * curve[first + index]!
   }
-  for (let index = 0; index < LIMIT_COUNT; index++) logarithms[index] = logarithms[index]! * KEPT + Math.log(density[index]!)
+  for (let index = 0; index < limitCount; index++) logarithms[index] = logarithms[index]! * keptShare + Math.log(density[index]!)
 }
 
 /** The likelihood of own ratings at each scale point, with the limit summed out. */
 export function profileOf (belief: LimitBelief): Float64Array {
-  return Float64Array.from(SCALE_POINTS, (_, point) => {
+  return Float64Array.from(scalePoints, (_, point) => {
     const logarithms = belief.atPoints[point]!
     const highest = Math.max(...logarithms)
     const sum = logarithms.reduce((total, logarithm) => total + Math.exp(logarithm - highest), 0)
@@ -131,7 +131,7 @@
   let total = 0
   let sum = 0
   let squares = 0
-  for (let index = 0; index < LIMIT_COUNT; index++) {
+  for (let index = 0; index < limitCount; index++) {
     const weight = Math.exp(logarithms[index]! - highest)
     const limit = limitAt(index)
     total += weight
@@ -139,5 +139,5 @@
     squares += weight * limit * limit
   }
   const mean = sum / total
-  return { mean, variance: Math.max(SMALLEST_VARIANCE, squares / total - mean * mean) }
+  return { mean, variance: Math.max(smallestVariance, squares / total - mean * mean) }
 }
--- a/src/choice/ratingDriftWatch.ts
+++ b/src/choice/ratingDriftWatch.ts
@@ -6,11 +6,11 @@
  */
 
 /** Standard deviations a rating may fall short without adding to the sum. */
-const ALLOWANCE = 0.5
+const cusumAllowance = 0.5
 /** The sum at which the alarm is raised: a run of over 10,000 ratings between two false alarms. */
-const THRESHOLD = 9
+const cusumThreshold = 9
 /** No rating counts for more than this. */
-const LARGEST_SHORTFALL = 3
+const largestShortfall = 3
 
 /** Watches one version on one kind of request. */
 export class RatingDriftWatch {
@@ -25,9 +25,9 @@
    * if (watch.observe(surprise.shortfall)) model.forget(version, 0.05)
    */
   observe (shortfall: number): boolean {
-    const counted = Math.min(LARGEST_SHORTFALL, shortfall) - ALLOWANCE
+    const counted = Math.min(largestShortfall, shortfall) - cusumAllowance
     this.#sum = Math.max(0, this.#sum + counted)
-    if (this.#sum < THRESHOLD) return false
+    if (this.#sum < cusumThreshold) return false
     this.#sum = 0
     return true
   }
--- a/src/choice/ratingGrid.ts
+++ b/src/choice/ratingGrid.ts
@@ -6,41 +6,41 @@
  */
 
 /** Spacing of the limit grid, in difficulty. */
-export const LIMIT_STEP = 0.02
-export const LIMIT_LOWEST = -0.6
-export const LIMIT_COUNT = 86
+export const limitStep = 0.02
+export const limitLowest = -0.6
+export const limitCount = 86
 /** Two limit steps, so that every limit minus a cell's centre lies on the limit grid's lattice. */
-const CELL_WIDTH = 2 * LIMIT_STEP
-export const CELL_COUNT = Math.round(1 / CELL_WIDTH)
+const cellWidth = 2 * limitStep
+export const cellCount = Math.round(1 / cellWidth)
 /** Lattice points of `limit - difficulty`. */
-export const OFFSET_COUNT = LIMIT_COUNT + 2 * (CELL_COUNT - 1)
+export const offsetCount = limitCount + 2 * (cellCount - 1)
 /** The rating service's scale. */
-export const LOWEST_RATING = 0
-export const HIGHEST_RATING = 100
+export const lowestRating = 0
+export const highestRating = 100
 
 /** The difficulty at the centre of a cell. */
 export function cellDifficulty (cell: number): number {
-  return (cell + 0.5) * CELL_WIDTH
+  return (cell + 0.5) * cellWidth
 }
 
 /** The limit at an index of the limit grid. */
 export function limitAt (index: number): number {
-  return LIMIT_LOWEST + index * LIMIT_STEP
+  return limitLowest + index * limitStep
 }
 
 /** The value of `limit - difficulty` at a lattice point. */
 export function offsetAt (index: number): number {
-  return limitAt(index - 2 * (CELL_COUNT - 1)) - cellDifficulty(0)
+  return limitAt(index - 2 * (cellCount - 1)) - cellDifficulty(0)
 }
 
 /** The lattice point of a limit and a cell. */
 export function offsetIndex (limitIndex: number, cell: number): number {
-  return limitIndex + 2 * (CELL_COUNT - 1 - cell)
+  return limitIndex + 2 * (cellCount - 1 - cell)
 }
 
 /** The part of a cell that lies at or below a limit, 0 to 1. */
 export function shareBelow (limit: number, cell: number): number {
-  const part = (limit - cell * CELL_WIDTH) / CELL_WIDTH
+  const part = (limit - cell * cellWidth) / cellWidth
   return Math.min(1, Math.max(0, part))
 }
 
@@ -51,11 +51,11 @@
  * @param noise the hint's standard deviation
  */
 export function weightsOfHint (hint: number | undefined, noise: number): Float64Array {
-  const weights = new Float64Array(CELL_COUNT).fill(1 / CELL_COUNT)
+  const weights = new Float64Array(cellCount).fill(1 / cellCount)
   if (hint === undefined) return weights
   const nearest = Math.min(1, Math.max(0, hint))
   const floor = ((hint - nearest) / noise) ** 2 / 2
-  for (let cell = 0; cell < CELL_COUNT; cell++) {
+  for (let cell = 0; cell < cellCount; cell++) {
     const distance = (hint - cellDifficulty(cell)) / noise
     weights[cell] = Math.exp(floor - distance * distance / 2)
   }
@@ -76,7 +76,7 @@
 
 /** The score of an answer whose version's limit lies `offset` above the request's difficulty. */
 export function scoreAt (offset: number, goodRating: number, slope: number): number {
-  return Math.min(HIGHEST_RATING, Math.max(LOWEST_RATING, goodRating + slope * offset))
+  return Math.min(highestRating, Math.max(lowestRating, goodRating + slope * offset))
 }
 
 /**
@@ -84,16 +84,16 @@
  * readings beyond it.
  */
 export function ratingLikelihood (rating: number, score: number, noise: number): number {
-  if (rating >= HIGHEST_RATING) return normalBelow((score - HIGHEST_RATING) / noise) * TAIL_READING
-  if (rating <= LOWEST_RATING) return normalBelow((LOWEST_RATING - score) / noise) * TAIL_READING
+  if (rating >= highestRating) return normalBelow((score - highestRating) / noise) * tailReading
+  if (rating <= lowestRating) return normalBelow((lowestRating - score) / noise) * tailReading
   const distance = (rating - score) / noise
-  return Math.exp(-distance * distance / 2) / (noise * Math.sqrt(2 * Math.PI)) + UNEXPLAINED
+  return Math.exp(-distance * distance / 2) / (noise * Math.sqrt(2 * Math.PI)) + unexplained
 }
 
 /** Puts the mass of a tail on the same footing as a density per point. */
-const TAIL_READING = 1
+const tailReading = 1
 /** Density of a reading that the model can't explain, so that one odd rating can't outweigh the rest. */
-const UNEXPLAINED = 1e-4
+const unexplained = 1e-4
 
 /** The standard normal distribution function, to 1e-7 (Abramowitz and Stegun 26.2.17). */
 export function normalBelow (value: number): number {
--- a/src/choice/ratingModel.ts
+++ b/src/choice/ratingModel.ts
@@ -7,23 +7,23 @@
  * would look weak for being given only what the cheaper one failed at.
  */
 import type { VersionName } from '../contract/index.ts'
-import { addLikelihood, type EarlierRating, KEPT, LimitBelief, type LimitNews, likelihoodNews, MEMORY_RATINGS, profileOf, scaleBy } from './ratingBelief.ts'
-import { CELL_COUNT, cellDifficulty, normalise, OFFSET_COUNT, offsetAt, ratingLikelihood, scoreAt, shareBelow, weightsOfHint } from './ratingGrid.ts'
-import { type RatingScale, SCALE_POINTS, type ScalePoint } from './ratingScale.ts'
+import { addLikelihood, type EarlierRating, keptShare, LimitBelief, type LimitNews, likelihoodNews, memoryRatings, profileOf, scaleBy } from './ratingBelief.ts'
+import { cellCount, cellDifficulty, normalise, offsetCount, offsetAt, ratingLikelihood, scoreAt, shareBelow, weightsOfHint } from './ratingGrid.ts'
+import { type RatingScale, scalePoints, type ScalePoint } from './ratingScale.ts'
 
-const PRIOR_LIMIT = 0.7
-const PRIOR_SPREAD = 0.35
+const priorLimit = 0.7
+const priorSpread = 0.35
 /** The dearest version is taken to be fit for its work until ratings say otherwise. */
-const STRONGEST_PRIOR_LIMIT = 0.96
-const STRONGEST_PRIOR_SPREAD = 0.06
+const strongestPriorLimit = 0.96
+const strongestPriorSpread = 0.06
 /** Ratings from which other daemons are told of a version. */
-const TOLD_RATINGS = 3
+const toldRatings = 3
 /** New ratings, at least and as a share of the earlier ones, from which the scale is told again. */
-const FEWEST_NEW_RATINGS = 4
-const NEW_RATINGS_SHARE = 0.1
+const fewestNewRatings = 4
+const newRatingsShare = 0.1
 /** Of a belief's ratings the first ones and then every so many teach the scale, which moves slowly. */
-const SCALE_RATINGS = 60
-const SCALE_EVERY = 6
+const scaleRatings = 60
+const scaleEvery = 6
 
 /** The beliefs about all versions for one kind of request. */
 export class RatingModel {
@@ -40,8 +40,8 @@
   admit (version: VersionName, strongest: boolean): void {
     if (this.#beliefs.has(version)) return
     const prior = strongest
-      ? { limit: STRONGEST_PRIOR_LIMIT, spread: STRONGEST_PRIOR_SPREAD }
-      : { limit: PRIOR_LIMIT, spread: PRIOR_SPREAD }
+      ? { limit: strongestPriorLimit, spread: strongestPriorSpread }
+      : { limit: priorLimit, spread: priorSpread }
     this.#beliefs.set(version, new LimitBelief(prior))
   }
 
@@ -57,12 +57,12 @@
 
   /** The believed limit of a version, cautious by its uncertainty. */
   cautiousLimit (version: VersionName): number {
-    return this.#beliefs.get(version)?.cautiousLimit ?? PRIOR_LIMIT - PRIOR_SPREAD
+    return this.#beliefs.get(version)?.cautiousLimit ?? priorLimit - priorSpread
   }
 
   /** The believed limit of a version. */
   limit (version: VersionName): number {
-    return this.#beliefs.get(version)?.mean ?? PRIOR_LIMIT
+    return this.#beliefs.get(version)?.mean ?? priorLimit
   }
 
   /** What is known of a request's difficulty after its hint and earlier ratings. */
@@ -70,7 +70,7 @@
     const weights = weightsOfHint(hint, this.#scale.hintNoise)
     for (const { version, rating } of earlier) {
       const limit = this.limit(version)
-      for (let cell = 0; cell < CELL_COUNT; cell++) {
+      for (let cell = 0; cell < cellCount; cell++) {
         const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.point.slope)
         weights[cell]! *= ratingLikelihood(rating, score, this.#scale.point.noise)
       }
@@ -91,7 +91,7 @@
     const shortfall = this.#shortfall(weights, belief.mean, rating)
     this.#learn(belief, weights, rating)
     belief.records.push({ hint, earlier, rating })
-    if (belief.records.length > MEMORY_RATINGS) belief.records.shift()
+    if (belief.records.length > memoryRatings) belief.records.shift()
     belief.refresh()
     return shortfall
   }
@@ -99,7 +99,7 @@
   /** Tells the shared scale what the beliefs of this kind say of it. */
   informScale (kind: string): void {
     for (const [version, belief] of this.#beliefs) {
-      const due = Math.max(FEWEST_NEW_RATINGS, belief.profiledAt * NEW_RATINGS_SHARE)
+      const due = Math.max(fewestNewRatings, belief.profiledAt * newRatingsShare)
       if (belief.seen - belief.profiledAt < due) continue
       belief.profiledAt = belief.seen
       this.#scale.setProfile(`${kind}\n${version}`, profileOf(belief))
@@ -117,27 +117,27 @@
 
   #learn (belief: LimitBelief, weights: Float64Array, rating: number): void {
     this.#learnLimit(belief, weights, rating)
-    belief.count = belief.count * KEPT + 1
+    belief.count = belief.count * keptShare + 1
     belief.seen += 1
-    if (belief.seen <= SCALE_RATINGS || belief.seen % SCALE_EVERY === 0) this.#learnScale(belief, weights, rating)
+    if (belief.seen <= scaleRatings || belief.seen % scaleEvery === 0) this.#learnScale(belief, weights, rating)
   }
 
   #learnScale (belief: LimitBelief, weights: Float64Array, rating: number): void {
-    const curve = new Float64Array(OFFSET_COUNT)
-    for (const [index, point] of SCALE_POINTS.entries()) {
+    const curve = new Float64Array(offsetCount)
+    for (const [index, point] of scalePoints.entries()) {
       this.#fillCurve(curve, point, rating)
       addLikelihood(belief.atPoints[index]!, weights, curve)
     }
   }
 
   #learnLimit (belief: LimitBelief, weights: Float64Array, rating: number): void {
-    const curve = new Float64Array(OFFSET_COUNT)
+    const curve = new Float64Array(offsetCount)
     this.#fillCurve(curve, this.#scale.point, rating)
     addLikelihood(belief.own, weights, curve)
   }
 
   #fillCurve (curve: Float64Array, { slope, noise }: ScalePoint, rating: number): void {
-    for (let index = 0; index < OFFSET_COUNT; index++) {
+    for (let index = 0; index < offsetCount; index++) {
       curve[index] = ratingLikelihood(rating, scoreAt(offsetAt(index), this.#goodRating, slope), noise)
     }
   }
@@ -145,7 +145,7 @@
   #shortfall (weights: Float64Array, limit: number, rating: number): number {
     let mean = 0
     let squares = 0
-    for (let cell = 0; cell < CELL_COUNT; cell++) {
+    for (let cell = 0; cell < cellCount; cell++) {
       const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.point.slope)
       mean += weights[cell]! * score
       squares += weights[cell]! * score * score
@@ -166,7 +166,7 @@
 
   /** What this daemon's own ratings say, for other daemons; versions with too few are left out. */
   news (): Map<VersionName, LimitNews> {
-    const settled = [...this.#beliefs].filter(([, belief]) => belief.count >= TOLD_RATINGS)
+    const settled = [...this.#beliefs].filter(([, belief]) => belief.count >= toldRatings)
     return new Map(settled.map(([version, belief]) => [version, { count: belief.count, likelihood: likelihoodNews(belief.own) }]))
   }
 
@@ -179,6 +179,6 @@
   /** The chance that an answer of a version is good, by cell of difficulty. */
   goodByCell (version: VersionName): Float64Array {
     const limit = this.cautiousLimit(version)
-    return Float64Array.from({ length: CELL_COUNT }, (_, cell) => shareBelow(limit, cell))
+    return Float64Array.from({ length: cellCount }, (_, cell) => shareBelow(limit, cell))
   }
 }
--- a/src/choice/ratingScale.ts
+++ b/src/choice/ratingScale.ts
@@ -8,18 +8,18 @@
  */
 
 /** Points that a score falls from difficulty 0 to 1. */
-const SLOPES = [18, 22, 26, 31, 37, 45, 54, 65, 78, 94, 112]
+const slopeGrid = [18, 22, 26, 31, 37, 45, 54, 65, 78, 94, 112]
 /** Standard deviations of a reading, points. */
-const NOISES = [3, 4, 5.4, 7.3, 9.9, 13.3, 18]
-const FIRST: ScalePoint = { slope: 45, noise: 9.9 }
+const noiseGrid = [3, 4, 5.4, 7.3, 9.9, 13.3, 18]
+const first: ScalePoint = { slope: 45, noise: 9.9 }
 /** Slope and noise are rounded to this part, so that small changes need no learning again. */
-const ROUNDED_TO = 0.04
-const EVEN_VARIANCE = 1 / 12
-const SMALLEST_HINT_NOISE = 0.02
-const FIRST_HINT_NOISE = 0.2
-const HINTS_BEFORE_LEARNING = 300
+const roundedTo = 0.04
+const evenVariance = 1 / 12
+const smallestHintNoise = 0.02
+const firstHintNoise = 0.2
+const hintsBeforeLearning = 300
 /** Hints that count fully before older ones fade. */
-const MEMORY_HINTS = 20_000
+const memoryHints = 20_000
 
 /** One point of the grid. */
 export interface ScalePoint {
@@ -28,13 +28,13 @@
 }
 
 /** The grid of slopes and noises. */
-export const SCALE_POINTS: readonly ScalePoint[] = SLOPES.flatMap(slope => NOISES.map(noise => ({ slope, noise })))
+export const scalePoints: readonly ScalePoint[] = slopeGrid.flatMap(slope => noiseGrid.map(noise => ({ slope, noise })))
 
 /** The learned scale of ratings and hints. */
 export class RatingScale {
   readonly #profiles = new Map<string, Float64Array>()
-  #others = new Float64Array(SCALE_POINTS.length)
-  #point = FIRST
+  #others = new Float64Array(scalePoints.length)
+  #point = first
   #revision = 0
   #hints = 0
   #hintMean = 0.5
@@ -52,14 +52,14 @@
 
   /** Standard deviation of a hint, in difficulty. */
   get hintNoise (): number {
-    if (this.#hints < HINTS_BEFORE_LEARNING) return FIRST_HINT_NOISE
-    return Math.sqrt(Math.max(SMALLEST_HINT_NOISE ** 2, this.#hintVariance - EVEN_VARIANCE))
+    if (this.#hints < hintsBeforeLearning) return firstHintNoise
+    return Math.sqrt(Math.max(smallestHintNoise ** 2, this.#hintVariance - evenVariance))
   }
 
   /** Counts the hint of a request, rated or not. */
   observeHint (hint: number): void {
     this.#hints += 1
-    const share = 1 / Math.min(this.#hints, MEMORY_HINTS)
+    const share = 1 / Math.min(this.#hints, memoryHints)
     const before = hint - this.#hintMean
     this.#hintMean += before * share
     this.#hintVariance += (before * (hint - this.#hintMean) - this.#hintVariance) * share
@@ -85,13 +85,13 @@
 
   /** Replaces what is known from other daemons' ratings. */
   setNews (news: readonly Float32Array[]): void {
-    this.#others = new Float64Array(SCALE_POINTS.length)
+    this.#others = new Float64Array(scalePoints.length)
     for (const likelihood of news) addTo(this.#others, likelihood)
     this.#findBest()
   }
 
   #ownSum (): Float64Array {
-    const sum = new Float64Array(SCALE_POINTS.length)
+    const sum = new Float64Array(scalePoints.length)
     for (const profile of this.#profiles.values()) addTo(sum, profile)
     return sum
   }
@@ -100,11 +100,11 @@
     const total = this.#ownSum()
     addTo(total, this.#others)
     const best = total.indexOf(Math.max(...total))
-    const noiseIndex = best % NOISES.length
-    const slopeIndex = (best - noiseIndex) / NOISES.length
+    const noiseIndex = best % noiseGrid.length
+    const slopeIndex = (best - noiseIndex) / noiseGrid.length
     const point = {
-      slope: rounded(peak(SLOPES, slopeIndex, index => total[index * NOISES.length + noiseIndex]!)),
-      noise: rounded(peak(NOISES, noiseIndex, index => total[slopeIndex * NOISES.length + index]!))
+      slope: rounded(peak(slopeGrid, slopeIndex, index => total[index * noiseGrid.length + noiseIndex]!)),
+      noise: rounded(peak(noiseGrid, noiseIndex, index => total[slopeIndex * noiseGrid.length + index]!))
     }
     if (point.slope === this.#point.slope && point.noise === this.#point.noise) return
     this.#point = point
@@ -113,7 +113,7 @@
 }
 
 function rounded (value: number): number {
-  return Math.exp(Math.round(Math.log(value) / ROUNDED_TO) * ROUNDED_TO)
+  return Math.exp(Math.round(Math.log(value) / roundedTo) * roundedTo)
 }
 
 /** The peak of the parabola, over the logarithms of values, through the best one and its neighbours. */
--- a/src/choice/rollOutGuard.ts
+++ b/src/choice/rollOutGuard.ts
@@ -11,7 +11,7 @@
  */
 import type { VersionName } from '../contract/index.ts'
 import { type RollOutEvidence, type RollOutGuard, RollOutVerdict } from './contract.ts'
-import { type RatedSums, RollOutRegression, UNKNOWN_HINT } from './rollOutRegression.ts'
+import { type RatedSums, RollOutRegression, unknownHint } from './rollOutRegression.ts'
 
 /** What the guard is made with. */
 export interface SequentialRollOutGuardOptions {
@@ -25,21 +25,21 @@
   readonly missedHarmRate?: number
 }
 
-const FALSE_HALT_RATE = 0.002
-const HARM_POINTS = 10
-const MISSED_HARM_RATE = 0.02
+const usualFalseHaltRate = 0.002
+const usualHarmPoints = 10
+const usualMissedHarmRate = 0.02
 /** Sizes of harm that are looked for, in standard deviations of an adjusted rating. */
-const HARM_SIZES = [0.25, 0.5, 1, 1.5, 2] as const
+const harmSizes = [0.25, 0.5, 1, 1.5, 2] as const
 /** Part of the allowance for false halts that failures get. */
-const FAILURE_PART = 0.3
+const failurePart = 0.3
 /** Shares of failures on the new version, beyond the old one's, that are looked for. */
-const FAILURE_SIZES = [0.05, 0.2, 0.5] as const
+const failureSizes = [0.05, 0.2, 0.5] as const
 /** Ratings of both versions before the regression is relied on. */
-const WARM_UP_RATINGS = 12
+const warmUpRatings = 12
 /** A rating further off than this counts as this far off. */
-const LARGEST_DEVIATION = 3
+const largestDeviation = 3
 /** Ratings of the new version without which no step is taken. */
-const FEWEST_RATINGS_FOR_STEP = 12
+const fewestRatingsForStep = 12
 
 /** The guard that a steward or a daemon runs for one roll-out. */
 export class SequentialRollOutGuard implements RollOutGuard {
@@ -53,19 +53,19 @@
   readonly #waiting: RollOutEvidence[] = []
   readonly #rated = new Map<string, RatedSums>()
   readonly #ratedInStep = new Map<string, RatedSums>()
-  readonly #failureHarm = new Float64Array(FAILURE_SIZES.length)
+  readonly #failureHarm = new Float64Array(failureSizes.length)
   #halted = false
   #oldAttempts = 0
   #oldFailures = 0
 
   constructor (options: SequentialRollOutGuardOptions) {
-    const falseHaltRate = options.falseHaltRate ?? FALSE_HALT_RATE
+    const falseHaltRate = options.falseHaltRate ?? usualFalseHaltRate
     this.#from = options.from
     this.#to = options.to
-    this.#haltAt = -Math.log(falseHaltRate * (1 - FAILURE_PART))
-    this.#failureHaltAt = -Math.log(falseHaltRate * FAILURE_PART)
-    this.#stepAt = -Math.log(options.missedHarmRate ?? MISSED_HARM_RATE)
-    this.#harmPoints = options.harmPoints ?? HARM_POINTS
+    this.#haltAt = -Math.log(falseHaltRate * (1 - failurePart))
+    this.#failureHaltAt = -Math.log(falseHaltRate * failurePart)
+    this.#stepAt = -Math.log(options.missedHarmRate ?? usualMissedHarmRate)
+    this.#harmPoints = options.harmPoints ?? usualHarmPoints
   }
 
   /** Whether the roll-out is to be stopped; once true it stays so. */
@@ -98,12 +98,12 @@
       count += rated.count
       evidence += this.#evidence(kind, rated, this.#harmPoints / deviation)
     }
-    return count >= FEWEST_RATINGS_FOR_STEP && evidence <= -this.#stepAt
+    return count >= fewestRatingsForStep && evidence <= -this.#stepAt
   }
 
   /** Tests ratings of the new version once the old one's are known for their kind. */
   #test (): void {
-    const ready = this.#waiting.filter(({ kind }) => this.#regression.ratings(kind) >= WARM_UP_RATINGS)
+    const ready = this.#waiting.filter(({ kind }) => this.#regression.ratings(kind) >= warmUpRatings)
     if (ready.length === 0) return
     const rest = this.#waiting.filter(evidence => !ready.includes(evidence))
     this.#waiting.splice(0, this.#waiting.length, ...rest)
@@ -112,10 +112,10 @@
 
   #testRating (kind: string, hint: number | undefined, rating: number): void {
     const { expected, deviation } = this.#regression.expect(kind, hint)
-    const counted = expected + clamp(rating - expected, LARGEST_DEVIATION * deviation)
+    const counted = expected + clamp(rating - expected, largestDeviation * deviation)
     addRated(this.#rated, kind, hint, counted)
     addRated(this.#ratedInStep, kind, hint, counted)
-    const harm = Float64Array.from(HARM_SIZES, size => {
+    const harm = Float64Array.from(harmSizes, size => {
       return [...this.#rated].reduce((sum, [ratedKind, rated]) => sum + this.#evidence(ratedKind, rated, size), 0)
     })
     if (logarithmOfMean(harm) >= this.#haltAt) this.#halted = true
@@ -135,8 +135,8 @@
       return
     }
     const usual = (this.#oldFailures + 1) / (this.#oldAttempts + 2)
-    if (this.#oldAttempts < WARM_UP_RATINGS) return
-    for (const [index, size] of FAILURE_SIZES.entries()) {
+    if (this.#oldAttempts < warmUpRatings) return
+    for (const [index, size] of failureSizes.entries()) {
       const harmed = usual + (1 - usual) * size
       this.#failureHarm[index]! += failed ? Math.log(harmed / usual) : Math.log((1 - harmed) / (1 - usual))
     }
@@ -146,7 +146,7 @@
 
 function addRated (sums: Map<string, RatedSums>, kind: string, hint: number | undefined, rating: number): void {
   const { count, hint: hints, rating: ratings } = sums.get(kind) ?? { count: 0, hint: 0, rating: 0 }
-  sums.set(kind, { count: count + 1, hint: hints + (hint ?? UNKNOWN_HINT), rating: ratings + rating })
+  sums.set(kind, { count: count + 1, hint: hints + (hint ?? unknownHint), rating: ratings + rating })
 }
 
 function clamp (value: number, limit: number): number {
--- a/src/choice/rollOutRegression.ts
+++ b/src/choice/rollOutRegression.ts
@@ -34,12 +34,12 @@
   readonly variance: number
 }
 
-const SMALLEST_DEVIATION = 3
+const smallestDeviation = 3
 /** Weakens the slope while hints are few. */
-const RIDGE = 0.5
+const ridge = 0.5
 /** Stands for a hint that is not known. */
-export const UNKNOWN_HINT = 0.5
-const DEVIATION_CAUTION = 6
+export const unknownHint = 0.5
+const deviationCaution = 6
 
 /** A line for each kind of request. */
 export class RollOutRegression {
@@ -53,7 +53,7 @@
   /** Learns from a rating of the old version. */
   learn (kind: string, hint: number | undefined, rating: number): void {
     const sums = this.#kinds.get(kind) ?? { count: 0, hint: 0, rating: 0, hintSquares: 0, product: 0, ratingSquares: 0 }
-    const known = hint ?? UNKNOWN_HINT
+    const known = hint ?? unknownHint
     sums.count += 1
     sums.hint += known
     sums.rating += rating
@@ -66,7 +66,7 @@
   /** What a rating of a kind with ratings is expected to be. */
   expect (kind: string, hint: number | undefined): ExpectedRating {
     const line = lineOf(this.#kinds.get(kind)!)
-    return { expected: line.ratingMean + line.slope * ((hint ?? UNKNOWN_HINT) - line.hintMean), deviation: line.deviation }
+    return { expected: line.ratingMean + line.slope * ((hint ?? unknownHint) - line.hintMean), deviation: line.deviation }
   }
 
   /** Compares a mean of ratings of a kind with ratings. */
@@ -85,12 +85,12 @@
 function lineOf (sums: Sums) {
   const hintMean = sums.hint / sums.count
   const ratingMean = sums.rating / sums.count
-  const spread = sums.hintSquares - sums.count * hintMean * hintMean + RIDGE
+  const spread = sums.hintSquares - sums.count * hintMean * hintMean + ridge
   const covariance = sums.product - sums.count * hintMean * ratingMean
   const slope = covariance / spread
   const squares = Math.max(0, sums.ratingSquares - sums.count * ratingMean * ratingMean - slope * covariance)
   const freedom = Math.max(1, sums.count - 2)
   // Few ratings understate the deviation as often as they overstate it; only the former does harm.
-  const variance = squares / freedom * (1 + DEVIATION_CAUTION / freedom)
-  return { hintMean, ratingMean, spread, slope, deviation: Math.max(SMALLEST_DEVIATION, Math.sqrt(variance)) }
+  const variance = squares / freedom * (1 + deviationCaution / freedom)
+  return { hintMean, ratingMean, spread, slope, deviation: Math.max(smallestDeviation, Math.sqrt(variance)) }
 }
--- a/src/choice/versionDigest.ts
+++ b/src/choice/versionDigest.ts
@@ -35,9 +35,9 @@
 }
 
 /** Entries of a digest that are read; the rest is left out. */
-const MOST_ENTRIES = 2_000
+const mostEntries = 2_000
 /** Daemons whose digests are kept. */
-const MOST_ORIGINS = 512
+const mostOrigins = 512
 
 /** The newest digest of each other daemon. */
 export class VersionDigests {
@@ -56,9 +56,9 @@
   keep (digest: VersionDigest): boolean {
     const known = this.#newest.get(digest.origin)
     if (known && !isNewer(digest, known)) return false
-    if (!known && this.#newest.size >= MOST_ORIGINS) return false
+    if (!known && this.#newest.size >= mostOrigins) return false
     const { beliefs, ledgers } = digest
-    this.#newest.set(digest.origin, { ...digest, beliefs: beliefs.slice(0, MOST_ENTRIES), ledgers: ledgers.slice(0, MOST_ENTRIES) })
+    this.#newest.set(digest.origin, { ...digest, beliefs: beliefs.slice(0, mostEntries), ledgers: ledgers.slice(0, mostEntries) })
     return true
   }
 
--- a/src/choice/versionKind.ts
+++ b/src/choice/versionKind.ts
@@ -4,9 +4,9 @@
  * they ask the same versions the same kind of thing; the accounts are not.
  */
 import type { VersionName } from '../contract/index.ts'
-import { RATING_BIN_COUNT, RATING_BIN_POINTS, type VersionOutlook } from './cascadePlanner.ts'
+import { ratingBinCount, ratingBinPoints, type VersionOutlook } from './cascadePlanner.ts'
 import type { RatedAnswer, VersionCandidate } from './contract.ts'
-import { CELL_COUNT, cellDifficulty, LOWEST_RATING, normalBelow, scoreAt } from './ratingGrid.ts'
+import { cellCount, cellDifficulty, lowestRating, normalBelow, scoreAt } from './ratingGrid.ts'
 import { RatingDriftWatch } from './ratingDriftWatch.ts'
 import { RatingModel } from './ratingModel.ts'
 import type { RatingScale } from './ratingScale.ts'
@@ -14,17 +14,17 @@
 import { ContextCounts, PlanTable } from './versionPlanTable.ts'
 
 /** Ratings from which a version is planned with. */
-export const SETTLED_RATINGS = 14
+export const settledRatings = 14
 /** After a version turned bad, the share of its evidence that still counts. */
-const KEPT_AFTER_DRIFT = 0.02
+const keptAfterDrift = 0.02
 /** Beliefs that rest on few ratings move fast: plans are made anew after this share of them. */
-const REFRESH_SHARE = 0.12
-const REFRESH_FEWEST = 10
-const REFRESH_MOST = 150
-const KIND_MEMORY_REQUESTS = 4_000
-const ORGANISATION_MEMORY_REQUESTS = 500
+const refreshShare = 0.12
+const refreshFewest = 10
+const refreshMost = 150
+const kindMemoryRequests = 4_000
+const organisationMemoryRequests = 500
 /** The kind's mix counts as this many requests of an organisation. */
-const KIND_MIX_REQUESTS = 40
+const kindMixRequests = 40
 
 /** The account of one organisation. */
 export interface OrganisationQuality {
@@ -36,7 +36,7 @@
 export class VersionKind {
   readonly model: RatingModel
   readonly organisations = new Map<string, OrganisationQuality>()
-  readonly contexts = new ContextCounts(KIND_MEMORY_REQUESTS)
+  readonly contexts = new ContextCounts(kindMemoryRequests)
   readonly #name: string
   readonly #scale: RatingScale
   readonly #goodRating: number
@@ -65,7 +65,7 @@
   organisation (name: string): OrganisationQuality {
     const known = this.organisations.get(name)
     if (known) return known
-    const quality = { ledger: new QualityLedger(), contexts: new ContextCounts(ORGANISATION_MEMORY_REQUESTS) }
+    const quality = { ledger: new QualityLedger(), contexts: new ContextCounts(organisationMemoryRequests) }
     this.organisations.set(name, quality)
     return quality
   }
@@ -82,7 +82,7 @@
 
   /** Counts a request's work, in tokens that cost as much as a generated one. */
   countWork (work: number): void {
-    this.#work += (work - this.#work) / Math.min(KIND_MEMORY_REQUESTS, this.contexts.total + 1)
+    this.#work += (work - this.#work) / Math.min(kindMemoryRequests, this.contexts.total + 1)
   }
 
   countSession (bound: boolean): void {
@@ -92,7 +92,7 @@
 
   /** Whether a version's quality is known well enough to plan with it. */
   settled (version: VersionName): boolean {
-    return this.model.ratings(version) >= SETTLED_RATINGS
+    return this.model.ratings(version) >= settledRatings
   }
 
   /** Learns from a rating. */
@@ -101,12 +101,12 @@
     const shortfall = this.model.observe(version, difficultyHint, earlier, rating)
     const watch = this.#watches.get(version) ?? new RatingDriftWatch()
     this.#watches.set(version, watch)
-    const wasSettled = this.model.ratings(version) > SETTLED_RATINGS + 1
+    const wasSettled = this.model.ratings(version) > settledRatings + 1
     const drifted = wasSettled && watch.observe(shortfall)
-    if (drifted) this.model.forget(version, KEPT_AFTER_DRIFT)
+    if (drifted) this.model.forget(version, keptAfterDrift)
     this.#ratings += 1
     this.#ratingsSinceRefresh += 1
-    const due = Math.min(REFRESH_MOST, Math.max(REFRESH_FEWEST, this.#ratings * REFRESH_SHARE))
+    const due = Math.min(refreshMost, Math.max(refreshFewest, this.#ratings * refreshShare))
     if (drifted || this.#ratingsSinceRefresh >= due) this.refresh()
   }
 
@@ -117,7 +117,7 @@
     if (this.#learnedAt !== this.#scale.revision) this.model.relearn()
     this.#learnedAt = this.#scale.revision
     const ground = this.#ground()
-    if (ground.length === this.#plannedOn.length && ground.every((value, index) => Math.abs(value - this.#plannedOn[index]!) < GROUND_STEP)) return
+    if (ground.length === this.#plannedOn.length && ground.every((value, index) => Math.abs(value - this.#plannedOn[index]!) < groundStep)) return
     this.#plannedOn = ground
     this.#tables.clear()
     this.#levels.clear()
@@ -149,9 +149,9 @@
     const quality = this.organisation(organisation)
     const key = `${organisation}\n${keyOf(versions)}`
     const known = this.#levels.get(key)
-    const moved = !known || Math.abs(known.goal - goal) > GOAL_STEP || quality.contexts.total > known.requests * 1.2
+    const moved = !known || Math.abs(known.goal - goal) > goalStep || quality.contexts.total > known.requests * 1.2
     if (!moved) return known.level
-    const ownWeight = quality.contexts.total / (quality.contexts.total + KIND_MIX_REQUESTS)
+    const ownWeight = quality.contexts.total / (quality.contexts.total + kindMixRequests)
     const level = this.table(versions).levelFor(goal, [quality.contexts, this.contexts], [ownWeight, 1 - ownWeight])
     this.#levels.set(key, { goal, level, requests: quality.contexts.total })
     return level
@@ -164,20 +164,20 @@
       version: name,
       cost: price * this.#work,
       goodByCell,
-      goodOverall: goodByCell.reduce((sum, good) => sum + good, 0) / CELL_COUNT,
+      goodOverall: goodByCell.reduce((sum, good) => sum + good, 0) / cellCount,
       ratingByCell: this.#ratingByCell(this.model.limit(name))
     }
   }
 
   #ratingByCell (limit: number): Float64Array {
-    const table = new Float64Array(RATING_BIN_COUNT * CELL_COUNT)
-    for (let cell = 0; cell < CELL_COUNT; cell++) {
+    const table = new Float64Array(ratingBinCount * cellCount)
+    for (let cell = 0; cell < cellCount; cell++) {
       const score = scoreAt(limit - cellDifficulty(cell), this.#goodRating, this.#scale.point.slope)
       let below = 0
-      for (let bin = 0; bin < RATING_BIN_COUNT; bin++) {
-        const upper = LOWEST_RATING + (bin + 1) * RATING_BIN_POINTS
-        const next = bin === RATING_BIN_COUNT - 1 ? 1 : normalBelow((upper - score) / this.#scale.point.noise)
-        table[bin * CELL_COUNT + cell] = Math.max(0, next - below)
+      for (let bin = 0; bin < ratingBinCount; bin++) {
+        const upper = lowestRating + (bin + 1) * ratingBinPoints
+        const next = bin === ratingBinCount - 1 ? 1 : normalBelow((upper - score) / this.#scale.point.noise)
+        table[bin * cellCount + cell] = Math.max(0, next - below)
         below = next
       }
     }
@@ -186,9 +186,9 @@
 }
 
 /** Beliefs that moved by less leave the plans as they are. */
-const GROUND_STEP = 0.007
+const groundStep = 0.007
 /** A goal that moved by less keeps its level. */
-const GOAL_STEP = 0.001
+const goalStep = 0.001
 
 function keyOf (versions: readonly VersionCandidate[]): string {
   return versions.map(version => version.name).join(' ')
--- a/src/choice/versionLedger.ts
+++ b/src/choice/versionLedger.ts
@@ -16,24 +16,24 @@
 }
 
 /** Requests that count fully before older ones fade. */
-const MEMORY_REQUESTS = 5_000
-const KEPT = 1 - 1 / MEMORY_REQUESTS
+const memoryRequests = 5_000
+const keptShare = 1 - 1 / memoryRequests
 /** Standard deviations by which the share of good answers is to lie above the target. */
-const CONFIDENCE = 2
+const confidenceDeviations = 2
 /** A lack or a surplus is spread over this share of the requests counted so far. */
-const CATCH_UP_SHARE = 0.4
-const SHORTEST_CATCH_UP_REQUESTS = 40
+const catchUpShare = 0.4
+const shortestCatchUpRequests = 40
 /** How far below the target the goal may go while there is a surplus. */
-const LARGEST_EASING = 0.05
+const largestEasing = 0.05
 /** How far above the target the goal may go: few requests would ask for more than any version gives. */
-const LARGEST_RAISE = 0.035
+const largestRaise = 0.035
 
-const EMPTY: QualitySums = { requests: 0, good: 0, variance: 0 }
+const empty: QualitySums = { requests: 0, good: 0, variance: 0 }
 
 /** The account of one organisation's requests of one kind. */
 export class QualityLedger {
-  #own = EMPTY
-  #others = EMPTY
+  #own = empty
+  #others = empty
 
   /** This daemon's own sums. */
   get own (): QualitySums {
@@ -43,9 +43,9 @@
   /** Counts a planned request by the chance that its answer will be good. */
   add (chance: number): void {
     this.#own = {
-      requests: this.#own.requests * KEPT + 1,
-      good: this.#own.good * KEPT + chance,
-      variance: this.#own.variance * KEPT + chance * (1 - chance)
+      requests: this.#own.requests * keptShare + 1,
+      good: this.#own.good * keptShare + chance,
+      variance: this.#own.variance * keptShare + chance * (1 - chance)
     }
   }
 
@@ -55,7 +55,7 @@
       requests: left.requests + right.requests,
       good: left.good + right.good,
       variance: left.variance + right.variance
-    }), EMPTY)
+    }), empty)
   }
 
   /**
@@ -66,9 +66,9 @@
   goal (target: number): number {
     const requests = this.#own.requests + this.#others.requests
     const surplus = this.#own.good + this.#others.good - target * requests
-    const margin = CONFIDENCE * Math.sqrt(this.#own.variance + this.#others.variance + target * (1 - target))
-    const catchUp = Math.max(SHORTEST_CATCH_UP_REQUESTS, requests * CATCH_UP_SHARE)
+    const margin = confidenceDeviations * Math.sqrt(this.#own.variance + this.#others.variance + target * (1 - target))
+    const catchUp = Math.max(shortestCatchUpRequests, requests * catchUpShare)
     const raise = (margin - surplus) / catchUp
-    return target + Math.min(LARGEST_RAISE, Math.max(-LARGEST_EASING, raise))
+    return target + Math.min(largestRaise, Math.max(-largestEasing, raise))
   }
 }
--- a/src/choice/versionPlanTable.ts
+++ b/src/choice/versionPlanTable.ts
@@ -19,16 +19,16 @@
 } as const
 export type PlanMode = typeof PlanMode[keyof typeof PlanMode]
 
-const MODE_COUNT = 4
-const HINT_LOWEST = -0.5
-const HINT_STEP = 0.125
-const HINT_BINS = 17
+const modeCount = 4
+const hintLowest = -0.5
+const hintStep = 0.125
+const hintBins = 17
 /** Hint bins and one for requests without a hint. */
-const CONTEXT_BINS = HINT_BINS + 1
-const LEVEL_COUNT = 18
+const contextBins = hintBins + 1
+const levelCount = 18
 /** The lowest worth, in attempts of the cheapest version, and the highest, in attempts of the dearest. */
-const LOWEST_WORTH = 0.5
-const HIGHEST_WORTH = 60
+const lowestWorth = 0.5
+const highestWorth = 60
 
 /** What the table is made from. */
 export interface PlanGround {
@@ -42,7 +42,7 @@
 
 /** How often each mode and hint came up; older requests fade. */
 export class ContextCounts {
-  readonly counts = new Float64Array(MODE_COUNT * CONTEXT_BINS)
+  readonly counts = new Float64Array(modeCount * contextBins)
   total = 0
   readonly #kept: number
 
@@ -55,7 +55,7 @@
   get cascadeShare (): number {
     let cascades = 0
     for (const [index, count] of this.counts.entries()) {
-      const mode = Math.floor(index / CONTEXT_BINS)
+      const mode = Math.floor(index / contextBins)
       if (mode === PlanMode.Cascade || mode === PlanMode.CascadeBound) cascades += count
     }
     return this.total > 0 ? cascades / this.total : 0
@@ -63,7 +63,7 @@
 
   add (mode: PlanMode, hint: number | undefined): void {
     for (let index = 0; index < this.counts.length; index++) this.counts[index]! *= this.#kept
-    this.counts[mode * CONTEXT_BINS + contextBin(hint)]! += 1
+    this.counts[mode * contextBins + contextBin(hint)]! += 1
     this.total = this.total * this.#kept + 1
   }
 }
@@ -77,9 +77,9 @@
 
   constructor (ground: PlanGround) {
     this.#ground = ground
-    this.#lowest = LOWEST_WORTH * ground.outlooks[0]!.cost
-    const highest = HIGHEST_WORTH * ground.outlooks.at(-1)!.cost
-    this.#ratio = (highest / this.#lowest) ** (1 / (LEVEL_COUNT - 1))
+    this.#lowest = lowestWorth * ground.outlooks[0]!.cost
+    const highest = highestWorth * ground.outlooks.at(-1)!.cost
+    this.#ratio = (highest / this.#lowest) ** (1 / (levelCount - 1))
   }
 
   /** The plan at a whole level of worth. */
@@ -90,7 +90,7 @@
   /** The level of a worth in cost units, within the table's range. */
   levelOf (worth: number): number {
     const level = Math.log(Math.max(worth, this.#lowest) / this.#lowest) / Math.log(this.#ratio)
-    return Math.min(LEVEL_COUNT - 1, level)
+    return Math.min(levelCount - 1, level)
   }
 
   /**
@@ -100,7 +100,7 @@
   levelFor (goal: number, contexts: readonly ContextCounts[], weights: readonly number[]): number {
     const mix = mixOf(contexts, weights)
     let below = 0
-    let above = LEVEL_COUNT - 1
+    let above = levelCount - 1
     if (this.#share(mix, below) >= goal) return below
     if (this.#share(mix, above) <= goal) return above
     while (above - below > 1) {
@@ -118,9 +118,9 @@
     let requests = 0
     for (let index = 0; index < mix.length; index++) {
       const weight = mix[index]!
-      if (weight < SMALLEST_WEIGHT) continue
-      const mode = Math.floor(index / CONTEXT_BINS) as PlanMode
-      const plan = this.#planAt(mode, index % CONTEXT_BINS, level)
+      if (weight < smallestWeight) continue
+      const mode = Math.floor(index / contextBins) as PlanMode
+      const plan = this.#planAt(mode, index % contextBins, level)
       good += weight * (plan.expectedGood + plan.boundGood)
       requests += weight * (1 + this.#boundTurns(mode))
     }
@@ -132,7 +132,7 @@
   }
 
   #planAt (mode: PlanMode, bin: number, level: number): PlannedCascade {
-    const key = (mode * CONTEXT_BINS + bin) * LEVEL_COUNT + level
+    const key = (mode * contextBins + bin) * levelCount + level
     const known = this.#plans.get(key)
     if (known) return known
     const plan = this.#make(mode, bin, level)
@@ -156,10 +156,10 @@
 }
 
 /** Contexts rarer than this don't move a level. */
-const SMALLEST_WEIGHT = 2e-3
+const smallestWeight = 2e-3
 
 function mixOf (contexts: readonly ContextCounts[], weights: readonly number[]): Float64Array {
-  const mix = new Float64Array(MODE_COUNT * CONTEXT_BINS)
+  const mix = new Float64Array(modeCount * contextBins)
   for (const [index, context] of contexts.entries()) {
     if (context.total === 0) continue
     const scale = weights[index]! / context.total
@@ -169,11 +169,11 @@
 }
 
 function contextBin (hint: number | undefined): number {
-  if (hint === undefined) return HINT_BINS
-  const bin = Math.round((hint - HINT_LOWEST) / HINT_STEP)
-  return Math.min(HINT_BINS - 1, Math.max(0, bin))
+  if (hint === undefined) return hintBins
+  const bin = Math.round((hint - hintLowest) / hintStep)
+  return Math.min(hintBins - 1, Math.max(0, bin))
 }
 
 function hintOfBin (bin: number): number | undefined {
-  return bin === HINT_BINS ? undefined : HINT_LOWEST + bin * HINT_STEP
+  return bin === hintBins ? undefined : hintLowest + bin * hintStep
 }
--- a/src/choice/versionPolicy.ts
+++ b/src/choice/versionPolicy.ts
@@ -27,36 +27,36 @@
   readonly tokenMilliseconds?: number
 }
 
-const GOOD_RATING = 70
-const RATING_COST = 60
-const PROMPT_TOKEN_COST = 0.25
-const TOKEN_MILLISECONDS = 25
+const usualGoodRating = 70
+const usualRatingCost = 60
+const usualPromptTokenCost = 0.25
+const usualTokenMilliseconds = 25
 /** The longest wait for a rating that a plan allows for. */
-const RATING_MILLISECONDS = 400
+const ratingMilliseconds = 400
 /** Attempts that a cascade must have time for. */
-const CASCADE_ATTEMPTS = 3
+const cascadeAttempts = 3
 /** After a rating that did not come, the time without cascades. */
-const RATING_PAUSE_MILLISECONDS = 3_000
+const ratingPauseMilliseconds = 3_000
 /** The share of cascades that try a version about which little is known. */
-const EXPLORING_SHARE = 0.6
+const exploringShare = 0.6
 /** The same for requests whose answers can't be rated before their release. */
-const EXPLORING_SHARE_UNRATED = 0.05
+const exploringShareUnrated = 0.05
 /** Where this share of a kind's requests may be cascades, nothing is explored without them. */
-const ENOUGH_CASCADES = 0.15
+const enoughCascades = 0.15
 /** Points above a good rating at which an explored version's answer is released. */
-const EXPLORING_MARGIN_POINTS = 8
+const exploringMarginPoints = 8
 /** Ratings after a release may cost this part of the attempts, for a rating is cheap beside a strong version. */
-const RATING_BUDGET = 0.02
+const ratingBudget = 0.02
 /** Besides, answers of a version are rated until about this many ratings are known, up to the largest share. */
-const RATINGS_WANTED = 12
-const LARGEST_WANTED_SHARE = 0.25
+const ratingsWanted = 12
+const largestWantedShare = 0.25
 /** A good answer is worth at least this many mean requests, so that cheap kinds don't skimp. */
-const LEAST_WORTH = 2
+const leastWorth = 2
 /** The part of one request in the mean cost. */
-const COST_SHARE = 1 / 500
+const costShare = 1 / 500
 /** Kinds with beliefs of their own; further ones share one. */
-const MOST_KINDS = 64
-const OTHER_KINDS = '(other kinds)'
+const mostKinds = 64
+const otherKinds = '(other kinds)'
 
 /** The version policy that a daemon runs. */
 export class LearnedVersionPolicy implements VersionPolicy {
@@ -75,10 +75,10 @@
 
   constructor (options: LearnedVersionPolicyOptions) {
     this.#randomness = options.randomness
-    this.#goodRating = options.goodRating ?? GOOD_RATING
-    this.#ratingCost = options.ratingCost ?? RATING_COST
-    this.#promptTokenCost = options.promptTokenCost ?? PROMPT_TOKEN_COST
-    this.#tokenMilliseconds = options.tokenMilliseconds ?? TOKEN_MILLISECONDS
+    this.#goodRating = options.goodRating ?? usualGoodRating
+    this.#ratingCost = options.ratingCost ?? usualRatingCost
+    this.#promptTokenCost = options.promptTokenCost ?? usualPromptTokenCost
+    this.#tokenMilliseconds = options.tokenMilliseconds ?? usualTokenMilliseconds
     this.#scale = new RatingScale()
   }
 
@@ -118,10 +118,10 @@
     const known = byPrice.filter(({ name }) => name === strongest.name || kind.settled(name))
     const table = kind.table(known)
     const needed = kind.levelFor(request.organisation, quality.ledger.goal(request.qualityTarget), known)
-    const level = Math.max(needed, table.levelOf(LEAST_WORTH * this.#meanCost))
+    const level = Math.max(needed, table.levelOf(leastWorth * this.#meanCost))
     const whole = Math.floor(level) + (this.#randomness.fraction() < level % 1 ? 1 : 0)
     const plan = table.plan(mode, request.difficultyHint, whole)
-    this.#meanCost += (plan.expectedCost - this.#meanCost) * COST_SHARE
+    this.#meanCost += (plan.expectedCost - this.#meanCost) * costShare
     quality.ledger.add(plan.expectedGood)
     return plan.steps.map(step => step.releaseAtRating === undefined ? this.#released(kind, byPrice.find(({ name }) => name === step.version)!) : step)
   }
@@ -131,12 +131,12 @@
     const unknown = byPrice.slice(0, -1).filter(({ name }) => !kind.settled(name))
     if (unknown.length === 0) return undefined
     const cascade = mode === PlanMode.Cascade || mode === PlanMode.CascadeBound
-    const unrated = kind.contexts.cascadeShare >= ENOUGH_CASCADES ? 0 : EXPLORING_SHARE_UNRATED
-    const share = cascade ? EXPLORING_SHARE : unrated
+    const unrated = kind.contexts.cascadeShare >= enoughCascades ? 0 : exploringShareUnrated
+    const share = cascade ? exploringShare : unrated
     if (this.#randomness.fraction() >= share) return undefined
     const { name } = unknown[this.#randomness.below(unknown.length)]!
     if (!cascade) return [{ version: name, releaseAtRating: undefined, rateAfterwards: true }]
-    const releaseAtRating = Math.min(99, this.#goodRating + EXPLORING_MARGIN_POINTS)
+    const releaseAtRating = Math.min(99, this.#goodRating + exploringMarginPoints)
     return [
       { version: name, releaseAtRating, rateAfterwards: false },
       this.#released(kind, byPrice.at(-1)!)
@@ -144,14 +144,14 @@
   }
 
   #released (kind: VersionKind, { name, price }: VersionCandidate): PlanStep {
-    const wanted = Math.min(LARGEST_WANTED_SHARE, RATINGS_WANTED / Math.max(1, kind.model.ratings(name)))
-    const affordable = RATING_BUDGET * price * kind.work / this.#ratingCost
+    const wanted = Math.min(largestWantedShare, ratingsWanted / Math.max(1, kind.model.ratings(name)))
+    const affordable = ratingBudget * price * kind.work / this.#ratingCost
     const share = Math.max(wanted, affordable)
     return { version: name, releaseAtRating: undefined, rateAfterwards: this.#randomness.fraction() < share }
   }
 
   #modeOf (request: VersionRequest, now: number): PlanMode {
-    const needed = CASCADE_ATTEMPTS * (request.expectedCompletionTokens * this.#tokenMilliseconds + RATING_MILLISECONDS)
+    const needed = cascadeAttempts * (request.expectedCompletionTokens * this.#tokenMilliseconds + ratingMilliseconds)
     const cascade = !request.streamed && now >= this.#cascadesFrom && request.remainingMilliseconds >= needed
     if (request.opensSession) return cascade ? PlanMode.CascadeBound : PlanMode.SingleBound
     return cascade ? PlanMode.Cascade : PlanMode.Single
@@ -167,7 +167,7 @@
   #kind (name: string): VersionKind {
     const known = this.#kinds.get(name)
     if (known) return known
-    if (this.#kinds.size >= MOST_KINDS && name !== OTHER_KINDS) return this.#kind(OTHER_KINDS)
+    if (this.#kinds.size >= mostKinds && name !== otherKinds) return this.#kind(otherKinds)
     const kind = new VersionKind(name, this.#scale, this.#goodRating, this.#ratingCost)
     this.#kinds.set(name, kind)
     return kind
@@ -178,7 +178,7 @@
   }
 
   observeRatingMissing (now: number): void {
-    this.#cascadesFrom = now + RATING_PAUSE_MILLISECONDS
+    this.#cascadesFrom = now + ratingPauseMilliseconds
   }
 
   /**
@@ -224,8 +224,8 @@
 }
 
 function noEndpoint (message: string): Refusal {
-  return new Refusal(RefusalCode.NoEndpoint, RunState.NotRun, message, RETRY_SECONDS)
+  return new Refusal(RefusalCode.NoEndpoint, RunState.NotRun, message, retrySeconds)
 }
 
 /** Seconds after which an endpoint may have the version. */
-const RETRY_SECONDS = 2
+const retrySeconds = 2
--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -13,6 +13,7 @@
 import { formatTraceParent, type Metrics, type TraceContext, type Tracer } from '../observe/index.ts'
 import type { CompletionLengths } from './completionLengths.ts'
 import type { EndpointDirectory } from './endpointDirectory.ts'
+import { furtherReach, refusalAfter, runStateAfter } from './reachOfAttempts.ts'
 
 /** What a version's run yields: pieces, and last a finish or a refusal. */
 export type AttemptEvent =
@@ -66,7 +67,7 @@
       if (choice.err) return yield { type: 'refused', refusal: refusalAfter(reach, choice.val) }
       const end = yield * this.#attempt(request, wanted, choice.val, parent, signal)
       if (end === undefined) return
-      reach = furtherOf(reach, end.failure.reach)
+      reach = furtherReach(reach, end.failure.reach)
       if (end.hadText) return yield { type: 'refused', refusal: cutOff(end.failure) }
       excluded.add(choice.val.endpoint.name)
       const mayRetry = attempt < furtherAttempts && !signal.aborted && clock.now() < request.deadline && retries.spend(clock.now())
@@ -155,21 +156,8 @@
   readonly hadText: boolean
 }
 
-const reachOrder = [Reach.Never, Reach.Refused, Reach.Maybe] as const
-
-function furtherOf (left: Reach, right: Reach): Reach {
-  return reachOrder.indexOf(left) > reachOrder.indexOf(right) ? left : right
-}
-
-/** A later refusal can't say `not_run` when an earlier attempt may have run. */
-function refusalAfter (reach: Reach, refusal: Refusal): Refusal {
-  if (reach !== Reach.Maybe) return refusal
-  return new Refusal(refusal.code, RunState.Unknown, refusal.message, refusal.retryAfterSeconds)
-}
-
 function failed (reach: Reach, failure: AttemptFailure): Refusal {
-  const run = reach === Reach.Maybe ? RunState.Unknown : RunState.NotRun
-  return new Refusal(RefusalCode.EndpointFailed, run, failure.reason, failure.retryAfterSeconds ?? comeBackSeconds)
+  return new Refusal(RefusalCode.EndpointFailed, runStateAfter(reach), failure.reason, failure.retryAfterSeconds ?? comeBackSeconds)
 }
 
 function cutOff (failure: AttemptFailure): Refusal {
--- a/src/entry/chatRouter.ts
+++ b/src/entry/chatRouter.ts
@@ -91,6 +91,7 @@
     const earlier: EarlierRating[] = []
     let extraCost = 0
     let skipsNext = false
+    let hasRun = false
     for (const [index, step] of plan.steps.entries()) {
       const isLast = index === plan.steps.length - 1
       if (skipsNext && !isLast) {
@@ -98,11 +99,12 @@
         continue
       }
       if (isLast || step.releaseAtRating === undefined) {
-        yield * this.#streamed(call, step, session, extraCost, signal)
+        for await (const event of this.#streamed(call, step, session, extraCost, signal)) yield hasRun ? withoutNotRun(event) : event
         return
       }
       const held = await this.#held(call, step, signal)
-      if (held.err) return yield refused(held.val)
+      if (held.err) return yield hasRun ? withoutNotRun(refused(held.val)) : refused(held.val)
+      hasRun = true
       const rating = await this.#rater.rate(call.request, step.version, held.val.text, earlier)
       extraCost += ratingCost
       if (rating !== undefined && isReleased(step, step.releaseAtRating, rating)) {
@@ -267,6 +269,13 @@
   return { ...call, request: { ...call.request, priority: Priority.Background } }
 }
 
+/** An earlier step has run, whatever became of this one. */
+function withoutNotRun (event: AnswerEvent): AnswerEvent {
+  if (event.type !== 'refused' || event.refusal.run !== RunState.NotRun) return event
+  const { code, message, retryAfterSeconds } = event.refusal
+  return refused(new Refusal(code, RunState.Ran, message, retryAfterSeconds))
+}
+
 /** Good enough, or so poor that no later step is expected to do enough better. */
 function isReleased (step: PlanStep, releaseAtRating: number, rating: number): boolean {
   return rating >= releaseAtRating || (step.giveUpBelowRating !== undefined && rating < step.giveUpBelowRating)
--- a/src/entry/serviceRouter.ts
+++ b/src/entry/serviceRouter.ts
@@ -11,6 +11,7 @@
 import { Reach, type ServiceAnswer, type ServiceCall, type ServiceClient } from '../endpoint/index.ts'
 import { formatTraceParent, type TraceContext, type Tracer } from '../observe/index.ts'
 import type { OrganisationView } from '../settings/index.ts'
+import { furtherReach, refusalAfter, runStateAfter } from './reachOfAttempts.ts'
 import { type EndpointDirectory, takesWork } from './endpointDirectory.ts'
 
 /** A call to a plain service, authenticated and bounded. */
@@ -70,17 +71,18 @@
   async #repeatable (request: ServiceRequest, signal: AbortSignal): Promise<Result<StoredAnswer, Refusal>> {
     const { clock, retries } = this.#parts
     const excluded = new Set<string>()
+    let reach: Reach = Reach.Never
     retries.earn(clock.now())
     for (let attempt = 0; ; attempt++) {
       const endpoint = this.#choose(request, excluded)
-      if (endpoint.err) return endpoint
+      if (endpoint.err) return Err(refusalAfter(reach, endpoint.val))
       const answer = await this.#send(request, endpoint.val, always, signal)
       if (answer.ok) return await this.#billed(request, stored(answer.val))
+      reach = furtherReach(reach, answer.val.reach)
       excluded.add(endpoint.val.endpoint.name)
       const mayRetry = attempt < furtherAttempts && !signal.aborted && clock.now() < request.deadline && retries.spend(clock.now())
       if (mayRetry) continue
-      const run = answer.val.reach === Reach.Maybe ? RunState.Unknown : RunState.NotRun
-      return Err(new Refusal(RefusalCode.EndpointFailed, run, answer.val.reason, comeBackSeconds))
+      return Err(new Refusal(RefusalCode.EndpointFailed, runStateAfter(reach), answer.val.reason, comeBackSeconds))
     }
   }
 
--- a/test/entry.test.ts
+++ b/test/entry.test.ts
@@ -1,5 +1,6 @@
 import { connect } from 'node:net'
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import { Ok } from '../src/contract/index.ts'
 import { TableFault } from './fakes/faultyTableService.ts'
 import { EntryWorld, guidesKey } from './fakes/entryWorld.ts'
 
@@ -148,3 +149,21 @@
   expect(await errorOf(refused)).toMatchObject({ run: 'not_run' })
   expect(await world.engineRuns()).toEqual([])
 })
+
+test('a refusal after a step of a cascade has run does not say not run', async () => {
+  await world.close()
+  world = await EntryWorld.start({
+    plan: () => Ok({ steps: [{ version: 'small@1', releaseAtRating: 100, rateAfterwards: false }, { version: 'small@9', releaseAtRating: undefined, rateAfterwards: false }] }),
+    observeRating: () => {},
+    observeRatingMissing: () => {}
+  })
+  const refused = await world.call('/v1/chat/completions', { body: question('cascade') })
+  expect(await errorOf(refused)).toMatchObject({ run: 'ran' })
+  expect((await world.engineRuns()).map(run => run.request)).toEqual(['cascade'])
+})
+
+test('a lookup whose first attempt may have run is never refused as not run', async () => {
+  await world.fault('service', { fault: 'freeze', milliseconds: 3_000 })
+  const refused = await world.call('/v1/services/ledger/balances/deposit-7')
+  expect(await errorOf(refused)).toMatchObject({ code: 'no_endpoint', run: 'unknown' })
+})
