Let three daemons of a data centre contend for the steward's lease

Cause: every daemon read the lease's row each second: 350 of the store's 2,000 reads at the size to design for, found while summing the table service's load. Ruled out: a longer pause between looks: it would lengthen the take-over. Change: the first three by rendezvous hashing contend; a holder goes on whatever the members say.

--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -3,12 +3,12 @@
  * serving. Engines that don't check fencing numbers are protected by time: an order is sent only while
  * the lease's rest exceeds the order's time-out, and a new steward first waits that time out.
  */
-import { type Clock, type Randomness } from '../contract/index.ts'
+import { type Clock, type Randomness, rendezvousOrder } from '../contract/index.ts'
 import { RollOutVerdict } from '../choice/index.ts'
 import { SettingsLease, type SettingsRepository, type SettingsSource } from '../distribution/index.ts'
 import type { EngineClient } from '../endpoint/index.ts'
 import type { RollOutWatch } from '../entry/index.ts'
-import type { Membership } from '../membership/index.ts'
+import { type Membership, MemberState } from '../membership/index.ts'
 import type { Log, Metrics } from '../observe/index.ts'
 import type { HeldLease, StewardLease } from './lease.ts'
 import { type AddressedOrder, missingOrders } from './orderDuty.ts'
@@ -32,6 +32,7 @@
 }
 
 const tickMilliseconds = 1_000
+const contendersOfDataCentre = 3
 const orderTimeoutMilliseconds = 2_000
 
 /** Takes part in the lease of a data centre and does the duties while it is held. */
@@ -58,11 +59,10 @@
   }
 
   async #run (): Promise<void> {
-    const { clock, lease, log, metrics, randomness } = this.#parts
+    const { clock, lease, metrics, randomness } = this.#parts
     while (!this.#stopping.signal.aborted) {
       await this.#haltBadRollOuts()
-      const tended = await lease.tend()
-      if (tended.err) log.warn('steward_lease_not_renewed', { reason: tended.val.reason })
+      if (lease.held !== undefined || this.#isContender()) await this.#tend()
       const held = lease.held
       metrics.leaseHeld.set(held === undefined ? 0 : 1)
       if (held !== undefined) await this.#duties(held)
@@ -70,6 +70,19 @@
     }
   }
 
+  async #tend (): Promise<void> {
+    const tended = await this.#parts.lease.tend()
+    if (tended.err) this.#parts.log.warn('steward_lease_not_renewed', { reason: tended.val.reason })
+  }
+
+  /** Few daemons of the data centre look at the lease, so that its row is not read by all. */
+  #isContender (): boolean {
+    const { dataCentre, membership, name } = this.#parts
+    const near = membership.members().filter(member => member.place.dataCentre === dataCentre && member.state === MemberState.Alive)
+    const names = new Set([name, ...near.map(member => member.name)])
+    return rendezvousOrder(`steward/${dataCentre}`, [...names]).slice(0, contendersOfDataCentre).includes(name)
+  }
+
   async #duties (held: HeldLease): Promise<void> {
     const { clock, log } = this.#parts
     if (this.#holdingSince?.fencing !== held.fencing) {
--- a/test/steward.test.ts
+++ b/test/steward.test.ts
@@ -4,7 +4,7 @@
 import { TableSettingsRepository } from '../src/distribution/index.ts'
 import { AttemptFailure, type EngineClient, type EngineOrder, Reach } from '../src/endpoint/index.ts'
 import { RollOutWatch } from '../src/entry/index.ts'
-import type { EndpointNews, Membership } from '../src/membership/index.ts'
+import { type EndpointNews, type Membership, MemberState, type MemberView } from '../src/membership/index.ts'
 import { Log, Metrics } from '../src/observe/index.ts'
 import { RollOutState, SettingsView, type Subtree, subtreeSchema } from '../src/settings/index.ts'
 import { Steward, StewardLease } from '../src/steward/index.ts'
@@ -34,6 +34,7 @@
   readonly loaded = new Set(['small@1'])
   readonly repository = new TableSettingsRepository({ table: this.table, clock: this.clock, randomness: new SeededRandomness(1) })
   verdict: RollOutVerdict = RollOutVerdict.Continue
+  members: MemberView[] = []
 
   steward (holder: string): { readonly steward: Steward, readonly settings: ChangeableSettings, readonly lease: StewardLease } {
     const settings = new ChangeableSettings()
@@ -74,7 +75,7 @@
       reportedAt: this.clock.now(),
       report: { at: this.clock.now(), incarnation: 1, versions: [...this.loaded] as never, running: 0, queued: 0, queuedPromptTokens: 0, streamLimit: 32, prefillTokensPerSecond: 1_000, betweenTokensMilliseconds: 10, leaving: false }
     })
-    return { members: () => [], endpoint: news, sawLeaving: () => {} }
+    return { members: () => this.members, endpoint: news, sawLeaving: () => {} }
   }
 
   #engines (): EngineClient {
@@ -209,3 +210,22 @@
   await world.clock.advance(2_000)
   await stopped
 })
+
+test('of many daemons in a data centre only three look at the lease', async () => {
+  const world = new StewardWorld()
+  const names = Array.from({ length: 20 }, (_, number) => `entry-${number}`)
+  world.members = names.map(name => ({ name, address: '127.0.0.1:1', place: { region: 'lower-mainland', dataCentre: 'lower-mainland-a' }, rack: name, incarnation: 1, state: MemberState.Alive }))
+  const stewards = names.map(name => world.steward(name))
+  let reads = 0
+  world.table.script = call => {
+    if (call.kind === 'read' && call.table === 'leases') reads++
+    return { fault: TableFault.None }
+  }
+  for (const { steward } of stewards) steward.start()
+  await world.clock.advance(10_000)
+  expect(stewards.filter(({ lease }) => lease.held !== undefined)).toHaveLength(1)
+  expect(reads).toBeLessThanOrEqual(3 * 10 / 0.75 + 3)
+  const stopped = Promise.all(stewards.map(({ steward }) => steward.stop()))
+  await world.clock.advance(2_000)
+  await stopped
+})
