Load what only serve needs with serve, and bear a closed pipe

Ruled out: the code cache: it is on already. Change: serve and stand-in are loaded by their commands; a closed standard output ends the command.

--- a/src/command/main.ts
+++ b/src/command/main.ts
@@ -5,6 +5,12 @@
 import { ExitCode } from './exit.ts'
 import { runProgram } from './program.ts'
 
+// A reader such as `head` may close the pipe before all is written.
+process.stdout.on('error', error => {
+  if ('code' in error && error.code === 'EPIPE') process.exit(ExitCode.Success)
+  throw error
+})
+
 runProgram(process.argv).then(
   () => process.exit(),
   error => {
--- a/src/command/program.ts
+++ b/src/command/program.ts
@@ -1,12 +1,10 @@
-/** The command line: every command with its help, examples and options. */
+/** The command line: every command with its help, examples and options. What only a long-running command needs is loaded by that command. */
 import { Command, CommanderError } from 'commander'
 import type { Result } from '../contract/index.ts'
 import { check } from './check.ts'
 import { type CommandFailure, ExitCode } from './exit.ts'
 import { billVerify, requestShow } from './recordCommands.ts'
-import { serve } from './serve.ts'
 import { settingsDiff, settingsGet, settingsHistory, settingsPut } from './settingsCommands.ts'
-import { standIn } from './standInCommand.ts'
 import { status } from './statusCommand.ts'
 import { versionRollOut, versionStatus, versionWithdraw } from './versionCommands.ts'
 
@@ -41,7 +39,7 @@
     .description('Run a daemon until SIGTERM or SIGINT, then let every request end.')
     .requiredOption('--config <file>', 'the daemon\'s local settings')
     .addHelpText('after', example('lavenderdoor serve --config /etc/lavenderdoor/daemon.toml'))
-    .action(async options => await end(serve(options)))
+    .action(async options => await end(import('./serve.ts').then(({ serve }) => serve(options))))
   program.command('check')
     .description('Check settings files offline: each alone, and all teams\' files together.')
     .argument('[files...]', 'teams\' subtrees; a file\'s name is its team')
@@ -64,7 +62,7 @@
     .option('--streams <count>', 'streams an engine decodes at once')
     .option('--ignore-fencing', 'an engine that takes orders with an old fencing number')
     .addHelpText('after', example('lavenderdoor stand-in engine --listen 127.0.0.1:9001 --name engine-1 --versions small@1'))
-    .action(async (kind, options) => await end(standIn(kind, options)))
+    .action(async (kind, options) => await end(import('./standInCommand.ts').then(({ standIn }) => standIn(kind, options))))
 }
 
 function addSettings (program: Command): void {
