Let both servers listen through one function

Cause: reading the whole change: the servers of callers and of operators each parsed IP:port and listened by the same lines. Change: listenOn in src/entry/listening.ts; behaviour stays. Before and after: lint and types clean, 31 entry and daemon tests pass before and after.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -6,7 +6,7 @@
 import { createHash } from 'node:crypto'
 import { createServer, type Server } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
-import type { AddressInfo, Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import Koa from 'koa'
 import { type Clock, Err, modelOf, Ok, type Randomness, Refusal, RefusalCode, type Result, RunState } from '../contract/index.ts'
 import type { SettingsSource } from '../distribution/index.ts'
@@ -18,6 +18,7 @@
 import { respondChat } from './chatResponse.ts'
 import { type ChatCall, type ChatRouter, SessionWish } from './chatRouter.ts'
 import type { Drain } from './drain.ts'
+import { listenOn } from './listening.ts'
 import { errorBody, modelList } from './openAiShapes.ts'
 import type { ServiceRequest, ServiceRouter } from './serviceRouter.ts'
 import { idempotencyOf } from './serviceOperation.ts'
@@ -82,14 +83,7 @@
    * @returns the `IP:port` that is listened on
    */
   async listen (address: string): Promise<string> {
-    const url = new URL(`http://${address}`)
-    const host = url.hostname.replace(/^\[|\]$/g, '')
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(Number(address.slice(address.lastIndexOf(':') + 1)), host, resolve)
-    })
-    const { port } = this.#server.address() as AddressInfo
-    return `${url.hostname}:${port}`
+    return await listenOn(this.#server, address)
   }
 
   /** Takes new key files into use for new connections. */
--- a/src/entry/operatorServer.ts
+++ b/src/entry/operatorServer.ts
@@ -1,7 +1,7 @@
 /** The server that operators and their tools reach: health, metrics and this daemon's status. */
 import { createServer, type Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
 import Koa from 'koa'
+import { listenOn } from './listening.ts'
 
 /** What the server shows. */
 export interface OperatorServerOptions {
@@ -50,13 +50,7 @@
    * @returns the `IP:port` that is listened on
    */
   async listen (address: string): Promise<string> {
-    const separator = address.lastIndexOf(':')
-    const host = address.slice(0, separator)
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(Number(address.slice(separator + 1)), host.replace(/^\[|\]$/g, ''), resolve)
-    })
-    return `${host}:${(this.#server.address() as AddressInfo).port}`
+    return await listenOn(this.#server, address)
   }
 
   /** Stops serving. */
