Name the clients of the platform's services store

Cause: platform/ at the root becomes the adapter of the users' machines, and two folders of one name would be confused.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,7 +7,7 @@
 const layers = [
   ['contract'],
   ['observe'],
-  ['settings', 'link', 'platform'],
+  ['settings', 'link', 'store'],
   ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution'],
   ['entry'],
   ['steward'],
--- a/measure/membershipFleet.ts
+++ b/measure/membershipFleet.ts
@@ -3,7 +3,7 @@
 import { SettingsFollower, TableSettingsRepository } from '../src/distribution/index.ts'
 import { type Link, type LinkIdentity, type MessageType, type Peer, TcpLink } from '../src/link/index.ts'
 import { GossipMembership } from '../src/membership/index.ts'
-import type { ListedVirtualMachine } from '../src/platform/index.ts'
+import type { ListedVirtualMachine } from '../src/store/index.ts'
 import { MemoryTableService } from '../src/standin/index.ts'
 
 /** A data centre to lay out. */
--- a/src/billing/batchedLedger.ts
+++ b/src/billing/batchedLedger.ts
@@ -10,7 +10,7 @@
  */
 import { type Clock, Err, Ok, type Result } from '../contract/index.ts'
 import type { Link } from '../link/index.ts'
-import type { TableService } from '../platform/index.ts'
+import type { TableService } from '../store/index.ts'
 import { Collectors } from './collectors.ts'
 import { type BillEntry, EntryNotSafe, type Ledger, type LedgerCounters, type LedgerMember, Safekeeping } from './contract.ts'
 import { Copies } from './copies.ts'
--- a/src/billing/collectors.ts
+++ b/src/billing/collectors.ts
@@ -6,7 +6,7 @@
  */
 import { type Clock, rendezvousOrder } from '../contract/index.ts'
 import type { Link } from '../link/index.ts'
-import type { TableService } from '../platform/index.ts'
+import type { TableService } from '../store/index.ts'
 import type { LedgerMember } from './contract.ts'
 import { lanesOfDataCentre } from './lane.ts'
 import { LaneWriter } from './laneWriter.ts'
--- a/src/billing/laneWriter.ts
+++ b/src/billing/laneWriter.ts
@@ -6,7 +6,7 @@
  * answer, only a probe tries; everyone else is told at once, so that answers need not wait.
  */
 import { type Clock, invariant, within } from '../contract/index.ts'
-import { Commit, type TableService } from '../platform/index.ts'
+import { Commit, type TableService } from '../store/index.ts'
 import { Grouping } from './grouping.ts'
 import { batchKeyOf, batchTableName, type Watermark, watermarkOf, watermarkTableName, watermarkValueOf } from './lane.ts'
 import { type NumberedEntry, packEntries } from './packedEntries.ts'
--- a/src/billing/verifyBills.ts
+++ b/src/billing/verifyBills.ts
@@ -3,7 +3,7 @@
  * that are committed in between are then merely newer than the watermarks.
  */
 import { Ok, type Result } from '../contract/index.ts'
-import type { PlatformUnavailable, Row, TableService } from '../platform/index.ts'
+import type { PlatformUnavailable, Row, TableService } from '../store/index.ts'
 import type { BillEntry } from './contract.ts'
 import { foldBills } from './foldBills.ts'
 import { batchOf, batchTableName, watermarkOf, watermarkTableName } from './lane.ts'
--- a/src/claim/claimTable.ts
+++ b/src/claim/claimTable.ts
@@ -6,7 +6,7 @@
  * again. What can't be told within the time given is reported as untold, never guessed.
  */
 import { type Clock, within } from '../contract/index.ts'
-import { Commit, type TableService } from '../platform/index.ts'
+import { Commit, type TableService } from '../store/index.ts'
 import { ClaimPoint, type ClaimSteps } from './claimPoint.ts'
 import { type ClaimRow, claimRowOf, claimTableName, type ReadClaim } from './claimRow.ts'
 
--- a/src/claim/tableClaims.ts
+++ b/src/claim/tableClaims.ts
@@ -19,7 +19,7 @@
  * under the same key has had its own answer and may have run.
  */
 import { type Clock, Err, Ok, Refusal, RefusalCode, type Result, type Randomness, RunState } from '../contract/index.ts'
-import type { TableService } from '../platform/index.ts'
+import type { TableService } from '../store/index.ts'
 import { BackgroundChanges } from './backgroundChanges.ts'
 import { type ClaimObserver, ClaimPoint, ClaimSteps } from './claimPoint.ts'
 import { answerOf, claimKeyOf, type ClaimRow, ClaimState, type ReadClaim } from './claimRow.ts'
--- a/src/command/platformAccess.ts
+++ b/src/command/platformAccess.ts
@@ -1,7 +1,7 @@
 /** How operators' commands find the platform's table service. */
 import { readFile } from 'node:fs/promises'
 import { Err, Ok, type Result } from '../contract/index.ts'
-import { HttpTableService, type TableService } from '../platform/index.ts'
+import { HttpTableService, type TableService } from '../store/index.ts'
 import { checkText, localSchema, type LocalSettings } from '../settings/index.ts'
 import { CommandFailure, ExitCode, faultsFailure } from './exit.ts'
 
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -18,7 +18,7 @@
 import { Log, Metrics, openTelemetryTracer, SilentTracer, type Tracer } from '../observe/index.ts'
 import {
   HttpRatingService, HttpTableService, HttpVirtualMachineList, type RatingService, type TableService, type VirtualMachineList
-} from '../platform/index.ts'
+} from '../store/index.ts'
 import { SignedSessionTokens, type SessionTokens } from '../session/index.ts'
 import type { LocalSettings } from '../settings/index.ts'
 import { Steward, StewardLease } from '../steward/index.ts'
--- a/src/distribution/tableSettings.ts
+++ b/src/distribution/tableSettings.ts
@@ -6,7 +6,7 @@
  * Each write carries a nonce, by which a write whose reply was lost is recognised.
  */
 import { type Clock, Err, Ok, type Randomness, type Result } from '../contract/index.ts'
-import { Commit, type PlatformUnavailable, type Row, type TableService, type Transaction } from '../platform/index.ts'
+import { Commit, type PlatformUnavailable, type Row, type TableService, type Transaction } from '../store/index.ts'
 import { checkDocument, SettingsView, type Subtree, subtreeSchema } from '../settings/index.ts'
 import { type SettingsChange, SettingsConflict, type SettingsRejection, type SettingsRepository, type SettingsSnapshot, type TeamSettings } from './contract.ts'
 import { changeSchema, revisionRowSchema, teamRowSchema, type TeamRow } from './rows.ts'
--- a/src/entry/answerRater.ts
+++ b/src/entry/answerRater.ts
@@ -5,7 +5,7 @@
 import type { ChatRequest, Clock, VersionName } from '../contract/index.ts'
 import type { VersionPolicy } from '../choice/index.ts'
 import type { Log, Metrics } from '../observe/index.ts'
-import type { RatingService } from '../platform/index.ts'
+import type { RatingService } from '../store/index.ts'
 import type { RollOutWatch } from './rollOutWatch.ts'
 
 /** Cost units of one rating. */
--- a/src/membership/gossipMembership.ts
+++ b/src/membership/gossipMembership.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, EndpointDescription, Randomness } from '../contract/index.ts'
 import type { Link, Peer } from '../link/index.ts'
-import type { VirtualMachineList } from '../platform/index.ts'
+import type { VirtualMachineList } from '../store/index.ts'
 import type { EndpointNews, Membership, MemberView } from './contract.ts'
 import { Digests } from './digests.ts'
 import { EndpointPoller, type EndpointReporter } from './endpointPoller.ts'
--- a/src/membership/machineWatch.ts
+++ b/src/membership/machineWatch.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock, EndpointDescription, Randomness } from '../contract/index.ts'
 import type { LinkIdentity, Peer } from '../link/index.ts'
-import type { ListedVirtualMachine, VirtualMachineList } from '../platform/index.ts'
+import type { ListedVirtualMachine, VirtualMachineList } from '../store/index.ts'
 import type { Digests } from './digests.ts'
 import type { MemberTable } from './memberTable.ts'
 import { shuffled } from './shuffled.ts'
--- a/src/standin/memoryTable.ts
+++ b/src/standin/memoryTable.ts
@@ -3,7 +3,7 @@
  * fakes. Rows are kept as encoded text, so that no caller can change a row through a reference.
  */
 import { Ok, type Result } from '../contract/index.ts'
-import { Commit, type Condition, type Page, type PlatformUnavailable, type Range, type Row, type TableService, type Transaction, type Write } from '../platform/index.ts'
+import { Commit, type Condition, type Page, type PlatformUnavailable, type Range, type Row, type TableService, type Transaction, type Write } from '../store/index.ts'
 
 interface StoredRow {
   readonly version: number
--- a/src/standin/platform.ts
+++ b/src/standin/platform.ts
@@ -8,7 +8,7 @@
  * `POST /faults`.
  */
 import { type Randomness, SystemRandomness } from '../contract/index.ts'
-import type { ListedVirtualMachine, RatingRequest, Transaction } from '../platform/index.ts'
+import type { ListedVirtualMachine, RatingRequest, Transaction } from '../store/index.ts'
 import { bodyJson, HttpFrame, pause, replyBytes, replyJson, type StandIn, type Visit } from './httpFrame.ts'
 import { trueScore } from './marker.ts'
 import { MemoryTableService } from './memoryTable.ts'
--- a/src/steward/lease.ts
+++ b/src/steward/lease.ts
@@ -5,7 +5,7 @@
  * always over after the holder's own time is.
  */
 import { type Clock, Err, Ok, type Result } from '../contract/index.ts'
-import { Commit, type PlatformUnavailable, type Row, type TableService } from '../platform/index.ts'
+import { Commit, type PlatformUnavailable, type Row, type TableService } from '../store/index.ts'
 
 /** The row's content. */
 interface LeaseRow {
--- a/test/fakes/daemonWorld.ts
+++ b/test/fakes/daemonWorld.ts
@@ -5,7 +5,7 @@
 import { Daemon } from '../../src/daemon/index.ts'
 import { SystemClock, SystemRandomness } from '../../src/contract/index.ts'
 import { TableSettingsRepository } from '../../src/distribution/index.ts'
-import { HttpTableService } from '../../src/platform/index.ts'
+import { HttpTableService } from '../../src/store/index.ts'
 import { checkText, localSchema, type Subtree, subtreeSchema } from '../../src/settings/index.ts'
 import { type EngineRun, type ServiceRun, startEngine, startPlatform, startService } from '../../src/standin/index.ts'
 
--- a/test/fakes/fakeLinkMembers.ts
+++ b/test/fakes/fakeLinkMembers.ts
@@ -2,7 +2,7 @@
 import { EndpointKind, type EndpointDescription, Err, type LoadReport, Ok, type Result, SeededRandomness } from '../../src/contract/index.ts'
 import type { LinkIdentity } from '../../src/link/index.ts'
 import { type EndpointReporter, GossipMembership } from '../../src/membership/index.ts'
-import { type ListedVirtualMachine, PlatformUnavailable, type VirtualMachineList } from '../../src/platform/index.ts'
+import { type ListedVirtualMachine, PlatformUnavailable, type VirtualMachineList } from '../../src/store/index.ts'
 import { FakeNetwork } from './fakeLink.ts'
 import { ManualClock } from './manualClock.ts'
 
--- a/test/fakes/faultyTableService.ts
+++ b/test/fakes/faultyTableService.ts
@@ -3,7 +3,7 @@
  * effect, requests lost before it. Each call asks the script what befalls it.
  */
 import { type Clock, Err, type Result } from '../../src/contract/index.ts'
-import { type Commit, type Page, PlatformUnavailable, type Range, type Row, type TableService, type Transaction } from '../../src/platform/index.ts'
+import { type Commit, type Page, PlatformUnavailable, type Range, type Row, type TableService, type Transaction } from '../../src/store/index.ts'
 import { MemoryTableService } from '../../src/standin/index.ts'
 
 /** What befalls one call. */
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,6 +1,6 @@
 /** The platform's clients against the stand-in, calm and under each of its faults. */
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { Commit, HttpObjectStore, HttpTableService, HttpVirtualMachineList, type Transaction } from '../src/platform/index.ts'
+import { Commit, HttpObjectStore, HttpTableService, HttpVirtualMachineList, type Transaction } from '../src/store/index.ts'
 import { startPlatform, type StandIn } from '../src/standin/index.ts'
 import { httpReply, scriptedServer } from './fakes/scriptedServer.ts'
 
--- a/test/standin.test.ts
+++ b/test/standin.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, expect, test } from 'vitest'
 import { type EndpointDescription, Priority, SeededRandomness, SystemClock } from '../src/contract/index.ts'
 import { type EngineCall, type EngineEvent, HttpEngineClient, HttpServiceClient, Reach } from '../src/endpoint/index.ts'
-import { HttpRatingService } from '../src/platform/index.ts'
+import { HttpRatingService } from '../src/store/index.ts'
 import { isWholeAnswer, startEngine, startPlatform, startService, trueScore, type StandIn } from '../src/standin/index.ts'
 
 const clock = new SystemClock()
--- a/test/standinFaults.test.ts
+++ b/test/standinFaults.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, expect, test } from 'vitest'
 import { type EndpointDescription, Priority, SystemClock } from '../src/contract/index.ts'
 import { type EngineCall, type EngineEvent, HttpEngineClient, HttpServiceClient, Reach, type ServiceCall } from '../src/endpoint/index.ts'
-import { HttpVirtualMachineList } from '../src/platform/index.ts'
+import { HttpVirtualMachineList } from '../src/store/index.ts'
 import { type EngineRun, isWholeAnswer, type ServiceRun, startEngine, startPlatform, startService, type StandIn } from '../src/standin/index.ts'
 
 const clock = new SystemClock()
--- a/trial/prove/fleet.ts
+++ b/trial/prove/fleet.ts
@@ -9,7 +9,7 @@
 import { TableSettingsRepository } from '../../src/distribution/index.ts'
 import { Drain } from '../../src/entry/index.ts'
 import { Log, Metrics } from '../../src/observe/index.ts'
-import { type ListedVirtualMachine, PlatformUnavailable, type TableService } from '../../src/platform/index.ts'
+import { type ListedVirtualMachine, PlatformUnavailable, type TableService } from '../../src/store/index.ts'
 import { checkText, localSchema, type Subtree, subtreeSchema } from '../../src/settings/index.ts'
 import { MemoryTableService } from '../../src/standin/index.ts'
 import { FakeNetwork } from '../../test/fakes/fakeLink.ts'
--- a/trial/prove/ledgerGroup.ts
+++ b/trial/prove/ledgerGroup.ts
@@ -1,7 +1,7 @@
 /** A few ledgers with their links and a shared store, for tests and the randomised run. */
 import { BatchedLedger, type BillEntry, type LedgerMember } from '../../src/billing/index.ts'
 import type { Clock, Place } from '../../src/contract/index.ts'
-import type { TableService } from '../../src/platform/index.ts'
+import type { TableService } from '../../src/store/index.ts'
 import { ScriptedNetwork } from './scriptedLinks.ts'
 
 const dataCentre = { region: 'lower-mainland', dataCentre: 'lower-mainland-a' }
--- a/trial/prove/mechanisms.ts
+++ b/trial/prove/mechanisms.ts
@@ -7,7 +7,7 @@
 import { SettingsFollower, SettingsLease } from '../../src/distribution/index.ts'
 import { Drain } from '../../src/entry/index.ts'
 import { watermarkTableName } from '../../src/billing/index.ts'
-import type { TableService, Transaction } from '../../src/platform/index.ts'
+import type { TableService, Transaction } from '../../src/store/index.ts'
 
 /** Each mechanism and what happens without it. */
 export const Mechanism = {
--- a/trial/prove/processGate.ts
+++ b/trial/prove/processGate.ts
@@ -6,7 +6,7 @@
 import { type Clock, Ok, type Result } from '../../src/contract/index.ts'
 import type { DaemonParts } from '../../src/daemon/index.ts'
 import type { LinkFailure, LinkIdentity, MessageType, Peer } from '../../src/link/index.ts'
-import type { TableService } from '../../src/platform/index.ts'
+import type { TableService } from '../../src/store/index.ts'
 import type { FakeLink } from '../../test/fakes/fakeLink.ts'
 
 /** Whether a process runs. */
