Add the gateway program: adapter, replicas, placing and forwarding

Cause: the product had no path for requests that are forwarded raw, and none that follows the users' store.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,12 +6,12 @@
  */
 const layers = [
   ['contract'],
-  ['observe'],
+  ['observe', 'routing'],
   ['settings', 'link', 'store'],
-  ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution'],
-  ['entry'],
-  ['steward'],
-  ['daemon', 'standin'],
+  ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution', 'replica'],
+  ['entry', 'placing'],
+  ['steward', 'gateway'],
+  ['daemon', 'standin', 'forwarder'],
   ['command']
 ]
 
@@ -22,7 +22,10 @@
     rules: {
       'no-restricted-imports': ['error', {
         patterns: [{
-          regex: `^\\.\\./(?!(${lower.join('|') || 'nothing'})/index\\.ts$).*$`,
+          // The program on the users' machines is the one place that puts their platform together with ours.
+          regex: name === 'forwarder'
+            ? `^\\.\\./(?!(${lower.join('|')}|\\.\\./platform)/index\\.ts$).*$`
+            : `^\\.\\./(?!(${lower.join('|') || 'nothing'})/index\\.ts$).*$`,
           message: `${name} may import only the index of: ${lower.join(', ') || 'nothing'}.`
         }]
       }]
@@ -31,7 +34,7 @@
 }
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**'] },
+  { ignores: ['dist/**', 'target/**', 'node_modules/**'] },
   ...neostandard({ ts: true }),
   {
     files: ['**/*.ts'],
@@ -41,5 +44,16 @@
       '@typescript-eslint/no-redeclare': 'off'
     }
   },
+  {
+    files: ['platform/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {
+        patterns: [{
+          regex: '^\\.\\./src/(?!(contract|routing|replica)/index\\.ts$).*$',
+          message: 'platform translates into values; it decides nothing and sends nothing of its own.'
+        }]
+      }]
+    }
+  },
   ...layers.flatMap((layer, depth) => importRules(layer, depth))
 ]
--- a/src/choice/index.ts
+++ b/src/choice/index.ts
@@ -10,3 +10,4 @@
 export { type BeliefNews, type LedgerNews, type VersionDigest } from './versionDigest.ts'
 export { SequentialRollOutGuard, type SequentialRollOutGuardOptions } from './rollOutGuard.ts'
 export { RatingDriftWatch } from './ratingDriftWatch.ts'
+export { AffinityKey } from './endpointAffinity.ts'
--- a/src/contract/within.ts
+++ b/src/contract/within.ts
@@ -15,6 +15,7 @@
   try {
     return await Promise.race([work, timeout])
   } finally {
-    over.abort()
+    // A reason spares the making of an exception that nobody reads.
+    over.abort('done')
   }
 }
--- /dev/null
+++ b/src/forwarder/rollOutStore.ts
@@ -0,0 +1,27 @@
+/** Writes roll-outs' rows to the platform's store. */
+import { type RowStore, Table, encodeEvidence, encodeStatus, evidenceKey, statusKey } from '../../platform/index.ts'
+import type { RollOutStore } from '../gateway/index.ts'
+import type { RollOutEvidence, RollOutStatus } from '../routing/index.ts'
+
+/** Roll-outs in the store's table of status. */
+export class RowRollOutStore implements RollOutStore {
+  readonly #rows: RowStore
+  readonly #storeTime: () => number | undefined
+
+  constructor (rows: RowStore, storeTime: () => number | undefined) {
+    this.#rows = rows
+    this.#storeTime = storeTime
+  }
+
+  get storeTime (): number | undefined {
+    return this.#storeTime()
+  }
+
+  async writeStatus (status: RollOutStatus, expectedVersion: number): Promise<string> {
+    return await this.#rows.write(Table.Status, statusKey(status.service), expectedVersion, encodeStatus(status))
+  }
+
+  async writeEvidence (evidence: RollOutEvidence): Promise<string> {
+    return await this.#rows.put(Table.Status, evidenceKey(evidence.service, evidence.observer), encodeEvidence(evidence))
+  }
+}
--- /dev/null
+++ b/src/gateway/forwardRefusal.ts
@@ -0,0 +1,34 @@
+/** How a request ends without an endpoint's answer: the status, what it promises and when to come back. */
+
+/** An end that this daemon gives. */
+export interface ForwardRefusal {
+  readonly code: string
+  readonly status: number
+  /** When coming back can help, in milliseconds; undefined where it can't or nothing is promised. */
+  readonly retryAfterMilliseconds: number | undefined
+}
+
+function refusal (code: string, status: number, retryAfterMilliseconds?: number): ForwardRefusal {
+  return { code, status, retryAfterMilliseconds }
+}
+
+const startMilliseconds = 1_000
+const noEndpointMilliseconds = 500
+const fullMilliseconds = 300
+
+/**
+ * The ends. A 503 says that the request did not run and never will; 502 and 504 promise nothing.
+ */
+export const ForwardRefusals = {
+  noSettings: refusal('no_settings', 503, startMilliseconds),
+  unknownRoute: refusal('unknown_route', 404),
+  unknownKey: refusal('unknown_key', 401),
+  malformedHead: refusal('malformed_head', 400),
+  headTooLarge: refusal('head_too_large', 431),
+  bodyTooLarge: refusal('body_too_large', 413),
+  noEndpoint: refusal('no_endpoint', 503, noEndpointMilliseconds),
+  endpointsFull: refusal('endpoints_full', 503, fullMilliseconds),
+  tooLate: refusal('not_sent_in_time', 503, fullMilliseconds),
+  attemptLost: refusal('attempt_lost', 502),
+  timedOut: refusal('timed_out', 504)
+} as const
--- /dev/null
+++ b/src/gateway/forwardRequest.ts
@@ -0,0 +1,236 @@
+/**
+ * One request while it is forwarded: what it asks for, how long it has, whether its caller is still
+ * there, and what was tried. Plain and streamed forwarding share it.
+ */
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import { type EndpointWork, WorkEnd, usualWork } from '../placing/index.ts'
+import { type AnswerHead, type CallerHead, Repetition, type Route, type RoutedEndpoint, type RoutedOrganisation, instanceKey } from '../routing/index.ts'
+import type { Exchange } from '../endpoint/index.ts'
+import type { ForwardingParts } from './forwarding.ts'
+import { sendRefusal } from './forwarding.ts'
+import type { ForwardRefusal } from './forwardRefusal.ts'
+import type { RoutingSnapshot } from './routingView.ts'
+
+/** What a request is made of. */
+export interface ForwardRequestOptions {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly head: CallerHead
+  readonly body: Buffer
+  readonly route: Route
+  readonly organisation: RoutedOrganisation | undefined
+  readonly service: string
+  /** Milliseconds of the process's clock. */
+  readonly arrivedAt: number
+  readonly snapshot: RoutingSnapshot
+  readonly parts: ForwardingParts
+}
+
+/** An attempt at an endpoint that is under way. */
+export interface OpenAttempt {
+  readonly endpoint: RoutedEndpoint
+  readonly model: string | undefined
+  readonly exchange: Exchange
+  readonly startedAt: number
+  readonly work: EndpointWork
+}
+
+/** What is asked of an endpoint. */
+export interface AttemptOptions {
+  readonly model: string | undefined
+  readonly lastEvent: string | undefined
+  /** On a connection of its own. */
+  readonly isAlone: boolean
+}
+
+/** A request that is being forwarded. */
+export class ForwardRequest {
+  readonly route: Route
+  readonly service: string
+  readonly head: CallerHead
+  readonly parts: ForwardingParts
+  readonly arrivedAt: number
+  /** The caller or the operators wait no longer than this, in milliseconds of the process's clock. */
+  readonly limit: number
+  /** Aborted when the caller leaves. */
+  readonly left = new AbortController()
+  readonly #options: ForwardRequestOptions
+  readonly #trail: string[] = []
+  readonly #tried = new Set<string>()
+  #sends = 0
+  #isEnded = false
+  #firstByteAt: number | undefined
+
+  constructor (options: ForwardRequestOptions) {
+    const { route, service, head, parts, arrivedAt, response } = options
+    this.#options = options
+    this.route = route
+    this.service = service
+    this.head = head
+    this.parts = parts
+    this.arrivedAt = arrivedAt
+    this.limit = arrivedAt + Math.min(route.timeoutMilliseconds, head.patienceMilliseconds ?? route.timeoutMilliseconds)
+    response.once('close', () => {
+      if (!response.writableFinished) this.left.abort('the caller left')
+    })
+    if (response.destroyed) this.left.abort('the caller left')
+  }
+
+  get response (): ServerResponse {
+    return this.#options.response
+  }
+
+  get now (): number {
+    return this.parts.clock.now()
+  }
+
+  get hasLeft (): boolean {
+    return this.left.signal.aborted
+  }
+
+  /** Attempts that may have reached an endpoint. */
+  get sends (): number {
+    return this.#sends
+  }
+
+  get attemptsLeft (): number {
+    return this.route.attempts - this.#sends
+  }
+
+  /** Part of the time to the objective that is left, 0 to 1. */
+  get objectiveShareLeft (): number {
+    const used = (this.now - this.arrivedAt) / this.route.objectiveMilliseconds
+    return Math.min(1, Math.max(0, 1 - used))
+  }
+
+  /** Chooses an endpoint that was not tried yet; undefined where none is worth a try. */
+  place (model: string | undefined): RoutedEndpoint | undefined {
+    const { roster, placement, rollOuts, versions } = this.parts
+    const now = this.now
+    const serving = roster.serving(this.service, now)
+    const split = rollOuts.splitOf(this.service, now)
+    const key = this.head.identity ?? ''
+    const able = split === undefined ? serving : versions.choose(serving, split, this.head.session, key, now)
+    const untried = able.filter(endpoint => !this.#tried.has(instanceKey(endpoint)))
+    return placement.choose({
+      isStream: this.route.repetition === Repetition.Stream,
+      work: this.#workOf(model),
+      promptTokens: this.head.promptTokens,
+      promptParts: this.head.promptParts,
+      model,
+      session: this.head.session
+    }, untried, now)
+  }
+
+  /** Sends the request to an endpoint. */
+  send (endpoint: RoutedEndpoint, { model, lastEvent, isAlone }: AttemptOptions): OpenAttempt {
+    const { clock, codec, connections, roster, loads } = this.parts
+    const startedAt = this.now
+    this.#tried.add(instanceKey(endpoint))
+    const { request, organisation, body } = this.#options
+    const exchangeOptions = {
+      clock,
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      headers: codec.writeAttempt(request.headers, {
+        patienceMilliseconds: this.limit - startedAt,
+        endpointIdentity: endpoint.identity,
+        organisation: organisation?.name,
+        model,
+        lastEvent,
+        urgency: this.route.repetition === Repetition.Stream ? organisation?.priority ?? this.route.priority : undefined
+      }),
+      body: body.length === 0 ? undefined : body,
+      silenceMilliseconds: Math.max(1, this.limit - startedAt),
+      mayStillSend: () => !this.hasLeft && this.now < this.limit && roster.mayServe(endpoint, this.now)
+    }
+    const work = loads.open(endpoint, this.#workOf(model), startedAt)
+    const exchange = isAlone ? connections.fresh(endpoint.address, exchangeOptions) : connections.pooled(endpoint.address, exchangeOptions)
+    const giveUp = () => exchange.giveUp('the caller left')
+    this.left.signal.addEventListener('abort', giveUp, { once: true })
+    if (this.hasLeft) giveUp()
+    return { endpoint, model, exchange, startedAt, work }
+  }
+
+  /**
+   * Ends an attempt: its work, its evidence and its part of the request's log line.
+   *
+   * @param counts whether it is one of the endpoints that the request was sent to
+   */
+  finish (attempt: OpenAttempt, end: WorkEnd, outcome: string, counts = attempt.exchange.mayHaveSent): void {
+    if (counts) this.#sends++
+    attempt.work.close(end, this.now)
+    this.parts.metrics.attempts.inc({ service: this.service, end })
+    const { identity, version } = attempt.endpoint
+    this.#trail.push(`${identity} ${version} ${attempt.model ?? '-'} ${Math.round(this.now - attempt.startedAt)}ms ${outcome}`)
+  }
+
+  /** The answer's first byte came, or the endpoint failed it: evidence on its version. */
+  observeAnswer (attempt: OpenAttempt, failed: boolean): void {
+    const milliseconds = this.now - attempt.startedAt
+    this.parts.rollOuts.observe(this.service, attempt.endpoint.version, { likeness: `${this.route.name}/${attempt.model ?? ''}`, failed, milliseconds })
+  }
+
+  /** Whether an answer's head is this request's own and its endpoint's. */
+  isOwn (answer: AnswerHead): boolean {
+    return answer.identity === this.head.identity
+  }
+
+  answerHeaders (headers: IncomingHttpHeaders): Record<string, string | string[]> {
+    return this.parts.codec.writeAnswer(headers)
+  }
+
+  /** Marks that the caller is being given an answer. */
+  markFirstByte (): void {
+    if (this.#firstByteAt !== undefined) return
+    this.#firstByteAt = this.now
+    this.parts.metrics.firstByte.observe({ service: this.service }, (this.now - this.arrivedAt) / 1_000)
+  }
+
+  /** Ends the request with a refusal. */
+  refuse (refusal: ForwardRefusal): void {
+    this.#log(refusal.code, refusal.status)
+    if (!this.hasLeft && !this.response.headersSent) sendRefusal(this.response, refusal, this.parts.codec)
+  }
+
+  /** Notes that the answer was delivered. */
+  delivered (status: number): void {
+    this.parts.metrics.whole.observe({ service: this.service }, (this.now - this.arrivedAt) / 1_000)
+    this.#log('answered', status)
+  }
+
+  /** Ends the request by cutting its connection: its answer must not look whole. */
+  cut (reason: string): void {
+    this.#log(reason, undefined)
+    this.response.destroy()
+  }
+
+  /** Lets go of the caller's connection. */
+  close (): void {
+    if (!this.#isEnded) this.#log('unended', undefined)
+  }
+
+  #workOf (model: string | undefined) {
+    const service = this.#options.snapshot.settings.services.get(this.service)
+    return usualWork(this.route, service, model, this.head.promptTokens, this.head.mostOutputTokens)
+  }
+
+  #log (outcome: string, status: number | undefined): void {
+    if (this.#isEnded) return
+    this.#isEnded = true
+    const firstByteAt = this.#firstByteAt
+    this.parts.metrics.requests.inc({ service: this.service, outcome })
+    this.parts.log.info('request_ended', {
+      request: this.head.identity,
+      route: this.route.name,
+      organisation: this.#options.organisation?.name,
+      outcome,
+      status,
+      milliseconds: Math.round(this.now - this.arrivedAt),
+      firstByte: firstByteAt === undefined ? undefined : Math.round(firstByteAt - this.arrivedAt),
+      limit: Math.round(this.limit - this.arrivedAt),
+      settings: this.#options.snapshot.settings.version,
+      attempts: this.#trail
+    })
+  }
+}
--- /dev/null
+++ b/src/gateway/gatewayServer.ts
@@ -0,0 +1,99 @@
+/**
+ * The server that callers reach. At a planned stop it goes on taking connections until the balancer
+ * has noticed, tells callers on kept connections to close, and ends when every request has.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Clock } from '../contract/index.ts'
+import { listenOn } from '../link/index.ts'
+import type { Log } from '../observe/index.ts'
+import type { CallerLimits } from '../routing/index.ts'
+
+/** The parser's own bound on a head; the operator's bound is held by forwarding. */
+const mostHeadBytes = 64 * 1024
+const checkMilliseconds = 1_000
+/** Until the balancer, which asks once a second, has taken this VM out after two misses. */
+const balancerMilliseconds = 2_400
+const drainStepMilliseconds = 50
+
+/** What the server is made of. */
+export interface GatewayServerOptions {
+  readonly clock: Clock
+  readonly log: Log
+  readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>
+  readonly inFlight: () => number
+}
+
+/** Serves callers. */
+export class GatewayServer {
+  readonly #options: GatewayServerOptions
+  readonly #server: Server
+  #isDraining = false
+
+  constructor (options: GatewayServerOptions) {
+    this.#options = options
+    this.#server = createServer({ maxHeaderSize: mostHeadBytes, connectionsCheckingInterval: checkMilliseconds }, (request, response) => {
+      this.#serve(request, response).catch(error => {
+        options.log.error('request_failed', { reason: error instanceof Error ? error.stack : String(error) })
+        response.destroy()
+      })
+    })
+    this.#server.on('clientError', (error: Error & { readonly code?: string }, socket) => this.#refuseMalformed(error, socket as Socket))
+  }
+
+  /** Whether a planned stop has begun. */
+  get isDraining (): boolean {
+    return this.#isDraining
+  }
+
+  /** Listens at `IP:port`; returns the address that is listened on. */
+  async listen (address: string): Promise<string> {
+    return await listenOn(this.#server, address)
+  }
+
+  /** Puts the operator's bounds on callers in force. */
+  limit (limits: CallerLimits): void {
+    this.#server.headersTimeout = limits.headerMilliseconds
+    this.#server.keepAliveTimeout = limits.idleMilliseconds
+  }
+
+  /**
+   * Stops: takes no new connections once the balancer has noticed, and waits for every request.
+   *
+   * @param graceMilliseconds after which what still runs is cut
+   */
+  async drain (graceMilliseconds: number): Promise<void> {
+    const { clock, inFlight, log } = this.#options
+    const startedAt = clock.now()
+    this.#isDraining = true
+    await clock.sleep(Math.min(balancerMilliseconds, graceMilliseconds))
+    this.#server.close()
+    while (clock.now() - startedAt < graceMilliseconds) {
+      this.#server.closeIdleConnections()
+      if (inFlight() === 0) break
+      await clock.sleep(drainStepMilliseconds)
+    }
+    log.info('drained', { milliseconds: Math.round(clock.now() - startedAt), cut: inFlight() })
+    this.#server.closeAllConnections()
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.#isDraining) response.setHeader('connection', 'close')
+    await this.#options.handle(request, response)
+  }
+
+  #refuseMalformed (error: Error & { readonly code?: string }, socket: Socket): void {
+    this.#options.log.info('request_malformed', { reason: error.code ?? error.message })
+    if (!socket.writable || socket.bytesWritten > 0) {
+      socket.destroy()
+      return
+    }
+    const status = statusLines[error.code ?? ''] ?? '400 Bad Request'
+    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
+  }
+}
+
+const statusLines: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
--- /dev/null
+++ b/src/gateway/plainForwarding.ts
@@ -0,0 +1,189 @@
+/**
+ * Forwards a request whose answer is short. The answer is taken whole before a byte of it is
+ * released, so one that breaks off never looks complete and an idempotent request can be tried
+ * elsewhere. A request that may run only once is sent once, on a connection of its own; it is sent
+ * again only where it certainly did not run.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import { within } from '../contract/index.ts'
+import { WorkEnd } from '../placing/index.ts'
+import { Repetition, type RoutedEndpoint } from '../routing/index.ts'
+import { ForwardRefusals } from './forwardRefusal.ts'
+import type { ForwardRequest, OpenAttempt } from './forwardRequest.ts'
+
+/** Beyond this an answer is passed on as it comes. */
+const heldBytes = 256 * 1024
+const misdirectedStatus = 421
+const firstServerFailure = 500
+/** An idempotent attempt may be silent for this share of the objective before another is tried. */
+const silentShare = 0.9
+
+/** How one attempt ended. */
+type PlainOutcome =
+  | { readonly type: 'answer', readonly status: number, readonly headers: IncomingHttpHeaders, readonly body: Buffer }
+  /** It was passed on while it came. */
+  | { readonly type: 'relayed' }
+  /** It certainly did not run; `misdirected` where another endpoint has the address. */
+  | { readonly type: 'not_run', readonly misdirected: boolean }
+  | { readonly type: 'unsent' }
+  /** It may have run. */
+  | { readonly type: 'lost' }
+
+/** Forwards one request. */
+export class PlainForwarding {
+  readonly #forward: ForwardRequest
+  readonly #isIdempotent: boolean
+  #mayHaveRun = false
+
+  constructor (forward: ForwardRequest) {
+    this.#forward = forward
+    this.#isIdempotent = forward.route.repetition === Repetition.Idempotent
+  }
+
+  async run (): Promise<void> {
+    const forward = this.#forward
+    let isFull = false
+    let failure: Extract<PlainOutcome, { type: 'answer' }> | undefined
+    while (!forward.hasLeft && forward.now < forward.limit && forward.attemptsLeft > 0) {
+      if (forward.sends > 0 && !forward.parts.allowance.spend(forward.service, forward.now)) break
+      const endpoint = forward.place(undefined)
+      if (endpoint === undefined) break
+      const outcome = await this.#attempt(endpoint)
+      if (outcome.type === 'relayed') return
+      if (outcome.type === 'answer') {
+        failure = outcome
+        if (outcome.status < firstServerFailure || !this.#isIdempotent) return this.#deliver(outcome)
+      }
+      if (outcome.type === 'not_run' && !outcome.misdirected) isFull = true
+      if (outcome.type === 'lost' && !this.#isIdempotent) break
+    }
+    if (failure !== undefined) return this.#deliver(failure)
+    this.#giveUp(isFull)
+  }
+
+  #giveUp (isFull: boolean): void {
+    const forward = this.#forward
+    const isLate = forward.now >= forward.limit
+    if (this.#mayHaveRun) return forward.refuse(isLate ? ForwardRefusals.timedOut : ForwardRefusals.attemptLost)
+    if (isLate) return forward.refuse(ForwardRefusals.tooLate)
+    forward.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
+  }
+
+  #deliver ({ status, headers, body }: Extract<PlainOutcome, { type: 'answer' }>): void {
+    const { response } = this.#forward
+    this.#forward.markFirstByte()
+    response.writeHead(status, { ...this.#forward.answerHeaders(headers), 'content-length': body.length })
+    response.end(body)
+    this.#forward.delivered(status)
+  }
+
+  async #attempt (endpoint: RoutedEndpoint): Promise<PlainOutcome> {
+    const attempt = this.#forward.send(endpoint, { model: undefined, lastEvent: undefined, isAlone: !this.#isIdempotent })
+    const outcome = await this.#read(attempt)
+    const mayHaveRun = outcome.type === 'lost' || outcome.type === 'answer' || outcome.type === 'relayed'
+    this.#mayHaveRun ||= mayHaveRun
+    return outcome
+  }
+
+  async #read (attempt: OpenAttempt): Promise<PlainOutcome> {
+    const forward = this.#forward
+    const head = await this.#next(attempt)
+    if (head === undefined || head.type === 'failure') return this.#failed(attempt, head?.reason ?? 'silent')
+    if (head.type !== 'head') return this.#failed(attempt, 'an answer without a head')
+    const answer = forward.parts.codec.readAnswer(head.headers)
+    if (!forward.isOwn(answer)) return this.#foreign(attempt, answer.identity)
+    const isMisdirected = head.status === misdirectedStatus
+    if (answer.notRun || isMisdirected) {
+      attempt.exchange.letEnd()
+      forward.finish(attempt, isMisdirected ? WorkEnd.Lost : WorkEnd.Full, `not run ${head.status}`, !isMisdirected)
+      return { type: 'not_run', misdirected: isMisdirected }
+    }
+    if (!answer.isSealed || answer.isEncoded) return this.#foreign(attempt, 'unsealed')
+    attempt.work.heard(forward.now)
+    return this.#readBody(attempt, head.status, head.headers)
+  }
+
+  async #readBody (attempt: OpenAttempt, status: number, headers: IncomingHttpHeaders): Promise<PlainOutcome> {
+    const forward = this.#forward
+    const chunks: Buffer[] = []
+    let bytes = 0
+    for (;;) {
+      const event = await this.#next(attempt)
+      if (event === undefined || event.type === 'failure') return this.#failed(attempt, event?.reason ?? 'silent')
+      if (event.type === 'end') break
+      if (event.type !== 'data') continue
+      chunks.push(event.bytes)
+      bytes += event.bytes.length
+      if (bytes > heldBytes) return this.#relay(attempt, status, headers, chunks)
+    }
+    const failed = status >= firstServerFailure
+    forward.observeAnswer(attempt, failed)
+    attempt.work.begun(forward.now, undefined)
+    forward.finish(attempt, failed ? WorkEnd.Failed : WorkEnd.Answered, String(status))
+    return { type: 'answer', status, headers, body: Buffer.concat(chunks) }
+  }
+
+  /** Passes a long answer on as it comes; one that breaks off cuts the caller's connection. */
+  async #relay (attempt: OpenAttempt, status: number, headers: IncomingHttpHeaders, held: readonly Buffer[]): Promise<PlainOutcome> {
+    const forward = this.#forward
+    const { response } = forward
+    forward.markFirstByte()
+    response.writeHead(status, forward.answerHeaders(headers))
+    for (const chunk of held) response.write(chunk)
+    for (;;) {
+      const event = await within(forward.parts.clock, forward.limit, attempt.exchange.next())
+      if (event?.type === 'data') {
+        if (!response.write(event.bytes)) await drained(response, forward.left.signal)
+        continue
+      }
+      if (event?.type === 'end') {
+        forward.finish(attempt, WorkEnd.Answered, String(status))
+        response.end()
+        forward.delivered(status)
+      } else {
+        attempt.exchange.giveUp('the answer broke off')
+        forward.finish(attempt, WorkEnd.Lost, 'broke off')
+        forward.cut('answer_broke_off')
+      }
+      return { type: 'relayed' }
+    }
+  }
+
+  /** The next event; undefined where the attempt was silent for too long. */
+  #next (attempt: OpenAttempt) {
+    const { clock } = this.#forward.parts
+    const { limit, route } = this.#forward
+    const patience = this.#isIdempotent && this.#forward.attemptsLeft > 1 ? clock.now() + route.objectiveMilliseconds * silentShare : limit
+    return within(clock, Math.min(limit, patience), attempt.exchange.next())
+  }
+
+  #failed (attempt: OpenAttempt, reason: string): PlainOutcome {
+    const forward = this.#forward
+    attempt.exchange.giveUp(reason)
+    const wasSent = attempt.exchange.mayHaveSent
+    const end = forward.hasLeft ? WorkEnd.Cancelled : WorkEnd.Lost
+    forward.finish(attempt, end, `${wasSent ? 'lost' : 'unsent'}: ${reason}`)
+    return { type: wasSent ? 'lost' : 'unsent' }
+  }
+
+  /** An answer that is another's: nothing on this connection can be trusted. */
+  #foreign (attempt: OpenAttempt, whose: string | undefined): PlainOutcome {
+    attempt.exchange.giveUp('an answer to another request')
+    this.#forward.finish(attempt, WorkEnd.Cancelled, `foreign answer: ${whose ?? 'unnamed'}`)
+    return { type: 'lost' }
+  }
+}
+
+/** Waits until a response takes more, or its caller has left. */
+export function drained (response: NodeJS.WritableStream, left: AbortSignal): Promise<void> {
+  if (left.aborted) return Promise.resolve()
+  return new Promise(resolve => {
+    const done = () => {
+      response.removeListener('drain', done)
+      left.removeEventListener('abort', done)
+      resolve()
+    }
+    response.once('drain', done)
+    left.addEventListener('abort', done, { once: true })
+  })
+}
--- /dev/null
+++ b/src/gateway/rollOutView.ts
@@ -0,0 +1,105 @@
+/** What this daemon knows of roll-outs: orders, their status, and what speaks against new versions. */
+import { EvidenceKeeper, type VersionSplit, isBad } from '../placing/index.ts'
+import { type RollOutEvidence, type RollOutOrder, RollOutState, type RollOutStatus } from '../routing/index.ts'
+
+/** A status and the version of its row. */
+export interface VersionedStatus {
+  readonly status: RollOutStatus
+  readonly rowVersion: number
+}
+
+/** An answer as it is observed at an endpoint. */
+export interface ObservedAnswer {
+  readonly likeness: string
+  readonly failed: boolean
+  readonly milliseconds: number | undefined
+}
+
+/** The roll-outs of all services. */
+export class RollOutView {
+  readonly #observer: string
+  readonly #storeTime: () => number | undefined
+  #orders: ReadonlyMap<string, RollOutOrder> = new Map()
+  #statuses: ReadonlyMap<string, VersionedStatus> = new Map()
+  #evidence: readonly RollOutEvidence[] = []
+  readonly #keepers = new Map<string, EvidenceKeeper>()
+
+  /**
+   * @param observer this daemon's name
+   * @param storeTime the store's steady clock
+   */
+  constructor (observer: string, storeTime: () => number | undefined) {
+    this.#observer = observer
+    this.#storeTime = storeTime
+  }
+
+  get orders (): readonly RollOutOrder[] {
+    return [...this.#orders.values()]
+  }
+
+  installOrders (orders: readonly RollOutOrder[]): void {
+    this.#orders = new Map(orders.map(order => [order.service, order]))
+  }
+
+  installStatuses (statuses: readonly VersionedStatus[], evidence: readonly RollOutEvidence[]): void {
+    this.#statuses = new Map(statuses.map(entry => [entry.status.service, entry]))
+    this.#evidence = evidence
+  }
+
+  /** The status row of a service, whatever order it belongs to. */
+  rowOf (service: string): VersionedStatus | undefined {
+    return this.#statuses.get(service)
+  }
+
+  /** The status of an order; undefined where none is written for it. */
+  statusOf (order: RollOutOrder): RollOutStatus | undefined {
+    const status = this.#statuses.get(order.service)?.status
+    return status?.toVersion === order.toVersion ? status : undefined
+  }
+
+  /** The part of a roll-out's duration that has passed; undefined before its start is known. */
+  progressOf (order: RollOutOrder): number | undefined {
+    const startedAt = this.statusOf(order)?.startedAt
+    const now = this.#storeTime()
+    if (startedAt === undefined || now === undefined) return undefined
+    return (now - startedAt) / order.durationMilliseconds
+  }
+
+  /** How a service's endpoints are split by version; undefined where no roll-out was ordered. */
+  splitOf (service: string, _now: number): VersionSplit | undefined {
+    const order = this.#orders.get(service)
+    if (order === undefined) return undefined
+    const status = this.statusOf(order)
+    if (status?.state === RollOutState.Complete) return { toVersion: order.toVersion, progress: 1 }
+    if (status?.state === RollOutState.Reverted || this.speaksAgainst(order)) return { toVersion: order.toVersion, progress: undefined }
+    return { toVersion: order.toVersion, progress: this.progressOf(order) }
+  }
+
+  /** Takes in an answer while a roll-out of its service runs. */
+  observe (service: string, version: string, answer: ObservedAnswer): void {
+    const order = this.#orders.get(service)
+    if (order === undefined) return
+    this.#keeperOf(order).observe({ ...answer, isNew: version === order.toVersion })
+  }
+
+  /** What this daemon has seen of an order's new version. */
+  ownEvidence (order: RollOutOrder): RollOutEvidence {
+    return { service: order.service, toVersion: order.toVersion, observer: this.#observer, ...this.#keeperOf(order).ofNew }
+  }
+
+  /** Whether the evidence of all daemons speaks against an order's version. */
+  speaksAgainst (order: RollOutOrder): boolean {
+    const others = this.#evidence.filter(({ service, toVersion, observer }) =>
+      service === order.service && toVersion === order.toVersion && observer !== this.#observer)
+    return isBad([this.ownEvidence(order), ...others], this.#keeperOf(order).oldBadShare)
+  }
+
+  #keeperOf (order: RollOutOrder): EvidenceKeeper {
+    const key = `${order.service}\n${order.toVersion}`
+    const known = this.#keepers.get(key)
+    if (known !== undefined) return known
+    const keeper = new EvidenceKeeper()
+    this.#keepers.set(key, keeper)
+    return keeper
+  }
+}
--- /dev/null
+++ b/src/gateway/streamForwarding.ts
@@ -0,0 +1,223 @@
+/**
+ * Forwards a request whose answer is a stream of events. Events are passed on whole as they come.
+ * Where a run breaks off or falls silent, another one goes on after the last whole event that the
+ * caller has; the caller's connection shows nothing of it. Before the caller has got anything, an
+ * answer that its model does not trust is dropped for a larger model's.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import { within } from '../contract/index.ts'
+import type { ExchangeEvent } from '../endpoint/index.ts'
+import { type SizePlan, WorkEnd } from '../placing/index.ts'
+import { EventSplitter } from './eventSplitter.ts'
+import { ForwardRefusals } from './forwardRefusal.ts'
+import type { ForwardRequest, OpenAttempt } from './forwardRequest.ts'
+import { drained } from './plainForwarding.ts'
+
+const misdirectedStatus = 421
+const firstServerFailure = 500
+const successStatus = 200
+/** Bytes of a failure's body that are passed on. */
+const failureBytes = 64 * 1024
+/** A run may be silent for this share of the objective before its first event. */
+const firstEventShare = 0.8
+/** Between two events, this many times the pause that is still on time. */
+const pauseShare = 0.9
+
+/** How one run ended, as far as the next is concerned. */
+const RunEnd = {
+  /** The whole answer was delivered, or the request needs nothing more. */
+  Done: 'done',
+  /** It did not run. */
+  NotRun: 'not_run',
+  /** It never left. */
+  Unsent: 'unsent',
+  /** It may have run and broke off. */
+  Broken: 'broken',
+  /** The endpoint answered with a failure. */
+  Failed: 'failed',
+  /** Its answer was not trusted. */
+  Dropped: 'dropped'
+} as const
+type RunEnd = typeof RunEnd[keyof typeof RunEnd]
+
+interface FailedAnswer {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: Buffer
+}
+
+/** Forwards one streamed request. */
+export class StreamForwarding {
+  readonly #forward: ForwardRequest
+  #plan: SizePlan | undefined
+  #model: string | undefined
+  #lastEvent: string | undefined
+  #isOpened = false
+  #mayHaveRun = false
+  #failure: FailedAnswer | undefined
+
+  constructor (forward: ForwardRequest) {
+    this.#forward = forward
+    this.#lastEvent = forward.head.lastEvent
+    this.#model = forward.head.model
+    if (forward.head.anyModel) this.#planSizes()
+  }
+
+  async run (): Promise<void> {
+    const forward = this.#forward
+    let isFull = false
+    while (!forward.hasLeft && forward.now < forward.limit && forward.attemptsLeft > 0) {
+      if (forward.sends > 0 && !forward.parts.allowance.spend(forward.service, forward.now)) break
+      const endpoint = forward.place(this.#model)
+      if (endpoint === undefined) break
+      const attempt = forward.send(endpoint, { model: this.#model, lastEvent: this.#lastEvent, isAlone: false })
+      const end = await this.#read(attempt)
+      if (end === RunEnd.Done) return
+      if (end === RunEnd.NotRun) isFull = true
+      if (end === RunEnd.Broken || end === RunEnd.Failed || end === RunEnd.Dropped) this.#mayHaveRun = true
+      if (this.#mayHaveRun && !forward.route.resumable) break
+    }
+    this.#giveUp(isFull)
+  }
+
+  #giveUp (isFull: boolean): void {
+    const forward = this.#forward
+    const isLate = forward.now >= forward.limit
+    if (this.#isOpened) return forward.cut(isLate ? 'timed_out' : 'stream_lost')
+    if (this.#failure !== undefined) return this.#deliverFailure(this.#failure)
+    if (this.#mayHaveRun) return forward.refuse(isLate ? ForwardRefusals.timedOut : ForwardRefusals.attemptLost)
+    if (isLate) return forward.refuse(ForwardRefusals.tooLate)
+    forward.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
+  }
+
+  #planSizes (): void {
+    const { attemptsLeft, objectiveShareLeft, parts, route, service, now } = this.#forward
+    const mayRepeat = route.resumable && this.#lastEvent === undefined && parts.allowance.allows(service, now)
+    this.#plan = parts.sizes.plan(route.modelSizes, { attemptsLeft, objectiveShareLeft, mayRepeat })
+    this.#model = this.#plan.first
+  }
+
+  async #read (attempt: OpenAttempt): Promise<RunEnd> {
+    const forward = this.#forward
+    const head = await this.#next(attempt, forward.route.objectiveMilliseconds * firstEventShare)
+    if (head === undefined || head.type !== 'head') return this.#broken(attempt, reasonOf(head))
+    const answer = forward.parts.codec.readAnswer(head.headers)
+    if (!forward.isOwn(answer)) return this.#broken(attempt, `foreign answer: ${answer.identity ?? 'unnamed'}`, WorkEnd.Cancelled)
+    const isMisdirected = head.status === misdirectedStatus
+    if (answer.notRun || isMisdirected) {
+      attempt.exchange.letEnd()
+      forward.finish(attempt, isMisdirected ? WorkEnd.Lost : WorkEnd.Full, `not run ${head.status}`, !isMisdirected)
+      return isMisdirected ? RunEnd.Unsent : RunEnd.NotRun
+    }
+    attempt.work.heard(forward.now)
+    if (head.status !== successStatus) return this.#readFailure(attempt, head.status, head.headers)
+    if (!answer.isSealed || answer.isEncoded) return this.#broken(attempt, 'unsealed', WorkEnd.Cancelled)
+    if (!this.#isTrusted(answer.confidence)) return this.#drop(attempt, answer.confidence)
+    return this.#relay(attempt, head.headers)
+  }
+
+  /** Whether an answer may be released, by its model's own opinion. */
+  #isTrusted (confidence: number | undefined): boolean {
+    const larger = this.#plan?.larger
+    if (larger === undefined || this.#model === larger || this.#isOpened) return true
+    const { attemptsLeft, parts, service, now } = this.#forward
+    if (attemptsLeft < 2 || !parts.allowance.allows(service, now)) return true
+    return parts.sizes.accepts(confidence)
+  }
+
+  #drop (attempt: OpenAttempt, confidence: number | undefined): RunEnd {
+    const forward = this.#forward
+    forward.observeAnswer(attempt, false)
+    attempt.exchange.giveUp('a larger model is asked')
+    forward.finish(attempt, WorkEnd.Answered, `dropped at confidence ${confidence}`)
+    forward.parts.metrics.escalations.inc({ service: forward.service })
+    this.#model = this.#plan?.larger
+    return RunEnd.Dropped
+  }
+
+  async #relay (attempt: OpenAttempt, headers: IncomingHttpHeaders): Promise<RunEnd> {
+    const forward = this.#forward
+    const splitter = new EventSplitter()
+    let hasBegun = false
+    for (;;) {
+      const patience = hasBegun ? forward.route.pauseMilliseconds * pauseShare : forward.route.objectiveMilliseconds * firstEventShare
+      const event = await this.#next(attempt, patience)
+      if (event?.type === 'end' && splitter.pendingBytes === 0) return this.#end(attempt, headers)
+      if (event?.type !== 'data') return this.#broken(attempt, reasonOf(event))
+      const events = splitter.push(event.bytes)
+      if (events === undefined) continue
+      if (!hasBegun) forward.observeAnswer(attempt, false)
+      if (!hasBegun) attempt.work.begun(forward.now, undefined)
+      hasBegun = true
+      attempt.work.heard(forward.now)
+      this.#open(headers)
+      this.#lastEvent = events.lastIdentity ?? this.#lastEvent
+      if (!forward.response.write(events.bytes)) await drained(forward.response, forward.left.signal)
+    }
+  }
+
+  #open (headers: IncomingHttpHeaders): void {
+    if (this.#isOpened) return
+    this.#isOpened = true
+    this.#forward.markFirstByte()
+    this.#forward.response.writeHead(successStatus, this.#forward.answerHeaders(headers))
+  }
+
+  #end (attempt: OpenAttempt, headers: IncomingHttpHeaders): RunEnd {
+    this.#open(headers)
+    this.#forward.finish(attempt, WorkEnd.Answered, 'whole')
+    this.#forward.response.end()
+    this.#forward.delivered(successStatus)
+    return RunEnd.Done
+  }
+
+  async #readFailure (attempt: OpenAttempt, status: number, headers: IncomingHttpHeaders): Promise<RunEnd> {
+    const forward = this.#forward
+    const chunks: Buffer[] = []
+    let bytes = 0
+    for (;;) {
+      const event = await this.#next(attempt, forward.route.pauseMilliseconds)
+      if (event?.type === 'end') break
+      if (event?.type !== 'data') return this.#broken(attempt, reasonOf(event))
+      bytes += event.bytes.length
+      if (bytes > failureBytes) return this.#broken(attempt, 'a failure with too long a body')
+      chunks.push(event.bytes)
+    }
+    const failed = status >= firstServerFailure
+    forward.observeAnswer(attempt, failed)
+    forward.finish(attempt, failed ? WorkEnd.Failed : WorkEnd.Answered, String(status))
+    const failure = { status, headers, body: Buffer.concat(chunks) }
+    if (!failed && !this.#isOpened) {
+      this.#deliverFailure(failure)
+      return RunEnd.Done
+    }
+    this.#failure = failure
+    return RunEnd.Failed
+  }
+
+  #deliverFailure ({ status, headers, body }: FailedAnswer): void {
+    const { response } = this.#forward
+    response.writeHead(status, { ...this.#forward.answerHeaders(headers), 'content-length': body.length })
+    response.end(body)
+    this.#forward.delivered(status)
+  }
+
+  #next (attempt: OpenAttempt, patienceMilliseconds: number): Promise<ExchangeEvent | undefined> {
+    const { clock } = this.#forward.parts
+    return within(clock, Math.min(this.#forward.limit, clock.now() + patienceMilliseconds), attempt.exchange.next())
+  }
+
+  #broken (attempt: OpenAttempt, reason: string, end: WorkEnd = WorkEnd.Lost): RunEnd {
+    const forward = this.#forward
+    attempt.exchange.giveUp(reason)
+    const wasSent = attempt.exchange.mayHaveSent
+    forward.finish(attempt, forward.hasLeft ? WorkEnd.Cancelled : end, `${wasSent ? 'broke off' : 'unsent'} after ${this.#lastEvent ?? 'nothing'}: ${reason}`)
+    return wasSent ? RunEnd.Broken : RunEnd.Unsent
+  }
+}
+
+function reasonOf (event: ExchangeEvent | undefined): string {
+  if (event === undefined) return 'silent'
+  if (event.type === 'failure') return event.reason
+  return event.type === 'end' ? 'ended in the middle of an event' : `unexpected ${event.type}`
+}
--- a/src/observe/index.ts
+++ b/src/observe/index.ts
@@ -1,5 +1,6 @@
 /** What operators see of a process: JSON-line logs, metrics and traces. */
 export { Log, LogLevel, type LogFields } from './log.ts'
+export { LineQueue, descriptorSink, type ByteSink } from './lineQueue.ts'
 export { Metrics } from './metrics.ts'
 export { type Span, type Tracer, type TraceContext, SilentTracer, readTraceParent, formatTraceParent } from './trace.ts'
 export { openTelemetryTracer } from './openTelemetry.ts'
--- /dev/null
+++ b/src/placing/endpointLoads.ts
@@ -0,0 +1,149 @@
+/**
+ * What this daemon knows of each endpoint by its own attempts: the work it has there, when it last
+ * heard a byte, how fast answers come and how they end. Reports of load are late and cost; own work
+ * is known at once, and a daemon's share of an endpoint's work is about its share of all callers.
+ */
+import { instanceKey, type RoutedEndpoint } from '../routing/index.ts'
+import { EndpointHealth } from './endpointHealth.ts'
+import type { RequestWork } from './requestWork.ts'
+
+/** How an attempt ended, as far as its endpoint is concerned. */
+export const WorkEnd = {
+  /** Its answer came, whatever it says. */
+  Answered: 'answered',
+  /** The endpoint itself failed it. */
+  Failed: 'failed',
+  /** It could not be reached, broke off or fell silent. */
+  Lost: 'lost',
+  /** It had no room and did not run it. */
+  Full: 'full',
+  /** Given up for a reason of the caller's or this daemon's. */
+  Cancelled: 'cancelled'
+} as const
+export type WorkEnd = typeof WorkEnd[keyof typeof WorkEnd]
+
+/** An attempt that is under way. */
+export interface EndpointWork {
+  /** A byte of its answer came. */
+  heard (now: number): void
+  /** Its first event or whole answer came; `usualMilliseconds` is what others took for the like. */
+  begun (now: number, usualMilliseconds: number | undefined): void
+  close (end: WorkEnd, now: number): void
+}
+
+const forgetAfterMilliseconds = 30_000
+const slownessWeight = 0.1
+const leastSlowness = 0.5
+const mostSlowness = 8
+
+/** One endpoint as this daemon sees it. */
+class EndpointLoad {
+  readonly health = new EndpointHealth()
+  /** Milliseconds of work under way. */
+  work = 0
+  inFlight = 0
+  /** Attempts under way from which nothing was heard yet. */
+  unheard = 0
+  slowness = 1
+  heardAt = Number.NEGATIVE_INFINITY
+  usedAt = Number.NEGATIVE_INFINITY
+}
+
+/**
+ * The loads of all endpoints.
+ *
+ * @example
+ * const work = loads.open(endpoint, usualWork(route, service, model, prompt, output), now)
+ * work.close(WorkEnd.Answered, later)
+ */
+export class EndpointLoads {
+  readonly #loads = new Map<string, EndpointLoad>()
+
+  /** Counts an attempt as under way. */
+  open (endpoint: RoutedEndpoint, work: RequestWork, now: number): EndpointWork {
+    const load = this.#loadOf(endpoint)
+    let remaining = work.prefillMilliseconds + work.answerMilliseconds
+    let isHeard = false
+    let isOpen = true
+    load.work += remaining
+    load.inFlight++
+    load.unheard++
+    load.usedAt = now
+    const heard = (at: number) => {
+      load.heardAt = at
+      if (!isHeard) load.unheard--
+      isHeard = true
+    }
+    return {
+      heard,
+      begun: (at, usualMilliseconds) => {
+        heard(at)
+        load.work -= work.prefillMilliseconds
+        remaining -= work.prefillMilliseconds
+        if (usualMilliseconds !== undefined) learnSlowness(load, (at - now) / usualMilliseconds)
+      },
+      close: (end, at) => {
+        if (!isOpen) return
+        isOpen = false
+        load.work = Math.max(0, load.work - remaining)
+        load.inFlight--
+        if (!isHeard) load.unheard--
+        observeEnd(load.health, end, at)
+      }
+    }
+  }
+
+  /** Milliseconds of this daemon's work at an endpoint. */
+  workAt (endpoint: RoutedEndpoint): number {
+    return this.#loads.get(instanceKey(endpoint))?.work ?? 0
+  }
+
+  /** This daemon's attempts under way at an endpoint. */
+  inFlightAt (endpoint: RoutedEndpoint): number {
+    return this.#loads.get(instanceKey(endpoint))?.inFlight ?? 0
+  }
+
+  /** How many times as long as usual its answers take, failures counted in. */
+  slownessOf (endpoint: RoutedEndpoint): number {
+    const load = this.#loads.get(instanceKey(endpoint))
+    return load === undefined ? 1 : load.slowness * load.health.burden
+  }
+
+  mayTry (endpoint: RoutedEndpoint, now: number): boolean {
+    const load = this.#loads.get(instanceKey(endpoint))
+    return load === undefined || load.health.mayTry(now, load.inFlight)
+  }
+
+  /** Milliseconds since anything was heard from an endpoint. */
+  silenceOf (endpoint: RoutedEndpoint, now: number): number {
+    return now - (this.#loads.get(instanceKey(endpoint))?.heardAt ?? Number.NEGATIVE_INFINITY)
+  }
+
+  /** Forgets incarnations that were not used for long. */
+  sweep (now: number): void {
+    for (const [key, load] of this.#loads) {
+      if (load.inFlight === 0 && now - load.usedAt > forgetAfterMilliseconds) this.#loads.delete(key)
+    }
+  }
+
+  #loadOf (endpoint: RoutedEndpoint): EndpointLoad {
+    const key = instanceKey(endpoint)
+    const known = this.#loads.get(key)
+    if (known !== undefined) return known
+    const load = new EndpointLoad()
+    this.#loads.set(key, load)
+    return load
+  }
+}
+
+function learnSlowness (load: EndpointLoad, ratio: number): void {
+  const bounded = Math.min(mostSlowness, Math.max(leastSlowness, ratio))
+  load.slowness += slownessWeight * (bounded - load.slowness)
+}
+
+function observeEnd (health: EndpointHealth, end: WorkEnd, now: number): void {
+  if (end === WorkEnd.Answered) health.observeAnswer(false)
+  if (end === WorkEnd.Failed) health.observeAnswer(true)
+  if (end === WorkEnd.Lost) health.observeLoss(now)
+  if (end === WorkEnd.Full) health.observeFull(now)
+}
--- /dev/null
+++ b/src/placing/index.ts
@@ -0,0 +1,11 @@
+/** The decisions of forwarding. Each reads values and decides without waiting; none does input or output. */
+export { EndpointRoster, type RosterNews } from './endpointRoster.ts'
+export { EndpointLoads, type EndpointWork, WorkEnd } from './endpointLoads.ts'
+export { EndpointPlacement, type PlacementRequest } from './endpointPlacement.ts'
+export { EndpointHealth } from './endpointHealth.ts'
+export { ModelSizes, type SizePlan } from './modelSizes.ts'
+export { RepeatAllowance } from './repeatAllowance.ts'
+export { exposureOf, canComplete, VersionChoice, type VersionSplit } from './rollOutExposure.ts'
+export { EvidenceKeeper, isBad, type AnswerEvidence } from './rollOutEvidence.ts'
+export { chooseService } from './serviceChoice.ts'
+export { usualWork, type RequestWork } from './requestWork.ts'
--- /dev/null
+++ b/src/placing/rollOutExposure.ts
@@ -0,0 +1,94 @@
+/**
+ * How much of a service's traffic a new version takes during its roll-out.
+ *
+ * A small share for the first half, in which sessions that began on the old version stay with it;
+ * then, if nothing speaks against the version, a larger step that shows it under load, and all. The
+ * share follows from the time since the roll-out's start on the store's clock, so all daemons take
+ * the same steps without talking; a session's place in the share follows from its hash, so it never
+ * turns back while the share grows.
+ */
+import { hashOf } from '../contract/index.ts'
+import type { RoutedEndpoint } from '../routing/index.ts'
+
+/** Steps of a roll-out: from which part of its duration on, which share of sessions. */
+const steps = [
+  { from: 0, share: 0.08 },
+  { from: 0.52, share: 0.3 },
+  { from: 0.64, share: 1 }
+] as const
+/** Sessions keep their version until here; afterwards they may move on to the new one. */
+const pinnedUntil = 0.52
+/** The roll-out is finished here: work on the old version has ended, and time is left before its deadline. */
+const completeFrom = 0.84
+/** Sessions remembered. */
+const mostSessions = 5_000
+
+/**
+ * The share of sessions that the new version takes.
+ *
+ * @param progress part of the roll-out's duration that has passed
+ */
+export function exposureOf (progress: number): number {
+  let share = 0
+  for (const step of steps) if (progress >= step.from) share = step.share
+  return share
+}
+
+/** Whether a roll-out that nothing speaks against can be called complete. */
+export function canComplete (progress: number): boolean {
+  return progress >= completeFrom
+}
+
+/** A service's endpoints while a roll-out runs. */
+export interface VersionSplit {
+  readonly toVersion: string
+  /** Part of the roll-out's duration that has passed; undefined before its start. */
+  readonly progress: number | undefined
+}
+
+/**
+ * Chooses the version of each session.
+ *
+ * @example
+ * const able = versions.choose(endpoints, { toVersion: 'v2', progress: 0.1 }, 'session-7', now)
+ */
+export class VersionChoice {
+  readonly #sessionMilliseconds: number
+  readonly #sessions = new Map<string, { readonly isNew: boolean, readonly at: number }>()
+
+  /** @param sessionMilliseconds within which requests of a session belong together */
+  constructor (sessionMilliseconds: number) {
+    this.#sessionMilliseconds = sessionMilliseconds
+  }
+
+  /**
+   * The endpoints of the version that a request takes.
+   *
+   * @param session undefined for a request without one; `key` then stands for it
+   */
+  choose (endpoints: readonly RoutedEndpoint[], split: VersionSplit, session: string | undefined, key: string, now: number): readonly RoutedEndpoint[] {
+    const old = endpoints.filter(endpoint => endpoint.version !== split.toVersion)
+    const fresh = endpoints.filter(endpoint => endpoint.version === split.toVersion)
+    if (old.length === 0) return fresh
+    if (fresh.length === 0) return old
+    const isNew = this.#takesNew(split, session, key, now)
+    if (session !== undefined) this.#remember(session, isNew, now)
+    return isNew ? fresh : old
+  }
+
+  #takesNew ({ toVersion, progress }: VersionSplit, session: string | undefined, key: string, now: number): boolean {
+    if (progress === undefined) return false
+    const isInShare = hashOf(`${toVersion}\n${session ?? key}`) < exposureOf(progress)
+    const known = session === undefined ? undefined : this.#sessions.get(session)
+    const isFresh = known !== undefined && now - known.at <= this.#sessionMilliseconds
+    if (!isFresh) return isInShare
+    return known.isNew || (progress >= pinnedUntil && isInShare)
+  }
+
+  #remember (session: string, isNew: boolean, now: number): void {
+    this.#sessions.delete(session)
+    this.#sessions.set(session, { isNew, at: now })
+    const [oldest] = this.#sessions.keys()
+    if (this.#sessions.size > mostSessions && oldest !== undefined) this.#sessions.delete(oldest)
+  }
+}
--- /dev/null
+++ b/src/routing/heads.ts
@@ -0,0 +1,75 @@
+/**
+ * What heads of requests and answers say, apart from the names that carry it on a given platform.
+ * A `HeaderCodec` reads and writes those names; forwarding knows only these values.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+
+/** Headers by name in lower case. */
+export type HeaderMap = Readonly<Record<string, string>>
+
+/** A part of a prompt that requests may share, in the order in which it is read. */
+export interface PromptPart {
+  readonly identity: string
+  readonly tokens: number
+}
+
+/** What a caller's head says. */
+export interface CallerHead {
+  /** Names this client attempt; undefined where it is missing or malformed. */
+  readonly identity: string | undefined
+  /** How long the caller waits, in milliseconds; undefined where it does not say. */
+  readonly patienceMilliseconds: number | undefined
+  readonly key: string | undefined
+  /** The model asked for; undefined for a request of a plain service. */
+  readonly model: string | undefined
+  /** Whether the system is to choose the model. */
+  readonly anyModel: boolean
+  readonly promptTokens: number
+  readonly mostOutputTokens: number
+  readonly promptParts: readonly PromptPart[]
+  readonly session: string | undefined
+  /** The last event of an earlier answer that the caller holds. */
+  readonly lastEvent: string | undefined
+  /** Why the head can't be used; undefined where it can. */
+  readonly fault: string | undefined
+}
+
+/** What the system adds to an attempt at an endpoint. */
+export interface AttemptHead {
+  readonly patienceMilliseconds: number
+  readonly endpointIdentity: string
+  readonly organisation: string | undefined
+  readonly model: string | undefined
+  readonly lastEvent: string | undefined
+  /** 0 is the most urgent; undefined for a plain service. */
+  readonly urgency: number | undefined
+}
+
+/** What an endpoint's head says. */
+export interface AnswerHead {
+  /** The client attempt that the answer belongs to. */
+  readonly identity: string | undefined
+  /** Whether the endpoint's own seal came with it. */
+  readonly isSealed: boolean
+  /** Whether it states that the request did not run and never will. */
+  readonly notRun: boolean
+  /** The model's own opinion of its answer, 0 to 100. */
+  readonly confidence: number | undefined
+  /** Whether its body was changed on the way. */
+  readonly isEncoded: boolean
+}
+
+/** Reads and writes a platform's heads. */
+export interface HeaderCodec {
+  readCaller (headers: IncomingHttpHeaders): CallerHead
+  /**
+   * The headers of an attempt: the caller's, without those of one connection and those that are the
+   * system's to set, and with the system's own.
+   */
+  writeAttempt (headers: IncomingHttpHeaders, head: AttemptHead): Record<string, string>
+  readAnswer (headers: IncomingHttpHeaders): AnswerHead
+  /** The headers of an answer as a caller gets them, without those of one connection. */
+  writeAnswer (headers: IncomingHttpHeaders): Record<string, string | string[]>
+  /** The header that says when to come back. */
+  writeRetryAfter (milliseconds: number): HeaderMap
+}
