Take a store that was never written for version 0

Cause: an unknown replica had version 0 and a first reading was lifted to 1, ahead of the store, so every feed call answered with a gap and the table was read anew without pause; the first settings came only with the operator's next change. Ruled out: parts of the table, the decoder (no row was reported unreadable).

--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -13,6 +13,8 @@
 /** Beyond the wait: the way there and back, and a store that answers fifty times as slowly as usual. */
 const feedGraceMilliseconds = 900
 const snapshotMilliseconds = 2_500
+/** Before a table is read anew after a gap, so that a store that keeps no history is not asked without pause. */
+const gapMilliseconds = 50
 const firstRetryMilliseconds = 100
 const longestRetryMilliseconds = 1_000
 
@@ -95,6 +97,7 @@
         mustReadWhole = step.val.hasGap
         retryMilliseconds = firstRetryMilliseconds
         this.#regained(table)
+        if (mustReadWhole) await this.#options.clock.sleep(gapMilliseconds, this.#stopping.signal)
         continue
       }
       this.#lost(table, step.val)
--- a/src/replica/tableReplica.ts
+++ b/src/replica/tableReplica.ts
@@ -5,10 +5,13 @@
  */
 import type { FeedRow, TableSnapshot } from './contract.ts'
 
+/** Below every version of the store, whose counter begins at 0. */
+const unknownVersion = -1
+
 /** A table's rows as of one version of the store. */
 export class TableReplica {
   /** Nothing is known of the table. */
-  static readonly unknown = new TableReplica(0, new Map())
+  static readonly unknown = new TableReplica(unknownVersion, new Map())
 
   readonly version: number
   readonly rows: ReadonlyMap<string, FeedRow>
@@ -20,7 +23,7 @@
 
   /** Whether the table was ever read. */
   get isKnown (): boolean {
-    return this.version > 0
+    return this.version > unknownVersion
   }
 
   /**
@@ -31,9 +34,9 @@
    * const next = replica.replacedBy(snapshot)
    */
   replacedBy (snapshot: Pick<TableSnapshot, 'rows' | 'version'>): TableReplica {
-    if (this.isKnown && snapshot.version <= this.version) return this
+    if (snapshot.version <= this.version) return this
     const rows = snapshot.rows.filter(row => row.bytes !== undefined)
-    return new TableReplica(Math.max(1, snapshot.version), new Map(rows.map(row => [row.key, row])))
+    return new TableReplica(snapshot.version, new Map(rows.map(row => [row.key, row])))
   }
 
   /**
--- /dev/null
+++ b/test/replica.test.ts
@@ -0,0 +1,99 @@
+import { expect, test } from 'vitest'
+import { Ok, SeededRandomness } from '../src/contract/index.ts'
+import { Log } from '../src/observe/index.ts'
+import { ReplicaFollower, type TableChanges, type TableFeed, type TableSnapshot, TableReplica } from '../src/replica/index.ts'
+import { ManualClock } from './fakes/manualClock.ts'
+
+const row = (key: string, version: number, text = 'x') => ({ key, version, bytes: Buffer.from(text) })
+const deleted = (key: string, version: number) => ({ key, version, bytes: undefined })
+
+test('a table of a store that was never written is known, and its first change is taken', () => {
+  const empty = TableReplica.unknown.replacedBy({ rows: [], version: 0 })
+  expect(empty.isKnown).toBe(true)
+  expect(empty.version).toBe(0)
+  expect([...empty.changedBy({ rows: [row('config', 1)], version: 1 }).rows.keys()]).toEqual(['config'])
+})
+
+test('an older copy of a table changes nothing', () => {
+  const known = TableReplica.unknown.replacedBy({ rows: [row('a', 5)], version: 5 })
+  expect(known.replacedBy({ rows: [], version: 4 })).toBe(known)
+  expect(known.changedBy({ rows: [deleted('a', 3)], version: 4 })).toBe(known)
+})
+
+test('a change that is older than its row does not bring the row back', () => {
+  const known = TableReplica.unknown.replacedBy({ rows: [row('a', 5, 'new')], version: 5 })
+  const next = known.changedBy({ rows: [row('a', 4, 'old')], version: 6 })
+  expect(Buffer.from(next.rows.get('a')?.bytes ?? []).toString()).toBe('new')
+})
+
+/** A store whose history can be dropped. */
+class ScriptedFeed implements TableFeed {
+  rows = new Map<string, { version: number, bytes: Uint8Array | undefined }>()
+  version = 0
+  oldest = 0
+  readonly calls: string[] = []
+  readonly #clock: ManualClock
+
+  constructor (clock: ManualClock) {
+    this.#clock = clock
+  }
+
+  put (key: string, text: string): void {
+    this.rows.set(key, { version: ++this.version, bytes: Buffer.from(text) })
+  }
+
+  async snapshot (): Promise<Ok<TableSnapshot>> {
+    this.calls.push('snapshot')
+    return Ok({ rows: this.#rowsAfter(-1), version: this.version, storeTime: 0 })
+  }
+
+  async changes (_table: string, after: number, waitMilliseconds: number): Promise<Ok<TableChanges>> {
+    this.calls.push(`changes ${after}`)
+    if (after < this.oldest || after > this.version) return Ok({ rows: [], version: after, storeTime: 0, hasGap: true })
+    if (after === this.version) await this.#clock.sleep(waitMilliseconds)
+    return Ok({ rows: this.#rowsAfter(after), version: this.version, storeTime: 0, hasGap: false })
+  }
+
+  #rowsAfter (after: number) {
+    return [...this.rows].filter(([, { version }]) => version > after).map(([key, { version, bytes }]) => ({ key, version, bytes }))
+  }
+}
+
+function follow (feed: TableFeed, clock: ManualClock) {
+  const follower = new ReplicaFollower({
+    feed,
+    tables: ['orders'],
+    clock,
+    randomness: new SeededRandomness(1),
+    log: new Log('error', {}, () => undefined),
+    onChange: () => undefined
+  })
+  follower.start()
+  return follower
+}
+
+test('a follower that starts before the first row is written learns of it', async () => {
+  const clock = new ManualClock()
+  const feed = new ScriptedFeed(clock)
+  const follower = follow(feed, clock)
+  await clock.advance(100)
+  feed.put('config', 'first')
+  await clock.advance(4_000)
+  expect(follower.replica('orders').rows.has('config')).toBe(true)
+  expect(feed.calls.length).toBeLessThan(6)
+  follower.stop()
+})
+
+test('a follower whose history was dropped reads the table anew', async () => {
+  const clock = new ManualClock()
+  const feed = new ScriptedFeed(clock)
+  const follower = follow(feed, clock)
+  await clock.advance(100)
+  feed.put('a', '1')
+  feed.put('b', '2')
+  feed.oldest = 2
+  feed.rows.delete('a')
+  await clock.advance(8_000)
+  expect([...follower.replica('orders').rows.keys()]).toEqual(['b'])
+  follower.stop()
+})
