Take an answer without a length that ends in a reset for broken

Ruled out: the splitter of events, answers of a held length. Change: a connection's failure is noted before the client hears of it.

--- a/src/endpoint/connections.ts
+++ b/src/endpoint/connections.ts
@@ -8,7 +8,7 @@
  * when one was found silent its whole pool is retired. Its running exchanges go on, and nothing new
  * is put on its connections. An idle connection is closed after a few seconds for the same reason.
  */
-import { Client, type Dispatcher, Pool } from 'undici'
+import { Client, type Dispatcher, Pool, buildConnector } from 'undici'
 import { Exchange, type ExchangeOptions } from './exchange.ts'
 
 /** How connections are opened. */
@@ -33,6 +33,11 @@
 
 /** Opens connections; a test puts a network of its own in its place. */
 export interface ConnectionSource {
+  /**
+   * Whether a connection is failing in this very turn of the event loop. An answer without a length
+   * ends with its connection; the HTTP client takes a reset for such an end as well.
+   */
+  readonly isFailing?: boolean
   pool (address: string): ConnectionPool
   /** A connection for one exchange, which closes after it. */
   single (address: string): Pick<Dispatcher, 'dispatch'>
@@ -51,12 +56,12 @@
 
   /** Starts an exchange on a connection that may have served others before. */
   pooled (address: string, exchange: ExchangeOptions): Exchange {
-    return Exchange.start(this.#poolOf(address), exchange)
+    return Exchange.start(this.#poolOf(address), this.#watched(exchange))
   }
 
   /** Starts an exchange on a connection of its own, which is closed after it. */
   fresh (address: string, exchange: ExchangeOptions): Exchange {
-    return Exchange.start(this.#source.single(address), { ...exchange, closesConnection: true })
+    return Exchange.start(this.#source.single(address), { ...this.#watched(exchange), closesConnection: true })
   }
 
   /** Puts nothing new on the connections that are open to an address. */
@@ -74,6 +79,10 @@
     await Promise.all(pools.map(pool => pool.destroy()))
   }
 
+  #watched (exchange: ExchangeOptions): ExchangeOptions {
+    return { ...exchange, isConnectionFailing: () => this.#source.isFailing === true }
+  }
+
   #poolOf (address: string): ConnectionPool {
     const known = this.#pools.get(address)
     if (known !== undefined) return known
@@ -93,11 +102,16 @@
 
 class TcpSource implements ConnectionSource {
   readonly #options: ConnectionOptions
+  #isFailing = false
 
   constructor (options: ConnectionOptions) {
     this.#options = options
   }
 
+  get isFailing (): boolean {
+    return this.#isFailing
+  }
+
   pool (address: string): ConnectionPool {
     return new TcpPool(`http://${address}`, this.#clientOptions())
   }
@@ -106,13 +120,28 @@
     return new Client(`http://${address}`, this.#clientOptions())
   }
 
+  /** Notes a connection's failure before the HTTP client hears of it. */
+  #connector (): buildConnector.connector {
+    const connect = buildConnector({ timeout: this.#options.connectTimeoutMilliseconds })
+    return (options, callback) => connect(options, (...opened) => {
+      const [, socket] = opened
+      socket?.on('error', () => this.#noteFailure())
+      callback(...opened)
+    })
+  }
+
+  #noteFailure (): void {
+    this.#isFailing = true
+    process.nextTick(() => { this.#isFailing = false })
+  }
+
   #clientOptions () {
     const idleMilliseconds = this.#options.idleMilliseconds ?? defaultIdleMilliseconds
     return {
       pipelining: 1,
       keepAliveTimeout: idleMilliseconds,
       keepAliveMaxTimeout: idleMilliseconds,
-      connect: { timeout: this.#options.connectTimeoutMilliseconds },
+      connect: this.#connector(),
       headersTimeout: 0,
       bodyTimeout: 0
     }
--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -37,6 +37,8 @@
   readonly mayStillSend: () => boolean
   /** Whether its connection is closed after it; off where it is not given. */
   readonly closesConnection?: boolean
+  /** Whether its connection may be failing in this turn; an end that comes then is none. */
+  readonly isConnectionFailing?: () => boolean
 }
 
 /** Bytes kept for a reader that is slower than the sender. */
@@ -140,6 +142,7 @@
   }
 
   onResponseEnd (): void {
+    if (this.#options.isConnectionFailing?.() === true) return this.#finish({ type: 'failure', reason: 'the connection failed', silent: false })
     this.#finish({ type: 'end' })
   }
 
