--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -7,7 +7,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { within } from '../contract/index.ts'
 import type { ExchangeEvent } from '../endpoint/index.ts'
-import { type SizePlan, WorkEnd } from '../placing/index.ts'
+import { type SizePlan, WorkEnd, isLost } from '../placing/index.ts'
 import { EventSplitter } from './eventSplitter.ts'
 import { ForwardRefusals } from './forwardRefusal.ts'
 import type { ForwardRequest, OpenAttempt } from './forwardRequest.ts'
@@ -18,10 +18,8 @@
 const successStatus = 200
 /** Bytes of a failure's body that are passed on. */
 const failureBytes = 64 * 1024
-/** A run may be silent for this share of the objective before its first event. */
-const firstEventShare = 0.8
-/** Between two events, this many times the pause that is still on time. */
-const pauseShare = 0.9
+/** How often a silent run is looked at. */
+const watchMilliseconds = 200
 
 /** How one run ended, as far as the next is concerned. */
 const RunEnd = {
@@ -99,7 +97,7 @@
 
   async #read (attempt: OpenAttempt): Promise<RunEnd> {
     const forward = this.#forward
-    const head = await this.#next(attempt, forward.route.objectiveMilliseconds * firstEventShare)
+    const head = await this.#next(attempt, false)
     if (head === undefined || head.type !== 'head') return this.#broken(attempt, reasonOf(head))
     const answer = forward.parts.codec.readAnswer(head.headers)
     if (!forward.isOwn(answer)) return this.#broken(attempt, `foreign answer: ${answer.identity ?? 'unnamed'}`, WorkEnd.Cancelled)
@@ -140,8 +138,7 @@
     const splitter = new EventSplitter()
     let hasBegun = false
     for (;;) {
-      const patience = hasBegun ? forward.route.pauseMilliseconds * pauseShare : forward.route.objectiveMilliseconds * firstEventShare
-      const event = await this.#next(attempt, patience)
+      const event = await this.#next(attempt, hasBegun)
       if (event?.type === 'end' && splitter.pendingBytes === 0) return this.#end(attempt, headers)
       if (event?.type !== 'data') return this.#broken(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
@@ -176,7 +173,7 @@
     const chunks: Buffer[] = []
     let bytes = 0
     for (;;) {
-      const event = await this.#next(attempt, forward.route.pauseMilliseconds)
+      const event = await this.#next(attempt, true)
       if (event?.type === 'end') break
       if (event?.type !== 'data') return this.#broken(attempt, reasonOf(event))
       bytes += event.bytes.length
@@ -202,9 +199,25 @@
     this.#forward.delivered(status)
   }
 
-  #next (attempt: OpenAttempt, patienceMilliseconds: number): Promise<ExchangeEvent | undefined> {
-    const { clock } = this.#forward.parts
-    return within(clock, Math.min(this.#forward.limit, clock.now() + patienceMilliseconds), attempt.exchange.next())
+  /** The next event; undefined where the run is given up for silent, or the time is over. */
+  async #next (attempt: OpenAttempt, hasBegun: boolean): Promise<ExchangeEvent | undefined> {
+    const forward = this.#forward
+    const { clock, loads } = forward.parts
+    const { objectiveMilliseconds, pauseMilliseconds } = forward.route
+    const waitingSince = forward.now
+    const next = attempt.exchange.next()
+    for (;;) {
+      const event = await within(clock, Math.min(forward.limit, clock.now() + watchMilliseconds), next)
+      if (event !== undefined || clock.now() >= forward.limit || forward.hasLeft) return event
+      const silence = {
+        waitedMilliseconds: clock.now() - waitingSince,
+        endpointSilentMilliseconds: loads.silenceOf(attempt.endpoint, clock.now()),
+        hasBegun,
+        objectiveMilliseconds,
+        pauseMilliseconds
+      }
+      if (isLost(silence)) return undefined
+    }
   }
 
   #broken (attempt: OpenAttempt, reason: string, end: WorkEnd = WorkEnd.Lost): RunEnd {
--- a/src/placing/index.ts
+++ b/src/placing/index.ts
@@ -9,3 +9,4 @@
 export { EvidenceKeeper, isBad, type AnswerEvidence } from './rollOutEvidence.ts'
 export { chooseService } from './serviceChoice.ts'
 export { usualWork, type RequestWork } from './requestWork.ts'
+export { isLost, type Silence } from './silence.ts'
