--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -143,8 +143,7 @@
       if (event?.type !== 'data') return this.#broken(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
       if (events === undefined) continue
-      if (!hasBegun) forward.observeAnswer(attempt, false)
-      if (!hasBegun) attempt.work.begun(forward.now, undefined)
+      if (!hasBegun) this.#observeBegin(attempt)
       hasBegun = true
       attempt.work.heard(forward.now)
       this.#open(headers)
@@ -153,6 +152,14 @@
     }
   }
 
+  #observeBegin (attempt: OpenAttempt): void {
+    const forward = this.#forward
+    forward.observeAnswer(attempt, false)
+    attempt.work.begun(forward.now, undefined)
+    const isLargest = attempt.model !== undefined && attempt.model === forward.route.modelSizes.at(-1)
+    if (isLargest) forward.parts.sizes.observeLargest((forward.now - attempt.startedAt) / forward.route.objectiveMilliseconds)
+  }
+
   #open (headers: IncomingHttpHeaders): void {
     if (this.#isOpened) return
     this.#isOpened = true
