Tell a queue at the largest model by the runs that still wait

Also: the drain test gives itself the grace that its request needs (it failed once after the grace of all other tests was shortened).

--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -53,6 +53,7 @@
   #isOpened = false
   #mayHaveRun = false
   #failure: FailedAnswer | undefined
+  #endWait: (hasBegun: boolean, at: number) => void = () => undefined
 
   constructor (forward: ForwardRequest) {
     this.#forward = forward
@@ -69,7 +70,9 @@
       const endpoint = forward.place(this.#model)
       if (endpoint === undefined) break
       const attempt = forward.send(endpoint, { model: this.#model, lastEvent: this.#lastEvent, isAlone: false })
+      this.#beginWait()
       const end = await this.#read(attempt)
+      this.#endWait(false, forward.now)
       if (end === RunEnd.Done) return
       if (end === RunEnd.NotRun) isFull = true
       if (end === RunEnd.Broken || end === RunEnd.Failed || end === RunEnd.Dropped) this.#mayHaveRun = true
@@ -114,13 +117,19 @@
     return this.#relay(attempt, head.headers)
   }
 
+  #beginWait (): void {
+    const { parts, route, now } = this.#forward
+    const isLargest = this.#model !== undefined && this.#model === route.modelSizes.at(-1)
+    if (isLargest) this.#endWait = parts.sizes.waitForLargest(now, route.objectiveMilliseconds)
+  }
+
   /** Whether an answer may be released, by its model's own opinion. */
   #isTrusted (confidence: number | undefined): boolean {
     const larger = this.#plan?.larger
     if (larger === undefined || this.#model === larger || this.#isOpened) return true
     const { attemptsLeft, parts, service, now } = this.#forward
     if (attemptsLeft < 2 || !parts.allowance.allows(service, now)) return true
-    return parts.sizes.accepts(confidence)
+    return parts.sizes.accepts(confidence, now)
   }
 
   #drop (attempt: OpenAttempt, confidence: number | undefined): RunEnd {
@@ -156,8 +165,7 @@
     const forward = this.#forward
     forward.observeAnswer(attempt, false)
     attempt.work.begun(forward.now, undefined)
-    const isLargest = attempt.model !== undefined && attempt.model === forward.route.modelSizes.at(-1)
-    if (isLargest) forward.parts.sizes.observeLargest((forward.now - attempt.startedAt) / forward.route.objectiveMilliseconds)
+    this.#endWait(true, forward.now)
   }
 
   #open (headers: IncomingHttpHeaders): void {
--- a/src/placing/modelSizes.ts
+++ b/src/placing/modelSizes.ts
@@ -8,16 +8,19 @@
  * that are probably good are let through, so that those which need the largest model get it in time.
  */
 
-/** A model's own opinion of an answer that is let through while the largest model answers soon, 0 to 100. */
-const calmConfidence = 55
-/** The same while the largest model answers late; below it an answer is hardly ever good. */
-const busyConfidence = 28
-/** First events of the largest model that take this share of the objective are soon. */
-const soonShare = 0.14
-/** And from this share on they are late. */
-const lateShare = 0.36
+/** How late the largest model's first events are, as a share of the objective, and from which confidence answers are let through then. */
+const confidenceSteps = [
+  { lateness: 0.14, confidence: 52 },
+  { lateness: 0.36, confidence: 28 },
+  { lateness: 0.6, confidence: 24 },
+  { lateness: 1, confidence: 5 }
+] as const
+/** Before the first answers, when a daemon that restarts may meet the whole fleet's backlog. */
+const startLateness = 0.25
 /** Weight of the latest first event. */
 const recentWeight = 0.08
+/** Runs that wait together for their first event before their waiting says something. */
+const leastWaiting = 2
 /** The largest model alone, where less than this share of the time to the objective is left. */
 const leastTimeShare = 0.35
 
@@ -37,6 +40,11 @@
   readonly mayRepeat: boolean
 }
 
+interface WaitingRun {
+  readonly since: number
+  readonly objectiveMilliseconds: number
+}
+
 /**
  * Plans the sizes of requests.
  *
@@ -44,7 +52,8 @@
  * const plan = sizes.plan(['small', 'medium', 'large'], { attemptsLeft: 3, objectiveShareLeft: 1, mayRepeat: true })
  */
 export class ModelSizes {
-  #lateness = 0
+  #lateness: number = startLateness
+  readonly #waiting = new Set<WaitingRun>()
 
   /**
    * The sizes to ask.
@@ -59,20 +68,51 @@
     return { first: smallest, larger: largest }
   }
 
-  /** The largest model's first event came after this share of the objective. */
-  observeLargest (shareOfObjective: number): void {
-    this.#lateness += recentWeight * (Math.min(1, shareOfObjective) - this.#lateness)
+  /**
+   * Counts a run of the largest model as waiting for its first event.
+   *
+   * @returns to be called when the event comes, or with false when the run ends without one
+   */
+  waitForLargest (now: number, objectiveMilliseconds: number): (hasBegun: boolean, at: number) => void {
+    const run = { since: now, objectiveMilliseconds }
+    this.#waiting.add(run)
+    return (hasBegun, at) => {
+      if (!this.#waiting.delete(run) || !hasBegun) return
+      this.#lateness += recentWeight * (latenessOf(run, at) - this.#lateness)
+    }
   }
 
   /** The confidence from which an answer is let through now. */
-  get acceptedConfidence (): number {
-    const position = (this.#lateness - soonShare) / (lateShare - soonShare)
-    const busyness = Math.min(1, Math.max(0, position))
-    return calmConfidence + busyness * (busyConfidence - calmConfidence)
+  acceptedConfidence (now: number): number {
+    return interpolate(Math.max(this.#lateness, this.#waitingLateness(now)))
+  }
+
+  /** How late the runs are that wait now: it tells of a queue before its first answers do. */
+  #waitingLateness (now: number): number {
+    if (this.#waiting.size < leastWaiting) return 0
+    const sum = [...this.#waiting].reduce((total, run) => total + latenessOf(run, now), 0)
+    return sum / this.#waiting.size
   }
 
   /** Whether an answer is let through. One without an opinion is. */
-  accepts (confidence: number | undefined): boolean {
-    return confidence === undefined || confidence >= this.acceptedConfidence
+  accepts (confidence: number | undefined, now: number): boolean {
+    return confidence === undefined || confidence >= this.acceptedConfidence(now)
+  }
+}
+
+function latenessOf ({ since, objectiveMilliseconds }: WaitingRun, now: number): number {
+  return Math.min(1, (now - since) / objectiveMilliseconds)
+}
+
+function interpolate (lateness: number): number {
+  let below: { readonly lateness: number, readonly confidence: number } = confidenceSteps[0]
+  for (const step of confidenceSteps) {
+    if (lateness < step.lateness) {
+      const span = step.lateness - below.lateness
+      const position = span === 0 ? 1 : Math.max(0, lateness - below.lateness) / span
+      return below.confidence + position * (step.confidence - below.confidence)
+    }
+    below = step
   }
+  return below.confidence
 }
--- a/test/fakes/forwarderWorld.ts
+++ b/test/fakes/forwarderWorld.ts
@@ -23,6 +23,12 @@
   readonly signal?: AbortSignal
 }
 
+export interface ForwarderOptions {
+  readonly seeds?: readonly string[]
+  readonly storeAddress?: string
+  readonly graceSeconds?: number
+}
+
 let nextHost = 20
 let nextIdentity = 1
 
@@ -48,10 +54,10 @@
   }
 
   /** Starts a forwarder; returns the host that it listens on. */
-  async forwarder (seeds: readonly string[] = [], storeAddress = this.store.address): Promise<string> {
+  async forwarder ({ seeds = [], storeAddress = this.store.address, graceSeconds = 1.5 }: ForwarderOptions = {}): Promise<string> {
     const host = freshHost()
     const path = join(this.#directory, `${host}.json`)
-    await writeFile(path, JSON.stringify(bootDocument(`edge-${host}`, host, storeAddress, seeds)))
+    await writeFile(path, JSON.stringify(bootDocument(`edge-${host}`, host, storeAddress, seeds, graceSeconds)))
     const boot = (await readBootFile(path)).unwrap()
     const forwarder = new Forwarder(path, boot, 'secret of a test')
     ;(await forwarder.start()).unwrap()
--- a/test/forwarder.test.ts
+++ b/test/forwarder.test.ts
@@ -1,15 +1,15 @@
 import { connect } from 'node:net'
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { ForwarderWorld, event, until } from './fakes/forwarderWorld.ts'
+import { type ForwarderOptions, ForwarderWorld, event, until } from './fakes/forwarderWorld.ts'
 import type { Behaviour } from '../platform/standin/index.ts'
 
 let world: ForwarderWorld
 beforeEach(async () => { world = await ForwarderWorld.start() })
 afterEach(async () => await world.close())
 
-async function readyHost (): Promise<string> {
+async function readyHost (options: ForwarderOptions = {}): Promise<string> {
   world.configure(1)
-  const host = await world.forwarder()
+  const host = await world.forwarder(options)
   await world.ready(host)
   return host
 }
@@ -254,7 +254,7 @@
   const first = await world.forwarder()
   await world.ready(first)
   const door = await world.store.open('127.0.0.1')
-  const second = await world.forwarder([`${first}:8229`], door.address)
+  const second = await world.forwarder({ seeds: [`${first}:8229`], storeAddress: door.address })
   await world.ready(second)
   await new Promise(resolve => setTimeout(resolve, 200))
   door.trouble = 'busy'
@@ -277,7 +277,7 @@
 test('a planned stop lets a running request end, tells callers to close and is not ready meanwhile', async () => {
   const ledger = await world.endpoint('ledger')
   ledger.behave((_request, response) => { setTimeout(() => response.end('done'), 500) })
-  const host = await readyHost()
+  const host = await readyHost({ graceSeconds: 4 })
   const running = world.call(host, '/release/1')
   await until(() => ledger.received.length === 1)
   const stopped = world.forwarderAt(host).stop()
--- a/test/placing.test.ts
+++ b/test/placing.test.ts
@@ -118,11 +118,25 @@
 })
 
 test('an answer is let through at a lower confidence while the largest model answers late', () => {
+  const calm = new ModelSizes()
+  const busy = new ModelSizes()
+  for (let index = 0; index < 100; index++) {
+    calm.waitForLargest(0, 2_000)(true, 100)
+    busy.waitForLargest(0, 2_000)(true, 1_800)
+  }
+  expect(calm.acceptedConfidence(0)).toBeGreaterThan(50)
+  expect(busy.acceptedConfidence(0)).toBeLessThan(25)
+  expect(calm.accepts(undefined, 0)).toBe(true)
+})
+
+test('runs that still wait tell of a queue before its first answers do, and those given up leave no trace', () => {
   const sizes = new ModelSizes()
-  const calm = sizes.acceptedConfidence
-  for (let index = 0; index < 100; index++) sizes.observeLargest(0.9)
-  expect(sizes.acceptedConfidence).toBeLessThan(calm)
-  expect(sizes.accepts(undefined)).toBe(true)
+  for (let index = 0; index < 100; index++) sizes.waitForLargest(0, 2_000)(true, 100)
+  const calm = sizes.acceptedConfidence(0)
+  const ends = [1, 2, 3].map(() => sizes.waitForLargest(0, 2_000))
+  expect(sizes.acceptedConfidence(1_600)).toBeLessThan(calm - 20)
+  for (const end of ends) end(false, 1_600)
+  expect(sizes.acceptedConfidence(1_600)).toBe(calm)
 })
 
 test('a request without time or attempts for a second run goes to the largest model', () => {
