Let the larger model run where the smaller was dropped

Cause: an endpoint whose answer was dropped counted as tried, so the owner of the prompt part was left out for the very run that its cache would spare.

--- a/src/gateway/forwardRequest.ts
+++ b/src/gateway/forwardRequest.ts
@@ -178,6 +178,11 @@
     this.parts.rollOuts.observe(this.service, attempt.endpoint.version, { likeness: `${this.route.name}/${attempt.model ?? ''}`, failed, milliseconds })
   }
 
+  /** Lets an endpoint be chosen again: its run ended for no fault of its own. */
+  mayRetryAt (endpoint: RoutedEndpoint): void {
+    this.#tried.delete(instanceKey(endpoint))
+  }
+
   /** Whether an answer's head is this request's own and its endpoint's. */
   isOwn (answer: AnswerHead): boolean {
     return answer.identity === this.head.identity
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -137,6 +137,7 @@
     forward.observeAnswer(attempt, false)
     attempt.exchange.giveUp('a larger model is asked')
     forward.finish(attempt, WorkEnd.Answered, `dropped at confidence ${confidence}`)
+    forward.mayRetryAt(attempt.endpoint)
     forward.parts.metrics.escalations.inc({ service: forward.service })
     this.#model = this.#plan?.larger
     return RunEnd.Dropped
--- a/src/placing/endpointPlacement.ts
+++ b/src/placing/endpointPlacement.ts
@@ -17,6 +17,8 @@
 /** What the way to an endpoint counts, in milliseconds of work. */
 const streamDistance = { [Nearness.SameDataCentre]: 0, [Nearness.SameRegion]: 15, [Nearness.OtherRegion]: 400 } as const
 const plainDistance = { [Nearness.SameDataCentre]: 0, [Nearness.SameRegion]: 8, [Nearness.OtherRegion]: 90 } as const
+/** Of this daemon's work at an endpoint, what a new request waits for: engines run many at once. */
+const workShare = 1
 /** Beyond so many candidates only a sample is compared. */
 const mostCompared = 24
 /** Costs within this share of the least are as good as it: a draw among them keeps daemons apart. */
@@ -68,7 +70,8 @@
     const distance = (request.isStream ? streamDistance : plainDistance)[nearnessOf(this.#here, endpoint.place)]
     const cached = owners.has(instanceKey(endpoint)) ? sharedShare(request) : 0
     const own = request.work.prefillMilliseconds * (1 - cached) + request.work.answerMilliseconds
-    return distance + (this.#loads.workAt(endpoint) + own) * this.#loads.slownessOf(endpoint)
+    const ahead = this.#loads.workAt(endpoint) * workShare
+    return distance + (ahead + own) * this.#loads.slownessOf(endpoint)
   }
 
   /** Of each data centre, the endpoint that the prompt's longest shared part belongs to. */
