Count half of the own work that is ahead at an endpoint

Cause: engines run many requests at once, so own work ahead was overrated and the owner of a cached part was passed over.

--- a/src/placing/endpointPlacement.ts
+++ b/src/placing/endpointPlacement.ts
@@ -18,7 +18,7 @@
 const streamDistance = { [Nearness.SameDataCentre]: 0, [Nearness.SameRegion]: 15, [Nearness.OtherRegion]: 400 } as const
 const plainDistance = { [Nearness.SameDataCentre]: 0, [Nearness.SameRegion]: 8, [Nearness.OtherRegion]: 90 } as const
 /** Of this daemon's work at an endpoint, what a new request waits for: engines run many at once. */
-const workShare = 1
+const workShare = 0.5
 /** Beyond so many candidates only a sample is compared. */
 const mostCompared = 24
 /** Costs within this share of the least are as good as it: a draw among them keeps daemons apart. */
