Try an endpoint that breaks off answers again, and refuse none while all are left out

Change: a break after the send counts as a failure of a sound endpoint; while all are left out, one is tried. Two tests failed first.

--- a/src/gateway/forwardRequest.ts
+++ b/src/gateway/forwardRequest.ts
@@ -178,6 +178,15 @@
     this.parts.rollOuts.observe(this.service, attempt.endpoint.version, { likeness: `${this.route.name}/${attempt.model ?? ''}`, failed, milliseconds })
   }
 
+  /**
+   * What an attempt without an answer says of its endpoint: one that broke off a request which it
+   * had taken is there, one that refused the connection or says nothing may not be.
+   */
+  lossOf (attempt: OpenAttempt, isSilent: boolean): WorkEnd {
+    if (this.hasLeft) return WorkEnd.Cancelled
+    return isSilent || !attempt.exchange.mayHaveSent ? WorkEnd.Lost : WorkEnd.Failed
+  }
+
   /** Lets an endpoint be chosen again: its run ended for no fault of its own. */
   mayRetryAt (endpoint: RoutedEndpoint): void {
     this.#tried.delete(instanceKey(endpoint))
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -88,7 +88,7 @@
   async #read (attempt: OpenAttempt): Promise<PlainOutcome> {
     const forward = this.#forward
     const head = await this.#next(attempt)
-    if (head === undefined || head.type === 'failure') return this.#failed(attempt, head?.reason ?? 'silent')
+    if (head === undefined || head.type === 'failure') return this.#failed(attempt, head?.reason)
     if (head.type !== 'head') return this.#failed(attempt, 'an answer without a head')
     const answer = forward.parts.codec.readAnswer(head.headers)
     if (!forward.isOwn(answer)) return this.#foreign(attempt, answer.identity)
@@ -109,7 +109,7 @@
     let bytes = 0
     for (;;) {
       const event = await this.#next(attempt)
-      if (event === undefined || event.type === 'failure') return this.#failed(attempt, event?.reason ?? 'silent')
+      if (event === undefined || event.type === 'failure') return this.#failed(attempt, event?.reason)
       if (event.type === 'end') break
       if (event.type !== 'data') continue
       chunks.push(event.bytes)
@@ -157,12 +157,13 @@
     return within(clock, Math.min(limit, patience), attempt.exchange.next())
   }
 
-  #failed (attempt: OpenAttempt, reason: string): PlainOutcome {
+  /** @param reason undefined where the attempt was silent for too long */
+  #failed (attempt: OpenAttempt, reason: string | undefined): PlainOutcome {
     const forward = this.#forward
-    attempt.exchange.giveUp(reason)
+    const end = forward.lossOf(attempt, reason === undefined)
+    attempt.exchange.giveUp(reason ?? 'silent')
     const wasSent = attempt.exchange.mayHaveSent
-    const end = forward.hasLeft ? WorkEnd.Cancelled : WorkEnd.Lost
-    forward.finish(attempt, end, `${wasSent ? 'lost' : 'unsent'}: ${reason}`)
+    forward.finish(attempt, end, `${wasSent ? 'lost' : 'unsent'}: ${reason ?? 'silent'}`)
     return { type: wasSent ? 'lost' : 'unsent' }
   }
 
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -18,6 +18,7 @@
 const successStatus = 200
 /** Bytes of a failure's body that are passed on. */
 const failureBytes = 64 * 1024
+const silentReason = 'silent'
 /** How often a silent run is looked at. */
 const watchMilliseconds = 200
 
@@ -236,17 +237,17 @@
     }
   }
 
-  #broken (attempt: OpenAttempt, reason: string, end: WorkEnd = WorkEnd.Lost): RunEnd {
+  #broken (attempt: OpenAttempt, reason: string, end: WorkEnd = this.#forward.lossOf(attempt, reason === silentReason)): RunEnd {
     const forward = this.#forward
     attempt.exchange.giveUp(reason)
     const wasSent = attempt.exchange.mayHaveSent
-    forward.finish(attempt, forward.hasLeft ? WorkEnd.Cancelled : end, `${wasSent ? 'broke off' : 'unsent'} after ${this.#lastEvent ?? 'nothing'}: ${reason}`)
+    forward.finish(attempt, end, `${wasSent ? 'broke off' : 'unsent'} after ${this.#lastEvent ?? 'nothing'}: ${reason}`)
     return wasSent ? RunEnd.Broken : RunEnd.Unsent
   }
 }
 
 function reasonOf (event: ExchangeEvent | undefined): string {
-  if (event === undefined) return 'silent'
+  if (event === undefined) return silentReason
   if (event.type === 'failure') return event.reason
   return event.type === 'end' ? 'ended in the middle of an event' : `unexpected ${event.type}`
 }
--- a/src/placing/endpointHealth.ts
+++ b/src/placing/endpointHealth.ts
@@ -54,6 +54,11 @@
     return !this.#isOnTrial || inFlight === 0
   }
 
+  /** Whether it has just said that it has no room. */
+  isFull (now: number): boolean {
+    return now < this.#fullUntil
+  }
+
   /** How many times as costly as a sound one it counts; 1 or more. */
   get burden (): number {
     return 1 + failureBurden * this.#failing * this.#failing
--- a/src/placing/endpointLoads.ts
+++ b/src/placing/endpointLoads.ts
@@ -11,9 +11,9 @@
 export const WorkEnd = {
   /** Its answer came, whatever it says. */
   Answered: 'answered',
-  /** The endpoint itself failed it. */
+  /** The endpoint itself failed it, or broke off while it was there. */
   Failed: 'failed',
-  /** It could not be reached, broke off or fell silent. */
+  /** It could not be reached or fell silent. */
   Lost: 'lost',
   /** It had no room and did not run it. */
   Full: 'full',
@@ -114,6 +114,11 @@
     return load === undefined || load.health.mayTry(now, load.inFlight)
   }
 
+  /** Whether an endpoint has just said that it has no room. */
+  isFull (endpoint: RoutedEndpoint, now: number): boolean {
+    return this.#loads.get(instanceKey(endpoint))?.health.isFull(now) ?? false
+  }
+
   /** Milliseconds since anything was heard from an endpoint. */
   silenceOf (endpoint: RoutedEndpoint, now: number): number {
     return now - (this.#loads.get(instanceKey(endpoint))?.heardAt ?? Number.NEGATIVE_INFINITY)
--- a/src/placing/endpointPlacement.ts
+++ b/src/placing/endpointPlacement.ts
@@ -57,8 +57,7 @@
    * @returns undefined where there is no candidate that is worth a try
    */
   choose (request: PlacementRequest, candidates: readonly RoutedEndpoint[], now: number): RoutedEndpoint | undefined {
-    const able = candidates.filter(endpoint => this.#loads.mayTry(endpoint, now) && runsModel(endpoint, request.model))
-    const compared = this.#sample(able)
+    const compared = this.#sample(this.#ableOf(candidates.filter(endpoint => runsModel(endpoint, request.model)), now))
     const owners = this.#ownersOf(request, compared)
     const priced = compared.map(endpoint => ({ endpoint, cost: this.#costOf(request, endpoint, owners) }))
     const least = Math.min(...priced.map(({ cost }) => cost))
@@ -66,6 +65,13 @@
     return best[this.#randomness.below(best.length)]?.endpoint
   }
 
+  /** Where every endpoint is left out for its losses, a try serves callers better than a refusal. */
+  #ableOf (candidates: readonly RoutedEndpoint[], now: number): readonly RoutedEndpoint[] {
+    const able = candidates.filter(endpoint => this.#loads.mayTry(endpoint, now))
+    if (able.length > 0) return able
+    return candidates.filter(endpoint => !this.#loads.isFull(endpoint, now))
+  }
+
   #costOf (request: PlacementRequest, endpoint: RoutedEndpoint, owners: ReadonlySet<string>): number {
     const distance = (request.isStream ? streamDistance : plainDistance)[nearnessOf(this.#here, endpoint.place)]
     const cached = owners.has(instanceKey(endpoint)) ? sharedShare(request) : 0
--- a/test/placing.test.ts
+++ b/test/placing.test.ts
@@ -69,6 +69,22 @@
   expect(health.mayTry(1_200, 5)).toBe(true)
 })
 
+test('while every endpoint is left out for its losses, one is tried all the same; while all are full, none is', () => {
+  const endpoints = ['a', 'b'].map(name => endpoint(name))
+  const loads = new EndpointLoads()
+  for (const each of endpoints) loads.open(each, request.work, 0).close(WorkEnd.Lost, 0)
+  expect(placementOf(loads).choose(request, endpoints, 10)).toBeDefined()
+  for (const each of endpoints) loads.open(each, request.work, 10).close(WorkEnd.Full, 10)
+  expect(placementOf(loads).choose(request, endpoints, 20)).toBeUndefined()
+})
+
+test('an endpoint that breaks off one of the requests that it takes is not left out', () => {
+  const only = endpoint('only')
+  const loads = new EndpointLoads()
+  loads.open(only, request.work, 0).close(WorkEnd.Failed, 0)
+  expect(loads.mayTry(only, 1)).toBe(true)
+})
+
 test('an endpoint that fails part of its answers costs more than a sound one', () => {
   const grey = endpoint('grey')
   const loads = new EndpointLoads()
