Pass an answer without a length on without one

An endpoint's answer that ends with its connection was closed in order halfway (traced at the socket: 'end', no error), and the gateway gave it a length. Ruled out: the reset that is taken for an end (the mark of it works, seen in the same log). Change: such an answer is passed on as it came, ended by its connection; a run without a frame can't end a stream that has one. The test failed first.

--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -8,6 +8,7 @@
 import { within } from '../contract/index.ts'
 import { WorkEnd } from '../placing/index.ts'
 import { Repetition, type RoutedEndpoint } from '../routing/index.ts'
+import { endWithConnection, isFramed } from './answerFraming.ts'
 import { ForwardRefusals } from './forwardRefusal.ts'
 import type { ForwardRequest, OpenAttempt } from './forwardRequest.ts'
 
@@ -72,7 +73,9 @@
   #deliver ({ status, headers, body }: Extract<PlainOutcome, { type: 'answer' }>): void {
     const { response } = this.#forward
     this.#forward.markFirstByte()
-    response.writeHead(status, { ...this.#forward.answerHeaders(headers), 'content-length': body.length })
+    const length = isFramed(headers) ? { 'content-length': body.length } : {}
+    if (!isFramed(headers)) endWithConnection(response)
+    response.writeHead(status, { ...this.#forward.answerHeaders(headers), ...length })
     response.end(body)
     this.#forward.delivered(status)
   }
@@ -128,6 +131,7 @@
     const forward = this.#forward
     const { response } = forward
     forward.markFirstByte()
+    if (!isFramed(headers)) endWithConnection(response)
     response.writeHead(status, forward.answerHeaders(headers))
     for (const chunk of held) response.write(chunk)
     for (;;) {
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -8,6 +8,7 @@
 import { within } from '../contract/index.ts'
 import type { ExchangeEvent } from '../endpoint/index.ts'
 import { type SizePlan, WorkEnd, isLost } from '../placing/index.ts'
+import { endWithConnection, isFramed } from './answerFraming.ts'
 import { EventSplitter } from './eventSplitter.ts'
 import { ForwardRefusals } from './forwardRefusal.ts'
 import type { ForwardRequest, OpenAttempt } from './forwardRequest.ts'
@@ -52,6 +53,8 @@
   #model: string | undefined
   #lastEvent: string | undefined
   #isOpened = false
+  /** Whether the caller is told the end of its answer. */
+  #isFramed = true
   #mayHaveRun = false
   #failure: FailedAnswer | undefined
   #endWait: (hasBegun: boolean, at: number) => void = () => undefined
@@ -150,7 +153,9 @@
     let hasBegun = false
     for (;;) {
       const event = await this.#next(attempt, hasBegun)
-      if (event?.type === 'end' && splitter.pendingBytes === 0) return this.#end(attempt, headers)
+      const isWhole = event?.type === 'end' && splitter.pendingBytes === 0
+      if (isWhole && this.#mayEnd(headers)) return this.#end(attempt, headers)
+      if (isWhole) return this.#broken(attempt, 'an end that shows nothing')
       if (event?.type !== 'data') return this.#broken(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
       if (events === undefined) continue
@@ -173,10 +178,17 @@
   #open (headers: IncomingHttpHeaders): void {
     if (this.#isOpened) return
     this.#isOpened = true
+    this.#isFramed = isFramed(headers)
     this.#forward.markFirstByte()
+    if (!this.#isFramed) endWithConnection(this.#forward.response)
     this.#forward.response.writeHead(successStatus, this.#forward.answerHeaders(headers))
   }
 
+  /** A run without a frame can't end an answer that vouches for its end. */
+  #mayEnd (headers: IncomingHttpHeaders): boolean {
+    return !this.#isOpened || !this.#isFramed || isFramed(headers)
+  }
+
   #end (attempt: OpenAttempt, headers: IncomingHttpHeaders): RunEnd {
     this.#open(headers)
     this.#forward.finish(attempt, WorkEnd.Answered, 'whole')
@@ -211,7 +223,9 @@
 
   #deliverFailure ({ status, headers, body }: FailedAnswer): void {
     const { response } = this.#forward
-    response.writeHead(status, { ...this.#forward.answerHeaders(headers), 'content-length': body.length })
+    const length = isFramed(headers) ? { 'content-length': body.length } : {}
+    if (!isFramed(headers)) endWithConnection(response)
+    response.writeHead(status, { ...this.#forward.answerHeaders(headers), ...length })
     response.end(body)
     this.#forward.delivered(status)
   }
--- a/test/forwarder.test.ts
+++ b/test/forwarder.test.ts
@@ -112,6 +112,19 @@
   expect((await world.call(host, '/release/1', { body: 'x' })).status).toBe(502)
 })
 
+test('an answer that ends with its connection is not given a length on its way', async () => {
+  const ledger = await world.endpoint('ledger')
+  ledger.behave((request, response) => {
+    response.socket?.end(`HTTP/1.1 200 OK\r\nattempt-id: ${request.headers['attempt-id']}\r\nserver-seal: s\r\nconnection: close\r\n\r\nperhaps half`)
+  })
+  const host = await readyHost()
+  const answer = await world.call(host, '/release/1', { body: 'x' })
+  expect(answer).toMatchObject({ status: 200, body: 'perhaps half' })
+  expect(answer.headers['content-length']).toBeUndefined()
+  expect(answer.headers['transfer-encoding']).toBeUndefined()
+  expect(answer.headers.connection).toBe('close')
+})
+
 test('an unknown key is refused and reaches no endpoint; a public route needs none', async () => {
   const ledger = await world.endpoint('ledger')
   const host = await readyHost()
