--- a/src/gateway/forwardRequest.ts
+++ b/src/gateway/forwardRequest.ts
@@ -12,6 +12,8 @@
 import type { RoutingSnapshot } from './routingView.ts'
 
 const timerSlackMilliseconds = 5
+const answeredOutcome = 'answered'
+const leftOutcome = 'caller_left'
 
 /** What a request is made of. */
 export interface ForwardRequestOptions {
@@ -217,7 +219,7 @@
   /** Notes that the answer was delivered. */
   delivered (status: number): void {
     this.parts.metrics.whole.observe({ service: this.service }, (this.now - this.arrivedAt) / 1_000)
-    this.#log('answered', status)
+    this.#log(answeredOutcome, status)
   }
 
   /** Ends the request by cutting its connection: its answer must not look whole. */
@@ -236,9 +238,10 @@
     return usualWork(this.route, service, model, this.head.promptTokens, this.head.mostOutputTokens)
   }
 
-  #log (outcome: string, status: number | undefined): void {
+  #log (end: string, status: number | undefined): void {
     if (this.#isEnded) return
     this.#isEnded = true
+    const outcome = this.hasLeft && end !== answeredOutcome ? leftOutcome : end
     const firstByteAt = this.#firstByteAt
     this.parts.metrics.requests.inc({ service: this.service, outcome })
     this.parts.log.info('request_ended', {
