--- a/src/gateway/rollOutView.ts
+++ b/src/gateway/rollOutView.ts
@@ -91,7 +91,7 @@
   speaksAgainst (order: RollOutOrder): boolean {
     const others = this.#evidence.filter(({ service, toVersion, observer }) =>
       service === order.service && toVersion === order.toVersion && observer !== this.#observer)
-    return isBad([this.ownEvidence(order), ...others], this.#keeperOf(order).oldBadShare)
+    return isBad([this.ownEvidence(order), ...others], this.#keeperOf(order).ofOld)
   }
 
   #keeperOf (order: RollOutOrder): EvidenceKeeper {
--- a/src/placing/rollOutEvidence.ts
+++ b/src/placing/rollOutEvidence.ts
@@ -14,10 +14,17 @@
 const usualNeeds = 3
 /** Bad answers below which nothing is concluded. */
 const leastBadAnswers = 5
-/** The share of bad answers from which a version is bad; a sound one under faults stays below. */
-const badShare = 0.12
+/** The share of failures from which a version is bad; a sound one under faults stays below. */
+const failureShare = 0.12
 /** The share by which it must exceed the old version's. */
-const badShareOverOld = 0.1
+const failureShareOverOld = 0.1
+/**
+ * The share of slow answers from which a version is bad. It is higher: a sound version whose engines
+ * have cached nothing yet, and have just got all the traffic, is slow for some requests as well.
+ */
+const slowShare = 0.3
+/** The share by which it must exceed the old version's. */
+const slowShareOverOld = 0.2
 
 /** An answer as evidence. */
 export interface AnswerEvidence {
@@ -76,23 +83,39 @@
     return { answers, failures, slow }
   }
 
-  /** The share of the old version's answers that were bad. */
-  get oldBadShare (): number {
-    return this.#old.answers === 0 ? 0 : (this.#old.failures + this.#old.slow) / this.#old.answers
+  /** The shares of the old version's answers that were bad. */
+  get ofOld (): BadShares {
+    return sharesOf([this.#old])
   }
 }
 
+/** Parts of all answers, 0 to 1. */
+export interface BadShares {
+  readonly failures: number
+  readonly slow: number
+}
+
+type EvidenceCounts = Pick<RollOutEvidence, 'answers' | 'failures' | 'slow'>
+
 /**
  * Whether the evidence of all daemons together speaks against the new version.
  *
- * @param oldBadShare the share of bad answers of the old version, as this daemon saw it
+ * @param ofOld the old version's bad answers, as this daemon saw them
  * @example
- * if (isBad([own, ...others], keeper.oldBadShare)) revert()
+ * if (isBad([own, ...others], keeper.ofOld)) revert()
  */
-export function isBad (evidence: readonly Pick<RollOutEvidence, 'answers' | 'failures' | 'slow'>[], oldBadShare: number): boolean {
-  const answers = evidence.reduce((sum, counts) => sum + counts.answers, 0)
-  const bad = evidence.reduce((sum, counts) => sum + counts.failures + counts.slow, 0)
-  if (bad < leastBadAnswers) return false
-  const share = bad / answers
-  return share >= badShare && share >= oldBadShare + badShareOverOld
+export function isBad (evidence: readonly EvidenceCounts[], ofOld: BadShares): boolean {
+  const { failures, slow } = sharesOf(evidence)
+  const fails = sumOf(evidence, counts => counts.failures) >= leastBadAnswers && failures >= Math.max(failureShare, ofOld.failures + failureShareOverOld)
+  const drags = sumOf(evidence, counts => counts.slow) >= leastBadAnswers && slow >= Math.max(slowShare, ofOld.slow + slowShareOverOld)
+  return fails || drags
+}
+
+function sharesOf (evidence: readonly EvidenceCounts[]): BadShares {
+  const answers = Math.max(1, sumOf(evidence, counts => counts.answers))
+  return { failures: sumOf(evidence, counts => counts.failures) / answers, slow: sumOf(evidence, counts => counts.slow) / answers }
+}
+
+function sumOf (evidence: readonly EvidenceCounts[], part: (counts: EvidenceCounts) => number): number {
+  return evidence.reduce((sum, counts) => sum + part(counts), 0)
 }
