--- a/test/placing.test.ts
+++ b/test/placing.test.ts
@@ -255,3 +255,16 @@
   const seen = [[12, 1], [8, 1], [15, 2], [10, 1], [9, 1], [13, 5], [10, 1]].map(([answers = 0, slow = 0]) => ({ answers, slow, failures: 0 }))
   expect(isBad(seen, { failures: 0, slow: 0 })).toBe(false)
 })
+
+test('a session that one daemon keeps on the old version is kept there by the daemon that it moves to', () => {
+  const endpoints = [endpoint('old'), endpoint('new', { version: 'v2' })]
+  const [first, second] = [new VersionChoice(5_000), new VersionChoice(5_000)]
+  const versionAt = (daemon: VersionChoice, session: string, progress: number | undefined, now: number) =>
+    daemon.choose(endpoints, { toVersion: 'v2', progress }, session, session, now)[0]?.version
+  const moved = Array.from({ length: 200 }, (_, index) => `session-${index}`).filter(session => {
+    versionAt(first, session, undefined, 0)
+    const before = versionAt(first, session, 0.1, 1_000)
+    return versionAt(second, session, 0.2, 2_000) !== before
+  })
+  expect(moved).toEqual([])
+})
