Close connections without a request in a planned stop

A client opened a connection before the stop, sent its first request on it 4.5 s after SIGTERM and was cut by the grace's end 3 s later. The server does not count a connection on which nothing was sent as idle, so the drain left it open. Ruled out: new connections (the listener was closed at 2.4 s). Change: such connections are closed with the idle ones; a request that still comes later than 3 s after the stop began is refused as not run, for another VM to take.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -144,6 +144,7 @@
     clock,
     log,
     handle: (request, response) => forwarding.handle(request, response),
+    refuse: (request, response) => forwarding.refuseStopping(request, response),
     inFlight: () => forwarding.inFlight
   })
 }
--- a/src/gateway/forwardRefusal.ts
+++ b/src/gateway/forwardRefusal.ts
@@ -15,12 +15,14 @@
 const startMilliseconds = 1_000
 const noEndpointMilliseconds = 500
 const fullMilliseconds = 300
+const stoppingMilliseconds = 50
 
 /**
  * The ends. A 503 says that the request did not run and never will; 502 and 504 promise nothing.
  */
 export const ForwardRefusals = {
   noSettings: refusal('no_settings', 503, startMilliseconds),
+  stopping: refusal('stopping', 503, stoppingMilliseconds),
   unknownRoute: refusal('unknown_route', 404),
   unknownKey: refusal('unknown_key', 401),
   malformedHead: refusal('malformed_head', 400),
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -70,6 +70,11 @@
     }
   }
 
+  /** Refuses a request that comes when a planned stop would cut it: another VM is to take it. */
+  refuseStopping (request: IncomingMessage, response: ServerResponse): void {
+    this.#refuse(request, response, ForwardRefusals.stopping, this.#parts.codec.readCaller(request.headers))
+  }
+
   async #forward (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { clock, codec, routing } = this.#parts
     const arrivedAt = clock.now()
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -14,6 +14,8 @@
 const checkMilliseconds = 1_000
 /** Until the balancer, which asks once a second, has taken this VM out after two misses. */
 const balancerMilliseconds = 2_400
+/** A request that comes later than this after the stop began would be cut by its end. */
+const lateMilliseconds = 3_000
 const drainStepMilliseconds = 50
 
 /** What the server is made of. */
@@ -21,6 +23,8 @@
   readonly clock: Clock
   readonly log: Log
   readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>
+  /** Ends a request that comes too late in a planned stop. */
+  readonly refuse: (request: IncomingMessage, response: ServerResponse) => void
   readonly inFlight: () => number
 }
 
@@ -28,7 +32,8 @@
 export class GatewayServer {
   readonly #options: GatewayServerOptions
   readonly #server: Server
-  #isDraining = false
+  readonly #sockets = new Set<Socket>()
+  #drainingSince: number | undefined
 
   constructor (options: GatewayServerOptions) {
     this.#options = options
@@ -38,12 +43,16 @@
         response.destroy()
       })
     })
+    this.#server.on('connection', socket => {
+      this.#sockets.add(socket)
+      socket.once('close', () => this.#sockets.delete(socket))
+    })
     this.#server.on('clientError', (error: Error & { readonly code?: string }, socket) => this.#refuseMalformed(error, socket as Socket))
   }
 
   /** Whether a planned stop has begun. */
   get isDraining (): boolean {
-    return this.#isDraining
+    return this.#drainingSince !== undefined
   }
 
   /** Listens at `IP:port`; returns the address that is listened on. */
@@ -65,11 +74,11 @@
   async drain (graceMilliseconds: number): Promise<void> {
     const { clock, inFlight, log } = this.#options
     const startedAt = clock.now()
-    this.#isDraining = true
+    this.#drainingSince = startedAt
     await clock.sleep(Math.min(balancerMilliseconds, graceMilliseconds))
     this.#server.close()
     while (clock.now() - startedAt < graceMilliseconds) {
-      this.#server.closeIdleConnections()
+      this.#closeIdle()
       if (inFlight() === 0) break
       await clock.sleep(drainStepMilliseconds)
     }
@@ -77,8 +86,20 @@
     this.#server.closeAllConnections()
   }
 
+  /** A connection on which nothing was ever sent is idle as well, though the server does not count it. */
+  #closeIdle (): void {
+    this.#server.closeIdleConnections()
+    for (const socket of this.#sockets) {
+      if (socket.bytesRead === 0) socket.destroy()
+    }
+  }
+
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (this.#isDraining) response.setHeader('connection', 'close')
+    if (this.#drainingSince !== undefined) {
+      response.setHeader('connection', 'close')
+      const isLate = this.#options.clock.now() - this.#drainingSince > lateMilliseconds
+      if (isLate) return this.#options.refuse(request, response)
+    }
     await this.#options.handle(request, response)
   }
 
--- a/test/forwarder.test.ts
+++ b/test/forwarder.test.ts
@@ -301,3 +301,20 @@
   expect(late.headers.connection).toBe('close')
   await stopped
 }, 30_000)
+
+test('a connection on which nothing was sent is closed in a planned stop, so that no request comes on it late', async () => {
+  const ledger = await world.endpoint('ledger')
+  ledger.behave((_request, response) => { setTimeout(() => response.end('done'), 3_200) })
+  const host = await readyHost({ graceSeconds: 6 })
+  world.configure(2, { routes: [{ name: 'long', hostname: 'desk.example', prefix: '/release/', route_type: 'non_idempotent', timeout_ms: 5_000, target_latency_ms: 400, backend: 'ledger' }] })
+  await until(async () => (await world.call(host, '/balance/1', { method: 'GET' })).status === 404)
+  const unused = connect(8227, host)
+  await new Promise(resolve => unused.once('connect', resolve))
+  const running = world.call(host, '/release/1', { headers: { 'deadline-ms': '5000' } })
+  await until(() => ledger.received.length === 1)
+  const stopped = world.forwarderAt(host).stop()
+  await new Promise(resolve => unused.once('close', resolve))
+  expect(ledger.received[0]?.isCut).toBe(false)
+  expect(await running).toMatchObject({ status: 200, body: 'done' })
+  await stopped
+}, 30_000)
