Drop what forwarding carried and nobody used

Read again: an endpoint's slowness was never learned (every caller passed undefined, so it stayed 1), while two module heads said that it was; now only failures weigh, as they did. Also unused: a request's session in placing, the randomness of forwarding, the moment in splitOf, the first event's identity. Behaviour is unchanged; tests keep their assertions (slownessOf is burdenOf).

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -128,7 +128,6 @@
     routing: parts.routing,
     roster: parts.roster,
     loads,
-    randomness,
     rollOuts: parts.rollOuts,
     connections: parts.connections,
     codec: new PlatformHeaders(),
--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -12,7 +12,6 @@
   readonly bytes: Buffer
   /** The identity of the last of them that has one. */
   readonly lastIdentity: string | undefined
-  readonly firstIdentity: string | undefined
 }
 
 /**
@@ -37,8 +36,7 @@
     this.#pending = all.subarray(end)
     if (end === 0) return undefined
     const whole = all.subarray(0, end)
-    const identities = identitiesOf(whole)
-    return { bytes: whole, firstIdentity: identities[0], lastIdentity: identities.at(-1) }
+    return { bytes: whole, lastIdentity: lastIdentityOf(whole) }
   }
 }
 
@@ -52,7 +50,7 @@
   return 0
 }
 
-function identitiesOf (bytes: Buffer): string[] {
+function lastIdentityOf (bytes: Buffer): string | undefined {
   const lines = bytes.toString('latin1').split(/\r?\n/)
-  return lines.filter(line => line.startsWith(identityField)).map(line => line.slice(identityField.length).trim())
+  return lines.findLast(line => line.startsWith(identityField))?.slice(identityField.length).trim()
 }
--- a/src/gateway/forwardRequest.ts
+++ b/src/gateway/forwardRequest.ts
@@ -117,7 +117,7 @@
     const { roster, placement, rollOuts, versions } = this.parts
     const now = this.now
     const serving = roster.serving(this.service, now)
-    const split = rollOuts.splitOf(this.service, now)
+    const split = rollOuts.splitOf(this.service)
     const key = this.head.identity ?? ''
     const able = split === undefined ? serving : versions.choose(serving, split, this.head.session, key, now)
     const untried = able.filter(endpoint => !this.#tried.has(instanceKey(endpoint)))
@@ -126,8 +126,7 @@
       work: this.#workOf(model),
       promptTokens: this.head.promptTokens,
       promptParts: this.head.promptParts,
-      model,
-      session: this.head.session
+      model
     }, untried, now)
   }
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -4,7 +4,7 @@
  * request with everything that decided it.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Clock, Randomness } from '../contract/index.ts'
+import type { Clock } from '../contract/index.ts'
 import type { Connections } from '../endpoint/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { EndpointRoster, EndpointLoads, EndpointPlacement, ModelSizes, RepeatAllowance, VersionChoice } from '../placing/index.ts'
@@ -22,7 +22,6 @@
 /** What forwarding is made of. */
 export interface ForwardingParts {
   readonly clock: Clock
-  readonly randomness: Randomness
   readonly log: Log
   readonly metrics: GatewayMetrics
   readonly codec: HeaderCodec
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -121,7 +121,7 @@
     }
     const failed = status >= firstServerFailure
     forward.observeAnswer(attempt, failed)
-    attempt.work.begun(forward.now, undefined)
+    attempt.work.begun(forward.now)
     forward.finish(attempt, failed ? WorkEnd.Failed : WorkEnd.Answered, String(status))
     return { type: 'answer', status, headers, body: Buffer.concat(chunks) }
   }
--- a/src/gateway/rollOutView.ts
+++ b/src/gateway/rollOutView.ts
@@ -66,7 +66,7 @@
   }
 
   /** How a service's endpoints are split by version; undefined where no roll-out was ordered. */
-  splitOf (service: string, _now: number): VersionSplit | undefined {
+  splitOf (service: string): VersionSplit | undefined {
     const order = this.#orders.get(service)
     if (order === undefined) return undefined
     const status = this.statusOf(order)
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -171,7 +171,7 @@
   #observeBegin (attempt: OpenAttempt): void {
     const forward = this.#forward
     forward.observeAnswer(attempt, false)
-    attempt.work.begun(forward.now, undefined)
+    attempt.work.begun(forward.now)
     this.#endWait(true, forward.now)
   }
 
--- a/src/placing/endpointLoads.ts
+++ b/src/placing/endpointLoads.ts
@@ -1,6 +1,6 @@
 /**
  * What this daemon knows of each endpoint by its own attempts: the work it has there, when it last
- * heard a byte, how fast answers come and how they end. Reports of load are late and cost; own work
+ * heard a byte and how answers end. Reports of load are late and cost; own work
  * is known at once, and a daemon's share of an endpoint's work is about its share of all callers.
  */
 import { instanceKey, type RoutedEndpoint } from '../routing/index.ts'
@@ -26,15 +26,12 @@
 export interface EndpointWork {
   /** A byte of its answer came. */
   heard (now: number): void
-  /** Its first event or whole answer came; `usualMilliseconds` is what others took for the like. */
-  begun (now: number, usualMilliseconds: number | undefined): void
+  /** Its first event or whole answer came. */
+  begun (now: number): void
   close (end: WorkEnd, now: number): void
 }
 
 const forgetAfterMilliseconds = 30_000
-const slownessWeight = 0.1
-const leastSlowness = 0.5
-const mostSlowness = 8
 
 /** One endpoint as this daemon sees it. */
 class EndpointLoad {
@@ -44,7 +41,6 @@
   inFlight = 0
   /** Attempts under way from which nothing was heard yet. */
   unheard = 0
-  slowness = 1
   heardAt = Number.NEGATIVE_INFINITY
   usedAt = Number.NEGATIVE_INFINITY
 }
@@ -76,11 +72,10 @@
     }
     return {
       heard,
-      begun: (at, usualMilliseconds) => {
+      begun: at => {
         heard(at)
         load.work -= work.prefillMilliseconds
         remaining -= work.prefillMilliseconds
-        if (usualMilliseconds !== undefined) learnSlowness(load, (at - now) / usualMilliseconds)
       },
       close: (end, at) => {
         if (!isOpen) return
@@ -103,10 +98,9 @@
     return this.#loads.get(instanceKey(endpoint))?.inFlight ?? 0
   }
 
-  /** How many times as long as usual its answers take, failures counted in. */
-  slownessOf (endpoint: RoutedEndpoint): number {
-    const load = this.#loads.get(instanceKey(endpoint))
-    return load === undefined ? 1 : load.slowness * load.health.burden
+  /** How many times as costly as a sound one an endpoint counts, for its failures. */
+  burdenOf (endpoint: RoutedEndpoint): number {
+    return this.#loads.get(instanceKey(endpoint))?.health.burden ?? 1
   }
 
   mayTry (endpoint: RoutedEndpoint, now: number): boolean {
@@ -141,11 +135,6 @@
   }
 }
 
-function learnSlowness (load: EndpointLoad, ratio: number): void {
-  const bounded = Math.min(mostSlowness, Math.max(leastSlowness, ratio))
-  load.slowness += slownessWeight * (bounded - load.slowness)
-}
-
 function observeEnd (health: EndpointHealth, end: WorkEnd, now: number): void {
   if (end === WorkEnd.Answered) health.observeAnswer(false)
   if (end === WorkEnd.Failed) health.observeAnswer(true)
--- a/src/placing/endpointPlacement.ts
+++ b/src/placing/endpointPlacement.ts
@@ -1,7 +1,7 @@
 /**
  * Where a request goes. Each candidate's cost is the time that the request would take there: this
  * daemon's own work in front of it, the reading of what is not cached, the way there and back, and
- * how slow the endpoint has been. A prompt's shared part belongs to one endpoint of each data
+ * how often the endpoint has failed. A prompt's shared part belongs to one endpoint of each data
  * centre by rendezvous hashing, on which all daemons agree without talking; since the cost of work
  * under way counts as well, a popular part spreads to others when its owner is busy.
  *
@@ -31,7 +31,6 @@
   readonly promptTokens: number
   readonly promptParts: readonly PromptPart[]
   readonly model: string | undefined
-  readonly session: string | undefined
 }
 
 /**
@@ -77,7 +76,7 @@
     const cached = owners.has(instanceKey(endpoint)) ? sharedShare(request) : 0
     const own = request.work.prefillMilliseconds * (1 - cached) + request.work.answerMilliseconds
     const ahead = this.#loads.workAt(endpoint) * workShare
-    return distance + (ahead + own) * this.#loads.slownessOf(endpoint)
+    return distance + (ahead + own) * this.#loads.burdenOf(endpoint)
   }
 
   /** Of each data centre, the endpoint that the prompt's longest shared part belongs to. */
--- a/src/placing/requestWork.ts
+++ b/src/placing/requestWork.ts
@@ -1,7 +1,6 @@
 /**
  * How much work a request is, in milliseconds of an endpoint that runs nothing else. Only ratios
- * matter to a choice, so the rates of one usual engine serve for all; an endpoint's own speed is
- * learned from its answers.
+ * matter to a choice, so the rates of one usual engine serve for all.
  */
 import { type Route, type RoutedService, Repetition } from '../routing/index.ts'
 
--- a/test/placing.test.ts
+++ b/test/placing.test.ts
@@ -19,8 +19,7 @@
   work: { prefillMilliseconds: 300, answerMilliseconds: 100 },
   promptTokens: 6_000,
   promptParts: [{ identity: 'a1', tokens: 500 }, { identity: 'b2', tokens: 5_000 }, { identity: 'c3', tokens: 500 }],
-  model: undefined,
-  session: undefined
+  model: undefined
 }
 
 function placementOf (loads: EndpointLoads) {
@@ -89,14 +88,14 @@
   const grey = endpoint('grey')
   const loads = new EndpointLoads()
   for (let index = 0; index < 30; index++) loads.open(grey, request.work, index).close(index % 2 === 0 ? WorkEnd.Failed : WorkEnd.Answered, index)
-  expect(loads.slownessOf(grey)).toBeGreaterThan(2)
+  expect(loads.burdenOf(grey)).toBeGreaterThan(2)
 })
 
 test('work ends with its attempt, however often it is closed', () => {
   const only = endpoint('only')
   const loads = new EndpointLoads()
   const work = loads.open(only, request.work, 0)
-  work.begun(10, undefined)
+  work.begun(10)
   expect(loads.workAt(only)).toBe(100)
   work.close(WorkEnd.Answered, 20)
   work.close(WorkEnd.Lost, 30)
