Let plain and streamed forwarding give up and deliver through one piece

The refusal of a request that no endpoint answered and the delivery of an answer that is here whole stood twice, line for line; both are ForwardRequest's now, with one type for such an answer.

--- a/src/gateway/forwardRequest.ts
+++ b/src/gateway/forwardRequest.ts
@@ -6,9 +6,10 @@
 import { type EndpointWork, WorkEnd, usualWork } from '../placing/index.ts'
 import { type AnswerHead, type CallerHead, Repetition, type Route, type RoutedEndpoint, type RoutedOrganisation, instanceKey } from '../routing/index.ts'
 import type { Exchange } from '../endpoint/index.ts'
+import { endWithConnection, isFramed } from './answerFraming.ts'
 import type { ForwardingParts } from './forwarding.ts'
 import { sendRefusal } from './forwarding.ts'
-import type { ForwardRefusal } from './forwardRefusal.ts'
+import { type ForwardRefusal, ForwardRefusals } from './forwardRefusal.ts'
 import type { RoutingSnapshot } from './routingView.ts'
 
 const timerSlackMilliseconds = 5
@@ -39,6 +40,13 @@
   readonly work: EndpointWork
 }
 
+/** An endpoint's answer, whole. */
+export interface WholeAnswer {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: Buffer
+}
+
 /** What is asked of an endpoint. */
 export interface AttemptOptions {
   readonly model: string | undefined
@@ -215,6 +223,22 @@
     if (!this.hasLeft && !this.response.headersSent) sendRefusal(this.response, refusal, this.parts.codec)
   }
 
+  /** Ends a request to which no endpoint has given an answer, by what may have become of it. */
+  giveUp ({ mayHaveRun, isFull }: { readonly mayHaveRun: boolean, readonly isFull: boolean }): void {
+    if (mayHaveRun) return this.refuse(this.isOver ? ForwardRefusals.timedOut : ForwardRefusals.attemptLost)
+    if (this.isOver) return this.refuse(ForwardRefusals.tooLate)
+    this.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
+  }
+
+  /** Delivers an answer that is here whole; one without a frame is not given one. */
+  deliver ({ status, headers, body }: WholeAnswer): void {
+    const length = isFramed(headers) ? { 'content-length': body.length } : {}
+    if (!isFramed(headers)) endWithConnection(this.response)
+    this.response.writeHead(status, { ...this.answerHeaders(headers), ...length })
+    this.response.end(body)
+    this.delivered(status)
+  }
+
   /** Notes that the answer was delivered. */
   delivered (status: number): void {
     this.parts.metrics.whole.observe({ service: this.service }, (this.now - this.arrivedAt) / 1_000)
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -9,8 +9,7 @@
 import { WorkEnd } from '../placing/index.ts'
 import { Repetition, type RoutedEndpoint } from '../routing/index.ts'
 import { endWithConnection, isFramed } from './answerFraming.ts'
-import { ForwardRefusals } from './forwardRefusal.ts'
-import type { ForwardRequest, OpenAttempt } from './forwardRequest.ts'
+import type { ForwardRequest, OpenAttempt, WholeAnswer } from './forwardRequest.ts'
 
 /** Beyond this an answer is passed on as it comes. */
 const heldBytes = 256 * 1024
@@ -21,7 +20,7 @@
 
 /** How one attempt ended. */
 type PlainOutcome =
-  | { readonly type: 'answer', readonly status: number, readonly headers: IncomingHttpHeaders, readonly body: Buffer }
+  | { readonly type: 'answer' } & WholeAnswer
   /** It was passed on while it came. */
   | { readonly type: 'relayed' }
   /** It certainly did not run; `misdirected` where another endpoint has the address. */
@@ -44,7 +43,7 @@
   async run (): Promise<void> {
     const forward = this.#forward
     let isFull = false
-    let failure: Extract<PlainOutcome, { type: 'answer' }> | undefined
+    let failure: WholeAnswer | undefined
     while (!forward.hasLeft && forward.now < forward.limit && forward.attemptsLeft > 0) {
       if (forward.sends > 0 && !forward.parts.allowance.spend(forward.service, forward.now)) break
       const endpoint = forward.place(undefined)
@@ -59,25 +58,12 @@
       if (outcome.type === 'lost' && !this.#isIdempotent) break
     }
     if (failure !== undefined) return this.#deliver(failure)
-    this.#giveUp(isFull)
+    forward.giveUp({ mayHaveRun: this.#mayHaveRun, isFull })
   }
 
-  #giveUp (isFull: boolean): void {
-    const forward = this.#forward
-    const isLate = forward.isOver
-    if (this.#mayHaveRun) return forward.refuse(isLate ? ForwardRefusals.timedOut : ForwardRefusals.attemptLost)
-    if (isLate) return forward.refuse(ForwardRefusals.tooLate)
-    forward.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
-  }
-
-  #deliver ({ status, headers, body }: Extract<PlainOutcome, { type: 'answer' }>): void {
-    const { response } = this.#forward
+  #deliver (answer: WholeAnswer): void {
     this.#forward.markFirstByte()
-    const length = isFramed(headers) ? { 'content-length': body.length } : {}
-    if (!isFramed(headers)) endWithConnection(response)
-    response.writeHead(status, { ...this.#forward.answerHeaders(headers), ...length })
-    response.end(body)
-    this.#forward.delivered(status)
+    this.#forward.deliver(answer)
   }
 
   async #attempt (endpoint: RoutedEndpoint): Promise<PlainOutcome> {
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -10,8 +10,7 @@
 import { type SizePlan, WorkEnd, isLost } from '../placing/index.ts'
 import { endWithConnection, isFramed } from './answerFraming.ts'
 import { EventSplitter } from './eventSplitter.ts'
-import { ForwardRefusals } from './forwardRefusal.ts'
-import type { ForwardRequest, OpenAttempt } from './forwardRequest.ts'
+import type { ForwardRequest, OpenAttempt, WholeAnswer } from './forwardRequest.ts'
 import { drained } from './plainForwarding.ts'
 
 const misdirectedStatus = 421
@@ -40,12 +39,6 @@
 } as const
 type RunEnd = typeof RunEnd[keyof typeof RunEnd]
 
-interface FailedAnswer {
-  readonly status: number
-  readonly headers: IncomingHttpHeaders
-  readonly body: Buffer
-}
-
 /** Forwards one streamed request. */
 export class StreamForwarding {
   readonly #forward: ForwardRequest
@@ -56,7 +49,7 @@
   /** Whether the caller is told the end of its answer. */
   #isFramed = true
   #mayHaveRun = false
-  #failure: FailedAnswer | undefined
+  #failure: WholeAnswer | undefined
   #endWait: (hasBegun: boolean, at: number) => void = () => undefined
 
   constructor (forward: ForwardRequest) {
@@ -87,12 +80,9 @@
 
   #giveUp (isFull: boolean): void {
     const forward = this.#forward
-    const isLate = forward.isOver
-    if (this.#isOpened) return forward.cut(isLate ? 'timed_out' : 'stream_lost')
-    if (this.#failure !== undefined) return this.#deliverFailure(this.#failure)
-    if (this.#mayHaveRun) return forward.refuse(isLate ? ForwardRefusals.timedOut : ForwardRefusals.attemptLost)
-    if (isLate) return forward.refuse(ForwardRefusals.tooLate)
-    forward.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
+    if (this.#isOpened) return forward.cut(forward.isOver ? 'timed_out' : 'stream_lost')
+    if (this.#failure !== undefined) return forward.deliver(this.#failure)
+    forward.giveUp({ mayHaveRun: this.#mayHaveRun, isFull })
   }
 
   #planSizes (): void {
@@ -214,22 +204,13 @@
     forward.finish(attempt, failed ? WorkEnd.Failed : WorkEnd.Answered, String(status))
     const failure = { status, headers, body: Buffer.concat(chunks) }
     if (!failed && !this.#isOpened) {
-      this.#deliverFailure(failure)
+      forward.deliver(failure)
       return RunEnd.Done
     }
     this.#failure = failure
     return RunEnd.Failed
   }
 
-  #deliverFailure ({ status, headers, body }: FailedAnswer): void {
-    const { response } = this.#forward
-    const length = isFramed(headers) ? { 'content-length': body.length } : {}
-    if (!isFramed(headers)) endWithConnection(response)
-    response.writeHead(status, { ...this.#forward.answerHeaders(headers), ...length })
-    response.end(body)
-    this.#forward.delivered(status)
-  }
-
   /** The next event; undefined where the run is given up for silent, or the time is over. */
   async #next (attempt: OpenAttempt, hasBegun: boolean): Promise<ExchangeEvent | undefined> {
     const forward = this.#forward
