Read bodies within a bound in one piece, beside listening, in a module of its own

The gateway's reader was written again beside entry's; both now use server/, which also takes listenOn out of the links between daemons, where it had no place. The gateway keeps its own wait (the 300 s of the server itself).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,7 +6,7 @@
  */
 const layers = [
   ['contract'],
-  ['observe', 'routing'],
+  ['observe', 'routing', 'server'],
   ['settings', 'link', 'store'],
   ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution', 'replica'],
   ['entry', 'placing'],
@@ -49,7 +49,7 @@
     rules: {
       'no-restricted-imports': ['error', {
         patterns: [{
-          regex: '^\\.\\./src/(?!(contract|routing|replica)/index\\.ts$).*$',
+          regex: '^\\.\\./src/(?!(contract|routing|replica|server)/index\\.ts$).*$',
           message: 'platform translates into values; it decides nothing and sends nothing of its own.'
         }]
       }]
--- a/src/entry/operatorServer.ts
+++ b/src/entry/operatorServer.ts
@@ -1,7 +1,7 @@
 /** The server that operators and their tools reach: health, metrics and this daemon's status. */
 import { createServer, type Server } from 'node:http'
 import Koa from 'koa'
-import { listenOn } from '../link/index.ts'
+import { listenOn } from '../server/index.ts'
 
 /** What the server shows. */
 export interface OperatorServerOptions {
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -4,13 +4,13 @@
  * request with everything that decided it.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Clock } from '../contract/index.ts'
+import { type Clock, type Refusal, RefusalCode } from '../contract/index.ts'
 import type { Connections } from '../endpoint/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { EndpointRoster, EndpointLoads, EndpointPlacement, ModelSizes, RepeatAllowance, VersionChoice } from '../placing/index.ts'
 import { chooseService } from '../placing/index.ts'
+import { readBoundedBody } from '../server/index.ts'
 import { type CallerHead, type HeaderCodec, Repetition, type Route, type RoutedOrganisation } from '../routing/index.ts'
-import { BodyFault, readCallerBody } from './callerBody.ts'
 import { type ForwardRefusal, ForwardRefusals } from './forwardRefusal.ts'
 import { ForwardRequest } from './forwardRequest.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
@@ -36,6 +36,9 @@
   readonly connections: Connections
 }
 
+/** The server itself waits no longer for a whole request, in milliseconds. */
+const bodyMilliseconds = 300_000
+
 /** Where a request may go. */
 interface Admitted {
   readonly route: Route
@@ -83,7 +86,7 @@
     const head = codec.readCaller(request.headers)
     const admitted = this.#admit(request, head, snapshot)
     if ('code' in admitted) return this.#refuse(request, response, admitted, head)
-    const body = await readCallerBody(request, snapshot.settings.limits.bodyBytes)
+    const body = await readBoundedBody(request, snapshot.settings.limits.bodyBytes, bodyMilliseconds)
     if (body.err) return this.#refuseBody(request, response, body.val, head)
     const forward = new ForwardRequest({ ...admitted, request, response, head, body: body.val, arrivedAt, snapshot, parts: this.#parts })
     await this.#run(forward)
@@ -114,8 +117,8 @@
     }
   }
 
-  async #refuseBody (request: IncomingMessage, response: ServerResponse, fault: BodyFault, head: CallerHead): Promise<void> {
-    if (fault === BodyFault.TooLarge) return this.#refuse(request, response, ForwardRefusals.bodyTooLarge, head)
+  #refuseBody (request: IncomingMessage, response: ServerResponse, { code }: Refusal, head: CallerHead): void {
+    if (code === RefusalCode.BodyTooLarge) return this.#refuse(request, response, ForwardRefusals.bodyTooLarge, head)
     this.#parts.log.info('request_broken', { request: head.identity, path: request.url })
     response.destroy()
   }
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '../contract/index.ts'
-import { listenOn } from '../link/index.ts'
+import { listenOn } from '../server/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
 
--- a/src/gateway/operationsServer.ts
+++ b/src/gateway/operationsServer.ts
@@ -1,7 +1,7 @@
 /** Readiness for the balancer and metrics for operators. */
 import { createServer, type Server } from 'node:http'
 import Koa from 'koa'
-import { listenOn } from '../link/index.ts'
+import { listenOn } from '../server/index.ts'
 
 /** What the server shows. */
 export interface OperationsServerOptions {
--- a/src/entry/boundedBody.ts
+++ b/src/server/boundedBody.ts
@@ -2,17 +2,18 @@
 import type { IncomingMessage } from 'node:http'
 import { Err, Ok, Refusal, RefusalCode, type Result, RunState } from '../contract/index.ts'
 
-/** Milliseconds within which a body must have come. */
-const bodyTimeoutMilliseconds = 15_000
+/** Milliseconds within which a body must have come, where the caller of this function says nothing. */
+const usualTimeoutMilliseconds = 15_000
 
 /**
  * Reads a body whole.
  *
+ * @param timeoutMilliseconds within which it must have come whole
  * @returns `BodyTooLarge` or `RequestTimeout`; the connection can't be used further then
  * @example
  * const body = await readBoundedBody(request, 1_048_576)
  */
-export function readBoundedBody (request: IncomingMessage, limitBytes: number): Promise<Result<Buffer, Refusal>> {
+export function readBoundedBody (request: IncomingMessage, limitBytes: number, timeoutMilliseconds = usualTimeoutMilliseconds): Promise<Result<Buffer, Refusal>> {
   const declared = Number(request.headers['content-length'] ?? 0)
   if (declared > limitBytes) return Promise.resolve(Err(tooLarge(limitBytes)))
   return new Promise(resolve => {
@@ -28,7 +29,7 @@
       if (bytes > limitBytes) finish(Err(tooLarge(limitBytes)))
       else parts.push(part)
     }
-    const timer = setTimeout(() => finish(Err(tooSlow())), bodyTimeoutMilliseconds)
+    const timer = setTimeout(() => finish(Err(tooSlow())), timeoutMilliseconds)
     request.on('data', take)
     request.once('end', () => finish(Ok(Buffer.concat(parts))))
     request.once('error', () => finish(Err(tooSlow())))
--- a/test/endpointUnframed.test.ts
+++ b/test/endpointUnframed.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, expect, test } from 'vitest'
 import { SystemClock } from '../src/contract/index.ts'
 import { Connections } from '../src/endpoint/index.ts'
-import { listenOn } from '../src/link/index.ts'
+import { listenOn } from '../src/server/index.ts'
 
 let server: Server | undefined
 afterEach(() => server?.close())
--- a/test/fakes/forwarderWorld.ts
+++ b/test/fakes/forwarderWorld.ts
@@ -108,7 +108,7 @@
         signal,
         agent: false,
         headers: {
-          host: 'desk.example', authorization: 'Bearer good-key', 'attempt-id': `a-${Math.random().toString(16).slice(2)}`, 'deadline-ms': '1500', ...(body === '' ? {} : { 'content-length': Buffer.byteLength(body) }), ...headers
+          host: 'desk.example', authorization: 'Bearer good-key', 'attempt-id': `a-${Math.random().toString(16).slice(2)}`, 'deadline-ms': '1500', ...(body === '' || headers['transfer-encoding'] !== undefined ? {} : { 'content-length': Buffer.byteLength(body) }), ...headers
         }
       }, response => {
         const chunks: Buffer[] = []
--- a/test/forwarder.test.ts
+++ b/test/forwarder.test.ts
@@ -216,6 +216,7 @@
   const ledger = await world.endpoint('ledger')
   const host = await readyHost()
   expect((await world.call(host, '/release/1', { body: 'x'.repeat(70_000) })).status).toBe(413)
+  expect((await world.call(host, '/release/1', { body: 'x'.repeat(70_000), headers: { 'transfer-encoding': 'chunked' } })).status).toBe(413)
   expect((await world.call(host, '/release/1', { headers: { 'deadline-ms': 'soon' } })).status).toBe(400)
   expect((await world.call(host, '/query/1', { headers: { ...streamHeaders, 'prefix-hash': 'zz' } })).status).toBe(400)
   expect((await world.call(host, '/release/1', { headers: { 'x-large': 'y'.repeat(17_000) } })).status).toBe(431)
