Tell an attempt that did not run in one place

The check of an endpoint's word that it did not run, and the statuses it knows, stood in plain and in streamed forwarding; ForwardRequest has it now. Behaviour is unchanged.

--- a/src/gateway/forwardRequest.ts
+++ b/src/gateway/forwardRequest.ts
@@ -12,6 +12,8 @@
 import { type ForwardRefusal, ForwardRefusals } from './forwardRefusal.ts'
 import type { RoutingSnapshot } from './routingView.ts'
 
+const misdirectedStatus = 421
+const firstServerFailure = 500
 const timerSlackMilliseconds = 5
 const answeredOutcome = 'answered'
 const leftOutcome = 'caller_left'
@@ -47,6 +49,15 @@
   readonly body: Buffer
 }
 
+/** What an endpoint says that did not run a request. */
+export const Unrun = {
+  /** It has no room, or the time is over. */
+  Refused: 'refused',
+  /** Another endpoint has its address. */
+  Misdirected: 'misdirected'
+} as const
+export type Unrun = typeof Unrun[keyof typeof Unrun]
+
 /** What is asked of an endpoint. */
 export interface AttemptOptions {
   readonly model: string | undefined
@@ -196,6 +207,15 @@
     return isSilent || !attempt.exchange.mayHaveSent ? WorkEnd.Lost : WorkEnd.Failed
   }
 
+  /** Ends an attempt whose endpoint says that it did not run; undefined where it does not say so. */
+  finishUnrun (attempt: OpenAttempt, status: number, { notRun }: AnswerHead): Unrun | undefined {
+    const isMisdirected = status === misdirectedStatus
+    if (!notRun && !isMisdirected) return undefined
+    attempt.exchange.letEnd()
+    this.finish(attempt, isMisdirected ? WorkEnd.Lost : WorkEnd.Full, `not run ${status}`, !isMisdirected)
+    return isMisdirected ? Unrun.Misdirected : Unrun.Refused
+  }
+
   /** Lets an endpoint be chosen again: its run ended for no fault of its own. */
   mayRetryAt (endpoint: RoutedEndpoint): void {
     this.#tried.delete(instanceKey(endpoint))
@@ -239,6 +259,11 @@
     this.delivered(status)
   }
 
+  /** Whether an endpoint says with a status that it failed. */
+  isFailure (status: number): boolean {
+    return status >= firstServerFailure
+  }
+
   /** Notes that the answer was delivered. */
   delivered (status: number): void {
     this.parts.metrics.whole.observe({ service: this.service }, (this.now - this.arrivedAt) / 1_000)
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -9,12 +9,10 @@
 import { WorkEnd } from '../placing/index.ts'
 import { Repetition, type RoutedEndpoint } from '../routing/index.ts'
 import { endWithConnection, isFramed } from './answerFraming.ts'
-import type { ForwardRequest, OpenAttempt, WholeAnswer } from './forwardRequest.ts'
+import { type ForwardRequest, type OpenAttempt, Unrun, type WholeAnswer } from './forwardRequest.ts'
 
 /** Beyond this an answer is passed on as it comes. */
 const heldBytes = 256 * 1024
-const misdirectedStatus = 421
-const firstServerFailure = 500
 /** An idempotent attempt may be silent for this share of the objective before another is tried. */
 const silentShare = 0.9
 
@@ -23,8 +21,8 @@
   | { readonly type: 'answer' } & WholeAnswer
   /** It was passed on while it came. */
   | { readonly type: 'relayed' }
-  /** It certainly did not run; `misdirected` where another endpoint has the address. */
-  | { readonly type: 'not_run', readonly misdirected: boolean }
+  /** It certainly did not run. */
+  | { readonly type: 'not_run', readonly unrun: Unrun }
   | { readonly type: 'unsent' }
   /** It may have run. */
   | { readonly type: 'lost' }
@@ -52,9 +50,9 @@
       if (outcome.type === 'relayed') return
       if (outcome.type === 'answer') {
         failure = outcome
-        if (outcome.status < firstServerFailure || !this.#isIdempotent) return this.#deliver(outcome)
+        if (!forward.isFailure(outcome.status) || !this.#isIdempotent) return this.#deliver(outcome)
       }
-      if (outcome.type === 'not_run' && !outcome.misdirected) isFull = true
+      if (outcome.type === 'not_run' && outcome.unrun === Unrun.Refused) isFull = true
       if (outcome.type === 'lost' && !this.#isIdempotent) break
     }
     if (failure !== undefined) return this.#deliver(failure)
@@ -81,12 +79,8 @@
     if (head.type !== 'head') return this.#failed(attempt, 'an answer without a head')
     const answer = forward.parts.codec.readAnswer(head.headers)
     if (!forward.isOwn(answer)) return this.#foreign(attempt, answer.identity)
-    const isMisdirected = head.status === misdirectedStatus
-    if (answer.notRun || isMisdirected) {
-      attempt.exchange.letEnd()
-      forward.finish(attempt, isMisdirected ? WorkEnd.Lost : WorkEnd.Full, `not run ${head.status}`, !isMisdirected)
-      return { type: 'not_run', misdirected: isMisdirected }
-    }
+    const unrun = forward.finishUnrun(attempt, head.status, answer)
+    if (unrun !== undefined) return { type: 'not_run', unrun }
     if (!answer.isSealed || answer.isEncoded) return this.#foreign(attempt, 'unsealed')
     attempt.work.heard(forward.now)
     return this.#readBody(attempt, head.status, head.headers)
@@ -105,7 +99,7 @@
       bytes += event.bytes.length
       if (bytes > heldBytes) return this.#relay(attempt, status, headers, chunks)
     }
-    const failed = status >= firstServerFailure
+    const failed = forward.isFailure(status)
     forward.observeAnswer(attempt, failed)
     attempt.work.begun(forward.now)
     forward.finish(attempt, failed ? WorkEnd.Failed : WorkEnd.Answered, String(status))
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -10,11 +10,9 @@
 import { type SizePlan, WorkEnd, isLost } from '../placing/index.ts'
 import { endWithConnection, isFramed } from './answerFraming.ts'
 import { EventSplitter } from './eventSplitter.ts'
-import type { ForwardRequest, OpenAttempt, WholeAnswer } from './forwardRequest.ts'
+import { type ForwardRequest, type OpenAttempt, Unrun, type WholeAnswer } from './forwardRequest.ts'
 import { drained } from './plainForwarding.ts'
 
-const misdirectedStatus = 421
-const firstServerFailure = 500
 const successStatus = 200
 /** Bytes of a failure's body that are passed on. */
 const failureBytes = 64 * 1024
@@ -98,12 +96,8 @@
     if (head === undefined || head.type !== 'head') return this.#broken(attempt, reasonOf(head))
     const answer = forward.parts.codec.readAnswer(head.headers)
     if (!forward.isOwn(answer)) return this.#broken(attempt, `foreign answer: ${answer.identity ?? 'unnamed'}`, WorkEnd.Cancelled)
-    const isMisdirected = head.status === misdirectedStatus
-    if (answer.notRun || isMisdirected) {
-      attempt.exchange.letEnd()
-      forward.finish(attempt, isMisdirected ? WorkEnd.Lost : WorkEnd.Full, `not run ${head.status}`, !isMisdirected)
-      return isMisdirected ? RunEnd.Unsent : RunEnd.NotRun
-    }
+    const unrun = forward.finishUnrun(attempt, head.status, answer)
+    if (unrun !== undefined) return unrun === Unrun.Misdirected ? RunEnd.Unsent : RunEnd.NotRun
     attempt.work.heard(forward.now)
     if (head.status !== successStatus) return this.#readFailure(attempt, head.status, head.headers)
     if (!answer.isSealed || answer.isEncoded) return this.#broken(attempt, 'unsealed', WorkEnd.Cancelled)
@@ -199,7 +193,7 @@
       if (bytes > failureBytes) return this.#broken(attempt, 'a failure with too long a body')
       chunks.push(event.bytes)
     }
-    const failed = status >= firstServerFailure
+    const failed = forward.isFailure(status)
     forward.observeAnswer(attempt, failed)
     forward.finish(attempt, failed ? WorkEnd.Failed : WorkEnd.Answered, String(status))
     const failure = { status, headers, body: Buffer.concat(chunks) }
