--- /dev/null
+++ b/test/fakes/runningStandIns.ts
@@ -0,0 +1,27 @@
+/** Stand-ins that a test started, the clients that reach them, and their end. */
+import { type EndpointDescription, SystemClock } from '../../src/contract/index.ts'
+import { HttpEngineClient, HttpServiceClient } from '../../src/endpoint/index.ts'
+import type { StandIn } from '../../src/standin/index.ts'
+
+export const clock = new SystemClock()
+export const engines = new HttpEngineClient({ clock, connectTimeoutMilliseconds: 5_000, silenceMilliseconds: 5_000 })
+export const services = new HttpServiceClient({ clock, connectTimeoutMilliseconds: 5_000, silenceMilliseconds: 5_000 })
+
+const running: StandIn[] = []
+
+/** Closes all that were kept. */
+export async function closeStandIns (): Promise<void> {
+  await Promise.all(running.splice(0).map(standIn => standIn.close()))
+}
+
+/** Keeps a stand-in until the test's end. */
+export async function kept (starting: Promise<StandIn>): Promise<StandIn> {
+  const standIn = await starting
+  running.push(standIn)
+  return standIn
+}
+
+/** A stand-in as an endpoint of any kind. */
+export function endpointAt (standIn: StandIn): EndpointDescription {
+  return { name: 'e', kind: 'engine', address: standIn.address, place: { region: 'r', dataCentre: 'd' }, versions: ['small@1'], service: 'ledger', checksFencing: true }
+}
--- a/test/standin.test.ts
+++ b/test/standin.test.ts
@@ -1,29 +1,14 @@
 /** The stand-ins as trials use them: through the clients that the daemon uses, and their own records. */
 import { afterEach, expect, test } from 'vitest'
-import { type EndpointDescription, Priority, SeededRandomness, SystemClock } from '../src/contract/index.ts'
-import { type EngineCall, type EngineEvent, HttpEngineClient, HttpServiceClient, Reach } from '../src/endpoint/index.ts'
+import { Priority, SeededRandomness } from '../src/contract/index.ts'
+import { type EngineCall, type EngineEvent, Reach } from '../src/endpoint/index.ts'
 import { HttpRatingService } from '../src/store/index.ts'
 import { isWholeAnswer, startEngine, startPlatform, startService, trueScore, type StandIn } from '../src/standin/index.ts'
+import { closeStandIns, clock, engines, services, kept, endpointAt } from './fakes/runningStandIns.ts'
 
-const clock = new SystemClock()
-const engines = new HttpEngineClient({ clock, connectTimeoutMilliseconds: 5_000, silenceMilliseconds: 5_000 })
-const services = new HttpServiceClient({ clock, connectTimeoutMilliseconds: 5_000, silenceMilliseconds: 5_000 })
-const running: StandIn[] = []
 const never = new AbortController().signal
 
-afterEach(async () => {
-  await Promise.all(running.splice(0).map(standIn => standIn.close()))
-})
-
-async function kept (starting: Promise<StandIn>): Promise<StandIn> {
-  const standIn = await starting
-  running.push(standIn)
-  return standIn
-}
-
-function endpointAt (standIn: StandIn): EndpointDescription {
-  return { name: 'e', kind: 'engine', address: standIn.address, place: { region: 'r', dataCentre: 'd' }, versions: ['small@1'], service: 'ledger', checksFencing: true }
-}
+afterEach(closeStandIns)
 
 function callFor (request: string, extra = 'tokens=12'): EngineCall {
   return {
--- a/test/standinFaults.test.ts
+++ b/test/standinFaults.test.ts
@@ -1,29 +1,14 @@
 /** The faults that a trial can bring about at the stand-ins, judged by what their records say. */
 import { afterEach, expect, test } from 'vitest'
-import { type EndpointDescription, Priority, SystemClock } from '../src/contract/index.ts'
-import { type EngineCall, type EngineEvent, HttpEngineClient, HttpServiceClient, Reach, type ServiceCall } from '../src/endpoint/index.ts'
+import { Priority } from '../src/contract/index.ts'
+import { type EngineCall, type EngineEvent, Reach, type ServiceCall } from '../src/endpoint/index.ts'
 import { HttpVirtualMachineList } from '../src/store/index.ts'
 import { type EngineRun, isWholeAnswer, type ServiceRun, startEngine, startPlatform, startService, type StandIn } from '../src/standin/index.ts'
+import { closeStandIns, clock, engines, services, kept, endpointAt } from './fakes/runningStandIns.ts'
 
-const clock = new SystemClock()
-const engines = new HttpEngineClient({ clock, connectTimeoutMilliseconds: 5_000, silenceMilliseconds: 5_000 })
-const services = new HttpServiceClient({ clock, connectTimeoutMilliseconds: 5_000, silenceMilliseconds: 5_000 })
 const never = new AbortController().signal
-const running: StandIn[] = []
 
-afterEach(async () => {
-  await Promise.all(running.splice(0).map(standIn => standIn.close()))
-})
-
-async function kept (starting: Promise<StandIn>): Promise<StandIn> {
-  const standIn = await starting
-  running.push(standIn)
-  return standIn
-}
-
-function endpointAt (standIn: StandIn): EndpointDescription {
-  return { name: 'e', kind: 'engine', address: standIn.address, place: { region: 'r', dataCentre: 'd' }, versions: ['small@1'], service: 'ledger', checksFencing: true }
-}
+afterEach(closeStandIns)
 
 function post (standIn: StandIn, path: string, value: unknown = {}): Promise<Response> {
   return fetch(`http://${standIn.address}${path}`, { method: 'POST', body: JSON.stringify(value) })
