Tell all gateways which sessions keep the old version

Sessions whose last request came before the order were remembered by none.

Ruled out: telling the sessions at the stop itself, for their callers come back before the news does; telling peers only, for some are out of reach.

Change: each gateway remembers sessions also while no roll-out stands and writes, when one starts, those in the first share as one row (pins/SERVICE/GATEWAY), again until it is certain; all read them with the roll-out's status.

Seen to fail first: the test through two gateways without the rows (5 requests on the new version), that on sessions before the order without their memory.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -40,6 +40,7 @@
   readonly roster: EndpointRoster
   readonly loads: EndpointLoads
   readonly rollOuts: RollOutView
+  readonly versions: VersionChoice
   readonly rollOutStore: RowRollOutStore
   readonly duty: RollOutDuty
   readonly intake: RowIntake
@@ -76,6 +77,7 @@
     roster: single(() => new EndpointRoster()),
     loads: single(() => new EndpointLoads()),
     rollOuts: single(parts => new RollOutView(parts.boot.current.name, () => parts.follower.storeTime)),
+    versions: single(({ boot }) => new VersionChoice(boot.current.sessionMilliseconds)),
     rollOutStore: single(({ store, follower }) => new RowRollOutStore(store, () => follower.storeTime)),
     duty: single(makeDuty),
     intake: single(parts => new RowIntake(parts)),
@@ -108,9 +110,11 @@
   return new PeerReplicas({ link, follower, clock, randomness, log, tables: followedTables, seeds: () => boot.current.seeds })
 }
 
-function makeDuty ({ rollOuts, rollOutStore, clock, randomness, log, roster }: ForwarderParts): RollOutDuty {
+function makeDuty ({ boot, rollOuts, rollOutStore, versions, clock, randomness, log, roster }: ForwarderParts): RollOutDuty {
   return new RollOutDuty({
     view: rollOuts,
+    versions,
+    observer: boot.current.name,
     store: rollOutStore,
     clock,
     randomness,
@@ -134,7 +138,7 @@
     placement: new EndpointPlacement(boot.current.place, loads, randomness),
     sizes: new ModelSizes(),
     allowance: new RepeatAllowance(boot.current.repeatRatio),
-    versions: new VersionChoice(boot.current.sessionMilliseconds)
+    versions: parts.versions
   })
 }
 
--- a/src/forwarder/rollOutStore.ts
+++ b/src/forwarder/rollOutStore.ts
@@ -1,7 +1,7 @@
 /** Writes roll-outs' rows to the platform's store. */
-import { type RowStore, Table, encodeEvidence, encodeStatus, evidenceKey, statusKey } from '../../platform/index.ts'
+import { type RowStore, RowWriteOutcome, Table, encodeEvidence, encodePins, encodeStatus, evidenceKey, pinsKey, statusKey } from '../../platform/index.ts'
 import type { RollOutStore } from '../gateway/index.ts'
-import type { RollOutEvidence, RollOutStatus } from '../routing/index.ts'
+import type { RollOutEvidence, RollOutPins, RollOutStatus } from '../routing/index.ts'
 
 /** Roll-outs in the store's table of status. */
 export class RowRollOutStore implements RollOutStore {
@@ -24,4 +24,9 @@
   async writeEvidence (evidence: RollOutEvidence): Promise<string> {
     return await this.#rows.put(Table.Status, evidenceKey(evidence.service, evidence.observer), encodeEvidence(evidence))
   }
+
+  async writePins (pins: RollOutPins): Promise<boolean> {
+    const outcome = await this.#rows.put(Table.Status, pinsKey(pins.service, pins.observer), encodePins(pins))
+    return outcome === RowWriteOutcome.Written
+  }
 }
--- a/src/forwarder/rowIntake.ts
+++ b/src/forwarder/rowIntake.ts
@@ -1,14 +1,14 @@
 /** Turns changed tables into the values that forwarding reads. A row that can't be read names nothing, and is logged. */
 import {
-  type BootFile, Table, configurationKey, decodeConfiguration, decodeEndpoint, decodeEvidence, decodeOrder, decodeStatus,
-  isEvidenceKey, orderService, statusService
+  type BootFile, Table, configurationKey, decodeConfiguration, decodeEndpoint, decodeEvidence, decodeOrder,
+  decodePins, decodeStatus, isEvidenceKey, isPinsKey, orderService, statusService
 } from '../../platform/index.ts'
-import type { Clock } from '../contract/index.ts'
-import type { GatewayMetrics, GatewayServer, RollOutView, RoutingView } from '../gateway/index.ts'
+import type { Clock, Result } from '../contract/index.ts'
+import type { GatewayMetrics, GatewayServer, RollOutView, RoutingView, VersionedStatus } from '../gateway/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { EndpointRoster } from '../placing/index.ts'
 import type { FeedRow, ReplicaFollower, TableReplica } from '../replica/index.ts'
-import type { RollOutEvidence, RollOutOrder, RoutedEndpoint } from '../routing/index.ts'
+import type { RollOutEvidence, RollOutOrder, RollOutPins, RoutedEndpoint } from '../routing/index.ts'
 
 /** A registration expires after so many heartbeats without one. */
 const heartbeatsToExpiry = 3
@@ -59,9 +59,7 @@
     for (const row of rows) {
       if (row.key === configurationKey) this.#takeConfiguration(row)
       if (orderService(row.key) === undefined) continue
-      const order = decodeOrder(bytesOf(row))
-      if (order.ok) orders.push(order.val)
-      else this.#unreadable(row, order.val)
+      this.#collect(row, decodeOrder(bytesOf(row)), orders)
     }
     this.#parts.rollOuts.installOrders(orders)
   }
@@ -80,9 +78,7 @@
     const { boot, clock, follower, roster } = this.#parts
     const endpoints: RoutedEndpoint[] = []
     for (const row of rows) {
-      const endpoint = decodeEndpoint(row.key, bytesOf(row), boot.current.regionsByDataCentre)
-      if (endpoint.ok) endpoints.push(endpoint.val)
-      else this.#unreadable(row, endpoint.val)
+      this.#collect(row, decodeEndpoint(row.key, bytesOf(row), boot.current.regionsByDataCentre), endpoints)
     }
     const expiry = heartbeatsToExpiry * boot.current.endpointHeartbeatMilliseconds + noticeMilliseconds
     const now = clock.now()
@@ -92,21 +88,19 @@
   }
 
   #takeStatus (rows: readonly FeedRow[]): void {
-    const statuses = []
+    const statuses: VersionedStatus[] = []
     const evidence: RollOutEvidence[] = []
+    const pins: RollOutPins[] = []
     for (const row of rows) {
       const service = statusService(row.key)
       if (service !== undefined) {
         const status = decodeStatus(service, bytesOf(row))
-        if (status.ok) statuses.push({ status: status.val, rowVersion: row.version })
-        else this.#unreadable(row, status.val)
+        this.#collect(row, status.map(value => ({ status: value, rowVersion: row.version })), statuses)
       }
-      if (!isEvidenceKey(row.key)) continue
-      const decoded = decodeEvidence(bytesOf(row))
-      if (decoded.ok) evidence.push(decoded.val)
-      else this.#unreadable(row, decoded.val)
+      if (isEvidenceKey(row.key)) this.#collect(row, decodeEvidence(bytesOf(row)), evidence)
+      if (isPinsKey(row.key)) this.#collect(row, decodePins(bytesOf(row)), pins)
     }
-    this.#parts.rollOuts.installStatuses(statuses, evidence)
+    this.#parts.rollOuts.installStatuses(statuses, evidence, pins)
   }
 
   /** One line for each endpoint that came, changed or went. */
@@ -126,6 +120,11 @@
     }
   }
 
+  #collect<Value> (row: FeedRow, decoded: Result<Value, string>, into: Value[]): void {
+    if (decoded.ok) into.push(decoded.val)
+    else this.#unreadable(row, decoded.val)
+  }
+
   #unreadable (row: FeedRow, reason: string): void {
     if (this.#logged.get(row.key) === row.version) return
     this.#logged.set(row.key, row.version)
--- a/src/gateway/forwardRequest.ts
+++ b/src/gateway/forwardRequest.ts
@@ -138,7 +138,7 @@
     const serving = roster.serving(this.service, now)
     const split = rollOuts.splitOf(this.service)
     const key = this.head.identity ?? ''
-    const able = split === undefined ? serving : versions.choose(serving, split, this.head.session, key, now)
+    const able = versions.choose(serving, split, this.head.session, key, now)
     const untried = able.filter(endpoint => !this.#tried.has(instanceKey(endpoint)))
     return placement.choose({
       isStream: this.route.repetition === Repetition.Stream,
--- a/src/gateway/rollOutDuty.ts
+++ b/src/gateway/rollOutDuty.ts
@@ -5,9 +5,9 @@
  */
 import type { Clock, Randomness } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
-import { canComplete } from '../placing/index.ts'
-import { type RollOutEvidence, type RollOutOrder, RollOutState, type RollOutStatus } from '../routing/index.ts'
-import type { RollOutView } from './rollOutView.ts'
+import { canComplete, type VersionChoice } from '../placing/index.ts'
+import { type RollOutEvidence, type RollOutOrder, type RollOutPins, RollOutState, type RollOutStatus } from '../routing/index.ts'
+import { type RollOutView, rollOutKey } from './rollOutView.ts'
 
 const roundMilliseconds = 400
 /** A daemon that finds something to write waits up to this long for another to do so. */
@@ -20,6 +20,8 @@
   writeStatus (status: RollOutStatus, expectedVersion: number): Promise<string>
   /** Writes this daemon's evidence; returns how it ended, for the log. */
   writeEvidence (evidence: RollOutEvidence): Promise<string>
+  /** Writes the sessions that this daemon keeps on the old version; returns whether that is certain. */
+  writePins (pins: RollOutPins): Promise<boolean>
   /** The store's steady clock; undefined before its first answer. */
   readonly storeTime: number | undefined
 }
@@ -27,6 +29,9 @@
 /** What the duty is made of. */
 export interface RollOutDutyOptions {
   readonly view: RollOutView
+  readonly versions: VersionChoice
+  /** This daemon's name. */
+  readonly observer: string
   readonly store: RollOutStore
   readonly clock: Clock
   readonly randomness: Randomness
@@ -40,6 +45,8 @@
   readonly #options: RollOutDutyOptions
   readonly #stopping = new AbortController()
   readonly #told = new Map<string, { readonly bad: number, readonly at: number }>()
+  /** Sessions still to be told, by roll-out. */
+  readonly #pins = new Map<string, readonly string[]>()
 
   constructor (options: RollOutDutyOptions) {
     this.#options = options
@@ -59,6 +66,7 @@
     while (!this.#stopping.signal.aborted) {
       await clock.sleep(roundMilliseconds, this.#stopping.signal)
       for (const order of view.orders) {
+        await this.#tellPins(order)
         await this.#tellEvidence(order)
         await this.#advance(order)
       }
@@ -92,12 +100,25 @@
     return isDue ? RollOutState.Complete : undefined
   }
 
+  /** Sessions move to other daemons when a VM stops; these must know that they began on the old version. */
+  async #tellPins (order: RollOutOrder): Promise<void> {
+    const { clock, log, observer, store, versions, view } = this.#options
+    const key = rollOutKey(order)
+    if (view.statusOf(order)?.state !== RollOutState.Running) return
+    const sessions = this.#pins.get(key) ?? versions.pinnedBy(order.toVersion, clock.now())
+    this.#pins.set(key, sessions)
+    if (sessions.length === 0) return
+    const isWritten = await store.writePins({ service: order.service, toVersion: order.toVersion, observer, sessions })
+    if (isWritten) this.#pins.set(key, [])
+    log.info('roll_out_pins', { service: order.service, to: order.toVersion, sessions: sessions.length, isWritten })
+  }
+
   async #tellEvidence (order: RollOutOrder): Promise<void> {
     const { clock, log, store, view } = this.#options
     if (view.statusOf(order)?.state !== RollOutState.Running) return
     const evidence = view.ownEvidence(order)
     const bad = evidence.failures + evidence.slow
-    const key = `${order.service}\n${order.toVersion}`
+    const key = rollOutKey(order)
     const told = this.#told.get(key)
     if (bad === 0 || told?.bad === bad) return
     if (told !== undefined && clock.now() - told.at < evidenceMilliseconds) return
--- a/src/gateway/rollOutView.ts
+++ b/src/gateway/rollOutView.ts
@@ -1,6 +1,6 @@
 /** What this daemon knows of roll-outs: orders, their status, and what speaks against new versions. */
 import { EvidenceKeeper, type VersionSplit, isBad } from '../placing/index.ts'
-import { type RollOutEvidence, type RollOutOrder, RollOutState, type RollOutStatus } from '../routing/index.ts'
+import { type RollOutEvidence, type RollOutOrder, type RollOutPins, RollOutState, type RollOutStatus } from '../routing/index.ts'
 
 /** A status and the version of its row. */
 export interface VersionedStatus {
@@ -15,6 +15,8 @@
   readonly milliseconds: number | undefined
 }
 
+const noSessions: ReadonlySet<string> = new Set()
+
 /** The roll-outs of all services. */
 export class RollOutView {
   readonly #observer: string
@@ -22,6 +24,7 @@
   #orders: ReadonlyMap<string, RollOutOrder> = new Map()
   #statuses: ReadonlyMap<string, VersionedStatus> = new Map()
   #evidence: readonly RollOutEvidence[] = []
+  #pinned: ReadonlyMap<string, ReadonlySet<string>> = new Map()
   readonly #keepers = new Map<string, EvidenceKeeper>()
 
   /**
@@ -41,9 +44,10 @@
     this.#orders = new Map(orders.map(order => [order.service, order]))
   }
 
-  installStatuses (statuses: readonly VersionedStatus[], evidence: readonly RollOutEvidence[]): void {
+  installStatuses (statuses: readonly VersionedStatus[], evidence: readonly RollOutEvidence[], pins: readonly RollOutPins[]): void {
     this.#statuses = new Map(statuses.map(entry => [entry.status.service, entry]))
     this.#evidence = evidence
+    this.#pinned = pinnedSessions(pins)
   }
 
   /** The status row of a service, whatever order it belongs to. */
@@ -69,10 +73,8 @@
   splitOf (service: string): VersionSplit | undefined {
     const order = this.#orders.get(service)
     if (order === undefined) return undefined
-    const status = this.statusOf(order)
-    if (status?.state === RollOutState.Complete) return { toVersion: order.toVersion, progress: 1 }
-    if (status?.state === RollOutState.Reverted || this.speaksAgainst(order)) return { toVersion: order.toVersion, progress: undefined }
-    return { toVersion: order.toVersion, progress: this.progressOf(order) }
+    const { toVersion } = order
+    return { toVersion, progress: this.#splitProgress(order), pinned: this.#pinned.get(rollOutKey(order)) ?? noSessions }
   }
 
   /** Takes in an answer while a roll-out of its service runs. */
@@ -94,8 +96,15 @@
     return isBad([this.ownEvidence(order), ...others], this.#keeperOf(order).ofOld)
   }
 
+  #splitProgress (order: RollOutOrder): number | undefined {
+    const state = this.statusOf(order)?.state
+    if (state === RollOutState.Complete) return 1
+    if (state === RollOutState.Reverted || this.speaksAgainst(order)) return undefined
+    return this.progressOf(order)
+  }
+
   #keeperOf (order: RollOutOrder): EvidenceKeeper {
-    const key = `${order.service}\n${order.toVersion}`
+    const key = rollOutKey(order)
     const known = this.#keepers.get(key)
     if (known !== undefined) return known
     const keeper = new EvidenceKeeper()
@@ -103,3 +112,17 @@
     return keeper
   }
 }
+
+/** Tells one roll-out of a service from another. */
+export function rollOutKey ({ service, toVersion }: Pick<RollOutOrder, 'service' | 'toVersion'>): string {
+  return `${service}\n${toVersion}`
+}
+
+function pinnedSessions (pins: readonly RollOutPins[]): ReadonlyMap<string, ReadonlySet<string>> {
+  const all = new Map<string, Set<string>>()
+  for (const pin of pins) {
+    const key = rollOutKey(pin)
+    all.set(key, new Set([...all.get(key) ?? [], ...pin.sessions]))
+  }
+  return all
+}
--- a/src/placing/rollOutExposure.ts
+++ b/src/placing/rollOutExposure.ts
@@ -44,17 +44,26 @@
   readonly toVersion: string
   /** Part of the roll-out's duration that has passed; undefined before its start. */
   readonly progress: number | undefined
+  /** Sessions that some daemon served on the old version before the start. */
+  readonly pinned: ReadonlySet<string>
+}
+
+/** A session as it was last served. */
+interface KnownSession {
+  /** The version that a roll-out moved it to; undefined on a service's usual versions. */
+  readonly movedTo: string | undefined
+  readonly at: number
 }
 
 /**
  * Chooses the version of each session.
  *
  * @example
- * const able = versions.choose(endpoints, { toVersion: 'v2', progress: 0.1 }, 'session-7', now)
+ * const able = versions.choose(endpoints, { toVersion: 'v2', progress: 0.1, pinned }, 'session-7', key, now)
  */
 export class VersionChoice {
   readonly #sessionMilliseconds: number
-  readonly #sessions = new Map<string, { readonly isNew: boolean, readonly at: number }>()
+  readonly #sessions = new Map<string, KnownSession>()
 
   /** @param sessionMilliseconds within which requests of a session belong together */
   constructor (sessionMilliseconds: number) {
@@ -64,31 +73,57 @@
   /**
    * The endpoints of the version that a request takes.
    *
+   * @param split undefined while no roll-out is ordered
    * @param session undefined for a request without one; `key` then stands for it
    */
-  choose (endpoints: readonly RoutedEndpoint[], split: VersionSplit, session: string | undefined, key: string, now: number): readonly RoutedEndpoint[] {
+  choose (endpoints: readonly RoutedEndpoint[], split: VersionSplit | undefined, session: string | undefined, key: string, now: number): readonly RoutedEndpoint[] {
+    if (split === undefined) {
+      this.#remember(session, undefined, now)
+      return endpoints
+    }
     const old = endpoints.filter(endpoint => endpoint.version !== split.toVersion)
     const fresh = endpoints.filter(endpoint => endpoint.version === split.toVersion)
     if (old.length === 0) return fresh
-    if (fresh.length === 0) return old
+    if (fresh.length === 0) {
+      this.#remember(session, undefined, now)
+      return old
+    }
     const isNew = this.#takesNew(split, session, key, now)
-    if (session !== undefined) this.#remember(session, isNew, now)
+    this.#remember(session, isNew ? split.toVersion : undefined, now)
     return isNew ? fresh : old
   }
 
-  #takesNew ({ toVersion, progress }: VersionSplit, session: string | undefined, key: string, now: number): boolean {
+  /** Sessions that live on the old version and that a roll-out's first share would move. */
+  pinnedBy (toVersion: string, now: number): readonly string[] {
+    const live = [...this.#sessions].filter(([session, known]) =>
+      known.movedTo !== toVersion && this.#isLive(known, now) && isInShare(toVersion, session, exposureOf(0)))
+    return live.map(([session]) => session)
+  }
+
+  #takesNew ({ toVersion, progress, pinned }: VersionSplit, session: string | undefined, key: string, now: number): boolean {
     if (progress === undefined) return false
-    const isInShare = hashOf(`${toVersion}\n${session ?? key}`) < exposureOf(progress)
-    const known = session === undefined ? undefined : this.#sessions.get(session)
-    const isFresh = known !== undefined && now - known.at <= this.#sessionMilliseconds
-    if (!isFresh) return isInShare
-    return known.isNew || (progress >= pinnedUntil && isInShare)
+    const isDue = isInShare(toVersion, session ?? key, exposureOf(progress))
+    if (session === undefined) return isDue
+    const known = this.#sessions.get(session)
+    const isLive = known !== undefined && this.#isLive(known, now)
+    if (isLive && known.movedTo === toVersion) return true
+    if (progress >= pinnedUntil) return isDue
+    return isDue && !isLive && !pinned.has(session)
   }
 
-  #remember (session: string, isNew: boolean, now: number): void {
+  #isLive (known: KnownSession, now: number): boolean {
+    return now - known.at <= this.#sessionMilliseconds
+  }
+
+  #remember (session: string | undefined, movedTo: string | undefined, now: number): void {
+    if (session === undefined) return
     this.#sessions.delete(session)
-    this.#sessions.set(session, { isNew, at: now })
+    this.#sessions.set(session, { movedTo, at: now })
     const [oldest] = this.#sessions.keys()
     if (this.#sessions.size > mostSessions && oldest !== undefined) this.#sessions.delete(oldest)
   }
 }
+
+function isInShare (toVersion: string, session: string, share: number): boolean {
+  return hashOf(`${toVersion}\n${session}`) < share
+}
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -8,5 +8,5 @@
 } from './routingSettings.ts'
 export { RouteTable } from './routeTable.ts'
 export { type RoutedEndpoint, instanceKey } from './routedEndpoint.ts'
-export { type RollOutOrder, RollOutState, type RollOutStatus, type RollOutEvidence } from './rollOut.ts'
+export { type RollOutOrder, RollOutState, type RollOutStatus, type RollOutPins, type RollOutEvidence } from './rollOut.ts'
 export { type PromptPart, type CallerHead, type AnswerHead, type AttemptHead, type HeaderCodec, type HeaderMap } from './heads.ts'
--- a/src/routing/rollOut.ts
+++ b/src/routing/rollOut.ts
@@ -25,6 +25,15 @@
   readonly startedAt: number | undefined
 }
 
+/** Sessions that one daemon keeps on the old version while a new one shows itself in a small share. */
+export interface RollOutPins {
+  readonly service: string
+  readonly toVersion: string
+  /** The daemon that served them before the roll-out began. */
+  readonly observer: string
+  readonly sessions: readonly string[]
+}
+
 /** Answers of a version that one daemon has seen since a roll-out began. */
 export interface RollOutEvidence {
   readonly service: string
--- a/test/forwarder.test.ts
+++ b/test/forwarder.test.ts
@@ -288,6 +288,25 @@
   expect(world.store.read('status', 'rollout/engines')).toMatchObject({ to: 'v2' })
 }, 30_000)
 
+test('a session that one gateway served before a roll-out stays on the old version at every gateway', async () => {
+  const old = await world.endpoint('ledger')
+  const first = await readyHost()
+  const second = await readyHost()
+  const sessions = Array.from({ length: 60 }, (_, index) => `session-${index}`)
+  const callAll = async (host: string) => await Promise.all(sessions.map(session => world.call(host, '/release/1', { headers: { session } })))
+  await callAll(first)
+  const fresh = await world.endpoint('ledger', { version: 'v2' })
+  world.store.put('op', 'rollout/ledger', { backend: 'ledger', to: 'v2', duration_s: 40 })
+  await until(() => world.store.read('status', `pins/ledger/edge-${first}`) !== undefined)
+  await new Promise(resolve => setTimeout(resolve, 300))
+  await callAll(second)
+  expect(fresh.received).toEqual([])
+  expect(old.received.length).toBe(2 * sessions.length)
+  const later = Array.from({ length: 60 }, (_, index) => `later-${index}`)
+  for (const session of later) await world.call(second, '/release/1', { headers: { session } })
+  expect(fresh.received.length).toBeGreaterThan(0)
+}, 30_000)
+
 test('a planned stop lets a running request end, tells callers to close and is not ready meanwhile', async () => {
   const ledger = await world.endpoint('ledger')
   ledger.behave((_request, response) => { setTimeout(() => response.end('done'), 500) })
--- a/test/placing.test.ts
+++ b/test/placing.test.ts
@@ -206,7 +206,7 @@
 test('a session that began on the old version stays with it in the first half, and never turns back from the new one', () => {
   const versions = new VersionChoice(5_000)
   const endpoints = [endpoint('old'), endpoint('new', { version: 'v2' })]
-  const versionOf = (session: string, progress: number | undefined, now: number) => versions.choose(endpoints, { toVersion: 'v2', progress }, session, session, now)[0]?.version
+  const versionOf = (session: string, progress: number | undefined, now: number) => versions.choose(endpoints, { toVersion: 'v2', progress, pinned: new Set() }, session, session, now)[0]?.version
   const sessions = Array.from({ length: 300 }, (_, index) => `session-${index}`)
   for (const session of sessions) expect(versionOf(session, undefined, 0)).toBe('v1')
   for (const session of sessions) expect(versionOf(session, 0.1, 1_000)).toBe('v1')
@@ -258,12 +258,35 @@
 test('a session that one daemon keeps on the old version is kept there by the daemon that it moves to', () => {
   const endpoints = [endpoint('old'), endpoint('new', { version: 'v2' })]
   const [first, second] = [new VersionChoice(5_000), new VersionChoice(5_000)]
+  let pinned: ReadonlySet<string> = new Set()
   const versionAt = (daemon: VersionChoice, session: string, progress: number | undefined, now: number) =>
-    daemon.choose(endpoints, { toVersion: 'v2', progress }, session, session, now)[0]?.version
+    daemon.choose(endpoints, { toVersion: 'v2', progress, pinned }, session, session, now)[0]?.version
   const moved = Array.from({ length: 200 }, (_, index) => `session-${index}`).filter(session => {
     versionAt(first, session, undefined, 0)
+    pinned = new Set(first.pinnedBy('v2', 500))
     const before = versionAt(first, session, 0.1, 1_000)
     return versionAt(second, session, 0.2, 2_000) !== before
   })
   expect(moved).toEqual([])
 })
+
+test('a session that was served before a roll-out was ordered stays on the old version in the first half', () => {
+  const versions = new VersionChoice(5_000)
+  const old = [endpoint('old')]
+  const both = [...old, endpoint('new', { version: 'v2' })]
+  const sessions = Array.from({ length: 200 }, (_, index) => `session-${index}`)
+  for (const session of sessions) versions.choose(old, undefined, session, session, 0)
+  const split = { toVersion: 'v2', progress: 0.1, pinned: new Set<string>() }
+  const taken = sessions.map(session => versions.choose(both, split, session, session, 2_000)[0]?.version)
+  expect(new Set(taken)).toEqual(new Set(['v1']))
+})
+
+test('only sessions that the first share would move are told to other daemons, and none that ended before', () => {
+  const versions = new VersionChoice(5_000)
+  const sessions = Array.from({ length: 400 }, (_, index) => `session-${index}`)
+  for (const session of sessions) versions.choose([endpoint('old')], undefined, session, session, 0)
+  const pinned = versions.pinnedBy('v2', 1_000)
+  expect(pinned.length).toBeGreaterThan(10)
+  expect(pinned.length).toBeLessThan(70)
+  expect(versions.pinnedBy('v2', 6_000)).toEqual([])
+})
