Leave a silent stream to its engine where no other could go on

Ruled out: longer silences for all, for a run that another engine can take over should move soon.

Change: a silent run is given up only where another attempt is left, the route resumes, the allowance allows it and an endpoint can take it.

Seen to fail first: the test of a silent engine without another.

--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -222,10 +222,17 @@
         objectiveMilliseconds,
         pauseMilliseconds
       }
-      if (isLost(silence)) return undefined
+      if (isLost(silence) && this.#canGoOnElsewhere()) return undefined
     }
   }
 
+  /** Whether giving the present run up leaves the caller another; a silent run may still answer. */
+  #canGoOnElsewhere (): boolean {
+    const { attemptsLeft, parts, route, service, now } = this.#forward
+    if (attemptsLeft < 2 || !route.resumable || !parts.allowance.allows(service, now)) return false
+    return this.#forward.place(this.#model) !== undefined
+  }
+
   #broken (attempt: OpenAttempt, reason: string, end: WorkEnd = this.#forward.lossOf(attempt, reason === silentReason)): RunEnd {
     const forward = this.#forward
     attempt.exchange.giveUp(reason)
--- a/test/forwarder.test.ts
+++ b/test/forwarder.test.ts
@@ -162,6 +162,19 @@
   expect(await world.call(host, '/query/1', { body: 'q', headers: streamHeaders })).toMatchObject({ body: allEvents(3), isWhole: true })
 })
 
+test('a stream whose engine falls silent is left to it where no other engine could go on', async () => {
+  const engine = await world.endpoint('engines')
+  engine.behave((_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90 })
+    response.write(event(1))
+    setTimeout(() => { response.end(event(2)) }, 1_200)
+  })
+  const host = await readyHost()
+  const answer = await world.call(host, '/query/1', { body: 'q', headers: streamHeaders })
+  expect(answer).toMatchObject({ status: 200, body: allEvents(2), isWhole: true })
+  expect(engine.received).toHaveLength(1)
+})
+
 test('a stream that nobody can carry on does not look whole', async () => {
   const engine = await world.endpoint('engines')
   engine.behave((_request, response) => {
