Let a few gateways follow the store for a large fleet

Ruled out: longer waits alone, for a silent feed must be noticed before the bound on new settings; fewer tables alone, a third at most; a tree of relays, for it adds a step and a failure where two relays carry 90.

Change: in fleets of 16 and more gateways ask one of two of the seeds for what changed in all tables (one message, held for a second), and their own feeds rest. A relay says how long ago the store vouched for its tables; one that is silent, or older than half of the time that settings may take, is left for the store at once. Who is asked follows the store itself, with shorter waits. Small fleets go on as before.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -7,7 +7,7 @@
 import { TcpLink } from '../link/index.ts'
 import { LineQueue, Log, descriptorSink } from '../observe/index.ts'
 import { EndpointLoads, EndpointPlacement, EndpointRoster, ModelSizes, RepeatAllowance, VersionChoice } from '../placing/index.ts'
-import { PeerReplicas, ReplicaFollower } from '../replica/index.ts'
+import { PeerReplicas, RelayFollower, ReplicaFollower, ReplicaRelay, usualFeedWaitMilliseconds } from '../replica/index.ts'
 import { RowRollOutStore } from './rollOutStore.ts'
 import { RowIntake } from './rowIntake.ts'
 
@@ -17,6 +17,13 @@
 /** A connection to an endpoint stands within this, or the endpoint counts as out of reach. */
 const connectMilliseconds = 450
 const standardOutput = 1
+/** From this many gateways on, most follow the store through a few. */
+const relayedFleet = 16
+/** The store must have vouched for a relay's tables within this part of the time that new settings may take. */
+const freshShare = 0.5
+/** Of that time, what a call to the store may take besides its wait. */
+const relayFeedGraceMilliseconds = 600
+const leastRelayWaitMilliseconds = 300
 
 /** The boot file in force; a reload replaces it. */
 export interface BootHolder {
@@ -36,6 +43,8 @@
   readonly link: TcpLink
   readonly follower: ReplicaFollower
   readonly peers: PeerReplicas
+  readonly relay: ReplicaRelay
+  readonly relayFollower: RelayFollower
   readonly routing: RoutingView
   readonly roster: EndpointRoster
   readonly loads: EndpointLoads
@@ -73,6 +82,8 @@
     link: single(makeLink),
     follower: single(makeFollower),
     peers: single(makePeers),
+    relay: single(({ link, follower, clock }) => new ReplicaRelay({ link, follower, tables: followedTables, clock })),
+    relayFollower: single(makeRelayFollower),
     routing: single(() => new RoutingView()),
     roster: single(() => new EndpointRoster()),
     loads: single(() => new EndpointLoads()),
@@ -99,13 +110,38 @@
   return new ReplicaFollower({
     feed: store,
     tables: followedTables,
+    feedWaitMilliseconds: () => parts.relay.isAsked
+      ? Math.max(leastRelayWaitMilliseconds, freshMilliseconds(parts) - relayFeedGraceMilliseconds)
+      : usualFeedWaitMilliseconds,
     clock,
     randomness,
     log,
-    onChange: (table, replica) => parts.intake.take(table, replica)
+    onChange: (table, replica) => {
+      parts.intake.take(table, replica)
+      parts.relay.changed()
+    }
+  })
+}
+
+function makeRelayFollower (parts: ForwarderParts): RelayFollower {
+  const { link, follower, relay, peers, clock, log, boot } = parts
+  return new RelayFollower({
+    link,
+    follower,
+    relay,
+    tables: followedTables,
+    relays: () => boot.current.seeds,
+    isWorthwhile: () => peers.fleetSize >= relayedFleet,
+    freshMilliseconds: freshMilliseconds(parts),
+    clock,
+    log
   })
 }
 
+function freshMilliseconds ({ boot }: ForwarderParts): number {
+  return boot.current.settingsMilliseconds * freshShare
+}
+
 function makePeers ({ link, follower, clock, randomness, log, boot }: ForwarderParts): PeerReplicas {
   return new PeerReplicas({ link, follower, clock, randomness, log, tables: followedTables, seeds: () => boot.current.seeds })
 }
--- a/src/forwarder/forwarder.ts
+++ b/src/forwarder/forwarder.ts
@@ -25,7 +25,7 @@
 
   /** Starts serving; it is ready once its tables are read. */
   async start (): Promise<Result<void, string>> {
-    const { boot, follower, peers, duty, gateway, link, log, operations } = this.#container.cradle
+    const { boot, follower, peers, relayFollower, duty, gateway, link, log, operations } = this.#container.cradle
     const { callerAddress, readyAddress, peerAddress, name } = boot.current
     log.info('started', { process: process.pid, callers: callerAddress, peers: peerAddress, node: process.version })
     follower.start()
@@ -39,6 +39,7 @@
       return Err(`${name} can't listen: ${error instanceof Error ? error.message : String(error)}`)
     }
     peers.start()
+    relayFollower.start()
     duty.start()
     this.#watch().catch(error => log.error('boot_file_watch_failed', { reason: String(error) }))
     return Ok(undefined)
@@ -58,12 +59,13 @@
 
   /** A planned stop: every request that was taken ends. */
   async stop (): Promise<void> {
-    const { boot, duty, follower, gateway, lines, link, log, operations, peers, store, connections, forwarding } = this.#container.cradle
+    const { boot, duty, follower, gateway, lines, link, log, operations, peers, relayFollower, store, connections, forwarding } = this.#container.cradle
     log.info('stopping', { inFlight: forwarding.inFlight, graceMilliseconds: boot.current.graceMilliseconds })
     this.#stopping.abort('stopping')
     duty.stop()
     await gateway.drain(boot.current.graceMilliseconds - graceReserveMilliseconds)
     peers.stop()
+    relayFollower.stop()
     follower.stop()
     operations.close()
     log.info('stopped', {})
--- a/src/replica/peerReplicas.ts
+++ b/src/replica/peerReplicas.ts
@@ -7,6 +7,7 @@
 import type { Clock, Randomness } from '../contract/index.ts'
 import type { Link, MessageType, Peer } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
+import { rowSchema } from './relayMessage.ts'
 import type { ReplicaFollower } from './replicaFollower.ts'
 
 /** How often peers are asked while the store is out. */
@@ -15,10 +16,11 @@
 const peersAsked = 2
 const replyMilliseconds = 1_000
 const introductionRetryMilliseconds = 2_000
+/** Introductions are repeated so often, to learn of gateways that came since. */
+const introductionMilliseconds = 15_000
 /** Peers remembered; a daemon that is cut off needs a few that are not. */
 const mostPeers = 64
 
-const rowSchema = z.object({ key: z.string(), version: z.number(), bytes: z.custom<Uint8Array>(value => value instanceof Uint8Array).optional() })
 const versionsSchema = z.record(z.string(), z.number())
 const replySchema = z.object({
   tables: z.array(z.object({ table: z.string(), version: z.number(), rows: z.array(rowSchema) })),
@@ -63,7 +65,7 @@
   /** Introduces this daemon to the seeds, then asks peers whenever the store is out; returns at once. */
   start (): void {
     const logFailure = (error: unknown) => this.#options.log.error('peer_replicas_failed', { reason: String(error) })
-    this.#introduce().catch(logFailure)
+    this.#introduceAgain().catch(logFailure)
     this.#askWhileCutOff().catch(logFailure)
   }
 
@@ -71,6 +73,18 @@
     this.#stopping.abort()
   }
 
+  /** Gateways known, this one included; no more than are remembered. */
+  get fleetSize (): number {
+    return this.#peers.size + 1
+  }
+
+  async #introduceAgain (): Promise<void> {
+    while (!this.#stopping.signal.aborted) {
+      await this.#introduce()
+      await this.#options.clock.sleep(introductionMilliseconds, this.#stopping.signal)
+    }
+  }
+
   async #introduce (): Promise<void> {
     const waiting = new Set(this.#seeds().map(peer => peer.address))
     while (waiting.size > 0 && !this.#stopping.signal.aborted) {
--- /dev/null
+++ b/src/replica/relayMessage.ts
@@ -0,0 +1,36 @@
+/** What gateways tell each other when one follows the store for others. */
+import { z } from 'zod'
+import type { MessageType } from '../link/index.ts'
+
+/** A row as it is told to a peer. */
+export const rowSchema = z.object({
+  key: z.string(),
+  version: z.number(),
+  bytes: z.custom<Uint8Array>(value => value instanceof Uint8Array).optional()
+})
+
+const questionSchema = z.object({
+  /** The version of each table that the asker has. */
+  versions: z.record(z.string(), z.number()),
+  /** How long the answer may wait for something to change. */
+  waitMilliseconds: z.number().nonnegative()
+})
+const newsSchema = z.object({
+  tables: z.array(z.object({
+    table: z.string(),
+    version: z.number(),
+    /** Whether `rows` are the whole table; otherwise what changed, rows without bytes being deleted. */
+    isWhole: z.boolean(),
+    rows: z.array(rowSchema).readonly()
+  })),
+  /** Milliseconds since the store last vouched for the stalest of the tables. */
+  ageMilliseconds: z.number(),
+  /** The store's steady clock; undefined where it was never heard. */
+  storeTime: z.number().optional()
+})
+
+export type RelayQuestion = z.infer<typeof questionSchema>
+export type RelayNews = z.infer<typeof newsSchema>
+
+/** Asks for what changed in all tables since the versions named. */
+export const relayedNews: MessageType<RelayQuestion, RelayNews> = { name: 'relayed_news', body: questionSchema, reply: newsSchema }
--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -6,10 +6,10 @@
 import { type Clock, type Randomness, type Result, Err, within } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
 import { FeedFailure, type TableChanges, type TableFeed, type TableSnapshot } from './contract.ts'
-import { TableReplica } from './tableReplica.ts'
+import { type ReplicaChanges, TableReplica } from './tableReplica.ts'
 
 /** The store may hold a call so long; it bounds how long a silent connection goes unnoticed. */
-const feedWaitMilliseconds = 3_000
+export const usualFeedWaitMilliseconds = 3_000
 /** Beyond the wait: the way there and back, and a store that answers fifty times as slowly as usual. */
 const feedGraceMilliseconds = 900
 const snapshotMilliseconds = 2_500
@@ -17,11 +17,15 @@
 const gapMilliseconds = 50
 const firstRetryMilliseconds = 100
 const longestRetryMilliseconds = 1_000
+/** How often a resting feed looks whether it is to go on. */
+const restMilliseconds = 100
 
 /** What a follower is made of. */
 export interface ReplicaFollowerOptions {
   readonly feed: TableFeed
   readonly tables: readonly string[]
+  /** How long the store may hold a call now. */
+  readonly feedWaitMilliseconds?: () => number
   readonly clock: Clock
   readonly randomness: Randomness
   readonly log: Log
@@ -35,6 +39,8 @@
   readonly #replicas = new Map<string, TableReplica>()
   readonly #failingSince = new Map<string, number>()
   readonly #stopping = new AbortController()
+  readonly #heardAt = new Map<string, number>()
+  #isResting = false
   #regainedAt = Number.NEGATIVE_INFINITY
   #storeClock: { readonly storeTime: number, readonly heardAt: number } | undefined
 
@@ -58,6 +64,20 @@
     return this.#regainedAt
   }
 
+  /** Whether every table was read. */
+  get isComplete (): boolean {
+    return this.#options.tables.every(table => this.replica(table).isKnown)
+  }
+
+  /** When the store last vouched for the stalest table, on this process's clock. */
+  get heardAt (): number {
+    return Math.min(...this.#options.tables.map(table => this.#heardAt.get(table) ?? Number.NEGATIVE_INFINITY))
+  }
+
+  get ageMilliseconds (): number {
+    return this.#options.clock.now() - this.heardAt
+  }
+
   /** The store's steady clock now, in milliseconds; undefined before its first answer. */
   get storeTime (): number | undefined {
     if (this.#storeClock === undefined) return undefined
@@ -88,10 +108,42 @@
     return true
   }
 
+  /** Leaves the feeds, for a relay tells what they would. */
+  rest (): void {
+    this.#isResting = true
+  }
+
+  /** Follows the feeds again. */
+  resume (): void {
+    this.#isResting = false
+  }
+
+  /**
+   * Takes in what a relay tells of a table.
+   *
+   * @param heardAt when the store vouched for it, on this process's clock
+   */
+  takeRelayed (table: string, changes: ReplicaChanges & { readonly version: number }, heardAt: number): void {
+    const known = this.replica(table)
+    const next = changes.isWhole ? known.replacedBy(changes) : known.changedBy(changes)
+    this.#heardAt.set(table, Math.max(heardAt, this.#heardAt.get(table) ?? heardAt))
+    this.#regained(table)
+    if (next !== known) this.#install(table, next, changes.isWhole || changes.rows.length > 0)
+  }
+
+  /** Sets the store's steady clock as a relay tells it. */
+  setStoreTime (storeTime: number): void {
+    this.#storeClock = { storeTime, heardAt: this.#options.clock.now() }
+  }
+
   async #follow (table: string): Promise<void> {
     let retryMilliseconds = firstRetryMilliseconds
     let mustReadWhole = true
     while (!this.#stopping.signal.aborted) {
+      if (this.#isResting) {
+        await this.#options.clock.sleep(restMilliseconds, this.#stopping.signal)
+        continue
+      }
       const step: Result<TableChanges, FeedFailure> = mustReadWhole ? await this.#readWhole(table) : await this.#readChanges(table)
       if (step.ok) {
         mustReadWhole = step.val.hasGap
@@ -109,21 +161,21 @@
   async #readWhole (table: string): Promise<Result<TableChanges, FeedFailure>> {
     const snapshot = await this.#bounded(this.#options.feed.snapshot(table), snapshotMilliseconds)
     if (snapshot.err) return snapshot
-    this.#heard(snapshot.val)
+    this.#heard(table, snapshot.val)
     this.adopt(table, snapshot.val)
     return snapshot.map(value => ({ ...value, hasGap: false }))
   }
 
   async #readChanges (table: string): Promise<Result<TableChanges, FeedFailure>> {
     const asked = this.replica(table)
-    const changes = await this.#bounded(
-      this.#options.feed.changes(table, asked.version, feedWaitMilliseconds), feedWaitMilliseconds + feedGraceMilliseconds)
+    const wait = this.#options.feedWaitMilliseconds?.() ?? usualFeedWaitMilliseconds
+    const changes = await this.#bounded(this.#options.feed.changes(table, asked.version, wait), wait + feedGraceMilliseconds)
     if (changes.err) return changes
     if (changes.val.hasGap) {
       this.#options.log.warn('replica_gap', { table, version: asked.version })
       return changes
     }
-    this.#heard(changes.val)
+    this.#heard(table, changes.val)
     // A peer's newer copy may have been taken in meanwhile; older changes then add nothing.
     const known = this.replica(table)
     const next = known.changedBy(changes.val)
@@ -141,8 +193,9 @@
     return await within(clock, clock.now() + milliseconds, work) ?? Err(new FeedFailure(`no answer within ${milliseconds} ms`))
   }
 
-  #heard ({ storeTime }: TableSnapshot): void {
-    this.#storeClock = { storeTime, heardAt: this.#options.clock.now() }
+  #heard (table: string, { storeTime }: TableSnapshot): void {
+    this.#heardAt.set(table, this.#options.clock.now())
+    this.setStoreTime(storeTime)
   }
 
   #lost (table: string, failure: FeedFailure): void {
--- a/src/replica/tableReplica.ts
+++ b/src/replica/tableReplica.ts
@@ -7,18 +7,33 @@
 
 /** Below every version of the store, whose counter begins at 0. */
 const unknownVersion = -1
+/** Deletions remembered for those who follow this copy. */
+const mostDeletions = 1_000
+
+/** What changed since a version. */
+export interface ReplicaChanges {
+  /** Whether `rows` are the whole table; otherwise what changed, rows without bytes being deleted. */
+  readonly isWhole: boolean
+  readonly rows: readonly FeedRow[]
+}
 
 /** A table's rows as of one version of the store. */
 export class TableReplica {
   /** Nothing is known of the table. */
-  static readonly unknown = new TableReplica(unknownVersion, new Map())
+  static readonly unknown = new TableReplica(unknownVersion, new Map(), unknownVersion, new Map())
 
   readonly version: number
   readonly rows: ReadonlyMap<string, FeedRow>
 
-  private constructor (version: number, rows: ReadonlyMap<string, FeedRow>) {
+  /** From here on, all deletions are remembered. */
+  readonly #wholeAt: number
+  readonly #deletions: ReadonlyMap<string, number>
+
+  private constructor (version: number, rows: ReadonlyMap<string, FeedRow>, wholeAt: number, deletions: ReadonlyMap<string, number>) {
     this.version = version
     this.rows = rows
+    this.#wholeAt = wholeAt
+    this.#deletions = deletions
   }
 
   /** Whether the table was ever read. */
@@ -36,7 +51,7 @@
   replacedBy (snapshot: Pick<TableSnapshot, 'rows' | 'version'>): TableReplica {
     if (snapshot.version <= this.version) return this
     const rows = snapshot.rows.filter(row => row.bytes !== undefined)
-    return new TableReplica(snapshot.version, new Map(rows.map(row => [row.key, row])))
+    return new TableReplica(snapshot.version, new Map(rows.map(row => [row.key, row])), snapshot.version, new Map())
   }
 
   /**
@@ -47,16 +62,37 @@
    */
   changedBy (changes: Pick<TableSnapshot, 'rows' | 'version'>): TableReplica {
     if (changes.version < this.version) return this
-    if (changes.rows.length === 0) return new TableReplica(changes.version, this.rows)
+    if (changes.rows.length === 0) return new TableReplica(changes.version, this.rows, this.#wholeAt, this.#deletions)
     const rows = new Map(this.rows)
-    for (const row of changes.rows) applyRow(rows, row)
-    return new TableReplica(changes.version, rows)
+    const deletions = new Map(this.#deletions)
+    for (const row of changes.rows) applyRow(rows, deletions, row)
+    const isFull = deletions.size > mostDeletions
+    return new TableReplica(changes.version, rows, isFull ? changes.version : this.#wholeAt, isFull ? new Map() : deletions)
+  }
+
+  /**
+   * What a copy of an older version lacks.
+   *
+   * @example
+   * const { rows, isWhole } = replica.changesSince(peer.version)
+   */
+  changesSince (version: number): ReplicaChanges {
+    if (version >= this.version) return { isWhole: false, rows: [] }
+    if (version < this.#wholeAt) return { isWhole: true, rows: [...this.rows.values()] }
+    const written = [...this.rows.values()].filter(row => row.version > version)
+    const deleted = [...this.#deletions].filter(([, deletedAt]) => deletedAt > version)
+    return { isWhole: false, rows: [...written, ...deleted.map(([key, deletedAt]) => ({ key, version: deletedAt, bytes: undefined }))] }
   }
 }
 
-function applyRow (rows: Map<string, FeedRow>, row: FeedRow): void {
+function applyRow (rows: Map<string, FeedRow>, deletions: Map<string, number>, row: FeedRow): void {
   const known = rows.get(row.key)
   if (known !== undefined && known.version > row.version) return
-  if (row.bytes === undefined) rows.delete(row.key)
-  else rows.set(row.key, row)
+  if (row.bytes === undefined) {
+    rows.delete(row.key)
+    deletions.set(row.key, row.version)
+    return
+  }
+  rows.set(row.key, row)
+  deletions.delete(row.key)
 }
