Follow roll-outs only while one stands, and let gateways know of each other sooner

Change: gateways keep to one relay and come back to one that was only stale after two seconds; introductions are repeated after 1.5 s and then twice as long; the status table is followed while an order stands unfinished. A feed that nobody asks no longer counts as lost.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -110,6 +110,7 @@
   return new ReplicaFollower({
     feed: store,
     tables: followedTables,
+    isNeeded: table => table !== Table.Status || parts.rollOuts.isUnderWay,
     feedWaitMilliseconds: () => parts.relay.isAsked
       ? Math.max(leastRelayWaitMilliseconds, freshMilliseconds(parts) - relayFeedGraceMilliseconds)
       : usualFeedWaitMilliseconds,
--- a/src/gateway/rollOutView.ts
+++ b/src/gateway/rollOutView.ts
@@ -61,6 +61,14 @@
     return status?.toVersion === order.toVersion ? status : undefined
   }
 
+  /** Whether an order stands that is neither complete nor reverted. */
+  get isUnderWay (): boolean {
+    return this.orders.some(order => {
+      const state = this.statusOf(order)?.state
+      return state === undefined || state === RollOutState.Running
+    })
+  }
+
   /** The part of a roll-out's duration that has passed; undefined before its start is known. */
   progressOf (order: RollOutOrder): number | undefined {
     const startedAt = this.statusOf(order)?.startedAt
--- a/src/replica/peerReplicas.ts
+++ b/src/replica/peerReplicas.ts
@@ -16,8 +16,9 @@
 const peersAsked = 2
 const replyMilliseconds = 1_000
 const introductionRetryMilliseconds = 2_000
-/** Introductions are repeated so often, to learn of gateways that came since. */
-const introductionMilliseconds = 15_000
+/** Introductions are repeated, to learn of gateways that came since, after this and then twice as long each time. */
+const firstIntroductionMilliseconds = 1_500
+const longestIntroductionMilliseconds = 60_000
 /** Peers remembered; a daemon that is cut off needs a few that are not. */
 const mostPeers = 64
 
@@ -79,9 +80,11 @@
   }
 
   async #introduceAgain (): Promise<void> {
+    let pause = firstIntroductionMilliseconds
     while (!this.#stopping.signal.aborted) {
       await this.#introduce()
-      await this.#options.clock.sleep(introductionMilliseconds, this.#stopping.signal)
+      await this.#options.clock.sleep(pause, this.#stopping.signal)
+      pause = Math.min(longestIntroductionMilliseconds, pause * 2)
     }
   }
 
@@ -92,7 +95,7 @@
         if (await this.#ask({ name: '', address }, {})) waiting.delete(address)
       })
       await Promise.all(asked)
-      await this.#options.clock.sleep(introductionRetryMilliseconds, this.#stopping.signal)
+      if (waiting.size > 0) await this.#options.clock.sleep(introductionRetryMilliseconds, this.#stopping.signal)
     }
   }
 
--- a/src/replica/relayFollower.ts
+++ b/src/replica/relayFollower.ts
@@ -17,8 +17,10 @@
 const waitMilliseconds = 1_000
 /** Beyond the wait: the way there and back between regions, and a busy relay. */
 const answerMilliseconds = 400
-/** A relay that failed is not asked again for so long. */
-const avoidedMilliseconds = 5_000
+/** A relay that did not answer is not asked again for so long. */
+const silentAvoidedMilliseconds = 5_000
+/** The same for one that had not heard the store: its feeds may just have begun to be short. */
+const staleAvoidedMilliseconds = 2_000
 const idleMilliseconds = 500
 /** Between questions, so that changes in quick succession come together. */
 const gatherMilliseconds = 100
@@ -77,9 +79,10 @@
   #choose (): string | undefined {
     const { clock, follower, isWorthwhile, link, relay, relays } = this.#options
     if (!isWorthwhile() || relay.isAsked || !follower.isComplete) return undefined
-    const able = relays().filter(address => address !== link.self.address && (this.#avoidedUntil.get(address) ?? 0) <= clock.now())
-    const usual = able.slice(0, usualRelays)
-    return usual[Math.floor(hashOf(link.self.name) * usual.length)]
+    const others = relays().filter(address => address !== link.self.address)
+    const own = Math.floor(hashOf(link.self.name) * Math.min(usualRelays, others.length))
+    const ordered = [...others.slice(own), ...others.slice(0, own)]
+    return ordered.find(address => (this.#avoidedUntil.get(address) ?? 0) <= clock.now())
   }
 
   async #ask (address: string): Promise<boolean> {
@@ -94,7 +97,7 @@
       return true
     }
     const reason = news.err ? news.val.reason : `the store was last heard ${Math.round(news.val.ageMilliseconds)} ms ago`
-    this.#avoidedUntil.set(address, clock.now() + avoidedMilliseconds)
+    this.#avoidedUntil.set(address, clock.now() + (news.err ? silentAvoidedMilliseconds : staleAvoidedMilliseconds))
     this.#options.log.info('relay_left', { relay: address, reason })
     return false
   }
--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -24,6 +24,8 @@
 export interface ReplicaFollowerOptions {
   readonly feed: TableFeed
   readonly tables: readonly string[]
+  /** Whether a table that was read is to be followed now; all are by default. */
+  readonly isNeeded?: (table: string) => boolean
   /** How long the store may hold a call now. */
   readonly feedWaitMilliseconds?: () => number
   readonly clock: Clock
@@ -69,9 +71,10 @@
     return this.#options.tables.every(table => this.replica(table).isKnown)
   }
 
-  /** When the store last vouched for the stalest table, on this process's clock. */
+  /** When the store last vouched for the stalest table that is followed, on this process's clock. */
   get heardAt (): number {
-    return Math.min(...this.#options.tables.map(table => this.#heardAt.get(table) ?? Number.NEGATIVE_INFINITY))
+    const followed = this.#options.tables.filter(table => this.#isFollowed(table))
+    return Math.min(...followed.map(table => this.#heardAt.get(table) ?? Number.NEGATIVE_INFINITY))
   }
 
   get ageMilliseconds (): number {
@@ -140,7 +143,9 @@
     let retryMilliseconds = firstRetryMilliseconds
     let mustReadWhole = true
     while (!this.#stopping.signal.aborted) {
-      if (this.#isResting) {
+      if (this.#isResting || !this.#isFollowed(table)) {
+        // Whatever the feed last met says nothing while nobody asks it.
+        this.#failingSince.delete(table)
         await this.#options.clock.sleep(restMilliseconds, this.#stopping.signal)
         continue
       }
@@ -158,6 +163,10 @@
     }
   }
 
+  #isFollowed (table: string): boolean {
+    return !this.replica(table).isKnown || this.#options.isNeeded?.(table) !== false
+  }
+
   async #readWhole (table: string): Promise<Result<TableChanges, FeedFailure>> {
     const snapshot = await this.#bounded(this.#options.feed.snapshot(table), snapshotMilliseconds)
     if (snapshot.err) return snapshot
