Have all gateways tell what they saw before a version is reverted

Ruled out: higher shares, for the bias grows with the fleet; telling every answer, for that costs 90 writes a second.

Change: what speaks against a version first makes a suspicion; under it each gateway also tells answers of which none were bad, and it becomes a verdict if it outlives 1.3 s of that.

Seen to fail first: a fleet of 60 gateways over a shared store reverts a sound version with 8 % slow answers. Versions that fail 40 % or are slow in 60 % of their answers are reverted within 6 s, before and after.

--- a/src/gateway/rollOutDuty.ts
+++ b/src/gateway/rollOutDuty.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Randomness } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
-import { canComplete, type VersionChoice } from '../placing/index.ts'
+import { canComplete, isWorthTelling, type VersionChoice } from '../placing/index.ts'
 import { type RollOutEvidence, type RollOutOrder, type RollOutPins, RollOutState, type RollOutStatus } from '../routing/index.ts'
 import { type RollOutView, rollOutKey } from './rollOutView.ts'
 
@@ -14,6 +14,13 @@
 const mostDeferralMilliseconds = 600
 const evidenceMilliseconds = 1_000
 
+/** What this daemon last told of a version. */
+interface ToldEvidence {
+  readonly answers: number
+  readonly bad: number
+  readonly at: number
+}
+
 /** Writes what daemons and the operator read of roll-outs. */
 export interface RollOutStore {
   /** Writes a status if its row still has a version; returns how it ended, for the log. */
@@ -44,7 +51,7 @@
 export class RollOutDuty {
   readonly #options: RollOutDutyOptions
   readonly #stopping = new AbortController()
-  readonly #told = new Map<string, { readonly bad: number, readonly at: number }>()
+  readonly #told = new Map<string, ToldEvidence>()
   /** Sessions still to be told, by roll-out. */
   readonly #pins = new Map<string, readonly string[]>()
 
@@ -66,6 +73,7 @@
     while (!this.#stopping.signal.aborted) {
       await clock.sleep(roundMilliseconds, this.#stopping.signal)
       for (const order of view.orders) {
+        view.review(order)
         await this.#tellPins(order)
         await this.#tellEvidence(order)
         await this.#advance(order)
@@ -117,12 +125,13 @@
     const { clock, log, store, view } = this.#options
     if (view.statusOf(order)?.state !== RollOutState.Running) return
     const evidence = view.ownEvidence(order)
+    const { answers } = evidence
     const bad = evidence.failures + evidence.slow
     const key = rollOutKey(order)
-    const told = this.#told.get(key)
-    if (bad === 0 || told?.bad === bad) return
-    if (told !== undefined && clock.now() - told.at < evidenceMilliseconds) return
-    this.#told.set(key, { bad, at: clock.now() })
+    const told = this.#told.get(key) ?? { answers: 0, bad: 0, at: Number.NEGATIVE_INFINITY }
+    const isDue = bad > told.bad || (view.isSuspected(order) && isWorthTelling(answers, told.answers))
+    if (!isDue || clock.now() - told.at < evidenceMilliseconds) return
+    this.#told.set(key, { answers, bad, at: clock.now() })
     const outcome = await store.writeEvidence(evidence)
     log.info('roll_out_evidence', { service: order.service, to: order.toVersion, answers: evidence.answers, failures: evidence.failures, slow: evidence.slow, outcome })
   }
--- a/src/gateway/rollOutView.ts
+++ b/src/gateway/rollOutView.ts
@@ -1,5 +1,5 @@
 /** What this daemon knows of roll-outs: orders, their status, and what speaks against new versions. */
-import { EvidenceKeeper, type VersionSplit, isBad } from '../placing/index.ts'
+import { EvidenceKeeper, type VersionSplit, VersionSuspicion, isBad } from '../placing/index.ts'
 import { type RollOutEvidence, type RollOutOrder, type RollOutPins, RollOutState, type RollOutStatus } from '../routing/index.ts'
 
 /** A status and the version of its row. */
@@ -26,6 +26,7 @@
   #evidence: readonly RollOutEvidence[] = []
   #pinned: ReadonlyMap<string, ReadonlySet<string>> = new Map()
   readonly #keepers = new Map<string, EvidenceKeeper>()
+  readonly #suspicions = new Map<string, VersionSuspicion>()
 
   /**
    * @param observer this daemon's name
@@ -97,8 +98,24 @@
     return { service: order.service, toVersion: order.toVersion, observer: this.#observer, ...this.#keeperOf(order).ofNew }
   }
 
+  /** Looks at the evidence of all daemons anew. */
+  review (order: RollOutOrder): void {
+    const now = this.#storeTime()
+    if (now !== undefined) this.#suspicionOf(order).review(this.#isBad(order), now)
+  }
+
+  /** Whether all daemons should tell what they saw of an order's version. */
+  isSuspected (order: RollOutOrder): boolean {
+    return this.#suspicionOf(order).isHeld
+  }
+
   /** Whether the evidence of all daemons speaks against an order's version. */
   speaksAgainst (order: RollOutOrder): boolean {
+    const now = this.#storeTime()
+    return now !== undefined && this.#suspicionOf(order).isConfirmed(now)
+  }
+
+  #isBad (order: RollOutOrder): boolean {
     const others = this.#evidence.filter(({ service, toVersion, observer }) =>
       service === order.service && toVersion === order.toVersion && observer !== this.#observer)
     return isBad([this.ownEvidence(order), ...others], this.#keeperOf(order).ofOld)
@@ -112,12 +129,11 @@
   }
 
   #keeperOf (order: RollOutOrder): EvidenceKeeper {
-    const key = rollOutKey(order)
-    const known = this.#keepers.get(key)
-    if (known !== undefined) return known
-    const keeper = new EvidenceKeeper()
-    this.#keepers.set(key, keeper)
-    return keeper
+    return knownOrMade(this.#keepers, rollOutKey(order), () => new EvidenceKeeper())
+  }
+
+  #suspicionOf (order: RollOutOrder): VersionSuspicion {
+    return knownOrMade(this.#suspicions, rollOutKey(order), () => new VersionSuspicion())
   }
 }
 
@@ -126,6 +142,14 @@
   return `${service}\n${toVersion}`
 }
 
+function knownOrMade<Value> (all: Map<string, Value>, key: string, make: () => Value): Value {
+  const known = all.get(key)
+  if (known !== undefined) return known
+  const made = make()
+  all.set(key, made)
+  return made
+}
+
 function pinnedSessions (pins: readonly RollOutPins[]): ReadonlyMap<string, ReadonlySet<string>> {
   const all = new Map<string, Set<string>>()
   for (const pin of pins) {
