Give relays longer waits and gather changes that come together

A relay may be up to 0.7 of the bound on settings old instead of 0.5, and a feed pauses 100 ms after changes.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -20,7 +20,7 @@
 /** From this many gateways on, most follow the store through a few. */
 const relayedFleet = 16
 /** The store must have vouched for a relay's tables within this part of the time that new settings may take. */
-const freshShare = 0.5
+const freshShare = 0.7
 /** Of that time, what a call to the store may take besides its wait. */
 const relayFeedGraceMilliseconds = 600
 const leastRelayWaitMilliseconds = 300
--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -17,6 +17,8 @@
 const gapMilliseconds = 50
 const firstRetryMilliseconds = 100
 const longestRetryMilliseconds = 1_000
+/** After changes, so that others in quick succession come with one call. */
+const gatherMilliseconds = 100
 /** How often a resting feed looks whether it is to go on. */
 const restMilliseconds = 100
 
@@ -154,7 +156,8 @@
         mustReadWhole = step.val.hasGap
         retryMilliseconds = firstRetryMilliseconds
         this.#regained(table)
-        if (mustReadWhole) await this.#options.clock.sleep(gapMilliseconds, this.#stopping.signal)
+        const pause = mustReadWhole ? gapMilliseconds : gatherMilliseconds
+        if (mustReadWhole || step.val.rows.length > 0) await this.#options.clock.sleep(pause, this.#stopping.signal)
         continue
       }
       this.#lost(table, step.val)
