Count the age of a table from when it is needed

Change: a table that nobody needs counts as heard; seeds of a large fleet wait shortly from the start.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -111,8 +111,8 @@
     feed: store,
     tables: followedTables,
     isNeeded: table => table !== Table.Status || parts.rollOuts.isUnderWay,
-    feedWaitMilliseconds: () => parts.relay.isAsked
-      ? Math.max(leastRelayWaitMilliseconds, freshMilliseconds(parts) - relayFeedGraceMilliseconds)
+    feedWaitMilliseconds: () => mayRelay(parts)
+      ? Math.min(usualFeedWaitMilliseconds, Math.max(leastRelayWaitMilliseconds, freshMilliseconds(parts) - relayFeedGraceMilliseconds))
       : usualFeedWaitMilliseconds,
     clock,
     randomness,
@@ -124,6 +124,11 @@
   })
 }
 
+function mayRelay ({ boot, peers, relay }: ForwarderParts): boolean {
+  const isNamed = boot.current.seeds.includes(boot.current.peerAddress) && peers.fleetSize >= relayedFleet
+  return isNamed || relay.isAsked
+}
+
 function makeRelayFollower (parts: ForwarderParts): RelayFollower {
   const { link, follower, relay, peers, clock, log, boot } = parts
   return new RelayFollower({
--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -148,6 +148,8 @@
       if (this.#isResting || !this.#isFollowed(table)) {
         // Whatever the feed last met says nothing while nobody asks it.
         this.#failingSince.delete(table)
+        // A table that is not needed misses nothing; its age counts from when it is.
+        if (!this.#isFollowed(table)) this.#heardAt.set(table, this.#options.clock.now())
         await this.#options.clock.sleep(restMilliseconds, this.#stopping.signal)
         continue
       }
