Walk the plans of the learning test as the router does

Change: the test walks plans with `bench/planSteps.ts`, as strict as before: same world, seed, requests and bounds. `bench/qualityRun.ts` uses the same functions in place of its copy.

--- a/bench/qualityRun.ts
+++ b/bench/qualityRun.ts
@@ -7,6 +7,7 @@
 import type { Randomness, VersionName } from '../src/contract/index.ts'
 import { SeededRandomness } from '../src/contract/index.ts'
 import { LearnedVersionPolicy, type PlanStep, type RatedAnswer, type VersionCandidate, type VersionPolicy } from '../src/choice/index.ts'
+import { isReleased, nextPosition } from './planSteps.ts'
 import { benchVersionName, clairvoyantVersion } from './versionBaselines.ts'
 import { attemptCost, drawNextTurn, drawRating, drawRequest, drawSessionGoesOn, trueScore, type World, type WorldRequest, type WorldUser } from './world.ts'
 
@@ -189,14 +190,13 @@
       }
       const rating = last ? undefined : this.#rate(count, score)
       if (rating !== undefined) policy.observeRating({ ...answerOf(request, step.version, rating, now), earlier: [...earlier] })
-      if (last || rating! >= step.releaseAtRating! || rating! < (step.giveUpBelowRating ?? 0)) {
+      if (last || isReleased(step, rating!)) {
         count.good += score >= this.#world.qualityGood ? 1 : 0
         if (last && step.rateAfterwards && !outage) this.#rateLater(count, policy, { ...answerOf(request, step.version, 0, now), earlier: [...earlier] }, score, index)
         return step.version
       }
       earlier.push({ version: step.version, rating: rating! })
-      const skips = rating! < (step.skipNextBelowRating ?? 0) && position + 2 < steps.length
-      position += skips ? 2 : 1
+      position = nextPosition(steps, position, rating)
     }
   }
 
--- a/test/choice-version.test.ts
+++ b/test/choice-version.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, test } from 'vitest'
+import { isReleased, nextPosition } from '../bench/planSteps.ts'
 import { type Refusal, RefusalCode, SeededRandomness, type VersionName } from '../src/contract/index.ts'
 import { LearnedVersionPolicy, type PlanStep, RatingDriftWatch, type VersionCandidate, type VersionDigest, type VersionRequest } from '../src/choice/index.ts'
 
@@ -54,7 +55,8 @@
   #run (request: VersionRequest, difficulty: number, steps: readonly PlanStep[], sums: { requests: number, good: number, cost: number }): void {
     const earlier: { version: VersionName, rating: number }[] = []
     sums.requests += 1
-    for (const step of steps) {
+    for (let position = 0; position < steps.length;) {
+      const step = steps[position]!
       const score = Math.min(100, Math.max(0, 70 + slope * (this.limits.get(step.version)! - difficulty)))
       const rating = Math.min(100, Math.max(0, score + ratingNoise * this.#randomness.normal()))
       sums.cost += all.find(({ name }) => name === step.version)!.price
@@ -62,11 +64,12 @@
       if (!last || step.rateAfterwards) {
         this.policy.observeRating({ organisation: request.organisation, kind: request.kind, version: step.version, difficultyHint: request.difficultyHint, earlier: [...earlier], rating, at: now })
       }
-      if (last || rating >= step.releaseAtRating! || rating < (step.giveUpBelowRating ?? 0)) {
+      if (last || isReleased(step, rating)) {
         sums.good += score >= 70 ? 1 : 0
         return
       }
       earlier.push({ version: step.version, rating })
+      position = nextPosition(steps, position, rating)
     }
   }
 }
