Make a feed's first wait short, so that relays are fresh when first asked

Cause: at the start all gateways left the seeds (relay_left, 2,854 ms and more) and called the store for up to five seconds more.

--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -10,6 +10,8 @@
 
 /** The store may hold a call so long; it bounds how long a silent connection goes unnoticed. */
 export const usualFeedWaitMilliseconds = 3_000
+/** The first wait is shorter, so that others may soon follow the store through this gateway. */
+const firstWaitMilliseconds = 1_000
 /** Beyond the wait: the way there and back, and a store that answers fifty times as slowly as usual. */
 const feedGraceMilliseconds = 900
 const snapshotMilliseconds = 2_500
@@ -144,6 +146,7 @@
   async #follow (table: string): Promise<void> {
     let retryMilliseconds = firstRetryMilliseconds
     let mustReadWhole = true
+    let isFirstWait = true
     while (!this.#stopping.signal.aborted) {
       if (this.#isResting || !this.#isFollowed(table)) {
         // Whatever the feed last met says nothing while nobody asks it.
@@ -153,7 +156,8 @@
         await this.#options.clock.sleep(restMilliseconds, this.#stopping.signal)
         continue
       }
-      const step: Result<TableChanges, FeedFailure> = mustReadWhole ? await this.#readWhole(table) : await this.#readChanges(table)
+      const step: Result<TableChanges, FeedFailure> = mustReadWhole ? await this.#readWhole(table) : await this.#readChanges(table, isFirstWait)
+      isFirstWait &&= mustReadWhole
       if (step.ok) {
         mustReadWhole = step.val.hasGap
         retryMilliseconds = firstRetryMilliseconds
@@ -180,9 +184,10 @@
     return snapshot.map(value => ({ ...value, hasGap: false }))
   }
 
-  async #readChanges (table: string): Promise<Result<TableChanges, FeedFailure>> {
+  async #readChanges (table: string, isFirst: boolean): Promise<Result<TableChanges, FeedFailure>> {
     const asked = this.replica(table)
-    const wait = this.#options.feedWaitMilliseconds?.() ?? usualFeedWaitMilliseconds
+    const usual = this.#options.feedWaitMilliseconds?.() ?? usualFeedWaitMilliseconds
+    const wait = isFirst ? Math.min(usual, firstWaitMilliseconds) : usual
     const changes = await this.#bounded(this.#options.feed.changes(table, asked.version, wait), wait + feedGraceMilliseconds)
     if (changes.err) return changes
     if (changes.val.hasGap) {
