--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -124,9 +124,9 @@
   })
 }
 
-function mayRelay ({ boot, peers, relay }: ForwarderParts): boolean {
-  const isNamed = boot.current.seeds.includes(boot.current.peerAddress) && peers.fleetSize >= relayedFleet
-  return isNamed || relay.isAsked
+/** A seed may be asked at any moment; its news must be fresh then. */
+function mayRelay ({ boot, relay }: ForwarderParts): boolean {
+  return relay.isAsked || boot.current.seeds.includes(boot.current.peerAddress)
 }
 
 function makeRelayFollower (parts: ForwarderParts): RelayFollower {
