--- a/src/observe/lineQueue.ts
+++ b/src/observe/lineQueue.ts
@@ -71,13 +71,14 @@
     this.#timer = undefined
     if (this.#isWriting || this.#waiting.length === 0) return
     const bytes = Buffer.from(this.#waiting.join('') + this.#dropNote(), 'utf8')
+    const lines = this.#waiting.length
     this.#waiting = []
     this.#isWriting = true
     this.#sink(bytes, error => {
       this.#isWriting = false
       this.#waitingBytes = this.#waiting.reduce((sum, line) => sum + line.length, 0)
       // A reader that is gone stays gone: what comes later is dropped and counted.
-      if (error !== null) this.#dropped++
+      if (error !== null) this.#dropped += lines
       else this.#write()
     })
   }
--- a/test/lineQueue.test.ts
+++ b/test/lineQueue.test.ts
@@ -28,3 +28,10 @@
   expect(text).toContain('log_lines_dropped')
   expect(text).not.toContain('never')
 })
+
+test('every line of a batch that its reader did not take is counted as dropped', async () => {
+  const lines = new LineQueue((_bytes, done) => done(new Error('broken pipe')))
+  for (let index = 0; index < 40; index++) lines.push('line\n')
+  await lines.flush(1_000)
+  expect(lines.dropped).toBe(40)
+})
