--- a/src/gateway/forwardRefusal.ts
+++ b/src/gateway/forwardRefusal.ts
@@ -1,4 +1,6 @@
 /** How a request ends without an endpoint's answer: the status, what it promises and when to come back. */
+import type { ServerResponse } from 'node:http'
+import type { HeaderCodec } from '../routing/index.ts'
 
 /** An end that this daemon gives. */
 export interface ForwardRefusal {
@@ -34,3 +36,11 @@
   attemptLost: refusal('attempt_lost', 502),
   timedOut: refusal('timed_out', 504)
 } as const
+
+/** Sends a refusal as a short JSON document. */
+export function sendRefusal (response: ServerResponse, refusal: ForwardRefusal, codec: HeaderCodec): void {
+  const body = JSON.stringify({ error: refusal.code })
+  const retryAfter = refusal.retryAfterMilliseconds === undefined ? {} : codec.writeRetryAfter(refusal.retryAfterMilliseconds)
+  response.writeHead(refusal.status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...retryAfter })
+  response.end(body)
+}
--- a/src/gateway/forwardRequest.ts
+++ b/src/gateway/forwardRequest.ts
@@ -2,21 +2,18 @@
  * One request while it is forwarded: what it asks for, how long it has, whether its caller is still
  * there, and what was tried. Plain and streamed forwarding share it.
  */
-import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { LogFields } from '../observe/index.ts'
 import { type EndpointWork, WorkEnd, usualWork } from '../placing/index.ts'
 import { type AnswerHead, type CallerHead, Repetition, type Route, type RoutedEndpoint, type RoutedOrganisation, instanceKey } from '../routing/index.ts'
 import type { Exchange } from '../endpoint/index.ts'
-import { endWithConnection, isFramed } from './answerFraming.ts'
+import { CallerAnswer, type RequestState } from './callerAnswer.ts'
 import type { ForwardingParts } from './forwarding.ts'
-import { sendRefusal } from './forwarding.ts'
-import { type ForwardRefusal, ForwardRefusals } from './forwardRefusal.ts'
 import type { RoutingSnapshot } from './routingView.ts'
 
 const misdirectedStatus = 421
 const firstServerFailure = 500
 const timerSlackMilliseconds = 5
-const answeredOutcome = 'answered'
-const leftOutcome = 'caller_left'
 
 /** What a request is made of. */
 export interface ForwardRequestOptions {
@@ -42,13 +39,6 @@
   readonly work: EndpointWork
 }
 
-/** An endpoint's answer, whole. */
-export interface WholeAnswer {
-  readonly status: number
-  readonly headers: IncomingHttpHeaders
-  readonly body: Buffer
-}
-
 /** What an endpoint says that did not run a request. */
 export const Unrun = {
   /** It has no room, or the time is over. */
@@ -67,11 +57,12 @@
 }
 
 /** A request that is being forwarded. */
-export class ForwardRequest {
+export class ForwardRequest implements RequestState {
   readonly route: Route
   readonly service: string
   readonly head: CallerHead
   readonly parts: ForwardingParts
+  readonly answer: CallerAnswer
   readonly arrivedAt: number
   /** The caller or the operators wait no longer than this, in milliseconds of the process's clock. */
   readonly limit: number
@@ -81,8 +72,6 @@
   readonly #trail: string[] = []
   readonly #tried = new Set<string>()
   #sends = 0
-  #isEnded = false
-  #firstByteAt: number | undefined
 
   constructor (options: ForwardRequestOptions) {
     const { route, service, head, parts, arrivedAt, response } = options
@@ -97,10 +86,7 @@
       if (!response.writableFinished) this.left.abort('the caller left')
     })
     if (response.destroyed) this.left.abort('the caller left')
-  }
-
-  get response (): ServerResponse {
-    return this.#options.response
+    this.answer = new CallerAnswer(response, this, parts)
   }
 
   get now (): number {
@@ -226,83 +212,24 @@
     return answer.identity === this.head.identity
   }
 
-  answerHeaders (headers: IncomingHttpHeaders): Record<string, string | string[]> {
-    return this.parts.codec.writeAnswer(headers)
-  }
-
-  /** Marks that the caller is being given an answer. */
-  markFirstByte (): void {
-    if (this.#firstByteAt !== undefined) return
-    this.#firstByteAt = this.now
-    this.parts.metrics.firstByte.observe({ service: this.service }, (this.now - this.arrivedAt) / 1_000)
-  }
-
-  /** Ends the request with a refusal. */
-  refuse (refusal: ForwardRefusal): void {
-    this.#log(refusal.code, refusal.status)
-    if (!this.hasLeft && !this.response.headersSent) sendRefusal(this.response, refusal, this.parts.codec)
-  }
-
-  /** Ends a request to which no endpoint has given an answer, by what may have become of it. */
-  giveUp ({ mayHaveRun, isFull }: { readonly mayHaveRun: boolean, readonly isFull: boolean }): void {
-    if (mayHaveRun) return this.refuse(this.isOver ? ForwardRefusals.timedOut : ForwardRefusals.attemptLost)
-    if (this.isOver) return this.refuse(ForwardRefusals.tooLate)
-    this.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
-  }
-
-  /** Delivers an answer that is here whole; one without a frame is not given one. */
-  deliver ({ status, headers, body }: WholeAnswer): void {
-    const length = isFramed(headers) ? { 'content-length': body.length } : {}
-    if (!isFramed(headers)) endWithConnection(this.response)
-    this.response.writeHead(status, { ...this.answerHeaders(headers), ...length })
-    this.response.end(body)
-    this.delivered(status)
-  }
-
   /** Whether an endpoint says with a status that it failed. */
   isFailure (status: number): boolean {
     return status >= firstServerFailure
   }
 
-  /** Notes that the answer was delivered. */
-  delivered (status: number): void {
-    this.parts.metrics.whole.observe({ service: this.service }, (this.now - this.arrivedAt) / 1_000)
-    this.#log(answeredOutcome, status)
-  }
-
-  /** Ends the request by cutting its connection: its answer must not look whole. */
-  cut (reason: string): void {
-    this.#log(reason, undefined)
-    this.response.destroy()
-  }
-
-  /** Lets go of the caller's connection. */
-  close (): void {
-    if (!this.#isEnded) this.#log('unended', undefined)
-  }
-
-  #workOf (model: string | undefined) {
-    const service = this.#options.snapshot.settings.services.get(this.service)
-    return usualWork(this.route, service, model, this.head.promptTokens, this.head.mostOutputTokens)
-  }
-
-  #log (end: string, status: number | undefined): void {
-    if (this.#isEnded) return
-    this.#isEnded = true
-    const outcome = this.hasLeft && end !== answeredOutcome ? leftOutcome : end
-    const firstByteAt = this.#firstByteAt
-    this.parts.metrics.requests.inc({ service: this.service, outcome })
-    this.parts.log.info('request_ended', {
+  describe (): LogFields {
+    return {
       request: this.head.identity,
       route: this.route.name,
       organisation: this.#options.organisation?.name,
-      outcome,
-      status,
-      milliseconds: Math.round(this.now - this.arrivedAt),
-      firstByte: firstByteAt === undefined ? undefined : Math.round(firstByteAt - this.arrivedAt),
       limit: Math.round(this.limit - this.arrivedAt),
       settings: this.#options.snapshot.settings.version,
       attempts: this.#trail
-    })
+    }
+  }
+
+  #workOf (model: string | undefined) {
+    const service = this.#options.snapshot.settings.services.get(this.service)
+    return usualWork(this.route, service, model, this.head.promptTokens, this.head.mostOutputTokens)
   }
 }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -11,7 +11,7 @@
 import { chooseService } from '../placing/index.ts'
 import { readBoundedBody } from '../server/index.ts'
 import { type CallerHead, type HeaderCodec, Repetition, type Route, type RoutedOrganisation } from '../routing/index.ts'
-import { type ForwardRefusal, ForwardRefusals } from './forwardRefusal.ts'
+import { type ForwardRefusal, ForwardRefusals, sendRefusal } from './forwardRefusal.ts'
 import { ForwardRequest } from './forwardRequest.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
 import { PlainForwarding } from './plainForwarding.ts'
@@ -111,9 +111,9 @@
       await (isStream ? new StreamForwarding(forward) : new PlainForwarding(forward)).run()
     } catch (error) {
       log.error('forwarding_failed', { request: forward.head.identity, reason: error instanceof Error ? error.stack : String(error) })
-      forward.cut('internal_failure')
+      forward.answer.cut('internal_failure')
     } finally {
-      forward.close()
+      forward.answer.close()
     }
   }
 
@@ -141,14 +141,6 @@
   }
 }
 
-/** Sends a refusal as a short JSON document. */
-export function sendRefusal (response: ServerResponse, refusal: ForwardRefusal, codec: HeaderCodec): void {
-  const body = JSON.stringify({ error: refusal.code })
-  const retryAfter = refusal.retryAfterMilliseconds === undefined ? {} : codec.writeRetryAfter(refusal.retryAfterMilliseconds)
-  response.writeHead(refusal.status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...retryAfter })
-  response.end(body)
-}
-
 function headBytes (request: IncomingMessage): number {
   const lines = request.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0)
   return lines + (request.method?.length ?? 0) + (request.url?.length ?? 0)
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -9,7 +9,8 @@
 import { WorkEnd } from '../placing/index.ts'
 import { Repetition, type RoutedEndpoint } from '../routing/index.ts'
 import { endWithConnection, isFramed } from './answerFraming.ts'
-import { type ForwardRequest, type OpenAttempt, Unrun, type WholeAnswer } from './forwardRequest.ts'
+import type { WholeAnswer } from './callerAnswer.ts'
+import { type ForwardRequest, type OpenAttempt, Unrun } from './forwardRequest.ts'
 
 /** Beyond this an answer is passed on as it comes. */
 const heldBytes = 256 * 1024
@@ -56,12 +57,12 @@
       if (outcome.type === 'lost' && !this.#isIdempotent) break
     }
     if (failure !== undefined) return this.#deliver(failure)
-    forward.giveUp({ mayHaveRun: this.#mayHaveRun, isFull })
+    forward.answer.giveUp({ mayHaveRun: this.#mayHaveRun, isFull })
   }
 
   #deliver (answer: WholeAnswer): void {
-    this.#forward.markFirstByte()
-    this.#forward.deliver(answer)
+    this.#forward.answer.markFirstByte()
+    this.#forward.answer.deliver(answer)
   }
 
   async #attempt (endpoint: RoutedEndpoint): Promise<PlainOutcome> {
@@ -109,10 +110,10 @@
   /** Passes a long answer on as it comes; one that breaks off cuts the caller's connection. */
   async #relay (attempt: OpenAttempt, status: number, headers: IncomingHttpHeaders, held: readonly Buffer[]): Promise<PlainOutcome> {
     const forward = this.#forward
-    const { response } = forward
-    forward.markFirstByte()
+    const { response } = forward.answer
+    forward.answer.markFirstByte()
     if (!isFramed(headers)) endWithConnection(response)
-    response.writeHead(status, forward.answerHeaders(headers))
+    response.writeHead(status, forward.answer.headers(headers))
     for (const chunk of held) response.write(chunk)
     for (;;) {
       const event = await within(forward.parts.clock, forward.limit, attempt.exchange.next())
@@ -123,11 +124,11 @@
       if (event?.type === 'end') {
         forward.finish(attempt, WorkEnd.Answered, String(status))
         response.end()
-        forward.delivered(status)
+        forward.answer.delivered(status)
       } else {
         attempt.exchange.giveUp('the answer broke off')
         forward.finish(attempt, WorkEnd.Lost, 'broke off')
-        forward.cut('answer_broke_off')
+        forward.answer.cut('answer_broke_off')
       }
       return { type: 'relayed' }
     }
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -9,8 +9,9 @@
 import type { ExchangeEvent } from '../endpoint/index.ts'
 import { type SizePlan, WorkEnd, isLost } from '../placing/index.ts'
 import { endWithConnection, isFramed } from './answerFraming.ts'
+import type { WholeAnswer } from './callerAnswer.ts'
 import { EventSplitter } from './eventSplitter.ts'
-import { type ForwardRequest, type OpenAttempt, Unrun, type WholeAnswer } from './forwardRequest.ts'
+import { type ForwardRequest, type OpenAttempt, Unrun } from './forwardRequest.ts'
 import { drained } from './plainForwarding.ts'
 
 const successStatus = 200
@@ -78,9 +79,9 @@
 
   #giveUp (isFull: boolean): void {
     const forward = this.#forward
-    if (this.#isOpened) return forward.cut(forward.isOver ? 'timed_out' : 'stream_lost')
-    if (this.#failure !== undefined) return forward.deliver(this.#failure)
-    forward.giveUp({ mayHaveRun: this.#mayHaveRun, isFull })
+    if (this.#isOpened) return forward.answer.cut(forward.isOver ? 'timed_out' : 'stream_lost')
+    if (this.#failure !== undefined) return forward.answer.deliver(this.#failure)
+    forward.answer.giveUp({ mayHaveRun: this.#mayHaveRun, isFull })
   }
 
   #planSizes (): void {
@@ -148,7 +149,7 @@
       attempt.work.heard(forward.now)
       this.#open(headers)
       this.#lastEvent = events.lastIdentity ?? this.#lastEvent
-      if (!forward.response.write(events.bytes)) await drained(forward.response, forward.left.signal)
+      if (!forward.answer.response.write(events.bytes)) await drained(forward.answer.response, forward.left.signal)
     }
   }
 
@@ -163,9 +164,9 @@
     if (this.#isOpened) return
     this.#isOpened = true
     this.#isFramed = isFramed(headers)
-    this.#forward.markFirstByte()
-    if (!this.#isFramed) endWithConnection(this.#forward.response)
-    this.#forward.response.writeHead(successStatus, this.#forward.answerHeaders(headers))
+    this.#forward.answer.markFirstByte()
+    if (!this.#isFramed) endWithConnection(this.#forward.answer.response)
+    this.#forward.answer.response.writeHead(successStatus, this.#forward.answer.headers(headers))
   }
 
   /** A run without a frame can't end an answer that vouches for its end. */
@@ -176,8 +177,8 @@
   #end (attempt: OpenAttempt, headers: IncomingHttpHeaders): RunEnd {
     this.#open(headers)
     this.#forward.finish(attempt, WorkEnd.Answered, 'whole')
-    this.#forward.response.end()
-    this.#forward.delivered(successStatus)
+    this.#forward.answer.response.end()
+    this.#forward.answer.delivered(successStatus)
     return RunEnd.Done
   }
 
@@ -198,7 +199,7 @@
     forward.finish(attempt, failed ? WorkEnd.Failed : WorkEnd.Answered, String(status))
     const failure = { status, headers, body: Buffer.concat(chunks) }
     if (!failed && !this.#isOpened) {
-      forward.deliver(failure)
+      forward.answer.deliver(failure)
       return RunEnd.Done
     }
     this.#failure = failure
