--- a/src/replica/peerReplicas.ts
+++ b/src/replica/peerReplicas.ts
@@ -7,7 +7,7 @@
 import type { Clock, Randomness } from '../contract/index.ts'
 import type { Link, MessageType, Peer } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
-import { rowSchema } from './relayMessage.ts'
+import { rowSchema, rowsOf } from './relayMessage.ts'
 import type { ReplicaFollower } from './replicaFollower.ts'
 
 /** How often peers are asked while the store is out. */
@@ -113,8 +113,7 @@
     if (reply.err) return false
     for (const told of reply.val.peers) this.#remember(told)
     for (const { table, version, rows } of reply.val.tables) {
-      const copies = rows.map(row => ({ key: row.key, version: row.version, bytes: row.bytes }))
-      if (this.#options.follower.adopt(table, { version, rows: copies })) {
+      if (this.#options.follower.adopt(table, { version, rows: rowsOf(rows) })) {
         this.#options.log.info('replica_from_peer', { table, version, peer: peer.address })
       }
     }
--- a/src/replica/relayFollower.ts
+++ b/src/replica/relayFollower.ts
@@ -7,7 +7,7 @@
 import { type Clock, hashOf } from '../contract/index.ts'
 import type { Link, Peer } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
-import { type RelayNews, relayedNews } from './relayMessage.ts'
+import { type RelayNews, relayedNews, rowsOf } from './relayMessage.ts'
 import type { ReplicaFollower } from './replicaFollower.ts'
 import type { ReplicaRelay } from './replicaRelay.ts'
 
@@ -106,7 +106,7 @@
     const { clock, follower } = this.#options
     const heardAt = clock.now() - ageMilliseconds
     for (const { table, version, isWhole, rows } of tables) {
-      follower.takeRelayed(table, { version, isWhole, rows: rows.map(row => ({ ...row, bytes: row.bytes })) }, heardAt)
+      follower.takeRelayed(table, { version, isWhole, rows: rowsOf(rows) }, heardAt)
     }
     if (storeTime !== undefined) follower.setStoreTime(storeTime)
   }
--- a/src/replica/relayMessage.ts
+++ b/src/replica/relayMessage.ts
@@ -1,14 +1,20 @@
 /** What gateways tell each other when one follows the store for others. */
 import { z } from 'zod'
 import type { MessageType } from '../link/index.ts'
+import type { FeedRow } from './contract.ts'
 
-/** A row as it is told to a peer. */
+/** A row as it is told to a peer; a row that was deleted comes without bytes. */
 export const rowSchema = z.object({
   key: z.string(),
   version: z.number(),
   bytes: z.custom<Uint8Array>(value => value instanceof Uint8Array).optional()
 })
 
+/** Rows that a peer told, as replicas hold them. */
+export function rowsOf (told: readonly z.infer<typeof rowSchema>[]): readonly FeedRow[] {
+  return told.map(({ key, version, bytes }) => ({ key, version, bytes }))
+}
+
 const questionSchema = z.object({
   /** The version of each table that the asker has. */
   versions: z.record(z.string(), z.number()),
