--- a/test/forwarder.test.ts
+++ b/test/forwarder.test.ts
@@ -320,6 +320,22 @@
   expect(fresh.received.length).toBeGreaterThan(0)
 }, 30_000)
 
+test('a session whose gateway stopped as planned before a roll-out stays on the old version at the others', async () => {
+  await world.endpoint('ledger')
+  const first = await readyHost()
+  const second = await readyHost()
+  const sessions = Array.from({ length: 60 }, (_, index) => `session-${index}`)
+  const callAll = async (host: string) => await Promise.all(sessions.map(session => world.call(host, '/release/1', { headers: { session } })))
+  await callAll(first)
+  await world.forwarderAt(first).stop()
+  const fresh = await world.endpoint('ledger', { version: 'v2' })
+  world.store.put('op', 'rollout/ledger', { backend: 'ledger', to: 'v2', duration_s: 40 })
+  await until(() => world.store.read('status', 'rollout/ledger') !== undefined)
+  await new Promise(resolve => setTimeout(resolve, 300))
+  await callAll(second)
+  expect(fresh.received).toEqual([])
+}, 30_000)
+
 test('a planned stop lets a running request end, tells callers to close and is not ready meanwhile', async () => {
   const ledger = await world.endpoint('ledger')
   ledger.behave((_request, response) => { setTimeout(() => response.end('done'), 500) })
