Make missing entries of maps in one place

Four places of the gateway looked an entry up, made and kept it where there was none; knownOrMade serves them now. Behaviour and tests are the same.

--- a/src/gateway/rollOutView.ts
+++ b/src/gateway/rollOutView.ts
@@ -1,4 +1,5 @@
 /** What this daemon knows of roll-outs: orders, their status, and what speaks against new versions. */
+import { knownOrMade } from '../contract/index.ts'
 import { EvidenceKeeper, type VersionSplit, VersionSuspicion, isBad } from '../placing/index.ts'
 import { type RollOutEvidence, type RollOutOrder, type RollOutPins, RollOutState, type RollOutStatus } from '../routing/index.ts'
 
@@ -142,14 +143,6 @@
   return `${service}\n${toVersion}`
 }
 
-function knownOrMade<Value> (all: Map<string, Value>, key: string, make: () => Value): Value {
-  const known = all.get(key)
-  if (known !== undefined) return known
-  const made = make()
-  all.set(key, made)
-  return made
-}
-
 function pinnedSessions (pins: readonly RollOutPins[]): ReadonlyMap<string, ReadonlySet<string>> {
   const all = new Map<string, Set<string>>()
   for (const pin of pins) {
--- a/src/placing/endpointLoads.ts
+++ b/src/placing/endpointLoads.ts
@@ -3,6 +3,7 @@
  * heard a byte and how answers end. Reports of load are late and cost; own work
  * is known at once, and a daemon's share of an endpoint's work is about its share of all callers.
  */
+import { knownOrMade } from '../contract/index.ts'
 import { instanceKey, type RoutedEndpoint } from '../routing/index.ts'
 import { EndpointHealth } from './endpointHealth.ts'
 import type { RequestWork } from './requestWork.ts'
@@ -126,12 +127,7 @@
   }
 
   #loadOf (endpoint: RoutedEndpoint): EndpointLoad {
-    const key = instanceKey(endpoint)
-    const known = this.#loads.get(key)
-    if (known !== undefined) return known
-    const load = new EndpointLoad()
-    this.#loads.set(key, load)
-    return load
+    return knownOrMade(this.#loads, instanceKey(endpoint), () => new EndpointLoad())
   }
 }
 
--- a/src/placing/repeatAllowance.ts
+++ b/src/placing/repeatAllowance.ts
@@ -3,6 +3,7 @@
  * of all requests over all daemons together; each daemon keeps to that share of the requests that
  * it was itself sent, so the sum keeps to it without a word between them.
  */
+import { knownOrMade } from '../contract/index.ts'
 
 const windowMilliseconds = 10_000
 const buckets = 20
@@ -70,10 +71,6 @@
   }
 
   #countsOf (service: string): ServiceCounts {
-    const known = this.#services.get(service)
-    if (known !== undefined) return known
-    const counts = { requests: new WindowCount(), repeats: new WindowCount() }
-    this.#services.set(service, counts)
-    return counts
+    return knownOrMade(this.#services, service, () => ({ requests: new WindowCount(), repeats: new WindowCount() }))
   }
 }
--- a/src/placing/rollOutEvidence.ts
+++ b/src/placing/rollOutEvidence.ts
@@ -4,6 +4,7 @@
  * a small share. An answer is slow if it took several times as long as the old version's usual
  * answer to the same kind of request: a burst slows both versions, a bad version only itself.
  */
+import { knownOrMade } from '../contract/index.ts'
 import type { RollOutEvidence } from '../routing/index.ts'
 
 /** An answer several times slower than usual counts as slow. */
@@ -69,8 +70,7 @@
     const counts = isNew ? this.#new : this.#old
     counts.answers++
     if (failed) counts.failures++
-    const usual = this.#usual.get(likeness) ?? new Usual()
-    this.#usual.set(likeness, usual)
+    const usual = knownOrMade(this.#usual, likeness, () => new Usual())
     if (failed || milliseconds === undefined) return
     const isSlow = usual.count >= usualNeeds && milliseconds > slowFloorMilliseconds && milliseconds > usual.milliseconds * slowRatio
     if (isSlow) counts.slow++
--- a/src/replica/peerReplicas.ts
+++ b/src/replica/peerReplicas.ts
@@ -1,7 +1,8 @@
 /**
  * Newer copies of tables from peers, for a daemon that the store turns away or that started while
- * the store was out. Nothing is sent while the store answers, but for one introduction at the
- * start, by which the few daemons that all know from their settings come to know all others.
+ * the store was out. Nothing is sent while the store answers, but for introductions, at the start
+ * and then at growing pauses, by which the few daemons that all know from their settings come to
+ * know all others.
  */
 import { z } from 'zod'
 import type { Clock, Randomness } from '../contract/index.ts'
--- a/src/session/signedSessionTokens.ts
+++ b/src/session/signedSessionTokens.ts
@@ -1,7 +1,7 @@
 /**
  * A session token is its payload and an HMAC-SHA256 over it, both base64url and joined by a dot. The
  * payload is a short JSON list that begins with a format number and the signing key's name, so a
- * reader tries a single key. Nothing is stored: any daemon that holds the settings reads any token,
+ * reader tries one key only. Nothing is stored: any daemon that holds the settings reads any token,
  * also while the platform is out, and a token outlives the daemon that issued it. Rotation puts a
  * new key first and leaves the old one in the list until its last token has expired.
  */
