--- a/src/routing/routedEndpoint.ts
+++ b/src/routing/routedEndpoint.ts
@@ -13,11 +13,7 @@
   readonly place: Place
   /** The version of its software. */
   readonly version: string
-  /** Requests that it runs at once. */
-  readonly places: number
   readonly leaving: boolean
-  /** Grows with each report of one incarnation. */
-  readonly sequence: number
   /** Models it has loaded; empty for a plain service. */
   readonly models: readonly string[]
 }
--- a/src/routing/routingSettings.ts
+++ b/src/routing/routingSettings.ts
@@ -54,8 +54,6 @@
 /** A group of endpoints that answer the same requests. */
 export interface RoutedService {
   readonly name: string
-  /** Connections that one endpoint accepts from all callers together. */
-  readonly connectionLimit: number
   readonly models: readonly RoutedModel[]
 }
 
--- a/test/placing.test.ts
+++ b/test/placing.test.ts
@@ -10,7 +10,7 @@
 
 function endpoint (identity: string, changes: Partial<RoutedEndpoint> = {}): RoutedEndpoint {
   return {
-    identity, bornAt: 1, service: 'engines', address: '10.0.0.1:80', place: here, version: 'v1', places: 48, leaving: false, sequence: 1, models: [], ...changes
+    identity, bornAt: 1, service: 'engines', address: '10.0.0.1:80', place: here, version: 'v1', leaving: false, models: [], ...changes
   }
 }
 
