Log the prompt parts of runs that broke off, and how long they had written

Both are in request_ended now, for requests with a run that broke off, and lavenderdoor_forward_broken_runs_total counts runs by that.

--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -36,6 +36,8 @@
   readonly exchange: Exchange
   readonly startedAt: number
   readonly tracker: AttemptTracker
+  /** When the head of the response arrived; undefined before. */
+  begunAt: number | undefined
 }
 
 /** Why an endpoint states that it did not execute a request. */
@@ -47,6 +49,14 @@
 } as const
 export type NotExecutedReason = typeof NotExecutedReason[keyof typeof NotExecutedReason]
 
+/** How far a run had got when it broke off. */
+const RunProgress = {
+  /** Nothing of a response had arrived. */
+  Waiting: 'waiting',
+  /** The head of its response had arrived. */
+  Begun: 'begun'
+} as const
+
 export interface AttemptOptions {
   readonly model: string | undefined
   readonly lastEventId: string | undefined
@@ -69,6 +79,7 @@
   readonly #attemptSummaries: string[] = []
   readonly #triedInstances = new Set<string>()
   #sentAttempts = 0
+  #hasBrokenOff = false
 
   constructor (options: ForwardedRequestOptions) {
     const { route, service, head, dependencies, arrivedAt, response } = options
@@ -159,7 +170,7 @@
     const abandonExchange = () => exchange.abort('caller disconnected')
     this.callerAbort.signal.addEventListener('abort', abandonExchange, { once: true })
     if (this.hasCallerLeft) abandonExchange()
-    return { endpoint, model, exchange, startedAt, tracker: work }
+    return { endpoint, model, exchange, startedAt, tracker: work, begunAt: undefined }
   }
 
   /**
@@ -175,6 +186,16 @@
     this.#attemptSummaries.push(`${identity} ${version} ${attempt.model ?? '-'} ${Math.round(this.now - attempt.startedAt)}ms ${outcome}`)
   }
 
+  /** Closes an attempt whose run broke off or was never sent. What its prompt shares with others is logged, since it may be the cause. */
+  finishBrokenAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string): void {
+    const wasSent = attempt.exchange.mayHaveSent
+    const progress = attempt.begunAt === undefined ? RunProgress.Waiting : RunProgress.Begun
+    if (wasSent) this.dependencies.metrics.brokenRuns.inc({ service: this.service, end, progress })
+    this.#hasBrokenOff ||= wasSent
+    const begun = attempt.begunAt === undefined ? '' : `, begun ${Math.round(this.now - attempt.begunAt)}ms before`
+    this.finishAttempt(attempt, end, `${wasSent ? 'broke off' : 'unsent'}${begun}: ${reason}`)
+  }
+
   /** Records an attempt's outcome as roll-out evidence on the endpoint's version. */
   recordResponse (attempt: OpenAttempt, failed: boolean): void {
     const milliseconds = this.now - attempt.startedAt
@@ -234,6 +255,7 @@
       organisation: this.#options.organisation?.name,
       limit: Math.round(this.deadline - this.arrivedAt),
       settings: this.#options.snapshot.settings.version,
+      promptParts: this.#hasBrokenOff ? this.head.promptParts.slice(0, -1).map(({ id }) => id) : undefined,
       attempts: this.#attemptSummaries
     }
   }
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -7,6 +7,7 @@
   readonly registry = new Registry()
   readonly requests = new Counter({ name: 'lavenderdoor_forwarded_total', help: 'Forwarded requests by service and how they ended.', labelNames: ['service', 'outcome'], registers: [this.registry] })
   readonly attempts = new Counter({ name: 'lavenderdoor_forward_attempts_total', help: 'Attempts at endpoints by service and how they ended.', labelNames: ['service', 'end'], registers: [this.registry] })
+  readonly brokenRuns = new Counter({ name: 'lavenderdoor_forward_broken_runs_total', help: 'Runs at endpoints that broke off, by service, how the attempt ended and whether a response had begun.', labelNames: ['service', 'end', 'progress'], registers: [this.registry] })
   readonly escalations = new Counter({ name: 'lavenderdoor_escalations_total', help: 'Answers of a smaller model that were dropped for a larger one.', labelNames: ['service'], registers: [this.registry] })
   readonly firstByteSeconds = new Histogram({ name: 'lavenderdoor_forward_first_byte_seconds', help: 'From the request to the first byte of its answer.', labelNames: ['service'], buckets: latencyBuckets, registers: [this.registry] })
   readonly responseSeconds = new Histogram({ name: 'lavenderdoor_forward_whole_seconds', help: 'From the request to the end of its answer.', labelNames: ['service'], buckets: latencyBuckets, registers: [this.registry] })
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -84,6 +84,7 @@
     if (notExecutedReason !== undefined) return { type: 'not_run', reason: notExecutedReason }
     if (!responseHead.isSealed || responseHead.isEncoded) return this.#rejectForeignResponse(attempt, 'unsealed')
     attempt.tracker.recordBytes(request.now)
+    attempt.begunAt = request.now
     return this.#readBody(attempt, head.status, head.headers)
   }
 
@@ -147,9 +148,8 @@
     const request = this.#request
     const end = request.attemptEndWithoutResponse(attempt, reason === undefined)
     attempt.exchange.abort(reason ?? 'silent')
-    const wasSent = attempt.exchange.mayHaveSent
-    request.finishAttempt(attempt, end, `${wasSent ? 'lost' : 'unsent'}: ${reason ?? 'silent'}`)
-    return { type: wasSent ? 'lost' : 'unsent' }
+    request.finishBrokenAttempt(attempt, end, reason ?? 'silent')
+    return { type: attempt.exchange.mayHaveSent ? 'lost' : 'unsent' }
   }
 
   /** Rejects a response to another request; nothing on this connection can be trusted any more. */
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -100,6 +100,7 @@
     const notExecutedReason = request.finishIfNotExecuted(attempt, head.status, responseHead)
     if (notExecutedReason !== undefined) return notExecutedReason === NotExecutedReason.Misdirected ? RunOutcome.Unsent : RunOutcome.NotExecuted
     attempt.tracker.recordBytes(request.now)
+    attempt.begunAt = request.now
     if (head.status !== successStatus) return this.#readFailure(attempt, head.status, head.headers)
     if (!responseHead.isSealed || responseHead.isEncoded) return this.#failRun(attempt, 'unsealed', AttemptEnd.Cancelled)
     if (!this.#isTrusted(responseHead.confidence)) return this.#discardForLargerModel(attempt, responseHead.confidence)
@@ -239,9 +240,8 @@
   #failRun (attempt: OpenAttempt, reason: string, end: AttemptEnd = this.#request.attemptEndWithoutResponse(attempt, reason === silentReason)): RunOutcome {
     const request = this.#request
     attempt.exchange.abort(reason)
-    const wasSent = attempt.exchange.mayHaveSent
-    request.finishAttempt(attempt, end, `${wasSent ? 'broke off' : 'unsent'} after ${this.#lastEventId ?? 'nothing'}: ${reason}`)
-    return wasSent ? RunOutcome.Broken : RunOutcome.Unsent
+    request.finishBrokenAttempt(attempt, end, `${reason}, after ${this.#lastEventId ?? 'nothing'}`)
+    return attempt.exchange.mayHaveSent ? RunOutcome.Broken : RunOutcome.Unsent
   }
 }
 
