Block prompt parts that crash endpoints at all gateways

Callers saw whole seconds in which no answer came: requests of one kind crashed every engine that began to answer them, and all runs there broke off.

Cause: a query of death. A run that breaks off was taken for a fault of its endpoint alone, so the request was sent on to up to two more, and nothing told the next request with the same part, at this gateway or another, that endpoints had crashed under it.

Evidence: in the incident connections break off one engine after the other and are refused at once afterwards; in the test four gateways send 8 of 12 further requests to engines 4 s after the fifth crash.

Change: a circuit breaker on the parts of prompts (src/breaker). A gateway whose run breaks off checks whether the endpoint refuses connections; if so it reports which runs had just begun there. A crash is blamed on the run that began last among those with a part that was not answered well lately; a part with a sequence of three crashes, each under a run that began after the crash before, is blocked for that organisation. Reports, blocks and good answers spread by epidemic broadcast between gateways, without the store. A request gives up after two of its runs crashed their endpoints, and one with a blocked part is refused as not run, with Retry-After at the end of the block; waiting runs are cancelled. Only the holder of a block tries the part again, after 30 s and ever more rarely.

Why it works: what crashes endpoints never gets a good answer, and what only shares parts with it does. Parts that endpoints lost together with their rack have in common form no sequence.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,7 +8,7 @@
   ['contract'],
   ['observe', 'routing', 'server'],
   ['settings', 'link', 'store'],
-  ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution', 'replica'],
+  ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution', 'replica', 'breaker'],
   ['entry', 'placement'],
   ['steward', 'gateway'],
   ['daemon', 'standin', 'forwarder'],
--- /dev/null
+++ b/src/breaker/breakerMessages.ts
@@ -0,0 +1,54 @@
+/** Messages in which gateways tell each other of crashes, blocks and good answers. Times travel as ages, since clocks differ. */
+import * as z from 'zod'
+import type { MessageType } from '../link/index.ts'
+import type { BreakerNews } from './promptBreaker.ts'
+
+const partSchema = z.object({ organisation: z.string(), part: z.string() })
+const runSchema = z.object({
+  organisation: z.string(),
+  parts: z.array(z.string()),
+  hasBegun: z.boolean(),
+  /** From the run's begin to the crash. */
+  milliseconds: z.number()
+})
+const newsSchema = z.object({
+  reports: z.array(z.object({ instance: z.string(), reporter: z.string(), ageMilliseconds: z.number(), runs: z.array(runSchema) })),
+  blocks: z.array(partSchema.extend({ holder: z.string(), trips: z.number().int().positive(), ageMilliseconds: z.number() })),
+  answers: z.array(partSchema.extend({ ageMilliseconds: z.number() }))
+})
+
+export type EncodedNews = z.infer<typeof newsSchema>
+
+/** Tells news; the reply tells what the receiver knows. */
+export const breakerNews: MessageType<EncodedNews, EncodedNews> = { name: 'breaker_news', body: newsSchema, reply: newsSchema }
+
+/** Encodes news with their ages. */
+export function encodeNews ({ reports, blocks, answers }: BreakerNews, now: number): EncodedNews {
+  return {
+    reports: reports.map(({ instance, reporter, crashedAt, runs }) => ({
+      instance,
+      reporter,
+      ageMilliseconds: now - crashedAt,
+      runs: runs.map(({ prompt, hasBegun, startedAt }) => ({ organisation: prompt.organisation, parts: [...prompt.parts], hasBegun, milliseconds: crashedAt - startedAt }))
+    })),
+    blocks: blocks.map(({ blockedAt, ...block }) => ({ ...block, ageMilliseconds: now - blockedAt })),
+    answers: answers.map(({ answeredAt, ...answer }) => ({ ...answer, ageMilliseconds: now - answeredAt }))
+  }
+}
+
+/** Decodes news that have just arrived. */
+export function decodeNews ({ reports, blocks, answers }: EncodedNews, now: number): BreakerNews {
+  return {
+    reports: reports.map(({ instance, reporter, ageMilliseconds, runs }) => {
+      const crashedAt = now - ageMilliseconds
+      return {
+        instance,
+        reporter,
+        crashedAt,
+        runs: runs.map(({ organisation, parts, hasBegun, milliseconds }) => ({ prompt: { organisation, parts }, hasBegun, startedAt: crashedAt - milliseconds }))
+      }
+    }),
+    blocks: blocks.map(({ ageMilliseconds, ...block }) => ({ ...block, blockedAt: now - ageMilliseconds })),
+    answers: answers.map(({ ageMilliseconds, ...answer }) => ({ ...answer, answeredAt: now - ageMilliseconds }))
+  }
+}
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -1,6 +1,7 @@
 /** Composition root of the forwarder: registers each component with its dependencies. */
 import { asFunction, asValue, type AwilixContainer, createContainer, InjectionMode } from 'awilix/browser'
 import { PlatformHeaders, RowStore, readyPath, type BootFile, Table } from '../../platform/index.ts'
+import { BreakerExchange, EndpointRuns, PromptBreaker, connectionCheck } from '../breaker/index.ts'
 import { type Clock, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { Connections } from '../endpoint/index.ts'
 import { EndpointAnnouncements, Forwarding, GatewayMetrics, GatewayServer, OperationsServer, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
@@ -64,6 +65,9 @@
   readonly rollOutStore: RowRollOutStore
   readonly rollOutCoordinator: RollOutCoordinator
   readonly tableLoader: TableLoader
+  readonly breaker: PromptBreaker
+  readonly runs: EndpointRuns
+  readonly breakerExchange: BreakerExchange
   readonly connections: Connections
   readonly forwarding: Forwarding
   readonly gateway: GatewayServer
@@ -106,6 +110,9 @@
     rollOutStore: single(({ store, follower }) => new RowRollOutStore(store, follower)),
     rollOutCoordinator: single(makeRollOutCoordinator),
     tableLoader: single(parts => new TableLoader(parts)),
+    breaker: single(makeBreaker),
+    runs: single(makeRuns),
+    breakerExchange: single(makeBreakerExchange),
     connections: single(() => new Connections({ connectTimeoutMilliseconds: endpointConnectTimeoutMilliseconds })),
     forwarding: single(makeForwarding),
     gateway: single(makeGateway),
@@ -199,6 +206,40 @@
   })
 }
 
+function makeBreaker ({ boot, log, metrics }: ForwarderDependencies): PromptBreaker {
+  return new PromptBreaker({
+    name: boot.current.name,
+    onChange: ({ type, block }) => {
+      log.warn(`prompt_${type}`, { organisation: block.organisation, part: block.part, holder: block.holder, trips: block.trips })
+      metrics.promptChanges.inc({ change: type })
+    }
+  })
+}
+
+function makeRuns ({ boot, breaker, clock, log, breakerExchange }: ForwarderDependencies): EndpointRuns {
+  return new EndpointRuns({
+    name: boot.current.name,
+    breaker,
+    hasCrashed: connectionCheck(endpointConnectTimeoutMilliseconds),
+    onNews: () => breakerExchange.publish(),
+    clock,
+    log
+  })
+}
+
+function makeBreakerExchange (parts: ForwarderDependencies): BreakerExchange {
+  const { link, breaker, peers, clock, randomness, log } = parts
+  return new BreakerExchange({
+    link,
+    breaker,
+    peers: () => peers.peers,
+    onNews: () => parts.runs.cancelBlocked(clock.now()),
+    clock,
+    randomness,
+    log
+  })
+}
+
 function makeForwarding (parts: ForwarderDependencies): Forwarding {
   const { boot, loads, randomness } = parts
   return new Forwarding({
@@ -214,6 +255,8 @@
     placement: new EndpointPlacement(boot.current.place, loads, randomness),
     modelCascade: new ModelCascade(),
     retryBudget: new RetryBudget(boot.current.retryRatio),
+    breaker: parts.breaker,
+    runs: parts.runs,
     announcements: new EndpointAnnouncements(parts),
     versionSelector: parts.versionSelector,
     untilTablesAreRead: () => parts.tableLoader.untilComplete()
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -4,9 +4,10 @@
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
 import { delimitByConnectionClose, isSelfDelimited } from './responseFraming.ts'
+import type { BlockedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
-import { type ForwardRefusal, ForwardRefusals, endpointsOverloaded, sendRefusal } from './forwardRefusal.ts'
+import { type ForwardRefusal, ForwardRefusals, endpointsOverloaded, promptBlocked, sendRefusal } from './forwardRefusal.ts'
 
 const answeredOutcome = 'answered'
 const callerLeftOutcome = 'caller_left'
@@ -36,6 +37,8 @@
   readonly mayHaveRun: boolean
   /** Whether an endpoint refused it for lack of capacity. */
   readonly isFull: boolean
+  /** Why its prompt is not sent to any endpoint; undefined if it may be. */
+  readonly block: BlockedPrompt | undefined
   /** How long it takes until an endpoint wants requests again, in milliseconds; 0 if one does now. */
   readonly overloadMilliseconds: number
 }
@@ -72,9 +75,10 @@
   }
 
   /** Refuses a request without a response from any endpoint; the refusal depends on whether it may have been executed. */
-  refuseUnanswered ({ mayHaveRun, isFull, overloadMilliseconds }: UnansweredRequest): void {
+  refuseUnanswered ({ mayHaveRun, isFull, block, overloadMilliseconds }: UnansweredRequest): void {
     const { isPastDeadline } = this.#state
     if (mayHaveRun) return this.refuse(isPastDeadline ? ForwardRefusals.timedOut : ForwardRefusals.attemptLost)
+    if (block !== undefined) return this.refuse(promptBlocked(block.retryAfterMilliseconds))
     if (isPastDeadline) return this.refuse(ForwardRefusals.notSentInTime)
     if (overloadMilliseconds > 0) return this.refuse(endpointsOverloaded(overloadMilliseconds))
     this.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
--- a/src/gateway/forwardRefusal.ts
+++ b/src/gateway/forwardRefusal.ts
@@ -48,6 +48,16 @@
   return refusal('endpoints_overloaded', 503, Math.max(overloadRetryMilliseconds, milliseconds))
 }
 
+/**
+ * The refusal of a prompt with a part that crashes endpoints: the caller may return when the part is tried again.
+ *
+ * @example
+ * callerResponse.refuse(promptBlocked(block.retryAfterMilliseconds))
+ */
+export function promptBlocked (milliseconds: number): ForwardRefusal {
+  return refusal('prompt_blocked', 503, milliseconds)
+}
+
 /** Sends a refusal as a JSON document. */
 export function sendRefusal (response: ServerResponse, refusal: ForwardRefusal, codec: HeaderCodec): void {
   const body = JSON.stringify({ error: refusal.code })
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -3,6 +3,7 @@
  * and the attempts made so far. Shared by plain and streamed forwarding.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { BlockedPrompt, EndpointRun, SharedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import { type AttemptTracker, AttemptEnd, estimateWork } from '../placement/index.ts'
 import { type ResponseHead, type RequestHead, RouteType, type Route, type RoutedEndpoint, type RoutedOrganisation, instanceKey } from '../routing/index.ts'
@@ -14,6 +15,8 @@
 const misdirectedStatus = 421
 const firstServerErrorStatus = 500
 const timerToleranceMilliseconds = 5
+/** A request whose runs have broken off so often, soon after they began, may crash its endpoints. */
+const maximumCrashedRuns = 2
 
 export interface ForwardedRequestOptions {
   readonly request: IncomingMessage
@@ -36,8 +39,9 @@
   readonly exchange: Exchange
   readonly startedAt: number
   readonly tracker: AttemptTracker
-  /** When the head of the response arrived; undefined before. */
-  begunAt: number | undefined
+  readonly run: EndpointRun
+  /** Whether it was cancelled because its prompt was blocked. */
+  readonly isBlocked: () => boolean
 }
 
 /** Why an endpoint states that it did not execute a request. */
@@ -78,8 +82,11 @@
   readonly #options: ForwardedRequestOptions
   readonly #attemptSummaries: string[] = []
   readonly #triedInstances = new Set<string>()
+  readonly #prompt: SharedPrompt
   #sentAttempts = 0
   #hasBrokenOff = false
+  #crashedRuns = 0
+  #block: BlockedPrompt | undefined
 
   constructor (options: ForwardedRequestOptions) {
     const { route, service, head, dependencies, arrivedAt, response } = options
@@ -90,6 +97,7 @@
     this.dependencies = dependencies
     this.arrivedAt = arrivedAt
     this.deadline = arrivedAt + Math.min(route.timeoutMilliseconds, head.timeoutMilliseconds ?? route.timeoutMilliseconds)
+    this.#prompt = { organisation: options.organisation?.name ?? '', parts: head.promptParts.slice(0, -1).map(({ id }) => id) }
     response.once('close', () => {
       if (!response.writableFinished) this.callerAbort.abort('caller disconnected')
     })
@@ -119,6 +127,21 @@
     return this.route.maximumAttempts - this.#sentAttempts
   }
 
+  /** Why the request's prompt is not sent to any endpoint; undefined if it may be. */
+  get block (): BlockedPrompt | undefined {
+    return this.#block
+  }
+
+  /** Whether another attempt may be made; takes it from the retry budget if it is not the first. */
+  tryStartAttempt (): boolean {
+    const { breaker, retryBudget } = this.dependencies
+    if (this.hasCallerLeft || this.now >= this.deadline || this.attemptsLeft <= 0 || this.#crashedRuns >= maximumCrashedRuns) return false
+    const admission = breaker.admit(this.#prompt, this.now)
+    if (admission.err) this.#block = admission.val
+    if (admission.err) return false
+    return this.sentAttempts === 0 || retryBudget.tryConsume(this.service, this.now)
+  }
+
   /** Remaining share of the latency target, 0 to 1. */
   get latencyTargetShareLeft (): number {
     const usedShare = (this.now - this.arrivedAt) / this.route.latencyTargetMilliseconds
@@ -145,7 +168,7 @@
 
   /** Starts an attempt at an endpoint. */
   send (endpoint: RoutedEndpoint, { model, lastEventId, usesOwnConnection }: AttemptOptions): OpenAttempt {
-    const { clock, codec, connections, registry, loads } = this.dependencies
+    const { clock, codec, connections, registry, loads, runs } = this.dependencies
     const startedAt = this.now
     this.#triedInstances.add(instanceKey(endpoint))
     const { request, organisation, body } = this.#options
@@ -166,11 +189,19 @@
       mayStillSend: () => !this.hasCallerLeft && this.now < this.deadline && registry.isServing(endpoint, this.now) && !loads.isOverloaded(endpoint, this.now)
     }
     const work = loads.track(endpoint, this.#estimateWork(model), startedAt)
+    let isBlocked = false
+    const cancelBlocked = () => {
+      isBlocked = true
+      exchange.abort('its prompt is blocked')
+    }
+    const run = runs.open({ instance: instanceKey(endpoint), address: endpoint.address, prompt: this.#prompt, cancel: cancelBlocked })
+    // The response of a plain service arrives only when it is complete, so its run counts as begun at once.
+    if (this.route.type !== RouteType.Stream) run.recordOutput(startedAt)
     const exchange = usesOwnConnection ? connections.startDedicated(endpoint.address, exchangeOptions) : connections.startPooled(endpoint.address, exchangeOptions)
     const abandonExchange = () => exchange.abort('caller disconnected')
     this.callerAbort.signal.addEventListener('abort', abandonExchange, { once: true })
     if (this.hasCallerLeft) abandonExchange()
-    return { endpoint, model, exchange, startedAt, tracker: work, begunAt: undefined }
+    return { endpoint, model, exchange, startedAt, tracker: work, run, isBlocked: () => isBlocked }
   }
 
   /**
@@ -180,6 +211,7 @@
    */
   finishAttempt (attempt: OpenAttempt, end: AttemptEnd, outcome: string, countsAsSent = attempt.exchange.mayHaveSent): void {
     if (countsAsSent) this.#sentAttempts++
+    attempt.run.close()
     attempt.tracker.close(end, this.now)
     this.dependencies.metrics.attempts.inc({ service: this.service, end })
     const { identity, version } = attempt.endpoint
@@ -188,14 +220,21 @@
 
   /** Closes an attempt whose run broke off or was never sent. What its prompt shares with others is logged, since it may be the cause. */
   finishBrokenAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string): void {
+    const { begunAt } = attempt.run
     const wasSent = attempt.exchange.mayHaveSent
-    const progress = attempt.begunAt === undefined ? RunProgress.Waiting : RunProgress.Begun
-    if (wasSent) this.dependencies.metrics.brokenRuns.inc({ service: this.service, end, progress })
+    if (wasSent) this.dependencies.metrics.brokenRuns.inc({ service: this.service, end, progress: begunAt === undefined ? RunProgress.Waiting : RunProgress.Begun })
     this.#hasBrokenOff ||= wasSent
-    const begun = attempt.begunAt === undefined ? '' : `, begun ${Math.round(this.now - attempt.begunAt)}ms before`
+    if (wasSent && end === AttemptEnd.Failed) this.#recordBreak(attempt)
+    const begun = begunAt === undefined ? '' : `, begun ${Math.round(this.now - begunAt)}ms before`
     this.finishAttempt(attempt, end, `${wasSent ? 'broke off' : 'unsent'}${begun}: ${reason}`)
   }
 
+  /** An endpoint that was leaving anyway did not crash. */
+  #recordBreak ({ endpoint, run }: OpenAttempt): void {
+    const mayBeCause = this.dependencies.registry.isServing(endpoint, this.now) && run.recordBreak(this.now)
+    if (mayBeCause) this.#crashedRuns++
+  }
+
   /** Records an attempt's outcome as roll-out evidence on the endpoint's version. */
   recordResponse (attempt: OpenAttempt, failed: boolean): void {
     const milliseconds = this.now - attempt.startedAt
@@ -207,7 +246,7 @@
    * accepting it is reachable; one that refused the connection or stayed silent may not be.
    */
   attemptEndWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
-    if (this.hasCallerLeft) return AttemptEnd.Cancelled
+    if (this.hasCallerLeft || attempt.isBlocked()) return AttemptEnd.Cancelled
     const wasHeldBack = !attempt.exchange.mayHaveSent && this.dependencies.loads.isOverloaded(attempt.endpoint, this.now)
     if (wasHeldBack) return AttemptEnd.Cancelled
     return isSilent || !attempt.exchange.mayHaveSent ? AttemptEnd.Lost : AttemptEnd.Failed
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { type Clock, type Refusal, RefusalCode } from '../contract/index.ts'
+import type { EndpointRuns, PromptBreaker } from '../breaker/index.ts'
 import type { Connections } from '../endpoint/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { EndpointRegistry, EndpointLoads, EndpointPlacement, ModelCascade, RetryBudget, VersionSelector } from '../placement/index.ts'
@@ -31,6 +32,8 @@
   readonly placement: EndpointPlacement
   readonly modelCascade: ModelCascade
   readonly retryBudget: RetryBudget
+  readonly breaker: PromptBreaker
+  readonly runs: EndpointRuns
   readonly announcements: EndpointAnnouncements
   readonly versionSelector: VersionSelector
   readonly rollOuts: RollOutView
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -42,8 +42,7 @@
     const request = this.#request
     let isFull = false
     let lastFailure: CompleteResponse | undefined
-    while (!request.hasCallerLeft && request.now < request.deadline && request.attemptsLeft > 0) {
-      if (request.sentAttempts > 0 && !request.dependencies.retryBudget.tryConsume(request.service, request.now)) break
+    while (request.tryStartAttempt()) {
       const endpoint = request.chooseEndpoint(undefined)
       if (endpoint === undefined) break
       const outcome = await this.#attempt(endpoint)
@@ -56,7 +55,7 @@
       if (outcome.type === 'lost' && !this.#isIdempotent) break
     }
     if (lastFailure !== undefined) return this.#deliver(lastFailure)
-    request.callerResponse.refuseUnanswered({ mayHaveRun: this.#mayHaveRun, isFull, overloadMilliseconds: request.overloadMilliseconds })
+    request.callerResponse.refuseUnanswered({ mayHaveRun: this.#mayHaveRun, isFull, block: request.block, overloadMilliseconds: request.overloadMilliseconds })
   }
 
   #deliver (answer: CompleteResponse): void {
@@ -84,7 +83,6 @@
     if (notExecutedReason !== undefined) return { type: 'not_run', reason: notExecutedReason }
     if (!responseHead.isSealed || responseHead.isEncoded) return this.#rejectForeignResponse(attempt, 'unsealed')
     attempt.tracker.recordBytes(request.now)
-    attempt.begunAt = request.now
     return this.#readBody(attempt, head.status, head.headers)
   }
 
@@ -102,6 +100,7 @@
       if (bytes > maximumBufferedBytes) return this.#relay(attempt, status, headers, chunks)
     }
     const isFailed = request.isServerError(status)
+    if (!isFailed) attempt.run.recordAnswer(request.now)
     request.recordResponse(attempt, isFailed)
     attempt.tracker.recordResponseStart(request.now)
     request.finishAttempt(attempt, isFailed ? AttemptEnd.Failed : AttemptEnd.Answered, String(status))
@@ -123,6 +122,7 @@
         continue
       }
       if (event?.type === 'end') {
+        attempt.run.recordAnswer(request.now)
         request.finishAttempt(attempt, AttemptEnd.Answered, String(status))
         response.end()
         request.callerResponse.recordDelivery(status)
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -60,8 +60,7 @@
   async run (): Promise<void> {
     const request = this.#request
     let isFull = false
-    while (!request.hasCallerLeft && request.now < request.deadline && request.attemptsLeft > 0) {
-      if (request.sentAttempts > 0 && !request.dependencies.retryBudget.tryConsume(request.service, request.now)) break
+    while (request.tryStartAttempt()) {
       const endpoint = request.chooseEndpoint(this.#model)
       if (endpoint === undefined) break
       const attempt = request.send(endpoint, { model: this.#model, lastEventId: this.#lastEventId, usesOwnConnection: false })
@@ -80,7 +79,7 @@
     const request = this.#request
     if (this.#hasResponseStarted) return request.callerResponse.abort(request.isPastDeadline ? 'timed_out' : 'stream_lost')
     if (this.#failedResponse !== undefined) return request.callerResponse.deliver(this.#failedResponse)
-    request.callerResponse.refuseUnanswered({ mayHaveRun: this.#mayHaveRun, isFull, overloadMilliseconds: request.overloadMilliseconds })
+    request.callerResponse.refuseUnanswered({ mayHaveRun: this.#mayHaveRun, isFull, block: request.block, overloadMilliseconds: request.overloadMilliseconds })
   }
 
   #planCascade (): void {
@@ -100,7 +99,7 @@
     const notExecutedReason = request.finishIfNotExecuted(attempt, head.status, responseHead)
     if (notExecutedReason !== undefined) return notExecutedReason === NotExecutedReason.Misdirected ? RunOutcome.Unsent : RunOutcome.NotExecuted
     attempt.tracker.recordBytes(request.now)
-    attempt.begunAt = request.now
+    attempt.run.recordOutput(request.now)
     if (head.status !== successStatus) return this.#readFailure(attempt, head.status, head.headers)
     if (!responseHead.isSealed || responseHead.isEncoded) return this.#failRun(attempt, 'unsealed', AttemptEnd.Cancelled)
     if (!this.#isTrusted(responseHead.confidence)) return this.#discardForLargerModel(attempt, responseHead.confidence)
@@ -148,6 +147,7 @@
       if (!hasRunStarted) this.#recordResponseStart(attempt)
       hasRunStarted = true
       attempt.tracker.recordBytes(request.now)
+      attempt.run.recordOutput(request.now)
       this.#startResponse(headers)
       this.#lastEventId = events.lastEventId ?? this.#lastEventId
       if (!request.callerResponse.response.write(events.bytes)) await waitForDrain(request.callerResponse.response, request.callerAbort.signal)
@@ -177,6 +177,7 @@
 
   #finishResponse (attempt: OpenAttempt, headers: IncomingHttpHeaders): RunOutcome {
     this.#startResponse(headers)
+    attempt.run.recordAnswer(this.#request.now)
     this.#request.finishAttempt(attempt, AttemptEnd.Answered, 'whole')
     this.#request.callerResponse.response.end()
     this.#request.callerResponse.recordDelivery(successStatus)
--- a/src/replica/peerReplicaExchange.ts
+++ b/src/replica/peerReplicaExchange.ts
@@ -89,6 +89,11 @@
     return this.#peers.size + 1
   }
 
+  /** Other gateways that are known, and those in the settings. */
+  get peers (): readonly Peer[] {
+    return [...new Map([...this.#seedPeers(), ...this.#peers.values()].map(peer => [peer.address, peer])).values()]
+  }
+
   async #introducePeriodically (): Promise<void> {
     let interval = minimumIntroductionIntervalMilliseconds
     while (!this.#stopping.signal.aborted) {
