--- a/src/breaker/promptBreaker.ts
+++ b/src/breaker/promptBreaker.ts
@@ -121,8 +121,7 @@
     for (;;) {
       const unexplained = crashes.filter(crash => crash.crashedAt + settlingMilliseconds <= now && !this.#isExplained(crash, now))
       const part = blamedPart(unexplained, (part, crashedAt) => this.#answers.isSound(part, crashedAt))
-      if (part === undefined) return
-      this.#block({ ...part, holder: this.#options.name, trips: 1, blockedAt: now }, now)
+      if (part === undefined || !this.#block({ ...part, holder: this.#options.name, trips: 1, blockedAt: now }, now)) return
     }
   }
 
--- a/test/breaker.test.ts
+++ b/test/breaker.test.ts
@@ -60,6 +60,15 @@
   expect(breaker.admit(beside, 2_700 + settled).ok).toBe(true)
 })
 
+test('a second part that crashes endpoints is blocked as well', () => {
+  const { breaker, crash } = createBreaker()
+  for (const at of [100, 400, 700, 1_000]) crash(at, run(poisoned, at - 60))
+  const second: SharedPrompt = { organisation: 'guides', parts: ['b2'] }
+  crashInSequence(crash, second, 2_000)
+  expect(breaker.admit(second, 2_700 + settled).err).toBe(true)
+  expect(breaker.admit(poisoned, 2_700 + settled).err).toBe(true)
+})
+
 test('the run that had begun last is blamed, not those that had written for longer or wait for their turn', () => {
   const { breaker, crash } = createBreaker()
   const other: SharedPrompt = { organisation: 'guides', parts: ['b2'] }
