Refuse prompts that crash engines at daemons as well

The daemon's way of a chat had the same fault as the gateway's: a run that broke off counted against its engine alone, so a system prompt that crashes engines was sent to the next one, by the same request and by all others.

The same breaker decides here (src/breaker stands once). The shared parts of a chat are the hashes of its messages before the last; a run's endpoint is told apart by the engine's incarnation in its load report. A blocked prompt is refused as prompt_blocked, 422 and not run, which OpenAI's clients do not repeat.

Plain services have no parts to blame and stay as they are.

--- a/src/breaker/index.ts
+++ b/src/breaker/index.ts
@@ -5,5 +5,6 @@
 export { blamedPart, type ObservedCrash, type SoundnessCheck } from './blame.ts'
 export { PromptBreaker, type PromptBreakerOptions, type BreakerNews } from './promptBreaker.ts'
 export { EndpointRuns, type EndpointRun, type EndpointRunsOptions, type RunDescription, type CrashCheck } from './endpointRuns.ts'
+export { logBreakerChange } from './breakerLog.ts'
 export { connectionCheck } from './crashCheck.ts'
 export { BreakerExchange, type BreakerExchangeOptions } from './breakerExchange.ts'
--- a/src/contract/refusal.ts
+++ b/src/contract/refusal.ts
@@ -26,6 +26,7 @@
   BodyTooLarge: { name: 'body_too_large', status: 413 },
   IdempotencyKeyReused: { name: 'idempotency_key_reused', status: 422 },
   IdempotencyKeyMissing: { name: 'idempotency_key_missing', status: 400 },
+  PromptBlocked: { name: 'prompt_blocked', status: 422 },
   ShareExceeded: { name: 'share_exceeded', status: 429 },
   DeadlineTooNear: { name: 'deadline_too_near', status: 429 },
   Overloaded: { name: 'overloaded', status: 503 },
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -8,13 +8,14 @@
   AffinityEndpointPolicy, type AttemptBudget, type EndpointPolicy, LearnedVersionPolicy, RegionLinkBudget,
   RatioAttemptBudget, SequentialRollOutGuard, ShareAdmissionPolicy, type VersionPolicy
 } from '../choice/index.ts'
+import { BreakerExchange, EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
 import { type Claims, TableClaims } from '../claim/index.ts'
 import { type Clock, type Place, type Randomness, type Result, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { SettingsFollower, type SettingsRepository, TableSettingsRepository } from '../distribution/index.ts'
 import { type EngineClient, HttpEngineClient, HttpServiceClient, type ServiceClient } from '../endpoint/index.ts'
 import { type DigestingPolicy, CallerServer, ChatRouter, CompletionLengthEstimator, Drain, EndpointDirectory, PoolAdmission, RatingExchange, RollOutMonitor, ServiceRouter } from '../entry/index.ts'
 import { type Link, TcpLink } from '../link/index.ts'
-import { GossipMembership } from '../membership/index.ts'
+import { GossipMembership, MemberState } from '../membership/index.ts'
 import { Log, Metrics, createOpenTelemetryTracer, NoopTracer, type Tracer } from '../observe/index.ts'
 import {
   HttpRatingService, HttpTableService, HttpVirtualMachineList, type RatingService, type TableService, type VirtualMachineList
@@ -57,6 +58,9 @@
   readonly versions: VersionPolicy & DigestingPolicy
   readonly ratingExchange: RatingExchange
   readonly endpoints: EndpointPolicy
+  readonly breaker: PromptBreaker
+  readonly runs: EndpointRuns
+  readonly breakerExchange: BreakerExchange
   readonly admission: PoolAdmission
   readonly retries: AttemptBudget
   readonly rollOuts: RollOutMonitor
@@ -127,6 +131,24 @@
   versions: ({ randomness }) => new LearnedVersionPolicy({ randomness }),
   ratingExchange: ({ clock, link, membership, randomness, versions }) => new RatingExchange({ policy: versions, link, membership, clock, randomness }),
   endpoints: ({ here, local, randomness }) => new AffinityEndpointPolicy({ here, randomness, link: new RegionLinkBudget(local.limits.regional_link_bytes_per_second) }),
+  breaker: ({ local, log }) => new PromptBreaker({ name: local.name, onChange: change => logBreakerChange(log, change) }),
+  runs: dependencies => new EndpointRuns({
+    name: dependencies.local.name,
+    breaker: dependencies.breaker,
+    hasCrashed: connectionCheck(connectTimeoutMilliseconds),
+    onNews: () => dependencies.breakerExchange.publish(),
+    clock: dependencies.clock,
+    log: dependencies.log
+  }),
+  breakerExchange: dependencies => new BreakerExchange({
+    link: dependencies.link,
+    breaker: dependencies.breaker,
+    peers: () => dependencies.membership.members().filter(({ name, state }) => name !== dependencies.local.name && state === MemberState.Alive),
+    onNews: () => dependencies.runs.cancelBlocked(dependencies.clock.now()),
+    clock: dependencies.clock,
+    randomness: dependencies.randomness,
+    log: dependencies.log
+  }),
   admission: () => new PoolAdmission(() => new ShareAdmissionPolicy()),
   retries: () => new RatioAttemptBudget(),
   rollOuts: ({ follower }) => new RollOutMonitor(follower, (from, to) => new SequentialRollOutGuard({ from, to })),
@@ -182,8 +204,8 @@
 }
 
 function chatRoutingDependencies (dependencies: DaemonDependencies) {
-  const { clock, directory, endpoints, engines, follower, lengths, metrics, randomness, retries, tracer } = dependencies
-  return { clock, randomness, settings: follower, directory, endpoints, retries, engines, lengths, metrics, tracer }
+  const { breaker, clock, directory, endpoints, engines, follower, lengths, metrics, randomness, retries, runs, tracer } = dependencies
+  return { clock, randomness, settings: follower, directory, endpoints, retries, engines, breaker, runs, lengths, metrics, tracer }
 }
 
 async function createTracer (local: LocalSettings): Promise<Tracer> {
--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -7,13 +7,15 @@
 import {
   type ChatRequest, type Clock, invariant, type Randomness, Refusal, RefusalCode, RunState, type VersionName
 } from '../contract/index.ts'
-import { AttemptEnd, type AttemptBudget, type EndpointChoice, type EndpointPolicy, type EndpointRequest } from '../choice/index.ts'
+import { AttemptEnd, type AttemptBudget, type EndpointChoice, type EndpointPolicy, type EndpointRequest, type EndpointView } from '../choice/index.ts'
+import type { EndpointRun, EndpointRuns, PromptBreaker, SharedPrompt } from '../breaker/index.ts'
 import type { SettingsSource } from '../distribution/index.ts'
 import { type AttemptFailure, type EngineChunk, type EngineClient, type EngineFinish, DeliveryState } from '../endpoint/index.ts'
 import { formatTraceParent, type Metrics, type TraceContext, type Tracer } from '../observe/index.ts'
 import type { CompletionLengthEstimator } from './completionLengthEstimator.ts'
 import type { EndpointDirectory } from './endpointDirectory.ts'
 import { furtherDelivery, refusalAfter, runStateAfter } from './deliveryOfAttempts.ts'
+import { sharedPromptOf } from './sharedPrompt.ts'
 
 /** Events of a run: any number of chunks, then a finish or a refusal. */
 export type AttemptEvent =
@@ -29,6 +31,8 @@
   readonly endpoints: EndpointPolicy
   readonly retries: AttemptBudget
   readonly engines: EngineClient
+  readonly breaker: PromptBreaker
+  readonly runs: EndpointRuns
   readonly lengths: CompletionLengthEstimator
   readonly metrics: Metrics
   readonly tracer: Tracer
@@ -37,6 +41,7 @@
 /** Retries per request, regardless of the attempt budget. */
 const maximumRetries = 2
 const defaultRetryAfterSeconds = 1
+const millisecondsPerSecond = 1_000
 
 /** Sends attempts to engines and retries failed ones. */
 export class AttemptRunner {
@@ -56,15 +61,17 @@
   async * run (request: ChatRequest, version: VersionName, session: string | undefined, parent: TraceContext | undefined, signal: AbortSignal): AsyncGenerator<AttemptEvent> {
     const { clock, retries } = this.#dependencies
     const excluded = new Set<string>()
+    const prompt = sharedPromptOf(request)
     let delivery: DeliveryState = DeliveryState.NotSent
     retries.recordFirstAttempt(clock.now())
     for (let attempt = 0; ; attempt++) {
       const endpointRequest = this.#endpointRequest(request, version, session, excluded)
-      const refusal = this.#refusalBeforeSend(request, version)
+      const refusal = this.#refusalBeforeSend(request, version) ?? this.#refusalOfPrompt(prompt)
       if (refusal !== undefined) return yield { type: 'refused', refusal: refusalAfter(delivery, refusal) }
-      const choice = this.#dependencies.endpoints.choose(endpointRequest, this.#dependencies.directory.engines(version), clock.now())
+      const views = this.#dependencies.directory.engines(version)
+      const choice = this.#dependencies.endpoints.choose(endpointRequest, views, clock.now())
       if (choice.err) return yield { type: 'refused', refusal: refusalAfter(delivery, choice.val) }
-      const failedAttempt = yield * this.#runAttempt(request, endpointRequest, choice.val, parent, signal)
+      const failedAttempt = yield * this.#runAttempt(request, endpointRequest, choice.val, this.#openRun(prompt, choice.val, views), parent, signal)
       if (failedAttempt === undefined) return
       delivery = furtherDelivery(delivery, failedAttempt.failure.delivery)
       if (failedAttempt.hadOutput) return yield { type: 'refused', refusal: answerCutOff(failedAttempt.failure) }
@@ -75,7 +82,7 @@
   }
 
   /** Yields the attempt's chunks and its finish; returns the failure if it failed. */
-  async * #runAttempt (request: ChatRequest, endpointRequest: EndpointRequest, choice: EndpointChoice, parent: TraceContext | undefined, signal: AbortSignal): AsyncGenerator<AttemptEvent, FailedAttempt | undefined> {
+  async * #runAttempt (request: ChatRequest, endpointRequest: EndpointRequest, choice: EndpointChoice, run: EndpointRun, parent: TraceContext | undefined, signal: AbortSignal): AsyncGenerator<AttemptEvent, FailedAttempt | undefined> {
     const { clock, metrics, settings, tracer } = this.#dependencies
     const span = tracer.startSpan('attempt', 'client', parent)
     span.setAttribute('endpoint', choice.endpoint.name)
@@ -92,10 +99,13 @@
       for await (const event of this.#dependencies.engines.generate(choice.endpoint, call, signal)) {
         if (event.type === 'failure') {
           end = signal.aborted ? AttemptEnd.Cancelled : AttemptEnd.Failed
+          const mayHaveCrashed = end === AttemptEnd.Failed && event.failure.delivery === DeliveryState.PossiblySent
+          if (mayHaveCrashed) run.recordBreak(clock.now())
           return { failure: event.failure, hadOutput: completionTokens > 0 }
         }
         if (event.type === 'finish') {
           end = AttemptEnd.Answered
+          run.recordAnswer(clock.now())
           this.#dependencies.lengths.observe(request.kind, event.finish.usage.completionTokens)
           yield { type: 'finish', finish: event.finish }
           return undefined
@@ -104,11 +114,13 @@
           firstTokenMilliseconds = clock.now() - sentAt
           openAttempt.recordFirstToken(clock.now())
         }
+        run.recordOutput(clock.now())
         completionTokens += event.chunk.tokens
         yield event
       }
       invariant(false, 'an engine stream ends with a finish or a failure', () => ({ endpoint: choice.endpoint.name }))
     } finally {
+      run.close()
       openAttempt.close({ end, firstTokenMilliseconds, completionTokens }, clock.now())
       metrics.attempts.inc({ endpoint: choice.endpoint.name, end })
       span.end(end === AttemptEnd.Failed ? 'the attempt failed' : undefined)
@@ -122,6 +134,19 @@
     return new Refusal(RefusalCode.ModelNotFound, RunState.NotRun, `version ${version} is no longer available to this organisation`)
   }
 
+  #refusalOfPrompt (prompt: SharedPrompt): Refusal | undefined {
+    const admission = this.#dependencies.breaker.admit(prompt, this.#dependencies.clock.now())
+    if (admission.ok) return undefined
+    const retryAfterSeconds = admission.val.retryAfterMilliseconds / millisecondsPerSecond
+    return new Refusal(RefusalCode.PromptBlocked, RunState.NotRun, 'engines crashed when they answered prompts that begin like this one', retryAfterSeconds)
+  }
+
+  /** A run that waits at its engine when its prompt is blocked is left there: its engine keeps it even without a connection. */
+  #openRun (prompt: SharedPrompt, { endpoint }: EndpointChoice, views: readonly EndpointView[]): EndpointRun {
+    const incarnation = views.find(view => view.endpoint.name === endpoint.name)?.report?.incarnation ?? 0
+    return this.#dependencies.runs.open({ instance: `${endpoint.name}@${incarnation}`, address: endpoint.address, prompt, cancel: () => undefined })
+  }
+
   #endpointRequest (request: ChatRequest, version: VersionName, session: string | undefined, excluded: ReadonlySet<string>): EndpointRequest {
     return {
       id: request.id,
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -1,7 +1,7 @@
 /** Composition root of the forwarder: registers each component with its dependencies. */
 import { asFunction, asValue, type AwilixContainer, createContainer, InjectionMode } from 'awilix/browser'
 import { PlatformHeaders, RowStore, readyPath, type BootFile, Table } from '../../platform/index.ts'
-import { BreakerExchange, EndpointRuns, PromptBreaker, connectionCheck } from '../breaker/index.ts'
+import { BreakerExchange, EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
 import { type Clock, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { Connections } from '../endpoint/index.ts'
 import { EndpointAnnouncements, Forwarding, GatewayMetrics, GatewayServer, OperationsServer, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
@@ -209,9 +209,9 @@
 function makeBreaker ({ boot, log, metrics }: ForwarderDependencies): PromptBreaker {
   return new PromptBreaker({
     name: boot.current.name,
-    onChange: ({ type, block }) => {
-      log.warn(`prompt_${type}`, { organisation: block.organisation, part: block.part, holder: block.holder, trips: block.trips })
-      metrics.promptChanges.inc({ change: type })
+    onChange: change => {
+      logBreakerChange(log, change)
+      metrics.promptChanges.inc({ change: change.type })
     }
   })
 }
--- a/test/fakes/entryWorld.ts
+++ b/test/fakes/entryWorld.ts
@@ -2,10 +2,11 @@
 import { createHash } from 'node:crypto'
 import type { BillEntry, Ledger } from '../../src/billing/index.ts'
 import { AffinityEndpointPolicy, RegionLinkBudget, RatioAttemptBudget, type RollOutGuard, RollOutVerdict, ShareAdmissionPolicy, type VersionPolicy } from '../../src/choice/index.ts'
+import { EndpointRuns, PromptBreaker, connectionCheck } from '../../src/breaker/index.ts'
 import { TableClaims } from '../../src/claim/index.ts'
-import { Ok, SeededRandomness, SystemClock, SystemRandomness } from '../../src/contract/index.ts'
+import { type LoadReport, Ok, SeededRandomness, SystemClock, SystemRandomness } from '../../src/contract/index.ts'
 import { SettingsLease, type SettingsSource } from '../../src/distribution/index.ts'
-import { HttpEngineClient, HttpServiceClient } from '../../src/endpoint/index.ts'
+import { type EngineClient, HttpEngineClient, HttpServiceClient } from '../../src/endpoint/index.ts'
 import { CallerServer, ChatRouter, CompletionLengthEstimator, Drain, EndpointDirectory, PoolAdmission, RollOutMonitor, ServiceRouter } from '../../src/entry/index.ts'
 import type { Membership } from '../../src/membership/index.ts'
 import { Log, Metrics, NoopTracer } from '../../src/observe/index.ts'
@@ -56,20 +57,26 @@
   readonly drain = new Drain()
   readonly metrics = new Metrics()
   readonly leavingEndpoints = new Set<string>()
+  /** Incarnations of engines that report a load, by name. */
+  readonly engineIncarnations = new Map<string, number>()
   readonly #cleanups: Array<() => Promise<void>> = []
   #engineAddress = ''
   #serviceAddress = ''
   address = ''
 
-  /** Starts the engine, the ledger service and the caller server. */
-  static async start (versionPolicy: VersionPolicy = cheapestVersionPolicy, maximumBodyBytes = 65_536): Promise<EntryHarness> {
+  /**
+   * Starts the engine, the ledger service and the caller server.
+   *
+   * @param engines calls engines in place of HTTP; they count as crashed whenever a run breaks off
+   */
+  static async start (versionPolicy: VersionPolicy = cheapestVersionPolicy, maximumBodyBytes = 65_536, engines?: EngineClient): Promise<EntryHarness> {
     const harness = new EntryHarness()
     const engine = await startEngine({ listen: '127.0.0.1:0', name: 'engine-1', versions: ['small@1', 'small@2', 'large@1'] })
     const service = await startService({ listen: '127.0.0.1:0', name: 'ledger' })
     harness.#engineAddress = engine.address
     harness.#serviceAddress = service.address
     harness.settings.install(harness.settingsText())
-    const server = harness.#createServer(versionPolicy, maximumBodyBytes)
+    const server = harness.#createServer(versionPolicy, maximumBodyBytes, engines)
     harness.address = await server.listen('127.0.0.1:0')
     harness.#cleanups.push(() => server.close(), () => engine.close(), () => service.close())
     return harness
@@ -138,13 +145,22 @@
     for (const close of this.#cleanups) await close()
   }
 
-  #createServer (versionPolicy: VersionPolicy, maximumBodyBytes: number): CallerServer {
+  #idleReport (name: string, incarnation: number): LoadReport {
+    const versions = this.settings.view.endpoints.get(name)?.versions ?? []
+    return { at: this.clock.now(), incarnation, versions, running: 0, queued: 0, queuedPromptTokens: 0, streamLimit: 32, prefillTokensPerSecond: 16_000, betweenTokensMilliseconds: 6, leaving: false }
+  }
+
+  #createServer (versionPolicy: VersionPolicy, maximumBodyBytes: number, engines?: EngineClient): CallerServer {
     const { clock, drain, metrics, settings, table } = this
     const randomness = new SystemRandomness()
     const here = { region: 'lower-mainland', dataCentre: 'lower-mainland-a' }
     const membership: Membership = {
       members: () => [],
-      endpointStatus: name => this.leavingEndpoints.has(name) ? { name, healthy: true, leaving: true, report: undefined, reportedAt: 0 } : undefined,
+      endpointStatus: name => {
+        if (this.leavingEndpoints.has(name)) return { name, healthy: true, leaving: true, report: undefined, reportedAt: 0 }
+        const incarnation = this.engineIncarnations.get(name)
+        return incarnation === undefined ? undefined : { name, healthy: true, leaving: false, report: this.#idleReport(name, incarnation), reportedAt: clock.now() }
+      },
       markEndpointLeaving: () => {}
     }
     const directory = new EndpointDirectory(settings, membership)
@@ -153,7 +169,11 @@
     const tracer = new NoopTracer()
     const log = new Log('error')
     const retries = new RatioAttemptBudget()
+    const breaker = new PromptBreaker({ name: 'entry-1' })
+    const hasCrashed = engines === undefined ? connectionCheck(500) : async () => true
     const chat = new ChatRouter({
+      breaker,
+      runs: new EndpointRuns({ name: 'entry-1', breaker, hasCrashed, onNews: () => undefined, clock, log }),
       clock,
       randomness,
       settings,
@@ -161,7 +181,7 @@
       endpoints: new AffinityEndpointPolicy({ here, randomness: new SeededRandomness(1), link: new RegionLinkBudget(1_000_000) }),
       retries,
       lengths: new CompletionLengthEstimator(),
-      engines: new HttpEngineClient({ clock, connectTimeoutMilliseconds: 500, inactivityTimeoutMilliseconds: 1_000 }),
+      engines: engines ?? new HttpEngineClient({ clock, connectTimeoutMilliseconds: 500, inactivityTimeoutMilliseconds: 1_000 }),
       metrics,
       tracer,
       versions: versionPolicy,
