Judge a new version by the pace of its answers, and by runs that are still waiting

Cause: a response counted as slow by the time to its first event only, and only once that had come. Slow engines begin in time and then write slowly, and runs that are given up before they answer dropped out of the count, so the version looked better the worse it was.

Change: choice/runTimings.ts compares two times with the old version's: until the begin and between events. A run is slow as soon as it has waited three times as long as usual; open runs are looked at every round. Answers that are dropped for a larger model's say nothing on the pace and leave the rate of slow runs; evidence rows have the number of timed runs, and those of earlier builds count as before.

Taking out the look at open runs fails one test, judging no pace two.

--- a/src/choice/index.ts
+++ b/src/choice/index.ts
@@ -9,5 +9,6 @@
 export { LearnedVersionPolicy, type LearnedVersionPolicyOptions } from './versionPolicy.ts'
 export { type BeliefSummary, type LedgerSummary, type VersionDigest } from './versionDigest.ts'
 export { SequentialRollOutGuard, type SequentialRollOutGuardOptions } from './rollOutGuard.ts'
+export { RunTimings, type TimedRun, type TimedRunOptions } from './runTimings.ts'
 export { RatingDriftDetector } from './ratingDriftDetector.ts'
 export { AffinityKey } from './endpointAffinity.ts'
--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -10,6 +10,7 @@
 /** One or more complete events. */
 export interface CompleteEvents {
   readonly bytes: Buffer
+  readonly count: number
   /** The ID of the last event that has one. */
   readonly lastEventId: string | undefined
 }
@@ -36,7 +37,7 @@
     this.#pending = received.subarray(end)
     if (end === 0) return undefined
     const complete = received.subarray(0, end)
-    return { bytes: complete, lastEventId: lastEventIdIn(complete) }
+    return { bytes: complete, count: countEvents(complete), lastEventId: lastEventIdIn(complete) }
   }
 }
 
@@ -50,6 +51,11 @@
   return 0
 }
 
+/** Counts the blank lines that end events. */
+function countEvents (bytes: Buffer): number {
+  return bytes.toString('latin1').match(/\n\r?\n/g)?.length ?? 0
+}
+
 function lastEventIdIn (bytes: Buffer): string | undefined {
   const lines = bytes.toString('latin1').split(/\r?\n/)
   return lines.findLast(line => line.startsWith(idField))?.slice(idField.length).trim()
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { BlockedPrompt, EndpointRun, SharedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
-import { type AttemptTracker, AttemptEnd, estimateWork } from '../placement/index.ts'
+import { type AttemptTracker, AttemptEnd, type EvidenceRun, estimateWork } from '../placement/index.ts'
 import { type ResponseHead, type RequestHead, RouteType, type Route, type RoutedEndpoint, type RoutedOrganisation, instanceKey } from '../routing/index.ts'
 import type { Exchange } from '../endpoint/index.ts'
 import { CallerResponse, type RequestState } from './callerResponse.ts'
@@ -40,6 +40,8 @@
   readonly startedAt: number
   readonly tracker: AttemptTracker
   readonly run: EndpointRun
+  /** Evidence on the endpoint's version; undefined while no roll-out is ordered. */
+  readonly evidence: EvidenceRun | undefined
   /** Whether it was cancelled because its prompt was blocked. */
   readonly isBlocked: () => boolean
 }
@@ -168,7 +170,7 @@
 
   /** Starts an attempt at an endpoint. */
   send (endpoint: RoutedEndpoint, { model, lastEventId, usesOwnConnection }: AttemptOptions): OpenAttempt {
-    const { clock, codec, connections, registry, loads, runs } = this.dependencies
+    const { clock, codec, connections, registry, loads, rollOuts, runs } = this.dependencies
     const startedAt = this.now
     this.#triedInstances.add(instanceKey(endpoint))
     const { request, organisation, body } = this.#options
@@ -197,11 +199,12 @@
     const run = runs.open({ instance: instanceKey(endpoint), address: endpoint.address, prompt: this.#prompt, cancel: cancelBlocked })
     // The response of a plain service arrives only when it is complete, so its run counts as begun at once.
     if (this.route.type !== RouteType.Stream) run.recordOutput(startedAt)
+    const evidence = rollOuts.openRun(this.service, endpoint.version, `${this.route.name}/${model ?? ''}`, startedAt)
     const exchange = usesOwnConnection ? connections.startDedicated(endpoint.address, exchangeOptions) : connections.startPooled(endpoint.address, exchangeOptions)
     const abandonExchange = () => exchange.abort('caller disconnected')
     this.callerAbort.signal.addEventListener('abort', abandonExchange, { once: true })
     if (this.hasCallerLeft) abandonExchange()
-    return { endpoint, model, exchange, startedAt, tracker: work, run, isBlocked: () => isBlocked }
+    return { endpoint, model, exchange, startedAt, tracker: work, run, evidence, isBlocked: () => isBlocked }
   }
 
   /**
@@ -212,6 +215,7 @@
   finishAttempt (attempt: OpenAttempt, end: AttemptEnd, outcome: string, countsAsSent = attempt.exchange.mayHaveSent): void {
     if (countsAsSent) this.#sentAttempts++
     attempt.run.close()
+    attempt.evidence?.abandon(this.now)
     attempt.tracker.close(end, this.now)
     this.dependencies.metrics.attempts.inc({ service: this.service, end })
     const { identity, version } = attempt.endpoint
@@ -235,12 +239,6 @@
     if (mayBeCause) this.#crashedRuns++
   }
 
-  /** Records an attempt's outcome as roll-out evidence on the endpoint's version. */
-  recordResponse (attempt: OpenAttempt, failed: boolean): void {
-    const milliseconds = this.now - attempt.startedAt
-    this.dependencies.rollOuts.recordResponse(this.service, attempt.endpoint.version, { requestClass: `${this.route.name}/${attempt.model ?? ''}`, isFailed: failed, latencyMilliseconds: milliseconds })
-  }
-
   /**
    * Classifies an attempt that ended without a response. An endpoint that broke off a request after
    * accepting it is reachable; one that refused the connection or stayed silent may not be.
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -100,13 +100,20 @@
       if (bytes > maximumBufferedBytes) return this.#relay(attempt, status, headers, chunks)
     }
     const isFailed = request.isServerError(status)
-    if (!isFailed) attempt.run.recordAnswer(request.now)
-    request.recordResponse(attempt, isFailed)
+    if (isFailed) attempt.evidence?.recordFailure()
+    else this.#recordWholeResponse(attempt)
     attempt.tracker.recordResponseStart(request.now)
     request.finishAttempt(attempt, isFailed ? AttemptEnd.Failed : AttemptEnd.Answered, String(status))
     return { type: 'answer', status, headers, body: Buffer.concat(chunks) }
   }
 
+  #recordWholeResponse ({ run, evidence }: OpenAttempt): void {
+    const { now } = this.#request
+    run.recordAnswer(now)
+    evidence?.recordBegin(now)
+    evidence?.finish(now)
+  }
+
   /** Relays a long response as it arrives; if it breaks off, the caller's connection is closed. */
   async #relay (attempt: OpenAttempt, status: number, headers: IncomingHttpHeaders, buffered: readonly Buffer[]): Promise<PlainOutcome> {
     const request = this.#request
--- a/src/gateway/rollOutCoordinator.ts
+++ b/src/gateway/rollOutCoordinator.ts
@@ -112,7 +112,7 @@
       else await this.#wakeup.sleep(clock, idleIntervalMilliseconds)
       this.#forgetPublishedRows()
       for (const order of view.orders) {
-        view.reviewEvidence(order)
+        view.reviewEvidence(order, clock.now())
         await this.#publishPins(order)
         await this.#publishEvidence(order)
         await this.#advance(order)
--- a/src/gateway/rollOutView.ts
+++ b/src/gateway/rollOutView.ts
@@ -1,6 +1,6 @@
 /** This daemon's view of roll-outs: orders, their status, and the evidence on new versions. */
 import { getOrCreate } from '../contract/index.ts'
-import { EvidenceCollector, type VersionSplit, VersionSuspicion, isVersionBad, mayExpose } from '../placement/index.ts'
+import { EvidenceCollector, type EvidenceRun, type VersionSplit, VersionSuspicion, isVersionBad, mayExpose } from '../placement/index.ts'
 import { type RollOutEvidence, type RollOutOrder, RollOutState, type RollOutStatus } from '../routing/index.ts'
 import { PinnedSessions } from './pinnedSessions.ts'
 
@@ -25,13 +25,6 @@
   readonly epoch: number
 }
 
-/** One response of an endpoint, as roll-out evidence. */
-export interface ObservedResponse {
-  readonly requestClass: string
-  readonly isFailed: boolean
-  readonly latencyMilliseconds: number | undefined
-}
-
 /** Later states replace earlier ones; a roll-out never goes back. */
 const stateOrder = { [RollOutState.Running]: 0, [RollOutState.Complete]: 1, [RollOutState.Reverted]: 1 } as const
 
@@ -145,11 +138,14 @@
     return { toVersion, progress: this.#splitProgress(order), pinnedSessions }
   }
 
-  /** Records a response as evidence if a roll-out of its service was ordered. */
-  recordResponse (service: string, version: string, response: ObservedResponse): void {
+  /**
+   * Adds a run that has just been sent, as evidence.
+   *
+   * @returns undefined if no roll-out of its service was ordered
+   */
+  openRun (service: string, version: string, requestClass: string, sentAt: number): EvidenceRun | undefined {
     const order = this.#orders.get(service)
-    if (order === undefined) return
-    this.#collectorOf(order).recordResponse({ ...response, isNew: version === order.toVersion })
+    return order === undefined ? undefined : this.#collectorOf(order).open({ requestClass, isNew: version === order.toVersion, sentAt })
   }
 
   /** This daemon's evidence on an order's new version. */
@@ -157,10 +153,15 @@
     return { service: order.service, toVersion: order.toVersion, observer: this.#observer, ...this.#collectorOf(order).newVersionCounts }
   }
 
-  /** Re-evaluates the evidence of all daemons. */
-  reviewEvidence (order: RollOutOrder): void {
-    const now = this.#storeTime()
-    if (now !== undefined) this.#suspicionOf(order).update(this.#isVersionBad(order), now)
+  /**
+   * Re-evaluates the evidence of all daemons.
+   *
+   * @param now milliseconds of the process's clock
+   */
+  reviewEvidence (order: RollOutOrder, now: number): void {
+    this.#collectorOf(order).checkOpenRuns(now)
+    const storeTime = this.#storeTime()
+    if (storeTime !== undefined) this.#suspicionOf(order).update(this.#isVersionBad(order), storeTime)
   }
 
   /** Whether a suspicion is active, so that all daemons should publish their evidence on an order's version. */
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -123,7 +123,7 @@
 
   #discardForLargerModel (attempt: OpenAttempt, confidence: number | undefined): RunOutcome {
     const request = this.#request
-    request.recordResponse(attempt, false)
+    attempt.evidence?.recordBegin(request.now)
     attempt.exchange.abort('discarded in favour of a larger model')
     request.finishAttempt(attempt, AttemptEnd.Answered, `dropped at confidence ${confidence}`)
     request.allowRetryAt(attempt.endpoint)
@@ -144,7 +144,8 @@
       if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
       if (events === undefined) continue
-      if (!hasRunStarted) this.#recordResponseStart(attempt)
+      if (hasRunStarted) attempt.evidence?.recordEvents(events.count, request.now)
+      else this.#recordResponseStart(attempt)
       hasRunStarted = true
       attempt.tracker.recordBytes(request.now)
       attempt.run.recordOutput(request.now)
@@ -156,7 +157,7 @@
 
   #recordResponseStart (attempt: OpenAttempt): void {
     const request = this.#request
-    request.recordResponse(attempt, false)
+    attempt.evidence?.recordBegin(request.now)
     attempt.tracker.recordResponseStart(request.now)
     this.#endLargestModelWait(true, request.now)
   }
@@ -178,6 +179,7 @@
   #finishResponse (attempt: OpenAttempt, headers: IncomingHttpHeaders): RunOutcome {
     this.#startResponse(headers)
     attempt.run.recordAnswer(this.#request.now)
+    attempt.evidence?.finish(this.#request.now)
     this.#request.finishAttempt(attempt, AttemptEnd.Answered, 'whole')
     this.#request.callerResponse.response.end()
     this.#request.callerResponse.recordDelivery(successStatus)
@@ -197,7 +199,8 @@
       chunks.push(event.bytes)
     }
     const isFailed = request.isServerError(status)
-    request.recordResponse(attempt, isFailed)
+    if (isFailed) attempt.evidence?.recordFailure()
+    else attempt.evidence?.recordBegin(request.now)
     request.finishAttempt(attempt, isFailed ? AttemptEnd.Failed : AttemptEnd.Answered, String(status))
     const failure = { status, headers, body: Buffer.concat(chunks) }
     if (!isFailed && !this.#hasResponseStarted) {
--- a/src/placement/rollOutEvidence.ts
+++ b/src/placement/rollOutEvidence.ts
@@ -1,18 +1,13 @@
 /**
  * Evidence on a new version during its roll-out. Each daemon counts the responses of the new and the
  * old version; the counts of all daemons are combined, since at a small exposure a single daemon sees
- * too few responses. A response is slow if it took several times as long as the old version's typical
- * response to the same kind of request: a burst slows both versions, a bad version only itself.
+ * too few responses. A run is slow if it takes several times as long as the old version's typical run of
+ * the same kind: a burst slows both versions, a bad version only itself. A run that is still waiting may
+ * already be slow, and one that was given up without being slow says nothing on the version's speed.
  */
-import { getOrCreate } from '../contract/index.ts'
+import { RunTimings, type TimedRun } from '../choice/index.ts'
 import type { RollOutEvidence } from '../routing/index.ts'
 
-/** A response counts as slow if it takes this many times the baseline. */
-const slowLatencyRatio = 3
-/** Responses faster than this never count as slow, since they trouble no caller. */
-const minimumSlowMilliseconds = 250
-const baselineSmoothing = 0.1
-const minimumBaselineSamples = 3
 /** Fewer bad responses than this are not conclusive. */
 const minimumBadResponses = 5
 /** Failure rate from which a version is bad; a sound version stays below it even under faults. */
@@ -28,59 +23,102 @@
 /** Required excess over the old version's rate. */
 const slowRateMargin = 0.2
 
-/** One response, as evidence. */
-export interface ResponseEvidence {
-  /** Route and model; responses of one class are comparable in latency. */
+/** A run, as evidence. */
+export interface EvidenceRunOptions {
+  /** Route and model; runs of one class are comparable in time. */
   readonly requestClass: string
   readonly isNew: boolean
-  readonly isFailed: boolean
-  /** Time to the first byte; undefined if none was received. */
-  readonly latencyMilliseconds: number | undefined
-}
-
-class LatencyBaseline {
-  sampleCount = 0
-  latencyMilliseconds = 0
-
-  addSample (milliseconds: number): void {
-    this.sampleCount++
-    const weight = Math.max(baselineSmoothing, 1 / this.sampleCount)
-    this.latencyMilliseconds += weight * (milliseconds - this.latencyMilliseconds)
-  }
+  /** Milliseconds of the process's clock. */
+  readonly sentAt: number
 }
 
 class ResponseCounts {
   answers = 0
   failures = 0
   slow = 0
+  timed = 0
+}
+
+/** Collects the evidence of one run. */
+export class EvidenceRun {
+  readonly #counts: ResponseCounts
+  readonly #timing: TimedRun
+  #isAnswered = false
+
+  constructor (counts: ResponseCounts, timing: TimedRun) {
+    this.#counts = counts
+    this.#timing = timing
+  }
+
+  /** Records the first event or the complete response. */
+  recordBegin (now: number): void {
+    this.#timing.recordBegin(now)
+    this.#countAnswer()
+  }
+
+  /** Records events after the first. */
+  recordEvents (count: number, now: number): void {
+    this.#timing.recordEvents(count, now)
+  }
+
+  /** Records an error response. */
+  recordFailure (): void {
+    this.#countAnswer()
+    this.#counts.failures++
+  }
+
+  /** Records that the response was whole. */
+  finish (now: number): void {
+    this.#timing.finish(now)
+    if (!this.#timing.isSlow) this.#counts.timed++
+  }
+
+  /** Records that the run ended in another way. */
+  abandon (now: number): void {
+    this.#timing.abandon(now)
+  }
+
+  /** Counts the run as slow; it need not have been answered. */
+  recordSlowness (): void {
+    this.#countAnswer()
+    this.#counts.slow++
+    this.#counts.timed++
+  }
+
+  #countAnswer (): void {
+    if (!this.#isAnswered) this.#counts.answers++
+    this.#isAnswered = true
+  }
 }
 
 /**
  * Collects one daemon's evidence on one roll-out.
  *
  * @example
- * collector.recordResponse({ requestClass: 'query/large', isNew: true, isFailed: false, latencyMilliseconds: 180 })
+ * const run = collector.open({ requestClass: 'query/large', isNew: true, sentAt: now })
+ * run.recordBegin(now + 180)
  */
 export class EvidenceCollector {
-  readonly #baselines = new Map<string, LatencyBaseline>()
+  readonly #timings = new RunTimings()
   readonly #oldVersion = new ResponseCounts()
   readonly #newVersion = new ResponseCounts()
 
-  recordResponse ({ requestClass, isNew, isFailed, latencyMilliseconds }: ResponseEvidence): void {
-    const counts = isNew ? this.#newVersion : this.#oldVersion
-    counts.answers++
-    if (isFailed) counts.failures++
-    const baseline = getOrCreate(this.#baselines, requestClass, () => new LatencyBaseline())
-    if (isFailed || latencyMilliseconds === undefined) return
-    const isSlow = baseline.sampleCount >= minimumBaselineSamples && latencyMilliseconds > minimumSlowMilliseconds && latencyMilliseconds > baseline.latencyMilliseconds * slowLatencyRatio
-    if (isSlow) counts.slow++
-    if (!isNew) baseline.addSample(latencyMilliseconds)
+  /** Adds a run that has just been sent. */
+  open ({ requestClass, isNew, sentAt }: EvidenceRunOptions): EvidenceRun {
+    const timing = this.#timings.open({ kind: requestClass, isReference: !isNew, sentAt, onSlow: () => run.recordSlowness() })
+    const run = new EvidenceRun(isNew ? this.#newVersion : this.#oldVersion, timing)
+    return run
+  }
+
+  /** Judges the runs that have not ended by the time that they have taken so far. */
+  checkOpenRuns (now: number): void {
+    this.#timings.checkOpenRuns(now)
   }
 
   /** Counts of the new version. */
-  get newVersionCounts (): Pick<RollOutEvidence, 'answers' | 'failures' | 'slow'> {
-    const { answers, failures, slow } = this.#newVersion
-    return { answers, failures, slow }
+  get newVersionCounts (): EvidenceCounts {
+    const { answers, failures, slow, timed } = this.#newVersion
+    return { answers, failures, slow, timed }
   }
 
   /** Rates of bad responses of the old version. */
@@ -89,13 +127,13 @@
   }
 }
 
-/** Shares of all responses, 0 to 1. */
+/** Shares of all responses and of those whose time could be judged, 0 to 1. */
 export interface BadResponseRates {
   readonly failureRate: number
   readonly slowRate: number
 }
 
-type EvidenceCounts = Pick<RollOutEvidence, 'answers' | 'failures' | 'slow'>
+type EvidenceCounts = Pick<RollOutEvidence, 'answers' | 'failures' | 'slow' | 'timed'>
 
 /**
  * Whether the combined evidence of all daemons shows that the new version is bad.
@@ -113,7 +151,8 @@
 
 function ratesOf (evidence: readonly EvidenceCounts[]): BadResponseRates {
   const answers = Math.max(1, sumOf(evidence, counts => counts.answers))
-  return { failureRate: sumOf(evidence, counts => counts.failures) / answers, slowRate: sumOf(evidence, counts => counts.slow) / answers }
+  const timed = Math.max(1, sumOf(evidence, counts => counts.timed ?? counts.answers))
+  return { failureRate: sumOf(evidence, counts => counts.failures) / answers, slowRate: sumOf(evidence, counts => counts.slow) / timed }
 }
 
 function sumOf (evidence: readonly EvidenceCounts[], countOf: (counts: EvidenceCounts) => number): number {
--- a/src/routing/rollOut.ts
+++ b/src/routing/rollOut.ts
@@ -53,6 +53,8 @@
   readonly observer: string
   readonly answers: number
   readonly failures: number
-  /** Responses several times slower than the old version's for the same kind of request. */
+  /** Runs several times slower than the old version's for the same kind of request. */
   readonly slow: number
+  /** Runs whose time could be judged, the slow ones included; undefined if an earlier build observed them. */
+  readonly timed?: number | undefined
 }
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -6,6 +6,14 @@
 } from '../src/placement/index.ts'
 import { instanceKey, type RoutedEndpoint } from '../src/routing/index.ts'
 
+/** Records a whole response that took some time. */
+function recordResponse (collector: EvidenceCollector | undefined, { requestClass, isNew, isFailed, latencyMilliseconds }: { requestClass: string, isNew: boolean, isFailed: boolean, latencyMilliseconds: number }): void {
+  const run = collector?.open({ requestClass, isNew, sentAt: 0 })
+  if (isFailed) return run?.recordFailure()
+  run?.recordBegin(latencyMilliseconds)
+  run?.finish(latencyMilliseconds)
+}
+
 const here: Place = { region: 'coast', dataCentre: 'coast-1' }
 
 function endpoint (identity: string, overrides: Partial<RoutedEndpoint> = {}): RoutedEndpoint {
@@ -231,7 +239,7 @@
   while (!verdict() && answers < 400) {
     const collector = collectors[randomness.integerBelow(7)]
     const isAffectedKind = randomness.integerBelow(3) === 0
-    collector?.recordResponse({ requestClass: 'any', isNew: true, isFailed: isAffectedKind && randomness.fraction() < 0.5, latencyMilliseconds: 100 })
+    recordResponse(collector, { requestClass: 'any', isNew: true, isFailed: isAffectedKind && randomness.fraction() < 0.5, latencyMilliseconds: 100 })
     answers++
   }
   expect(answers).toBeLessThan(100)
@@ -241,12 +249,12 @@
   const burst = new EvidenceCollector()
   const slow = new EvidenceCollector()
   for (let index = 0; index < 40; index++) {
-    for (const collector of [burst, slow]) collector.recordResponse({ requestClass: 'query', isNew: false, isFailed: false, latencyMilliseconds: 120 })
+    for (const collector of [burst, slow]) recordResponse(collector, { requestClass: 'query', isNew: false, isFailed: false, latencyMilliseconds: 120 })
   }
   for (let index = 0; index < 20; index++) {
-    burst.recordResponse({ requestClass: 'query', isNew: false, isFailed: false, latencyMilliseconds: 900 })
-    burst.recordResponse({ requestClass: 'query', isNew: true, isFailed: false, latencyMilliseconds: 900 })
-    slow.recordResponse({ requestClass: 'query', isNew: true, isFailed: false, latencyMilliseconds: 960 })
+    recordResponse(burst, { requestClass: 'query', isNew: false, isFailed: false, latencyMilliseconds: 900 })
+    recordResponse(burst, { requestClass: 'query', isNew: true, isFailed: false, latencyMilliseconds: 900 })
+    recordResponse(slow, { requestClass: 'query', isNew: true, isFailed: false, latencyMilliseconds: 960 })
   }
   expect(isVersionBad([burst.newVersionCounts], burst.oldVersionRates)).toBe(false)
   expect(isVersionBad([slow.newVersionCounts], slow.oldVersionRates)).toBe(true)
--- a/test/rollOutFleet.test.ts
+++ b/test/rollOutFleet.test.ts
@@ -2,7 +2,7 @@
 import { SeededRandomness } from '../src/contract/index.ts'
 import { PinnedSessions, RollOutCoordinator, RollOutView, type RollOutStore, type VersionedStatus } from '../src/gateway/index.ts'
 import { Log } from '../src/observe/index.ts'
-import { VersionSelector } from '../src/placement/index.ts'
+import { type EvidenceRun, VersionSelector } from '../src/placement/index.ts'
 import { type RollOutEvidence, type RollOutOrder, RollOutState } from '../src/routing/index.ts'
 import { ManualClock } from './fakes/manualClock.ts'
 
@@ -13,6 +13,16 @@
 /** Responses of the new version per second, over the whole fleet. */
 const newVersionResponsesPerSecond = 14
 const oldVersionResponsesPerGateway = 30
+const usualEventMilliseconds = 60
+const eventCount = 20
+
+/** A whole run whose first event comes in time and whose further events come at a pace. */
+function writeRun (run: EvidenceRun, sentAt: number, eventMilliseconds: number): void {
+  const begunAt = sentAt + 100
+  run.recordBegin(begunAt)
+  for (let event = 1; event < eventCount; event++) run.recordEvents(1, begunAt + event * eventMilliseconds)
+  run.finish(begunAt + (eventCount - 1) * eventMilliseconds)
+}
 
 /** Creates gateways that coordinate one roll-out over a store, whose writes they read with a delay. */
 function createFleet (seed: number) {
@@ -54,7 +64,11 @@
     const sample = randomness.fraction()
     const latencyMilliseconds = sample < faultShares.slow ? 900 : 120
     const isFailed = sample >= faultShares.slow && sample < faultShares.slow + faultShares.failed
-    views[randomness.integerBelow(gatewayCount)]?.recordResponse(order.service, version, { requestClass: 'query', isFailed, latencyMilliseconds })
+    const sentAt = clock.now()
+    const run = views[randomness.integerBelow(gatewayCount)]?.openRun(order.service, version, 'query', sentAt)
+    if (isFailed) return run?.recordFailure()
+    run?.recordBegin(sentAt + latencyMilliseconds)
+    run?.finish(sentAt + latencyMilliseconds)
   }
   return {
     status: () => statusRow?.status.state,
@@ -67,6 +81,15 @@
         observe('v2', faultShares)
       }
     },
+    /** Simulates some seconds in which each run of the old version writes at the usual pace and each run of the new one as given. */
+    async playRuns (seconds: number, writeNew: (run: EvidenceRun, sentAt: number) => void) {
+      const openRun = (version: string) => views[randomness.integerBelow(gatewayCount)]!.openRun(order.service, version, 'query', clock.now())!
+      for (let index = 0; index < gatewayCount * oldVersionResponsesPerGateway; index++) writeRun(openRun('v1'), clock.now(), usualEventMilliseconds)
+      for (let index = 0; index < seconds * newVersionResponsesPerSecond; index++) {
+        writeNew(openRun('v2'), clock.now())
+        await clock.advance(1_000 / newVersionResponsesPerSecond)
+      }
+    },
     stop () { for (const coordinator of coordinators) coordinator.stop() }
   }
 }
@@ -101,6 +124,49 @@
   }
 })
 
+test('a version whose answers begin in time and are then written several times slower is soon reverted', async () => {
+  const { playRuns, status, stop } = createFleet(1)
+  await playRuns(6, (run, sentAt) => writeRun(run, sentAt, 8 * usualEventMilliseconds))
+  expect(status()).toBe(RollOutState.Reverted)
+  stop()
+})
+
+test('a version whose answers never begin is soon reverted, before its runs are given up', async () => {
+  const { playRuns, status, stop } = createFleet(1)
+  await playRuns(6, () => undefined)
+  expect(status()).toBe(RollOutState.Reverted)
+  stop()
+})
+
+test('a version whose slow runs are given up before they end is soon reverted', async () => {
+  const { playRuns, status, stop } = createFleet(1)
+  await playRuns(6, (run, sentAt) => {
+    run.recordBegin(sentAt + 100)
+    run.recordEvents(2, sentAt + 400)
+    run.abandon(sentAt + 1_500)
+  })
+  expect(status()).toBe(RollOutState.Reverted)
+  stop()
+})
+
+test('a version that pauses now and then, as the old one does, is not reverted', async () => {
+  const { playRuns, status, stop } = createFleet(1)
+  let runs = 0
+  await playRuns(8, (run, sentAt) => writeRun(run, sentAt, runs++ % 5 === 0 ? 4 * usualEventMilliseconds : 1.5 * usualEventMilliseconds))
+  expect(status()).toBe(RollOutState.Running)
+  stop()
+})
+
+test('a version whose answers are dropped for those of a larger model is not reverted', async () => {
+  const { playRuns, status, stop } = createFleet(1)
+  await playRuns(8, (run, sentAt) => {
+    run.recordBegin(sentAt + 100)
+    run.abandon(sentAt + 101)
+  })
+  expect(status()).toBe(RollOutState.Running)
+  stop()
+})
+
 test('handed-over sessions are pinned while they may still be continued when the roll-out begins, and no longer', () => {
   const handOvers = [
     { observer: 'gateway-1', listedAt: 10_000, sessions: ['recent'] },
