Halt a version at daemons when its attempts are slow or never answer

The daemon's roll-out monitor had the blind spot of the gateway's: it judged ratings and failures, both of attempts that had ended, so a slow version was never halted for it and one whose attempts were given up dropped out.

--- a/bench/rollOut.ts
+++ b/bench/rollOut.ts
@@ -92,6 +92,8 @@
     this.#sums.set(version, { count: known.count + 1, sum: known.sum + (rating ?? 0) })
   }
 
+  observeTime (): void {}
+
   verdict (): RollOutVerdict {
     const old = this.#sums.get(fromVersion)!
     const next = this.#sums.get(toVersion)
--- a/src/choice/contract.ts
+++ b/src/choice/contract.ts
@@ -223,5 +223,7 @@
 /** Monitors one roll-out with a sequential test. */
 export interface RollOutGuard {
   observe (evidence: RollOutEvidence): void
+  /** Records whether an attempt took far longer than usual. */
+  observeTime (version: VersionName, isSlow: boolean): void
   verdict (now: number): RollOutVerdict
 }
--- a/src/choice/rollOutGuard.ts
+++ b/src/choice/rollOutGuard.ts
@@ -7,11 +7,13 @@
  * Such a ratio is an e-process: by Ville's inequality, for a version that is not worse it exceeds 1/α
  * with a probability of at most α, however often it is checked, which bounds false halts. The same
  * ratio for one effect size, on the evidence since the last step, tells when that harm is refuted and
- * the next step may be taken. Failed attempts are tested separately in the same form, by comparing two
- * failure rates.
+ * the next step may be taken. Failed attempts and slow ones are tested separately, by comparing their
+ * rates with the old version's.
  */
 import type { VersionName } from '../contract/index.ts'
 import { type RollOutEvidence, type RollOutGuard, RollOutVerdict } from './contract.ts'
+import { logMeanExp } from './logMeanExp.ts'
+import { ProportionTest } from './proportionTest.ts'
 import { type RatingSums, RollOutRegression, defaultHint } from './rollOutRegression.ts'
 
 export interface SequentialRollOutGuardOptions {
@@ -30,10 +32,9 @@
 const defaultMissedHarmRate = 0.02
 /** Effect sizes that are tested, in standard deviations of an adjusted rating. */
 const harmDeviations = [0.25, 0.5, 1, 1.5, 2] as const
-/** Share of the false-halt rate that is assigned to the test of failures. */
+/** Shares of the false-halt rate that are assigned to the tests of failures and of slow attempts. */
 const failureTestShare = 0.3
-/** Increases of the failure rate that are tested, as shares of the old version's successes. */
-const failureRateIncreases = [0.05, 0.2, 0.5] as const
+const slownessTestShare = 0.2
 /** Old version's ratings of a kind that the regression needs, and old version's attempts that the test of failures needs. */
 const minimumBaselineRatings = 12
 /** Ratings are clamped to this many standard deviations from the expected one. */
@@ -46,24 +47,23 @@
   readonly #from: VersionName
   readonly #to: VersionName
   readonly #haltThreshold: number
-  readonly #failureHaltThreshold: number
   readonly #advanceThreshold: number
   readonly #harmPoints: number
   readonly #regression = new RollOutRegression()
   readonly #pending: RollOutEvidence[] = []
   readonly #sums = new Map<string, RatingSums>()
   readonly #stepSums = new Map<string, RatingSums>()
-  readonly #failureLogRatios = new Float64Array(failureRateIncreases.length)
+  readonly #failures: ProportionTest
+  readonly #slowness: ProportionTest
   #halted = false
-  #oldAttempts = 0
-  #oldFailures = 0
 
   constructor (options: SequentialRollOutGuardOptions) {
     const falseHaltRate = options.falseHaltRate ?? defaultFalseHaltRate
     this.#from = options.from
     this.#to = options.to
-    this.#haltThreshold = -Math.log(falseHaltRate * (1 - failureTestShare))
-    this.#failureHaltThreshold = -Math.log(falseHaltRate * failureTestShare)
+    this.#haltThreshold = -Math.log(falseHaltRate * (1 - failureTestShare - slownessTestShare))
+    this.#failures = new ProportionTest(falseHaltRate * failureTestShare, minimumBaselineRatings)
+    this.#slowness = new ProportionTest(falseHaltRate * slownessTestShare, minimumBaselineRatings)
     this.#advanceThreshold = -Math.log(options.missedHarmRate ?? defaultMissedHarmRate)
     this.#harmPoints = options.harmPoints ?? defaultHarmPoints
   }
@@ -82,6 +82,10 @@
     this.#testPending()
   }
 
+  observeTime (version: VersionName, isSlow: boolean): void {
+    this.#observeRate(this.#slowness, version, isSlow)
+  }
+
   /** Returns the decision; after `Advance`, evidence for the next step is collected from scratch. */
   verdict (): RollOutVerdict {
     if (this.#halted) return RollOutVerdict.Halt
@@ -128,19 +132,12 @@
   }
 
   #observeFailure ({ version, rating }: RollOutEvidence): void {
-    const failed = rating === undefined
-    if (version === this.#from) {
-      this.#oldAttempts += 1
-      this.#oldFailures += failed ? 1 : 0
-      return
-    }
-    const baselineRate = (this.#oldFailures + 1) / (this.#oldAttempts + 2)
-    if (this.#oldAttempts < minimumBaselineRatings) return
-    for (const [index, size] of failureRateIncreases.entries()) {
-      const harmedRate = baselineRate + (1 - baselineRate) * size
-      this.#failureLogRatios[index]! += failed ? Math.log(harmedRate / baselineRate) : Math.log((1 - harmedRate) / (1 - baselineRate))
-    }
-    if (logMeanExp(this.#failureLogRatios) >= this.#failureHaltThreshold) this.#halted = true
+    this.#observeRate(this.#failures, version, rating === undefined)
+  }
+
+  #observeRate (test: ProportionTest, version: VersionName, isHit: boolean): void {
+    if (version === this.#from) test.observeOld(isHit)
+    if (version === this.#to && test.observeNew(isHit)) this.#halted = true
   }
 }
 
@@ -152,9 +149,3 @@
 function clamp (value: number, limit: number): number {
   return Math.min(limit, Math.max(-limit, value))
 }
-
-function logMeanExp (logarithms: Float64Array): number {
-  const highest = Math.max(...logarithms)
-  const sum = logarithms.reduce((total, logarithm) => total + Math.exp(logarithm - highest), 0)
-  return highest + Math.log(sum / logarithms.length)
-}
--- a/src/choice/runTimings.ts
+++ b/src/choice/runTimings.ts
@@ -46,6 +46,8 @@
   readonly sentAt: number
   /** Called once, when the run turns out to be slow. */
   readonly onSlow: () => void
+  /** Called once, when the run is whole and was not slow. */
+  readonly onUsual?: () => void
 }
 
 /** One run whose time is judged. */
@@ -89,6 +91,7 @@
   finish (now: number): void {
     this.check(now)
     if (this.#options.isReference && this.#begunAt !== undefined && this.#laterEvents > 0) this.#usual.event.add((now - this.#begunAt) / this.#laterEvents)
+    if (!this.#isSlow) this.#options.onUsual?.()
     this.#forget(this)
   }
 
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -152,7 +152,7 @@
   admission: () => new PoolAdmission(() => new ShareAdmissionPolicy()),
   retries: () => new RatioAttemptBudget(),
   rollOuts: ({ follower }) => new RollOutMonitor(follower, (from, to) => new SequentialRollOutGuard({ from, to })),
-  chat: dependencies => new ChatRouter({ ...chatRoutingDependencies(dependencies), versions: dependencies.versions, admission: dependencies.admission, ledger: dependencies.ledger, sessions: dependencies.sessions, ratings: dependencies.ratings, rollOuts: dependencies.rollOuts, log: dependencies.log }),
+  chat: dependencies => new ChatRouter({ ...chatRoutingDependencies(dependencies), versions: dependencies.versions, admission: dependencies.admission, ledger: dependencies.ledger, sessions: dependencies.sessions, ratings: dependencies.ratings, log: dependencies.log }),
   serviceRouter: ({ claims, clock, directory, here, ledger, randomness, retries, services, tracer }) => new ServiceRouter({ claims, clock, directory, here, ledger, randomness, retries, services, tracer }),
   drain: () => new Drain(),
   callerServer: dependencies => new CallerServer({
@@ -204,8 +204,8 @@
 }
 
 function chatRoutingDependencies (dependencies: DaemonDependencies) {
-  const { breaker, clock, directory, endpoints, engines, follower, lengths, metrics, randomness, retries, runs, tracer } = dependencies
-  return { clock, randomness, settings: follower, directory, endpoints, retries, engines, breaker, runs, lengths, metrics, tracer }
+  const { breaker, clock, directory, endpoints, engines, follower, lengths, metrics, randomness, retries, rollOuts, runs, tracer } = dependencies
+  return { clock, randomness, settings: follower, directory, endpoints, retries, engines, breaker, runs, rollOuts, lengths, metrics, tracer }
 }
 
 async function createTracer (local: LocalSettings): Promise<Tracer> {
--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -14,6 +14,7 @@
 import { formatTraceParent, type Metrics, type TraceContext, type Tracer } from '../observe/index.ts'
 import type { CompletionLengthEstimator } from './completionLengthEstimator.ts'
 import type { EndpointDirectory } from './endpointDirectory.ts'
+import type { RollOutMonitor } from './rollOutMonitor.ts'
 import { furtherDelivery, refusalAfter, runStateAfter } from './deliveryOfAttempts.ts'
 import { sharedPromptOf } from './sharedPrompt.ts'
 
@@ -33,6 +34,7 @@
   readonly engines: EngineClient
   readonly breaker: PromptBreaker
   readonly runs: EndpointRuns
+  readonly rollOuts: RollOutMonitor
   readonly lengths: CompletionLengthEstimator
   readonly metrics: Metrics
   readonly tracer: Tracer
@@ -90,6 +92,7 @@
     invariant(settings.view.allows(request.organisation, endpointRequest.version), 'an attempt runs an allowed version',
       () => ({ organisation: request.organisation, version: endpointRequest.version, revision: settings.view.revision }))
     const sentAt = clock.now()
+    const timedRuns = this.#dependencies.rollOuts.openRuns(endpointRequest.version, request.kind, sentAt)
     const openAttempt = this.#dependencies.endpoints.open(endpointRequest, choice, sentAt)
     let firstTokenMilliseconds: number | undefined
     let completionTokens = 0
@@ -106,6 +109,7 @@
         if (event.type === 'finish') {
           end = AttemptEnd.Answered
           run.recordAnswer(clock.now())
+          for (const timed of timedRuns) timed.finish(clock.now())
           this.#dependencies.lengths.observe(request.kind, event.finish.usage.completionTokens)
           yield { type: 'finish', finish: event.finish }
           return undefined
@@ -113,6 +117,9 @@
         if (firstTokenMilliseconds === undefined) {
           firstTokenMilliseconds = clock.now() - sentAt
           openAttempt.recordFirstToken(clock.now())
+          for (const timed of timedRuns) timed.recordBegin(clock.now())
+        } else {
+          for (const timed of timedRuns) timed.recordEvents(event.chunk.tokens, clock.now())
         }
         run.recordOutput(clock.now())
         completionTokens += event.chunk.tokens
@@ -121,6 +128,7 @@
       invariant(false, 'an engine stream ends with a finish or a failure', () => ({ endpoint: choice.endpoint.name }))
     } finally {
       run.close()
+      if (end !== AttemptEnd.Answered) for (const timed of timedRuns) timed.abandon(clock.now())
       openAttempt.close({ end, firstTokenMilliseconds, completionTokens }, clock.now())
       metrics.attempts.inc({ endpoint: choice.endpoint.name, end })
       span.end(end === AttemptEnd.Failed ? 'the attempt failed' : undefined)
--- a/src/entry/rollOutMonitor.ts
+++ b/src/entry/rollOutMonitor.ts
@@ -4,7 +4,7 @@
  * it, because the subtree's revision resolves concurrent writes.
  */
 import type { VersionName } from '../contract/index.ts'
-import { type RollOutEvidence, type RollOutGuard, RollOutVerdict } from '../choice/index.ts'
+import { type RollOutEvidence, type RollOutGuard, RollOutVerdict, RunTimings, type TimedRun } from '../choice/index.ts'
 import type { SettingsSource } from '../distribution/index.ts'
 import { RollOutState, type RollOutView } from '../settings/index.ts'
 
@@ -15,6 +15,7 @@
 interface GuardedRollOut {
   readonly rollOut: RollOutView
   readonly guard: RollOutGuard
+  readonly timings: RunTimings
   isHalted: boolean
 }
 
@@ -42,6 +43,20 @@
     }
   }
 
+  /**
+   * Adds an attempt that is about to be sent, for each roll-out of its version.
+   *
+   * @param sentAt milliseconds since the epoch
+   */
+  openRuns (version: VersionName, kind: string, sentAt: number): readonly TimedRun[] {
+    return this.#running().flatMap(({ rollOut: { from, to }, guard, timings }) => {
+      if (version !== from && version !== to) return []
+      return [timings.open({
+        kind, isReference: version === from, sentAt, onSlow: () => guard.observeTime(version, true), onUsual: () => guard.observeTime(version, false)
+      })]
+    })
+  }
+
   /** Whether this daemon starts no new sessions on a version. */
   isStopped (version: VersionName): boolean {
     return this.#running().some(guarded => guarded.rollOut.to === version && guarded.isHalted)
@@ -54,6 +69,7 @@
    */
   verdicts (now: number): Array<{ readonly rollOut: RollOutView, readonly verdict: RollOutVerdict }> {
     return this.#running().map(guarded => {
+      guarded.timings.checkOpenRuns(now)
       const verdict = guarded.isHalted ? RollOutVerdict.Halt : guarded.guard.verdict(now)
       if (verdict === RollOutVerdict.Halt) guarded.isHalted = true
       return { rollOut: guarded.rollOut, verdict }
@@ -73,7 +89,7 @@
     const key = `${rollOut.from} ${rollOut.to}`
     const existing = this.#guarded.get(key)
     const guarded = existing === undefined
-      ? { rollOut, guard: this.#createGuard(rollOut.from, rollOut.to), isHalted: false }
+      ? { rollOut, guard: this.#createGuard(rollOut.from, rollOut.to), timings: new RunTimings(), isHalted: false }
       : { ...existing, rollOut }
     this.#guarded.set(key, guarded)
     return guarded
--- a/test/choice-rollOut.test.ts
+++ b/test/choice-rollOut.test.ts
@@ -73,6 +73,26 @@
   expect(guard.verdict()).toBe(RollOutVerdict.Halt)
 })
 
+test('a new version is halted when its attempts are slow, however they are rated', () => {
+  const { guard, evidence } = createWithBaseline(4)
+  for (let index = 0; index < 100; index++) guard.observeTime(from, index % 20 === 0)
+  for (let index = 0; index < 40; index++) {
+    guard.observe(evidence.withRating(to))
+    guard.observeTime(to, index % 2 === 0)
+  }
+  expect(guard.verdict()).toBe(RollOutVerdict.Halt)
+})
+
+test('slow attempts at the same rate as with the old version do not halt the new one', () => {
+  for (let seed = 1; seed <= 300; seed++) {
+    const guard = new SequentialRollOutGuard({ from, to })
+    const randomness = new SeededRandomness(seed)
+    for (let index = 0; index < 300; index++) guard.observeTime(from, randomness.fraction() < 0.1)
+    for (let index = 0; index < 150; index++) guard.observeTime(to, randomness.fraction() < 0.1)
+    expect(guard.halted).toBe(false)
+  }
+})
+
 test('failures at the same rate as the old version do not halt the new one', () => {
   const guard = new SequentialRollOutGuard({ from, to })
   const evidence = new EvidenceGenerator(5)
--- a/test/fakes/entryWorld.ts
+++ b/test/fakes/entryWorld.ts
@@ -30,7 +30,7 @@
   observeRatingFailure: () => {}
 }
 
-const alwaysContinueGuard: RollOutGuard = { observe: () => {}, verdict: () => RollOutVerdict.Continue }
+const alwaysContinueGuard: RollOutGuard = { observe: () => {}, observeTime: () => {}, verdict: () => RollOutVerdict.Continue }
 
 /** A settings source whose view a test replaces directly. */
 export class MutableSettingsSource implements SettingsSource {
--- a/test/steward.test.ts
+++ b/test/steward.test.ts
@@ -39,7 +39,7 @@
   createSteward (holder: string): { readonly steward: Steward, readonly settings: MutableSettingsSource, readonly lease: StewardLease } {
     const settings = new MutableSettingsSource()
     const lease = createLease(this.clock, this.table, holder)
-    const guard: RollOutGuard = { observe: () => {}, verdict: () => this.verdict }
+    const guard: RollOutGuard = { observeTime: () => {}, observe: () => {}, verdict: () => this.verdict }
     const steward = new Steward({
       clock: this.clock,
       randomness: new SeededRandomness(2),
