--- a/test/forwarder.test.ts
+++ b/test/forwarder.test.ts
@@ -150,6 +150,32 @@
   expect(first.received.length + second.received.length).toBe(2)
 })
 
+/** Writes a stream without a length or chunks, which ends with its connection. */
+function unframedStream (text: string): EndpointHandler {
+  return (request, response) => {
+    response.socket?.end(`HTTP/1.1 200 OK\r\nattempt-id: ${request.headers['attempt-id']}\r\nserver-seal: s\r\nconfidence: 90\r\nconnection: close\r\n\r\n${text}`)
+  }
+}
+
+test('a stream without a length or chunks that ends between two events is whole', async () => {
+  const engine = await harness.startEndpoint('engines')
+  engine.handleWith(unframedStream(expectedEvents(3)))
+  const host = await startReadyForwarder()
+  const response = await harness.call(host, '/query/1', { body: 'q', headers: streamHeaders })
+  expect(response).toMatchObject({ status: 200, body: expectedEvents(3) })
+  expect(response.headers['transfer-encoding']).toBeUndefined()
+  expect(engine.received).toHaveLength(1)
+})
+
+test('a stream without a length or chunks that ends inside an event was broken off, and is resumed at another engine', async () => {
+  const engines = [await harness.startEndpoint('engines'), await harness.startEndpoint('engines')]
+  let runs = 0
+  for (const engine of engines) engine.handleWith((request, response) => (runs++ === 0 ? unframedStream(`${expectedEvents(2)}id: 3\nda`) : streamEvents(4))(request, response))
+  const host = await startReadyForwarder()
+  expect((await harness.call(host, '/query/1', { body: 'q', headers: streamHeaders })).body).toBe(expectedEvents(4))
+  expect(runs).toBe(2)
+})
+
 test('a stream whose engine goes silent is resumed at another engine', async () => {
   const engines = [await harness.startEndpoint('engines'), await harness.startEndpoint('engines')]
   let runs = 0
