Do not clear a prompt part by an answer that only ended with its connection

A stream without a length or chunks that ends between two events may be whole, or its engine may have crashed there. Taken for a good answer it cleared the part for two minutes, and requests with it crashed engines all that time. Such an answer clears nothing now. The types of an attempt have a file of their own; one method records whole responses.

--- a/src/breaker/contract.ts
+++ b/src/breaker/contract.ts
@@ -1,4 +1,7 @@
-/** What the circuit breaker on prompt parts learns and decides. All times are milliseconds of the process's clock. */
+/**
+ * What the circuit breaker on prompt parts learns and decides. A gateway is any process that forwards
+ * requests to endpoints. All times are milliseconds of the process's clock.
+ */
 
 /** The parts of a prompt that other prompts may share. */
 export interface SharedPrompt {
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -2,14 +2,15 @@
  * State of one forwarded request: its parameters, its deadline, whether its caller is still connected,
  * and the attempts made so far. Shared by plain and streamed forwarding.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { BlockedPrompt, EndpointRun, SharedPrompt } from '../breaker/index.ts'
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import type { BlockedPrompt, SharedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
-import { type AttemptTracker, AttemptEnd, type EvidenceRun, estimateWork } from '../placement/index.ts'
+import { AttemptEnd, estimateWork } from '../placement/index.ts'
 import { type ResponseHead, type RequestHead, RouteType, type Route, type RoutedEndpoint, type RoutedOrganisation, instanceKey } from '../routing/index.ts'
-import type { Exchange } from '../endpoint/index.ts'
 import { CallerResponse, type RequestState } from './callerResponse.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
+import { type AttemptOptions, type OpenAttempt, NotExecutedReason, RunProgress } from './openAttempt.ts'
+import { isSelfDelimited } from './responseFraming.ts'
 import type { RoutingSnapshot } from './routingView.ts'
 
 const misdirectedStatus = 421
@@ -32,44 +33,6 @@
   readonly dependencies: ForwardingDependencies
 }
 
-/** An attempt in progress at an endpoint. */
-export interface OpenAttempt {
-  readonly endpoint: RoutedEndpoint
-  readonly model: string | undefined
-  readonly exchange: Exchange
-  readonly startedAt: number
-  readonly tracker: AttemptTracker
-  readonly run: EndpointRun
-  /** Evidence on the endpoint's version; undefined while no roll-out is ordered. */
-  readonly evidence: EvidenceRun | undefined
-  /** Whether it was cancelled because its prompt was blocked. */
-  readonly isBlocked: () => boolean
-}
-
-/** Why an endpoint states that it did not execute a request. */
-export const NotExecutedReason = {
-  /** The endpoint is at capacity, or the deadline has passed. */
-  Refused: 'refused',
-  /** The address now belongs to another endpoint. */
-  Misdirected: 'misdirected'
-} as const
-export type NotExecutedReason = typeof NotExecutedReason[keyof typeof NotExecutedReason]
-
-/** How far a run had got when it broke off. */
-const RunProgress = {
-  /** Nothing of a response had arrived. */
-  Waiting: 'waiting',
-  /** The head of its response had arrived. */
-  Begun: 'begun'
-} as const
-
-export interface AttemptOptions {
-  readonly model: string | undefined
-  readonly lastEventId: string | undefined
-  /** Whether the attempt uses a dedicated connection instead of a pooled one. */
-  readonly usesOwnConnection: boolean
-}
-
 export class ForwardedRequest implements RequestState {
   readonly route: Route
   readonly service: string
@@ -139,8 +102,10 @@
     const { breaker, retryBudget } = this.dependencies
     if (this.hasCallerLeft || this.now >= this.deadline || this.attemptsLeft <= 0 || this.#crashedRuns >= maximumCrashedRuns) return false
     const admission = breaker.admit(this.#prompt, this.now)
-    if (admission.err) this.#block = admission.val
-    if (admission.err) return false
+    if (admission.err) {
+      this.#block = admission.val
+      return false
+    }
     return this.sentAttempts === 0 || retryBudget.tryConsume(this.service, this.now)
   }
 
@@ -222,6 +187,13 @@
     this.#attemptSummaries.push(`${identity} ${version} ${attempt.model ?? '-'} ${Math.round(this.now - attempt.startedAt)}ms ${outcome}`)
   }
 
+  /** Records that a response is whole. Where only the end of the connection tells so, it proves nothing of the endpoint's health. */
+  recordAnswer ({ run, evidence }: OpenAttempt, headers: IncomingHttpHeaders): void {
+    if (isSelfDelimited(headers)) run.recordAnswer(this.now)
+    evidence?.recordBegin(this.now)
+    evidence?.finish(this.now)
+  }
+
   /** Closes an attempt whose run broke off or was never sent. What its prompt shares with others is logged, since it may be the cause. */
   finishBrokenAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string): void {
     const { begunAt } = attempt.run
@@ -292,7 +264,7 @@
       organisation: this.#options.organisation?.name,
       limit: Math.round(this.deadline - this.arrivedAt),
       settings: this.#options.snapshot.settings.version,
-      promptParts: this.#hasBrokenOff ? this.head.promptParts.slice(0, -1).map(({ id }) => id) : undefined,
+      promptParts: this.#hasBrokenOff ? this.#prompt.parts : undefined,
       attempts: this.#attemptSummaries
     }
   }
--- /dev/null
+++ b/src/gateway/openAttempt.ts
@@ -0,0 +1,43 @@
+/** One attempt of a forwarded request at an endpoint, and how it may end. */
+import type { EndpointRun } from '../breaker/index.ts'
+import type { Exchange } from '../endpoint/index.ts'
+import type { AttemptTracker, EvidenceRun } from '../placement/index.ts'
+import type { RoutedEndpoint } from '../routing/index.ts'
+
+/** An attempt in progress at an endpoint. */
+export interface OpenAttempt {
+  readonly endpoint: RoutedEndpoint
+  readonly model: string | undefined
+  readonly exchange: Exchange
+  readonly startedAt: number
+  readonly tracker: AttemptTracker
+  readonly run: EndpointRun
+  /** Evidence on the endpoint's version; undefined while no roll-out is ordered. */
+  readonly evidence: EvidenceRun | undefined
+  /** Whether it was cancelled because its prompt was blocked. */
+  readonly isBlocked: () => boolean
+}
+
+/** Why an endpoint states that it did not execute a request. */
+export const NotExecutedReason = {
+  /** The endpoint is at capacity, or the deadline has passed. */
+  Refused: 'refused',
+  /** The address now belongs to another endpoint. */
+  Misdirected: 'misdirected'
+} as const
+export type NotExecutedReason = typeof NotExecutedReason[keyof typeof NotExecutedReason]
+
+/** How far a run had got when it broke off. */
+export const RunProgress = {
+  /** Nothing of a response had arrived. */
+  Waiting: 'waiting',
+  /** The head of its response had arrived. */
+  Begun: 'begun'
+} as const
+
+export interface AttemptOptions {
+  readonly model: string | undefined
+  readonly lastEventId: string | undefined
+  /** Whether the attempt uses a dedicated connection instead of a pooled one. */
+  readonly usesOwnConnection: boolean
+}
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -10,7 +10,8 @@
 import { RouteType, type RoutedEndpoint } from '../routing/index.ts'
 import { delimitByConnectionClose, isSelfDelimited } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
-import { type ForwardedRequest, type OpenAttempt, NotExecutedReason } from './forwardedRequest.ts'
+import type { ForwardedRequest } from './forwardedRequest.ts'
+import { type OpenAttempt, NotExecutedReason } from './openAttempt.ts'
 
 /** Responses larger than this are relayed as they arrive. */
 const maximumBufferedBytes = 256 * 1024
@@ -101,19 +102,12 @@
     }
     const isFailed = request.isServerError(status)
     if (isFailed) attempt.evidence?.recordFailure()
-    else this.#recordWholeResponse(attempt)
+    else request.recordAnswer(attempt, headers)
     attempt.tracker.recordResponseStart(request.now)
     request.finishAttempt(attempt, isFailed ? AttemptEnd.Failed : AttemptEnd.Answered, String(status))
     return { type: 'answer', status, headers, body: Buffer.concat(chunks) }
   }
 
-  #recordWholeResponse ({ run, evidence }: OpenAttempt): void {
-    const { now } = this.#request
-    run.recordAnswer(now)
-    evidence?.recordBegin(now)
-    evidence?.finish(now)
-  }
-
   /** Relays a long response as it arrives; if it breaks off, the caller's connection is closed. */
   async #relay (attempt: OpenAttempt, status: number, headers: IncomingHttpHeaders, buffered: readonly Buffer[]): Promise<PlainOutcome> {
     const request = this.#request
@@ -129,7 +123,7 @@
         continue
       }
       if (event?.type === 'end') {
-        attempt.run.recordAnswer(request.now)
+        request.recordAnswer(attempt, headers)
         request.finishAttempt(attempt, AttemptEnd.Answered, String(status))
         response.end()
         request.callerResponse.recordDelivery(status)
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -11,7 +11,8 @@
 import { delimitByConnectionClose, isSelfDelimited } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import { EventSplitter } from './eventSplitter.ts'
-import { type ForwardedRequest, type OpenAttempt, NotExecutedReason } from './forwardedRequest.ts'
+import type { ForwardedRequest } from './forwardedRequest.ts'
+import { type OpenAttempt, NotExecutedReason } from './openAttempt.ts'
 import { waitForDrain } from './plainForwarding.ts'
 
 const successStatus = 200
@@ -178,8 +179,7 @@
 
   #finishResponse (attempt: OpenAttempt, headers: IncomingHttpHeaders): RunOutcome {
     this.#startResponse(headers)
-    attempt.run.recordAnswer(this.#request.now)
-    attempt.evidence?.finish(this.#request.now)
+    this.#request.recordAnswer(attempt, headers)
     this.#request.finishAttempt(attempt, AttemptEnd.Answered, 'whole')
     this.#request.callerResponse.response.end()
     this.#request.callerResponse.recordDelivery(successStatus)
--- a/test/poisonPrompt.test.ts
+++ b/test/poisonPrompt.test.ts
@@ -21,6 +21,8 @@
 class CrashingEngines {
   readonly poisonArrivals: ReceivedRequest[] = []
   crashes = 0
+  /** Whether the first answer to the poison part ends with its connection, as if it were whole. */
+  answersFirstWithoutFrame = false
 
   async start (): Promise<void> {
     const engine = await harness.startEndpoint('engines')
@@ -31,6 +33,10 @@
     return async (request, response) => {
       const isPoison = String(request.headers['prefix-hash']).includes(poisonPart)
       if (isPoison) this.poisonArrivals.push(request)
+      if (isPoison && this.answersFirstWithoutFrame && this.poisonArrivals.length === 1) {
+        response.socket?.end(`HTTP/1.1 200 OK\r\nattempt-id: ${request.headers['attempt-id']}\r\nserver-seal: s\r\nconfidence: 90\r\nconnection: close\r\n\r\n${formatEvent(1)}`)
+        return
+      }
       response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90 })
       response.write(formatEvent(1))
       if (!isPoison) {
@@ -67,6 +73,16 @@
   return { hosts, engines }
 }
 
+test('an answer that ends with its connection does not clear a prompt part that crashes engines', async () => {
+  const { hosts, engines } = await startFleet(2)
+  engines.answersFirstWithoutFrame = true
+  for (let index = 0; index < 8; index++) await callWith(hosts[index % 2]!, [systemPart, poisonPart]).catch(() => undefined)
+  await new Promise(resolve => setTimeout(resolve, propagationBoundMilliseconds))
+  const arrivalsBefore = engines.poisonArrivals.length
+  for (let index = 0; index < laterRequests; index++) await callWith(hosts[index % 2]!, [systemPart, poisonPart]).catch(() => undefined)
+  expect(engines.poisonArrivals.length - arrivalsBefore).toBeLessThanOrEqual(maximumLaterArrivals)
+})
+
 test('a prompt part that crashes engines reaches no further ones once five have crashed, from any gateway', async () => {
   const { hosts, engines } = await startFleet(4)
   const hostAt = (index: number) => hosts[index % hosts.length]!
