Blame a crash only on a run that had just begun

Runs that wait for their turn are no suspects any more, and a run that had begun over a second before the crash is not blamed; then nobody is. A prompt that crashes engines does so right after its run begins.

--- a/src/breaker/blame.ts
+++ b/src/breaker/blame.ts
@@ -2,9 +2,10 @@
  * Decides which part of a prompt crashes endpoints.
  *
  * A crash is blamed on one run: among those whose prompts have a part that was not answered well lately,
- * the one that had begun last, since a prompt that crashes its endpoint does so soon after its run begins.
- * Runs of all organisations compete for the blame, so that one organisation's crashes are not blamed on
- * another.
+ * the one that had begun last, if that was shortly before, since a prompt that crashes its endpoint does so
+ * soon after its run begins. Otherwise nothing is blamed: the endpoint may have crashed for another reason,
+ * and a prompt must not be blamed only because all others are cleared. Runs of all organisations compete
+ * for the blame, so that one organisation's crashes are not blamed on another.
  *
  * A part is blamed for a sequence of crashes in which each run began after the crash before it. Endpoints
  * that end together, for example with their rack, form no sequence, however many runs they had in common.
@@ -16,6 +17,8 @@
 
 /** Length of a sequence of crashes from which a part is blamed. */
 const blamedSequenceLength = 3
+/** A run that had begun longer before a crash is not blamed for it. */
+const maximumBlamedMilliseconds = 1_000
 
 /** The crash of an endpoint with the runs that all gateways had there. */
 export interface ObservedCrash {
@@ -28,7 +31,7 @@
 
 /** The time from the begin of a blamed run to the crash. */
 interface BlamedInterval {
-  readonly startedAt: number
+  readonly begunAt: number
   readonly crashedAt: number
 }
 
@@ -59,14 +62,11 @@
   return blamed?.part
 }
 
-/** Returns the run that a crash is blamed on; undefined if all were sound. */
+/** Returns the run that a crash is blamed on; undefined if there is none. */
 export function blamedRun ({ crashedAt, runs }: ObservedCrash, isSound: SoundnessCheck): SuspectRun | undefined {
-  const suspects = runs.filter(({ prompt }) => organisationParts(prompt).some(part => !isSound(part, crashedAt)))
-  return suspects.reduce<SuspectRun | undefined>((last, run) => last === undefined || isLikelier(run, last) ? run : last, undefined)
-}
-
-function isLikelier (run: SuspectRun, other: SuspectRun): boolean {
-  return run.hasBegun === other.hasBegun ? run.startedAt > other.startedAt : run.hasBegun
+  const recent = runs.filter(({ begunAt }) => crashedAt - begunAt <= maximumBlamedMilliseconds)
+  const suspects = recent.filter(({ prompt }) => organisationParts(prompt).some(part => !isSound(part, crashedAt)))
+  return suspects.reduce<SuspectRun | undefined>((last, run) => last === undefined || run.begunAt > last.begunAt ? run : last, undefined)
 }
 
 function addSuspicions (suspicions: Map<string, PartSuspicion>, crash: ObservedCrash, isSound: SoundnessCheck): void {
@@ -75,17 +75,17 @@
   for (const [depth, part] of organisationParts(run.prompt).entries()) {
     if (isSound(part, crash.crashedAt)) continue
     const suspicion = getOrCreate(suspicions, partKey(part), () => ({ part, depth, intervals: [] }))
-    suspicion.intervals.push({ startedAt: run.startedAt, crashedAt: crash.crashedAt })
+    suspicion.intervals.push({ begunAt: run.begunAt, crashedAt: crash.crashedAt })
   }
 }
 
-/** The largest number of intervals of which each starts after the end of the one before. */
+/** The largest number of intervals of which each begins after the end of the one before. */
 function longestSequence (intervals: readonly BlamedInterval[]): number {
   const byEnd = [...intervals].sort((left, right) => left.crashedAt - right.crashedAt)
   let length = 0
   let endedAt = Number.NEGATIVE_INFINITY
-  for (const { startedAt, crashedAt } of byEnd) {
-    if (startedAt < endedAt) continue
+  for (const { begunAt, crashedAt } of byEnd) {
+    if (begunAt < endedAt) continue
     length++
     endedAt = crashedAt
   }
--- a/src/breaker/breakerMessages.ts
+++ b/src/breaker/breakerMessages.ts
@@ -7,7 +7,6 @@
 const runSchema = z.object({
   organisation: z.string(),
   parts: z.array(z.string()),
-  hasBegun: z.boolean(),
   /** From the run's begin to the crash. */
   milliseconds: z.number()
 })
@@ -29,7 +28,7 @@
       instance,
       reporter,
       ageMilliseconds: now - crashedAt,
-      runs: runs.map(({ prompt, hasBegun, startedAt }) => ({ organisation: prompt.organisation, parts: [...prompt.parts], hasBegun, milliseconds: crashedAt - startedAt }))
+      runs: runs.map(({ prompt, begunAt }) => ({ organisation: prompt.organisation, parts: [...prompt.parts], milliseconds: crashedAt - begunAt }))
     })),
     blocks: blocks.map(({ blockedAt, ...block }) => ({ ...block, ageMilliseconds: now - blockedAt })),
     answers: answers.map(({ answeredAt, ...answer }) => ({ ...answer, ageMilliseconds: now - answeredAt }))
@@ -45,7 +44,7 @@
         instance,
         reporter,
         crashedAt,
-        runs: runs.map(({ organisation, parts, hasBegun, milliseconds }) => ({ prompt: { organisation, parts }, hasBegun, startedAt: crashedAt - milliseconds }))
+        runs: runs.map(({ organisation, parts, milliseconds }) => ({ prompt: { organisation, parts }, begunAt: crashedAt - milliseconds }))
       }
     }),
     blocks: blocks.map(({ ageMilliseconds, ...block }) => ({ ...block, blockedAt: now - ageMilliseconds })),
--- a/src/breaker/contract.ts
+++ b/src/breaker/contract.ts
@@ -17,13 +17,10 @@
   readonly part: string
 }
 
-/** A run that an endpoint was working on when it crashed. */
+/** A run whose response had begun when its endpoint crashed. */
 export interface SuspectRun {
   readonly prompt: SharedPrompt
-  /** Whether its response had begun; a run that waits for its turn rarely crashes an endpoint. */
-  readonly hasBegun: boolean
-  /** When its response began, or when it was sent. */
-  readonly startedAt: number
+  readonly begunAt: number
 }
 
 /** What one gateway saw of the crash of an endpoint's incarnation. */
--- a/src/breaker/endpointRuns.ts
+++ b/src/breaker/endpointRuns.ts
@@ -1,7 +1,7 @@
 /**
  * Watches one gateway's runs at endpoints. When a run breaks off, its endpoint may have crashed or only
- * its connection; an endpoint that then refuses connections has crashed. The runs that were in progress
- * there are reported, the last begun ones first. A run that has written for a while is no suspect any more,
+ * its connection; an endpoint that then refuses connections has crashed. The runs that had begun there are
+ * reported, the last ones first; runs that waited for their turn did not crash it. A run that has written for a while is no suspect any more,
  * and its prompt counts as answered well.
  */
 import { type Clock, dropOldest, getOrCreate } from '../contract/index.ts'
@@ -44,14 +44,12 @@
 /** One run in progress. */
 export class EndpointRun {
   readonly description: RunDescription
-  readonly sentAt: number
   readonly #runs: EndpointRuns
   #begunAt: number | undefined
   #isSound = false
 
-  constructor (description: RunDescription, sentAt: number, runs: EndpointRuns) {
+  constructor (description: RunDescription, runs: EndpointRuns) {
     this.description = description
-    this.sentAt = sentAt
     this.#runs = runs
   }
 
@@ -90,8 +88,8 @@
 
   /** The run as a suspect; undefined if it is none. */
   get suspect (): SuspectRun | undefined {
-    if (this.#isSound) return undefined
-    return { prompt: this.description.prompt, hasBegun: this.#begunAt !== undefined, startedAt: this.#begunAt ?? this.sentAt }
+    if (this.#isSound || this.#begunAt === undefined) return undefined
+    return { prompt: this.description.prompt, begunAt: this.#begunAt }
   }
 }
 
@@ -113,7 +111,7 @@
 
   /** Adds a run that is about to be sent. */
   open (description: RunDescription): EndpointRun {
-    const run = new EndpointRun(description, this.#options.clock.now(), this)
+    const run = new EndpointRun(description, this)
     getOrCreate(this.#open, description.instance, () => new Set<EndpointRun>()).add(run)
     return run
   }
@@ -158,14 +156,13 @@
     onNews()
   }
 
-  /** Runs that have begun go before those that wait for their turn, and later ones before earlier ones. */
   #suspectsAt (instance: string): readonly SuspectRun[] {
     const suspects = [...this.#open.get(instance) ?? []].flatMap(run => run.suspect ?? [])
-    suspects.sort((left, right) => Number(right.hasBegun) - Number(left.hasBegun) || right.startedAt - left.startedAt)
+    suspects.sort((left, right) => right.begunAt - left.begunAt)
     return suspects.filter(({ prompt }) => prompt.parts.length > 0).slice(0, maximumSuspects)
   }
 }
 
-function describe ({ prompt, hasBegun, startedAt }: SuspectRun, crashedAt: number): string {
-  return `${prompt.organisation} ${prompt.parts.join(',')} ${hasBegun ? 'begun' : 'sent'} ${Math.round(crashedAt - startedAt)}ms before`
+function describe ({ prompt, begunAt }: SuspectRun, crashedAt: number): string {
+  return `${prompt.organisation} ${prompt.parts.join(',')} begun ${Math.round(crashedAt - begunAt)}ms before`
 }
--- a/src/breaker/partBlocks.ts
+++ b/src/breaker/partBlocks.ts
@@ -71,8 +71,8 @@
 }
 
 /** Whether a run that began at a time was a trial of a blocked part, rather than sent before its gateway knew of the block. */
-export function isTrial ({ blockedAt, trips }: PartBlock, startedAt: number): boolean {
-  return startedAt >= blockedAt + trialDelay(trips)
+export function isTrial ({ blockedAt, trips }: PartBlock, begunAt: number): boolean {
+  return begunAt >= blockedAt + trialDelay(trips)
 }
 
 function trialDelay (trips: number): number {
--- a/src/breaker/promptBreaker.ts
+++ b/src/breaker/promptBreaker.ts
@@ -138,10 +138,10 @@
 
   /** A crash under a trial shows that its block was right. */
   #renewBlocks ({ runs, crashedAt }: CrashReport, now: number): void {
-    for (const { prompt, startedAt } of runs) {
+    for (const { prompt, begunAt } of runs) {
       for (const part of organisationParts(prompt)) {
         const block = this.#blocks.of(part, now)
-        if (block !== undefined && isTrial(block, startedAt)) this.#block({ ...block, trips: block.trips + 1, blockedAt: crashedAt }, now)
+        if (block !== undefined && isTrial(block, begunAt)) this.#block({ ...block, trips: block.trips + 1, blockedAt: crashedAt }, now)
       }
     }
   }
