Choose random peers by one function

The exchange of blocks had written the choice of distinct random peers again, beside that of table copies; both call randomSample now, with the same draws. Behaviour is unchanged.

--- a/src/breaker/breakerExchange.ts
+++ b/src/breaker/breakerExchange.ts
@@ -4,7 +4,7 @@
  * afterwards, and as long as a part is blocked, gateways exchange what they know with random peers, which
  * reaches those that were cut off. With nothing to tell, nothing is sent.
  */
-import { type Clock, type Randomness, Wakeup } from '../contract/index.ts'
+import { type Clock, type Randomness, Wakeup, randomSample } from '../contract/index.ts'
 import type { Link, Peer } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
 import { type EncodedNews, breakerNews, decodeNews, encodeNews } from './breakerMessages.ts'
@@ -119,11 +119,6 @@
   }
 
   #pickPeers (count: number): readonly Peer[] {
-    const candidates = [...this.#options.peers()]
-    const picked: Peer[] = []
-    while (picked.length < count && candidates.length > 0) {
-      picked.push(...candidates.splice(this.#options.randomness.integerBelow(candidates.length), 1))
-    }
-    return picked
+    return randomSample(this.#options.randomness, this.#options.peers(), count)
   }
 }
--- a/src/contract/randomness.ts
+++ b/src/contract/randomness.ts
@@ -89,3 +89,19 @@
   scored.sort((left, right) => right.score - left.score || (left.name < right.name ? -1 : 1))
   return scored.map(entry => entry.name)
 }
+
+/**
+ * Picks distinct items at random.
+ *
+ * @returns at most `count` items, fewer if there are not so many
+ * @example
+ * for (const peer of randomSample(randomness, peers, 2)) ask(peer)
+ */
+export function randomSample<Item> (randomness: Randomness, items: readonly Item[], count: number): Item[] {
+  const remaining = [...items]
+  const picked: Item[] = []
+  while (picked.length < count && remaining.length > 0) {
+    picked.push(...remaining.splice(randomness.integerBelow(remaining.length), 1))
+  }
+  return picked
+}
--- a/src/replica/peerReplicaExchange.ts
+++ b/src/replica/peerReplicaExchange.ts
@@ -4,7 +4,7 @@
  * growing intervals; through them the few daemons in everyone's settings learn of all others.
  */
 import * as z from 'zod'
-import { type Clock, type Randomness, dropOldest } from '../contract/index.ts'
+import { type Clock, type Randomness, dropOldest, randomSample } from '../contract/index.ts'
 import type { Link, MessageType, Peer } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
 import { type EncodedPositions, decodePosition, decodeRows, encodePositions, positionsSchema, rowSchema } from './relayMessages.ts'
@@ -165,10 +165,6 @@
   #pickPeers (): Peer[] {
     const known = [...this.#peers.values()]
     const candidates = known.length > 0 ? known : this.#seedPeers()
-    const picked: Peer[] = []
-    while (picked.length < peersPerRequest && candidates.length > 0) {
-      picked.push(...candidates.splice(this.#options.randomness.integerBelow(candidates.length), 1))
-    }
-    return picked
+    return randomSample(this.#options.randomness, candidates, peersPerRequest)
   }
 }
