Log the rate limits that endpoints announce, and what is sent under them

Answers may name the requests a second that their endpoint takes from all gateways together; nothing read it, so the logs could not tell a limit that is unknown from one that is ignored. The header is decoded now (negative, empty or repeated values are a warning), its begin, change and end are log lines with what this gateway sent under it, and lavenderdoor_forward_limited_attempts_total counts such attempts.

No decision changes.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,6 +6,7 @@
  */
 const layers = [
   ['contract'],
+  ['rateLimit'],
   ['observe', 'routing', 'server'],
   ['settings', 'link', 'store'],
   ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution', 'replica', 'breaker'],
@@ -49,8 +50,8 @@
     rules: {
       'no-restricted-imports': ['error', {
         patterns: [{
-          regex: '^\\.\\./src/(?!(contract|routing|replica|server)/index\\.ts$).*$',
-          message: 'platform may import only the index files of: contract, routing, replica, server. It decodes and encodes values and contains no logic of its own.'
+          regex: '^\\.\\./src/(?!(contract|rateLimit|routing|replica|server)/index\\.ts$).*$',
+          message: 'platform may import only the index files of: contract, rateLimit, routing, replica, server. It decodes and encodes values and contains no logic of its own.'
         }]
       }]
     }
--- a/src/gateway/endpointAnnouncements.ts
+++ b/src/gateway/endpointAnnouncements.ts
@@ -5,6 +5,7 @@
 import { type Clock, type Randomness, dropOldest } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
 import { type EndpointLoads, type EndpointRegistry, overloadBackoff } from '../placement/index.ts'
+import type { RateAnnouncement } from '../rateLimit/index.ts'
 import { type ResponseHead, type RoutedEndpoint, instanceKey } from '../routing/index.ts'
 
 const serviceUnavailableStatus = 503
@@ -12,6 +13,8 @@
 const invalidHeaderLogIntervalMilliseconds = 1_000
 /** Number of endpoints whose last invalid header is remembered. */
 const maximumLoggedEndpoints = 500
+/** Number of endpoints whose rate limit is remembered for the log. */
+const maximumLimitedEndpoints = 500
 
 export interface EndpointAnnouncementsOptions {
   readonly registry: EndpointRegistry
@@ -21,6 +24,14 @@
   readonly log: Log
 }
 
+/** A rate limit that an endpoint announced to this gateway. */
+interface ObservedLimit {
+  readonly requestsPerSecond: number
+  readonly since: number
+  /** Requests that this gateway has sent to the endpoint since then. */
+  sent: number
+}
+
 /**
  * @example
  * announcements.record(endpoint, 503, codec.readResponseHead(headers))
@@ -28,6 +39,7 @@
 export class EndpointAnnouncements {
   readonly #options: EndpointAnnouncementsOptions
   readonly #invalidHeaderLoggedAt = new Map<string, number>()
+  readonly #limits = new Map<string, ObservedLimit>()
 
   constructor (options: EndpointAnnouncementsOptions) {
     this.#options = options
@@ -37,9 +49,31 @@
   record (endpoint: RoutedEndpoint, status: number, head: ResponseHead): void {
     if (head.error !== undefined) this.#logInvalidHeader(endpoint, head.error)
     if (head.isDraining) this.#recordDraining(endpoint)
+    this.#recordRateLimit(endpoint, head.rateLimit)
     if (status === serviceUnavailableStatus && head.retryAfterMilliseconds !== undefined) this.#recordOverload(endpoint, head.retryAfterMilliseconds)
   }
 
+  /** Counts a request that is sent to an endpoint; returns whether the endpoint had announced a rate limit. */
+  recordSend (endpoint: RoutedEndpoint): boolean {
+    const limit = this.#limits.get(instanceKey(endpoint))
+    if (limit !== undefined) limit.sent++
+    return limit !== undefined
+  }
+
+  #recordRateLimit (endpoint: RoutedEndpoint, announcement: RateAnnouncement): void {
+    if (announcement.type === 'unreadable') return
+    const now = this.#options.clock.now()
+    const known = this.#limits.get(instanceKey(endpoint))
+    const requestsPerSecond = announcement.type === 'limited' ? announcement.requestsPerSecond : undefined
+    if (known?.requestsPerSecond === requestsPerSecond) return
+    const before = known === undefined ? {} : { sent: known.sent, milliseconds: Math.round(now - known.since) }
+    const change = { endpoint: endpoint.identity, service: endpoint.service, requestsPerSecond, before: known?.requestsPerSecond, ...before }
+    this.#options.log.info(requestsPerSecond === undefined ? 'endpoint_limit_ended' : 'endpoint_limited', change)
+    this.#limits.delete(instanceKey(endpoint))
+    if (requestsPerSecond !== undefined) this.#limits.set(instanceKey(endpoint), { requestsPerSecond, since: now, sent: 0 })
+    dropOldest(this.#limits, maximumLimitedEndpoints)
+  }
+
   #recordDraining (endpoint: RoutedEndpoint): void {
     const { registry, log } = this.#options
     const isNew = registry.markDraining(instanceKey(endpoint))
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -179,6 +179,7 @@
    */
   finishAttempt (attempt: OpenAttempt, end: AttemptEnd, outcome: string, countsAsSent = attempt.exchange.mayHaveSent): void {
     if (countsAsSent) this.#sentAttempts++
+    if (attempt.exchange.mayHaveSent && this.dependencies.announcements.recordSend(attempt.endpoint)) this.dependencies.metrics.limitedAttempts.inc({ service: this.service })
     attempt.run.close()
     attempt.evidence?.abandon(this.now)
     attempt.tracker.close(end, this.now)
--- a/src/routing/headerCodec.ts
+++ b/src/routing/headerCodec.ts
@@ -3,6 +3,7 @@
  * maps between them and the platform's headers; forwarding uses only these values.
  */
 import type { IncomingHttpHeaders } from 'node:http'
+import type { RateAnnouncement } from '../rateLimit/index.ts'
 
 /** Headers by name in lower case. */
 export type HeaderMap = Readonly<Record<string, string>>
@@ -61,6 +62,7 @@
   readonly isDraining: boolean
   /** For how long the endpoint wants no further requests, in milliseconds; undefined if it does not say. */
   readonly retryAfterMilliseconds: number | undefined
+  readonly rateLimit: RateAnnouncement
   /** Why a header is invalid and was ignored; undefined if all are valid. */
   readonly error: string | undefined
 }
