--- /dev/null
+++ b/test/announcedLimit.test.ts
@@ -0,0 +1,63 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import type { EndpointStandIn } from '../platform/standin/index.ts'
+import { ForwarderHarness, formatEvent } from './fakes/forwarderWorld.ts'
+
+let harness: ForwarderHarness
+beforeEach(async () => { harness = await ForwarderHarness.start() })
+afterEach(async () => await harness.close())
+
+const limitPerSecond = 2
+const spanMilliseconds = 4_000
+/** All gateways that can be reached keep a limit from this time after an endpoint first named it. */
+const propagationBoundMilliseconds = 4_000
+/** What an endpoint accepts in one span: one and a half times its limit, and five requests. */
+const maximumArrivals = limitPerSecond * spanMilliseconds / 1_000 * 1.5 + 5
+const requestIntervalMilliseconds = 25
+const requestCount = 520
+
+/** Answers at once with two events, and names a limit while it has one. */
+function serveStreams (endpoint: EndpointStandIn, limit: () => string | undefined): void {
+  endpoint.handleWith((_request, response) => {
+    const named = limit()
+    response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90, ...(named === undefined ? {} : { 'server-limit': named }) })
+    response.end(formatEvent(1) + formatEvent(2))
+  })
+}
+
+async function startFleet (gatewayCount: number): Promise<readonly string[]> {
+  harness.putConfiguration(1)
+  const first = await harness.startForwarder()
+  const hosts = [first]
+  while (hosts.length < gatewayCount) hosts.push(await harness.startForwarder({ seeds: [`${first}:8229`] }))
+  for (const host of hosts) await harness.waitUntilReady(host)
+  return hosts
+}
+
+/** Sends requests to all gateways in turn; their sessions and shared prompt parts prefer few endpoints. */
+async function sendLoad (hosts: readonly string[], count: number): Promise<readonly number[]> {
+  const responses: Promise<number>[] = []
+  for (let index = 0; index < count; index++) {
+    const headers = { model: 'small', session: `s${index % 5}`, 'token-usage': '600,100', 'prefix-hash': `a${index % 3}:500,f${index}:100`, 'deadline-ms': '3000' }
+    responses.push(harness.call(hosts[index % hosts.length]!, `/query/${index}`, { body: 'q', headers }).then(({ status }) => status, () => 0))
+    await new Promise(resolve => setTimeout(resolve, requestIntervalMilliseconds))
+  }
+  return await Promise.all(responses)
+}
+
+/** The largest number of arrivals in any span that begins at a time or later. */
+function busiestSpan ({ received }: EndpointStandIn, from: number): number {
+  const arrivals = received.map(({ at }) => at).filter(at => at >= from)
+  return Math.max(0, ...arrivals.map(start => arrivals.filter(at => at >= start && at < start + spanMilliseconds).length))
+}
+
+test('an endpoint that names a limit gets no more than that from all gateways together, and callers are served by the others', async () => {
+  const limited = await Promise.all([0, 1, 2].map(() => harness.startEndpoint('engines')))
+  const unlimited = await harness.startEndpoint('engines')
+  for (const endpoint of limited) serveStreams(endpoint, () => String(limitPerSecond))
+  serveStreams(unlimited, () => undefined)
+  const hosts = await startFleet(4)
+  const startedAt = performance.now()
+  const statuses = await sendLoad(hosts, requestCount)
+  for (const endpoint of limited) expect(busiestSpan(endpoint, startedAt + propagationBoundMilliseconds)).toBeLessThanOrEqual(maximumArrivals)
+  expect(statuses.filter(status => status !== 200)).toEqual([])
+}, 60_000)
