Divide the limits that endpoints name among the gateways, and tell all of them

Cause: what an endpoint says of itself reached one gateway, and not even there did it steer anything; further attempts counted as little as first ones.

Now (src/rateLimit, no network in it) a limit is a merging fact with a revision, told with the breaker's news; it is divided by rendezvous order among few gateways of the endpoint's region, each with a token bucket that starts empty; the place is taken in the turn that sends, for whatever reaches the endpoint; placement asks before it chooses, so prompts move on at once, and small requests leave the last place to large ones. With no place anywhere requests wait in a bounded queue if their turn comes well before the deadline, and are refused at once with Retry-After otherwise. It ends by an answer to a request that was sent after the limit was last heard of, and the load comes back over eight seconds. For the division gateways know all others by reports to the seeds (src/fleet).

The sum over views that contain all running gateways is the limit at most, by property tests for 7, 91, 231 and 1,000 gateways, wrong views, restarts and clocks. Without the division 17 tests fail, without the telling 5 of test/fleet.test.ts, without the ending 7. test/announcedLimit.test.ts failed before (52 requests in 4 s, 17 allowed).

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -9,8 +9,8 @@
   ['rateLimit'],
   ['observe', 'routing', 'server'],
   ['settings', 'link', 'store'],
-  ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution', 'replica', 'breaker'],
-  ['entry', 'placement'],
+  ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution', 'replica', 'breaker', 'fleet'],
+  ['entry', 'placement', 'news'],
   ['steward', 'gateway'],
   ['daemon', 'standin', 'forwarder'],
   ['command']
--- a/src/breaker/breakerMessages.ts
+++ b/src/breaker/breakerMessages.ts
@@ -1,6 +1,5 @@
-/** Messages in which gateways tell each other of crashes, blocks and good answers. Times travel as ages, since clocks differ. */
+/** Crashes, blocks and good answers as gateways tell each other of them. Times travel as ages, since clocks differ. */
 import * as z from 'zod'
-import type { MessageType } from '../link/index.ts'
 import type { BreakerNews } from './promptBreaker.ts'
 
 const partSchema = z.object({ organisation: z.string(), part: z.string() })
@@ -10,19 +9,16 @@
   /** From the run's begin to the crash. */
   milliseconds: z.number()
 })
-const newsSchema = z.object({
+export const breakerNewsSchema = z.object({
   reports: z.array(z.object({ instance: z.string(), reporter: z.string(), ageMilliseconds: z.number(), runs: z.array(runSchema) })),
   blocks: z.array(partSchema.extend({ holder: z.string(), trips: z.number().int().positive(), ageMilliseconds: z.number() })),
   answers: z.array(partSchema.extend({ ageMilliseconds: z.number() }))
 })
 
-export type EncodedNews = z.infer<typeof newsSchema>
-
-/** Tells news; the reply tells what the receiver knows. */
-export const breakerNews: MessageType<EncodedNews, EncodedNews> = { name: 'breaker_news', body: newsSchema, reply: newsSchema }
+export type EncodedBreakerNews = z.infer<typeof breakerNewsSchema>
 
 /** Encodes news with their ages. */
-export function encodeNews ({ reports, blocks, answers }: BreakerNews, now: number): EncodedNews {
+export function encodeBreakerNews ({ reports, blocks, answers }: BreakerNews, now: number): EncodedBreakerNews {
   return {
     reports: reports.map(({ instance, reporter, crashedAt, runs }) => ({
       instance,
@@ -36,7 +32,7 @@
 }
 
 /** Decodes news that have just arrived. */
-export function decodeNews ({ reports, blocks, answers }: EncodedNews, now: number): BreakerNews {
+export function decodeBreakerNews ({ reports, blocks, answers }: EncodedBreakerNews, now: number): BreakerNews {
   return {
     reports: reports.map(({ instance, reporter, ageMilliseconds, runs }) => {
       const crashedAt = now - ageMilliseconds
--- a/src/breaker/index.ts
+++ b/src/breaker/index.ts
@@ -7,4 +7,4 @@
 export { EndpointRuns, type EndpointRun, type EndpointRunsOptions, type RunDescription, type CrashCheck } from './endpointRuns.ts'
 export { logBreakerChange } from './breakerLog.ts'
 export { connectionCheck } from './crashCheck.ts'
-export { BreakerExchange, type BreakerExchangeOptions } from './breakerExchange.ts'
+export { breakerNewsSchema, decodeBreakerNews, encodeBreakerNews, type EncodedBreakerNews } from './breakerMessages.ts'
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -8,7 +8,7 @@
   AffinityEndpointPolicy, type AttemptBudget, type EndpointPolicy, LearnedVersionPolicy, RegionLinkBudget,
   RatioAttemptBudget, SequentialRollOutGuard, ShareAdmissionPolicy, type VersionPolicy
 } from '../choice/index.ts'
-import { BreakerExchange, EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
+import { EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
 import { type Claims, TableClaims } from '../claim/index.ts'
 import { type Clock, type Place, type Randomness, type Result, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { SettingsFollower, type SettingsRepository, TableSettingsRepository } from '../distribution/index.ts'
@@ -16,10 +16,12 @@
 import { type DigestingPolicy, CallerServer, ChatRouter, CompletionLengthEstimator, Drain, EndpointDirectory, PoolAdmission, RatingExchange, RollOutMonitor, ServiceRouter } from '../entry/index.ts'
 import { type Link, TcpLink } from '../link/index.ts'
 import { GossipMembership, MemberState } from '../membership/index.ts'
+import { NewsExchange, logLimitChange } from '../news/index.ts'
 import { Log, Metrics, createOpenTelemetryTracer, NoopTracer, type Tracer } from '../observe/index.ts'
 import {
   HttpRatingService, HttpTableService, HttpVirtualMachineList, type RatingService, type TableService, type VirtualMachineList
 } from '../store/index.ts'
+import { AnnouncedLimits } from '../rateLimit/index.ts'
 import { SignedSessionTokens, type SessionTokens } from '../session/index.ts'
 import type { LocalSettings } from '../settings/index.ts'
 import { Steward, StewardLease } from '../steward/index.ts'
@@ -60,7 +62,8 @@
   readonly endpoints: EndpointPolicy
   readonly breaker: PromptBreaker
   readonly runs: EndpointRuns
-  readonly breakerExchange: BreakerExchange
+  readonly announcedLimits: AnnouncedLimits
+  readonly news: NewsExchange
   readonly admission: PoolAdmission
   readonly retries: AttemptBudget
   readonly rollOuts: RollOutMonitor
@@ -136,15 +139,17 @@
     name: dependencies.local.name,
     breaker: dependencies.breaker,
     hasCrashed: connectionCheck(connectTimeoutMilliseconds),
-    onNews: () => dependencies.breakerExchange.publish(),
+    onNews: () => dependencies.news.publish(),
     clock: dependencies.clock,
     log: dependencies.log
   }),
-  breakerExchange: dependencies => new BreakerExchange({
+  announcedLimits: ({ log }) => new AnnouncedLimits(change => logLimitChange(log, change, 0)),
+  news: dependencies => new NewsExchange({
     link: dependencies.link,
     breaker: dependencies.breaker,
+    limits: dependencies.announcedLimits,
     peers: () => dependencies.membership.members().filter(({ name, state }) => name !== dependencies.local.name && state === MemberState.Alive),
-    onNews: () => dependencies.runs.cancelBlocked(dependencies.clock.now()),
+    onBreakerNews: () => dependencies.runs.cancelBlocked(dependencies.clock.now()),
     clock: dependencies.clock,
     randomness: dependencies.randomness,
     log: dependencies.log
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -66,7 +66,7 @@
    * @returns a message with the reason if an address can't be listened on
    */
   async start (): Promise<Result<void, string>> {
-    const { breakerExchange, callerServer, follower, ledger, link, log, membership, ratingExchange, steward } = this.#dependencies
+    const { callerServer, follower, ledger, link, log, membership, news, ratingExchange, steward } = this.#dependencies
     try {
       await this.#operatorServer.listen(this.#local.listen.operators)
       const linked = await link.listen(this.#local.listen.link)
@@ -75,7 +75,7 @@
       await follower.start()
       ledger.start()
       ratingExchange.start()
-      breakerExchange.start()
+      news.start()
       steward.start()
       await callerServer.listen(this.#local.listen.callers)
     } catch (error) {
@@ -88,7 +88,7 @@
 
   /** Drains running requests for up to `drain_seconds`, flushes durable data, and stops. */
   async stop (): Promise<void> {
-    const { breakerExchange, callerServer, claims, clock, drain, follower, ledger, link, log, membership, ratingExchange, steward, tracer } = this.#dependencies
+    const { callerServer, claims, clock, drain, follower, ledger, link, log, membership, news, ratingExchange, steward, tracer } = this.#dependencies
     log.info('daemon_stopping', { requests: drain.requestsInFlight })
     this.#isReady = false
     drain.begin()
@@ -99,7 +99,7 @@
     await claims.stop()
     await steward.stop()
     await ratingExchange.stop()
-    breakerExchange.stop()
+    news.stop()
     await ledger.stop()
     await follower.stop()
     await membership.stop()
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,3 @@
+/** The gateways that may be running, for what is divided among them. */
+export { FleetDirectory, membersDigest, type FleetDirectoryOptions } from './fleetDirectory.ts'
+export { FleetReports, type FleetReportsOptions } from './fleetReports.ts'
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -1,13 +1,16 @@
 /** Composition root of the forwarder: registers each component with its dependencies. */
 import { asFunction, asValue, type AwilixContainer, createContainer, InjectionMode } from 'awilix/browser'
 import { PlatformHeaders, RowStore, readyPath, type BootFile, Table } from '../../platform/index.ts'
-import { BreakerExchange, EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
+import { EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
 import { type Clock, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { Connections } from '../endpoint/index.ts'
 import { EndpointAnnouncements, Forwarding, GatewayMetrics, GatewayServer, OperationsServer, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
+import { FleetDirectory, FleetReports } from '../fleet/index.ts'
 import { TcpLink } from '../link/index.ts'
+import { NewsExchange, logLimitChange } from '../news/index.ts'
 import { LineQueue, Log, descriptorSink } from '../observe/index.ts'
 import { EndpointLoads, EndpointPlacement, EndpointRegistry, ModelCascade, RetryBudget, VersionSelector } from '../placement/index.ts'
+import { AnnouncedLimits, EndpointLimits, PlaceQueues } from '../rateLimit/index.ts'
 import { PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay, defaultFeedWaitMilliseconds } from '../replica/index.ts'
 import type { CallerListener } from '../server/index.ts'
 import { RowRollOutStore } from './rollOutStore.ts'
@@ -67,7 +70,12 @@
   readonly tableLoader: TableLoader
   readonly breaker: PromptBreaker
   readonly runs: EndpointRuns
-  readonly breakerExchange: BreakerExchange
+  readonly announcedLimits: AnnouncedLimits
+  readonly limits: EndpointLimits
+  readonly placeQueues: PlaceQueues
+  readonly fleet: FleetDirectory
+  readonly fleetReports: FleetReports
+  readonly news: NewsExchange
   readonly connections: Connections
   readonly forwarding: Forwarding
   readonly gateway: GatewayServer
@@ -112,7 +120,12 @@
     tableLoader: single(parts => new TableLoader(parts)),
     breaker: single(makeBreaker),
     runs: single(makeRuns),
-    breakerExchange: single(makeBreakerExchange),
+    announcedLimits: single(makeAnnouncedLimits),
+    limits: single(makeLimits),
+    placeQueues: single(({ clock }) => new PlaceQueues(clock)),
+    fleet: single(makeFleet),
+    fleetReports: single(makeFleetReports),
+    news: single(makeNews),
     connections: single(() => new Connections({ connectTimeoutMilliseconds: endpointConnectTimeoutMilliseconds })),
     forwarding: single(makeForwarding),
     gateway: single(makeGateway),
@@ -216,24 +229,47 @@
   })
 }
 
-function makeRuns ({ boot, breaker, clock, log, breakerExchange }: ForwarderDependencies): EndpointRuns {
+function makeRuns ({ boot, breaker, clock, log, news }: ForwarderDependencies): EndpointRuns {
   return new EndpointRuns({
     name: boot.current.name,
     breaker,
     hasCrashed: connectionCheck(endpointConnectTimeoutMilliseconds),
-    onNews: () => breakerExchange.publish(),
+    onNews: () => news.publish(),
     clock,
     log
   })
 }
 
-function makeBreakerExchange (parts: ForwarderDependencies): BreakerExchange {
-  const { link, breaker, peers, clock, randomness, log } = parts
-  return new BreakerExchange({
+function makeAnnouncedLimits (parts: ForwarderDependencies): AnnouncedLimits {
+  return new AnnouncedLimits(change => logLimitChange(parts.log, change, parts.limits.sentTo(change.fact.instance)))
+}
+
+function makeLimits ({ announcedLimits, fleet, registry }: ForwarderDependencies): EndpointLimits {
+  return new EndpointLimits({ announced: announcedLimits, fleet, regionsServing: service => registry.regionsServing(service) })
+}
+
+function makeFleet ({ boot, clock }: ForwarderDependencies): FleetDirectory {
+  const { peerAddress, place } = boot.current
+  return new FleetDirectory({
+    self: { address: peerAddress, region: place.region },
+    seeds: () => boot.current.seeds,
+    startedAt: clock.now(),
+    now: () => clock.now()
+  })
+}
+
+function makeFleetReports ({ boot, clock, fleet, link, log }: ForwarderDependencies): FleetReports {
+  return new FleetReports({ link, directory: fleet, seeds: () => boot.current.seeds, clock, log })
+}
+
+function makeNews (parts: ForwarderDependencies): NewsExchange {
+  const { link, breaker, announcedLimits, peers, clock, randomness, log } = parts
+  return new NewsExchange({
     link,
     breaker,
+    limits: announcedLimits,
     peers: () => peers.peers,
-    onNews: () => parts.runs.cancelBlocked(clock.now()),
+    onBreakerNews: () => parts.runs.cancelBlocked(clock.now()),
     clock,
     randomness,
     log
@@ -252,17 +288,25 @@
     rollOuts: parts.rollOuts,
     connections: parts.connections,
     codec: new PlatformHeaders(),
-    placement: new EndpointPlacement(boot.current.place, loads, randomness),
+    placement: new EndpointPlacement(boot.current.place, loads, randomness, parts.limits),
+    limits: parts.limits,
+    placeQueues: parts.placeQueues,
     modelCascade: new ModelCascade(),
     retryBudget: new RetryBudget(boot.current.retryRatio),
     breaker: parts.breaker,
     runs: parts.runs,
-    announcements: new EndpointAnnouncements(parts),
+    announcements: makeAnnouncements(parts),
     versionSelector: parts.versionSelector,
-    untilTablesAreRead: () => parts.tableLoader.untilComplete()
+    untilTablesAreRead: async () => {
+      await Promise.all([parts.tableLoader.untilComplete(), parts.news.untilAsked()])
+    }
   })
 }
 
+function makeAnnouncements ({ announcedLimits, clock, loads, log, news, randomness, registry }: ForwarderDependencies): EndpointAnnouncements {
+  return new EndpointAnnouncements({ registry, loads, announcedLimits, onLimitNews: () => news.publish(), clock, randomness, log })
+}
+
 function makeGateway ({ clock, log, forwarding, listener }: ForwarderDependencies): GatewayServer {
   return new GatewayServer({
     listener,
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -7,7 +7,7 @@
 import type { BlockedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
-import { type ForwardRefusal, ForwardRefusals, endpointsOverloaded, promptBlocked, sendRefusal } from './forwardRefusal.ts'
+import { type ForwardRefusal, ForwardRefusals, endpointsLimited, endpointsOverloaded, promptBlocked, sendRefusal } from './forwardRefusal.ts'
 
 const answeredOutcome = 'answered'
 const callerLeftOutcome = 'caller_left'
@@ -41,6 +41,8 @@
   readonly block: BlockedPrompt | undefined
   /** How long it takes until an endpoint wants requests again, in milliseconds; 0 if one does now. */
   readonly overloadMilliseconds: number
+  /** How long it takes until the rate limits of the endpoints have a place, in milliseconds, infinite if it is not known; undefined if no limit stood in the way. */
+  readonly placeMilliseconds: number | undefined
 }
 
 export class CallerResponse {
@@ -75,12 +77,13 @@
   }
 
   /** Refuses a request without a response from any endpoint; the refusal depends on whether it may have been executed. */
-  refuseUnanswered ({ mayHaveRun, isFull, block, overloadMilliseconds }: UnansweredRequest): void {
+  refuseUnanswered ({ mayHaveRun, isFull, block, overloadMilliseconds, placeMilliseconds }: UnansweredRequest): void {
     const { isPastDeadline } = this.#state
     if (mayHaveRun) return this.refuse(isPastDeadline ? ForwardRefusals.timedOut : ForwardRefusals.attemptLost)
     if (block !== undefined) return this.refuse(promptBlocked(block.retryAfterMilliseconds))
     if (isPastDeadline) return this.refuse(ForwardRefusals.notSentInTime)
     if (overloadMilliseconds > 0) return this.refuse(endpointsOverloaded(overloadMilliseconds))
+    if (placeMilliseconds !== undefined) return this.refuse(endpointsLimited(placeMilliseconds))
     this.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
   }
 
--- a/src/gateway/forwardRefusal.ts
+++ b/src/gateway/forwardRefusal.ts
@@ -18,6 +18,8 @@
 const startUpRetryMilliseconds = 2_000
 const noEndpointRetryMilliseconds = 500
 const overloadRetryMilliseconds = 300
+/** While this gateway can't tell when a place comes, another one may have some. */
+const unknownPlaceRetryMilliseconds = 1_000
 const stoppingRetryMilliseconds = 50
 
 /**
@@ -48,6 +50,18 @@
   return refusal('endpoints_overloaded', 503, Math.max(overloadRetryMilliseconds, milliseconds))
 }
 
+/**
+ * The refusal while the rate limits of all endpoints are used up: callers return when a place is likely to be free.
+ *
+ * @param milliseconds infinite if it is not known when one is
+ * @example
+ * callerResponse.refuse(endpointsLimited(800))
+ */
+export function endpointsLimited (milliseconds: number): ForwardRefusal {
+  const known = Number.isFinite(milliseconds) ? milliseconds : unknownPlaceRetryMilliseconds
+  return refusal('endpoints_limited', 503, Math.max(overloadRetryMilliseconds, known))
+}
+
 /**
  * The refusal of a prompt with a part that crashes endpoints: the caller may return when the part is tried again.
  *
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -5,11 +5,12 @@
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
 import type { BlockedPrompt, SharedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
-import { AttemptEnd, estimateWork } from '../placement/index.ts'
-import { type ResponseHead, type RequestHead, RouteType, type Route, type RoutedEndpoint, type RoutedOrganisation, instanceKey } from '../routing/index.ts'
+import { latestTurn, type WaitingRequest } from '../rateLimit/index.ts'
+import { AttemptEnd, type PlacementRequest, estimateWork } from '../placement/index.ts'
+import { type ResponseHead, type RequestHead, RouteType, type Route, type RoutedEndpoint, type RoutedOrganisation, instanceKey, ratedEndpoint } from '../routing/index.ts'
 import { CallerResponse, type RequestState } from './callerResponse.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
-import { type AttemptOptions, type OpenAttempt, NotExecutedReason, RunProgress } from './openAttempt.ts'
+import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
 import { isSelfDelimited } from './responseFraming.ts'
 import type { RoutingSnapshot } from './routingView.ts'
 
@@ -52,6 +53,8 @@
   #hasBrokenOff = false
   #crashedRuns = 0
   #block: BlockedPrompt | undefined
+  /** When an endpoint's rate limit is likely to have a place, in milliseconds from then; undefined if no limit stood in the way. */
+  #placeMilliseconds: number | undefined
 
   constructor (options: ForwardedRequestOptions) {
     const { route, service, head, dependencies, arrivedAt, response } = options
@@ -116,27 +119,70 @@
   }
 
   /** Chooses an endpoint that has not been tried yet; undefined if none is eligible. */
-  chooseEndpoint (model: string | undefined): RoutedEndpoint | undefined {
-    const { registry, placement, rollOuts, versionSelector } = this.dependencies
+  chooseEndpoint (model: string | undefined, isResumed = false): RoutedEndpoint | undefined {
+    return this.dependencies.placement.choose(this.#placementRequest(model, isResumed), this.#untriedEndpoints(), this.now)
+  }
+
+  /** Chooses an endpoint; while the rate limits of all are used up, waits for a place. Undefined if none is eligible in time. */
+  async awaitEndpoint (model: string | undefined, isResumed = false): Promise<RoutedEndpoint | undefined> {
+    const { metrics, placeQueues } = this.dependencies
+    const waiting = this.#waitingRequest(this.#placementRequest(model, isResumed))
+    for (let isItsTurn = false; ;) {
+      const endpoint = this.chooseEndpoint(model, isResumed)
+      if (endpoint !== undefined && (isItsTurn || !this.#hasToQueueFor(endpoint))) return endpoint
+      if (endpoint === undefined && !Number.isFinite(waiting.forecast().placesPerSecond)) return undefined
+      metrics.heldBack.inc({ service: this.service, at: HeldBackAt.Choice })
+      const turn = await placeQueues.of(this.service).wait(waiting)
+      if (turn.err) this.#placeMilliseconds = turn.val.retryAfterMilliseconds
+      if (turn.err || this.hasCallerLeft) return undefined
+      isItsTurn = true
+    }
+  }
+
+  #waitingRequest (request: PlacementRequest): WaitingRequest {
+    const { organisation } = this.#options
+    return {
+      organisation: organisation?.name ?? '',
+      priority: organisation?.priority ?? this.route.priority,
+      arrivedAt: this.arrivedAt,
+      giveUpAt: latestTurn(this.now, this.deadline),
+      signal: this.callerAbort.signal,
+      forecast: () => this.dependencies.placement.forecast(request, this.#untriedEndpoints(), this.now)
+    }
+  }
+
+  /** A place that has just come goes to those that wait for one. */
+  #hasToQueueFor (endpoint: RoutedEndpoint): boolean {
+    const { limits, placeQueues } = this.dependencies
+    return placeQueues.of(this.service).length > 0 && limits.isLimited(ratedEndpoint(endpoint), this.now)
+  }
+
+  #untriedEndpoints (): readonly RoutedEndpoint[] {
+    const { registry, rollOuts, versionSelector } = this.dependencies
     const now = this.now
     const serving = registry.servingEndpoints(this.service, now)
     const split = rollOuts.splitOf(this.service)
     const key = this.head.attemptId ?? ''
     const candidates = versionSelector.chooseEndpoints(serving, split, this.head.session, key, now)
-    const untried = candidates.filter(endpoint => !this.#triedInstances.has(instanceKey(endpoint)))
-    return placement.choose({
+    return candidates.filter(endpoint => !this.#triedInstances.has(instanceKey(endpoint)))
+  }
+
+  #placementRequest (model: string | undefined, isResumed: boolean): PlacementRequest {
+    return {
       isStream: this.route.type === RouteType.Stream,
       work: this.#estimateWork(model),
       promptTokens: this.head.promptTokens,
       promptParts: this.head.promptParts,
-      model
-    }, untried, now)
+      model,
+      isResumed
+    }
   }
 
   /** Starts an attempt at an endpoint. */
   send (endpoint: RoutedEndpoint, { model, lastEventId, usesOwnConnection }: AttemptOptions): OpenAttempt {
-    const { clock, codec, connections, registry, loads, rollOuts, runs } = this.dependencies
+    const { clock, codec, connections, limits, registry, loads, rollOuts, runs } = this.dependencies
     const startedAt = this.now
+    const permit = limits.open(ratedEndpoint(endpoint), startedAt)
     this.#triedInstances.add(instanceKey(endpoint))
     const { request, organisation, body } = this.#options
     const exchangeOptions = {
@@ -153,7 +199,7 @@
       }),
       body: body.length === 0 ? undefined : body,
       inactivityTimeoutMilliseconds: Math.max(1, this.deadline - startedAt),
-      mayStillSend: () => !this.hasCallerLeft && this.now < this.deadline && registry.isServing(endpoint, this.now) && !loads.isOverloaded(endpoint, this.now)
+      mayStillSend: () => !this.hasCallerLeft && this.now < this.deadline && registry.isServing(endpoint, this.now) && !loads.isOverloaded(endpoint, this.now) && permit.trySend(this.now)
     }
     const work = loads.track(endpoint, this.#estimateWork(model), startedAt)
     let isBlocked = false
@@ -169,7 +215,7 @@
     const abandonExchange = () => exchange.abort('caller disconnected')
     this.callerAbort.signal.addEventListener('abort', abandonExchange, { once: true })
     if (this.hasCallerLeft) abandonExchange()
-    return { endpoint, model, exchange, startedAt, tracker: work, run, evidence, isBlocked: () => isBlocked }
+    return { endpoint, model, exchange, startedAt, tracker: work, run, permit, evidence, isBlocked: () => isBlocked }
   }
 
   /**
@@ -179,8 +225,9 @@
    */
   finishAttempt (attempt: OpenAttempt, end: AttemptEnd, outcome: string, countsAsSent = attempt.exchange.mayHaveSent): void {
     if (countsAsSent) this.#sentAttempts++
-    if (attempt.exchange.mayHaveSent && this.dependencies.announcements.recordSend(attempt.endpoint)) this.dependencies.metrics.limitedAttempts.inc({ service: this.service })
+    if (attempt.permit.wasLimited) this.dependencies.metrics.limitedAttempts.inc({ service: this.service })
     attempt.run.close()
+    attempt.permit.close()
     attempt.evidence?.abandon(this.now)
     attempt.tracker.close(end, this.now)
     this.dependencies.metrics.attempts.inc({ service: this.service, end })
@@ -199,6 +246,7 @@
   finishBrokenAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string): void {
     const { begunAt } = attempt.run
     const wasSent = attempt.exchange.mayHaveSent
+    if (attempt.permit.wasHeldBack) this.#recordHeldBack(attempt)
     if (wasSent) this.dependencies.metrics.brokenRuns.inc({ service: this.service, end, progress: begunAt === undefined ? RunProgress.Waiting : RunProgress.Begun })
     this.#hasBrokenOff ||= wasSent
     if (wasSent && end === AttemptEnd.Failed) this.#recordBreak(attempt)
@@ -206,6 +254,11 @@
     this.finishAttempt(attempt, end, `${wasSent ? 'broke off' : 'unsent'}${begun}: ${reason}`)
   }
 
+  #recordHeldBack ({ endpoint }: OpenAttempt): void {
+    this.dependencies.metrics.heldBack.inc({ service: this.service, at: HeldBackAt.Send })
+    this.allowRetryAt(endpoint)
+  }
+
   /** An endpoint that was leaving anyway did not crash. */
   #recordBreak ({ endpoint, run }: OpenAttempt): void {
     const mayBeCause = this.dependencies.registry.isServing(endpoint, this.now) && run.recordBreak(this.now)
@@ -218,18 +271,24 @@
    */
   attemptEndWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
     if (this.hasCallerLeft || attempt.isBlocked()) return AttemptEnd.Cancelled
-    const wasHeldBack = !attempt.exchange.mayHaveSent && this.dependencies.loads.isOverloaded(attempt.endpoint, this.now)
-    if (wasHeldBack) return AttemptEnd.Cancelled
+    const isOverloaded = !attempt.exchange.mayHaveSent && this.dependencies.loads.isOverloaded(attempt.endpoint, this.now)
+    if (isOverloaded || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
     return isSilent || !attempt.exchange.mayHaveSent ? AttemptEnd.Lost : AttemptEnd.Failed
   }
 
   /** Acts on what an endpoint announces in its response; one that rejects the request as misdirected is not the attempt's endpoint. */
   recordAnnouncements (attempt: OpenAttempt, status: number, responseHead: ResponseHead): void {
-    if (status !== misdirectedStatus) this.dependencies.announcements.record(attempt.endpoint, status, responseHead)
+    if (status !== misdirectedStatus) this.dependencies.announcements.record(attempt.endpoint, status, responseHead, attempt.startedAt)
+  }
+
+  /** Refuses the request, which got no response from any endpoint. */
+  refuseUnanswered (mayHaveRun: boolean, isFull: boolean): void {
+    if (this.#placeMilliseconds !== undefined) this.dependencies.metrics.heldBack.inc({ service: this.service, at: HeldBackAt.Refusal })
+    this.callerResponse.refuseUnanswered({ mayHaveRun, isFull, block: this.block, overloadMilliseconds: this.#overloadMilliseconds, placeMilliseconds: this.#placeMilliseconds })
   }
 
   /** How long it takes until an endpoint of the service wants requests again, in milliseconds; 0 if one does now. */
-  get overloadMilliseconds (): number {
+  get #overloadMilliseconds (): number {
     const { registry, loads } = this.dependencies
     return loads.overloadMilliseconds(registry.servingEndpoints(this.service, this.now), this.now)
   }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -10,6 +10,7 @@
 import type { Log } from '../observe/index.ts'
 import type { EndpointRegistry, EndpointLoads, EndpointPlacement, ModelCascade, RetryBudget, VersionSelector } from '../placement/index.ts'
 import { chooseService } from '../placement/index.ts'
+import type { EndpointLimits, PlaceQueues } from '../rateLimit/index.ts'
 import { readBoundedBody } from '../server/index.ts'
 import { type RequestHead, type HeaderCodec, RouteType, type Route, type RoutedOrganisation } from '../routing/index.ts'
 import { type ForwardRefusal, ForwardRefusals, sendRefusal } from './forwardRefusal.ts'
@@ -30,6 +31,8 @@
   readonly registry: EndpointRegistry
   readonly loads: EndpointLoads
   readonly placement: EndpointPlacement
+  readonly limits: EndpointLimits
+  readonly placeQueues: PlaceQueues
   readonly modelCascade: ModelCascade
   readonly retryBudget: RetryBudget
   readonly breaker: PromptBreaker
--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a forwarded request at an endpoint, and how it may end. */
 import type { EndpointRun } from '../breaker/index.ts'
 import type { Exchange } from '../endpoint/index.ts'
+import type { SendPermit } from '../rateLimit/index.ts'
 import type { AttemptTracker, EvidenceRun } from '../placement/index.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
 
@@ -12,6 +13,8 @@
   readonly startedAt: number
   readonly tracker: AttemptTracker
   readonly run: EndpointRun
+  /** Its place under the endpoint's rate limit. */
+  readonly permit: SendPermit
   /** Evidence on the endpoint's version; undefined while no roll-out is ordered. */
   readonly evidence: EvidenceRun | undefined
   /** Whether it was cancelled because its prompt was blocked. */
@@ -27,6 +30,16 @@
 } as const
 export type NotExecutedReason = typeof NotExecutedReason[keyof typeof NotExecutedReason]
 
+/** Where an attempt was held back for a rate limit. */
+export const HeldBackAt = {
+  /** No endpoint had a place, so the request had to wait or was refused. */
+  Choice: 'choice',
+  /** The endpoint's place was gone when the request was to be sent. */
+  Send: 'send',
+  /** No place was to come in time. */
+  Refusal: 'refusal'
+} as const
+
 /** How far a run had got when it broke off. */
 export const RunProgress = {
   /** Nothing of a response had arrived. */
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -44,7 +44,7 @@
     let isFull = false
     let lastFailure: CompleteResponse | undefined
     while (request.tryStartAttempt()) {
-      const endpoint = request.chooseEndpoint(undefined)
+      const endpoint = await request.awaitEndpoint(undefined)
       if (endpoint === undefined) break
       const outcome = await this.#attempt(endpoint)
       if (outcome.type === 'relayed') return
@@ -56,7 +56,7 @@
       if (outcome.type === 'lost' && !this.#isIdempotent) break
     }
     if (lastFailure !== undefined) return this.#deliver(lastFailure)
-    request.callerResponse.refuseUnanswered({ mayHaveRun: this.#mayHaveRun, isFull, block: request.block, overloadMilliseconds: request.overloadMilliseconds })
+    request.refuseUnanswered(this.#mayHaveRun, isFull)
   }
 
   #deliver (answer: CompleteResponse): void {
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -62,7 +62,7 @@
     const request = this.#request
     let isFull = false
     while (request.tryStartAttempt()) {
-      const endpoint = request.chooseEndpoint(this.#model)
+      const endpoint = await request.awaitEndpoint(this.#model, this.#hasResponseStarted)
       if (endpoint === undefined) break
       const attempt = request.send(endpoint, { model: this.#model, lastEventId: this.#lastEventId, usesOwnConnection: false })
       this.#startLargestModelWait()
@@ -80,7 +80,7 @@
     const request = this.#request
     if (this.#hasResponseStarted) return request.callerResponse.abort(request.isPastDeadline ? 'timed_out' : 'stream_lost')
     if (this.#failedResponse !== undefined) return request.callerResponse.deliver(this.#failedResponse)
-    request.callerResponse.refuseUnanswered({ mayHaveRun: this.#mayHaveRun, isFull, block: request.block, overloadMilliseconds: request.overloadMilliseconds })
+    request.refuseUnanswered(this.#mayHaveRun, isFull)
   }
 
   #planCascade (): void {
--- /dev/null
+++ b/src/news/index.ts
@@ -0,0 +1,3 @@
+/** How gateways tell each other what they have learnt. */
+export { NewsExchange, type NewsExchangeOptions } from './newsExchange.ts'
+export { logLimitChange } from './limitLog.ts'
--- a/src/placement/endpointLoads.ts
+++ b/src/placement/endpointLoads.ts
@@ -33,6 +33,10 @@
 }
 
 const unusedRetentionMilliseconds = 30_000
+/** Weight of the latest response in the mean of the waits. */
+const waitSmoothing = 0.3
+/** A wait that was seen counts half after this time. */
+const waitHalfLifeMilliseconds = 2_000
 
 class EndpointLoad {
   readonly health = new EndpointHealth()
@@ -43,6 +47,19 @@
   attemptsWithoutBytes = 0
   lastByteAt = Number.NEGATIVE_INFINITY
   lastUsedAt = Number.NEGATIVE_INFINITY
+  #waitMilliseconds = 0
+  #waitSeenAt = Number.NEGATIVE_INFINITY
+
+  /** Time that requests wait there before their turn, as their responses showed it. */
+  waitMillisecondsAt (now: number): number {
+    return this.#waitMilliseconds * 0.5 ** ((now - this.#waitSeenAt) / waitHalfLifeMilliseconds)
+  }
+
+  recordWait (milliseconds: number, now: number): void {
+    const before = this.waitMillisecondsAt(now)
+    this.#waitMilliseconds = before + waitSmoothing * (milliseconds - before)
+    this.#waitSeenAt = now
+  }
 }
 
 /**
@@ -73,6 +90,7 @@
       recordResponseStart: at => {
         recordBytes(at)
         load.health.recordResponseStart()
+        load.recordWait(Math.max(0, at - now - work.prefillMilliseconds), at)
         load.workMilliseconds -= work.prefillMilliseconds
         remainingMilliseconds -= work.prefillMilliseconds
       },
@@ -97,6 +115,11 @@
     return this.#loads.get(instanceKey(endpoint))?.inFlight ?? 0
   }
 
+  /** Time that requests wait at an endpoint before their turn, from the responses of the last seconds. */
+  waitMillisecondsAt (endpoint: RoutedEndpoint, now: number): number {
+    return this.#loads.get(instanceKey(endpoint))?.waitMillisecondsAt(now) ?? 0
+  }
+
   /** Multiplier of an endpoint's cost for its failures; 1 for a healthy one. */
   costFactorOf (endpoint: RoutedEndpoint): number {
     return this.#loads.get(instanceKey(endpoint))?.health.costFactor ?? 1
--- a/src/placement/endpointPlacement.ts
+++ b/src/placement/endpointPlacement.ts
@@ -5,12 +5,16 @@
  * centre, chosen by rendezvous hashing, so all daemons agree on it without communicating. Because work
  * in progress counts as well, a popular part spreads to other endpoints when its owner is busy.
  *
+ * An endpoint whose rate limit is used up is no candidate, so that its prompts move to their next owner at
+ * once; of its last place only requests make use that profit from this endpoint.
+ *
  * This covers a hot key (its owner fills up), a burst (work spreads by cost) and a data centre that
  * lost its endpoints (another region is expensive but not excluded).
  */
 import { AffinityKey } from '../choice/index.ts'
 import { Proximity, type Place, type Randomness, proximityOf } from '../contract/index.ts'
-import { instanceKey, type PromptPart, type RoutedEndpoint } from '../routing/index.ts'
+import type { EndpointLimits, PlaceForecast } from '../rateLimit/index.ts'
+import { instanceKey, type PromptPart, type RoutedEndpoint, ratedEndpoint } from '../routing/index.ts'
 import type { EndpointLoads } from './endpointLoads.ts'
 import type { RequestWork } from './requestWork.ts'
 
@@ -24,6 +28,9 @@
 /** Costs within this share of the lowest count as equal; a random choice among them keeps daemons from picking the same endpoint. */
 const costTolerance = 0.05
 
+/** Weight of the latest request in the mean of their work. */
+const meanWorkSmoothing = 0.05
+
 /** Properties of a request that determine its placement. */
 export interface PlacementRequest {
   readonly isStream: boolean
@@ -31,6 +38,8 @@
   readonly promptTokens: number
   readonly promptParts: readonly PromptPart[]
   readonly model: string | undefined
+  /** Whether it goes on with a response that another endpoint began. */
+  readonly isResumed?: boolean
 }
 
 /**
@@ -43,11 +52,14 @@
   readonly #localPlace: Place
   readonly #loads: EndpointLoads
   readonly #randomness: Randomness
+  readonly #limits: EndpointLimits
+  #meanWorkMilliseconds = 0
 
-  constructor (localPlace: Place, loads: EndpointLoads, randomness: Randomness) {
+  constructor (localPlace: Place, loads: EndpointLoads, randomness: Randomness, limits: EndpointLimits) {
     this.#localPlace = localPlace
     this.#loads = loads
     this.#randomness = randomness
+    this.#limits = limits
   }
 
   /**
@@ -56,14 +68,40 @@
    * @returns undefined if no candidate is eligible
    */
   choose (request: PlacementRequest, candidates: readonly RoutedEndpoint[], now: number): RoutedEndpoint | undefined {
-    const compared = this.#sample(this.#availableAmong(candidates.filter(endpoint => runsModel(endpoint, request.model)), now))
+    const able = candidates.filter(endpoint => runsModel(endpoint, request.model) && this.#limits.hasPlace(ratedEndpoint(endpoint), now))
+    const compared = this.#sample(this.#availableAmong(able, now))
     const owners = this.#promptOwnersAmong(request, compared)
-    const priced = compared.map(endpoint => ({ endpoint, cost: this.#costOf(request, endpoint, owners) }))
+    const isLimited = compared.some(endpoint => this.#limits.isLimited(ratedEndpoint(endpoint), now))
+    const waitOf = (endpoint: RoutedEndpoint) => isLimited ? this.#loads.waitMillisecondsAt(endpoint, now) : 0
+    const priced = this.#sparingPlaces(request, compared, now).map(endpoint => ({ endpoint, cost: this.#costOf(request, endpoint, owners) + waitOf(endpoint) }))
     const lowestCost = Math.min(...priced.map(({ cost }) => cost))
     const best = priced.filter(({ cost }) => cost <= lowestCost * (1 + costTolerance))
     return best[this.#randomness.integerBelow(best.length)]?.endpoint
   }
 
+  /** When the rate limits of the candidates leave a place for a request. Without eligible candidates there is nothing to wait for: the rate is infinite. */
+  forecast ({ model }: PlacementRequest, candidates: readonly RoutedEndpoint[], now: number): PlaceForecast {
+    const eligible = candidates.filter(endpoint => runsModel(endpoint, model) && !this.#loads.isFull(endpoint, now)).map(ratedEndpoint)
+    if (eligible.length === 0) return { millisecondsToPlace: 0, placesPerSecond: Number.POSITIVE_INFINITY }
+    return { millisecondsToPlace: this.#limits.millisecondsToPlace(eligible, now), placesPerSecond: this.#limits.requestsPerSecondAt(eligible, now) }
+  }
+
+  /**
+   * A limit counts requests and not their work, so its places relieve the other endpoints most when large
+   * requests use them. These go there first; smaller ones leave the last place free.
+   */
+  #sparingPlaces (request: PlacementRequest, candidates: readonly RoutedEndpoint[], now: number): readonly RoutedEndpoint[] {
+    if (request.isResumed === true || this.#isLarge(request)) return candidates
+    const sparing = candidates.filter(endpoint => this.#limits.hasSparePlace(ratedEndpoint(endpoint), now))
+    return sparing.length > 0 ? sparing : candidates
+  }
+
+  #isLarge ({ work }: PlacementRequest): boolean {
+    const milliseconds = work.prefillMilliseconds + work.generationMilliseconds
+    this.#meanWorkMilliseconds += meanWorkSmoothing * (milliseconds - this.#meanWorkMilliseconds)
+    return milliseconds > this.#meanWorkMilliseconds
+  }
+
   /** If every endpoint is excluded for its losses, an attempt serves callers better than a refusal. */
   #availableAmong (candidates: readonly RoutedEndpoint[], now: number): readonly RoutedEndpoint[] {
     const available = candidates.filter(endpoint => this.#loads.mayTry(endpoint, now))
--- a/src/placement/endpointRegistry.ts
+++ b/src/placement/endpointRegistry.ts
@@ -20,6 +20,7 @@
 const maximumToldInstances = 200
 /** Number of draining incarnations that are remembered, so that a late row does not bring them back. */
 const maximumDepartedInstances = 2_000
+const noRegions: ReadonlySet<string> = new Set()
 
 /** All registrations at one point in time. */
 export interface RegistrationSnapshot {
@@ -50,6 +51,7 @@
  */
 export class EndpointRegistry {
   #byService = new Map<string, readonly KnownEndpoint[]>()
+  #regionsByService = new Map<string, ReadonlySet<string>>()
   /** Incarnations that have announced that they are draining. */
   readonly #departedInstances = new Set<string>()
   /** Incarnations whose rows were removed while the store was available. */
@@ -69,6 +71,12 @@
       if (endpoint.isDraining) this.markDraining(instanceKey(endpoint))
     }
     this.#byService = groupByService(kept)
+    this.#regionsByService = new Map([...this.#byService].map(([service, known]) => [service, regionsOf(known, this.regionsServing(service))]))
+  }
+
+  /** The regions in which a service has endpoints; the same set while they are unchanged. */
+  regionsServing (service: string): ReadonlySet<string> {
+    return this.#regionsByService.get(service) ?? noRegions
   }
 
   /**
@@ -132,3 +140,10 @@
   }
   return groups
 }
+
+/** Returns the set from before if it is equal. */
+function regionsOf (known: readonly KnownEndpoint[], before: ReadonlySet<string>): ReadonlySet<string> {
+  const regions = new Set(known.map(({ endpoint }) => endpoint.place.region))
+  const isUnchanged = regions.size === before.size && [...regions].every(region => before.has(region))
+  return isUnchanged ? before : regions
+}
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -7,6 +7,6 @@
   type CallerLimits, type RoutingSettings
 } from './routingSettings.ts'
 export { RouteTable } from './routeTable.ts'
-export { type RoutedEndpoint, instanceKey } from './routedEndpoint.ts'
+export { type RoutedEndpoint, instanceKey, ratedEndpoint } from './routedEndpoint.ts'
 export { type RollOutOrder, RollOutState, type RollOutStatus, type RollOutPins, type RollOutEvidence, type SessionHandOver } from './rollOut.ts'
 export { type PromptPart, type RequestHead, type ResponseHead, type AttemptHead, type HeaderCodec, type HeaderMap } from './headerCodec.ts'
--- a/src/routing/routedEndpoint.ts
+++ b/src/routing/routedEndpoint.ts
@@ -1,5 +1,6 @@
 /** Registered endpoints. */
 import type { Place } from '../contract/index.ts'
+import type { RatedEndpoint } from '../rateLimit/index.ts'
 
 /** One incarnation of an endpoint. */
 export interface RoutedEndpoint {
@@ -27,3 +28,13 @@
 export function instanceKey (endpoint: Pick<RoutedEndpoint, 'identity' | 'bornAt'>): string {
   return `${endpoint.identity}@${endpoint.bornAt}`
 }
+
+/**
+ * Returns what a decision on the rate limit of an endpoint depends on.
+ *
+ * @example
+ * const mayBeChosen = limits.hasPlace(ratedEndpoint(endpoint), now)
+ */
+export function ratedEndpoint (endpoint: RoutedEndpoint): RatedEndpoint {
+  return { instance: instanceKey(endpoint), service: endpoint.service, region: endpoint.place.region }
+}
--- a/test/announcedLimit.test.ts
+++ b/test/announcedLimit.test.ts
@@ -61,3 +61,60 @@
   for (const endpoint of limited) expect(busiestSpan(endpoint, startedAt + propagationBoundMilliseconds)).toBeLessThanOrEqual(maximumArrivals)
   expect(statuses.filter(status => status !== 200)).toEqual([])
 }, 60_000)
+
+/** Sends requests together to one gateway, and returns their responses. */
+async function callTogether (host: string, count: number) {
+  const headers = { model: 'small', 'token-usage': '600,100', 'prefix-hash': 'a1:500,b1:100', 'deadline-ms': '1500' }
+  return await Promise.all([...Array(count).keys()].map(index => harness.call(host, `/query/${index}`, { body: 'q', headers })))
+}
+
+test('a limit is known to gateways that never sent to the endpoint, with the store away, and to one that has just started', async () => {
+  const endpoint = await harness.startEndpoint('engines')
+  serveStreams(endpoint, () => '0.5')
+  const [first, second] = await startFleet(2)
+  harness.store.injectFault('silent')
+  expect((await callTogether(first!, 1))[0]!.status).toBe(200)
+  await new Promise(resolve => setTimeout(resolve, 500))
+  const before = endpoint.received.length
+  const refused = (await callTogether(second!, 10)).filter(({ status }) => status === 503)
+  expect(endpoint.received.length - before).toBeLessThanOrEqual(1)
+  expect(refused.length).toBeGreaterThanOrEqual(9)
+  for (const { headers } of refused) expect(Number(headers['retry-after'])).toBeGreaterThan(0)
+  const third = await harness.startForwarder({ seeds: [`${first!}:8229`] })
+  await harness.waitUntilReady(third)
+  const beforeThird = endpoint.received.length
+  await callTogether(third, 10)
+  expect(endpoint.received.length - beforeThird).toBeLessThanOrEqual(1)
+}, 30_000)
+
+test('while the limits of all endpoints are used up, some callers wait for a place and those whose turn would come too late are refused at once', async () => {
+  const endpoint = await harness.startEndpoint('engines')
+  serveStreams(endpoint, () => '4')
+  const [host] = await startFleet(1)
+  await callTogether(host!, 1)
+  await new Promise(resolve => setTimeout(resolve, 600))
+  const startedAt = performance.now()
+  const ends: number[] = []
+  const responses = await Promise.all([...Array(12)].map(async () => {
+    const [response] = await callTogether(host!, 1)
+    if (response!.status === 503) ends.push(performance.now() - startedAt)
+    return response!.status
+  }))
+  expect(responses.filter(status => status === 200).length).toBeGreaterThanOrEqual(3)
+  expect(responses.filter(status => status === 503).length).toBeGreaterThanOrEqual(5)
+  expect(responses.every(status => status === 200 || status === 503)).toBe(true)
+  expect(ends.filter(milliseconds => milliseconds < 400).length).toBeGreaterThanOrEqual(5)
+}, 30_000)
+
+test('an endpoint that names its limit no more gets its load back, also from gateways that no longer sent to it', async () => {
+  let limit: string | undefined = '1'
+  const endpoint = await harness.startEndpoint('engines')
+  serveStreams(endpoint, () => limit)
+  const hosts = await startFleet(3)
+  await callTogether(hosts[0]!, 1)
+  await new Promise(resolve => setTimeout(resolve, 300))
+  limit = undefined
+  await sendLoad(hosts, 400)
+  const statuses = await Promise.all(hosts.map(async host => (await callTogether(host, 10)).map(({ status }) => status)))
+  expect(statuses.flat()).toEqual(Array(30).fill(200))
+}, 60_000)
--- a/test/breakerFleet.test.ts
+++ b/test/breakerFleet.test.ts
@@ -1,6 +1,8 @@
 import { expect, test } from 'vitest'
 import { SeededRandomness } from '../src/contract/index.ts'
-import { BreakerExchange, EndpointRuns, PromptBreaker, type SharedPrompt } from '../src/breaker/index.ts'
+import { EndpointRuns, PromptBreaker, type SharedPrompt } from '../src/breaker/index.ts'
+import { NewsExchange } from '../src/news/index.ts'
+import { AnnouncedLimits } from '../src/rateLimit/index.ts'
 import type { Peer } from '../src/link/index.ts'
 import { Log } from '../src/observe/index.ts'
 import { FakeLinkNetwork } from './fakes/fakeLink.ts'
@@ -18,7 +20,7 @@
   readonly name: string
   readonly breaker: PromptBreaker
   readonly runs: EndpointRuns
-  readonly exchange: BreakerExchange
+  readonly exchange: NewsExchange
 }
 
 /** Creates gateways that know each other, or in a large fleet some of each other, and never reach a store. */
@@ -37,7 +39,7 @@
     while (others.length > knownPeerCount) others.splice(randomness.integerBelow(others.length), 1)
     const breaker = new PromptBreaker({ name })
     const runs: EndpointRuns = new EndpointRuns({ name, breaker, hasCrashed: async () => true, onNews: () => exchange.publish(), clock, log })
-    const exchange: BreakerExchange = new BreakerExchange({ link, breaker, peers: () => others, onNews: () => runs.cancelBlocked(clock.now()), clock, randomness: new SeededRandomness(index), log })
+    const exchange: NewsExchange = new NewsExchange({ link, breaker, peers: () => others, limits: new AnnouncedLimits(), onBreakerNews: () => runs.cancelBlocked(clock.now()), clock, randomness: new SeededRandomness(index), log })
     exchange.start()
     return { name, breaker, runs, exchange }
   }
--- a/test/endpointAnnouncements.test.ts
+++ b/test/endpointAnnouncements.test.ts
@@ -4,6 +4,7 @@
 import { SeededRandomness } from '../src/contract/index.ts'
 import { EndpointAnnouncements } from '../src/gateway/index.ts'
 import { Log } from '../src/observe/index.ts'
+import { AnnouncedLimits } from '../src/rateLimit/index.ts'
 import { EndpointLoads, EndpointRegistry, overloadBackoff } from '../src/placement/index.ts'
 import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
 import { ManualClock } from './fakes/manualClock.ts'
@@ -141,8 +142,8 @@
   const loads = new EndpointLoads()
   const registry = new EndpointRegistry()
   registry.update({ endpoints: [target], wasStoreUnavailable: false, now: 0 })
-  const announcements = new EndpointAnnouncements({ registry, loads, clock, randomness: new SeededRandomness(5), log: new Log('info', {}, line => lines.push(line)) })
-  const record = (status: number, headers: Record<string, string>) => announcements.record(target, status, new PlatformHeaders().readResponseHead(headers))
+  const announcements = new EndpointAnnouncements({ registry, loads, announcedLimits: new AnnouncedLimits(), onLimitNews: () => undefined, clock, randomness: new SeededRandomness(5), log: new Log('info', {}, line => lines.push(line)) })
+  const record = (status: number, headers: Record<string, string>) => announcements.record(target, status, new PlatformHeaders().readResponseHead(headers), clock.now())
   return { clock, loads, registry, record, lines: () => lines.map(line => JSON.parse(line)) }
 }
 
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -5,6 +5,7 @@
   canComplete, exposureOf, isVersionBad, millisecondsToAbandonment, type RunSilence
 } from '../src/placement/index.ts'
 import { instanceKey, type RoutedEndpoint } from '../src/routing/index.ts'
+import { limitsOf } from './fakes/limitWorld.ts'
 
 /** Records a whole response that took some time. */
 function recordResponse (collector: EvidenceCollector | undefined, { requestClass, isNew, isFailed, latencyMilliseconds }: { requestClass: string, isNew: boolean, isFailed: boolean, latencyMilliseconds: number }): void {
@@ -31,12 +32,12 @@
 }
 
 function placementOf (loads: EndpointLoads) {
-  return new EndpointPlacement(here, loads, new SeededRandomness(3))
+  return new EndpointPlacement(here, loads, new SeededRandomness(3), limitsOf())
 }
 
 test('requests that share a prompt part go to the same endpoint from every daemon', () => {
   const endpoints = ['a', 'b', 'c', 'd'].map(name => endpoint(name))
-  const chosen = [1, 2, 3, 4, 5].map(seed => new EndpointPlacement(here, new EndpointLoads(), new SeededRandomness(seed)).choose(request, endpoints, 0)?.identity)
+  const chosen = [1, 2, 3, 4, 5].map(seed => new EndpointPlacement(here, new EndpointLoads(), new SeededRandomness(seed), limitsOf()).choose(request, endpoints, 0)?.identity)
   expect(new Set(chosen).size).toBe(1)
 })
 
