Keep the limits that endpoints announce on the daemon's path as well

Engines and plain services announce x-requests-per-second; the clients read it, ask a gate in the turn that sends, and charge it for resumed streams and cancellations, which can't be held back.

--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -13,7 +13,7 @@
 import { type Clock, type Place, type Randomness, type Result, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { SettingsFollower, type SettingsRepository, TableSettingsRepository } from '../distribution/index.ts'
 import { type EngineClient, HttpEngineClient, HttpServiceClient, type ServiceClient } from '../endpoint/index.ts'
-import { type DigestingPolicy, CallerServer, ChatRouter, CompletionLengthEstimator, Drain, EndpointDirectory, PoolAdmission, RatingExchange, RollOutMonitor, ServiceRouter } from '../entry/index.ts'
+import { type DigestingPolicy, CallerServer, ChatRouter, CompletionLengthEstimator, Drain, EndpointDirectory, EndpointPlaces, PoolAdmission, RatingExchange, RollOutMonitor, ServiceRouter } from '../entry/index.ts'
 import { type Link, TcpLink } from '../link/index.ts'
 import { GossipMembership, MemberState } from '../membership/index.ts'
 import { NewsExchange, logLimitChange } from '../news/index.ts'
@@ -21,10 +21,11 @@
 import {
   HttpRatingService, HttpTableService, HttpVirtualMachineList, type RatingService, type TableService, type VirtualMachineList
 } from '../store/index.ts'
-import { AnnouncedLimits } from '../rateLimit/index.ts'
+import { AnnouncedLimits, EndpointLimits, PlaceQueues } from '../rateLimit/index.ts'
 import { SignedSessionTokens, type SessionTokens } from '../session/index.ts'
 import type { LocalSettings } from '../settings/index.ts'
 import { Steward, StewardLease } from '../steward/index.ts'
+import { MembershipFleet } from './membershipFleet.ts'
 import type { TlsCredentials } from './tlsFiles.ts'
 
 /** A link that can be opened and closed. */
@@ -63,6 +64,8 @@
   readonly breaker: PromptBreaker
   readonly runs: EndpointRuns
   readonly announcedLimits: AnnouncedLimits
+  readonly limits: EndpointLimits
+  readonly places: EndpointPlaces
   readonly news: NewsExchange
   readonly admission: PoolAdmission
   readonly retries: AttemptBudget
@@ -143,7 +146,20 @@
     clock: dependencies.clock,
     log: dependencies.log
   }),
-  announcedLimits: ({ log }) => new AnnouncedLimits(change => logLimitChange(log, change, 0)),
+  announcedLimits: dependencies => new AnnouncedLimits(change => logLimitChange(dependencies.log, change, dependencies.limits.sentTo(change.fact.instance))),
+  limits: ({ announcedLimits, clock, directory, link, membership }) => new EndpointLimits({
+    announced: announcedLimits,
+    fleet: new MembershipFleet({ address: link.self.address, region: link.self.place.region }, membership, clock),
+    regionsServing: name => directory.regionsServing(name)
+  }),
+  places: dependencies => new EndpointPlaces({
+    clock: dependencies.clock,
+    announcedLimits: dependencies.announcedLimits,
+    limits: dependencies.limits,
+    placeQueues: new PlaceQueues(dependencies.clock),
+    onNews: () => dependencies.news.publish(),
+    log: dependencies.log
+  }),
   news: dependencies => new NewsExchange({
     link: dependencies.link,
     breaker: dependencies.breaker,
@@ -158,7 +174,7 @@
   retries: () => new RatioAttemptBudget(),
   rollOuts: ({ follower }) => new RollOutMonitor(follower, (from, to) => new SequentialRollOutGuard({ from, to })),
   chat: dependencies => new ChatRouter({ ...chatRoutingDependencies(dependencies), versions: dependencies.versions, admission: dependencies.admission, ledger: dependencies.ledger, sessions: dependencies.sessions, ratings: dependencies.ratings, log: dependencies.log }),
-  serviceRouter: ({ claims, clock, directory, here, ledger, randomness, retries, services, tracer }) => new ServiceRouter({ claims, clock, directory, here, ledger, randomness, retries, services, tracer }),
+  serviceRouter: ({ claims, clock, directory, here, ledger, places, randomness, retries, services, tracer }) => new ServiceRouter({ claims, clock, directory, here, ledger, places, randomness, retries, services, tracer }),
   drain: () => new Drain(),
   callerServer: dependencies => new CallerServer({
     clock: dependencies.clock,
@@ -209,8 +225,8 @@
 }
 
 function chatRoutingDependencies (dependencies: DaemonDependencies) {
-  const { breaker, clock, directory, endpoints, engines, follower, lengths, metrics, randomness, retries, rollOuts, runs, tracer } = dependencies
-  return { clock, randomness, settings: follower, directory, endpoints, retries, engines, breaker, runs, rollOuts, lengths, metrics, tracer }
+  const { breaker, clock, directory, endpoints, engines, follower, lengths, metrics, places, randomness, retries, rollOuts, runs, tracer } = dependencies
+  return { clock, randomness, settings: follower, directory, endpoints, places, retries, engines, breaker, runs, rollOuts, lengths, metrics, tracer }
 }
 
 async function createTracer (local: LocalSettings): Promise<Tracer> {
--- a/src/endpoint/contract.ts
+++ b/src/endpoint/contract.ts
@@ -2,6 +2,7 @@
  * Client interfaces for endpoints. Every failure carries the delivery state of its request, because
  * a caller may be told `not_run` only if no attempt can have run.
  */
+import type { ReadRateAnnouncement } from '../rateLimit/index.ts'
 import type { ChatMessage, EndpointDescription, LoadReport, Priority, Result, TokenUsage, VersionName } from '../contract/index.ts'
 
 /** Whether the request of a failed attempt can have reached the endpoint. */
@@ -29,6 +30,16 @@
   }
 }
 
+/** Decides on each request to one endpoint, and hears what its responses say of its rate limit. */
+export interface SendGate {
+  /** Called in the event-loop turn that writes the request; false holds it back. */
+  trySend (): boolean
+  /** Called for a request that has to reach this endpoint, and is therefore not held back. */
+  charge (): void
+  /** Called for each response. */
+  recordResponse (read: ReadRateAnnouncement, isServed: boolean): void
+}
+
 /** One attempt at a chat completion. */
 export interface EngineCall {
   /** Unique per attempt; frames that carry another identifier belong to another attempt. */
@@ -40,6 +51,8 @@
   readonly prefixKey: string
   /** W3C trace context of the attempt's span. */
   readonly traceParent: string | undefined
+  /** Absent if the endpoint has no rate limit. */
+  readonly gate?: SendGate
 }
 
 /** Part of a completion. Chunks arrive in order and without gaps. */
@@ -72,6 +85,8 @@
   /** Forwarded to the service if the call is not idempotent. */
   readonly idempotencyKey: string | undefined
   readonly traceParent: string | undefined
+  /** Absent if the endpoint has no rate limit. */
+  readonly gate?: SendGate
 }
 
 /** Complete response of a plain service. */
--- a/src/endpoint/engineAttempt.ts
+++ b/src/endpoint/engineAttempt.ts
@@ -11,7 +11,8 @@
 import type { Connections } from './connections.ts'
 import { AttemptFailure, type EngineCall, type EngineEvent, DeliveryState } from './contract.ts'
 import type { Exchange } from './exchange.ts'
-import { type StreamEvent, StreamReader } from './streamReader.ts'
+import { announcementIn } from './rateHeader.ts'
+import { type ResponseHeadEvent, type StreamEvent, StreamReader } from './streamReader.ts'
 
 export interface EngineAttemptOptions {
   readonly clock: Clock
@@ -24,6 +25,8 @@
   readonly initialResumeDelayMilliseconds: number
 }
 
+const okStatus = 200
+
 /** Runs an attempt and resumes its stream after connection failures. */
 export class EngineAttempt {
   readonly #options: EngineAttemptOptions
@@ -84,7 +87,11 @@
 
   #connect (): StreamReader {
     const exchange = this.#mayHaveSent ? this.#resume() : this.#send()
-    return new StreamReader(exchange, this.#assembler)
+    return new StreamReader(exchange, this.#assembler, head => this.#recordHead(head))
+  }
+
+  #recordHead ({ status, headers }: ResponseHeadEvent): void {
+    this.#call.gate?.recordResponse(announcementIn(headers), status === okStatus)
   }
 
   #emitChunk ({ attemptId, chunk }: Extract<StreamEvent, { type: 'chunk' }>): EngineEvent {
@@ -123,12 +130,16 @@
       priority: this.#call.priority,
       prefix_key: this.#call.prefixKey
     })
-    return this.#options.connections.startPooled(this.#options.address, this.#exchangeOptions('POST', '/v1/chat/completions', body))
+    return this.#options.connections.startPooled(this.#options.address, {
+      ...this.#exchangeOptions('POST', '/v1/chat/completions', body),
+      mayStillSend: () => this.#call.gate?.trySend() ?? true
+    })
   }
 
   #resume (): Exchange {
     this.#consecutiveResumes++
     this.#isResumed = true
+    this.#call.gate?.charge()
     const path = `${this.#streamPath}?offset=${this.#assembler.nextOffset}`
     return this.#options.connections.startDedicated(this.#options.address, this.#exchangeOptions('GET', path, undefined))
   }
@@ -141,6 +152,7 @@
 
   /** Cancels the stream at the engine, which would otherwise notice the missing reader only later. */
   #cancelStream (): void {
+    this.#call.gate?.charge()
     const exchange = this.#options.connections.startDedicated(this.#options.address, this.#exchangeOptions('DELETE', this.#streamPath, undefined))
     collectResponse(exchange).catch(() => undefined)
   }
--- a/src/endpoint/index.ts
+++ b/src/endpoint/index.ts
@@ -4,4 +4,5 @@
 export { HttpServiceClient, type HttpServiceClientOptions } from './serviceClient.ts'
 export { type ConnectionPool, type ConnectionFactory } from './connections.ts'
 export { Connections, type ConnectionOptions } from './connections.ts'
+export { announcementIn, rateHeader } from './rateHeader.ts'
 export { type Exchange, type ExchangeEvent, type ExchangeOptions } from './exchange.ts'
--- a/src/endpoint/serviceClient.ts
+++ b/src/endpoint/serviceClient.ts
@@ -13,6 +13,7 @@
 import { AttemptFailure, DeliveryState, type ServiceResponse, type ServiceCall, type ServiceClient } from './contract.ts'
 import type { ExchangeOptions } from './exchange.ts'
 import { parseJson } from './json.ts'
+import { announcementIn } from './rateHeader.ts'
 
 export interface HttpServiceClientOptions {
   readonly clock: Clock
@@ -26,6 +27,7 @@
 
 const okStatus = 200
 const notFoundStatus = 404
+const firstErrorStatus = 400
 const notRunSchema = z.object({ run: z.literal(false) })
 const runSchema = z.object({
   run: z.literal(true),
@@ -52,6 +54,7 @@
     const response = await this.#exchange(endpoint, call, mayStillSend, signal)
     if (response.err) return response
     const { status, headers, body } = response.val
+    call.gate?.recordResponse(announcementIn(headers), status < firstErrorStatus)
     const responseKey = headers['idempotency-key']
     if (responseKey !== undefined && responseKey !== call.idempotencyKey) return Err(new AttemptFailure(DeliveryState.PossiblySent, 'response carries the idempotency key of another call'))
     return Ok({ status, contentType: headers['content-type'] ?? '', body })
@@ -72,7 +75,7 @@
       headers: headersOf(call),
       body: call.body,
       inactivityTimeoutMilliseconds: this.#options.inactivityTimeoutMilliseconds,
-      mayStillSend: () => !signal.aborted && mayStillSend()
+      mayStillSend: () => !signal.aborted && mayStillSend() && (call.gate?.trySend() ?? true)
     }
     const exchange = this.#connections.startDedicated(endpoint.address, options)
     const cancel = () => exchange.abort('cancelled')
--- a/src/endpoint/streamReader.ts
+++ b/src/endpoint/streamReader.ts
@@ -16,6 +16,9 @@
   /** The connection failed; the stream may be resumed over another one. */
   | { readonly type: 'lost', readonly reason: string, readonly timedOut: boolean }
 
+/** The head of a response. */
+export type ResponseHeadEvent = Extract<ExchangeEvent, { type: 'head' }>
+
 const okStatus = 200
 const conflictStatus = 409
 const firstServerErrorStatus = 500
@@ -26,10 +29,13 @@
   readonly #exchange: Exchange
   readonly #assembler: StreamAssembler
   readonly #decoder = new EventStreamDecoder()
+  readonly #onHead: (head: ResponseHeadEvent) => void
   #pendingData: string[] = []
 
-  constructor (exchange: Exchange, assembler: StreamAssembler) {
+  /** @param onHead called when the head of the response has arrived */
+  constructor (exchange: Exchange, assembler: StreamAssembler, onHead: (head: ResponseHeadEvent) => void = () => undefined) {
     this.#exchange = exchange
+    this.#onHead = onHead
     this.#assembler = assembler
   }
 
@@ -40,6 +46,7 @@
       if (assembled !== undefined) return assembled
       const event = await this.#exchange.next()
       if (event.type === 'end' || event.type === 'failure') return lostEvent(event)
+      if (event.type === 'head') this.#onHead(event)
       if (event.type === 'head' && event.status !== okStatus) return this.#rejected(event)
       if (event.type === 'data' && !this.#decode(event.bytes)) return lostEvent({ type: 'failure', reason: 'stream line exceeds the maximum length', timedOut: false })
     }
@@ -76,7 +83,7 @@
   }
 
   /** Counts as a rejection only if it carries the attempt's id, because a connection may deliver the response to another request. */
-  async #rejected (head: Extract<ExchangeEvent, { type: 'head' }>): Promise<StreamEvent> {
+  async #rejected (head: ResponseHeadEvent): Promise<StreamEvent> {
     const body = await collectResponse(this.#exchange)
     const isRejection = head.status < firstServerErrorStatus ? head.status !== conflictStatus : head.status === unavailableStatus
     const namesAttempt = head.headers['x-attempt-id'] === this.#assembler.attemptId
--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -13,7 +13,8 @@
 import { type AttemptFailure, type EngineChunk, type EngineClient, type EngineFinish, DeliveryState } from '../endpoint/index.ts'
 import { formatTraceParent, type Metrics, type TraceContext, type Tracer } from '../observe/index.ts'
 import type { CompletionLengthEstimator } from './completionLengthEstimator.ts'
-import type { EndpointDirectory } from './endpointDirectory.ts'
+import { type EndpointDirectory, acceptsRequests } from './endpointDirectory.ts'
+import { type AttemptGate, type EndpointPlaces, placeRetrySeconds } from './endpointPlaces.ts'
 import type { RollOutMonitor } from './rollOutMonitor.ts'
 import { furtherDelivery, refusalAfter, runStateAfter } from './deliveryOfAttempts.ts'
 import { sharedPromptOf } from './sharedPrompt.ts'
@@ -30,6 +31,7 @@
   readonly settings: SettingsSource
   readonly directory: EndpointDirectory
   readonly endpoints: EndpointPolicy
+  readonly places: EndpointPlaces
   readonly retries: AttemptBudget
   readonly engines: EngineClient
   readonly breaker: PromptBreaker
@@ -61,30 +63,49 @@
    * for await (const event of runner.run(request, 'small@3', session, parent, signal)) …
    */
   async * run (request: ChatRequest, version: VersionName, session: string | undefined, parent: TraceContext | undefined, signal: AbortSignal): AsyncGenerator<AttemptEvent> {
-    const { clock, retries } = this.#dependencies
+    const { clock, places, retries } = this.#dependencies
+    const arrivedAt = clock.now()
     const excluded = new Set<string>()
     const prompt = sharedPromptOf(request)
     let delivery: DeliveryState = DeliveryState.NotSent
     retries.recordFirstAttempt(clock.now())
-    for (let attempt = 0; ; attempt++) {
-      const endpointRequest = this.#endpointRequest(request, version, session, excluded)
+    for (let attempt = 0; ;) {
       const refusal = this.#refusalBeforeSend(request, version) ?? this.#refusalOfPrompt(prompt)
       if (refusal !== undefined) return yield { type: 'refused', refusal: refusalAfter(delivery, refusal) }
       const views = this.#dependencies.directory.engines(version)
+      const usedUp = places.withoutPlace(version, views).filter(name => !excluded.has(name))
+      const endpointRequest = this.#endpointRequest(request, version, session, new Set([...excluded, ...usedUp]))
       const choice = this.#dependencies.endpoints.choose(endpointRequest, views, clock.now())
+      if (choice.err && usedUp.length > 0 && choice.val.code === RefusalCode.NoEndpoint) {
+        const turn = await this.#waitForPlace(request, version, excluded, arrivedAt, signal)
+        if (turn !== undefined) return yield { type: 'refused', refusal: refusalAfter(delivery, turn) }
+        continue
+      }
       if (choice.err) return yield { type: 'refused', refusal: refusalAfter(delivery, choice.val) }
-      const failedAttempt = yield * this.#runAttempt(request, endpointRequest, choice.val, this.#openRun(prompt, choice.val, views), parent, signal)
+      const gate = places.open(version, viewOf(views, choice.val))
+      const failedAttempt = yield * this.#runAttempt(request, endpointRequest, choice.val, { run: this.#openRun(prompt, choice.val, views), gate }, parent, signal)
       if (failedAttempt === undefined) return
+      if (gate.wasHeldBack) continue
       delivery = furtherDelivery(delivery, failedAttempt.failure.delivery)
       if (failedAttempt.hadOutput) return yield { type: 'refused', refusal: answerCutOff(failedAttempt.failure) }
       excluded.add(choice.val.endpoint.name)
-      const mayRetry = attempt < maximumRetries && !signal.aborted && clock.now() < request.deadline && retries.tryAcquire(clock.now())
+      const mayRetry = attempt++ < maximumRetries && !signal.aborted && clock.now() < request.deadline && retries.tryAcquire(clock.now())
       if (!mayRetry) return yield { type: 'refused', refusal: endpointFailed(delivery, failedAttempt.failure) }
     }
   }
 
+  /** Waits for a place at an engine whose rate limit is used up; returns a refusal if none comes in time. */
+  async #waitForPlace (request: ChatRequest, version: VersionName, excluded: ReadonlySet<string>, arrivedAt: number, signal: AbortSignal): Promise<Refusal | undefined> {
+    const { directory, places } = this.#dependencies
+    const { organisation, priority, deadline } = request
+    const views = () => directory.engines(version).filter(view => acceptsRequests(view) && !excluded.has(view.endpoint.name))
+    const turn = await places.wait(version, views, { organisation, priority, arrivedAt, deadline, signal })
+    if (turn.ok) return undefined
+    return new Refusal(RefusalCode.Overloaded, RunState.NotRun, `the rate limits of all endpoints that have ${version} are used up`, placeRetrySeconds(turn.val))
+  }
+
   /** Yields the attempt's chunks and its finish; returns the failure if it failed. */
-  async * #runAttempt (request: ChatRequest, endpointRequest: EndpointRequest, choice: EndpointChoice, run: EndpointRun, parent: TraceContext | undefined, signal: AbortSignal): AsyncGenerator<AttemptEvent, FailedAttempt | undefined> {
+  async * #runAttempt (request: ChatRequest, endpointRequest: EndpointRequest, choice: EndpointChoice, { run, gate }: OpenedAttempt, parent: TraceContext | undefined, signal: AbortSignal): AsyncGenerator<AttemptEvent, FailedAttempt | undefined> {
     const { clock, metrics, settings, tracer } = this.#dependencies
     const span = tracer.startSpan('attempt', 'client', parent)
     span.setAttribute('endpoint', choice.endpoint.name)
@@ -98,10 +119,10 @@
     let completionTokens = 0
     let end: AttemptEnd = AttemptEnd.Cancelled
     try {
-      const call = this.#engineCall(request, endpointRequest.version, formatTraceParent(span.context))
+      const call = { ...this.#engineCall(request, endpointRequest.version, formatTraceParent(span.context)), gate }
       for await (const event of this.#dependencies.engines.generate(choice.endpoint, call, signal)) {
         if (event.type === 'failure') {
-          end = signal.aborted ? AttemptEnd.Cancelled : AttemptEnd.Failed
+          end = signal.aborted || gate.wasHeldBack ? AttemptEnd.Cancelled : AttemptEnd.Failed
           const mayHaveCrashed = end === AttemptEnd.Failed && event.failure.delivery === DeliveryState.PossiblySent
           if (mayHaveCrashed) run.recordBreak(clock.now())
           return { failure: event.failure, hadOutput: completionTokens > 0 }
@@ -128,6 +149,7 @@
       invariant(false, 'an engine stream ends with a finish or a failure', () => ({ endpoint: choice.endpoint.name }))
     } finally {
       run.close()
+      gate.close()
       if (end !== AttemptEnd.Answered) for (const timed of timedRuns) timed.abandon(clock.now())
       openAttempt.close({ end, firstTokenMilliseconds, completionTokens }, clock.now())
       metrics.attempts.inc({ endpoint: choice.endpoint.name, end })
@@ -183,11 +205,23 @@
   }
 }
 
+/** What tracks an attempt while it runs. */
+interface OpenedAttempt {
+  readonly run: EndpointRun
+  readonly gate: AttemptGate
+}
+
 interface FailedAttempt {
   readonly failure: AttemptFailure
   readonly hadOutput: boolean
 }
 
+function viewOf (views: readonly EndpointView[], { endpoint }: EndpointChoice): EndpointView {
+  const view = views.find(candidate => candidate.endpoint.name === endpoint.name)
+  invariant(view !== undefined, 'a chosen endpoint is among the candidates', () => ({ endpoint: endpoint.name }))
+  return view
+}
+
 function endpointFailed (delivery: DeliveryState, failure: AttemptFailure): Refusal {
   return new Refusal(RefusalCode.EndpointFailed, runStateAfter(delivery), failure.reason, failure.retryAfterSeconds ?? defaultRetryAfterSeconds)
 }
--- a/src/entry/endpointDirectory.ts
+++ b/src/entry/endpointDirectory.ts
@@ -2,7 +2,7 @@
  * Joins the endpoints from the settings with their health and load from membership. It keeps no state
  * of its own, so it is always consistent with both.
  */
-import { EndpointKind, type EndpointDescription, type VersionName } from '../contract/index.ts'
+import { EndpointKind, getOrCreate, type EndpointDescription, type VersionName } from '../contract/index.ts'
 import type { EndpointView } from '../choice/index.ts'
 import type { SettingsSource } from '../distribution/index.ts'
 import type { Membership } from '../membership/index.ts'
@@ -16,6 +16,8 @@
 export class EndpointDirectory {
   readonly #settings: SettingsSource
   readonly #membership: Membership
+  readonly #regions = new Map<string, ReadonlySet<string>>()
+  #regionsView: SettingsSource['view'] | undefined
 
   constructor (settings: SettingsSource, membership: Membership) {
     this.#settings = settings
@@ -32,6 +34,17 @@
     return this.#views(EndpointKind.Service).filter(view => view.endpoint.service === service)
   }
 
+  /** The regions in which a version or a plain service has endpoints, by the settings; the same set while these are unchanged. */
+  regionsServing (name: string): ReadonlySet<string> {
+    const { view } = this.#settings
+    if (view !== this.#regionsView) this.#regions.clear()
+    this.#regionsView = view
+    return getOrCreate(this.#regions, name, () => {
+      const serving = [...view.endpoints.values()].filter(({ service, versions }) => service === name || versions.some(version => version === name))
+      return new Set(serving.map(({ place }) => place.region))
+    })
+  }
+
   /** Whether any engine that accepts requests has a version loaded. */
   isVersionAvailable (version: VersionName): boolean {
     return this.engines(version).some(acceptsRequests)
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -2,6 +2,7 @@
 export { ChatRouter, type ChatCall, type ChatRouterDependencies, SessionRequest } from './chatRouter.ts'
 export { type AnswerEvent } from './answer.ts'
 export { ServiceRouter, type ServiceRequest, type ServiceRouterDependencies } from './serviceRouter.ts'
+export { EndpointPlaces, type EndpointPlacesDependencies } from './endpointPlaces.ts'
 export { EndpointDirectory } from './endpointDirectory.ts'
 export { CompletionLengthEstimator } from './completionLengthEstimator.ts'
 export { PoolAdmission } from './poolAdmission.ts'
--- a/src/entry/serviceRouter.ts
+++ b/src/entry/serviceRouter.ts
@@ -4,7 +4,7 @@
  * once, and a repeat of it is answered from its claim.
  */
 import { createHash } from 'node:crypto'
-import { type Clock, Err, invariant, Proximity, proximityOf, Ok, type Place, type Randomness, Refusal, RefusalCode, type Result, RunState, withDeadline } from '../contract/index.ts'
+import { type Clock, Err, invariant, Proximity, proximityOf, Ok, type Place, Priority, type Randomness, Refusal, RefusalCode, type Result, RunState, withDeadline } from '../contract/index.ts'
 import type { Ledger } from '../billing/index.ts'
 import type { AttemptBudget, EndpointView } from '../choice/index.ts'
 import { type Claim, type ClaimOpenOutcome, type ClaimRequest, type Claims, type StoredAnswer, ClaimPoint } from '../claim/index.ts'
@@ -13,6 +13,7 @@
 import type { OrganisationView } from '../settings/index.ts'
 import { furtherDelivery, refusalAfter, runStateAfter } from './deliveryOfAttempts.ts'
 import { type EndpointDirectory, acceptsRequests } from './endpointDirectory.ts'
+import { type AttemptGate, type EndpointPlaces, placeRetrySeconds } from './endpointPlaces.ts'
 
 /** An authenticated call to a plain service, with a deadline. */
 export interface ServiceRequest {
@@ -36,6 +37,7 @@
   readonly randomness: Randomness
   readonly directory: EndpointDirectory
   readonly services: ServiceClient
+  readonly places: EndpointPlaces
   readonly claims: Claims
   readonly ledger: Ledger
   readonly retries: AttemptBudget
@@ -72,14 +74,17 @@
     const excluded = new Set<string>()
     let delivery: DeliveryState = DeliveryState.NotSent
     retries.recordFirstAttempt(clock.now())
-    for (let attempt = 0; ; attempt++) {
-      const endpoint = this.#choose(request, excluded)
+    const arrivedAt = clock.now()
+    for (let attempt = 0; ;) {
+      const endpoint = await this.#chooseWithPlace(request, excluded, arrivedAt, signal)
       if (endpoint.err) return Err(refusalAfter(delivery, endpoint.val))
-      const answer = await this.#send(request, endpoint.val, always, signal)
+      const gate = this.#dependencies.places.open(request.service, endpoint.val)
+      const answer = await this.#send(request, endpoint.val, gate, always, signal)
+      if (gate.wasHeldBack) continue
       if (answer.ok) return await this.#bill(request, storedAnswerOf(answer.val))
       delivery = furtherDelivery(delivery, answer.val.delivery)
       excluded.add(endpoint.val.endpoint.name)
-      const mayRetry = attempt < maximumRetries && !signal.aborted && clock.now() < request.deadline && retries.tryAcquire(clock.now())
+      const mayRetry = attempt++ < maximumRetries && !signal.aborted && clock.now() < request.deadline && retries.tryAcquire(clock.now())
       if (mayRetry) continue
       return Err(new Refusal(RefusalCode.EndpointFailed, runStateAfter(delivery), answer.val.reason, retryAfterSeconds))
     }
@@ -133,14 +138,18 @@
   }
 
   async #runClaimed (request: ServiceRequest, claim: Claim): Promise<Result<StoredAnswer, Refusal>> {
-    const endpoint = this.#choose(request, new Set())
+    const { claims, clock, places } = this.#dependencies
+    const endpoint = await this.#chooseWithPlace(request, new Set(), clock.now(), new AbortController().signal)
     if (endpoint.err) return await this.#release(claim, endpoint.val)
+    const gate = places.open(request.service, endpoint.val)
     const dispatched = await claim.dispatch()
-    if (dispatched.err) return dispatched
+    if (dispatched.err) {
+      gate.close()
+      return dispatched
+    }
     const { sendBefore } = dispatched.val
-    const { claims, clock } = this.#dependencies
     const answer = await claims.steps.wait(ClaimPoint.Call,
-      () => this.#send(request, endpoint.val, () => clock.now() < sendBefore, new AbortController().signal))
+      () => this.#send(request, endpoint.val, gate, () => clock.now() < sendBefore, new AbortController().signal))
     if (answer.ok) return await this.#settle(request, claim, storedAnswerOf(answer.val))
     if (answer.val.delivery === DeliveryState.NotSent) {
       return await this.#release(claim, new Refusal(RefusalCode.EndpointFailed, RunState.NotRun, answer.val.reason, retryAfterSeconds))
@@ -178,7 +187,7 @@
     return Err(new Refusal(RefusalCode.StoreUnavailable, RunState.Ran, `the answer could not be billed: ${recorded.val.reason}`, retryAfterSeconds))
   }
 
-  async #send (request: ServiceRequest, target: EndpointView, mayStillSend: () => boolean, signal: AbortSignal) {
+  async #send (request: ServiceRequest, target: EndpointView, gate: AttemptGate, mayStillSend: () => boolean, signal: AbortSignal) {
     const span = this.#dependencies.tracer.startSpan('attempt', 'client', request.parent)
     span.setAttribute('endpoint', target.endpoint.name)
     const call: ServiceCall = {
@@ -187,16 +196,33 @@
       contentType: request.contentType,
       body: request.body,
       idempotencyKey: serviceKeyOf(request),
-      traceParent: formatTraceParent(span.context)
+      traceParent: formatTraceParent(span.context),
+      gate
     }
     const answer = await this.#dependencies.services.call(target.endpoint, call, mayStillSend, signal)
+    gate.close()
     span.end(answer.err ? answer.val.reason : undefined)
     return answer
   }
 
-  /** Chooses at random among the nearest endpoints that accept requests. */
-  #choose (request: ServiceRequest, excluded: ReadonlySet<string>): Result<EndpointView, Refusal> {
-    const usable = this.#dependencies.directory.services(request.service).filter(view => acceptsRequests(view) && !excluded.has(view.endpoint.name))
+  /** Chooses an endpoint; while the rate limits of all are used up, waits for a place. */
+  async #chooseWithPlace (request: ServiceRequest, excluded: ReadonlySet<string>, arrivedAt: number, signal: AbortSignal): Promise<Result<EndpointView, Refusal>> {
+    const { places } = this.#dependencies
+    for (;;) {
+      const usable = this.#usable(request, excluded)
+      const usedUp = places.withoutPlace(request.service, usable)
+      if (usable.length === 0 || usedUp.length < usable.length) return this.#choose(request, usable.filter(({ endpoint }) => !usedUp.includes(endpoint.name)))
+      const turn = await places.wait(request.service, () => this.#usable(request, excluded), { organisation: request.organisation.name, priority: Priority.Normal, arrivedAt, deadline: request.deadline, signal })
+      if (turn.err) return Err(new Refusal(RefusalCode.Overloaded, RunState.NotRun, `the rate limits of all endpoints of service ${request.service} are used up`, placeRetrySeconds(turn.val)))
+    }
+  }
+
+  #usable (request: ServiceRequest, excluded: ReadonlySet<string>): readonly EndpointView[] {
+    return this.#dependencies.directory.services(request.service).filter(view => acceptsRequests(view) && !excluded.has(view.endpoint.name))
+  }
+
+  /** Chooses at random among the nearest endpoints. */
+  #choose (request: ServiceRequest, usable: readonly EndpointView[]): Result<EndpointView, Refusal> {
     for (const nearness of Object.values(Proximity)) {
       const near = usable.filter(view => proximityOf(this.#dependencies.here, view.endpoint.place) === nearness)
       const chosen = near[this.#dependencies.randomness.integerBelow(near.length)]
--- a/test/fakes/entryWorld.ts
+++ b/test/fakes/entryWorld.ts
@@ -7,12 +7,14 @@
 import { type LoadReport, Ok, SeededRandomness, SystemClock, SystemRandomness } from '../../src/contract/index.ts'
 import { SettingsLease, type SettingsSource } from '../../src/distribution/index.ts'
 import { type EngineClient, HttpEngineClient, HttpServiceClient } from '../../src/endpoint/index.ts'
-import { CallerServer, ChatRouter, CompletionLengthEstimator, Drain, EndpointDirectory, PoolAdmission, RollOutMonitor, ServiceRouter } from '../../src/entry/index.ts'
+import { CallerServer, ChatRouter, CompletionLengthEstimator, Drain, EndpointDirectory, EndpointPlaces, PoolAdmission, RollOutMonitor, ServiceRouter } from '../../src/entry/index.ts'
 import type { Membership } from '../../src/membership/index.ts'
 import { Log, Metrics, NoopTracer } from '../../src/observe/index.ts'
 import { SignedSessionTokens } from '../../src/session/index.ts'
 import { checkText, SettingsView, subtreeSchema } from '../../src/settings/index.ts'
 import { type EngineRun, MemoryTableService, type ServiceRun, startEngine, startService } from '../../src/standin/index.ts'
+import { AnnouncedLimits, PlaceQueues } from '../../src/rateLimit/index.ts'
+import { fixedFleet, limitsOf } from './limitWorld.ts'
 import { FaultyTableService } from './faultyTableService.ts'
 
 /** API key of the organisation `harbour`, which may use `small` and the ledger. */
@@ -171,7 +173,11 @@
     const retries = new RatioAttemptBudget()
     const breaker = new PromptBreaker({ name: 'entry-1' })
     const hasCrashed = engines === undefined ? connectionCheck(500) : async () => true
+    const announcedLimits = new AnnouncedLimits()
+    const limits = limitsOf(announcedLimits, fixedFleet({ address: '127.0.0.1:1', region: here.region }))
+    const places = new EndpointPlaces({ clock, announcedLimits, limits, placeQueues: new PlaceQueues(clock), onNews: () => undefined, log })
     const chat = new ChatRouter({
+      places,
       breaker,
       runs: new EndpointRuns({ name: 'entry-1', breaker, hasCrashed, onNews: () => undefined, clock, log }),
       clock,
@@ -193,6 +199,7 @@
       log
     })
     const services = new ServiceRouter({
+      places,
       here,
       clock,
       randomness,
--- a/test/fakes/fakeEngineClient.ts
+++ b/test/fakes/fakeEngineClient.ts
@@ -5,6 +5,7 @@
  */
 import { type Clock, type EndpointDescription, Err, type LoadReport, Ok, type Result, type VersionName } from '../../src/contract/index.ts'
 import { AttemptFailure, type EngineCall, type EngineClient, type EngineEvent, type EngineOrder, DeliveryState } from '../../src/endpoint/index.ts'
+import { readRateAnnouncement } from '../../src/rateLimit/index.ts'
 
 /** The fault of one attempt. */
 export const EngineFault = {
@@ -54,6 +55,8 @@
   readonly leavingEndpoints = new Set<string>()
   /** Decides the fault of each attempt. */
   script: (call: EngineCall, endpoint: EndpointDescription) => ScriptedEngineFault = () => ({ fault: EngineFault.None })
+  /** The requests a second that an engine announces; undefined if it announces none. */
+  limitOf: (endpoint: EndpointDescription) => number | undefined = () => undefined
   readonly #clock: Clock
   readonly #loadedVersions = new Map<string, Set<VersionName>>()
   readonly #highestFencing = new Map<string, number>()
@@ -72,6 +75,8 @@
     await this.#clock.sleep(scripted.firstChunkDelayMilliseconds ?? 0, signal)
     if (scripted.fault === EngineFault.Unreachable || signal.aborted) return yield failure(DeliveryState.NotSent, 'not sent')
     if (scripted.fault === EngineFault.Refuse || !this.#versionsOf(endpoint).has(call.version)) return yield failure(DeliveryState.Rejected, 'status 503')
+    if (call.gate?.trySend() === false) return yield failure(DeliveryState.NotSent, 'held back')
+    call.gate?.recordResponse(readRateAnnouncement(this.limitOf(endpoint) === undefined ? [] : [String(this.limitOf(endpoint))]), true)
     if (scripted.fault === EngineFault.LoseRequest) return yield failure(DeliveryState.PossiblySent, 'lost')
     this.runs.push({ endpoint: endpoint.name, attemptId: call.attemptId, version: call.version, startedAt: this.#clock.now() })
     const count = tokenCountOf(call)
