Close connections whose bytes are no answer and never end

On our own stand-ins an endless first line, chunk size (zeros) or chunk extension was read until the deadline of the request: up to 1.1 GB through one connection, which keeps the process from serving others. The HTTP parser reads such bytes without keeping or reporting them, so neither the bounds on heads and bodies nor the inactivity timeout saw them. Reads of the store and of the daemon's platform had the same fault, and no bound on a body.

A client of one connection now compares what the socket has received with what the parser has reported, and closes the connection above 256 KiB without progress; preliminary answers are no progress and are no longer taken for the answer. The store's bodies end at 16 MiB.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,7 +7,7 @@
 const layers = [
   ['contract'],
   ['rateLimit'],
-  ['observe', 'routing', 'server'],
+  ['observe', 'routing', 'server', 'httpClient'],
   ['settings', 'link', 'store'],
   ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution', 'replica', 'breaker', 'fleet'],
   ['entry', 'placement', 'news'],
@@ -50,8 +50,8 @@
     rules: {
       'no-restricted-imports': ['error', {
         patterns: [{
-          regex: '^\\.\\./src/(?!(contract|rateLimit|routing|replica|server)/index\\.ts$).*$',
-          message: 'platform may import only the index files of: contract, rateLimit, routing, replica, server. It decodes and encodes values and contains no logic of its own.'
+          regex: '^\\.\\./src/(?!(contract|httpClient|rateLimit|routing|replica|server)/index\\.ts$).*$',
+          message: 'platform may import only the index files of: contract, httpClient, rateLimit, routing, replica, server. It decodes and encodes values and contains no logic of its own.'
         }]
       }]
     }
--- a/src/endpoint/connections.ts
+++ b/src/endpoint/connections.ts
@@ -8,7 +8,8 @@
  * times out, its whole pool is therefore retired: running exchanges continue, but no new exchange
  * uses its connections. Idle connections are closed after a few seconds for the same reason.
  */
-import { Client, type Dispatcher, Pool, buildConnector } from 'undici'
+import { type Dispatcher, Pool, buildConnector } from 'undici'
+import { ProgressClient } from '../httpClient/index.ts'
 import { Exchange, type ExchangeOptions } from './exchange.ts'
 
 export interface ConnectionOptions {
@@ -112,11 +113,11 @@
   }
 
   createPool (address: string): ConnectionPool {
-    return new TcpPool(`http://${address}`, this.#clientOptions())
+    return new TcpPool(`http://${address}`, { factory: origin => new ProgressClient(origin, this.#clientOptions()) })
   }
 
   createSingleUse (address: string): Dispatcher {
-    return new Client(`http://${address}`, this.#clientOptions())
+    return new ProgressClient(`http://${address}`, this.#clientOptions())
   }
 
   /** Registers its error listener first, so that a failure is recorded before the HTTP client handles it. */
--- /dev/null
+++ b/src/httpClient/index.ts
@@ -0,0 +1,3 @@
+/** HTTP connections to other processes, protected from bytes that never end. */
+export { ProgressClient, createPool, type ProgressClientOptions } from './progressClient.ts'
+export { readBoundedResponse } from './boundedResponse.ts'
--- /dev/null
+++ b/src/httpClient/progressClient.ts
@@ -0,0 +1,107 @@
+/**
+ * An HTTP client on one connection that closes it when the peer sends bytes without end that are no part of an
+ * answer: an endless first line, chunk size or chunk extension, or preliminary answers one after the other. The
+ * HTTP parser reads such bytes without keeping or reporting them, so they would keep the process busy until the
+ * request's deadline.
+ */
+import type { Socket } from 'node:net'
+import { Client, type Dispatcher, Pool, buildConnector } from 'undici'
+
+/** More than the parser may have before it when it reports nothing: the longest head and what the socket buffers. */
+const maximumBytesWithoutProgress = 256 * 1024
+const firstFinalStatus = 200
+
+/** The options of a client whose connector is a function. */
+export type ProgressClientOptions = Omit<Client.Options, 'connect'> & { readonly connect: buildConnector.connector }
+
+export class ProgressClient extends Client {
+  readonly #progress: ConnectionProgress
+
+  constructor (origin: string | URL, { connect, ...options }: ProgressClientOptions) {
+    const progress = new ConnectionProgress()
+    super(origin, {
+      ...options,
+      connect: (target, callback) => connect(target, (...opened) => {
+        const [, socket] = opened
+        if (socket) progress.watch(socket)
+        callback(...opened)
+      })
+    })
+    this.#progress = progress
+  }
+
+  override dispatch (options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+    return super.dispatch(options, withProgress(handler, this.#progress))
+  }
+}
+
+/**
+ * Creates a pool of such clients.
+ *
+ * @example
+ * const pool = createPool('http://10.0.0.1:80', { connect: { timeout: 500 }, pipelining: 1 })
+ */
+export function createPool (origin: string, { connect, ...options }: Omit<Pool.Options, 'factory' | 'connect'> & { readonly connect?: buildConnector.BuildOptions }): Pool {
+  return new Pool(origin, { ...options, factory: target => new ProgressClient(target, { ...options, connect: buildConnector({ ...connect }) }) })
+}
+
+/** Compares what a connection has received with what the parser has reported. */
+class ConnectionProgress {
+  #socket: Socket | undefined
+  #reportedBytes = 0
+
+  watch (socket: Socket): void {
+    this.#socket = socket
+    this.#reportedBytes = 0
+    socket.on('readable', () => {
+      if (socket.bytesRead - this.#reportedBytes <= maximumBytesWithoutProgress) return
+      socket.destroy(new Error('the connection delivers bytes without end that are no answer'))
+    })
+  }
+
+  record (): void {
+    this.#reportedBytes = this.#socket?.bytesRead ?? 0
+  }
+}
+
+/**
+ * Passes all events on and records which of them show progress. A preliminary answer shows none and is not
+ * passed on. A pool hands over handlers of the library's older interface, a client those of the newer one.
+ */
+function withProgress (handler: Dispatcher.DispatchHandler, progress: ConnectionProgress): Dispatcher.DispatchHandler {
+  const replacements: Dispatcher.DispatchHandler = {
+    onHeaders: (status, headers, resume, statusText) => {
+      if (status < firstFinalStatus) return true
+      progress.record()
+      return handler.onHeaders?.(status, headers, resume, statusText) ?? true
+    },
+    onResponseStart: (controller, status, headers, statusMessage) => {
+      if (status < firstFinalStatus) return
+      progress.record()
+      handler.onResponseStart?.(controller, status, headers, statusMessage)
+    },
+    onData: chunk => {
+      progress.record()
+      return handler.onData?.(chunk) ?? true
+    },
+    onResponseData: (controller, chunk) => {
+      progress.record()
+      handler.onResponseData?.(controller, chunk)
+    },
+    onConnect: abort => {
+      progress.record()
+      handler.onConnect?.(abort)
+    },
+    onRequestStart: (controller, context) => {
+      progress.record()
+      handler.onRequestStart?.(controller, context)
+    }
+  }
+  return new Proxy(handler, {
+    get: (target, name) => {
+      const value: unknown = Reflect.get(target, name)
+      if (typeof value !== 'function') return value
+      return Reflect.get(replacements, name) ?? value.bind(target)
+    }
+  })
+}
--- a/src/store/platformClient.ts
+++ b/src/store/platformClient.ts
@@ -14,9 +14,10 @@
  */
 import { randomUUID } from 'node:crypto'
 import type { IncomingHttpHeaders } from 'node:http'
-import { Pool } from 'undici'
+import type { Pool } from 'undici'
 import { Err, Ok, type Result } from '../contract/index.ts'
 import { PlatformUnavailable } from './platformServices.ts'
+import { createPool, readBoundedResponse } from '../httpClient/index.ts'
 
 export interface PlatformClientOptions {
   /** `IP:port`. */
@@ -42,6 +43,7 @@
 }
 
 const defaultMaximumConnections = 8
+const maximumResponseBytes = 16 * 1024 * 1024
 /** An idle connection is closed after this time, before a middlebox can drop its state. */
 const keepAliveTimeoutMilliseconds = 4_000
 const jsonType = 'application/json'
@@ -62,7 +64,7 @@
 
   constructor (options: PlatformClientOptions) {
     this.#options = options
-    this.#pool = createPool(options)
+    this.#pool = createClientPool(options)
   }
 
   /** Sends a request once. A 404 response is returned; any other failure is `PlatformUnavailable`. */
@@ -77,7 +79,12 @@
         headers: { 'x-request-id': requestId, 'content-type': typeof request.body === 'string' ? jsonType : binaryType },
         signal: AbortSignal.timeout(this.#options.timeoutMilliseconds)
       })
-      const body = new Uint8Array(await response.body.arrayBuffer())
+      const read = await readBoundedResponse(response.body, maximumResponseBytes)
+      if (read.err) {
+        this.#replacePool(pool)
+        return Err(new PlatformUnavailable(read.val, request.isWrite))
+      }
+      const body = new Uint8Array(read.val)
       const fault = responseFault(response.headers, requestId)
       if (fault !== undefined) {
         this.#replacePool(pool)
@@ -109,13 +116,13 @@
   /** Opens a new pool, so that connections open at the time of a failure get no new requests. */
   #replacePool (pool: Pool): void {
     if (pool !== this.#pool) return
-    this.#pool = createPool(this.#options)
+    this.#pool = createClientPool(this.#options)
     pool.close().catch(() => undefined)
   }
 }
 
-function createPool (options: PlatformClientOptions): Pool {
-  return new Pool(`http://${options.address}`, {
+function createClientPool (options: PlatformClientOptions): Pool {
+  return createPool(`http://${options.address}`, {
     connections: options.maximumConnections ?? defaultMaximumConnections,
     pipelining: 1,
     keepAliveTimeout: keepAliveTimeoutMilliseconds,
