Leave waiting runs to endpoints that are known to be busy

A gateway with few runs at a busy endpoint takes its silence for its end.

An endpoint may now be silent for as long as requests were seen to wait there lately, in addition to what was allowed; the bound by the route's target is unchanged. Placement tests for the last place of a limited endpoint, and for one that is used up.

--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -221,6 +221,7 @@
     const silenceNow = () => ({
       waitedMilliseconds: clock.now() - waitingSince,
       endpointSilentMilliseconds: loads.silentMillisecondsOf(attempt.endpoint, clock.now()),
+      endpointWaitMilliseconds: loads.waitMillisecondsAt(attempt.endpoint, clock.now()),
       hasStarted: hasRunStarted,
       latencyTargetMilliseconds: targetMilliseconds,
       maximumEventGapMilliseconds: maximumGapMilliseconds
--- a/src/placement/runSilence.ts
+++ b/src/placement/runSilence.ts
@@ -29,6 +29,8 @@
   readonly waitedMilliseconds: number
   /** Time since anything was received from its endpoint, by any run; infinite if nothing ever was. */
   readonly endpointSilentMilliseconds: number
+  /** Time that requests were seen to wait at its endpoint lately; a busy endpoint is silent for as long without being gone. */
+  readonly endpointWaitMilliseconds: number
   /** Whether its first complete event, or the head of an error response, was received. */
   readonly hasStarted: boolean
   /** Target of the route for the time to the first event. */
@@ -42,7 +44,7 @@
  *
  * @returns milliseconds; 0 or less if it should be abandoned now
  * @example
- * const milliseconds = millisecondsToAbandonment({ waitedMilliseconds: 0, endpointSilentMilliseconds: 0, hasStarted: true, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 })
+ * const milliseconds = millisecondsToAbandonment({ waitedMilliseconds: 0, endpointSilentMilliseconds: 0, endpointWaitMilliseconds: 0, hasStarted: true, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 })
  */
 export function millisecondsToAbandonment (silence: RunSilence): number {
   const { waitedMilliseconds, hasStarted, latencyTargetMilliseconds, maximumEventGapMilliseconds } = silence
@@ -50,7 +52,7 @@
   const endpointSilentDuringWaitMilliseconds = Math.min(waitedMilliseconds, silence.endpointSilentMilliseconds)
   const allowedSilenceMilliseconds = hasStarted
     ? maximumEventGapMilliseconds * eventGapSilenceShare
-    : Math.max(minimumStartSilenceMilliseconds, latencyTargetMilliseconds * startSilenceTargetShare)
+    : Math.max(minimumStartSilenceMilliseconds, latencyTargetMilliseconds * startSilenceTargetShare) + silence.endpointWaitMilliseconds
   const allowedWaitMilliseconds = hasStarted ? maximumEventGapMilliseconds * eventGapWaitRatio : latencyTargetMilliseconds * startWaitTargetRatio
   return Math.min(allowedSilenceMilliseconds - endpointSilentDuringWaitMilliseconds, allowedWaitMilliseconds - waitedMilliseconds)
 }
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -5,6 +5,7 @@
   canComplete, exposureOf, isVersionBad, millisecondsToAbandonment, type RunSilence
 } from '../src/placement/index.ts'
 import { instanceKey, type RoutedEndpoint } from '../src/routing/index.ts'
+import { AnnouncedLimits } from '../src/rateLimit/index.ts'
 import { limitsOf } from './fakes/limitWorld.ts'
 
 /** Records a whole response that took some time. */
@@ -193,13 +194,50 @@
 const shouldAbandonRun = (silence: RunSilence) => millisecondsToAbandonment(silence) <= 0
 
 test('a waiting run is kept while its endpoint responds and abandoned when the endpoint is silent', () => {
-  const waiting = { waitedMilliseconds: 2_500, endpointSilentMilliseconds: 100, hasStarted: false, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 }
+  const waiting = { waitedMilliseconds: 2_500, endpointSilentMilliseconds: 100, endpointWaitMilliseconds: 0, hasStarted: false, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 }
   expect(shouldAbandonRun(waiting)).toBe(false)
   expect(shouldAbandonRun({ ...waiting, endpointSilentMilliseconds: 2_500 })).toBe(true)
   expect(shouldAbandonRun({ ...waiting, hasStarted: true, waitedMilliseconds: 1_000 })).toBe(false)
   expect(shouldAbandonRun({ ...waiting, hasStarted: true, waitedMilliseconds: 1_900 })).toBe(true)
 })
 
+test('a waiting run is not taken from an endpoint whose requests were seen to wait as long', () => {
+  const waiting = { waitedMilliseconds: 2_500, endpointSilentMilliseconds: 2_500, endpointWaitMilliseconds: 1_500, hasStarted: false, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 }
+  expect(shouldAbandonRun(waiting)).toBe(false)
+  expect(shouldAbandonRun({ ...waiting, waitedMilliseconds: 3_100, endpointSilentMilliseconds: 3_100 })).toBe(true)
+  expect(shouldAbandonRun({ ...waiting, endpointWaitMilliseconds: 0 })).toBe(true)
+})
+
+test('small requests leave the last place of a limited endpoint, large ones use it', () => {
+  const announced = new AnnouncedLimits()
+  const limits = limitsOf(announced)
+  const limited = endpoint('limited')
+  const free = endpoint('free')
+  announced.observe({ instance: instanceKey(limited), announcement: { type: 'limited', requestsPerSecond: 1 }, sentAt: 0, isServed: true }, 0)
+  const placement = new EndpointPlacement(here, new EndpointLoads(), new SeededRandomness(3), limits)
+  const small = { ...request, promptParts: [], work: { prefillMilliseconds: 10, generationMilliseconds: 10 } }
+  const large = { ...request, promptParts: [], work: { prefillMilliseconds: 900, generationMilliseconds: 100 } }
+  const chosenFor = (wanted: typeof request, now: number) => [...Array(40)].map(() => placement.choose(wanted, [limited, free], now)?.identity)
+  chosenFor(large, 0)
+  expect(chosenFor(small, 1_100)).not.toContain('limited')
+  expect(chosenFor(large, 1_100)).toContain('limited')
+  expect(chosenFor(small, 3_000)).toContain('limited')
+})
+
+test('an endpoint whose limit is used up is no candidate, and its prompts go to their next owner', () => {
+  const announced = new AnnouncedLimits()
+  const limits = limitsOf(announced)
+  const endpoints = ['a', 'b', 'c', 'd'].map(name => endpoint(name))
+  const placement = new EndpointPlacement(here, new EndpointLoads(), new SeededRandomness(3), limits)
+  const owner = placement.choose(request, endpoints, 0)!
+  announced.observe({ instance: instanceKey(owner), announcement: { type: 'limited', requestsPerSecond: 1 }, sentAt: 0, isServed: true }, 0)
+  const others = new Set([...Array(20)].map(() => placement.choose(request, endpoints, 100)?.identity))
+  expect(others.size).toBe(1)
+  expect(others).not.toContain(owner.identity)
+  expect(placement.forecast(request, [owner], 100)).toEqual({ millisecondsToPlace: 1_000, placesPerSecond: 1 })
+  expect(placement.forecast(request, [], 100).placesPerSecond).toBe(Number.POSITIVE_INFINITY)
+})
+
 test('the share of a roll-out only grows, and it limits the exposure to a bad version until that can be detected', () => {
   let previousShare = 0
   let exposure = 0
