Look at a prompt's blocks again after its request waited for a place

Found while reading the diff: a request was admitted by the breaker before it waited for a place at a limited endpoint, up to half of its time. A part of its prompt that was blocked meanwhile, since endpoints crashed under it, would still have been sent: the cancelling of blocked runs sees only those that were opened. The request is looked at again when its turn has come. The test (a peer tells of a block while the request waits) failed before: 200.

--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -134,11 +134,19 @@
       metrics.heldBack.inc({ service: this.service, at: HeldBackAt.Choice })
       const turn = await placeQueues.of(this.service).wait(waiting)
       if (turn.err) this.#placeMilliseconds = turn.val.retryAfterMilliseconds
-      if (turn.err || this.hasCallerLeft) return undefined
+      if (turn.err || this.hasCallerLeft || this.#wasBlockedMeanwhile()) return undefined
       isItsTurn = true
     }
   }
 
+  /** A prompt may be blocked while its request waits for a place. */
+  #wasBlockedMeanwhile (): boolean {
+    const { breaker } = this.dependencies
+    const admission = breaker.isBlocked(this.#prompt, this.now) ? breaker.admit(this.#prompt, this.now) : undefined
+    if (admission?.err) this.#block = admission.val
+    return admission?.err === true
+  }
+
   #waitingRequest (request: PlacementRequest): WaitingRequest {
     const { organisation } = this.#options
     return {
--- a/test/announcedLimit.test.ts
+++ b/test/announcedLimit.test.ts
@@ -1,5 +1,8 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import * as z from 'zod'
 import type { EndpointStandIn } from '../platform/standin/index.ts'
+import { SystemClock } from '../src/contract/index.ts'
+import { TcpLink } from '../src/link/index.ts'
 import { ForwarderHarness, formatEvent } from './fakes/forwarderWorld.ts'
 
 let harness: ForwarderHarness
@@ -118,3 +121,24 @@
   const statuses = await Promise.all(hosts.map(async host => (await callTogether(host, 10)).map(({ status }) => status)))
   expect(statuses.flat()).toEqual(Array(30).fill(200))
 }, 60_000)
+
+test('a prompt that is blocked while its request waits for a place is not sent', async () => {
+  const endpoint = await harness.startEndpoint('engines')
+  serveStreams(endpoint, () => '2')
+  const [host] = await startFleet(1)
+  await callTogether(host!, 1)
+  const before = endpoint.received.length
+  const headers = { model: 'small', 'token-usage': '600,100', 'prefix-hash': 'c1:500,d1:100', 'deadline-ms': '5000' }
+  const waiting = harness.call(host!, '/query/1', { body: 'q', headers })
+  const identity = { name: 'peer', address: '127.0.0.1:0', place: { region: 'coast', dataCentre: 'coast-1' }, rack: '', incarnation: 1 }
+  const link = new TcpLink({ identity, secret: 'secret of a test', clock: new SystemClock() })
+  const news = { reports: [], blocks: [{ organisation: 'harbour', part: 'c1', holder: 'peer', trips: 1, ageMilliseconds: 0 }], answers: [] }
+  await new Promise(resolve => setTimeout(resolve, 100))
+  const told = await link.request({ name: '', address: `${host!}:8229` }, { name: 'breaker_news', body: z.any(), reply: z.any() }, news, 1_000)
+  expect(told.ok).toBe(true)
+  const response = await waiting
+  await link.close()
+  expect(response.status).toBe(503)
+  expect(response.body).toContain('prompt_blocked')
+  expect(endpoint.received.length).toBe(before)
+}, 20_000)
