Send no session to a version whose roll-out was reverted

Cause: in a roll-out every version but the new one counted as the old one, and what was reverted was forgotten with the next status row. A gateway now remembers the reverted versions of a service, until one is ordered anew, and leaves them out as long as another version is left. A gateway that starts after the next order does not know of the reversal.

--- a/src/gateway/rollOutView.ts
+++ b/src/gateway/rollOutView.ts
@@ -1,5 +1,5 @@
 /** This daemon's view of roll-outs: orders, their status, and the evidence on new versions. */
-import { getOrCreate } from '../contract/index.ts'
+import { dropOldest, getOrCreate } from '../contract/index.ts'
 import { EvidenceCollector, type EvidenceRun, type VersionSplit, VersionSuspicion, isVersionBad, mayExpose } from '../placement/index.ts'
 import { type RollOutEvidence, type RollOutOrder, RollOutState, type RollOutStatus } from '../routing/index.ts'
 import { PinnedSessions } from './pinnedSessions.ts'
@@ -28,6 +28,10 @@
 /** Later states replace earlier ones; a roll-out never goes back. */
 const stateOrder = { [RollOutState.Running]: 0, [RollOutState.Complete]: 1, [RollOutState.Reverted]: 1 } as const
 
+/** Number of reverted versions of a service that are remembered. */
+const maximumRevertedVersions = 32
+const noVersions: ReadonlySet<string> = new Set()
+
 /** The roll-outs of all services. */
 export class RollOutView {
   readonly #observer: string
@@ -39,6 +43,8 @@
    * older copy may have lost it; it holds on here, and is written again.
    */
   readonly #furthestStatuses = new Map<string, HeldStatus>()
+  /** Versions whose roll-outs were reverted, by service; their endpoints may run for a while. */
+  readonly #revertedVersions = new Map<string, Set<string>>()
   /** The store's epoch as of the installed rows. */
   #epoch = 0
   #evidence: readonly RollOutEvidence[] = []
@@ -86,9 +92,18 @@
     const known = this.#furthestStatuses.get(key)
     if (known !== undefined && stateOrder[status.state] < stateOrder[known.status.state]) return
     this.#furthestStatuses.set(key, { status, epoch })
+    this.#recordReverted(status)
     this.#forgetEarlierRollOuts(status, epoch)
   }
 
+  /** A version that is ordered anew is no longer taken for reverted. */
+  #recordReverted ({ service, toVersion, state }: RollOutStatus): void {
+    const reverted = getOrCreate(this.#revertedVersions, service, () => new Set<string>())
+    if (state === RollOutState.Reverted) reverted.add(toVersion)
+    else reverted.delete(toVersion)
+    dropOldest(reverted, maximumRevertedVersions)
+  }
+
   /** A service's row holds its latest roll-out only; an earlier version may be ordered anew. */
   #forgetEarlierRollOuts ({ service, toVersion }: RollOutStatus, epoch: number): void {
     for (const [key, held] of this.#furthestStatuses) {
@@ -135,7 +150,7 @@
     if (order === undefined) return undefined
     const { toVersion } = order
     const pinnedSessions = this.#pinnedSessions.of({ service, toVersion, startedAt: this.statusOf(order)?.startedAt })
-    return { toVersion, progress: this.#splitProgress(order), pinnedSessions }
+    return { toVersion, revertedVersions: this.#revertedVersions.get(service) ?? noVersions, progress: this.#splitProgress(order), pinnedSessions }
   }
 
   /**
--- a/src/placement/rollOutExposure.ts
+++ b/src/placement/rollOutExposure.ts
@@ -51,6 +51,8 @@
 /** How a service's endpoints are split by version during a roll-out. */
 export interface VersionSplit {
   readonly toVersion: string
+  /** Versions of earlier roll-outs that were reverted; sessions of the old version must not move to them. */
+  readonly revertedVersions?: ReadonlySet<string>
   /** Elapsed share of the roll-out's duration; undefined while the new version gets no traffic. */
   readonly progress: number | undefined
   /** Sessions that some daemon served on the old version before the start. */
@@ -92,7 +94,7 @@
       this.#recordSession(session, undefined, now)
       return endpoints
     }
-    const oldEndpoints = endpoints.filter(endpoint => endpoint.version !== split.toVersion)
+    const oldEndpoints = oldEndpointsAmong(endpoints, split)
     const newEndpoints = endpoints.filter(endpoint => endpoint.version === split.toVersion)
     if (oldEndpoints.length === 0) return newEndpoints
     if (newEndpoints.length === 0) {
@@ -162,6 +164,13 @@
   }
 }
 
+/** Reverted versions serve only where nothing else is left of the old one. */
+function oldEndpointsAmong (endpoints: readonly RoutedEndpoint[], { toVersion, revertedVersions }: VersionSplit): readonly RoutedEndpoint[] {
+  const notNew = endpoints.filter(endpoint => endpoint.version !== toVersion)
+  const kept = notNew.filter(({ version }) => revertedVersions?.has(version) !== true)
+  return kept.length > 0 ? kept : notNew
+}
+
 function isInExposedShare (toVersion: string, session: string, share: number): boolean {
   return hashFraction(`${toVersion}\n${session}`) < share
 }
--- a/test/rollOutFleet.test.ts
+++ b/test/rollOutFleet.test.ts
@@ -206,3 +206,21 @@
   readStatus('v3', RollOutState.Complete, 2)
   expect(view.lostStatusOf({ ...order, toVersion: 'v3' })).toBeUndefined()
 })
+
+test('sessions stay on the old version when another roll-out is ordered right after one was reverted', () => {
+  const view = new RollOutView('gateway-0', () => 10_000)
+  const rowsOf = (toVersion: string, state: RollOutState) => ({ statuses: [{ status: { service: 'engines', toVersion, state, startedAt: 0 }, rowVersion: 1 }], evidence: [], pinnedSessions: new PinnedSessions([], [], 0), epoch: 0 })
+  const versions = new VersionSelector(5_000)
+  const place = { region: 'coast', dataCentre: 'coast-1' }
+  const endpoints = ['v1', 'v2', 'v3'].map(version => ({ identity: version, bornAt: 1, service: 'engines', address: '10.0.0.1:80', place, version, isDraining: false, models: [] }))
+  const versionsOfSessions = (now = 0) => new Set([...Array(200).keys()].flatMap(index => versions.chooseEndpoints(endpoints, view.splitOf('engines'), `session-${index}`, '', now).map(({ version }) => version)))
+  view.installOrders([{ ...order, toVersion: 'v2' }])
+  view.installStatuses(rowsOf('v2', RollOutState.Reverted))
+  view.installOrders([{ ...order, toVersion: 'v3' }])
+  expect(versionsOfSessions()).toEqual(new Set(['v1']))
+  view.installStatuses(rowsOf('v3', RollOutState.Running))
+  expect(versionsOfSessions()).not.toContain('v2')
+  view.installOrders([{ ...order, toVersion: 'v2' }])
+  view.installStatuses(rowsOf('v2', RollOutState.Running))
+  expect(versionsOfSessions(60_000)).toContain('v2')
+})
