End a stream whose event is longer than 1 MiB

Found while reading the diff: the gateway kept an unfinished event of a stream without a bound and copied all of it at each read, although the docs said that single events are bounded.

--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -16,6 +16,8 @@
 import { waitForDrain } from './plainForwarding.ts'
 
 const successStatus = 200
+/** A longer event is taken for bytes without end. */
+const maximumEventBytes = 1024 * 1024
 /** Largest error body that is relayed to the caller. */
 const maximumFailureBodyBytes = 64 * 1024
 const silentReason = 'silent'
@@ -144,6 +146,7 @@
       if (isCompleteEnd) return this.#failRun(attempt, 'connection closed without an explicit end of the response')
       if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
+      if (splitter.pendingBytes > maximumEventBytes) return this.#failRun(attempt, 'event too large')
       if (events === undefined) continue
       if (hasRunStarted) attempt.evidence?.recordEvents(events.count, request.now)
       else this.#recordResponseStart(attempt)
