Log connections and answers that are cut with unsent bytes, and the event loop's delay in a stop

Around planned stops callers lost answers, and no line of ours told it: an answer counts as delivered once its last byte is handed to Node.js, and a connection that is closed after that left no trace.

caller_connection_cut names each connection that a stop closes before the kernel took all of its bytes, answer_unsent the request, drained their number and the longest delay of the event loop, request_refused whether the body was still unread, request_malformed the connection and whether it had got bytes. Nothing else changes.

--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -56,6 +56,7 @@
     this.response = response
     this.#state = state
     this.#dependencies = dependencies
+    response.once('close', () => this.#recordClose())
   }
 
   /** Converts an endpoint's response headers to those sent to the caller. */
@@ -117,6 +118,13 @@
     return this.#state.now - this.#state.arrivedAt
   }
 
+  /** An answer that had ended was not sent to its end: the caller left, or its connection was closed too early. */
+  #recordClose (): void {
+    if (!this.response.writableEnded || this.response.writableFinished) return
+    const { request, route } = this.#state.logFields()
+    this.#dependencies.log.warn('answer_unsent', { request, route, milliseconds: Math.round(this.#elapsedMilliseconds) })
+  }
+
   #recordEnd (end: string, status: number | undefined): void {
     if (this.#isEnded) return
     this.#isEnded = true
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -143,6 +143,7 @@
       code: refusal.code,
       status: refusal.status,
       detail: head?.error,
+      isBodyUnread: !request.complete,
       settings: routing.snapshot?.settings.version
     })
     metrics.requests.inc({ service: 'none', outcome: refusal.code })
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -5,16 +5,19 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { monitorEventLoopDelay } from 'node:perf_hooks'
 import type { Clock } from '../contract/index.ts'
 import type { CallerListener } from '../server/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
+import { CallerConnections } from './callerConnections.ts'
 
 /** Time until the load balancer, which checks once a second, has taken this VM out after two failed checks. */
 const balancerRemovalMilliseconds = 2_400
 /** A request that arrives later than this after the stop began would be cut off by its end. */
 const lateRequestMilliseconds = 3_000
 const drainPollIntervalMilliseconds = 50
+const nanosecondsPerMillisecond = 1_000_000
 
 export interface GatewayServerOptions {
   readonly listener: CallerListener
@@ -28,10 +31,12 @@
 
 export class GatewayServer {
   readonly #options: GatewayServerOptions
+  readonly #connections: CallerConnections
   #drainingSince: number | undefined
 
   constructor (options: GatewayServerOptions) {
     this.#options = options
+    this.#connections = new CallerConnections(options.listener, options.log)
     options.listener.server.on('clientError', (error: Error & { readonly code?: string }, socket) => this.#refuseMalformed(error, socket as Socket))
   }
 
@@ -65,27 +70,27 @@
    * @param graceMilliseconds after which remaining connections are closed
    */
   async drain (graceMilliseconds: number): Promise<void> {
-    const { clock, requestsInFlight, log, listener } = this.#options
+    const { clock, requestsInFlight, log } = this.#options
+    const eventLoopDelay = monitorEventLoopDelay()
+    eventLoopDelay.enable()
     const startedAt = clock.now()
     this.#drainingSince = startedAt
     await clock.sleep(Math.min(balancerRemovalMilliseconds, graceMilliseconds))
-    listener.server.close()
+    this.#connections.stopListening()
     while (clock.now() - startedAt < graceMilliseconds) {
-      this.#closeIdle()
+      this.#connections.closeIdle()
       if (requestsInFlight() === 0) break
       await clock.sleep(drainPollIntervalMilliseconds)
     }
-    log.info('drained', { milliseconds: Math.round(clock.now() - startedAt), cut: requestsInFlight() })
-    listener.server.closeAllConnections()
-  }
-
-  /** Closes idle connections, including those on which nothing was ever sent; Node.js does not count these as idle. */
-  #closeIdle (): void {
-    const { listener } = this.#options
-    listener.server.closeIdleConnections()
-    for (const socket of listener.sockets) {
-      if (socket.bytesRead === 0) socket.destroy()
-    }
+    const cut = requestsInFlight()
+    this.#connections.closeAll()
+    eventLoopDelay.disable()
+    log.info('drained', {
+      milliseconds: Math.round(clock.now() - startedAt),
+      cut,
+      unsent: this.#connections.unsentCount,
+      longestEventLoopDelay: Math.round(eventLoopDelay.max / nanosecondsPerMillisecond)
+    })
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -98,7 +103,7 @@
   }
 
   #refuseMalformed (error: Error & { readonly code?: string }, socket: Socket): void {
-    this.#options.log.info('request_malformed', { reason: error.code ?? error.message })
+    this.#options.log.info('request_malformed', { reason: error.code ?? error.message, caller: `${socket.remoteAddress}:${socket.remotePort}`, sentBytes: socket.bytesWritten })
     if (!socket.writable || socket.bytesWritten > 0) {
       socket.destroy()
       return
