--- a/test/fakes/forwarderWorld.ts
+++ b/test/fakes/forwarderWorld.ts
@@ -43,6 +43,7 @@
   readonly #directory: string
   readonly #endpoints: EndpointStandIn[] = []
   readonly #forwarders: { readonly host: string, readonly forwarder: Forwarder }[] = []
+  readonly #stops = new Map<string, Promise<void>>()
 
   private constructor (store: StoreStandIn, directory: string) {
     this.store = store
@@ -88,6 +89,13 @@
     return found.forwarder
   }
 
+  /** Stops a forwarder as planned; further calls wait for the same stop. */
+  stopForwarder (host: string): Promise<void> {
+    const stop = this.#stops.get(host) ?? this.forwarderAt(host).stop()
+    this.#stops.set(host, stop)
+    return stop
+  }
+
   /** Waits until the readiness probe of a forwarder succeeds. */
   async waitUntilReady (host: string): Promise<void> {
     await waitUntil(async () => (await this.fetchStatus(`http://${host}:8220/v1/readyz`)) === 200)
@@ -130,7 +138,7 @@
 
   async close (): Promise<void> {
     await Promise.all(this.#endpoints.map(endpoint => endpoint.close().catch(() => undefined)))
-    await Promise.all(this.#forwarders.map(({ forwarder }) => forwarder.stop()))
+    await Promise.all(this.#forwarders.map(({ host }) => this.stopForwarder(host)))
     await this.store.close()
     await rm(this.#directory, { recursive: true })
   }
