Log the size of a streamed request and how many events were relayed

The log could not tell refusals and broken streams apart by size.

request_ended of a streamed request now has its prompt tokens, the most output tokens that its caller allows, the events that were relayed and, if its caller resumed it, after which event. No decision is changed.

--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -51,6 +51,7 @@
   readonly #dependencies: Pick<ForwardingDependencies, 'codec' | 'log' | 'metrics'>
   #isEnded = false
   #firstByteAt: number | undefined
+  #relayedEvents = 0
 
   constructor (response: ServerResponse, state: RequestState, dependencies: Pick<ForwardingDependencies, 'codec' | 'log' | 'metrics'>) {
     this.response = response
@@ -70,6 +71,11 @@
     this.#dependencies.metrics.firstByteSeconds.observe({ service: this.#state.service }, this.#elapsedMilliseconds / 1_000)
   }
 
+  /** Counts events of a stream that were relayed to the caller. */
+  recordEvents (count: number): void {
+    this.#relayedEvents += count
+  }
+
   /** Ends the request with a refusal. */
   refuse (refusal: ForwardRefusal): void {
     this.#recordEnd(refusal.code, refusal.status)
@@ -132,6 +138,7 @@
       status,
       milliseconds: Math.round(this.#elapsedMilliseconds),
       firstByte: this.#firstByteAt === undefined ? undefined : Math.round(this.#firstByteAt - arrivedAt),
+      events: this.#relayedEvents === 0 ? undefined : this.#relayedEvents,
       ...rest
     })
   }
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -331,12 +331,20 @@
       route: this.route.name,
       organisation: this.#options.organisation?.name,
       limit: Math.round(this.deadline - this.arrivedAt),
+      ...this.#sizeFields(),
       settings: this.#options.snapshot.settings.version,
       promptParts: this.#hasBrokenOff ? this.#prompt.parts : undefined,
       attempts: this.#attemptSummaries
     }
   }
 
+  /** What makes a streamed request large, and where its caller resumes it; nothing for other requests. */
+  #sizeFields (): LogFields {
+    if (this.route.type !== RouteType.Stream) return {}
+    const { promptTokens, maximumOutputTokens, lastEventId } = this.head
+    return { promptTokens, maximumOutputTokens, resumedAfter: lastEventId }
+  }
+
   #estimateWork (model: string | undefined) {
     const service = this.#options.snapshot.settings.services.get(this.service)
     return estimateWork(this.route, service, model, this.head.promptTokens, this.head.maximumOutputTokens)
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -155,6 +155,7 @@
       attempt.run.recordOutput(request.now)
       this.#startResponse(headers)
       this.#lastEventId = events.lastEventId ?? this.#lastEventId
+      request.callerResponse.recordEvents(events.count)
       if (!request.callerResponse.response.write(events.bytes)) await waitForDrain(request.callerResponse.response, request.callerAbort.signal)
     }
   }
--- /dev/null
+++ b/test/fakes/gatewayFleet.ts
@@ -0,0 +1,188 @@
+/** Gateways on virtual time that share simulated engines; each knows only its own requests. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { Readable, Writable } from 'node:stream'
+import { PlatformHeaders } from '../../platform/index.ts'
+import { EndpointRuns, PromptBreaker } from '../../src/breaker/index.ts'
+import { SeededRandomness } from '../../src/contract/index.ts'
+import { type ConnectionPool, Connections } from '../../src/endpoint/index.ts'
+import { EndpointAnnouncements, Forwarding, GatewayMetrics, RollOutView, RoutingView } from '../../src/gateway/index.ts'
+import { Log } from '../../src/observe/index.ts'
+import { EndpointLoads, EndpointPlacement, EndpointRegistry, ModelCascade, RetryBudget, VersionSelector } from '../../src/placement/index.ts'
+import { AnnouncedLimits, PlaceQueues } from '../../src/rateLimit/index.ts'
+import { type Route, type RoutingSettings, RouteType } from '../../src/routing/index.ts'
+import { limitsOf } from './limitWorld.ts'
+import { ManualClock } from './manualClock.ts'
+import { StreamEngine } from './streamEngine.ts'
+
+export const place = { region: 'coast', dataCentre: 'west' }
+export const engineService = 'engines'
+const sessionTimeoutMilliseconds = 6_500
+const retryRatio = 0.9
+const connectTimeoutMilliseconds = 450
+
+/** A route of streams that may be resumed, with models of three sizes. */
+export const queryRoute: Route = {
+  name: 'query',
+  host: 'desk.example',
+  prefix: '/query/',
+  type: RouteType.Stream,
+  isResumable: true,
+  services: [{ service: engineService, weight: 1 }],
+  timeoutMilliseconds: 20_000,
+  latencyTargetMilliseconds: 1_500,
+  maximumEventGapMilliseconds: 1_200,
+  priority: 0,
+  maximumAttempts: 3,
+  isPublic: true,
+  modelSizes: ['small', 'medium', 'large']
+}
+
+const settings: RoutingSettings = {
+  version: 1,
+  routes: [queryRoute],
+  services: new Map([[engineService, { name: engineService, models: [{ name: 'small', cost: 0.015 }, { name: 'medium', cost: 0.11 }, { name: 'large', cost: 0.22 }] }]]),
+  requiresApiKey: false,
+  organisationsByApiKey: new Map(),
+  limits: { maximumHeaderBytes: 16_384, maximumBodyBytes: 1_000_000, headerTimeoutMilliseconds: 5_000, idleTimeoutMilliseconds: 30_000 }
+}
+
+export interface GatewayFleetOptions {
+  readonly gateways: number
+  readonly engines: number
+  readonly slots: number
+  readonly queueLimit: number
+  readonly eventMilliseconds: Readonly<Record<string, number>>
+  readonly seed: number
+}
+
+/** A line of the log with the fields that tests read. */
+export interface EndedLine {
+  readonly event: string
+  readonly request: string
+  readonly outcome: string
+  readonly attempts: readonly string[]
+  readonly [field: string]: unknown
+}
+
+/** What a caller got. */
+export interface CallOutcome {
+  readonly status: number | undefined
+  readonly retryAfterMilliseconds: number
+  readonly events: number
+  readonly isComplete: boolean
+}
+
+export class GatewayFleet {
+  readonly clock = new ManualClock()
+  readonly engines: readonly StreamEngine[]
+  readonly lines: EndedLine[] = []
+  readonly #gateways: readonly Forwarding[]
+  readonly #registries: EndpointRegistry[] = []
+
+  constructor (options: GatewayFleetOptions) {
+    const { clock } = this
+    this.engines = Array.from({ length: options.engines }, (_, index) => new StreamEngine({ ...options, clock, endpoint: endpointNumber(index) }))
+    this.#gateways = Array.from({ length: options.gateways }, (_, index) => this.#startGateway(options.seed * 1_000 + index))
+    this.#register(this.engines)
+  }
+
+  get gatewayCount (): number {
+    return this.#gateways.length
+  }
+
+  get hasFreeSlot (): boolean {
+    return this.engines.some(engine => engine.hasFreeSlot)
+  }
+
+  /** Stops an engine as at the end of its drain: its runs break off, and all gateways know that it is gone. */
+  stopEngine (stopped: StreamEngine): void {
+    stopped.stop()
+    this.#register(this.engines.filter(engine => engine !== stopped))
+  }
+
+  /** Sends a request to a gateway; a caller that aborts has left. */
+  async call (gateway: number, headers: Readonly<Record<string, string>>, left?: AbortSignal): Promise<CallOutcome> {
+    const response = new RecordedResponse()
+    left?.addEventListener('abort', () => response.destroy(), { once: true })
+    const request = Object.assign(Readable.from([]), { method: 'POST', url: '/query/1', headers: { host: queryRoute.host, ...headers }, rawHeaders: [], complete: true })
+    await this.#gateways[gateway]!.handle(request as unknown as IncomingMessage, response as unknown as ServerResponse)
+    return response.outcome
+  }
+
+  #register (engines: readonly StreamEngine[]): void {
+    const endpoints = engines.map(({ options }) => options.endpoint)
+    for (const registry of this.#registries) registry.update({ endpoints, wasStoreUnavailable: false, now: this.clock.now() })
+  }
+
+  #startGateway (seed: number): Forwarding {
+    const { clock } = this
+    const randomness = new SeededRandomness(seed)
+    const log = new Log('info', {}, line => this.lines.push(JSON.parse(line)))
+    const [routing, registry, loads, announcedLimits] = [new RoutingView(), new EndpointRegistry(), new EndpointLoads(), new AnnouncedLimits()]
+    const limits = limitsOf(announcedLimits)
+    const breaker = new PromptBreaker({ name: `gateway-${seed}`, onChange: () => undefined })
+    routing.install(settings)
+    this.#registries.push(registry)
+    return new Forwarding({
+      clock,
+      log,
+      metrics: new GatewayMetrics(),
+      codec: new PlatformHeaders(),
+      routing,
+      registry,
+      loads,
+      placement: new EndpointPlacement(place, loads, randomness, limits),
+      limits,
+      placeQueues: new PlaceQueues(clock),
+      modelCascade: new ModelCascade(),
+      retryBudget: new RetryBudget(retryRatio),
+      breaker,
+      runs: new EndpointRuns({ name: `gateway-${seed}`, breaker, hasCrashed: async () => false, onNews: () => undefined, clock, log }),
+      announcements: new EndpointAnnouncements({ registry, loads, announcedLimits, onLimitNews: () => undefined, clock, randomness, log }),
+      versionSelector: new VersionSelector(sessionTimeoutMilliseconds),
+      rollOuts: new RollOutView(`gateway-${seed}`, () => clock.now()),
+      connections: connectionsTo(this.engines),
+      untilTablesAreRead: async () => undefined
+    })
+  }
+}
+
+function endpointNumber (index: number) {
+  return { identity: `e${index}`, bornAt: 1, service: engineService, address: `10.0.0.${index}:1`, place, version: 'v1', isDraining: false, models: [] }
+}
+
+/** Leads the exchanges of a gateway to the simulated engines. */
+function connectionsTo (engines: readonly StreamEngine[]): Connections {
+  const engineAt = (address: string) => engines.find(engine => engine.options.endpoint.address === address)!
+  const createPool = (address: string): ConnectionPool => ({
+    activeCount: 1,
+    dispatch: (options, handler) => engineAt(address).dispatch(options, handler),
+    close: async () => undefined,
+    destroy: async () => undefined
+  })
+  return new Connections({ connectTimeoutMilliseconds, connectionFactory: { createPool, createSingleUse: createPool } })
+}
+
+/** The caller's side of a response. */
+class RecordedResponse extends Writable {
+  headersSent = false
+  #status: number | undefined
+  #headers: Readonly<Record<string, unknown>> = {}
+  #events = 0
+
+  get outcome (): CallOutcome {
+    const retryAfterMilliseconds = Number(this.#headers['retry-after'] ?? 0) * 1_000
+    return { status: this.#status, retryAfterMilliseconds, events: this.#events, isComplete: this.writableEnded }
+  }
+
+  writeHead (status: number, headers: Readonly<Record<string, unknown>>): void {
+    this.headersSent = true
+    this.#status = status
+    this.#headers = headers
+  }
+
+  override _write (bytes: Buffer, _encoding: string, done: () => void): void {
+    this.#events += bytes.toString().match(/\n\n/g)?.length ?? 0
+    done()
+  }
+}
