Reproduce that the longest answers are the ones that miss their deadlines

Forty gateways before eight engines on virtual time, each knowing its own requests only, with random mixes of sizes. At up to one and a half times the usual load, no size is served less and nothing is refused while there is room.

--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -37,13 +37,18 @@
   modelSizes: ['small', 'medium', 'large']
 }
 
-const settings: RoutingSettings = {
-  version: 1,
-  routes: [queryRoute],
-  services: new Map([[engineService, { name: engineService, models: [{ name: 'small', cost: 0.015 }, { name: 'medium', cost: 0.11 }, { name: 'large', cost: 0.22 }] }]]),
-  requiresApiKey: false,
-  organisationsByApiKey: new Map(),
-  limits: { maximumHeaderBytes: 16_384, maximumBodyBytes: 1_000_000, headerTimeoutMilliseconds: 5_000, idleTimeoutMilliseconds: 30_000 }
+/** A less urgent route with long prompts. */
+export const summaryRoute: Route = { ...queryRoute, name: 'summary', prefix: '/summary/', latencyTargetMilliseconds: 3_000, priority: 1 }
+
+function settingsWith (timeoutMilliseconds: number): RoutingSettings {
+  return {
+    version: 1,
+    routes: [queryRoute, summaryRoute].map(route => ({ ...route, timeoutMilliseconds })),
+    services: new Map([[engineService, { name: engineService, models: [{ name: 'small', cost: 0.015 }, { name: 'medium', cost: 0.11 }, { name: 'large', cost: 0.22 }] }]]),
+    requiresApiKey: false,
+    organisationsByApiKey: new Map(),
+    limits: { maximumHeaderBytes: 16_384, maximumBodyBytes: 1_000_000, headerTimeoutMilliseconds: 5_000, idleTimeoutMilliseconds: 30_000 }
+  }
 }
 
 export interface GatewayFleetOptions {
@@ -51,8 +56,11 @@
   readonly engines: number
   readonly slots: number
   readonly queueLimit: number
-  readonly eventMilliseconds: Readonly<Record<string, number>>
+  /** Relative duration of an engine's step, by model. */
+  readonly paces: Readonly<Record<string, number>>
   readonly seed: number
+  /** Longest time of a request, by the routes. */
+  readonly timeoutMilliseconds?: number
 }
 
 /** A line of the log with the fields that tests read. */
@@ -78,11 +86,12 @@
   readonly lines: EndedLine[] = []
   readonly #gateways: readonly Forwarding[]
   readonly #registries: EndpointRegistry[] = []
+  readonly #leaving = new Set<StreamEngine>()
 
   constructor (options: GatewayFleetOptions) {
     const { clock } = this
     this.engines = Array.from({ length: options.engines }, (_, index) => new StreamEngine({ ...options, clock, endpoint: endpointNumber(index) }))
-    this.#gateways = Array.from({ length: options.gateways }, (_, index) => this.#startGateway(options.seed * 1_000 + index))
+    this.#gateways = Array.from({ length: options.gateways }, (_, index) => this.#startGateway(options.seed * 1_000 + index, options.timeoutMilliseconds ?? queryRoute.timeoutMilliseconds))
     this.#register(this.engines)
   }
 
@@ -94,17 +103,18 @@
     return this.engines.some(engine => engine.hasFreeSlot)
   }
 
-  /** Stops an engine as at the end of its drain: its runs break off, and all gateways know that it is gone. */
-  stopEngine (stopped: StreamEngine): void {
-    stopped.stop()
-    this.#register(this.engines.filter(engine => engine !== stopped))
+  /** Lets an engine leave as planned: gateways stop sending to it, and what still runs there breaks off after the drain. */
+  drainEngine (leaving: StreamEngine, drainMilliseconds: number): void {
+    this.#leaving.add(leaving)
+    this.#register(this.engines.filter(engine => !this.#leaving.has(engine)))
+    this.clock.schedule(drainMilliseconds, () => leaving.stop())
   }
 
   /** Sends a request to a gateway; a caller that aborts has left. */
-  async call (gateway: number, headers: Readonly<Record<string, string>>, left?: AbortSignal): Promise<CallOutcome> {
+  async call (gateway: number, path: string, headers: Readonly<Record<string, string>>, left?: AbortSignal): Promise<CallOutcome> {
     const response = new RecordedResponse()
     left?.addEventListener('abort', () => response.destroy(), { once: true })
-    const request = Object.assign(Readable.from([]), { method: 'POST', url: '/query/1', headers: { host: queryRoute.host, ...headers }, rawHeaders: [], complete: true })
+    const request = Object.assign(Readable.from([]), { method: 'POST', url: path, headers: { host: queryRoute.host, ...headers }, rawHeaders: [], complete: true })
     await this.#gateways[gateway]!.handle(request as unknown as IncomingMessage, response as unknown as ServerResponse)
     return response.outcome
   }
@@ -114,14 +124,14 @@
     for (const registry of this.#registries) registry.update({ endpoints, wasStoreUnavailable: false, now: this.clock.now() })
   }
 
-  #startGateway (seed: number): Forwarding {
+  #startGateway (seed: number, timeoutMilliseconds: number): Forwarding {
     const { clock } = this
     const randomness = new SeededRandomness(seed)
     const log = new Log('info', {}, line => this.lines.push(JSON.parse(line)))
     const [routing, registry, loads, announcedLimits] = [new RoutingView(), new EndpointRegistry(), new EndpointLoads(), new AnnouncedLimits()]
     const limits = limitsOf(announcedLimits)
     const breaker = new PromptBreaker({ name: `gateway-${seed}`, onChange: () => undefined })
-    routing.install(settings)
+    routing.install(settingsWith(timeoutMilliseconds))
     this.#registries.push(registry)
     return new Forwarding({
       clock,
--- a/test/fakes/streamEngine.ts
+++ b/test/fakes/streamEngine.ts
@@ -1,6 +1,8 @@
 /**
- * An engine on virtual time that streams events. It runs a bounded number of requests at once, keeps a bounded
- * queue by urgency, and refuses what is beyond it. The more requests run, the more slowly each proceeds.
+ * An engine on virtual time with continuous batching. It runs a bounded number of requests at once, keeps a
+ * bounded queue by urgency, and refuses what is beyond it. Each step generates one token for every request whose
+ * prompt was read, and reads a chunk of one prompt, so that long prompts and large batches slow all streams. The
+ * last part of a request's path is the number of events of its answer, which no gateway knows before.
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
@@ -15,13 +17,14 @@
   readonly slots: number
   /** Requests that may wait. */
   readonly queueLimit: number
-  /** Time between two events of a request that runs alone, by its model. */
-  readonly eventMilliseconds: Readonly<Record<string, number>>
+  /** Relative duration of a step, by model. */
+  readonly paces: Readonly<Record<string, number>>
 }
 
-/** Each request that runs beside others slows them by this share. */
-const slowdownPerRun = 0.0236
+const stepMilliseconds = 3.79
+const stepMillisecondsPerRun = 0.0893
 const promptTokensPerMillisecond = 56.6
+const chunkTokens = 2_048
 export const tokensPerEvent = 6
 const connectMilliseconds = 1
 
@@ -29,8 +32,13 @@
   readonly headers: IncomingHttpHeaders
   readonly handler: Dispatcher.DispatchHandler
   readonly controller: Dispatcher.DispatchController
+  readonly pace: number
   readonly events: number
+  unreadTokens: number
   nextEvent: number
+  /** Tokens generated of the next event. */
+  pendingTokens: number
+  hasBegun: boolean
   isOver: boolean
 }
 
@@ -38,6 +46,7 @@
   readonly options: StreamEngineOptions
   readonly #running = new Set<Job>()
   readonly #queue: Job[] = []
+  #isStepping = false
   #isGone = false
   refusals = 0
 
@@ -59,31 +68,41 @@
     for (const job of [...this.#running, ...this.#queue]) this.#break(job, 'read ECONNRESET')
   }
 
-  dispatch (options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-    this.options.clock.schedule(connectMilliseconds, () => this.#accept(options.headers as IncomingHttpHeaders, handler))
+  dispatch ({ path, headers }: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+    this.options.clock.schedule(connectMilliseconds, () => this.#accept(path, headers as IncomingHttpHeaders, handler))
     return true
   }
 
-  #accept (headers: IncomingHttpHeaders, handler: Dispatcher.DispatchHandler): void {
-    const controller = this.#controllerOf(() => job)
-    const job: Job = { headers, handler, controller, events: eventsOf(headers), nextEvent: Number(headers['last-event-id'] ?? 0) + 1, isOver: false }
+  #accept (path: string, headers: IncomingHttpHeaders, handler: Dispatcher.DispatchHandler): void {
+    const controller: Dispatcher.DispatchController = { aborted: false, paused: false, reason: null, pause: () => undefined, resume: () => undefined, abort: () => this.#leave(job) }
+    const [promptTokens = 0] = String(headers['token-usage']).split(',').map(Number)
+    const resumedAfter = Number(headers['last-event-id'] ?? 0)
+    const job: Job = {
+      headers,
+      handler,
+      controller,
+      pace: this.options.paces[String(headers.model)] ?? 1,
+      events: Number(path.split('/').at(-1)),
+      unreadTokens: promptTokens + resumedAfter * tokensPerEvent,
+      nextEvent: resumedAfter + 1,
+      pendingTokens: 0,
+      hasBegun: false,
+      isOver: false
+    }
     if (this.#isGone) return handler.onResponseError?.(controller, new Error('connect ECONNREFUSED'))
     handler.onRequestStart?.(controller, {})
-    if (job.isOver) return
-    if (this.#running.size < this.options.slots) return this.#begin(job)
-    if (this.#queue.length < this.options.queueLimit) return this.#enqueue(job)
-    this.refusals++
-    this.#respondBriefly(job, 503, { 'not-executed': '1' })
+    if (!job.isOver) this.#place(job)
   }
 
-  #controllerOf (job: () => Job): Dispatcher.DispatchController {
-    return {
-      aborted: false,
-      paused: false,
-      reason: null,
-      pause: () => undefined,
-      resume: () => undefined,
-      abort: () => this.#leave(job())
+  #place (job: Job): void {
+    if (this.#running.size < this.options.slots) {
+      this.#running.add(job)
+      this.#startStep()
+    } else if (this.#queue.length < this.options.queueLimit) {
+      this.#enqueue(job)
+    } else {
+      this.refusals++
+      this.#refuse(job)
     }
   }
 
@@ -91,35 +110,48 @@
     const position = this.#queue.findIndex(other => urgencyOf(other) > urgencyOf(job))
     this.#queue.splice(position === -1 ? this.#queue.length : position, 0, job)
     this.options.clock.schedule(Number(job.headers['deadline-ms']), () => {
-      if (this.#queue.includes(job)) this.#respondBriefly(job, 503, { 'not-executed': '1' })
+      if (this.#queue.includes(job)) this.#refuse(job)
     })
   }
 
-  #begin (job: Job): void {
-    this.#running.add(job)
-    const promptTokens = Number(String(job.headers['token-usage']).split(',')[0])
-    const prefillMilliseconds = promptTokens / promptTokensPerMillisecond * this.#paceOf(job)
-    this.options.clock.schedule(prefillMilliseconds + this.#gapOf(job), () => {
-      if (job.isOver) return
-      job.handler.onResponseStart?.(job.controller, 200, { ...ownHeaders(job), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked', 'server-seal': 's', confidence: String(confidenceOf(job)) }, '')
-      this.#produce(job)
+  #startStep (): void {
+    if (this.#isStepping || this.#running.size === 0) return
+    this.#isStepping = true
+    const jobs = [...this.#running]
+    const generating = jobs.filter(({ unreadTokens }) => unreadTokens === 0)
+    const reading = jobs.filter(({ unreadTokens }) => unreadTokens > 0).reduce<Job | undefined>((first, job) => first === undefined || urgencyOf(job) < urgencyOf(first) ? job : first, undefined)
+    const chunk = Math.min(chunkTokens, reading?.unreadTokens ?? 0)
+    const generationPace = generating.length === 0 ? 0 : generating.reduce((sum, { pace }) => sum + pace, 0) / generating.length
+    const generationMilliseconds = (stepMilliseconds + stepMillisecondsPerRun * generating.length) * generationPace
+    this.options.clock.schedule(generationMilliseconds + chunk / promptTokensPerMillisecond * (reading?.pace ?? 0), () => {
+      this.#isStepping = false
+      if (reading !== undefined) reading.unreadTokens -= chunk
+      for (const job of generating) this.#generate(job)
+      this.#startStep()
     })
   }
 
-  #produce (job: Job): void {
+  #generate (job: Job): void {
     if (job.isOver) return
+    if (!job.hasBegun) this.#beginResponse(job)
+    job.pendingTokens++
+    if (job.pendingTokens < tokensPerEvent) return
+    job.pendingTokens = 0
     job.handler.onResponseData?.(job.controller, Buffer.from(formatEvent(job.nextEvent++)))
-    if (job.nextEvent <= job.events) {
-      this.options.clock.schedule(this.#gapOf(job), () => this.#produce(job))
-      return
-    }
+    if (job.nextEvent <= job.events) return
     this.#leave(job)
     job.handler.onResponseEnd?.(job.controller, {})
   }
 
-  #respondBriefly (job: Job, status: number, headers: IncomingHttpHeaders): void {
+  #beginResponse (job: Job): void {
+    job.hasBegun = true
+    const headers = { ...ownHeaders(job), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked', 'server-seal': 's', confidence: String(confidenceOf(job)) }
+    job.handler.onResponseStart?.(job.controller, 200, headers, '')
+  }
+
+  #refuse (job: Job): void {
     this.#leave(job)
-    job.handler.onResponseStart?.(job.controller, status, { ...ownHeaders(job), ...headers, 'content-length': '0' }, '')
+    job.handler.onResponseStart?.(job.controller, 503, { ...ownHeaders(job), 'not-executed': '1', 'content-length': '0' }, '')
     job.handler.onResponseEnd?.(job.controller, {})
   }
 
@@ -134,28 +166,12 @@
     if (index !== -1) this.#queue.splice(index, 1)
     if (!this.#running.delete(job) || this.#isGone) return
     const next = this.#queue.shift()
-    if (next !== undefined) this.#begin(next)
-  }
-
-  #paceOf (job: Job): number {
-    const { eventMilliseconds } = this.options
-    return eventMillisecondsOf(eventMilliseconds, job) / Math.max(...Object.values(eventMilliseconds))
+    if (next !== undefined) this.#running.add(next)
+    this.#startStep()
   }
-
-  #gapOf (job: Job): number {
-    return eventMillisecondsOf(this.options.eventMilliseconds, job) * (1 + slowdownPerRun * this.#running.size)
-  }
-}
-
-function eventMillisecondsOf (eventMilliseconds: Readonly<Record<string, number>>, { headers }: Job): number {
-  return eventMilliseconds[String(headers.model)] ?? 0
-}
-
-function eventsOf (headers: IncomingHttpHeaders): number {
-  return Math.max(1, Math.round(Number(String(headers['token-usage']).split(',')[1]) / tokensPerEvent))
 }
 
-/** Half of the requests are too hard for a small model. */
+/** The confidence is even over the requests: many are too hard for a small model. */
 function confidenceOf ({ headers }: Job): number {
   return Math.floor(100 * hashFraction(String(headers['attempt-id'])))
 }
