--- a/src/forwarder/launch.ts
+++ b/src/forwarder/launch.ts
@@ -11,13 +11,14 @@
 // The index files would load what the launcher is to load later.
 import { bootFilePathVariable, readCallerAddress } from '../../platform/callerAddress.ts'
 import { CallerListener } from '../server/callerListener.ts'
+import { ProcessSignals } from './processSignals.ts'
 
 /** Given as the only argument, compiles the program and writes its cache instead of starting it. */
 const writeCacheFlag = '--write-code-cache'
 
 /** What the bundled program exports. */
 interface Program {
-  main (listener: CallerListener): Promise<void>
+  main (listener: CallerListener, signals: ProcessSignals): Promise<void>
 }
 
 type ModuleFunction = (exports: Partial<Program>, require: NodeJS.Require, module: { exports: Partial<Program> }) => void
@@ -27,9 +28,11 @@
 
 async function launch (): Promise<void> {
   if (process.argv.includes(writeCacheFlag)) return writeCache()
+  // Signals are kept before the first caller can wait.
+  const signals = new ProcessSignals()
   const listener = new CallerListener()
   await listenEarly(listener)
-  await load(compile()).main?.(listener)
+  await load(compile()).main?.(listener, signals)
 }
 
 /** A failure to listen is left to the program, which reports it. */
