Reset the connection of an answer that is cut and has no length

Callers took a part of an answer for all of it: where neither a length nor chunks told its end and an endpoint broke it off, the caller's connection was closed in order. Cause: CallerResponse.abort destroyed the response, which ends its connection in order after the bytes that were sent. Fix: responseFraming knows the connections whose close would end such an answer, until all of its bytes were handed over, and cutConnection and cutResponse reset them.

--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -3,7 +3,7 @@
  * it ends, one line is logged with everything that determined the outcome.
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
-import { delimitByConnectionClose, isSelfDelimited } from './responseFraming.ts'
+import { cutResponse, delimitByConnectionClose, isSelfDelimited } from './responseFraming.ts'
 import type { BlockedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
@@ -106,7 +106,7 @@
   /** Ends the request by closing its connection, so that the response does not look complete. */
   abort (reason: string): void {
     this.#recordEnd(reason, undefined)
-    this.response.destroy()
+    cutResponse(this.response)
   }
 
   /** Ends the request as unfinished, unless it has ended already. */
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -11,6 +11,7 @@
 import type { Log } from '../observe/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
 import { CallerConnections } from './callerConnections.ts'
+import { cutResponse } from './responseFraming.ts'
 
 /** Time until the load balancer, which checks once a second, has taken this VM out after two failed checks. */
 const balancerRemovalMilliseconds = 2_400
@@ -51,7 +52,7 @@
     listener.serveWith((request, response) => {
       this.#serve(request, response).catch(error => {
         log.error('request_failed', { reason: error instanceof Error ? error.stack : String(error) })
-        response.destroy()
+        cutResponse(response)
       })
     })
     return await listener.listen(address)
