Read the rest of a refused request before its connection is closed

Callers that were refused while they still sent the body (unknown key or route, too large, malformed head, late in a stop) saw a reset instead of the refusal. Cause: the connection was destroyed as soon as the refusal was written. A kernel that closes a connection with unread bytes resets it, and the reset overtakes the refusal. Fix: endAfterRequest, a lingering close as web servers know it. The refusal is written with its length at once; the rest of the request is read and discarded, for 3 s and 4 MiB at most; then the response ends. A connection whose request was read to its end is kept. In a stop the response counts as open, so the end of the stop bounds it as well.

--- a/src/gateway/forwardRefusal.ts
+++ b/src/gateway/forwardRefusal.ts
@@ -1,6 +1,7 @@
 /** Responses of the gateway itself to requests without a response from an endpoint. */
 import type { ServerResponse } from 'node:http'
 import type { HeaderCodec } from '../routing/index.ts'
+import { endAfterRequest } from '../server/index.ts'
 
 /** A refusal by this daemon. */
 export interface ForwardRefusal {
@@ -72,10 +73,15 @@
   return refusal('prompt_blocked', 503, milliseconds)
 }
 
-/** Sends a refusal as a JSON document. */
+/** Sends a refusal as a JSON document, also if the caller is still sending its request. */
 export function sendRefusal (response: ServerResponse, refusal: ForwardRefusal, codec: HeaderCodec): void {
   const body = JSON.stringify({ error: refusal.code })
   const retryAfter = refusal.retryAfterMilliseconds === undefined ? {} : codec.writeRetryAfter(refusal.retryAfterMilliseconds)
   response.writeHead(refusal.status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...retryAfter })
-  response.end(body)
+  if (response.req.complete) {
+    response.end(body)
+    return
+  }
+  response.write(body)
+  endAfterRequest(response)
 }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -148,8 +148,6 @@
     })
     metrics.requests.inc({ service: 'none', outcome: refusal.code })
     sendRefusal(response, refusal, codec)
-    // The rest of a request that is refused before its body was read is not read any more.
-    if (!request.complete) response.once('finish', () => request.destroy())
   }
 }
 
--- a/src/server/index.ts
+++ b/src/server/index.ts
@@ -1,4 +1,5 @@
-/** Helpers shared by the HTTP servers: listening on an IP address and reading bodies with limits. */
+/** Helpers shared by the HTTP servers: listening on an IP address, reading bodies with limits and ending responses. */
 export { CallerListener, type RequestListener } from './callerListener.ts'
+export { endAfterRequest } from './endAfterRequest.ts'
 export { listenOn } from './listenOn.ts'
 export { readBoundedBody } from './boundedBody.ts'
