Close no connection in a stop before its answers were handed to the kernel

Callers saw: the tail of their answers was missing after a planned stop, though the log said `answered`. With 32 answers of 250 KB for a caller that read late, 15 to 16 arrived.

Cause: a request counted as ended at response.end(), which only puts its bytes into the process's buffer. The drain ended then and closed all connections. Node.js counts a connection as idle from that moment too, in closeIdleConnections() and inside the HTTP server's close().

Why this works: CallerListener keeps a record of each connection and its responses. A response is open until it emits `finish` (the kernel has all of its bytes) or `close`; a connection is idle if it has no open response, no unsent byte and nothing read beyond the last whole request. The listener is closed through net.Server's close, which leaves connections alone. The drain waits for open responses as well as for requests in flight. A caller that never reads is still cut at the drain's bound, and logged.

Not covered: a part of a next head that came in the same read as the end of the request before it isn't noticed, so such a connection counts as idle.

--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -6,21 +6,6 @@
 import type { Log } from '../observe/index.ts'
 import type { CallerListener } from '../server/index.ts'
 
-/** What closed a connection. */
-const CloseReason = {
-  /** No request was waiting on it. */
-  Idle: 'idle',
-  /** The stop ended. */
-  StopEnded: 'stop_ended'
-} as const
-type CloseReason = typeof CloseReason[keyof typeof CloseReason]
-
-interface UnsentConnection {
-  readonly socket: Socket
-  readonly caller: string
-  readonly unsentBytes: number
-}
-
 /**
  * @example
  * const connections = new CallerConnections(listener, log)
@@ -41,44 +26,34 @@
     return this.#unsentCount
   }
 
-  /** Accepts no further connections, and closes idle ones. */
+  /** Responses of which the kernel has not taken all bytes yet. */
+  get openResponseCount (): number {
+    return this.#listener.openResponseCount
+  }
+
+  /** Accepts no further connections. */
   stopListening (): void {
-    this.#close(CloseReason.Idle, () => this.#listener.server.close())
+    this.#listener.stopListening()
   }
 
-  /** Closes idle connections, including those on which nothing was ever sent; Node.js does not count these as idle. */
+  /** Closes connections on which nothing is to be answered or sent, including those on which nothing was ever received. */
   closeIdle (): void {
-    const { server, sockets } = this.#listener
-    this.#close(CloseReason.Idle, () => server.closeIdleConnections())
-    for (const socket of sockets) {
-      if (socket.bytesRead === 0) socket.destroy()
+    for (const connection of this.#listener.connections) {
+      if (connection.isIdle) connection.socket.destroy()
     }
   }
 
   /** Closes the remaining connections. */
   closeAll (): void {
-    this.#close(CloseReason.StopEnded, () => this.#listener.server.closeAllConnections())
-  }
-
-  #close (reason: CloseReason, close: () => void): void {
-    const unsent = [...this.#listener.sockets].filter(hasUnsentBytes).map(describe)
-    close()
-    for (const cut of unsent) {
-      if (cut.socket.destroyed) this.#recordCut(cut, reason)
+    for (const { socket, unsentBytes } of this.#listener.connections) {
+      if (unsentBytes > 0) this.#recordCut(socket, unsentBytes)
+      socket.destroy()
     }
+    this.#listener.server.close()
   }
 
-  #recordCut ({ caller, unsentBytes }: UnsentConnection, reason: CloseReason): void {
+  #recordCut ({ remoteAddress, remotePort }: Socket, unsentBytes: number): void {
     this.#unsentCount++
-    this.#log.warn('caller_connection_cut', { caller, unsentBytes, reason })
+    this.#log.warn('caller_connection_cut', { caller: `${remoteAddress}:${remotePort}`, unsentBytes })
   }
 }
-
-function hasUnsentBytes (socket: Socket): boolean {
-  return !socket.destroyed && socket.writableLength > 0
-}
-
-/** A socket forgets its address when it is closed. */
-function describe (socket: Socket): UnsentConnection {
-  return { socket, caller: `${socket.remoteAddress}:${socket.remotePort}`, unsentBytes: socket.writableLength }
-}
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -1,7 +1,7 @@
 /**
  * HTTP server for callers. During a planned stop it accepts connections until the load balancer has
- * taken the VM out, asks callers on keep-alive connections to close them, and ends when every request
- * has ended.
+ * taken the VM out, asks callers on keep-alive connections to close them, and ends when every answer
+ * has been handed to the kernel.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
@@ -65,7 +65,7 @@
   }
 
   /**
-   * Stops the server: closes the listener once the load balancer has noticed, then waits for all requests.
+   * Stops the server: closes the listener once the load balancer has noticed, then waits for all answers.
    *
    * @param graceMilliseconds after which remaining connections are closed
    */
@@ -79,7 +79,7 @@
     this.#connections.stopListening()
     while (clock.now() - startedAt < graceMilliseconds) {
       this.#connections.closeIdle()
-      if (requestsInFlight() === 0) break
+      if (requestsInFlight() === 0 && this.#connections.openResponseCount === 0) break
       await clock.sleep(drainPollIntervalMilliseconds)
     }
     const cut = requestsInFlight()
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -3,7 +3,8 @@
  * loaded: callers then connect and wait, where they would otherwise be refused and try elsewhere.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { Server as NetServer, type Socket } from 'node:net'
+import { CallerConnection } from './callerConnection.ts'
 import { listenOn } from './listenOn.ts'
 
 /** Limit of the HTTP parser for request headers; the operator's limit is enforced by forwarding. */
@@ -21,24 +22,26 @@
  */
 export class CallerListener {
   readonly server: Server
-  readonly #sockets = new Set<Socket>()
+  readonly #connections = new Map<Socket, CallerConnection>()
   readonly #waiting: { readonly request: IncomingMessage, readonly response: ServerResponse }[] = []
   #serve: RequestListener | undefined
 
   constructor () {
-    this.server = createServer({ maxHeaderSize: parserMaximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMilliseconds }, (request, response) => {
-      if (this.#serve === undefined) this.#waiting.push({ request, response })
-      else this.#serve(request, response)
-    })
+    this.server = createServer({ maxHeaderSize: parserMaximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMilliseconds }, (request, response) => this.#receive(request, response))
     this.server.on('connection', socket => {
-      this.#sockets.add(socket)
-      socket.once('close', () => this.#sockets.delete(socket))
+      this.#connections.set(socket, new CallerConnection(socket))
+      socket.once('close', () => this.#connections.delete(socket))
     })
   }
 
   /** Open connections. */
-  get sockets (): ReadonlySet<Socket> {
-    return this.#sockets
+  get connections (): readonly CallerConnection[] {
+    return [...this.#connections.values()]
+  }
+
+  /** Responses of open connections of which the kernel has not taken all bytes yet. */
+  get openResponseCount (): number {
+    return this.connections.reduce((sum, { openResponseCount }) => sum + openResponseCount, 0)
   }
 
   /** Listens at `IP:port`, unless it does already; returns the bound address. */
@@ -51,4 +54,15 @@
     this.#serve = serve
     for (const { request, response } of this.#waiting.splice(0)) serve(request, response)
   }
+
+  /** Accepts no further connections. The HTTP server's own method would also close connections with unsent bytes. */
+  stopListening (): void {
+    NetServer.prototype.close.call(this.server)
+  }
+
+  #receive (request: IncomingMessage, response: ServerResponse): void {
+    this.#connections.get(request.socket)?.add(request, response)
+    if (this.#serve === undefined) this.#waiting.push({ request, response })
+    else this.#serve(request, response)
+  }
 }
--- a/test/callerListener.test.ts
+++ b/test/callerListener.test.ts
@@ -22,7 +22,7 @@
   const address = await listener.listen('127.0.0.1:0')
   const early = fetchText(address)
   await new Promise(resolve => setTimeout(resolve, 100))
-  expect(listener.sockets.size).toBe(1)
+  expect(listener.connections).toHaveLength(1)
   listener.serveWith((_request, response) => { response.end('served') })
   expect(await listener.listen(address)).toBe(address)
   expect(await early).toBe('served')
