Read what has arrived before a stop closes the listener and idle connections

Callers saw: on a VM whose event loop had stalled, a request on an open connection got no answer in a planned stop; its connection was reset.

Cause: the stop looks at its connections in a timer, and timers run before input is read. After a stall, a connection counts as idle although a request waits in the kernel; and connections in the accept queue are reset when the listener closes.

Why this works: untilInputIsRead waits for at least two whole rounds of the event loop (the first accepts, the second reads), and for more, up to ten, until one was short, since a long one may itself have left input behind. The listener and idle connections are closed right after it, in the phase that follows the poll.

The accept queue has no test of its own.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -7,7 +7,7 @@
 import type { Socket } from 'node:net'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import type { Clock } from '../contract/index.ts'
-import type { CallerListener } from '../server/index.ts'
+import { type CallerListener, untilInputIsRead } from '../server/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
 import { CallerConnections } from './callerConnections.ts'
@@ -76,11 +76,13 @@
     const startedAt = clock.now()
     this.#drainingSince = startedAt
     await clock.sleep(Math.min(balancerRemovalMilliseconds, graceMilliseconds))
+    await untilInputIsRead(clock)
     this.#connections.stopListening()
     while (clock.now() - startedAt < graceMilliseconds) {
       this.#connections.closeIdle()
       if (requestsInFlight() === 0 && this.#connections.openResponseCount === 0) break
       await clock.sleep(drainPollIntervalMilliseconds)
+      await untilInputIsRead(clock)
     }
     const cut = requestsInFlight()
     this.#connections.closeAll()
