--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -1,13 +1,13 @@
 /**
  * HTTP server for callers. During a planned stop it accepts connections until the load balancer has
- * taken the VM out, asks callers on keep-alive connections to close them, and ends when every request
- * has ended.
+ * taken the VM out, asks callers on keep-alive connections to close them, and ends when every answer
+ * has been handed to the kernel.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import type { Clock } from '../contract/index.ts'
-import type { CallerListener } from '../server/index.ts'
+import { type CallerListener, untilInputIsRead } from '../server/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
 import { CallerConnections } from './callerConnections.ts'
@@ -66,7 +66,7 @@
   }
 
   /**
-   * Stops the server: closes the listener once the load balancer has noticed, then waits for all requests.
+   * Stops the server: closes the listener once the load balancer has noticed, then waits for all answers.
    *
    * @param graceMilliseconds after which remaining connections are closed
    */
@@ -77,11 +77,13 @@
     const startedAt = clock.now()
     this.#drainingSince = startedAt
     await clock.sleep(Math.min(balancerRemovalMilliseconds, graceMilliseconds))
+    await untilInputIsRead(clock)
     this.#connections.stopListening()
     while (clock.now() - startedAt < graceMilliseconds) {
       this.#connections.closeIdle()
-      if (requestsInFlight() === 0) break
+      if (requestsInFlight() === 0 && this.#connections.openResponseCount === 0) break
       await clock.sleep(drainPollIntervalMilliseconds)
+      await untilInputIsRead(clock)
     }
     const cut = requestsInFlight()
     this.#connections.closeAll()
