Read whether a caller has left before its request is sent on

What callers saw: nothing; endpoints worked for callers that had left.

Cause: a busy process reads a request late, together with the end of its connection, but the handler of the request ran and sent before the end was read.

Evidence: the test, in which a caller sends and leaves while the process is blocked, failed before: the endpoint received the request.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -96,7 +96,9 @@
     })
   }
 
+  /** A busy process may read a request long after its caller has left; what ended the connection is read first. */
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    await untilInputIsRead(this.#options.clock)
     if (this.#drainingSince !== undefined) {
       response.setHeader('connection', 'close')
       const isLate = this.#options.clock.now() - this.#drainingSince > lateRequestMilliseconds
