Announce the end of a connection in its last answer only

Callers saw: of two requests that were sent together and both passed on in a planned stop, only the first was answered. And an answer to a request from before the stop said keep-alive, though its connection was closed soon after.

Cause: the stop set `connection: close` on each response as its request arrived. Node.js closes the connection after the first such response.

Why this works: CallerConnection marks the last response of its connection (Node.js then writes `connection: close` with the head and closes after the response) when the stop begins, and moves the mark when a further request arrives, while the head of the one before is unwritten. So it is decided when a head is written, and also holds for requests from before the stop. A request that is read after an answer has announced the end can't be answered and isn't passed on. A stream whose head was sent before the stop ends its connection when it is idle: flushed, with input read before.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -70,11 +70,12 @@
    * @param graceMilliseconds after which remaining connections are closed
    */
   async drain (graceMilliseconds: number): Promise<void> {
-    const { clock, requestsInFlight, log } = this.#options
+    const { clock, listener, requestsInFlight, log } = this.#options
     const eventLoopDelay = monitorEventLoopDelay()
     eventLoopDelay.enable()
     const startedAt = clock.now()
     this.#drainingSince = startedAt
+    listener.retireConnections()
     await clock.sleep(Math.min(balancerRemovalMilliseconds, graceMilliseconds))
     await untilInputIsRead(clock)
     this.#connections.stopListening()
@@ -97,7 +98,6 @@
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (this.#drainingSince !== undefined) {
-      response.setHeader('connection', 'close')
       const isLate = this.#options.clock.now() - this.#drainingSince > lateRequestMilliseconds
       if (isLate) return this.#options.refuseLate(request, response)
     }
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -2,6 +2,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
+/** The response to the latest request. */
+interface LastResponse {
+  readonly response: ServerResponse
+  /** Whether the caller wants to keep the connection after it. */
+  readonly mayKeepAlive: boolean
+}
+
 /**
  * @example
  * const connection = new CallerConnection(socket)
@@ -11,6 +18,8 @@
 export class CallerConnection {
   readonly socket: Socket
   readonly #openResponses = new Set<ServerResponse>()
+  #last: LastResponse | undefined
+  #isRetiring = false
   /** Bytes received up to the end of the latest whole request. */
   #wholeRequestBytes = 0
 
@@ -33,12 +42,42 @@
     return this.openResponseCount === 0 && this.unsentBytes === 0 && this.socket.bytesRead === this.#wholeRequestBytes
   }
 
-  /** Adds a request that has arrived on the connection. */
-  add (request: IncomingMessage, response: ServerResponse): void {
+  /**
+   * Adds a request that has arrived on the connection.
+   *
+   * @returns false if it can't be answered, since an earlier response has announced the end of the connection
+   */
+  add (request: IncomingMessage, response: ServerResponse): boolean {
+    if (this.#hasAnnouncedEnd) return false
     this.#openResponses.add(response)
     const close = () => this.#openResponses.delete(response)
     response.once('finish', close)
     response.once('close', close)
     request.once('end', () => { this.#wholeRequestBytes = this.socket.bytesRead })
+    this.#moveEnd(response)
+    return true
+  }
+
+  /** Announces the end of the connection in its last response, unless the head of that has been sent. */
+  retire (): void {
+    this.#isRetiring = true
+    if (this.#last !== undefined) announceEnd(this.#last.response)
+  }
+
+  get #hasAnnouncedEnd (): boolean {
+    const response = this.#last?.response
+    return response !== undefined && response.headersSent && !response.shouldKeepAlive
+  }
+
+  /** A response that is not the last any more must not end the connection. */
+  #moveEnd (response: ServerResponse): void {
+    if (this.#isRetiring && this.#last !== undefined && !this.#last.response.headersSent) this.#last.response.shouldKeepAlive = this.#last.mayKeepAlive
+    this.#last = { response, mayKeepAlive: response.shouldKeepAlive }
+    if (this.#isRetiring) announceEnd(response)
   }
 }
+
+/** Node.js writes `connection: close` with the head, and closes the connection after the response. */
+function announceEnd (response: ServerResponse): void {
+  if (!response.headersSent) response.shouldKeepAlive = false
+}
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -23,13 +23,16 @@
 export class CallerListener {
   readonly server: Server
   readonly #connections = new Map<Socket, CallerConnection>()
+  #isRetiring = false
   readonly #waiting: { readonly request: IncomingMessage, readonly response: ServerResponse }[] = []
   #serve: RequestListener | undefined
 
   constructor () {
     this.server = createServer({ maxHeaderSize: parserMaximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMilliseconds }, (request, response) => this.#receive(request, response))
     this.server.on('connection', socket => {
-      this.#connections.set(socket, new CallerConnection(socket))
+      const connection = new CallerConnection(socket)
+      this.#connections.set(socket, connection)
+      if (this.#isRetiring) connection.retire()
       socket.once('close', () => this.#connections.delete(socket))
     })
   }
@@ -60,8 +63,18 @@
     NetServer.prototype.close.call(this.server)
   }
 
+  /** From now on, the last response on each connection asks its caller to close it. */
+  retireConnections (): void {
+    this.#isRetiring = true
+    for (const connection of this.connections) connection.retire()
+  }
+
+  /** A request that can't be answered is not served: HTTP lets a caller expect nothing after `connection: close`. */
   #receive (request: IncomingMessage, response: ServerResponse): void {
-    this.#connections.get(request.socket)?.add(request, response)
+    if (this.#connections.get(request.socket)?.add(request, response) === false) {
+      request.resume()
+      return
+    }
     if (this.#serve === undefined) this.#waiting.push({ request, response })
     else this.#serve(request, response)
   }
