--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -71,11 +71,12 @@
    * @param graceMilliseconds after which remaining connections are closed
    */
   async drain (graceMilliseconds: number): Promise<void> {
-    const { clock, requestsInFlight, log } = this.#options
+    const { clock, listener, requestsInFlight, log } = this.#options
     const eventLoopDelay = monitorEventLoopDelay()
     eventLoopDelay.enable()
     const startedAt = clock.now()
     this.#drainingSince = startedAt
+    listener.retireConnections()
     await clock.sleep(Math.min(balancerRemovalMilliseconds, graceMilliseconds))
     await untilInputIsRead(clock)
     this.#connections.stopListening()
@@ -100,7 +101,6 @@
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     await untilInputIsRead(this.#options.clock)
     if (this.#drainingSince !== undefined) {
-      response.setHeader('connection', 'close')
       const isLate = this.#options.clock.now() - this.#drainingSince > lateRequestMilliseconds
       if (isLate) return this.#options.refuseLate(request, response)
     }
