Refuse what still waits shortly before a stop ends, and log what it cuts

Callers saw: requests that waited for a place at an endpoint, or whose body was still arriving, when the time of a stop ended were closed without an answer, though they had certainly not run. And the log said `caller_left` of runs that the stop itself had cut.

Cause: the drain knew one bound only, at which it closed all connections; nothing told the waiting requests.

Why this works: PlannedStop says until when requests may be sent to endpoints, 0.3 s before the drain's bound. Then waits for tables, bodies and places end, attempts that were not sent are aborted, and no attempt is started or sent. What is refused by then gets 503 `stopping` if nothing of it can have run, and 502 as before if it may have. A place that can't come before that time isn't waited for. A request in flight at the bound ends as `cut_by_stop`; `drained` counts them, as before. Since no attempt is left then, a silent run isn't given up for another one.

The outcome `cut_by_stop` is covered by no test in this commit.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -4,7 +4,7 @@
 import { EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
 import { type Clock, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { Connections } from '../endpoint/index.ts'
-import { EndpointAnnouncements, Forwarding, GatewayMetrics, GatewayServer, OperationsServer, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
+import { EndpointAnnouncements, Forwarding, GatewayMetrics, GatewayServer, OperationsServer, PlannedStop, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
 import { FleetDirectory, FleetReports } from '../fleet/index.ts'
 import { TcpLink } from '../link/index.ts'
 import { NewsExchange, logLimitChange } from '../news/index.ts'
@@ -77,6 +77,7 @@
   readonly fleetReports: FleetReports
   readonly news: NewsExchange
   readonly connections: Connections
+  readonly plannedStop: PlannedStop
   readonly forwarding: Forwarding
   readonly gateway: GatewayServer
   readonly operations: OperationsServer
@@ -126,6 +127,7 @@
     fleet: single(makeFleet),
     fleetReports: single(makeFleetReports),
     news: single(makeNews),
+    plannedStop: single(({ clock }) => new PlannedStop(clock)),
     connections: single(() => new Connections({ connectTimeoutMilliseconds: endpointConnectTimeoutMilliseconds })),
     forwarding: single(makeForwarding),
     gateway: single(makeGateway),
@@ -287,6 +289,7 @@
     loads,
     rollOuts: parts.rollOuts,
     connections: parts.connections,
+    plannedStop: parts.plannedStop,
     codec: new PlatformHeaders(),
     placement: new EndpointPlacement(boot.current.place, loads, randomness, parts.limits),
     limits: parts.limits,
@@ -307,9 +310,10 @@
   return new EndpointAnnouncements({ registry, loads, announcedLimits, onLimitNews: () => news.publish(), clock, randomness, log })
 }
 
-function makeGateway ({ clock, log, forwarding, listener }: ForwarderDependencies): GatewayServer {
+function makeGateway ({ clock, log, forwarding, listener, plannedStop }: ForwarderDependencies): GatewayServer {
   return new GatewayServer({
     listener,
+    plannedStop,
     clock,
     log,
     handle: (request, response) => forwarding.handle(request, response),
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -11,6 +11,7 @@
 
 const answeredOutcome = 'answered'
 const callerLeftOutcome = 'caller_left'
+const cutByStopOutcome = 'cut_by_stop'
 const unendedOutcome = 'unended'
 
 /** A buffered response of an endpoint. */
@@ -35,6 +36,8 @@
 /** Why a request got no response from an endpoint. */
 export interface UnansweredRequest {
   readonly mayHaveRun: boolean
+  /** Whether a planned stop kept it from being sent. */
+  readonly isStopping: boolean
   /** Whether an endpoint refused it for lack of capacity. */
   readonly isFull: boolean
   /** Why its prompt is not sent to any endpoint; undefined if it may be. */
@@ -48,11 +51,11 @@
 export class CallerResponse {
   readonly response: ServerResponse
   readonly #state: RequestState
-  readonly #dependencies: Pick<ForwardingDependencies, 'codec' | 'log' | 'metrics'>
+  readonly #dependencies: Pick<ForwardingDependencies, 'codec' | 'log' | 'metrics' | 'plannedStop'>
   #isEnded = false
   #firstByteAt: number | undefined
 
-  constructor (response: ServerResponse, state: RequestState, dependencies: Pick<ForwardingDependencies, 'codec' | 'log' | 'metrics'>) {
+  constructor (response: ServerResponse, state: RequestState, dependencies: Pick<ForwardingDependencies, 'codec' | 'log' | 'metrics' | 'plannedStop'>) {
     this.response = response
     this.#state = state
     this.#dependencies = dependencies
@@ -78,11 +81,12 @@
   }
 
   /** Refuses a request without a response from any endpoint; the refusal depends on whether it may have been executed. */
-  refuseUnanswered ({ mayHaveRun, isFull, block, overloadMilliseconds, placeMilliseconds }: UnansweredRequest): void {
+  refuseUnanswered ({ mayHaveRun, isStopping, isFull, block, overloadMilliseconds, placeMilliseconds }: UnansweredRequest): void {
     const { isPastDeadline } = this.#state
     if (mayHaveRun) return this.refuse(isPastDeadline ? ForwardRefusals.timedOut : ForwardRefusals.attemptLost)
     if (block !== undefined) return this.refuse(promptBlocked(block.retryAfterMilliseconds))
     if (isPastDeadline) return this.refuse(ForwardRefusals.notSentInTime)
+    if (isStopping) return this.refuse(ForwardRefusals.stopping)
     if (overloadMilliseconds > 0) return this.refuse(endpointsOverloaded(overloadMilliseconds))
     if (placeMilliseconds !== undefined) return this.refuse(endpointsLimited(placeMilliseconds))
     this.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
@@ -129,7 +133,8 @@
     if (this.#isEnded) return
     this.#isEnded = true
     const { arrivedAt, hasCallerLeft, service } = this.#state
-    const outcome = hasCallerLeft && end !== answeredOutcome ? callerLeftOutcome : end
+    const leftOutcome = this.#dependencies.plannedStop.hasCut ? cutByStopOutcome : callerLeftOutcome
+    const outcome = hasCallerLeft && end !== answeredOutcome ? leftOutcome : end
     this.#dependencies.metrics.requests.inc({ service, outcome })
     const { request, route, organisation, ...rest } = this.#state.logFields()
     this.#dependencies.log.info('request_ended', {
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -15,7 +15,6 @@
 import type { RoutingSnapshot } from './routingView.ts'
 
 const misdirectedStatus = 421
-const firstServerErrorStatus = 500
 const timerToleranceMilliseconds = 5
 /** A request whose runs have broken off so often, soon after they began, may crash its endpoints. */
 const maximumCrashedRuns = 2
@@ -53,6 +52,7 @@
   #hasBrokenOff = false
   #crashedRuns = 0
   #block: BlockedPrompt | undefined
+  #isEndedByStop = false
   /** When an endpoint's rate limit is likely to have a place, in milliseconds from then; undefined if no limit stood in the way. */
   #placeMilliseconds: number | undefined
 
@@ -86,13 +86,9 @@
     return this.callerAbort.signal.aborted
   }
 
-  /** Attempts that may have reached an endpoint. */
-  get sentAttempts (): number {
-    return this.#sentAttempts
-  }
-
+  /** Further attempts that may be made; none at the end of a planned stop. */
   get attemptsLeft (): number {
-    return this.route.maximumAttempts - this.#sentAttempts
+    return this.dependencies.plannedStop.hasEndedSending ? 0 : this.route.maximumAttempts - this.#sentAttempts
   }
 
   /** Why the request's prompt is not sent to any endpoint; undefined if it may be. */
@@ -109,7 +105,7 @@
       this.#block = admission.val
       return false
     }
-    return this.sentAttempts === 0 || retryBudget.tryConsume(this.service, this.now)
+    return this.#sentAttempts === 0 || retryBudget.tryConsume(this.service, this.now)
   }
 
   /** Remaining share of the latency target, 0 to 1. */
@@ -125,7 +121,7 @@
 
   /** Chooses an endpoint; while the rate limits of all are used up, waits for a place. Undefined if none is eligible in time. */
   async awaitEndpoint (model: string | undefined, isResumed = false): Promise<RoutedEndpoint | undefined> {
-    const { metrics, placeQueues } = this.dependencies
+    const { metrics, placeQueues, plannedStop } = this.dependencies
     const waiting = this.#waitingRequest(this.#placementRequest(model, isResumed))
     for (let isItsTurn = false; ;) {
       const endpoint = this.chooseEndpoint(model, isResumed)
@@ -134,6 +130,7 @@
       metrics.heldBack.inc({ service: this.service, at: HeldBackAt.Choice })
       const turn = await placeQueues.of(this.service).wait(waiting)
       if (turn.err) this.#placeMilliseconds = turn.val.retryAfterMilliseconds
+      this.#isEndedByStop = turn.err && waiting.giveUpAt === plannedStop.lastSendAt
       if (turn.err || this.hasCallerLeft || this.#wasBlockedMeanwhile()) return undefined
       isItsTurn = true
     }
@@ -149,11 +146,14 @@
 
   #waitingRequest (request: PlacementRequest): WaitingRequest {
     const { organisation } = this.#options
+    const { plannedStop } = this.dependencies
+    const ownLatestTurn = latestTurn(this.now, this.deadline)
     return {
       organisation: organisation?.name ?? '',
       priority: organisation?.priority ?? this.route.priority,
       arrivedAt: this.arrivedAt,
-      giveUpAt: latestTurn(this.now, this.deadline),
+      // A stop may begin while the request waits.
+      get giveUpAt () { return Math.min(ownLatestTurn, plannedStop.lastSendAt) },
       signal: this.callerAbort.signal,
       forecast: () => this.dependencies.placement.forecast(request, this.#untriedEndpoints(), this.now)
     }
@@ -188,7 +188,7 @@
 
   /** Starts an attempt at an endpoint. */
   send (endpoint: RoutedEndpoint, { model, lastEventId, usesOwnConnection }: AttemptOptions): OpenAttempt {
-    const { clock, codec, connections, limits, registry, loads, rollOuts, runs } = this.dependencies
+    const { clock, codec, connections, limits, plannedStop, registry, loads, rollOuts, runs } = this.dependencies
     const startedAt = this.now
     const permit = limits.open(ratedEndpoint(endpoint), startedAt)
     this.#triedInstances.add(instanceKey(endpoint))
@@ -207,7 +207,7 @@
       }),
       body: body.length === 0 ? undefined : body,
       inactivityTimeoutMilliseconds: Math.max(1, this.deadline - startedAt),
-      mayStillSend: () => !this.hasCallerLeft && this.now < this.deadline && registry.isServing(endpoint, this.now) && !loads.isOverloaded(endpoint, this.now) && permit.trySend(this.now)
+      mayStillSend: () => !this.hasCallerLeft && !plannedStop.hasEndedSending && this.now < this.deadline && registry.isServing(endpoint, this.now) && !loads.isOverloaded(endpoint, this.now) && permit.trySend(this.now)
     }
     const work = loads.track(endpoint, this.#estimateWork(model), startedAt)
     let isBlocked = false
@@ -223,7 +223,8 @@
     const abandonExchange = () => exchange.abort('caller disconnected')
     this.callerAbort.signal.addEventListener('abort', abandonExchange, { once: true })
     if (this.hasCallerLeft) abandonExchange()
-    return { endpoint, model, exchange, startedAt, tracker: work, run, permit, evidence, isBlocked: () => isBlocked }
+    const forgetStop = plannedStop.onEnd(() => { if (!exchange.mayHaveSent) exchange.abort('stopping') })
+    return { endpoint, model, exchange, startedAt, forgetStop, tracker: work, run, permit, evidence, isBlocked: () => isBlocked }
   }
 
   /**
@@ -234,6 +235,7 @@
   finishAttempt (attempt: OpenAttempt, end: AttemptEnd, outcome: string, countsAsSent = attempt.exchange.mayHaveSent): void {
     if (countsAsSent) this.#sentAttempts++
     if (attempt.permit.wasLimited) this.dependencies.metrics.limitedAttempts.inc({ service: this.service })
+    attempt.forgetStop()
     attempt.run.close()
     attempt.permit.close()
     attempt.evidence?.abandon(this.now)
@@ -292,7 +294,7 @@
   /** Refuses the request, which got no response from any endpoint. */
   refuseUnanswered (mayHaveRun: boolean, isFull: boolean): void {
     if (this.#placeMilliseconds !== undefined) this.dependencies.metrics.heldBack.inc({ service: this.service, at: HeldBackAt.Refusal })
-    this.callerResponse.refuseUnanswered({ mayHaveRun, isFull, block: this.block, overloadMilliseconds: this.#overloadMilliseconds, placeMilliseconds: this.#placeMilliseconds })
+    this.callerResponse.refuseUnanswered({ mayHaveRun, isStopping: this.#isEndedByStop || this.dependencies.plannedStop.hasEndedSending, isFull, block: this.block, overloadMilliseconds: this.#overloadMilliseconds, placeMilliseconds: this.#placeMilliseconds })
   }
 
   /** How long it takes until an endpoint of the service wants requests again, in milliseconds; 0 if one does now. */
@@ -320,11 +322,6 @@
     return responseHead.attemptId === this.head.attemptId
   }
 
-  /** Whether a status is a server error. */
-  isServerError (status: number): boolean {
-    return status >= firstServerErrorStatus
-  }
-
   logFields (): LogFields {
     return {
       request: this.head.attemptId,
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -18,6 +18,7 @@
 import { ForwardedRequest } from './forwardedRequest.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
 import { PlainForwarding } from './plainForwarding.ts'
+import type { PlannedStop } from './plannedStop.ts'
 import type { RollOutView } from './rollOutView.ts'
 import type { RoutingSnapshot, RoutingView } from './routingView.ts'
 import { StreamForwarding } from './streamForwarding.ts'
@@ -41,6 +42,7 @@
   readonly versionSelector: VersionSelector
   readonly rollOuts: RollOutView
   readonly connections: Connections
+  readonly plannedStop: PlannedStop
   /** Resolves when the settings and endpoints are known, or when a process that has just started should wait no longer for them. */
   readonly untilTablesAreRead: () => Promise<void>
 }
@@ -86,16 +88,17 @@
   }
 
   async #forward (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { clock, codec, routing, untilTablesAreRead } = this.#dependencies
+    const { clock, codec, plannedStop, routing, untilTablesAreRead } = this.#dependencies
     const arrivedAt = clock.now()
-    await untilTablesAreRead()
+    await plannedStop.orEnd(untilTablesAreRead())
     const snapshot = routing.snapshot
     if (snapshot === undefined) return this.#refuse(request, response, ForwardRefusals.noSettings)
     if (headBytes(request) > snapshot.settings.limits.maximumHeaderBytes) return this.#refuse(request, response, ForwardRefusals.headTooLarge)
     const head = codec.readRequestHead(request.headers)
     const admitted = this.#admit(request, head, snapshot)
     if ('code' in admitted) return this.#refuse(request, response, admitted, head)
-    const body = await readBoundedBody(request, snapshot.settings.limits.maximumBodyBytes, bodyTimeoutMilliseconds)
+    const body = await plannedStop.orEnd(readBoundedBody(request, snapshot.settings.limits.maximumBodyBytes, bodyTimeoutMilliseconds))
+    if (body === undefined) return this.#refuse(request, response, ForwardRefusals.stopping, head)
     if (body.err) return this.#refuseBody(request, response, body.val, head)
     const forwardedRequest = new ForwardedRequest({ ...admitted, request, response, head, body: body.val, arrivedAt, snapshot, dependencies: this.#dependencies })
     await this.#run(forwardedRequest)
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -11,16 +11,20 @@
 import type { Log } from '../observe/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
 import { CallerConnections } from './callerConnections.ts'
+import type { PlannedStop } from './plannedStop.ts'
 
 /** Time until the load balancer, which checks once a second, has taken this VM out after two failed checks. */
 const balancerRemovalMilliseconds = 2_400
 /** A request that arrives later than this after the stop began would be cut off by its end. */
 const lateRequestMilliseconds = 3_000
+/** Time before the end of a stop in which waiting requests are refused and the refusals are sent. */
+const refusalMilliseconds = 300
 const drainPollIntervalMilliseconds = 50
 const nanosecondsPerMillisecond = 1_000_000
 
 export interface GatewayServerOptions {
   readonly listener: CallerListener
+  readonly plannedStop: PlannedStop
   readonly clock: Clock
   readonly log: Log
   readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>
@@ -70,22 +74,25 @@
    * @param graceMilliseconds after which remaining connections are closed
    */
   async drain (graceMilliseconds: number): Promise<void> {
-    const { clock, listener, requestsInFlight, log } = this.#options
+    const { clock, listener, plannedStop, requestsInFlight, log } = this.#options
     const eventLoopDelay = monitorEventLoopDelay()
     eventLoopDelay.enable()
     const startedAt = clock.now()
     this.#drainingSince = startedAt
+    plannedStop.begin(startedAt + graceMilliseconds - refusalMilliseconds)
     listener.retireConnections()
-    await clock.sleep(Math.min(balancerRemovalMilliseconds, graceMilliseconds))
+    await clock.sleep(Math.max(0, Math.min(balancerRemovalMilliseconds, graceMilliseconds - refusalMilliseconds)))
     await untilInputIsRead(clock)
     this.#connections.stopListening()
     while (clock.now() - startedAt < graceMilliseconds) {
       this.#connections.closeIdle()
       if (requestsInFlight() === 0 && this.#connections.openResponseCount === 0) break
+      plannedStop.endWaits()
       await clock.sleep(drainPollIntervalMilliseconds)
       await untilInputIsRead(clock)
     }
     const cut = requestsInFlight()
+    if (cut > 0) plannedStop.cut()
     this.#connections.closeAll()
     eventLoopDelay.disable()
     log.info('drained', {
--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -11,6 +11,8 @@
   readonly model: string | undefined
   readonly exchange: Exchange
   readonly startedAt: number
+  /** Takes back what is to happen at the end of a planned stop. */
+  readonly forgetStop: () => void
   readonly tracker: AttemptTracker
   readonly run: EndpointRun
   /** Its place under the endpoint's rate limit. */
@@ -54,3 +56,15 @@
   /** Whether the attempt uses a dedicated connection instead of a pooled one. */
   readonly usesOwnConnection: boolean
 }
+
+const firstServerErrorStatus = 500
+
+/**
+ * Whether a status says that the endpoint failed.
+ *
+ * @example
+ * const end = isServerError(status) ? AttemptEnd.Failed : AttemptEnd.Answered
+ */
+export function isServerError (status: number): boolean {
+  return status >= firstServerErrorStatus
+}
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -11,7 +11,7 @@
 import { delimitByConnectionClose, isSelfDelimited } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
-import { type OpenAttempt, NotExecutedReason } from './openAttempt.ts'
+import { type OpenAttempt, NotExecutedReason, isServerError } from './openAttempt.ts'
 
 /** Responses larger than this are relayed as they arrive. */
 const maximumBufferedBytes = 256 * 1024
@@ -50,7 +50,7 @@
       if (outcome.type === 'relayed') return
       if (outcome.type === 'answer') {
         lastFailure = outcome
-        if (!request.isServerError(outcome.status) || !this.#isIdempotent) return this.#deliver(outcome)
+        if (!isServerError(outcome.status) || !this.#isIdempotent) return this.#deliver(outcome)
       }
       if (outcome.type === 'not_run' && outcome.reason === NotExecutedReason.Refused) isFull = true
       if (outcome.type === 'lost' && !this.#isIdempotent) break
@@ -100,7 +100,7 @@
       bytes += event.bytes.length
       if (bytes > maximumBufferedBytes) return this.#relay(attempt, status, headers, chunks)
     }
-    const isFailed = request.isServerError(status)
+    const isFailed = isServerError(status)
     if (isFailed) attempt.evidence?.recordFailure()
     else request.recordAnswer(attempt, headers)
     attempt.tracker.recordResponseStart(request.now)
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -12,7 +12,7 @@
 import type { CompleteResponse } from './callerResponse.ts'
 import { EventSplitter } from './eventSplitter.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
-import { type OpenAttempt, NotExecutedReason } from './openAttempt.ts'
+import { type OpenAttempt, NotExecutedReason, isServerError } from './openAttempt.ts'
 import { waitForDrain } from './plainForwarding.ts'
 
 const successStatus = 200
@@ -201,7 +201,7 @@
       if (bytes > maximumFailureBodyBytes) return this.#failRun(attempt, 'error body too large')
       chunks.push(event.bytes)
     }
-    const isFailed = request.isServerError(status)
+    const isFailed = isServerError(status)
     if (isFailed) attempt.evidence?.recordFailure()
     else attempt.evidence?.recordBegin(request.now)
     request.finishAttempt(attempt, isFailed ? AttemptEnd.Failed : AttemptEnd.Answered, String(status))
