--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -13,6 +13,8 @@
   readonly startedAt: number
   /** Time that its endpoint is expected to need for reading the prompt. */
   readonly promptMilliseconds: number
+  /** Takes back what is to happen at the end of a planned stop. */
+  readonly forgetStop: () => void
   readonly tracker: AttemptTracker
   readonly run: EndpointRun
   /** Its place under the endpoint's rate limit. */
@@ -56,3 +58,15 @@
   /** Whether the attempt uses a dedicated connection instead of a pooled one. */
   readonly usesOwnConnection: boolean
 }
+
+const firstServerErrorStatus = 500
+
+/**
+ * Whether a status says that the endpoint failed.
+ *
+ * @example
+ * const end = isServerError(status) ? AttemptEnd.Failed : AttemptEnd.Answered
+ */
+export function isServerError (status: number): boolean {
+  return status >= firstServerErrorStatus
+}
