--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -146,7 +146,7 @@
       limits,
       placeQueues: new PlaceQueues(clock),
       liveness: new EndpointLiveness({ probe: async () => ConnectionOutcome.Accepted, checkMilliseconds: connectTimeoutMilliseconds, loads, clock }),
-      plannedStop: new PlannedStop(),
+      plannedStop: new PlannedStop(clock),
       modelCascade: new ModelCascade(),
       retryBudget: new RetryBudget(retryRatio),
       breaker,
