Relay an event with one write and without a timer of its own

Each event of a stream was framed by Node.js in four parts (size, data, line break), corked and written on a later tick with writev, which was the largest single item of the profile; the first one went out apart from its head. For each event a timer was created and cancelled, with a promise chain and closures around it, and its bytes were decoded twice.

Now the splitter holds latin1 text, EventStreamResponse frames the chunk and hands it over as one string (the first one with the head), DeadlineReader keeps one timer set across events, the silence of an endpoint comes from its attempt's tracker, and isServing looks at one endpoint instead of building the list of all. HTTP/1.0 callers, HEAD and responses with a length are as before.

With the chunk framing taken out, the test of one write for an event fails. The tests of the touched files and test/forwarder.test.ts pass.

--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -92,12 +92,25 @@
   }
 
   /** Returns the next event. After an end or a failure it keeps returning that event. */
-  async next (): Promise<ExchangeEvent> {
-    for (;;) {
-      const event = this.#events.shift() ?? this.#finalEvent
-      if (event !== undefined) return this.#consume(event)
-      await new Promise<void>(resolve => { this.#wakeReader = resolve })
-    }
+  next (): Promise<ExchangeEvent> {
+    const event = this.poll()
+    if (event !== undefined) return Promise.resolve(event)
+    return new Promise(resolve => {
+      this.wakeOnEvent(() => {
+        this.next().then(resolve)
+      })
+    })
+  }
+
+  /** Returns the next event like `next`; undefined if there is none yet. */
+  poll (): ExchangeEvent | undefined {
+    const event = this.#events.shift() ?? this.#finalEvent
+    return event === undefined ? undefined : this.#consume(event)
+  }
+
+  /** Calls a function once when there is an event; replaces the one of an earlier call. */
+  wakeOnEvent (wake: () => void): void {
+    this.#wakeReader = wake
   }
 
   /** Aborts the exchange and closes its connection, which is never reused. */
@@ -163,14 +176,20 @@
   #push (event: ExchangeEvent): void {
     if (this.#finalEvent !== undefined) return
     this.#events.push(event)
-    this.#wakeReader?.()
+    this.#wake()
   }
 
   #finish (event: ExchangeEvent): void {
     if (this.#finalEvent !== undefined) return
     this.#finalEvent = event
     this.#timeoutWatch.abort()
-    this.#wakeReader?.()
+    this.#wake()
+  }
+
+  #wake (): void {
+    const wake = this.#wakeReader
+    this.#wakeReader = undefined
+    wake?.()
   }
 
   async #watchInactivity (): Promise<void> {
--- a/src/endpoint/index.ts
+++ b/src/endpoint/index.ts
@@ -5,4 +5,5 @@
 export { type ConnectionPool, type ConnectionFactory } from './connections.ts'
 export { Connections, type ConnectionOptions } from './connections.ts'
 export { announcementIn, rateHeader } from './rateHeader.ts'
+export { DeadlineReader } from './deadlineReader.ts'
 export { type Exchange, type ExchangeEvent, type ExchangeOptions } from './exchange.ts'
--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -1,15 +1,18 @@
 /**
  * Splits a stream of server-sent events at event boundaries. Only complete events are emitted: an
  * endpoint may stop in the middle of an event, and another run's data must not be appended to it.
+ *
+ * Bytes are held as latin1 text, one character each, because strings are searched and written much
+ * faster than buffers by code that has not run often yet.
  */
 
-const lineFeed = 0x0a
-const carriageReturn = 0x0d
+const blankLinePattern = /\n\r?\n/g
 const idField = 'id:'
 
 /** One or more complete events. */
 export interface CompleteEvents {
-  readonly bytes: Buffer
+  /** Their bytes as latin1 text. */
+  readonly text: string
   readonly count: number
   /** The ID of the last event that has one. */
   readonly lastEventId: string | undefined
@@ -20,10 +23,10 @@
  *
  * @example
  * const events = splitter.push(bytes)
- * if (events !== undefined) response.write(events.bytes)
+ * if (events !== undefined) response.write(events.text, 'latin1')
  */
 export class EventSplitter {
-  #pending: Buffer = Buffer.alloc(0)
+  #pending = ''
 
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes (): number {
@@ -32,31 +35,33 @@
 
   /** Adds bytes; returns undefined while no event is complete. */
   push (bytes: Buffer): CompleteEvents | undefined {
-    const received = this.#pending.length === 0 ? bytes : Buffer.concat([this.#pending, bytes])
+    const received = this.#pending + bytes.toString('latin1')
     const end = endOfLastCompleteEvent(received)
-    this.#pending = received.subarray(end)
+    this.#pending = received.slice(end)
     if (end === 0) return undefined
-    const complete = received.subarray(0, end)
-    return { bytes: complete, count: countEvents(complete), lastEventId: lastEventIdIn(complete) }
+    const text = received.slice(0, end)
+    return { text, count: countEvents(text), lastEventId: lastEventIdIn(text) }
   }
 }
 
 /** Returns the offset after the last blank line; 0 if there is none. */
-function endOfLastCompleteEvent (bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index--) {
-    if (bytes[index] !== lineFeed) continue
-    const before = bytes[index - 1] === carriageReturn ? index - 2 : index - 1
-    if (before >= 0 && bytes[before] === lineFeed) return index + 1
-  }
-  return 0
+function endOfLastCompleteEvent (text: string): number {
+  return Math.max(endOfLast('\n\n', text), endOfLast('\n\r\n', text))
+}
+
+function endOfLast (blankLine: string, text: string): number {
+  const start = text.lastIndexOf(blankLine)
+  return start < 0 ? 0 : start + blankLine.length
 }
 
 /** Counts the blank lines that end events. */
-function countEvents (bytes: Buffer): number {
-  return bytes.toString('latin1').match(/\n\r?\n/g)?.length ?? 0
+function countEvents (text: string): number {
+  return text.match(blankLinePattern)?.length ?? 0
 }
 
-function lastEventIdIn (bytes: Buffer): string | undefined {
-  const lines = bytes.toString('latin1').split(/\r?\n/)
-  return lines.findLast(line => line.startsWith(idField))?.slice(idField.length).trim()
+function lastEventIdIn (text: string): string | undefined {
+  const lineBreak = text.lastIndexOf(`\n${idField}`)
+  if (lineBreak < 0 && !text.startsWith(idField)) return undefined
+  const start = lineBreak + 1 + idField.length
+  return text.slice(start, text.indexOf('\n', start)).trim()
 }
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -5,12 +5,12 @@
  * response in which its model has low confidence is discarded in favour of a larger model's.
  */
 import type { IncomingHttpHeaders } from 'node:http'
-import { withDeadline } from '../contract/index.ts'
-import type { ExchangeEvent } from '../endpoint/index.ts'
-import { type CascadePlan, AttemptEnd, millisecondsToAbandonment } from '../placement/index.ts'
+import { DeadlineReader, type ExchangeEvent } from '../endpoint/index.ts'
+import { type CascadePlan, type RunSilence, AttemptEnd, millisecondsToAbandonment } from '../placement/index.ts'
 import { delimitByConnectionClose, isSelfDelimited } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import { EventSplitter } from './eventSplitter.ts'
+import { EventStreamResponse } from './eventStreamResponse.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { type OpenAttempt, NotExecutedReason } from './openAttempt.ts'
 import { waitForDrain } from './plainForwarding.ts'
@@ -43,6 +43,7 @@
 
 export class StreamForwarding {
   readonly #request: ForwardedRequest
+  readonly #events: EventStreamResponse
   #plan: CascadePlan | undefined
   #model: string | undefined
   #lastEventId: string | undefined
@@ -55,6 +56,7 @@
 
   constructor (request: ForwardedRequest) {
     this.#request = request
+    this.#events = new EventStreamResponse(request.callerResponse.response)
     this.#lastEventId = request.head.lastEventId
     this.#model = request.head.model
     if (request.head.acceptsAnyModel) this.#planCascade()
@@ -68,7 +70,9 @@
       if (endpoint === undefined) break
       const attempt = request.send(endpoint, { model: this.#model, lastEventId: this.#lastEventId, usesOwnConnection: false })
       this.#startLargestModelWait()
-      const outcome = await this.#readResponse(attempt)
+      const reader = new DeadlineReader(attempt.exchange, request.dependencies.clock)
+      const outcome = await this.#readResponse(attempt, reader)
+      reader.close()
       this.#endLargestModelWait(false, request.now)
       if (outcome === RunOutcome.Done) return
       if (outcome === RunOutcome.NotExecuted) isFull = true
@@ -92,9 +96,9 @@
     this.#model = this.#plan.first
   }
 
-  async #readResponse (attempt: OpenAttempt): Promise<RunOutcome> {
+  async #readResponse (attempt: OpenAttempt, reader: DeadlineReader): Promise<RunOutcome> {
     const request = this.#request
-    const head = await this.#nextEvent(attempt, false)
+    const head = await this.#nextEvent(attempt, reader, false)
     if (head === undefined || head.type !== 'head') return this.#failRun(attempt, reasonOf(head))
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
     if (!request.isOwnResponse(responseHead)) return this.#failRun(attempt, `response to another attempt: ${responseHead.attemptId ?? 'unnamed'}`, AttemptEnd.Cancelled)
@@ -103,10 +107,10 @@
     if (notExecutedReason !== undefined) return notExecutedReason === NotExecutedReason.Misdirected ? RunOutcome.Unsent : RunOutcome.NotExecuted
     attempt.tracker.recordBytes(request.now)
     attempt.run.recordOutput(request.now)
-    if (head.status !== successStatus) return this.#readFailure(attempt, head.status, head.headers)
+    if (head.status !== successStatus) return this.#readFailure(attempt, reader, head.status, head.headers)
     if (!responseHead.isSealed || responseHead.isEncoded) return this.#failRun(attempt, 'unsealed', AttemptEnd.Cancelled)
     if (!this.#isTrusted(responseHead.confidence)) return this.#discardForLargerModel(attempt, responseHead.confidence)
-    return this.#relay(attempt, head.headers)
+    return this.#relay(attempt, reader, head.headers)
   }
 
   #startLargestModelWait (): void {
@@ -135,12 +139,12 @@
     return RunOutcome.Discarded
   }
 
-  async #relay (attempt: OpenAttempt, headers: IncomingHttpHeaders): Promise<RunOutcome> {
+  async #relay (attempt: OpenAttempt, reader: DeadlineReader, headers: IncomingHttpHeaders): Promise<RunOutcome> {
     const request = this.#request
     const splitter = new EventSplitter()
     let hasRunStarted = false
     for (;;) {
-      const event = await this.#nextEvent(attempt, hasRunStarted)
+      const event = await this.#nextEvent(attempt, reader, hasRunStarted)
       const isCompleteEnd = event?.type === 'end' && splitter.pendingBytes === 0
       if (isCompleteEnd && this.#canEndResponse(headers)) return this.#finishResponse(attempt, headers)
       if (isCompleteEnd) return this.#failRun(attempt, 'connection closed without an explicit end of the response')
@@ -148,14 +152,15 @@
       const events = splitter.push(event.bytes)
       if (splitter.pendingBytes > maximumEventBytes) return this.#failRun(attempt, 'event too large')
       if (events === undefined) continue
-      if (hasRunStarted) attempt.evidence?.recordEvents(events.count, request.now)
+      const now = request.now
+      if (hasRunStarted) attempt.evidence?.recordEvents(events.count, now)
       else this.#recordResponseStart(attempt)
       hasRunStarted = true
-      attempt.tracker.recordBytes(request.now)
-      attempt.run.recordOutput(request.now)
+      attempt.tracker.recordBytes(now)
+      attempt.run.recordOutput(now)
       this.#startResponse(headers)
       this.#lastEventId = events.lastEventId ?? this.#lastEventId
-      if (!request.callerResponse.response.write(events.bytes)) await waitForDrain(request.callerResponse.response, request.callerAbort.signal)
+      if (!this.#events.write(events.text)) await waitForDrain(request.callerResponse.response, request.callerAbort.signal)
     }
   }
 
@@ -172,7 +177,7 @@
     this.#isSelfDelimited = isSelfDelimited(headers)
     this.#request.callerResponse.markFirstByte()
     if (!this.#isSelfDelimited) delimitByConnectionClose(this.#request.callerResponse.response)
-    this.#request.callerResponse.response.writeHead(successStatus, this.#request.callerResponse.toCallerHeaders(headers))
+    this.#events.begin(successStatus, this.#request.callerResponse.toCallerHeaders(headers))
   }
 
   /** A run without explicit framing can't end a response whose framing promises the caller a reliable end. */
@@ -189,12 +194,12 @@
     return RunOutcome.Done
   }
 
-  async #readFailure (attempt: OpenAttempt, status: number, headers: IncomingHttpHeaders): Promise<RunOutcome> {
+  async #readFailure (attempt: OpenAttempt, reader: DeadlineReader, status: number, headers: IncomingHttpHeaders): Promise<RunOutcome> {
     const request = this.#request
     const chunks: Buffer[] = []
     let bytes = 0
     for (;;) {
-      const event = await this.#nextEvent(attempt, true)
+      const event = await this.#nextEvent(attempt, reader, true)
       if (event?.type === 'end') break
       if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       bytes += event.bytes.length
@@ -215,26 +220,27 @@
   }
 
   /** Returns the next event; undefined if the run is abandoned for its silence or the deadline has passed. */
-  async #nextEvent (attempt: OpenAttempt, hasRunStarted: boolean): Promise<ExchangeEvent | undefined> {
+  async #nextEvent (attempt: OpenAttempt, reader: DeadlineReader, hasRunStarted: boolean): Promise<ExchangeEvent | undefined> {
     const request = this.#request
-    const { clock, loads } = request.dependencies
-    const { latencyTargetMilliseconds: targetMilliseconds, maximumEventGapMilliseconds: maximumGapMilliseconds } = request.route
     const waitingSince = request.now
-    const next = attempt.exchange.next()
-    const silenceNow = () => ({
-      waitedMilliseconds: clock.now() - waitingSince,
-      endpointSilentMilliseconds: loads.silentMillisecondsOf(attempt.endpoint, clock.now()),
-      endpointWaitMilliseconds: loads.waitMillisecondsAt(attempt.endpoint, clock.now()),
-      hasStarted: hasRunStarted,
-      latencyTargetMilliseconds: targetMilliseconds,
-      maximumEventGapMilliseconds: maximumGapMilliseconds
-    })
-    for (;;) {
-      const millisecondsLeft = millisecondsToAbandonment(silenceNow())
+    for (let now = waitingSince; ; now = request.now) {
+      const millisecondsLeft = millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, waitingSince, now))
       if (millisecondsLeft <= 0 && this.#canResumeElsewhere()) return undefined
-      const checkAt = clock.now() + (millisecondsLeft > 0 ? millisecondsLeft : silenceCheckIntervalMilliseconds)
-      const event = await withDeadline(clock, Math.min(request.deadline, checkAt), next)
-      if (event !== undefined || clock.now() >= request.deadline || request.hasCallerLeft) return event
+      const checkAt = now + (millisecondsLeft > 0 ? millisecondsLeft : silenceCheckIntervalMilliseconds)
+      const event = await reader.next(Math.min(request.deadline, checkAt))
+      if (event !== undefined || request.now >= request.deadline || request.hasCallerLeft) return event
+    }
+  }
+
+  #silenceOf ({ tracker }: OpenAttempt, hasStarted: boolean, waitingSince: number, now: number): RunSilence {
+    const { latencyTargetMilliseconds, maximumEventGapMilliseconds } = this.#request.route
+    return {
+      waitedMilliseconds: now - waitingSince,
+      endpointSilentMilliseconds: tracker.silentMilliseconds(now),
+      endpointWaitMilliseconds: tracker.waitMilliseconds(now),
+      hasStarted,
+      latencyTargetMilliseconds,
+      maximumEventGapMilliseconds
     }
   }
 
--- a/src/placement/endpointLoads.ts
+++ b/src/placement/endpointLoads.ts
@@ -29,6 +29,10 @@
   recordBytes (now: number): void
   /** Records the first event or the complete response; prefill is done from then on. */
   recordResponseStart (now: number): void
+  /** Milliseconds since the last byte was received from the endpoint, by any attempt; infinite if none was. */
+  silentMilliseconds (now: number): number
+  /** Time that requests wait at the endpoint before their turn, in milliseconds. */
+  waitMilliseconds (now: number): number
   close (end: AttemptEnd, now: number): void
 }
 
@@ -94,6 +98,8 @@
         load.workMilliseconds -= work.prefillMilliseconds
         remainingMilliseconds -= work.prefillMilliseconds
       },
+      silentMilliseconds: at => at - load.lastByteAt,
+      waitMilliseconds: at => load.waitMillisecondsAt(at),
       close: (end, at) => {
         if (!isOpen) return
         isOpen = false
@@ -158,11 +164,6 @@
     return Math.max(0, Math.min(...ends) - now)
   }
 
-  /** Milliseconds since the last byte was received from an endpoint. */
-  silentMillisecondsOf (endpoint: RoutedEndpoint, now: number): number {
-    return now - (this.#loads.get(instanceKey(endpoint))?.lastByteAt ?? Number.NEGATIVE_INFINITY)
-  }
-
   /** Removes incarnations that have not been used within the retention period. */
   sweep (now: number): void {
     for (const [key, load] of this.#loads) {
--- a/src/placement/endpointRegistry.ts
+++ b/src/placement/endpointRegistry.ts
@@ -86,14 +86,13 @@
    */
   servingEndpoints (service: string, now: number): readonly RoutedEndpoint[] {
     const known = this.#byService.get(service) ?? []
-    const serving = known.filter(({ endpoint, expiresAt, heldUntil }) =>
-      !this.#departedInstances.has(instanceKey(endpoint)) && (expiresAt === undefined || expiresAt > now) && heldUntil <= now)
-    return serving.map(({ endpoint }) => endpoint)
+    return known.filter(entry => this.#mayReceiveWork(entry, now)).map(({ endpoint }) => endpoint)
   }
 
   /** Whether an incarnation may still receive new work; checked again immediately before each send. */
   isServing (endpoint: RoutedEndpoint, now: number): boolean {
-    return this.servingEndpoints(endpoint.service, now).some(serving => instanceKey(serving) === instanceKey(endpoint))
+    const known = this.#byService.get(endpoint.service) ?? []
+    return known.some(entry => entry.endpoint.identity === endpoint.identity && entry.endpoint.bornAt === endpoint.bornAt && this.#mayReceiveWork(entry, now))
   }
 
   /**
@@ -114,6 +113,10 @@
     return [...this.#departedInstances].slice(-maximumToldInstances)
   }
 
+  #mayReceiveWork ({ endpoint, expiresAt, heldUntil }: KnownEndpoint, now: number): boolean {
+    return !this.#departedInstances.has(instanceKey(endpoint)) && (expiresAt === undefined || expiresAt > now) && heldUntil <= now
+  }
+
   #knownEndpoints (): KnownEndpoint[] {
     return [...this.#byService.values()].flat()
   }
