Give the recorded response of tests what refusals and cuts look at

sendRefusal and cutResponse look at the request, the socket and the framing of a response since the fixes of refusals; the fake lacked them, so the test of the size of a refused request ended in a TypeError of the fake.

--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -179,6 +179,9 @@
 /** The caller's side of a response. */
 class RecordedResponse extends Writable {
   headersSent = false
+  readonly req = { complete: true }
+  readonly socket = null
+  readonly chunkedEncoding = false
   #status: number | undefined
   #headers: Readonly<Record<string, unknown>> = {}
   #events = 0
