Leave a planned stop time for a signal that is noticed late

Callers saw: on a busy VM, a request that was sent more than 3 s after the signal could be accepted and then cut by the end of the stop, and the process could be killed before it had closed and written its log.

Cause: the platform counts from when it sent the signal, kills at the end of the grace, and excuses cut runs of requests that were sent up to 3 s after it. The gateway counted from when it noticed (0.1 s and more later) and kept 0.5 s after the drain, of which hand-over, flush and closing may take 0.45 s.

Why this works: signalDelayMilliseconds (0.4 s) is taken off the time in which late requests are served (2.6 s) and off the grace. The reserve is the sum of its parts: the delay, the hand-over, the writing of the log beside the closing of components, and the lateness of timers; 0.8 s.

A signal that is noticed more than 0.4 s late isn't covered.

--- a/src/forwarder/forwarder.ts
+++ b/src/forwarder/forwarder.ts
@@ -2,14 +2,18 @@
 import type { AwilixContainer } from 'awilix'
 import { type BootFile, readBootFile } from '../../platform/index.ts'
 import { Err, Ok, type Result, withDeadline } from '../contract/index.ts'
+import { signalDelayMilliseconds } from '../gateway/index.ts'
 import { type ForwarderDependencies, type ForwarderOptions, composeForwarder } from './composition.ts'
 
 /** Where metrics are served on every VM; `deploy/system.toml` names the same port. */
 const metricsPort = 9464
-/** Part of the grace period reserved for flushing the log and ending the process. */
-const graceReserveMilliseconds = 500
 const handOverTimeoutMilliseconds = 150
-const flushTimeoutMilliseconds = 150
+/** For writing the log and closing all components. */
+const closeTimeoutMilliseconds = 150
+/** By which the timers of a busy VM may exceed these times. */
+const timerDelayMilliseconds = 100
+/** Part of the grace period that is left after the drain. */
+const graceReserveMilliseconds = signalDelayMilliseconds + handOverTimeoutMilliseconds + closeTimeoutMilliseconds + timerDelayMilliseconds
 const bootFileCheckIntervalMilliseconds = 5_000
 const sweepIntervalMilliseconds = 10_000
 
@@ -62,10 +66,10 @@
 
   /** Planned stop: waits for accepted requests within the grace period, then closes all components. */
   async stop (): Promise<void> {
-    const { boot, fleetReports, news, rollOutCoordinator, follower, gateway, logLines, link, log, operations, peers, relayFollower, store, connections, forwarding } = this.#container.cradle
+    const { boot, clock, fleetReports, news, rollOutCoordinator, follower, gateway, logLines, link, log, operations, peers, relayFollower, store, connections, forwarding } = this.#container.cradle
     log.info('stopping', { inFlight: forwarding.inFlight, graceMilliseconds: boot.current.graceMilliseconds })
     this.#stopping.abort('stopping')
-    const drainMilliseconds = boot.current.graceMilliseconds - graceReserveMilliseconds
+    const drainMilliseconds = Math.max(0, boot.current.graceMilliseconds - graceReserveMilliseconds)
     await Promise.all([this.#handOverSessions(drainMilliseconds), gateway.drain(drainMilliseconds)])
     // Sessions served during the drain are on the second list only.
     await this.#handOverSessions(handOverTimeoutMilliseconds)
@@ -77,8 +81,7 @@
     follower.stop()
     operations.close()
     log.info('stopped', {})
-    await logLines.flush(flushTimeoutMilliseconds)
-    await Promise.race([Promise.all([link.close(), store.close(), connections.close()]), new Promise(resolve => setTimeout(resolve, flushTimeoutMilliseconds))])
+    await withDeadline(clock, clock.now() + closeTimeoutMilliseconds, Promise.all([logLines.flush(closeTimeoutMilliseconds), link.close(), store.close(), connections.close()]))
   }
 
   async #handOverSessions (timeoutMilliseconds: number): Promise<void> {
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -11,12 +11,14 @@
 import type { Log } from '../observe/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
 import { CallerConnections } from './callerConnections.ts'
-import type { PlannedStop } from './plannedStop.ts'
+import { type PlannedStop, signalDelayMilliseconds } from './plannedStop.ts'
 
 /** Time until the load balancer, which checks once a second, has taken this VM out after two failed checks. */
 const balancerRemovalMilliseconds = 2_400
-/** A request that arrives later than this after the stop began would be cut off by its end. */
-const lateRequestMilliseconds = 3_000
+/** The platform expects an answer to a request that was sent later than this after its signal, also if the stop ends meanwhile. */
+const excusedRequestMilliseconds = 3_000
+/** A request that arrives later than this after the stop began might be cut off by its end. */
+const lateRequestMilliseconds = excusedRequestMilliseconds - signalDelayMilliseconds
 /** Time before the end of a stop in which waiting requests are refused and the refusals are sent. */
 const refusalMilliseconds = 300
 const drainPollIntervalMilliseconds = 50
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -2,7 +2,7 @@
 export { GatewayServer, type GatewayServerOptions } from './gatewayServer.ts'
 export { Forwarding, type ForwardingDependencies } from './forwarding.ts'
 export { EndpointAnnouncements, type EndpointAnnouncementsOptions } from './endpointAnnouncements.ts'
-export { PlannedStop } from './plannedStop.ts'
+export { PlannedStop, signalDelayMilliseconds } from './plannedStop.ts'
 export { RoutingView } from './routingView.ts'
 export { RollOutView, type VersionedStatus, type RollOutRows } from './rollOutView.ts'
 export { PinnedSessions, type PinnedRollOut } from './pinnedSessions.ts'
--- a/src/gateway/plannedStop.ts
+++ b/src/gateway/plannedStop.ts
@@ -4,6 +4,9 @@
  */
 import type { Clock } from '../contract/index.ts'
 
+/** How much later than it was sent a busy VM may notice the signal to stop. The platform counts from when it was sent. */
+export const signalDelayMilliseconds = 400
+
 /**
  * @example
  * const body = await plannedStop.orEnd(readBoundedBody(request, maximumBytes))
