--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -26,16 +26,6 @@
     return this.#unsentCount
   }
 
-  /** Responses of which the kernel has not taken all bytes yet. */
-  get openResponseCount (): number {
-    return this.#listener.openResponseCount
-  }
-
-  /** Accepts no further connections. */
-  stopListening (): void {
-    this.#listener.stopListening()
-  }
-
   /** Closes connections on which nothing is to be answered or sent, including those on which nothing was ever received. */
   closeIdle (): void {
     for (const connection of this.#listener.connections) {
--- a/src/server/inputPoll.ts
+++ b/src/server/inputPoll.ts
@@ -5,7 +5,8 @@
 const shortRoundMilliseconds = 5
 /** The first round accepts connections, the second one reads their requests. */
 const minimumRounds = 2
-const maximumRounds = 10
+/** Rounds of a busy event loop are long; no further one begins after this time. */
+const maximumMilliseconds = 100
 
 /**
  * Resolves right after a poll for input. Timers run before input is read, so after a stall of the event
@@ -16,9 +17,12 @@
  * connections.closeIdle()
  */
 export async function untilInputIsRead (clock: Clock): Promise<void> {
-  for (let round = 1; round <= maximumRounds; round++) {
-    const startedAt = clock.now()
+  const startedAt = clock.now()
+  for (let round = 1; ; round++) {
+    const roundStartedAt = clock.now()
     await new Promise(resolve => setImmediate(resolve))
-    if (round >= minimumRounds && clock.now() - startedAt < shortRoundMilliseconds) return
+    const now = clock.now()
+    const wasEnough = now - roundStartedAt < shortRoundMilliseconds || now - startedAt >= maximumMilliseconds
+    if (round >= minimumRounds && wasEnough) return
   }
 }
--- a/test/gatewayStopTimes.test.ts
+++ b/test/gatewayStopTimes.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { ForwarderHarness, waitUntil } from './fakes/forwarderWorld.ts'
-import { RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
+import { ConnectionState, RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
 import { Log } from '../src/observe/index.ts'
 
 /** The platform excuses requests that were sent up to this time after its signal. */
@@ -8,6 +8,8 @@
 /** A busy VM may notice the signal so much later. */
 const signalDelayMilliseconds = 400
 const graceSeconds = 4
+/** The listener is closed after this time, and idle connections with it. */
+const listenerCloseMilliseconds = 2_400
 
 let harness: ForwarderHarness
 let callers: RawCaller[]
@@ -72,3 +74,16 @@
   expect(fieldsOf('request_ended')).toMatchObject({ outcome: 'cut_by_stop' })
   expect(fieldsOf('drained')).toMatchObject({ cut: 1 })
 })
+
+test.each([['answered', 'good-key', 200], ['refused', 'unknown-key', 401]] as const)('a kept connection whose request was %s before the stop is closed in order while other requests run', async (_end, key, status) => {
+  const host = await startWithRunningRequest(3_000)
+  const caller = await connectCaller(host)
+  caller.write(requestHead('/release/2', { id: 'before', key }))
+  await caller.until(1)
+  const stopped = harness.stopForwarder(host)
+  await pause(listenerCloseMilliseconds + 200)
+  expect(caller.statuses).toEqual([status])
+  expect(caller.state).toBe(ConnectionState.Ended)
+  expect(callers[0]?.state).toBe(ConnectionState.Open)
+  await stopped
+})
