Answer the requests before a malformed or late head, and refuse it then

Callers whose running request was followed by a malformed or slow head on the same connection got 400, 408 or 431 in place of their answer. On a kept connection such a head was cut without a refusal; a caller that was still sending saw a reset instead of it, and one that never closed its side kept its connection for good. Cause: the refusal was written to the socket at once if nothing had been sent on it, and the connection was destroyed otherwise. Nothing that follows a refused head is passed on. A caller that ends its side in the middle of a head counts as leaving, as before. The time for a body is bounded where it is read, as before.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -4,13 +4,13 @@
  * has been handed to the kernel.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import type { Clock } from '../contract/index.ts'
 import { type CallerListener, untilInputIsRead } from '../server/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
 import { CallerConnections } from './callerConnections.ts'
+import { HeadRefusals } from './headRefusals.ts'
 import { cutResponse } from './responseFraming.ts'
 
 /** Time until the load balancer, which checks once a second, has taken this VM out after two failed checks. */
@@ -33,12 +33,13 @@
 export class GatewayServer {
   readonly #options: GatewayServerOptions
   readonly #connections: CallerConnections
+  readonly #headRefusals: HeadRefusals
   #drainingSince: number | undefined
 
   constructor (options: GatewayServerOptions) {
     this.#options = options
     this.#connections = new CallerConnections(options.listener, options.log)
-    options.listener.server.on('clientError', (error: Error & { readonly code?: string }, socket) => this.#refuseMalformed(error, socket as Socket))
+    this.#headRefusals = new HeadRefusals(options.listener, options.log)
   }
 
   /** Whether a planned stop has begun. */
@@ -98,25 +99,14 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.#headRefusals.isRefused(request.socket)) {
+      request.resume()
+      return
+    }
     if (this.#drainingSince !== undefined) {
       const isLate = this.#options.clock.now() - this.#drainingSince > lateRequestMilliseconds
       if (isLate) return this.#options.refuseLate(request, response)
     }
     await this.#options.handle(request, response)
   }
-
-  #refuseMalformed (error: Error & { readonly code?: string }, socket: Socket): void {
-    this.#options.log.info('request_malformed', { reason: error.code ?? error.message, caller: `${socket.remoteAddress}:${socket.remotePort}`, sentBytes: socket.bytesWritten })
-    if (!socket.writable || socket.bytesWritten > 0) {
-      socket.destroy()
-      return
-    }
-    const status = statusLines[error.code ?? ''] ?? '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
-  }
-}
-
-const statusLines: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
 }
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -32,6 +32,30 @@
     return this.#openResponses.size
   }
 
+  /** Whether a request that was read to its end has not been answered. */
+  get isAnswering (): boolean {
+    return this.#answering.length > 0
+  }
+
+  /** Whether a request is being read whose head has arrived. */
+  get isReadingBody (): boolean {
+    return this.#answering.length < this.#openResponses.size
+  }
+
+  /** Whether a response has been sent in part. */
+  get hasBegunResponse (): boolean {
+    return [...this.#openResponses].some(({ headersSent }) => headersSent)
+  }
+
+  /** Resolves when the requests that were read to their end so far are answered. */
+  async untilAnswered (): Promise<void> {
+    await Promise.all(this.#answering.map(response => new Promise(resolve => response.once('close', resolve))))
+  }
+
+  get #answering (): readonly ServerResponse[] {
+    return [...this.#openResponses].filter(({ req }) => req.complete)
+  }
+
   /** Bytes that the kernel has not taken yet. */
   get unsentBytes (): number {
     return this.socket.destroyed ? 0 : this.socket.writableLength
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -42,6 +42,11 @@
     return [...this.#connections.values()]
   }
 
+  /** The open connection of a socket. */
+  connectionOf (socket: Socket): CallerConnection | undefined {
+    return this.#connections.get(socket)
+  }
+
   /** Responses of open connections of which the kernel has not taken all bytes yet. */
   get openResponseCount (): number {
     return this.connections.reduce((sum, { openResponseCount }) => sum + openResponseCount, 0)
--- a/src/server/index.ts
+++ b/src/server/index.ts
@@ -1,4 +1,5 @@
-/** Helpers shared by the HTTP servers: listening on an IP address, reading bodies with limits and ending responses. */
+/** Helpers shared by the HTTP servers: listening on an IP address, limits on sizes and times, and ending responses. */
+export type { CallerConnection } from './callerConnection.ts'
 export { CallerListener, type RequestListener } from './callerListener.ts'
 export { endAfterRequest } from './endAfterRequest.ts'
 export { untilInputIsRead } from './inputPoll.ts'
