Keep the time limit under which a head began, and count it from its first byte

Callers got an unasked 408 on a connection on which they had sent nothing yet, and took it for the answer to their next request. A head that would have arrived in time was refused because settings had lowered the limit meanwhile, and on a kept connection a head that paused for longer than the idle time was cut. Cause: Node.js counts the limit for heads from the connect until the first byte, applies the limit in force when it checks, and does not suspend the idle time while a head arrives. Fix: HeadTimeLimits decides what Node's check means. An unused connection ends by the idle time without a response; a head that was arriving when the limit was lowered has the old limit, counted from that change; a connection whose idle time is over while a head arrives is left to the limit for heads, once. New in test/gatewayHeads.test.ts: the unused connection's end and the slow head on a kept connection failed before; that on an unused connection passed before as well.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import type { Clock } from '../contract/index.ts'
-import { type CallerListener, untilInputIsRead } from '../server/index.ts'
+import { type CallerListener, HeadTimeLimits, untilInputIsRead } from '../server/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
 import { CallerConnections } from './callerConnections.ts'
@@ -33,13 +33,15 @@
 export class GatewayServer {
   readonly #options: GatewayServerOptions
   readonly #connections: CallerConnections
+  readonly #headLimits: HeadTimeLimits
   readonly #headRefusals: HeadRefusals
   #drainingSince: number | undefined
 
   constructor (options: GatewayServerOptions) {
     this.#options = options
     this.#connections = new CallerConnections(options.listener, options.log)
-    this.#headRefusals = new HeadRefusals(options.listener, options.log)
+    this.#headLimits = new HeadTimeLimits(options.listener)
+    this.#headRefusals = new HeadRefusals(options.listener, this.#headLimits, options.log)
   }
 
   /** Whether a planned stop has begun. */
@@ -61,9 +63,7 @@
 
   /** Applies the operator's time limits for callers. */
   applyLimits (limits: CallerLimits): void {
-    const { server } = this.#options.listener
-    server.headersTimeout = limits.headerTimeoutMilliseconds
-    server.keepAliveTimeout = limits.idleTimeoutMilliseconds
+    this.#headLimits.apply(limits.headerTimeoutMilliseconds, limits.idleTimeoutMilliseconds)
   }
 
   /**
--- a/src/gateway/headRefusals.ts
+++ b/src/gateway/headRefusals.ts
@@ -4,7 +4,7 @@
  */
 import type { Socket } from 'node:net'
 import type { Log } from '../observe/index.ts'
-import type { CallerConnection, CallerListener } from '../server/index.ts'
+import type { CallerConnection, CallerListener, HeadTimeLimits } from '../server/index.ts'
 
 /** After the refusal the caller has this time to read it and to close its side. */
 const maximumCloseMilliseconds = 3_000
@@ -27,17 +27,19 @@
 
 /**
  * @example
- * const refusals = new HeadRefusals(listener, log)
+ * const refusals = new HeadRefusals(listener, limits, log)
  * if (refusals.isRefused(request.socket)) return
  */
 export class HeadRefusals {
   readonly #listener: CallerListener
+  readonly #limits: HeadTimeLimits
   readonly #log: Log
   /** Bytes that had been received when a head was refused. */
   readonly #refusedAt = new WeakMap<Socket, number>()
 
-  constructor (listener: CallerListener, log: Log) {
+  constructor (listener: CallerListener, limits: HeadTimeLimits, log: Log) {
     this.#listener = listener
+    this.#limits = limits
     this.#log = log
     listener.server.on('clientError', (error: ParserError, socket) => this.#receive(error, socket as Socket))
   }
@@ -57,7 +59,13 @@
   /** The time for a body is bounded where it is read. */
   #receiveLate (error: ParserError, socket: Socket): void {
     if (this.#listener.connectionOf(socket)?.isReadingBody === true) return
-    this.#refuse(error, socket)
+    const millisecondsLeft = this.#limits.millisecondsLeft(socket)
+    if (millisecondsLeft === Infinity) return
+    if (millisecondsLeft === 0) return this.#refuse(error, socket)
+    const recheck = setTimeout(() => {
+      if (this.#limits.isKept(socket) && !this.isRefused(socket)) this.#refuse(error, socket)
+    }, millisecondsLeft)
+    socket.once('close', () => clearTimeout(recheck))
   }
 
   #refuse (error: ParserError, socket: Socket): void {
--- a/src/server/index.ts
+++ b/src/server/index.ts
@@ -2,6 +2,7 @@
 export type { CallerConnection } from './callerConnection.ts'
 export { CallerListener, type RequestListener } from './callerListener.ts'
 export { endAfterRequest } from './endAfterRequest.ts'
+export { HeadTimeLimits } from './headTimeLimits.ts'
 export { untilInputIsRead } from './inputPoll.ts'
 export { listenOn } from './listenOn.ts'
 export { readBoundedBody } from './boundedBody.ts'
--- a/test/gatewayHeads.test.ts
+++ b/test/gatewayHeads.test.ts
@@ -29,6 +29,26 @@
   await harness.close()
 })
 
+test('a connection on which nothing was sent is closed after the idle time without a response', async () => {
+  await pause(idleMilliseconds + toleranceMilliseconds)
+  expect(caller.state).not.toBe(ConnectionState.Open)
+  expect(caller.text).toBe('')
+})
+
+test.each(['an unused', 'a kept'])('a head that arrives within its limit on %s connection is served although it takes longer than the idle time', async kind => {
+  const statuses = kind === 'a kept' ? [200, 200] : [200]
+  if (kind === 'a kept') {
+    caller.write(requestHead('/release/1', { id: 'before' }))
+    await caller.until(1)
+  }
+  const head = requestHead('/release/2', { id: 'slow' })
+  caller.write(head.slice(0, 40))
+  await pause(headMilliseconds - idleMilliseconds)
+  caller.write(head.slice(40))
+  await caller.until(statuses.length)
+  expect(caller.statuses).toEqual(statuses)
+})
+
 test('a head that never ends is refused as late, and its connection is closed', async () => {
   caller.write(requestHead('/release/1', { id: 'endless' }).slice(0, 40))
   await caller.until(1)
