Look for a refused head when a request arrives, before input is polled

The merge had put the poll first: a malformed head that follows in the same read would then have kept the request before it from being served.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -58,11 +58,11 @@
 
   /** A busy process may read a request long after its caller has left; what ended the connection is read first. */
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    await untilInputIsRead(this.#options.clock)
     if (this.#headRefusals.isRefused(request.socket)) {
       request.resume()
       return
     }
+    await untilInputIsRead(this.#options.clock)
     if (this.#drain.isTooLate) return this.#options.refuseLate(request, response)
     await this.#options.handle(request, response)
   }
