Ask for less confidence when long answers would not be whole in time

Cause: the cascade followed only the wait for first events of the largest model. A busy engine begins streams soon and then crawls, and a time limit was not looked at. Each answer that was dropped for a larger model made all streams of its engine slower.

Each gateway now learns, by route and model, the wait until a response begins, the time of each event, also of streams at work and of those that fall silent, and the length of nine answers in ten for the tokens that callers allow. The confidence asked for falls in proportion as a long answer of the larger model takes 0.4 to 0.7 of the time left, so more good answers come from the small model before the time is used up; proportion and means keep it from swinging. The wait of the small run itself counts too: a gateway that has seen nothing knows that much of its engine.

The cascade's part of StreamForwarding is a module now, ModelChoice.

--- /dev/null
+++ b/src/gateway/modelChoice.ts
@@ -0,0 +1,94 @@
+/**
+ * Which model the next run of a streamed request asks, and whether a smaller model's answer is good enough.
+ * It also tells the model cascade how the runs went.
+ */
+import type { CascadePlan } from '../placement/index.ts'
+import type { ForwardedRequest } from './forwardedRequest.ts'
+
+/** A larger model takes a multiple of a smaller one's time to read the same prompt; at least this multiple. */
+const largerModelWaitRatio = 2
+
+export class ModelChoice {
+  readonly #request: ForwardedRequest
+  #plan: CascadePlan | undefined
+  #model: string | undefined
+  #relayedEvents = 0
+  #runStartedAt = 0
+  #endLargestModelWait: (hasBegun: boolean, at: number) => void = () => undefined
+
+  constructor (request: ForwardedRequest) {
+    this.#request = request
+    this.#model = request.head.model
+    if (request.head.acceptsAnyModel) this.#planCascade()
+  }
+
+  /** The model to ask; undefined if the caller's request names none. */
+  get model (): string | undefined {
+    return this.#model
+  }
+
+  recordRunStart (): void {
+    const { dependencies, route, now } = this.#request
+    this.#runStartedAt = now
+    const isLargest = this.#model !== undefined && this.#model === route.modelSizes.at(-1)
+    if (isLargest) this.#endLargestModelWait = dependencies.modelCascade.trackLargestModelWait(now, route.latencyTargetMilliseconds)
+  }
+
+  /** Records that a response began, whether or not it is released; also that one was given up before it began. */
+  recordWaitEnd (): void {
+    const { dependencies, route, now } = this.#request
+    if (this.#plan !== undefined) dependencies.modelCascade.answerTimes.recordWait(route.name, this.#model ?? '', now - this.#runStartedAt, now)
+  }
+
+  recordFirstEvents (count: number): void {
+    this.#relayedEvents += count
+    this.#endLargestModelWait(true, this.#request.now)
+  }
+
+  /** Records further events of a run and how long they were waited for; none, if the run fell silent. */
+  recordEvents (count: number, milliseconds: number): void {
+    const { dependencies, route, now } = this.#request
+    this.#relayedEvents += count
+    if (this.#plan !== undefined) dependencies.modelCascade.answerTimes.recordEvents(route.name, this.#model ?? '', count, milliseconds, now)
+  }
+
+  recordRunEnd (): void {
+    this.#endLargestModelWait(false, this.#request.now)
+  }
+
+  /** Records the length of the answer when nothing more is relayed. The whole length of one that its caller resumed is unknown. */
+  recordAnswerEnd (isWhole: boolean): void {
+    const { dependencies, route, head } = this.#request
+    if (this.#plan === undefined || head.lastEventId !== undefined) return
+    dependencies.modelCascade.answerTimes.recordLength(route.name, this.#relayedEvents, head.maximumOutputTokens, isWhole)
+  }
+
+  /** Whether the model's own confidence in its response is high enough to release it. */
+  isTrusted (confidence: number | undefined, hasResponseStarted: boolean): boolean {
+    const larger = this.#plan?.larger
+    if (larger === undefined || this.#model === larger || hasResponseStarted) return true
+    const { attemptsLeft, dependencies, service, now } = this.#request
+    if (attemptsLeft < 2 || !dependencies.retryBudget.allows(service, now)) return true
+    return dependencies.modelCascade.accepts(confidence, now, this.#timeShareOf(larger, (now - this.#runStartedAt) * largerModelWaitRatio))
+  }
+
+  /** Asks the larger model from now on. */
+  escalate (): void {
+    this.#model = this.#plan?.larger
+  }
+
+  #planCascade (): void {
+    const { attemptsLeft, latencyTargetShareLeft, dependencies, head, route, service, now } = this.#request
+    const mayRetry = route.isResumable && head.lastEventId === undefined && dependencies.retryBudget.allows(service, now)
+    this.#plan = dependencies.modelCascade.plan(route.modelSizes, { attemptsLeft, latencyTargetShareLeft, mayRetry })
+    this.#model = this.#plan.first
+  }
+
+  /** Share of the time left that a long answer of a model is expected to take; may be above 1. */
+  #timeShareOf (model: string, leastWaitMilliseconds = 0): number {
+    const { deadline, dependencies, head, route, now } = this.#request
+    const { latencyTargetMilliseconds } = route
+    const answer = { route: route.name, model, latencyTargetMilliseconds, maximumOutputTokens: head.maximumOutputTokens, relayedEvents: this.#relayedEvents, leastWaitMilliseconds }
+    return dependencies.modelCascade.answerTimes.expectedMilliseconds(answer, now) / Math.max(1, deadline - now)
+  }
+}
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -7,11 +7,12 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { withDeadline } from '../contract/index.ts'
 import type { ExchangeEvent } from '../endpoint/index.ts'
-import { type CascadePlan, AttemptEnd, millisecondsToAbandonment } from '../placement/index.ts'
+import { AttemptEnd, millisecondsToAbandonment } from '../placement/index.ts'
 import { delimitByConnectionClose, isSelfDelimited } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import { EventSplitter } from './eventSplitter.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
+import { ModelChoice } from './modelChoice.ts'
 import { type OpenAttempt, NotExecutedReason } from './openAttempt.ts'
 import { waitForDrain } from './plainForwarding.ts'
 
@@ -43,33 +44,30 @@
 
 export class StreamForwarding {
   readonly #request: ForwardedRequest
-  #plan: CascadePlan | undefined
-  #model: string | undefined
+  readonly #choice: ModelChoice
   #lastEventId: string | undefined
   #hasResponseStarted = false
   /** Whether the caller can tell the end of the response from its framing. */
   #isSelfDelimited = true
   #mayHaveRun = false
   #failedResponse: CompleteResponse | undefined
-  #endLargestModelWait: (hasBegun: boolean, at: number) => void = () => undefined
 
   constructor (request: ForwardedRequest) {
     this.#request = request
     this.#lastEventId = request.head.lastEventId
-    this.#model = request.head.model
-    if (request.head.acceptsAnyModel) this.#planCascade()
+    this.#choice = new ModelChoice(request)
   }
 
   async run (): Promise<void> {
     const request = this.#request
     let isFull = false
     while (request.tryStartAttempt()) {
-      const endpoint = await request.awaitEndpoint(this.#model, this.#hasResponseStarted)
+      const endpoint = await request.awaitEndpoint(this.#choice.model, this.#hasResponseStarted)
       if (endpoint === undefined) break
-      const attempt = request.send(endpoint, { model: this.#model, lastEventId: this.#lastEventId, usesOwnConnection: false })
-      this.#startLargestModelWait()
+      const attempt = request.send(endpoint, { model: this.#choice.model, lastEventId: this.#lastEventId, usesOwnConnection: false })
+      this.#choice.recordRunStart()
       const outcome = await this.#readResponse(attempt)
-      this.#endLargestModelWait(false, request.now)
+      this.#choice.recordRunEnd()
       if (outcome === RunOutcome.Done) return
       if (outcome === RunOutcome.NotExecuted) isFull = true
       if (outcome === RunOutcome.Broken || outcome === RunOutcome.Failed || outcome === RunOutcome.Discarded) this.#mayHaveRun = true
@@ -80,21 +78,16 @@
 
   #endUnanswered (isFull: boolean): void {
     const request = this.#request
+    this.#choice.recordAnswerEnd(false)
     if (this.#hasResponseStarted) return request.callerResponse.abort(request.isPastDeadline ? 'timed_out' : 'stream_lost')
     if (this.#failedResponse !== undefined) return request.callerResponse.deliver(this.#failedResponse)
     request.refuseUnanswered(this.#mayHaveRun, isFull)
   }
 
-  #planCascade (): void {
-    const { attemptsLeft, latencyTargetShareLeft, dependencies, route, service, now } = this.#request
-    const mayRepeat = route.isResumable && this.#lastEventId === undefined && dependencies.retryBudget.allows(service, now)
-    this.#plan = dependencies.modelCascade.plan(route.modelSizes, { attemptsLeft, latencyTargetShareLeft, mayRetry: mayRepeat })
-    this.#model = this.#plan.first
-  }
-
   async #readResponse (attempt: OpenAttempt): Promise<RunOutcome> {
     const request = this.#request
     const head = await this.#nextEvent(attempt, false)
+    if (head === undefined) this.#choice.recordWaitEnd()
     if (head === undefined || head.type !== 'head') return this.#failRun(attempt, reasonOf(head))
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
     if (!request.isOwnResponse(responseHead)) return this.#failRun(attempt, `response to another attempt: ${responseHead.attemptId ?? 'unnamed'}`, AttemptEnd.Cancelled)
@@ -105,25 +98,11 @@
     attempt.run.recordOutput(request.now)
     if (head.status !== successStatus) return this.#readFailure(attempt, head.status, head.headers)
     if (!responseHead.isSealed || responseHead.isEncoded) return this.#failRun(attempt, 'unsealed', AttemptEnd.Cancelled)
-    if (!this.#isTrusted(responseHead.confidence)) return this.#discardForLargerModel(attempt, responseHead.confidence)
+    this.#choice.recordWaitEnd()
+    if (!this.#choice.isTrusted(responseHead.confidence, this.#hasResponseStarted)) return this.#discardForLargerModel(attempt, responseHead.confidence)
     return this.#relay(attempt, head.headers)
   }
 
-  #startLargestModelWait (): void {
-    const { dependencies, route, now } = this.#request
-    const isLargest = this.#model !== undefined && this.#model === route.modelSizes.at(-1)
-    if (isLargest) this.#endLargestModelWait = dependencies.modelCascade.trackLargestModelWait(now, route.latencyTargetMilliseconds)
-  }
-
-  /** Whether the model's own confidence in its response is high enough to release it. */
-  #isTrusted (confidence: number | undefined): boolean {
-    const larger = this.#plan?.larger
-    if (larger === undefined || this.#model === larger || this.#hasResponseStarted) return true
-    const { attemptsLeft, dependencies, service, now } = this.#request
-    if (attemptsLeft < 2 || !dependencies.retryBudget.allows(service, now)) return true
-    return dependencies.modelCascade.accepts(confidence, now)
-  }
-
   #discardForLargerModel (attempt: OpenAttempt, confidence: number | undefined): RunOutcome {
     const request = this.#request
     attempt.evidence?.recordBegin(request.now)
@@ -131,7 +110,7 @@
     request.finishAttempt(attempt, AttemptEnd.Answered, `dropped at confidence ${confidence}`)
     request.allowRetryAt(attempt.endpoint)
     request.dependencies.metrics.escalations.inc({ service: request.service })
-    this.#model = this.#plan?.larger
+    this.#choice.escalate()
     return RunOutcome.Discarded
   }
 
@@ -139,17 +118,18 @@
     const request = this.#request
     const splitter = new EventSplitter()
     let hasRunStarted = false
-    for (;;) {
+    for (let waitedSince = request.now; ;) {
       const event = await this.#nextEvent(attempt, hasRunStarted)
       const isCompleteEnd = event?.type === 'end' && splitter.pendingBytes === 0
       if (isCompleteEnd && this.#canEndResponse(headers)) return this.#finishResponse(attempt, headers)
       if (isCompleteEnd) return this.#failRun(attempt, 'connection closed without an explicit end of the response')
+      if (event === undefined && hasRunStarted) this.#choice.recordEvents(0, request.now - waitedSince)
       if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
       if (splitter.pendingBytes > maximumEventBytes) return this.#failRun(attempt, 'event too large')
       if (events === undefined) continue
-      if (hasRunStarted) attempt.evidence?.recordEvents(events.count, request.now)
-      else this.#recordResponseStart(attempt)
+      if (hasRunStarted) this.#recordEvents(attempt, events.count, request.now - waitedSince)
+      else this.#recordResponseStart(attempt, events.count)
       hasRunStarted = true
       attempt.tracker.recordBytes(request.now)
       attempt.run.recordOutput(request.now)
@@ -157,14 +137,20 @@
       this.#lastEventId = events.lastEventId ?? this.#lastEventId
       request.callerResponse.recordEvents(events.count)
       if (!request.callerResponse.response.write(events.bytes)) await waitForDrain(request.callerResponse.response, request.callerAbort.signal)
+      waitedSince = request.now
     }
   }
 
-  #recordResponseStart (attempt: OpenAttempt): void {
+  #recordEvents (attempt: OpenAttempt, count: number, milliseconds: number): void {
+    attempt.evidence?.recordEvents(count, this.#request.now)
+    this.#choice.recordEvents(count, milliseconds)
+  }
+
+  #recordResponseStart (attempt: OpenAttempt, count: number): void {
     const request = this.#request
     attempt.evidence?.recordBegin(request.now)
     attempt.tracker.recordResponseStart(request.now)
-    this.#endLargestModelWait(true, request.now)
+    this.#choice.recordFirstEvents(count)
   }
 
   #startResponse (headers: IncomingHttpHeaders): void {
@@ -183,6 +169,7 @@
 
   #finishResponse (attempt: OpenAttempt, headers: IncomingHttpHeaders): RunOutcome {
     this.#startResponse(headers)
+    this.#choice.recordAnswerEnd(true)
     this.#request.recordAnswer(attempt, headers)
     this.#request.finishAttempt(attempt, AttemptEnd.Answered, 'whole')
     this.#request.callerResponse.response.end()
@@ -243,7 +230,7 @@
   #canResumeElsewhere (): boolean {
     const { attemptsLeft, dependencies, route, service, now } = this.#request
     if (attemptsLeft < 2 || !route.isResumable || !dependencies.retryBudget.allows(service, now)) return false
-    return this.#request.chooseEndpoint(this.#model) !== undefined
+    return this.#request.chooseEndpoint(this.#choice.model) !== undefined
   }
 
   #failRun (attempt: OpenAttempt, reason: string, end: AttemptEnd = this.#request.attemptEndWithoutResponse(attempt, reason === silentReason)): RunOutcome {
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -4,6 +4,7 @@
 export { EndpointPlacement, type PlacementRequest } from './endpointPlacement.ts'
 export { overloadBackoff, type OverloadBackoff } from './overloadBackoff.ts'
 export { EndpointHealth } from './endpointHealth.ts'
+export { type ExpectedAnswer } from './answerTimes.ts'
 export { ModelCascade, type CascadePlan } from './modelCascade.ts'
 export { RetryBudget } from './retryBudget.ts'
 export { exposureOf, canComplete, mayExpose, pinListingDelayMilliseconds, VersionSelector, type VersionSplit } from './rollOutExposure.ts'
--- a/src/placement/modelCascade.ts
+++ b/src/placement/modelCascade.ts
@@ -6,8 +6,11 @@
  * response is certain to be good.
  *
  * Under a burst, when the largest model's responses are late, the confidence threshold is lowered, so
- * that probably good responses are accepted and requests that need the largest model get it in time.
+ * that probably good responses are accepted and requests that need the largest model get it in time. It
+ * is lowered as well when long answers would take most of the time that a request has left, since the
+ * responses of larger models slow down all streams of their endpoints.
  */
+import { AnswerTimes } from './answerTimes.ts'
 
 /** Minimum accepted confidence by lateness; lateness is the delay of the largest model's first event as a share of the latency target. */
 const confidenceSteps = [
@@ -25,6 +28,11 @@
 /** With less than this share of the latency target left, only the largest model is asked. */
 const minimumTargetShareForCascade = 0.35
 
+/** Up to this share of the time left for a long answer of the largest model, the confidence threshold is as usual. */
+const usualTimeShare = 0.4
+/** From this share on, any response is accepted. */
+const highestTimeShare = 0.7
+
 /** Models to ask, in order. */
 export interface CascadePlan {
   readonly first: string
@@ -51,6 +59,7 @@
  * const plan = cascade.plan(['small', 'medium', 'large'], { attemptsLeft: 3, latencyTargetShareLeft: 1, mayRetry: true })
  */
 export class ModelCascade {
+  readonly answerTimes = new AnswerTimes()
   #lateness: number = initialLateness
   readonly #waitingRuns = new Set<WaitingRun>()
 
@@ -59,11 +68,11 @@
    *
    * @param sizes smallest first; not empty
    */
-  plan (sizes: readonly string[], { attemptsLeft, latencyTargetShareLeft: objectiveShareLeft, mayRetry: mayRepeat }: CascadeRequest): CascadePlan {
+  plan (sizes: readonly string[], { attemptsLeft, latencyTargetShareLeft, mayRetry }: CascadeRequest): CascadePlan {
     const smallest = sizes[0] ?? ''
     const largest = sizes.at(-1) ?? smallest
-    const isCascade = attemptsLeft >= 2 && mayRepeat && objectiveShareLeft >= minimumTargetShareForCascade && smallest !== largest
-    if (!isCascade) return { first: largest, larger: undefined }
+    const mayCascade = attemptsLeft >= 2 && mayRetry && latencyTargetShareLeft >= minimumTargetShareForCascade && smallest !== largest
+    if (!mayCascade) return { first: largest, larger: undefined }
     return { first: smallest, larger: largest }
   }
 
@@ -81,9 +90,14 @@
     }
   }
 
-  /** The lowest confidence with which a response is accepted now. */
-  confidenceThreshold (now: number): number {
-    return confidenceAtLateness(Math.max(this.#lateness, this.#waitingLateness(now)))
+  /**
+   * The lowest confidence with which a response is accepted now.
+   *
+   * @param timeShare share of the time left that a long answer of the largest model is expected to take
+   */
+  confidenceThreshold (now: number, timeShare = 0): number {
+    const byFirstEvents = confidenceAtLateness(Math.max(this.#lateness, this.#waitingLateness(now)))
+    return byFirstEvents * Math.min(1, Math.max(0, (highestTimeShare - timeShare) / (highestTimeShare - usualTimeShare)))
   }
 
   /** Mean lateness of the runs that are waiting now; it reveals a queue before its first responses do. */
@@ -94,8 +108,8 @@
   }
 
   /** Whether a response is accepted; one without a stated confidence always is. */
-  accepts (confidence: number | undefined, now: number): boolean {
-    return confidence === undefined || confidence >= this.confidenceThreshold(now)
+  accepts (confidence: number | undefined, now: number, timeShare = 0): boolean {
+    return confidence === undefined || confidence >= this.confidenceThreshold(now, timeShare)
   }
 }
 
