Ask no model whose answer is not expected to be whole in time

Cause: without a cascade (a resumed stream, no retry left, little of the latency target left) the largest model was always asked, and each further run asked the model of the one before.

Where the cascade can't be used, the largest model of which a long answer is expected to be whole in the time left is asked: the middle size is a choice too, and the smallest where none fits. A cascade whose largest model doesn't fit accepts the small model's answer. Before each further run it is looked at again, for what is left of the answer and of the time.

--- a/src/gateway/modelChoice.ts
+++ b/src/gateway/modelChoice.ts
@@ -27,6 +27,14 @@
     return this.#model
   }
 
+  /** Chooses again before each run: a smaller model, if a long answer of the present one would no longer be whole in time. */
+  chooseInTime (): void {
+    if (this.#plan === undefined) return
+    const { dependencies, route } = this.#request
+    const sizes = route.modelSizes.slice(0, route.modelSizes.indexOf(this.#model ?? '') + 1)
+    this.#model = dependencies.modelCascade.largestInTime(sizes, size => this.#timeShareOf(size))
+  }
+
   recordRunStart (): void {
     const { dependencies, route, now } = this.#request
     this.#runStartedAt = now
@@ -80,7 +88,7 @@
   #planCascade (): void {
     const { attemptsLeft, latencyTargetShareLeft, dependencies, head, route, service, now } = this.#request
     const mayRetry = route.isResumable && head.lastEventId === undefined && dependencies.retryBudget.allows(service, now)
-    this.#plan = dependencies.modelCascade.plan(route.modelSizes, { attemptsLeft, latencyTargetShareLeft, mayRetry })
+    this.#plan = dependencies.modelCascade.plan(route.modelSizes, { attemptsLeft, latencyTargetShareLeft, mayRetry, timeShareOf: model => this.#timeShareOf(model) })
     this.#model = this.#plan.first
   }
 
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -62,6 +62,7 @@
     const request = this.#request
     let isFull = false
     while (request.tryStartAttempt()) {
+      this.#choice.chooseInTime()
       const endpoint = await request.awaitEndpoint(this.#choice.model, this.#hasResponseStarted)
       if (endpoint === undefined) break
       const attempt = request.send(endpoint, { model: this.#choice.model, lastEventId: this.#lastEventId, usesOwnConnection: false })
--- a/src/placement/modelCascade.ts
+++ b/src/placement/modelCascade.ts
@@ -8,7 +8,8 @@
  * Under a burst, when the largest model's responses are late, the confidence threshold is lowered, so
  * that probably good responses are accepted and requests that need the largest model get it in time. It
  * is lowered as well when long answers would take most of the time that a request has left, since the
- * responses of larger models slow down all streams of their endpoints.
+ * responses of larger models slow down all streams of their endpoints. A model whose answer is not
+ * expected to be whole in that time is not asked, unless it is the smallest.
  */
 import { AnswerTimes } from './answerTimes.ts'
 
@@ -47,6 +48,8 @@
   readonly latencyTargetShareLeft: number
   /** Whether a second run may be started. */
   readonly mayRetry: boolean
+  /** Share of the time left that a long answer of a model is expected to take. */
+  readonly timeShareOf?: (model: string) => number
 }
 
 interface WaitingRun {
@@ -68,12 +71,18 @@
    *
    * @param sizes smallest first; not empty
    */
-  plan (sizes: readonly string[], { attemptsLeft, latencyTargetShareLeft, mayRetry }: CascadeRequest): CascadePlan {
+  plan (sizes: readonly string[], { attemptsLeft, latencyTargetShareLeft, mayRetry, timeShareOf = () => 0 }: CascadeRequest): CascadePlan {
     const smallest = sizes[0] ?? ''
     const largest = sizes.at(-1) ?? smallest
+    const largestInTime = this.largestInTime(sizes, timeShareOf)
     const mayCascade = attemptsLeft >= 2 && mayRetry && latencyTargetShareLeft >= minimumTargetShareForCascade && smallest !== largest
-    if (!mayCascade) return { first: largest, larger: undefined }
-    return { first: smallest, larger: largest }
+    if (!mayCascade) return { first: largestInTime, larger: undefined }
+    return { first: smallest, larger: largestInTime === largest ? largest : undefined }
+  }
+
+  /** The largest model whose answer is expected to be whole in the time left; the smallest if none is. */
+  largestInTime (sizes: readonly string[], timeShareOf: (model: string) => number): string {
+    return sizes.findLast(size => timeShareOf(size) <= 1) ?? sizes[0] ?? ''
   }
 
   /**
--- a/test/answerTimes.test.ts
+++ b/test/answerTimes.test.ts
@@ -61,3 +61,14 @@
   expect(over).toBeLessThan(half!)
   expect(over).toBeGreaterThan(0.25 * whole!)
 })
+
+test('a model whose answer is not expected to be whole in the time left is not asked, but the middle size is if it is', () => {
+  const cascade = new ModelCascade()
+  const modelNames = ['small', 'medium', 'large']
+  const planWith = (shares: Readonly<Record<string, number>>, mayRetry: boolean) => cascade.plan(modelNames, { attemptsLeft: 3, latencyTargetShareLeft: 1, mayRetry, timeShareOf: model => shares[model]! })
+  const largeIsLate = { small: 0.3, medium: 0.9, large: 1.1 }
+  expect(planWith(largeIsLate, false).first).toBe('medium')
+  expect(planWith(largeIsLate, true)).toEqual({ first: 'small', larger: undefined })
+  expect(planWith({ small: 1.1, medium: 1.2, large: 1.3 }, false).first).toBe('small')
+  expect(planWith({ small: 0.3, medium: 0.5, large: 0.9 }, true)).toEqual({ first: 'small', larger: 'large' })
+})
