Drop a small answer only while an attempt is left to resume the larger one

Callers got a cut stream or a 502 after a good enough small answer had been dropped: the larger model's run used the last attempt and broke off, or its engine was full and no attempt for the smaller answer was made.

Cause: two attempts left were enough to drop an answer, and a refused run of the larger model was followed by another for the larger model.

An answer is dropped only with as many attempts left as a cascade may need: the smaller model, the larger one and a further run (on routes with fewer attempts, all of them). It is kept as well if no endpoint, its own included, would take the request for the larger model now. A refusal of the larger model leads back to the smaller one before anything was released.

What stays: if all endpoints that are left refuse or are known to be full after the drop, the caller gets 502, since the request has run and a 503 would state otherwise.

--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -123,6 +123,14 @@
     return this.dependencies.placement.choose(this.#placementRequest(model, isResumed), this.#untriedEndpoints(), this.now)
   }
 
+  /** Whether an endpoint is eligible now for another run, counting the one of the present run. */
+  hasEndpointBeside (present: RoutedEndpoint, model: string | undefined): boolean {
+    this.allowRetryAt(present)
+    const isEligible = this.chooseEndpoint(model) !== undefined
+    this.#triedInstances.add(instanceKey(present))
+    return isEligible
+  }
+
   /** Chooses an endpoint; while the rate limits of all are used up, waits for a place. Undefined if none is eligible in time. */
   async awaitEndpoint (model: string | undefined, isResumed = false): Promise<RoutedEndpoint | undefined> {
     const { metrics, placeQueues } = this.dependencies
--- a/src/gateway/modelChoice.ts
+++ b/src/gateway/modelChoice.ts
@@ -5,6 +5,8 @@
 import type { CascadePlan } from '../placement/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 
+/** The smaller model, the larger one, and a further run if that breaks off. */
+const attemptsOfCascade = 3
 /** A larger model takes a multiple of a smaller one's time to read the same prompt; at least this multiple. */
 const largerModelWaitRatio = 2
 
@@ -35,6 +37,11 @@
     this.#model = dependencies.modelCascade.largestInTime(sizes, size => this.#timeShareOf(size))
   }
 
+  /** The model to ask if the first one's confidence is too low; undefined without a cascade. */
+  get larger (): string | undefined {
+    return this.#plan?.larger
+  }
+
   recordRunStart (): void {
     const { dependencies, route, now } = this.#request
     this.#runStartedAt = now
@@ -73,16 +80,21 @@
 
   /** Whether the model's own confidence in its response is high enough to release it. */
   isTrusted (confidence: number | undefined, hasResponseStarted: boolean): boolean {
-    const larger = this.#plan?.larger
+    const { larger } = this
     if (larger === undefined || this.#model === larger || hasResponseStarted) return true
-    const { attemptsLeft, dependencies, service, now } = this.#request
-    if (attemptsLeft < 2 || !dependencies.retryBudget.allows(service, now)) return true
+    const { attemptsLeft, dependencies, route, service, now } = this.#request
+    if (attemptsLeft < Math.min(attemptsOfCascade, route.maximumAttempts) || !dependencies.retryBudget.allows(service, now)) return true
     return dependencies.modelCascade.accepts(confidence, now, this.#timeShareOf(larger, (now - this.#runStartedAt) * largerModelWaitRatio))
   }
 
   /** Asks the larger model from now on. */
   escalate (): void {
-    this.#model = this.#plan?.larger
+    this.#model = this.larger
+  }
+
+  /** Asks the smaller model again if no endpoint takes the request for the larger one. */
+  recordRefusal (): void {
+    if (this.#plan !== undefined && this.#model === this.larger && this.#relayedEvents === 0) this.#model = this.#plan.first
   }
 
   #planCascade (): void {
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -70,7 +70,10 @@
       const outcome = await this.#readResponse(attempt)
       this.#choice.recordRunEnd()
       if (outcome === RunOutcome.Done) return
-      if (outcome === RunOutcome.NotExecuted) isFull = true
+      if (outcome === RunOutcome.NotExecuted) {
+        isFull = true
+        this.#choice.recordRefusal()
+      }
       if (outcome === RunOutcome.Broken || outcome === RunOutcome.Failed || outcome === RunOutcome.Discarded) this.#mayHaveRun = true
       if (this.#mayHaveRun && !request.route.isResumable) break
     }
@@ -100,7 +103,8 @@
     if (head.status !== successStatus) return this.#readFailure(attempt, head.status, head.headers)
     if (!responseHead.isSealed || responseHead.isEncoded) return this.#failRun(attempt, 'unsealed', AttemptEnd.Cancelled)
     this.#choice.recordWaitEnd()
-    if (!this.#choice.isTrusted(responseHead.confidence, this.#hasResponseStarted)) return this.#discardForLargerModel(attempt, responseHead.confidence)
+    const isTrusted = this.#choice.isTrusted(responseHead.confidence, this.#hasResponseStarted)
+    if (!isTrusted && request.hasEndpointBeside(attempt.endpoint, this.#choice.larger)) return this.#discardForLargerModel(attempt, responseHead.confidence)
     return this.#relay(attempt, head.headers)
   }
 
