Remove an attempt's listener on its caller's connection when it ends

After a restart of all gateways of a small twin, gateways warned of 11 abort listeners on one AbortSignal (MaxListenersExceededWarning).

Cause: each attempt listened for its caller's leaving and never stopped. Attempts that were never sent, as to endpoints that refuse connections, don't count against the three of a route, so one request may make many.

The listener is removed when the attempt is closed.

--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -229,9 +229,10 @@
     const evidence = rollOuts.openRun(this.service, endpoint.version, `${this.route.name}/${model ?? ''}`, startedAt)
     const exchange = usesOwnConnection ? connections.startDedicated(endpoint.address, exchangeOptions) : connections.startPooled(endpoint.address, exchangeOptions)
     const abandonExchange = () => exchange.abort('caller disconnected')
-    this.callerAbort.signal.addEventListener('abort', abandonExchange, { once: true })
+    const { signal } = this.callerAbort
+    signal.addEventListener('abort', abandonExchange, { once: true })
     if (this.hasCallerLeft) abandonExchange()
-    return { endpoint, model, exchange, startedAt, tracker: work, run, permit, evidence, isBlocked: () => isBlocked }
+    return { endpoint, model, exchange, startedAt, tracker: work, run, permit, evidence, isBlocked: () => isBlocked, unfollowCaller: () => signal.removeEventListener('abort', abandonExchange) }
   }
 
   /**
@@ -240,6 +241,7 @@
    * @param countsAsSent whether the attempt counts against the route's maximum number of attempts
    */
   finishAttempt (attempt: OpenAttempt, end: AttemptEnd, outcome: string, countsAsSent = attempt.exchange.mayHaveSent): void {
+    attempt.unfollowCaller()
     if (countsAsSent) this.#sentAttempts++
     if (attempt.permit.wasLimited) this.dependencies.metrics.limitedAttempts.inc({ service: this.service })
     attempt.run.close()
--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -19,6 +19,8 @@
   readonly evidence: EvidenceRun | undefined
   /** Whether it was cancelled because its prompt was blocked. */
   readonly isBlocked: () => boolean
+  /** Once it is over, it need not end with its caller's connection. */
+  readonly unfollowCaller: () => void
 }
 
 /** Why an endpoint states that it did not execute a request. */
