--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -119,6 +119,14 @@
     return this.dependencies.placement.choose(this.#placementRequest(model, isResumed), this.#untriedEndpoints(), this.now)
   }
 
+  /** Whether an endpoint is eligible now for another run, counting the one of the present run. */
+  hasEndpointBeside (present: RoutedEndpoint, model: string | undefined): boolean {
+    this.allowRetryAt(present)
+    const isEligible = this.chooseEndpoint(model) !== undefined
+    this.#triedInstances.add(instanceKey(present))
+    return isEligible
+  }
+
   /** Chooses an endpoint; while the rate limits of all are used up, waits for a place. Undefined if none is eligible in time. */
   async awaitEndpoint (model: string | undefined, isResumed = false): Promise<RoutedEndpoint | undefined> {
     const { metrics, placeQueues, plannedStop } = this.dependencies
@@ -222,10 +230,12 @@
     const evidence = rollOuts.openRun(this.service, endpoint.version, `${this.route.name}/${model ?? ''}`, startedAt)
     const exchange = usesOwnConnection ? connections.startDedicated(endpoint.address, exchangeOptions) : connections.startPooled(endpoint.address, exchangeOptions)
     const abandonExchange = () => exchange.abort('caller disconnected')
-    this.callerAbort.signal.addEventListener('abort', abandonExchange, { once: true })
+    const { signal } = this.callerAbort
+    signal.addEventListener('abort', abandonExchange, { once: true })
     if (this.hasCallerLeft) abandonExchange()
     const forgetStop = plannedStop.onEnd(() => { if (!exchange.mayHaveSent) exchange.abort('stopping') })
-    return { endpoint, model, exchange, startedAt, forgetStop, promptMilliseconds: work.prefillMilliseconds, tracker, run, permit, evidence, isBlocked: () => isBlocked }
+    const unfollowCaller = () => signal.removeEventListener('abort', abandonExchange)
+    return { endpoint, model, exchange, startedAt, forgetStop, unfollowCaller, promptMilliseconds: work.prefillMilliseconds, tracker, run, permit, evidence, isBlocked: () => isBlocked }
   }
 
   /**
@@ -234,6 +244,7 @@
    * @param countsAsSent whether the attempt counts against the route's maximum number of attempts
    */
   finishAttempt (attempt: OpenAttempt, end: AttemptEnd, outcome: string, countsAsSent = attempt.exchange.mayHaveSent): void {
+    attempt.unfollowCaller()
     if (countsAsSent) this.#sentAttempts++
     if (attempt.permit.wasLimited) this.dependencies.metrics.limitedAttempts.inc({ service: this.service })
     attempt.forgetStop()
--- /dev/null
+++ b/src/gateway/modelChoice.ts
@@ -0,0 +1,114 @@
+/**
+ * Which model the next run of a streamed request asks, and whether a smaller model's answer is good enough.
+ * It also tells the model cascade how the runs went.
+ */
+import type { CascadePlan } from '../placement/index.ts'
+import type { ForwardedRequest } from './forwardedRequest.ts'
+
+/** The smaller model, the larger one, and a further run if that breaks off. */
+const attemptsOfCascade = 3
+/** A larger model takes a multiple of a smaller one's time to read the same prompt; at least this multiple. */
+const largerModelWaitRatio = 2
+
+export class ModelChoice {
+  readonly #request: ForwardedRequest
+  #plan: CascadePlan | undefined
+  #model: string | undefined
+  #relayedEvents = 0
+  #runStartedAt = 0
+  #endLargestModelWait: (hasBegun: boolean, at: number) => void = () => undefined
+
+  constructor (request: ForwardedRequest) {
+    this.#request = request
+    this.#model = request.head.model
+    if (request.head.acceptsAnyModel) this.#planCascade()
+  }
+
+  /** The model to ask; undefined if the caller's request names none. */
+  get model (): string | undefined {
+    return this.#model
+  }
+
+  /** Chooses again before each run: a smaller model, if a long answer of the present one would no longer be whole in time. */
+  chooseInTime (): void {
+    if (this.#plan === undefined) return
+    const { dependencies, route } = this.#request
+    const sizes = route.modelSizes.slice(0, route.modelSizes.indexOf(this.#model ?? '') + 1)
+    this.#model = dependencies.modelCascade.largestInTime(sizes, size => this.#timeShareOf(size))
+  }
+
+  /** The model to ask if the first one's confidence is too low; undefined without a cascade. */
+  get larger (): string | undefined {
+    return this.#plan?.larger
+  }
+
+  recordRunStart (): void {
+    const { dependencies, route, now } = this.#request
+    this.#runStartedAt = now
+    const isLargest = this.#model !== undefined && this.#model === route.modelSizes.at(-1)
+    if (isLargest) this.#endLargestModelWait = dependencies.modelCascade.trackLargestModelWait(now, route.latencyTargetMilliseconds)
+  }
+
+  /** Records that a response began, whether or not it is released; also that one was given up before it began. */
+  recordWaitEnd (): void {
+    const { dependencies, route, now } = this.#request
+    if (this.#plan !== undefined) dependencies.modelCascade.answerTimes.recordWait(route.name, this.#model ?? '', now - this.#runStartedAt, now)
+  }
+
+  recordFirstEvents (count: number): void {
+    this.#relayedEvents += count
+    this.#endLargestModelWait(true, this.#request.now)
+  }
+
+  /** Records further events of a run and how long they were waited for; none, if the run fell silent. */
+  recordEvents (count: number, milliseconds: number): void {
+    const { dependencies, route, now } = this.#request
+    this.#relayedEvents += count
+    if (this.#plan !== undefined) dependencies.modelCascade.answerTimes.recordEvents(route.name, this.#model ?? '', count, milliseconds, now)
+  }
+
+  recordRunEnd (): void {
+    this.#endLargestModelWait(false, this.#request.now)
+  }
+
+  /** Records the length of the answer when nothing more is relayed. The whole length of one that its caller resumed is unknown. */
+  recordAnswerEnd (isWhole: boolean): void {
+    const { dependencies, route, head } = this.#request
+    if (this.#plan === undefined || head.lastEventId !== undefined) return
+    dependencies.modelCascade.answerTimes.recordLength(route.name, this.#relayedEvents, head.maximumOutputTokens, isWhole)
+  }
+
+  /** Whether the model's own confidence in its response is high enough to release it. */
+  isTrusted (confidence: number | undefined, hasResponseStarted: boolean): boolean {
+    const { larger } = this
+    if (larger === undefined || this.#model === larger || hasResponseStarted) return true
+    const { attemptsLeft, dependencies, route, service, now } = this.#request
+    if (attemptsLeft < Math.min(attemptsOfCascade, route.maximumAttempts) || !dependencies.retryBudget.allows(service, now)) return true
+    return dependencies.modelCascade.accepts(confidence, now, this.#timeShareOf(larger, (now - this.#runStartedAt) * largerModelWaitRatio))
+  }
+
+  /** Asks the larger model from now on. */
+  escalate (): void {
+    this.#model = this.larger
+  }
+
+  /** Asks the smaller model again if no endpoint takes the request for the larger one. */
+  recordRefusal (): void {
+    if (this.#plan !== undefined && this.#model === this.larger && this.#relayedEvents === 0) this.#model = this.#plan.first
+  }
+
+  #planCascade (): void {
+    const { attemptsLeft, latencyTargetShareLeft, dependencies, head, route, service, now } = this.#request
+    const mayRetry = route.isResumable && head.lastEventId === undefined && dependencies.retryBudget.allows(service, now)
+    this.#plan = dependencies.modelCascade.plan(route.modelSizes, { attemptsLeft, latencyTargetShareLeft, mayRetry, timeShareOf: model => this.#timeShareOf(model) })
+    this.#model = this.#plan.first
+  }
+
+  /** Share of the time left that a long answer of a model is expected to take; may be above 1. */
+  #timeShareOf (model: string, leastWaitMilliseconds = 0): number {
+    const { deadline, dependencies, head, route, now } = this.#request
+    const { latencyTargetMilliseconds } = route
+    const answer = { route: route.name, model, latencyTargetMilliseconds, maximumOutputTokens: head.maximumOutputTokens, relayedEvents: this.#relayedEvents, leastWaitMilliseconds }
+    return dependencies.modelCascade.answerTimes.expectedMilliseconds(answer, now) / Math.max(1, deadline - now)
+  }
+}
