Look at a silent run again after whole milliseconds

Rounding left a wait of a fraction of a picosecond, which a clock on virtual time does not advance by: test/sizeFairness.test.ts did not end in its time (seen once, three of four tests).

--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -226,7 +226,7 @@
       const millisecondsToCheck = millisecondsLeft - livenessMilliseconds
       if (hasRunStarted && millisecondsToCheck <= 0) liveness.check(attempt.endpoint)
       const nextLookMilliseconds = [millisecondsToCheck, millisecondsLeft].find(milliseconds => milliseconds > 0) ?? silenceCheckIntervalMilliseconds
-      const event = await reader.next(Math.min(request.deadline, now + nextLookMilliseconds))
+      const event = await reader.next(Math.min(request.deadline, now + Math.ceil(nextLookMilliseconds)))
       if (event !== undefined || request.now >= request.deadline || request.hasCallerLeft) return event
     }
   }
