--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -1,8 +1,10 @@
 /** HTTP server for callers. During a planned stop it drains. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { HeadTimeLimits } from '../server/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
 import { Drain, type DrainOptions } from './drain.ts'
+import { HeadRefusals } from './headRefusals.ts'
+import { cutResponse } from './responseFraming.ts'
 
 export interface GatewayServerOptions extends DrainOptions {
   readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>
@@ -13,11 +15,14 @@
 export class GatewayServer {
   readonly #options: GatewayServerOptions
   readonly #drain: Drain
+  readonly #headLimits: HeadTimeLimits
+  readonly #headRefusals: HeadRefusals
 
   constructor (options: GatewayServerOptions) {
     this.#options = options
     this.#drain = new Drain(options)
-    options.listener.server.on('clientError', (error: Error & { readonly code?: string }, socket) => this.#refuseMalformed(error, socket as Socket))
+    this.#headLimits = new HeadTimeLimits(options.listener)
+    this.#headRefusals = new HeadRefusals(options.listener, this.#headLimits, options.log)
   }
 
   /** Whether a planned stop has begun. */
@@ -31,7 +36,7 @@
     listener.serveWith((request, response) => {
       this.#serve(request, response).catch(error => {
         log.error('request_failed', { reason: error instanceof Error ? error.stack : String(error) })
-        response.destroy()
+        cutResponse(response)
       })
     })
     return await listener.listen(address)
@@ -39,9 +44,7 @@
 
   /** Applies the operator's time limits for callers. */
   applyLimits (limits: CallerLimits): void {
-    const { server } = this.#options.listener
-    server.headersTimeout = limits.headerTimeoutMilliseconds
-    server.keepAliveTimeout = limits.idleTimeoutMilliseconds
+    this.#headLimits.apply(limits.headerTimeoutMilliseconds, limits.idleTimeoutMilliseconds)
   }
 
   /**
@@ -54,22 +57,11 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (this.#drain.isTooLate) return this.#options.refuseLate(request, response)
-    await this.#options.handle(request, response)
-  }
-
-  #refuseMalformed (error: Error & { readonly code?: string }, socket: Socket): void {
-    this.#options.log.info('request_malformed', { reason: error.code ?? error.message, caller: `${socket.remoteAddress}:${socket.remotePort}`, sentBytes: socket.bytesWritten })
-    if (!socket.writable || socket.bytesWritten > 0) {
-      socket.destroy()
+    if (this.#headRefusals.isRefused(request.socket)) {
+      request.resume()
       return
     }
-    const status = statusLines[error.code ?? ''] ?? '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
+    if (this.#drain.isTooLate) return this.#options.refuseLate(request, response)
+    await this.#options.handle(request, response)
   }
 }
-
-const statusLines: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
-}
