--- a/test/sizeFairness.test.ts
+++ b/test/sizeFairness.test.ts
@@ -8,6 +8,8 @@
 const trafficMilliseconds = 20_000
 /** A class of sizes must be served at least this share as often as its kind. */
 const minimumShare = 0.5
+/** Least share of answers of the largest model at the usual confidence, 40 to 52 of 100. */
+const minimumLargeShare = 0.35
 
 /** Short prompts with answers of widely different lengths, and long prompts beside them. */
 function kindsAt ({ load, answerSpread }: Mix): readonly RequestKind[] {
@@ -31,7 +33,13 @@
   const paces = { small: usualPaces.small * slowdown, medium: usualPaces.medium * slowdown, large: usualPaces.large * slowdown }
   const fleet = new GatewayFleet({ gateways: 40, engines: 8, slots: 12, queueLimit: 25, paces, seed: mix.seed, timeoutMilliseconds })
   const requests = await new StreamCallers(fleet, mix.seed).send(kindsAt(mix), trafficMilliseconds)
-  return { requests, queries: servedBySize(requests.filter(({ route }) => route === 'query')) }
+  return { requests, queries: servedBySize(requests.filter(({ route }) => route === 'query')), largeShare: largeShareOf(fleet) }
+}
+
+/** The share of answers that came from the largest model. */
+function largeShareOf ({ lines }: GatewayFleet): number {
+  const wholeAttempts = lines.flatMap(({ attempts }) => attempts ?? []).filter(attempt => attempt.endsWith('whole'))
+  return wholeAttempts.filter(attempt => attempt.includes(' large ')).length / wholeAttempts.length
 }
 
 function expectNoSizeStarved ({ all, largest, second }: ReturnType<typeof servedBySize>): void {
@@ -68,3 +76,9 @@
     expect(requests.filter(({ wasRefusedWithRoom }) => wasRefusedWithRoom)).toEqual([])
   }), { seed: 30, endOnFailure: true, numRuns: 4 })
 }, 120_000)
+
+test('at up to one and a half times the usual load the largest model answers about as often as the usual confidence asks for', async () => {
+  await fc.assert(fc.asyncProperty(mixes, async mix => {
+    expect((await play(mix, 1, usualTimeoutMilliseconds)).largeShare).toBeGreaterThan(minimumLargeShare)
+  }), { seed: 30, endOnFailure: true, numRuns: 6 })
+}, 120_000)
