Steer the cascade only when long answers take most of the time left

Cause: the confidence fell from 0.4 of the time left on, which long prompts and a few slow events reach at usual load, and the larger model was expected to take twice the small run's wait.

It falls from 0.6 to 0.85 of the time left now, and the larger model is expected to begin no sooner than the small one did.

--- a/src/gateway/modelChoice.ts
+++ b/src/gateway/modelChoice.ts
@@ -7,8 +7,6 @@
 
 /** The smaller model, the larger one, and a further run if that breaks off. */
 const attemptsOfCascade = 3
-/** A larger model takes a multiple of a smaller one's time to read the same prompt; at least this multiple. */
-const largerModelWaitRatio = 2
 
 export class ModelChoice {
   readonly #request: ForwardedRequest
@@ -84,7 +82,7 @@
     if (larger === undefined || this.#model === larger || hasResponseStarted) return true
     const { attemptsLeft, dependencies, route, service, now } = this.#request
     if (attemptsLeft < Math.min(attemptsOfCascade, route.maximumAttempts) || !dependencies.retryBudget.allows(service, now)) return true
-    return dependencies.modelCascade.accepts(confidence, now, this.#timeShareOf(larger, (now - this.#runStartedAt) * largerModelWaitRatio))
+    return dependencies.modelCascade.accepts(confidence, now, this.#timeShareOf(larger, now - this.#runStartedAt))
   }
 
   /** Asks the larger model from now on. */
--- a/src/placement/modelCascade.ts
+++ b/src/placement/modelCascade.ts
@@ -30,9 +30,9 @@
 const minimumTargetShareForCascade = 0.35
 
 /** Up to this share of the time left for a long answer of the largest model, the confidence threshold is as usual. */
-const usualTimeShare = 0.4
+const usualTimeShare = 0.6
 /** From this share on, any response is accepted. */
-const highestTimeShare = 0.7
+const highestTimeShare = 0.85
 
 /** Models to ask, in order. */
 export interface CascadePlan {
