Place streams by the work of all gateways, told through the seeds

Cause: a gateway knows only its own work, 1/195 of an engine's load, so nearly all engines look alike and requests gather at the owner of a prompt part.

Gateways with streams now report their work by endpoint to one seed about once a second and get the sum over all others (src/fleetLoad); the seeds exchange their sums. It is soft state: without news of the last 3 s, for plain services and while a candidate has an announced limit the choice is made as before. With news a gateway compares the owner in its data centre (the fuller, the rarer), the two endpoints of its region that look best by its own work, and one of another region; cost counts the work of all and the queue beyond an endpoint's slots. A bad value of slots no longer hides an endpoint. The mean work that limits use is kept on both ways.

The forwarder's composition is split in three files without other changes.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -1,34 +1,27 @@
 /** Composition root of the forwarder: registers each component with its dependencies. */
 import { asFunction, asValue, type AwilixContainer, createContainer, InjectionMode } from 'awilix/browser'
-import { PlatformHeaders, RowStore, readyPath, type BootFile, Table } from '../../platform/index.ts'
+import { PlatformHeaders, RowStore, readyPath, type BootFile } from '../../platform/index.ts'
 import { EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
 import { type Clock, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { Connections } from '../endpoint/index.ts'
 import { EndpointAnnouncements, Forwarding, GatewayMetrics, GatewayServer, OperationsServer, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
-import { FleetDirectory, FleetReports } from '../fleet/index.ts'
+import type { FleetDirectory, FleetReports } from '../fleet/index.ts'
+import { type LoadReports, WorkNews } from '../fleetLoad/index.ts'
 import { TcpLink } from '../link/index.ts'
-import { NewsExchange, logLimitChange } from '../news/index.ts'
+import type { NewsExchange } from '../news/index.ts'
 import { LineQueue, Log, descriptorSink } from '../observe/index.ts'
 import { EndpointLoads, EndpointPlacement, EndpointRegistry, ModelCascade, RetryBudget, VersionSelector } from '../placement/index.ts'
-import { AnnouncedLimits, EndpointLimits, PlaceQueues } from '../rateLimit/index.ts'
-import { PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay, defaultFeedWaitMilliseconds } from '../replica/index.ts'
+import { type AnnouncedLimits, type EndpointLimits, PlaceQueues } from '../rateLimit/index.ts'
+import type { PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay } from '../replica/index.ts'
 import type { CallerListener } from '../server/index.ts'
+import { makeAnnouncedLimits, makeFleet, makeFleetReports, makeLimits, makeLoadReports, makeNews } from './exchangeComposition.ts'
+import { makeFollower, makePeers, makeRelay, makeRelayFollower } from './followingComposition.ts'
 import { RowRollOutStore } from './rollOutStore.ts'
 import { TableLoader } from './tableLoader.ts'
 
-/** Tables that every forwarder follows. */
-export const followedTables = [Table.Orders, Table.Endpoints, Table.Status] as const
-
 /** Time limit for connecting to an endpoint; after it the endpoint counts as unreachable. */
 const endpointConnectTimeoutMilliseconds = 450
 const standardOutputDescriptor = 1
-/** Fleet size from which most gateways follow the store through a few relays. */
-const minimumRelayFleetSize = 16
-/** A relay's tables must have been confirmed by the store within this share of the time allowed for applying new settings. */
-const relayFreshnessShare = 0.7
-/** Part of that time reserved for a call to the store beyond its wait. */
-const relayFeedGraceMilliseconds = 600
-const minimumRelayFeedWaitMilliseconds = 300
 
 /** Holds the boot file in force; a reload replaces it. */
 export interface BootFileHolder {
@@ -76,6 +69,8 @@
   readonly fleet: FleetDirectory
   readonly fleetReports: FleetReports
   readonly news: NewsExchange
+  readonly loadNews: WorkNews
+  readonly loadReports: LoadReports
   readonly connections: Connections
   readonly forwarding: Forwarding
   readonly gateway: GatewayServer
@@ -112,7 +107,7 @@
     relayFollower: single(makeRelayFollower),
     routing: single(() => new RoutingView()),
     registry: single(() => new EndpointRegistry()),
-    loads: single(() => new EndpointLoads()),
+    loads: single(parts => new EndpointLoads(now => parts.loadReports.notifyWork(now))),
     rollOuts: single(parts => new RollOutView(parts.boot.current.name, () => parts.follower.storeTime)),
     versionSelector: single(({ boot }) => new VersionSelector(boot.current.sessionTimeoutMilliseconds)),
     rollOutStore: single(({ store, follower }) => new RowRollOutStore(store, follower)),
@@ -126,6 +121,8 @@
     fleet: single(makeFleet),
     fleetReports: single(makeFleetReports),
     news: single(makeNews),
+    loadNews: single(() => new WorkNews()),
+    loadReports: single(makeLoadReports),
     connections: single(() => new Connections({ connectTimeoutMilliseconds: endpointConnectTimeoutMilliseconds })),
     forwarding: single(makeForwarding),
     gateway: single(makeGateway),
@@ -139,73 +136,6 @@
   return new TcpLink({ identity: { name, address: peerAddress, place, rack: '', incarnation: Math.floor(clock.now()) }, secret, clock })
 }
 
-function makeFollower (parts: ForwarderDependencies): ReplicaFollower {
-  const { store, clock, randomness, log } = parts
-  return new ReplicaFollower({
-    feed: store,
-    tables: followedTables,
-    rewrittenTables: [Table.Orders],
-    isNeeded: table => table !== Table.Status || parts.rollOuts.hasActiveRollOut || parts.follower.isOfEarlierEpoch(table),
-    feedWaitMilliseconds: () => mayServeAsRelay(parts)
-      ? Math.min(defaultFeedWaitMilliseconds, Math.max(minimumRelayFeedWaitMilliseconds, relayMaximumAgeMilliseconds(parts) - relayFeedGraceMilliseconds))
-      : defaultFeedWaitMilliseconds,
-    clock,
-    randomness,
-    log,
-    onChange: (table, replica) => {
-      parts.tableLoader.load(table, replica)
-      if (table !== Table.Endpoints) parts.rollOutCoordinator.notifyChange()
-      parts.relay.notifyChange()
-    }
-  })
-}
-
-/** Whether peers may follow the store through this gateway. A seed may be asked at any time, so its tables must be fresh. */
-function mayServeAsRelay ({ boot, relay }: ForwarderDependencies): boolean {
-  return relay.isInUse || boot.current.seeds.includes(boot.current.peerAddress)
-}
-
-function makeRelay (parts: ForwarderDependencies): ReplicaRelay {
-  const { link, follower, clock } = parts
-  return new ReplicaRelay({ link, follower, tables: followedTables, gatewayCount: () => parts.peers.knownGatewayCount, clock })
-}
-
-function makeRelayFollower (parts: ForwarderDependencies): RelayFollower {
-  const { link, follower, relay, peers, clock, log, boot } = parts
-  return new RelayFollower({
-    link,
-    follower,
-    relay,
-    tables: followedTables,
-    relayAddresses: () => boot.current.seeds,
-    gatewayCount: () => peers.knownGatewayCount,
-    minimumFleetSize: minimumRelayFleetSize,
-    maximumAgeMilliseconds: relayMaximumAgeMilliseconds(parts),
-    clock,
-    log
-  })
-}
-
-function relayMaximumAgeMilliseconds ({ boot }: ForwarderDependencies): number {
-  return boot.current.settingsApplyTimeoutMilliseconds * relayFreshnessShare
-}
-
-function makePeers ({ link, follower, clock, randomness, log, boot, registry }: ForwarderDependencies): PeerReplicaExchange {
-  return new PeerReplicaExchange({
-    link,
-    follower,
-    clock,
-    randomness,
-    log,
-    tables: followedTables,
-    seeds: () => boot.current.seeds,
-    drainingInstances: () => registry.drainingInstances,
-    onDrainingInstance: (instance, peer) => {
-      if (registry.markDraining(instance)) log.info('endpoint_draining', { endpoint: instance, source: peer.address })
-    }
-  })
-}
-
 function makeRollOutCoordinator ({ boot, rollOuts, rollOutStore, versionSelector, clock, randomness, log, registry }: ForwarderDependencies): RollOutCoordinator {
   return new RollOutCoordinator({
     view: rollOuts,
@@ -240,42 +170,6 @@
   })
 }
 
-function makeAnnouncedLimits (parts: ForwarderDependencies): AnnouncedLimits {
-  return new AnnouncedLimits(change => logLimitChange(parts.log, change, parts.limits.sentTo(change.fact.instance)))
-}
-
-function makeLimits ({ announcedLimits, fleet, registry }: ForwarderDependencies): EndpointLimits {
-  return new EndpointLimits({ announced: announcedLimits, fleet, regionsServing: service => registry.regionsServing(service) })
-}
-
-function makeFleet ({ boot, clock }: ForwarderDependencies): FleetDirectory {
-  const { peerAddress, place } = boot.current
-  return new FleetDirectory({
-    self: { address: peerAddress, region: place.region },
-    seeds: () => boot.current.seeds,
-    startedAt: clock.now(),
-    now: () => clock.now()
-  })
-}
-
-function makeFleetReports ({ boot, clock, fleet, link, log }: ForwarderDependencies): FleetReports {
-  return new FleetReports({ link, directory: fleet, seeds: () => boot.current.seeds, clock, log })
-}
-
-function makeNews (parts: ForwarderDependencies): NewsExchange {
-  const { link, breaker, announcedLimits, peers, clock, randomness, log } = parts
-  return new NewsExchange({
-    link,
-    breaker,
-    limits: announcedLimits,
-    peers: () => peers.peers,
-    onBreakerNews: () => parts.runs.cancelBlocked(clock.now()),
-    clock,
-    randomness,
-    log
-  })
-}
-
 function makeForwarding (parts: ForwarderDependencies): Forwarding {
   const { boot, loads, randomness } = parts
   return new Forwarding({
@@ -288,7 +182,7 @@
     rollOuts: parts.rollOuts,
     connections: parts.connections,
     codec: new PlatformHeaders(),
-    placement: new EndpointPlacement(boot.current.place, loads, randomness, parts.limits),
+    placement: new EndpointPlacement(boot.current.place, loads, randomness, parts.limits, parts.loadNews),
     limits: parts.limits,
     placeQueues: parts.placeQueues,
     modelCascade: new ModelCascade(),
@@ -318,7 +212,7 @@
   })
 }
 
-function makeOperations ({ tableLoader, gateway, metrics, logLines, follower }: ForwarderDependencies): OperationsServer {
+function makeOperations ({ clock, tableLoader, gateway, loadNews, metrics, logLines, follower }: ForwarderDependencies): OperationsServer {
   return new OperationsServer({
     readyPath,
     isReady: () => tableLoader.isComplete && !gateway.isDraining,
@@ -326,6 +220,7 @@
       text: () => {
         metrics.droppedLogLines.set(logLines.droppedCount)
         metrics.storeLost.set(follower.hasFailingFeed ? 1 : 0)
+        metrics.loadNewsAge.set(loadNews.ageMilliseconds(clock.now()) / 1_000)
         return metrics.text()
       }
     }
--- /dev/null
+++ b/src/forwarder/exchangeComposition.ts
@@ -0,0 +1,55 @@
+/** Composes what gateways tell each other: who runs, limits, crashes, and their work at endpoints. */
+import { FleetDirectory, FleetReports } from '../fleet/index.ts'
+import { LoadReports } from '../fleetLoad/index.ts'
+import { NewsExchange, logLimitChange } from '../news/index.ts'
+import { AnnouncedLimits, EndpointLimits } from '../rateLimit/index.ts'
+import type { ForwarderDependencies } from './composition.ts'
+
+export function makeAnnouncedLimits (parts: ForwarderDependencies): AnnouncedLimits {
+  return new AnnouncedLimits(change => logLimitChange(parts.log, change, parts.limits.sentTo(change.fact.instance)))
+}
+
+export function makeLimits ({ announcedLimits, fleet, registry }: ForwarderDependencies): EndpointLimits {
+  return new EndpointLimits({ announced: announcedLimits, fleet, regionsServing: service => registry.regionsServing(service) })
+}
+
+export function makeFleet ({ boot, clock }: ForwarderDependencies): FleetDirectory {
+  const { peerAddress, place } = boot.current
+  return new FleetDirectory({
+    self: { address: peerAddress, region: place.region },
+    seeds: () => boot.current.seeds,
+    startedAt: clock.now(),
+    now: () => clock.now()
+  })
+}
+
+export function makeFleetReports ({ boot, clock, fleet, link, log }: ForwarderDependencies): FleetReports {
+  return new FleetReports({ link, directory: fleet, seeds: () => boot.current.seeds, clock, log })
+}
+
+export function makeNews (parts: ForwarderDependencies): NewsExchange {
+  const { link, breaker, announcedLimits, peers, clock, randomness, log } = parts
+  return new NewsExchange({
+    link,
+    breaker,
+    limits: announcedLimits,
+    peers: () => peers.peers,
+    onBreakerNews: () => parts.runs.cancelBlocked(clock.now()),
+    clock,
+    randomness,
+    log
+  })
+}
+
+export function makeLoadReports ({ boot, clock, fleet, link, loadNews, loads, log, randomness }: ForwarderDependencies): LoadReports {
+  return new LoadReports({
+    link,
+    seeds: () => boot.current.seeds,
+    regionOf: address => fleet.members.find(member => member.address === address)?.region,
+    ownWork: () => loads.modelWork(),
+    news: loadNews,
+    clock,
+    randomness,
+    log
+  })
+}
--- /dev/null
+++ b/src/forwarder/followingComposition.ts
@@ -0,0 +1,82 @@
+/** Composes how a gateway follows the store: itself, through a relay, or through its peers. */
+import { Table } from '../../platform/index.ts'
+import { PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay, defaultFeedWaitMilliseconds } from '../replica/index.ts'
+import type { ForwarderDependencies } from './composition.ts'
+
+/** Tables that every forwarder follows. */
+export const followedTables = [Table.Orders, Table.Endpoints, Table.Status] as const
+
+/** Fleet size from which most gateways follow the store through a few relays. */
+const minimumRelayFleetSize = 16
+/** A relay's tables must have been confirmed by the store within this share of the time allowed for applying new settings. */
+const relayFreshnessShare = 0.7
+/** Part of that time reserved for a call to the store beyond its wait. */
+const relayFeedGraceMilliseconds = 600
+const minimumRelayFeedWaitMilliseconds = 300
+
+export function makeFollower (parts: ForwarderDependencies): ReplicaFollower {
+  const { store, clock, randomness, log } = parts
+  return new ReplicaFollower({
+    feed: store,
+    tables: followedTables,
+    rewrittenTables: [Table.Orders],
+    isNeeded: table => table !== Table.Status || parts.rollOuts.hasActiveRollOut || parts.follower.isOfEarlierEpoch(table),
+    feedWaitMilliseconds: () => mayServeAsRelay(parts)
+      ? Math.min(defaultFeedWaitMilliseconds, Math.max(minimumRelayFeedWaitMilliseconds, relayMaximumAgeMilliseconds(parts) - relayFeedGraceMilliseconds))
+      : defaultFeedWaitMilliseconds,
+    clock,
+    randomness,
+    log,
+    onChange: (table, replica) => {
+      parts.tableLoader.load(table, replica)
+      if (table !== Table.Endpoints) parts.rollOutCoordinator.notifyChange()
+      parts.relay.notifyChange()
+    }
+  })
+}
+
+/** Whether peers may follow the store through this gateway. A seed may be asked at any time, so its tables must be fresh. */
+function mayServeAsRelay ({ boot, relay }: ForwarderDependencies): boolean {
+  return relay.isInUse || boot.current.seeds.includes(boot.current.peerAddress)
+}
+
+export function makeRelay (parts: ForwarderDependencies): ReplicaRelay {
+  const { link, follower, clock } = parts
+  return new ReplicaRelay({ link, follower, tables: followedTables, gatewayCount: () => parts.peers.knownGatewayCount, clock })
+}
+
+export function makeRelayFollower (parts: ForwarderDependencies): RelayFollower {
+  const { link, follower, relay, peers, clock, log, boot } = parts
+  return new RelayFollower({
+    link,
+    follower,
+    relay,
+    tables: followedTables,
+    relayAddresses: () => boot.current.seeds,
+    gatewayCount: () => peers.knownGatewayCount,
+    minimumFleetSize: minimumRelayFleetSize,
+    maximumAgeMilliseconds: relayMaximumAgeMilliseconds(parts),
+    clock,
+    log
+  })
+}
+
+function relayMaximumAgeMilliseconds ({ boot }: ForwarderDependencies): number {
+  return boot.current.settingsApplyTimeoutMilliseconds * relayFreshnessShare
+}
+
+export function makePeers ({ link, follower, clock, randomness, log, boot, registry }: ForwarderDependencies): PeerReplicaExchange {
+  return new PeerReplicaExchange({
+    link,
+    follower,
+    clock,
+    randomness,
+    log,
+    tables: followedTables,
+    seeds: () => boot.current.seeds,
+    drainingInstances: () => registry.drainingInstances,
+    onDrainingInstance: (instance, peer) => {
+      if (registry.markDraining(instance)) log.info('endpoint_draining', { endpoint: instance, source: peer.address })
+    }
+  })
+}
--- a/src/forwarder/forwarder.ts
+++ b/src/forwarder/forwarder.ts
@@ -25,7 +25,7 @@
 
   /** Starts serving. The gateway becomes ready once its tables have been read. */
   async start (): Promise<Result<void, string>> {
-    const { boot, fleetReports, follower, news, peers, relayFollower, rollOutCoordinator, gateway, link, log, operations } = this.#container.cradle
+    const { boot, fleetReports, follower, loadReports, news, peers, relayFollower, rollOutCoordinator, gateway, link, log, operations } = this.#container.cradle
     const { callerAddress, readyAddress, peerAddress, name } = boot.current
     log.info('started', { process: process.pid, callers: callerAddress, peers: peerAddress, node: process.version })
     // It asks a relay first, which may make the store's reads needless.
@@ -35,6 +35,7 @@
     if (listening.err) log.error('peers_unreachable', { address: peerAddress, reason: listening.val.reason })
     fleetReports.start()
     news.start()
+    loadReports.start()
     try {
       await operations.listen(readyAddress)
       await operations.listen(`${hostOf(readyAddress)}:${metricsPort}`)
@@ -62,7 +63,7 @@
 
   /** Planned stop: waits for accepted requests within the grace period, then closes all components. */
   async stop (): Promise<void> {
-    const { boot, fleetReports, news, rollOutCoordinator, follower, gateway, logLines, link, log, operations, peers, relayFollower, store, connections, forwarding } = this.#container.cradle
+    const { boot, fleetReports, loadReports, news, rollOutCoordinator, follower, gateway, logLines, link, log, operations, peers, relayFollower, store, connections, forwarding } = this.#container.cradle
     log.info('stopping', { inFlight: forwarding.inFlight, graceMilliseconds: boot.current.graceMilliseconds })
     this.#stopping.abort('stopping')
     const drainMilliseconds = boot.current.graceMilliseconds - graceReserveMilliseconds
@@ -73,6 +74,7 @@
     peers.stop()
     fleetReports.stop()
     news.stop()
+    loadReports.stop()
     relayFollower.stop()
     follower.stop()
     operations.close()
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -17,6 +17,7 @@
   readonly inFlight = new Gauge({ name: 'lavenderdoor_forward_in_flight', help: 'Requests being forwarded.', registers: [this.registry] })
   readonly settingsVersion = new Gauge({ name: 'lavenderdoor_routing_version', help: 'The version of the routing settings in force.', registers: [this.registry] })
   readonly storeLost = new Gauge({ name: 'lavenderdoor_store_lost', help: '1 while some table of the store can not be followed.', registers: [this.registry] })
+  readonly loadNewsAge = new Gauge({ name: 'lavenderdoor_load_news_age_seconds', help: 'Age of the news of the work of other gateways; infinite before the first.', registers: [this.registry] })
   readonly droppedLogLines = new Gauge({ name: 'lavenderdoor_log_lines_dropped', help: 'Log lines that were dropped because their reader was too slow.', registers: [this.registry] })
 
   constructor () {
--- a/src/placement/endpointLoads.ts
+++ b/src/placement/endpointLoads.ts
@@ -1,9 +1,9 @@
 /**
  * Tracks each endpoint from this daemon's own attempts: its work in progress, when the last byte was
- * received and how attempts end. Load reports would be late and add traffic; the daemon's own work is
- * known at once, and its share of an endpoint's work is about its share of all callers.
+ * received and how attempts end. The daemon's own work is known at once; that of the others is in `fleetLoad`.
  */
 import { getOrCreate } from '../contract/index.ts'
+import { type EndpointWork, loadKey } from '../fleetLoad/index.ts'
 import { instanceKey, type RoutedEndpoint } from '../routing/index.ts'
 import { EndpointHealth } from './endpointHealth.ts'
 import type { RequestWork } from './requestWork.ts'
@@ -37,12 +37,17 @@
 const waitSmoothing = 0.3
 /** A wait that was seen counts half after this time. */
 const waitHalfLifeMilliseconds = 2_000
+/** Weight of the latest response in the mean time from the start of a response to its end. */
+const durationSmoothing = 0.05
+/** Assumed before the first response has ended. */
+const initialDurationMilliseconds = 1_000
 
 class EndpointLoad {
   readonly health = new EndpointHealth()
   /** Estimated work in progress. */
   workMilliseconds = 0
   inFlight = 0
+  runsModels = false
   /** Attempts in progress that have received no bytes yet. */
   attemptsWithoutBytes = 0
   lastByteAt = Number.NEGATIVE_INFINITY
@@ -69,10 +74,21 @@
  */
 export class EndpointLoads {
   readonly #loads = new Map<string, EndpointLoad>()
+  readonly #onModelWork: (now: number) => void
+  #meanResponseMilliseconds = initialDurationMilliseconds
+
+  /** @param onModelWork called when an attempt at an endpoint with models begins */
+  constructor (onModelWork: (now: number) => void = () => undefined) {
+    this.#onModelWork = onModelWork
+  }
 
   /** Adds an attempt to the endpoint's load. */
   track (endpoint: RoutedEndpoint, work: RequestWork, now: number): AttemptTracker {
     const load = this.#loadOf(endpoint)
+    const runsModels = endpoint.models.length > 0
+    load.runsModels = runsModels
+    if (runsModels) this.#onModelWork(now)
+    let respondedAt: number | undefined
     let remainingMilliseconds = work.prefillMilliseconds + work.generationMilliseconds
     let hasReceivedBytes = false
     let isOpen = true
@@ -90,6 +106,7 @@
       recordResponseStart: at => {
         recordBytes(at)
         load.health.recordResponseStart()
+        respondedAt = at
         load.recordWait(Math.max(0, at - now - work.prefillMilliseconds), at)
         load.workMilliseconds -= work.prefillMilliseconds
         remainingMilliseconds -= work.prefillMilliseconds
@@ -101,6 +118,7 @@
         load.inFlight--
         if (!hasReceivedBytes) load.attemptsWithoutBytes--
         recordEnd(load.health, end, at)
+        if (runsModels && end === AttemptEnd.Answered && respondedAt !== undefined) this.#recordDuration(at - respondedAt)
       }
     }
   }
@@ -115,6 +133,20 @@
     return this.#loads.get(instanceKey(endpoint))?.inFlight ?? 0
   }
 
+  /** This daemon's work in progress at endpoints that run models, by the endpoint's `loadKey`. */
+  modelWork (): Map<number, EndpointWork> {
+    const work = new Map<number, EndpointWork>()
+    for (const [instance, { inFlight, runsModels, workMilliseconds }] of this.#loads) {
+      if (runsModels && inFlight > 0) work.set(loadKey(instance), { runs: inFlight, workMilliseconds })
+    }
+    return work
+  }
+
+  /** Mean time from the start of a model's response to its end, for which a request occupies its endpoint. */
+  get meanResponseMilliseconds (): number {
+    return this.#meanResponseMilliseconds
+  }
+
   /** Time that requests wait at an endpoint before their turn, from the responses of the last seconds. */
   waitMillisecondsAt (endpoint: RoutedEndpoint, now: number): number {
     return this.#loads.get(instanceKey(endpoint))?.waitMillisecondsAt(now) ?? 0
@@ -170,6 +202,10 @@
     }
   }
 
+  #recordDuration (milliseconds: number): void {
+    this.#meanResponseMilliseconds += durationSmoothing * (milliseconds - this.#meanResponseMilliseconds)
+  }
+
   #loadOf (endpoint: RoutedEndpoint): EndpointLoad {
     return getOrCreate(this.#loads, instanceKey(endpoint), () => new EndpointLoad())
   }
--- a/src/routing/routedEndpoint.ts
+++ b/src/routing/routedEndpoint.ts
@@ -17,6 +17,8 @@
   readonly isDraining: boolean
   /** Models it has loaded; empty for a plain service. */
   readonly models: readonly string[]
+  /** Requests that it executes at once, others wait; undefined if it does not say. */
+  readonly slots?: number
 }
 
 /**
