--- a/src/forwarder/forwarder.ts
+++ b/src/forwarder/forwarder.ts
@@ -29,7 +29,7 @@
 
   /** Starts serving. The gateway becomes ready once its tables have been read. */
   async start (): Promise<Result<void, string>> {
-    const { boot, fleetReports, follower, news, peers, relayFollower, rollOutCoordinator, gateway, link, log, operations } = this.#container.cradle
+    const { boot, fleetReports, follower, loadReports, news, peers, relayFollower, rollOutCoordinator, gateway, link, log, operations } = this.#container.cradle
     const { callerAddress, readyAddress, peerAddress, name } = boot.current
     log.info('started', { process: process.pid, callers: callerAddress, peers: peerAddress, node: process.version })
     // It asks a relay first, which may make the store's reads needless.
@@ -39,6 +39,7 @@
     if (listening.err) log.error('peers_unreachable', { address: peerAddress, reason: listening.val.reason })
     fleetReports.start()
     news.start()
+    loadReports.start()
     try {
       await operations.listen(readyAddress)
       await operations.listen(`${hostOf(readyAddress)}:${metricsPort}`)
@@ -66,7 +67,7 @@
 
   /** Planned stop: waits for accepted requests within the grace period, then closes all components. */
   async stop (): Promise<void> {
-    const { boot, clock, fleetReports, news, rollOutCoordinator, follower, gateway, logLines, link, log, operations, peers, relayFollower, store, connections, forwarding } = this.#container.cradle
+    const { boot, clock, fleetReports, loadReports, news, rollOutCoordinator, follower, gateway, logLines, link, log, operations, peers, relayFollower, store, connections, forwarding } = this.#container.cradle
     log.info('stopping', { inFlight: forwarding.inFlight, graceMilliseconds: boot.current.graceMilliseconds })
     this.#stopping.abort('stopping')
     const drainMilliseconds = Math.max(0, boot.current.graceMilliseconds - graceReserveMilliseconds)
@@ -77,6 +78,7 @@
     peers.stop()
     fleetReports.stop()
     news.stop()
+    loadReports.stop()
     relayFollower.stop()
     follower.stop()
     operations.close()
