--- /dev/null
+++ b/test/callerServerConnections.test.ts
@@ -0,0 +1,36 @@
+import { connect } from 'node:net'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { EntryHarness, harbourKey } from './fakes/entryWorld.ts'
+import { pause } from './fakes/rawCaller.ts'
+
+let harness: EntryHarness
+beforeEach(async () => { harness = await EntryHarness.start() })
+afterEach(async () => await harness.close())
+
+function chat (request: string): string {
+  const body = JSON.stringify({ model: 'auto', messages: [{ role: 'user', content: `kind=lookup tokens=40 request=${request}` }] })
+  return `POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${harbourKey}\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`
+}
+
+async function receive (text: string, milliseconds = 3_000): Promise<string> {
+  const [host, port] = harness.address.split(':')
+  let received = ''
+  const socket = connect({ host, port: Number(port), allowHalfOpen: true }, () => socket.write(text))
+  socket.on('data', bytes => { received += bytes.toString('latin1') })
+  socket.on('error', () => undefined)
+  await pause(milliseconds)
+  socket.destroy()
+  return received
+}
+
+test('a daemon answers a request that a malformed head follows on its connection, and refuses that afterwards', async () => {
+  const received = await receive(`${chat('first')}no request\r\n\r\n`)
+  expect(received.slice(0, 12)).toBe('HTTP/1.1 200')
+})
+
+test('a daemon that stops answers all pipelined requests that it has read', async () => {
+  const answers = receive(chat('first') + chat('second'))
+  await pause(100)
+  harness.drain.begin()
+  expect((await answers).match(/HTTP\/1.1 200/g)).toHaveLength(2)
+})
--- /dev/null
+++ b/test/gatewayStall.test.ts
@@ -0,0 +1,72 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { ForwarderHarness, formatEvent } from './fakes/forwarderWorld.ts'
+import { RawCaller, block, pause, requestHead } from './fakes/rawCaller.ts'
+
+const idleMilliseconds = 600
+const limits = { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 2_500, idle_timeout_ms: idleMilliseconds }
+/** Node.js keeps a connection for so much longer than it announces. */
+const keepAliveBufferMilliseconds = 1_000
+/** Beyond the silence after which a run is abandoned, and within the deadline. */
+const stallMilliseconds = 800
+
+let harness: ForwarderHarness
+let host: string
+beforeEach(async () => {
+  harness = await ForwarderHarness.start()
+  harness.putConfiguration(1, { limits })
+  host = await harness.startForwarder()
+})
+afterEach(async () => await harness.close())
+
+test.each([0, 300])('a request that has arrived on a kept connection is answered although its idle time ends in a stall of %i ms', async milliseconds => {
+  await harness.startEndpoint('ledger')
+  await harness.waitUntilReady(host)
+  const caller = await RawCaller.connect(host)
+  caller.write(requestHead('/release/1', { id: 'before' }))
+  await caller.until(1)
+  await pause(idleMilliseconds + keepAliveBufferMilliseconds - 150)
+  await new Promise(resolve => setImmediate(resolve))
+  caller.write(requestHead('/release/2', { id: 'crossing' }))
+  block(milliseconds)
+  await caller.until(2)
+  expect(caller.statuses).toEqual([200, 200])
+  caller.close()
+})
+
+test('a run whose next event has arrived is not abandoned as silent after a stall of the event loop', async () => {
+  const engines = [await harness.startEndpoint('engines'), await harness.startEndpoint('engines')]
+  let wasHandedOver: boolean | undefined
+  for (const engine of engines) {
+    engine.handleWith(async (_request, response) => {
+      response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90 })
+      response.write(formatEvent(1))
+      await pause(200)
+      await new Promise(resolve => setImmediate(resolve))
+      response.end(formatEvent(2))
+      // Node.js hands the event to the kernel in the next tick.
+      await new Promise<void>(resolve => process.nextTick(resolve))
+      wasHandedOver = response.writableFinished
+      block(stallMilliseconds)
+    })
+  }
+  await harness.waitUntilReady(host)
+  const response = await harness.call(host, '/query/1', { headers: { 'deadline-ms': '15000', 'token-usage': '10,10', 'prefix-hash': 'a:10' } })
+  expect(wasHandedOver).toBe(true)
+  expect(response.isComplete).toBe(true)
+  expect(engines.flatMap(({ received }) => received)).toHaveLength(1)
+})
+
+test('a head that has arrived within its limit is not refused as late after a stall of the event loop', async () => {
+  await harness.startEndpoint('ledger')
+  await harness.waitUntilReady(host)
+  const caller = await RawCaller.connect(host)
+  const head = requestHead('/release/1', { id: 'whole' })
+  caller.write(head.slice(0, 40))
+  await pause(2_000)
+  await new Promise(resolve => setImmediate(resolve))
+  caller.write(head.slice(40))
+  block(2_000)
+  await caller.until(1)
+  expect(caller.statuses).toEqual([200])
+  caller.close()
+})
--- /dev/null
+++ b/test/livenessChecks.test.ts
@@ -0,0 +1,37 @@
+import { type Server, connect, createServer } from 'node:net'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { ForwarderHarness, formatEvent } from './fakes/forwarderWorld.ts'
+import { endpointDocument } from '../platform/standin/index.ts'
+
+let harness: ForwarderHarness
+let front: Server | undefined
+beforeEach(async () => { harness = await ForwarderHarness.start() })
+afterEach(async () => {
+  front?.close()
+  await harness.close()
+})
+
+test('an engine that is silent is not asked by new connections while its stream could go on nowhere else', async () => {
+  const engine = await harness.startEndpoint('engines')
+  let connections = 0
+  front = createServer(caller => {
+    connections++
+    const [host, port] = engine.address.split(':')
+    const back = connect({ host, port: Number(port) })
+    caller.pipe(back).on('error', () => undefined)
+    back.pipe(caller).on('error', () => undefined)
+  })
+  const port = await new Promise<number>(resolve => front!.listen(0, '127.0.0.1', () => resolve((front!.address() as { port: number }).port)))
+  harness.store.put('servers', engine.identity, endpointDocument('engines', `127.0.0.1:${port}`))
+  engine.handleWith((_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90 })
+    response.write(formatEvent(1))
+    setTimeout(() => { response.end(formatEvent(2)) }, 1_600)
+  })
+  harness.putConfiguration(1)
+  const host = await harness.startForwarder()
+  await harness.waitUntilReady(host)
+  const response = await harness.call(host, '/query/1', { headers: { 'deadline-ms': '2000', 'token-usage': '10,10', 'prefix-hash': 'a:10' } })
+  expect(response.isComplete).toBe(true)
+  expect(connections).toBe(1)
+})
