Ask silent endpoints for connections only where a run could go on elsewhere

Cause: the check ran whether or not its result could matter. An accepted connection also counted as bytes received, which kept runs that had not begun. It is recorded apart now and counts for begun runs only.

test/livenessChecks.test.ts failed before: 9 connections where 1 is right.

--- a/src/gateway/endpointLiveness.ts
+++ b/src/gateway/endpointLiveness.ts
@@ -12,14 +12,15 @@
   readonly probe: ConnectionProbe
   /** Longest time that a probe takes, in milliseconds. */
   readonly checkMilliseconds: number
-  readonly loads: Pick<EndpointLoads, 'recordSign'>
+  readonly loads: Pick<EndpointLoads, 'recordAcceptance'>
   readonly clock: Clock
 }
 
 /**
  * @example
  * liveness.check(endpoint)
- * const silent = loads.silentMillisecondsOf(endpoint, clock.now() + liveness.checkMilliseconds)
+ * await clock.sleep(liveness.checkMilliseconds)
+ * const isAlive = tracker.unacceptedMilliseconds(clock.now()) <= liveness.checkMilliseconds
  */
 export class EndpointLiveness {
   readonly #options: EndpointLivenessOptions
@@ -34,7 +35,7 @@
     return this.#options.checkMilliseconds
   }
 
-  /** Begins a check, unless one is running; an endpoint that accepts counts as heard from at that moment. */
+  /** Begins a check, unless one is running; an endpoint that accepts is alive at that moment. */
   check (endpoint: RoutedEndpoint): void {
     const instance = instanceKey(endpoint)
     if (this.#running.has(instance)) return
@@ -45,6 +46,6 @@
   async #probe (endpoint: RoutedEndpoint): Promise<void> {
     const { clock, loads, probe } = this.#options
     const outcome = await probe(endpoint.address)
-    if (outcome === ConnectionOutcome.Accepted) loads.recordSign(endpoint, clock.now())
+    if (outcome === ConnectionOutcome.Accepted) loads.recordAcceptance(endpoint, clock.now())
   }
 }
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -224,7 +224,7 @@
       const millisecondsLeft = millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, waitingSince, now))
       if (millisecondsLeft <= 0 && this.#canResumeElsewhere()) return undefined
       const millisecondsToCheck = millisecondsLeft - livenessMilliseconds
-      if (hasRunStarted && millisecondsToCheck <= 0) liveness.check(attempt.endpoint)
+      if (hasRunStarted && millisecondsToCheck <= 0 && this.#canResumeElsewhere()) liveness.check(attempt.endpoint)
       const nextLookMilliseconds = [millisecondsToCheck, millisecondsLeft].find(milliseconds => milliseconds > 0) ?? silenceCheckIntervalMilliseconds
       const event = await reader.next(Math.min(request.deadline, now + Math.ceil(nextLookMilliseconds)))
       if (event !== undefined || request.now >= request.deadline || request.hasCallerLeft) return event
@@ -233,9 +233,10 @@
 
   #silenceOf ({ promptMilliseconds, tracker }: OpenAttempt, hasStarted: boolean, waitingSince: number, now: number): RunSilence {
     const { latencyTargetMilliseconds, maximumEventGapMilliseconds } = this.#request.route
+    const unacceptedMilliseconds = hasStarted ? tracker.unacceptedMilliseconds(now) : Number.POSITIVE_INFINITY
     return {
       waitedMilliseconds: now - waitingSince,
-      endpointSilentMilliseconds: tracker.silentMilliseconds(now),
+      endpointSilentMilliseconds: Math.min(tracker.silentMilliseconds(now), unacceptedMilliseconds),
       endpointWaitMilliseconds: tracker.waitMilliseconds(now),
       promptMilliseconds,
       hasStarted,
--- a/src/placement/endpointLoads.ts
+++ b/src/placement/endpointLoads.ts
@@ -31,6 +31,8 @@
   recordResponseStart (now: number): void
   /** Milliseconds since the last byte was received from the endpoint, by any attempt; infinite if none was. */
   silentMilliseconds (now: number): number
+  /** Milliseconds since the endpoint was last seen to accept a connection; infinite if it never was. */
+  unacceptedMilliseconds (now: number): number
   /** Time that requests wait at the endpoint before their turn, in milliseconds. */
   waitMilliseconds (now: number): number
   close (end: AttemptEnd, now: number): void
@@ -55,6 +57,7 @@
   /** Attempts in progress that have received no bytes yet. */
   attemptsWithoutBytes = 0
   lastByteAt = Number.NEGATIVE_INFINITY
+  lastAcceptedAt = Number.NEGATIVE_INFINITY
   lastUsedAt = Number.NEGATIVE_INFINITY
   #waitMilliseconds = 0
   #waitSeenAt = Number.NEGATIVE_INFINITY
@@ -116,6 +119,7 @@
         remainingMilliseconds -= work.prefillMilliseconds
       },
       silentMilliseconds: at => at - load.lastByteAt,
+      unacceptedMilliseconds: at => at - load.lastAcceptedAt,
       waitMilliseconds: at => load.waitMillisecondsAt(at),
       close: (end, at) => {
         if (!isOpen) return
@@ -196,10 +200,10 @@
     return Math.max(0, Math.min(...ends) - now)
   }
 
-  /** Records that an endpoint was seen to be alive, although none of its runs received anything. */
-  recordSign (endpoint: RoutedEndpoint, now: number): void {
+  /** Records that an endpoint has accepted a connection, so it is alive although none of its runs receives anything. */
+  recordAcceptance (endpoint: RoutedEndpoint, now: number): void {
     const load = this.#loads.get(instanceKey(endpoint))
-    if (load !== undefined) load.lastByteAt = now
+    if (load !== undefined) load.lastAcceptedAt = now
   }
 
   /** Removes incarnations that have not been used within the retention period. */
