Read what has arrived before a run is abandoned as silent

What callers saw: streams cut or late on VMs whose processor was short: after a stall of the event loop the timer fired first, and a run whose next event lay in the kernel was abandoned.

--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -14,6 +14,7 @@
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { ModelChoice } from './modelChoice.ts'
 import { type OpenAttempt, NotExecutedReason, isServerError } from './openAttempt.ts'
+import { untilInputIsRead } from '../server/index.ts'
 import { waitForDrain } from './plainForwarding.ts'
 
 const successStatus = 200
@@ -222,7 +223,7 @@
     const waitingSince = request.now
     for (let now = waitingSince; ; now = request.now) {
       const millisecondsLeft = millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, waitingSince, now))
-      if (millisecondsLeft <= 0 && this.#canResumeElsewhere()) return undefined
+      if (millisecondsLeft <= 0 && this.#canResumeElsewhere()) return await this.#eventAfterStall(attempt)
       const millisecondsToCheck = millisecondsLeft - livenessMilliseconds
       if (hasRunStarted && millisecondsToCheck <= 0 && this.#canResumeElsewhere()) liveness.check(attempt.endpoint)
       const nextLookMilliseconds = [millisecondsToCheck, millisecondsLeft].find(milliseconds => milliseconds > 0) ?? silenceCheckIntervalMilliseconds
@@ -231,6 +232,12 @@
     }
   }
 
+  /** After a stall of the event loop a run looks silent although its next event has arrived. */
+  async #eventAfterStall ({ exchange }: OpenAttempt): Promise<ExchangeEvent | undefined> {
+    await untilInputIsRead(this.#request.dependencies.clock)
+    return exchange.poll()
+  }
+
   #silenceOf ({ promptMilliseconds, tracker }: OpenAttempt, hasStarted: boolean, waitingSince: number, now: number): RunSilence {
     const { latencyTargetMilliseconds, maximumEventGapMilliseconds } = this.#request.route
     const unacceptedMilliseconds = hasStarted ? tracker.unacceptedMilliseconds(now) : Number.POSITIVE_INFINITY
