--- a/src/fleetLoad/loadReports.ts
+++ b/src/fleetLoad/loadReports.ts
@@ -20,12 +20,19 @@
 const replyTimeoutMilliseconds = 600
 /** A gateway without work reports for this long, so that its news is fresh when work comes again. */
 const idleReportsMilliseconds = 10_000
+/** A seed that has just started has heard from the others after this time. */
+const settlingMilliseconds = reportIntervalMilliseconds * (1 + intervalSpreadShare / 2) + sumIntervalMilliseconds
 /** A seed that did not answer is asked again after this time. */
 const seedRetryMilliseconds = 10_000
 
 const encodedWorkSchema = z.custom<Uint8Array>(isEncodedWork)
 const reportSchema = z.object({ work: encodedWorkSchema })
-const reportReplySchema = z.object({ work: encodedWorkSchema, ageMilliseconds: z.number().nonnegative() })
+const reportReplySchema = z.object({
+  work: encodedWorkSchema,
+  ageMilliseconds: z.number().nonnegative(),
+  /** Whether the seed has just started and can't know the work of all yet; absent otherwise. */
+  isSettling: z.boolean().optional()
+})
 const sumSchema = z.object({ work: encodedWorkSchema })
 const sumReplySchema = z.object({})
 
@@ -52,17 +59,20 @@
   readonly #stopping = new AbortController()
   readonly #wakeup = new Wakeup()
   readonly #silentUntil = new Map<string, number>()
+  readonly #startedAt: number
   #hadWorkAt = Number.NEGATIVE_INFINITY
   #source: string | undefined
 
   constructor (options: LoadReportsOptions) {
     this.#options = options
     const { clock, link } = options
+    this.#startedAt = clock.now()
     link.handle(loadReport, async ({ work }, from) => {
       const now = clock.now()
       this.#sums.recordReport(from.address, decodeWork(work), now)
       const others = this.#sums.withoutGateway(from.address, now)
-      return { work: encodeWork(others.work), ageMilliseconds: others.ageMilliseconds }
+      const settling = this.#isSettling(now) ? { isSettling: true } : {}
+      return { work: encodeWork(others.work), ageMilliseconds: others.ageMilliseconds, ...settling }
     })
     link.handle(loadSum, async ({ work }, from) => {
       this.#sums.recordPeerSum(from.address, decodeWork(work), clock.now())
@@ -108,6 +118,10 @@
     }
   }
 
+  #isSettling (now: number): boolean {
+    return now - this.#startedAt < settlingMilliseconds
+  }
+
   /** Whether this gateway has work or lately had some. */
   #isActive (): boolean {
     const { clock, ownWork } = this.#options
@@ -124,6 +138,7 @@
     const askedAt = clock.now()
     if (seed === link.self.address) {
       this.#sums.recordReport(seed, ownWork(), askedAt)
+      if (this.#isSettling(askedAt)) return true
       news.record(this.#sums.withoutGateway(seed, askedAt), askedAt)
       this.#recordSource(seed)
       return true
@@ -131,6 +146,7 @@
     const reply = await link.request(peerAt(seed), loadReport, { work: encodeWork(ownWork()) }, replyTimeoutMilliseconds)
     if (reply.err) this.#recordSilence(seed)
     if (reply.err) return false
+    if (reply.val.isSettling === true) return true
     news.record({ work: decodeWork(reply.val.work), ageMilliseconds: reply.val.ageMilliseconds }, askedAt)
     this.#recordSource(seed)
     return true
