Keep the loopback addresses of test processes apart whatever their ids

Traced: addresses came from the process's id modulo 150, and on a machine that starts many processes two test files that run at once had ids 150 apart. The quotient is part of the address now; a file that starts too many forwarders says so.

--- a/test/fakes/forwarderWorld.ts
+++ b/test/fakes/forwarderWorld.ts
@@ -33,9 +33,12 @@
 let nextHostNumber = 20
 let nextEndpointNumber = 1
 
+const lastHostNumber = 250
+
 /** Each forwarder gets a new loopback address, since its ports are fixed; the process ID keeps test processes apart. */
 function allocateLoopbackHost (): string {
-  return `127.${50 + process.pid % 150}.${1 + Math.floor(nextHostNumber / 200)}.${nextHostNumber++ % 200 + 1}`
+  if (nextHostNumber > lastHostNumber) throw new Error('a test file starts too many forwarders')
+  return `127.${50 + process.pid % 150}.${1 + Math.floor(process.pid / 150) % 250}.${nextHostNumber++}`
 }
 
 export class ForwarderHarness {
--- a/test/gatewaySignals.test.ts
+++ b/test/gatewaySignals.test.ts
@@ -48,7 +48,7 @@
 
 /** Starts the program, whose loading takes a time, and returns the first caller that it accepts. */
 async function launch (milliseconds: number): Promise<RawCaller> {
-  const host = `127.${200 + process.pid % 50}.1.${hostNumber++}`
+  const host = `127.${200 + process.pid % 50}.${1 + Math.floor(process.pid / 50) % 250}.${hostNumber++}`
   const source = readFileSync(join('target', 'forwarder.cjs'), 'utf8')
   writeFileSync(join(directory, 'forwarder.cjs'), `for (const until = Date.now() + ${milliseconds}; Date.now() < until;);\n${source}`)
   writeFileSync(bootFilePath, JSON.stringify(bootDocument(`edge-${host}`, host, store.address, [], 6)))
