Send peers that the store rejects only tables in which something changed

Cause: a gateway whose feed fails asks two peers every 400 ms for tables that are newer than its own. The store's position moves with every transaction, whichever table it changes, so every peer was always newer and sent all tables whole: by sum 68 gateways times five replies a second. The cost grows with gateways times rows.

Change: a table goes only if a row was written or deleted since the asker's position. A copy without such a row has the same rows.

--- a/src/replica/peerReplicaExchange.ts
+++ b/src/replica/peerReplicaExchange.ts
@@ -7,9 +7,10 @@
 import { type Clock, type Randomness, dropOldest, randomSample } from '../contract/index.ts'
 import type { Link, MessageType, Peer } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
+import type { TablePosition } from './contract.ts'
 import { type EncodedPositions, decodePosition, decodeRows, encodePositions, positionsSchema, rowSchema } from './relayMessages.ts'
 import type { ReplicaFollower } from './replicaFollower.ts'
-import { comparePositions } from './tableReplica.ts'
+import { type TableReplica, comparePositions } from './tableReplica.ts'
 
 /** How often peers are asked during a store outage. */
 const requestIntervalMilliseconds = 400
@@ -141,7 +142,7 @@
     return this.#options.tables.flatMap(table => {
       const position = decodePosition(positions, table)
       const replica = this.#options.follower.replica(table)
-      const isNewer = position !== undefined && comparePositions(replica, position) > 0
+      const isNewer = position !== undefined && comparePositions(replica, position) > 0 && hasChangedSince(replica, position)
       return isNewer ? [{ table, version: replica.version, epoch: replica.epoch, rows: replica.storedRows }] : []
     })
   }
@@ -168,3 +169,9 @@
     return randomSample(this.#options.randomness, candidates, peersPerRequest)
   }
 }
+
+/** The store's position moves with every transaction, whichever table it changes. */
+function hasChangedSince (replica: TableReplica, position: TablePosition): boolean {
+  const { isWhole, rows } = replica.changesSince(position)
+  return isWhole || rows.length > 0
+}
