--- a/src/breaker/contract.ts
+++ b/src/breaker/contract.ts
@@ -3,12 +3,14 @@
  * requests to endpoints. All times are milliseconds of the process's clock.
  */
 
-/** The parts of a prompt that other prompts may share. */
+/** What a request asks of an endpoint, as far as other requests may ask for the same. */
 export interface SharedPrompt {
   /** Who sent it; empty for a caller without an organisation. */
   readonly organisation: string
-  /** Identifiers in the prompt's order, without the last part, which belongs to one request or session alone. */
+  /** Identifiers of prompt parts, in order, without the last one, which belongs to one request or session alone; none for a plain service. */
   readonly parts: readonly string[]
+  /** Digest of the whole request, which its repeats share; undefined if it is not known. */
+  readonly request?: string
 }
 
 /** A part of an organisation's prompts. The same part in the prompts of two organisations counts as two. */
--- a/src/breaker/endpointRuns.ts
+++ b/src/breaker/endpointRuns.ts
@@ -13,6 +13,8 @@
 const soundRunMilliseconds = 2_000
 /** Number of runs in a report. */
 const maximumSuspects = 4
+/** Number of runs in a log line. */
+const maximumLoggedRuns = 12
 /** Number of crashed incarnations that are remembered, so that each is checked once. */
 const maximumExamined = 1_000
 
@@ -44,12 +46,14 @@
 /** One run in progress. */
 export class EndpointRun {
   readonly description: RunDescription
+  readonly openedAt: number
   readonly #runs: EndpointRuns
   #begunAt: number | undefined
   #isSound = false
 
-  constructor (description: RunDescription, runs: EndpointRuns) {
+  constructor (description: RunDescription, openedAt: number, runs: EndpointRuns) {
     this.description = description
+    this.openedAt = openedAt
     this.#runs = runs
   }
 
@@ -111,7 +115,7 @@
 
   /** Adds a run that is about to be sent. */
   open (description: RunDescription): EndpointRun {
-    const run = new EndpointRun(description, this)
+    const run = new EndpointRun(description, this.#options.clock.now(), this)
     getOrCreate(this.#open, description.instance, () => new Set<EndpointRun>()).add(run)
     return run
   }
@@ -138,31 +142,48 @@
   /** Looks into the end of a run; all runs at the endpoint end at that moment if it has crashed. */
   examine ({ description: { instance, address } }: EndpointRun, now: number): void {
     if (this.#examined.has(instance)) return
-    const suspects = this.#suspectsAt(instance)
-    if (suspects.length === 0) return
     this.#examined.add(instance)
     dropOldest(this.#examined, maximumExamined)
-    this.#reportIfCrashed(instance, address, suspects, now).catch(error => this.#options.log.error('crash_check_failed', { endpoint: instance, reason: String(error) }))
+    this.#reportIfCrashed(instance, address, this.#runsAt(instance), now).catch(error => this.#options.log.error('crash_check_failed', { endpoint: instance, reason: String(error) }))
   }
 
-  async #reportIfCrashed (instance: string, address: string, runs: readonly SuspectRun[], crashedAt: number): Promise<void> {
+  async #reportIfCrashed (instance: string, address: string, runs: readonly RunAtCrash[], crashedAt: number): Promise<void> {
     if (!await this.#options.hasCrashed(address)) {
       this.#examined.delete(instance)
       return
     }
     const { breaker, clock, log, name, onNews } = this.#options
-    log.warn('endpoint_crashed', { endpoint: instance, runs: runs.map(run => describe(run, crashedAt)) })
-    breaker.recordCrash({ instance, reporter: name, crashedAt, runs }, clock.now())
+    log.warn('endpoint_crashed', { endpoint: instance, running: runs.length, runs: runs.slice(0, maximumLoggedRuns).map(run => describe(run, crashedAt)) })
+    const suspects = suspectsAmong(runs)
+    if (suspects.length === 0) return
+    breaker.recordCrash({ instance, reporter: name, crashedAt, runs: suspects }, clock.now())
     onNews()
   }
 
-  #suspectsAt (instance: string): readonly SuspectRun[] {
-    const suspects = [...this.#open.get(instance) ?? []].flatMap(run => run.suspect ?? [])
-    suspects.sort((left, right) => right.begunAt - left.begunAt)
-    return suspects.filter(({ prompt }) => prompt.parts.length > 0).slice(0, maximumSuspects)
+  /** The runs at an endpoint now, those that began last first, and behind them those that have not begun, the last opened first. */
+  #runsAt (instance: string): readonly RunAtCrash[] {
+    const runs = [...this.#open.get(instance) ?? []].reverse()
+    const atCrash = runs.map(({ begunAt, description, openedAt, suspect }) => ({ prompt: description.prompt, openedAt, begunAt, suspect }))
+    return atCrash.sort((left, right) => (right.begunAt ?? Number.NEGATIVE_INFINITY) - (left.begunAt ?? Number.NEGATIVE_INFINITY) || 0)
   }
 }
 
-function describe ({ prompt, begunAt }: SuspectRun, crashedAt: number): string {
-  return `${prompt.organisation} ${prompt.parts.join(',')} begun ${Math.round(crashedAt - begunAt)}ms before`
+/** A run at an endpoint at the moment in which that crashed. */
+interface RunAtCrash {
+  readonly prompt: SharedPrompt
+  readonly openedAt: number
+  readonly begunAt: number | undefined
+  /** Undefined if the run can't be the cause. */
+  readonly suspect: SuspectRun | undefined
+}
+
+function suspectsAmong (runs: readonly RunAtCrash[]): readonly SuspectRun[] {
+  const suspects = runs.flatMap(({ suspect }) => suspect ?? [])
+  return suspects.filter(({ prompt }) => prompt.parts.length > 0).slice(0, maximumSuspects)
+}
+
+function describe ({ prompt, openedAt, begunAt }: RunAtCrash, crashedAt: number): string {
+  const parts = prompt.parts.length === 0 ? '' : ` ${prompt.parts.join(',')}`
+  const begun = begunAt === undefined ? '' : `, begun ${Math.round(crashedAt - begunAt)}ms`
+  return `${prompt.organisation} request ${prompt.request ?? '-'}${parts} sent ${Math.round(crashedAt - openedAt)}ms${begun} before`
 }
--- a/src/breaker/index.ts
+++ b/src/breaker/index.ts
@@ -8,3 +8,4 @@
 export { logBreakerChange } from './breakerLog.ts'
 export { connectionCheck } from './crashCheck.ts'
 export { breakerNewsSchema, decodeBreakerNews, encodeBreakerNews, type EncodedBreakerNews } from './breakerMessages.ts'
+export { requestDigest, type RequestContent } from './requestDigest.ts'
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -3,7 +3,7 @@
  * and the attempts made so far. Shared by plain and streamed forwarding.
  */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
-import type { BlockedPrompt, SharedPrompt } from '../breaker/index.ts'
+import { type BlockedPrompt, type SharedPrompt, requestDigest } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import { latestTurn, type WaitingRequest } from '../rateLimit/index.ts'
 import { AttemptEnd, type PlacementRequest, estimateWork } from '../placement/index.ts'
@@ -65,7 +65,7 @@
     this.dependencies = dependencies
     this.arrivedAt = arrivedAt
     this.deadline = arrivedAt + Math.min(route.timeoutMilliseconds, head.timeoutMilliseconds ?? route.timeoutMilliseconds)
-    this.#prompt = { organisation: options.organisation?.name ?? '', parts: head.promptParts.slice(0, -1).map(({ id }) => id) }
+    this.#prompt = promptOf(options)
     response.once('close', () => {
       if (!response.writableFinished) this.callerAbort.abort('caller disconnected')
     })
@@ -342,6 +342,7 @@
       limit: Math.round(this.deadline - this.arrivedAt),
       ...this.#sizeFields(),
       settings: this.#options.snapshot.settings.version,
+      content: this.#hasBrokenOff ? this.#prompt.request : undefined,
       promptParts: this.#hasBrokenOff ? this.#prompt.parts : undefined,
       attempts: this.#attemptSummaries
     }
@@ -359,3 +360,13 @@
     return estimateWork(this.route, service, model, this.head.promptTokens, this.head.maximumOutputTokens)
   }
 }
+
+/** What a request shares with others: parts of its prompt, and all of it with its repeats. */
+function promptOf ({ request, head, body, organisation }: ForwardedRequestOptions): SharedPrompt {
+  const { method = 'GET', url = '/', headers } = request
+  return {
+    organisation: organisation?.name ?? '',
+    parts: head.promptParts.slice(0, -1).map(({ id }) => id),
+    request: requestDigest({ method, host: headers.host ?? '', path: url, body })
+  }
+}
