--- a/test/fakes/entryWorld.ts
+++ b/test/fakes/entryWorld.ts
@@ -6,7 +6,7 @@
 import { TableClaims } from '../../src/claim/index.ts'
 import { type LoadReport, Ok, SeededRandomness, SystemClock, SystemRandomness } from '../../src/contract/index.ts'
 import { SettingsLease, type SettingsSource } from '../../src/distribution/index.ts'
-import { type EngineClient, HttpEngineClient, HttpServiceClient } from '../../src/endpoint/index.ts'
+import { type EngineClient, HttpEngineClient, HttpServiceClient, type ServiceClient } from '../../src/endpoint/index.ts'
 import { CallerServer, ChatRouter, CompletionLengthEstimator, Drain, EndpointDirectory, EndpointPlaces, PoolAdmission, RollOutMonitor, ServiceRouter } from '../../src/entry/index.ts'
 import type { Membership } from '../../src/membership/index.ts'
 import { Log, Metrics, NoopTracer } from '../../src/observe/index.ts'
@@ -69,16 +69,17 @@
   /**
    * Starts the engine, the ledger service and the caller server.
    *
-   * @param engines calls engines in place of HTTP; they count as crashed whenever a run breaks off
+   * @param engines calls engines in place of HTTP; endpoints then count as crashed whenever a run breaks off
+   * @param services calls plain services in place of HTTP
    */
-  static async start (versionPolicy: VersionPolicy = cheapestVersionPolicy, maximumBodyBytes = 65_536, engines?: EngineClient): Promise<EntryHarness> {
+  static async start (versionPolicy: VersionPolicy = cheapestVersionPolicy, maximumBodyBytes = 65_536, engines?: EngineClient, services?: ServiceClient): Promise<EntryHarness> {
     const harness = new EntryHarness()
     const engine = await startEngine({ listen: '127.0.0.1:0', name: 'engine-1', versions: ['small@1', 'small@2', 'large@1'] })
     const service = await startService({ listen: '127.0.0.1:0', name: 'ledger' })
     harness.#engineAddress = engine.address
     harness.#serviceAddress = service.address
     harness.settings.install(harness.settingsText())
-    const server = harness.#createServer(versionPolicy, maximumBodyBytes, engines)
+    const server = harness.#createServer(versionPolicy, maximumBodyBytes, engines, services)
     harness.address = await server.listen('127.0.0.1:0')
     harness.#cleanups.push(() => server.close(), () => engine.close(), () => service.close())
     return harness
@@ -152,7 +153,7 @@
     return { at: this.clock.now(), incarnation, versions, running: 0, queued: 0, queuedPromptTokens: 0, streamLimit: 32, prefillTokensPerSecond: 16_000, betweenTokensMilliseconds: 6, leaving: false }
   }
 
-  #createServer (versionPolicy: VersionPolicy, maximumBodyBytes: number, engines?: EngineClient): CallerServer {
+  #createServer (versionPolicy: VersionPolicy, maximumBodyBytes: number, engines?: EngineClient, serviceClient?: ServiceClient): CallerServer {
     const { clock, drain, metrics, settings, table } = this
     const randomness = new SystemRandomness()
     const here = { region: 'lower-mainland', dataCentre: 'lower-mainland-a' }
@@ -204,7 +205,7 @@
       clock,
       randomness,
       directory,
-      services: new HttpServiceClient({ clock, connectTimeoutMilliseconds: 500, inactivityTimeoutMilliseconds: 1_000 }),
+      services: serviceClient ?? new HttpServiceClient({ clock, connectTimeoutMilliseconds: 500, inactivityTimeoutMilliseconds: 1_000 }),
       claims: new TableClaims({ table, clock, randomness, holder: 'entry-1' }),
       ledger,
       retries,
