--- a/src/breaker/blame.ts
+++ b/src/breaker/blame.ts
@@ -1,38 +1,57 @@
 /**
- * Decides which part of a prompt crashes endpoints.
+ * Decides which part of what requests contain crashes endpoints.
  *
- * A crash is blamed on one run: among those whose prompts have a part that was not answered well lately,
- * the one that had begun last, if that was shortly before, since a prompt that crashes its endpoint does so
- * soon after its run begins. Otherwise nothing is blamed: the endpoint may have crashed for another reason,
- * and a prompt must not be blamed only because all others are cleared. Runs of all organisations compete
- * for the blame, so that one organisation's crashes are not blamed on another.
+ * A prompt part is blamed through one run at each crash: among those whose prompts have a part that was not
+ * answered well lately, the one that had begun last, if that was shortly before, since a prompt that crashes
+ * its endpoint does so soon after its run begins. Otherwise no prompt part is blamed: the endpoint may have
+ * crashed for another reason, and a prompt must not be blamed only because all others are cleared. Runs of all
+ * organisations compete for the blame, so that one organisation's crashes are not blamed on another.
  *
- * A part is blamed for a sequence of crashes in which each run began after the crash before it. Endpoints
- * that end together, for example with their rack, form no sequence, however many runs they had in common.
- * Of several parts with equally long sequences the one deepest in the prompt is blamed, because the fewest
- * other requests share it.
+ * A whole request is suspected at each crash at which it had been sent and was not answered, since nothing
+ * may tell that its run began. What clears the sound requests beside it is that they are answered elsewhere:
+ * crashes from before a request's last answer do not count.
+ *
+ * A part is blamed for a sequence of crashes that followed one another. Endpoints that end together, for
+ * example with their rack, form no sequence, however many runs they had in common. The longest sequence is
+ * blamed first; of several equally long ones that of the part deepest in the content, because the fewest
+ * other requests share it. Requests that lay at the same crashes can't be told apart: more crashes are
+ * awaited, up to a bound, since a sound request is answered before long.
  */
 import { getOrCreate } from '../contract/index.ts'
-import { type OrganisationPart, type SuspectRun, organisationParts, partKey } from './contract.ts'
+import { type OrganisationPart, type SuspectRequest, type SuspectRun, partKey, partOfSuspect, requestPart, sharedParts } from './contract.ts'
 
 /** Length of a sequence of crashes from which a part is blamed. */
 const blamedSequenceLength = 3
+/** Length from which all requests that can't be told apart are blamed. */
+const undecidedSequenceLength = 5
 /** A run that had begun longer before a crash is not blamed for it. */
 const maximumBlamedMilliseconds = 1_000
+/** Crashes under one request that are this far apart follow one another, whenever it was sent. */
+const separateCrashMilliseconds = 100
+/** A request is shared by fewer others than any prompt part. */
+const requestDepth = Number.POSITIVE_INFINITY
 
-/** The crash of an endpoint with the runs that all gateways had there. */
+/** The crash of an endpoint with the runs and requests that all gateways had there. */
 export interface ObservedCrash {
   readonly crashedAt: number
   readonly runs: readonly SuspectRun[]
+  readonly requests: readonly SuspectRequest[]
+  /** Whether a blocked request explains it; it then counts only for what several requests share. */
+  readonly isExplainedByRequest: boolean
 }
 
-/** Whether a part counts as sound at the time of a crash. */
-export type SoundnessCheck = (part: OrganisationPart, crashedAt: number) => boolean
+/** What is known of good answers. */
+export interface AnswerEvidence {
+  /** Whether a prompt part counts as sound at the time of a crash. */
+  isSound (part: OrganisationPart, crashedAt: number): boolean
+  /** When a request was last answered; undefined if that is not known. */
+  lastAnsweredAt (request: OrganisationPart): number | undefined
+}
 
-/** The time from the begin of a blamed run to the crash. */
+/** The time from the begin of a blamed run, or from the sending of a suspected request, to the crash. */
 interface BlamedInterval {
-  readonly begunAt: number
-  readonly crashedAt: number
+  readonly startedAt: number
+  readonly crash: ObservedCrash
 }
 
 interface PartSuspicion {
@@ -41,53 +60,103 @@
   readonly intervals: BlamedInterval[]
 }
 
+/** A suspicion with its longest sequence of crashes. */
+interface Suspect {
+  readonly part: OrganisationPart
+  readonly depth: number
+  readonly sequence: readonly ObservedCrash[]
+}
+
 /**
- * Returns the part to block.
+ * Returns the parts to block: one, or several requests that can't be told apart.
  *
- * @param crashes without those that a blocked part explains
- * @returns undefined if no part is blamed
+ * @param crashes without those that a blocked prompt part explains
+ * @returns nothing if no part is blamed
  * @example
- * const part = blamedPart(crashes, (part, crashedAt) => answers.isSound(part, crashedAt))
+ * for (const part of blamedParts(crashes, answers)) block(part)
  */
-export function blamedPart (crashes: readonly ObservedCrash[], isSound: SoundnessCheck): OrganisationPart | undefined {
+export function blamedParts (crashes: readonly ObservedCrash[], answers: AnswerEvidence): readonly OrganisationPart[] {
+  const suspects = suspectsOf(crashes, answers).filter(({ sequence }) => sequence.length >= blamedSequenceLength)
+  suspects.sort((left, right) => right.sequence.length - left.sequence.length || compare(right.depth, left.depth))
+  for (const suspect of suspects) {
+    const tied = tiedWith(suspect, suspects)
+    if (tied.length === 1 || suspect.sequence.length >= undecidedSequenceLength) return tied.map(({ part }) => part)
+  }
+  return []
+}
+
+/**
+ * The longest sequence of crashes at which one request lay unanswered, whatever explains them.
+ *
+ * @example
+ * const isSuspected = crashesUnder(crashes, request, answers).length >= 2
+ */
+export function crashesUnder (crashes: readonly ObservedCrash[], request: OrganisationPart, answers: AnswerEvidence): readonly ObservedCrash[] {
+  const answeredAt = answers.lastAnsweredAt(request) ?? Number.NEGATIVE_INFINITY
+  const isMeant = (suspect: SuspectRequest) => suspect.organisation === request.organisation && requestPart(suspect.request) === request.part && suspect.sentAt > answeredAt
+  const intervals = crashes.flatMap(crash => crash.requests.filter(isMeant).map(({ sentAt }) => ({ startedAt: sentAt, crash })))
+  return longestSequence(intervals, requestDepth)
+}
+
+function suspectsOf (crashes: readonly ObservedCrash[], answers: AnswerEvidence): Suspect[] {
   const suspicions = new Map<string, PartSuspicion>()
-  for (const crash of crashes) addSuspicions(suspicions, crash, isSound)
-  let blamed: { readonly part: OrganisationPart, readonly length: number, readonly depth: number } | undefined
-  for (const { part, depth, intervals } of suspicions.values()) {
-    const length = longestSequence(intervals)
-    if (length < blamedSequenceLength) continue
-    const isBlamedMore = blamed === undefined || length > blamed.length || (length === blamed.length && depth > blamed.depth)
-    if (isBlamedMore) blamed = { part, length, depth }
+  for (const crash of crashes) {
+    addPartSuspicions(suspicions, crash, answers)
+    if (!crash.isExplainedByRequest) addRequestSuspicions(suspicions, crash, answers)
   }
-  return blamed?.part
+  const suspects = [...suspicions.values()].map(({ part, depth, intervals }) => ({ part, depth, sequence: longestSequence(intervals, depth) }))
+  // Crashes under requests that are blocked already do not speak against what those share with nobody.
+  return suspects.filter(({ sequence }) => sequence.some(crash => !crash.isExplainedByRequest))
 }
 
-/** Returns the run that a crash is blamed on; undefined if there is none. */
-export function blamedRun ({ crashedAt, runs }: ObservedCrash, isSound: SoundnessCheck): SuspectRun | undefined {
+/** A suspect and the requests with as long a sequence that lay at one of its crashes. */
+function tiedWith (suspect: Suspect, suspects: readonly Suspect[]): readonly Suspect[] {
+  if (suspect.depth !== requestDepth) return [suspect]
+  return suspects.filter(other => other.depth === requestDepth && other.sequence.length === suspect.sequence.length && other.sequence.some(crash => suspect.sequence.includes(crash)))
+}
+
+/** The run that a crash is blamed on; undefined if there is none. */
+function blamedRun ({ crashedAt, runs }: ObservedCrash, answers: AnswerEvidence): SuspectRun | undefined {
   const recent = runs.filter(({ begunAt }) => crashedAt - begunAt <= maximumBlamedMilliseconds)
-  const suspects = recent.filter(({ prompt }) => organisationParts(prompt).some(part => !isSound(part, crashedAt)))
+  const suspects = recent.filter(({ prompt }) => sharedParts(prompt).some(part => !answers.isSound(part, crashedAt)))
   return suspects.reduce<SuspectRun | undefined>((last, run) => last === undefined || run.begunAt > last.begunAt ? run : last, undefined)
 }
 
-function addSuspicions (suspicions: Map<string, PartSuspicion>, crash: ObservedCrash, isSound: SoundnessCheck): void {
-  const run = blamedRun(crash, isSound)
+function addPartSuspicions (suspicions: Map<string, PartSuspicion>, crash: ObservedCrash, answers: AnswerEvidence): void {
+  const run = blamedRun(crash, answers)
   if (run === undefined) return
-  for (const [depth, part] of organisationParts(run.prompt).entries()) {
-    if (isSound(part, crash.crashedAt)) continue
-    const suspicion = getOrCreate(suspicions, partKey(part), () => ({ part, depth, intervals: [] }))
-    suspicion.intervals.push({ begunAt: run.begunAt, crashedAt: crash.crashedAt })
+  for (const [depth, part] of sharedParts(run.prompt).entries()) {
+    if (!answers.isSound(part, crash.crashedAt)) addInterval(suspicions, part, depth, { startedAt: run.begunAt, crash })
+  }
+}
+
+function addRequestSuspicions (suspicions: Map<string, PartSuspicion>, crash: ObservedCrash, answers: AnswerEvidence): void {
+  for (const request of crash.requests) {
+    const part = partOfSuspect(request)
+    const answeredAt = answers.lastAnsweredAt(part) ?? Number.NEGATIVE_INFINITY
+    if (request.sentAt > answeredAt) addInterval(suspicions, part, requestDepth, { startedAt: request.sentAt, crash })
   }
 }
 
-/** The largest number of intervals of which each begins after the end of the one before. */
-function longestSequence (intervals: readonly BlamedInterval[]): number {
-  const byEnd = [...intervals].sort((left, right) => left.crashedAt - right.crashedAt)
-  let length = 0
+function addInterval (suspicions: Map<string, PartSuspicion>, part: OrganisationPart, depth: number, interval: BlamedInterval): void {
+  getOrCreate(suspicions, partKey(part), () => ({ part, depth, intervals: [] })).intervals.push(interval)
+}
+
+/** The crashes of a longest sequence in which each follows the one before. */
+function longestSequence (intervals: readonly BlamedInterval[], depth: number): readonly ObservedCrash[] {
+  const separationMilliseconds = depth === requestDepth ? separateCrashMilliseconds : Number.POSITIVE_INFINITY
+  const byEnd = [...intervals].sort((left, right) => left.crash.crashedAt - right.crash.crashedAt)
+  const sequence: ObservedCrash[] = []
   let endedAt = Number.NEGATIVE_INFINITY
-  for (const { begunAt, crashedAt } of byEnd) {
-    if (begunAt < endedAt) continue
-    length++
-    endedAt = crashedAt
+  for (const { startedAt, crash } of byEnd) {
+    const follows = startedAt >= endedAt || crash.crashedAt - endedAt >= separationMilliseconds
+    if (!follows) continue
+    sequence.push(crash)
+    endedAt = crash.crashedAt
   }
-  return length
+  return sequence
+}
+
+function compare (left: number, right: number): number {
+  return left === right ? 0 : left - right
 }
--- a/src/breaker/breakerMessages.ts
+++ b/src/breaker/breakerMessages.ts
@@ -9,8 +9,23 @@
   /** From the run's begin to the crash. */
   milliseconds: z.number()
 })
+const requestSchema = z.object({
+  organisation: z.string(),
+  request: z.string(),
+  /** From the sending of the request to the crash. */
+  milliseconds: z.number()
+})
+const reportSchema = z.object({
+  instance: z.string(),
+  reporter: z.string(),
+  ageMilliseconds: z.number(),
+  runs: z.array(runSchema),
+  /** Absent in reports of earlier builds. */
+  requests: z.array(requestSchema).optional(),
+  mayRecur: z.boolean().optional()
+})
 export const breakerNewsSchema = z.object({
-  reports: z.array(z.object({ instance: z.string(), reporter: z.string(), ageMilliseconds: z.number(), runs: z.array(runSchema) })),
+  reports: z.array(reportSchema),
   blocks: z.array(partSchema.extend({ holder: z.string(), trips: z.number().int().positive(), ageMilliseconds: z.number() })),
   answers: z.array(partSchema.extend({ ageMilliseconds: z.number() }))
 })
@@ -20,11 +35,13 @@
 /** Encodes news with their ages. */
 export function encodeBreakerNews ({ reports, blocks, answers }: BreakerNews, now: number): EncodedBreakerNews {
   return {
-    reports: reports.map(({ instance, reporter, crashedAt, runs }) => ({
+    reports: reports.map(({ instance, reporter, crashedAt, runs, requests, mayRecur }) => ({
       instance,
       reporter,
       ageMilliseconds: now - crashedAt,
-      runs: runs.map(({ prompt, begunAt }) => ({ organisation: prompt.organisation, parts: [...prompt.parts], milliseconds: crashedAt - begunAt }))
+      runs: runs.map(({ prompt, begunAt }) => ({ organisation: prompt.organisation, parts: [...prompt.parts], milliseconds: crashedAt - begunAt })),
+      requests: requests?.map(({ organisation, request, sentAt }) => ({ organisation, request, milliseconds: crashedAt - sentAt })),
+      mayRecur
     })),
     blocks: blocks.map(({ blockedAt, ...block }) => ({ ...block, ageMilliseconds: now - blockedAt })),
     answers: answers.map(({ answeredAt, ...answer }) => ({ ...answer, ageMilliseconds: now - answeredAt }))
@@ -34,13 +51,15 @@
 /** Decodes news that have just arrived. */
 export function decodeBreakerNews ({ reports, blocks, answers }: EncodedBreakerNews, now: number): BreakerNews {
   return {
-    reports: reports.map(({ instance, reporter, ageMilliseconds, runs }) => {
+    reports: reports.map(({ instance, reporter, ageMilliseconds, runs, requests, mayRecur }) => {
       const crashedAt = now - ageMilliseconds
       return {
         instance,
         reporter,
         crashedAt,
-        runs: runs.map(({ organisation, parts, milliseconds }) => ({ prompt: { organisation, parts }, begunAt: crashedAt - milliseconds }))
+        runs: runs.map(({ organisation, parts, milliseconds }) => ({ prompt: { organisation, parts }, begunAt: crashedAt - milliseconds })),
+        requests: requests?.map(({ organisation, request, milliseconds }) => ({ organisation, request, sentAt: crashedAt - milliseconds })),
+        mayRecur
       }
     }),
     blocks: blocks.map(({ ageMilliseconds, ...block }) => ({ ...block, blockedAt: now - ageMilliseconds })),
--- a/src/breaker/contract.ts
+++ b/src/breaker/contract.ts
@@ -1,6 +1,6 @@
 /**
- * What the circuit breaker on prompt parts learns and decides. A gateway is any process that forwards
- * requests to endpoints. All times are milliseconds of the process's clock.
+ * What the circuit breaker on the content of requests learns and decides. A gateway is any process that
+ * forwards requests to endpoints. All times are milliseconds of the process's clock.
  */
 
 /** What a request asks of an endpoint, as far as other requests may ask for the same. */
@@ -13,18 +13,26 @@
   readonly request?: string
 }
 
-/** A part of an organisation's prompts. The same part in the prompts of two organisations counts as two. */
+/** A part of what an organisation's requests contain. The same part in requests of two organisations counts as two. */
 export interface OrganisationPart {
   readonly organisation: string
+  /** A prompt part, or a whole request as `requestPart` names it. */
   readonly part: string
 }
 
-/** A run whose response had begun when its endpoint crashed. */
+/** A run whose response had begun when its endpoint crashed, with the prompt parts that others may share. */
 export interface SuspectRun {
   readonly prompt: SharedPrompt
   readonly begunAt: number
 }
 
+/** A request that had been sent to an endpoint and was not answered when that crashed, whether or not its run had begun. */
+export interface SuspectRequest {
+  readonly organisation: string
+  readonly request: string
+  readonly sentAt: number
+}
+
 /** What one gateway saw of the crash of an endpoint's incarnation. */
 export interface CrashReport {
   readonly instance: string
@@ -32,6 +40,10 @@
   readonly reporter: string
   readonly crashedAt: number
   readonly runs: readonly SuspectRun[]
+  /** Absent in reports of gateways of earlier builds. */
+  readonly requests?: readonly SuspectRequest[]
+  /** Whether the endpoint's incarnations can't be told apart, so that it may crash again under the same name. */
+  readonly mayRecur?: boolean
 }
 
 /** A part that no request may contain for a while, since the endpoints that worked on it crashed. */
@@ -61,12 +73,40 @@
   readonly retryAfterMilliseconds: number
 }
 
+const requestPrefix = 'request-'
+
+/** The identifier of a whole request as a part of its own content. */
+export function requestPart (digest: string): string {
+  return requestPrefix + digest
+}
+
+/**
+ * Whether a part is a whole request rather than a prompt part, which other requests share.
+ *
+ * @example
+ * isRequestPart(block.part) ? 'request_blocked' : 'prompt_blocked'
+ */
+export function isRequestPart (part: string): boolean {
+  return part.startsWith(requestPrefix)
+}
+
 /** The key of a part in maps. */
 export function partKey ({ organisation, part }: OrganisationPart): string {
   return `${organisation}\n${part}`
 }
 
-/** The parts of a prompt, each with its organisation. */
-export function organisationParts ({ organisation, parts }: SharedPrompt): readonly OrganisationPart[] {
+/** The prompt parts that other requests may share, each with its organisation. */
+export function sharedParts ({ organisation, parts }: SharedPrompt): readonly OrganisationPart[] {
   return parts.map(part => ({ organisation, part }))
 }
+
+/** All parts of what a request contains, the whole request last, since the fewest others share it. */
+export function organisationParts (prompt: SharedPrompt): readonly OrganisationPart[] {
+  const { organisation, request } = prompt
+  return request === undefined ? sharedParts(prompt) : [...sharedParts(prompt), { organisation, part: requestPart(request) }]
+}
+
+/** A suspected request as a part. */
+export function partOfSuspect ({ organisation, request }: SuspectRequest): OrganisationPart {
+  return { organisation, part: requestPart(request) }
+}
--- a/src/breaker/endpointRuns.ts
+++ b/src/breaker/endpointRuns.ts
@@ -1,18 +1,28 @@
 /**
  * Watches one gateway's runs at endpoints. When a run breaks off, its endpoint may have crashed or only
- * its connection; an endpoint that then refuses connections has crashed. The runs that had begun there are
- * reported, the last ones first; runs that waited for their turn did not crash it. A run that has written for a while is no suspect any more,
- * and its prompt counts as answered well.
+ * its connection; an endpoint that then refuses connections has crashed. Two things are reported of a crash:
+ *
+ * - the runs whose response had begun, the last ones first, for the prompt parts that they share with others.
+ *   A run that has written for a while is no such suspect any more, and its prompt parts count as answered well;
+ * - the requests that had been sent there and were not answered. A plain service shows nothing before its
+ *   answer, so whether a run had begun can't be told. Runs that this gateway gave up are among them for a
+ *   while, since the endpoint may still work on them; and it may be another gateway that saw the crash.
  */
 import { type Clock, dropOldest, getOrCreate } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
-import type { SharedPrompt, SuspectRun } from './contract.ts'
+import type { SharedPrompt, SuspectRequest, SuspectRun } from './contract.ts'
 import type { PromptBreaker } from './promptBreaker.ts'
 
 /** A prompt that lets its run write for this time does not crash its endpoint. */
 const soundRunMilliseconds = 2_000
 /** Number of runs in a report. */
 const maximumSuspects = 4
+/** Number of requests in a report. */
+const maximumSuspectRequests = 64
+/** An endpoint may work on a run for this time after it was given up. */
+const abandonedMilliseconds = 5_000
+/** Number of runs that were given up and are remembered, the last ones. */
+const maximumAbandoned = 1_024
 /** Number of runs in a log line. */
 const maximumLoggedRuns = 12
 /** Number of crashed incarnations that are remembered, so that each is checked once. */
@@ -34,8 +44,10 @@
 
 /** A run that is about to be sent to an endpoint. */
 export interface RunDescription {
-  /** The endpoint's incarnation. */
+  /** The endpoint's incarnation, or its name if incarnations can't be told apart. */
   readonly instance: string
+  /** Whether the endpoint may crash again under the same `instance`; false by default. */
+  readonly mayRecur?: boolean
   /** `IP:port` of the endpoint. */
   readonly address: string
   readonly prompt: SharedPrompt
@@ -46,33 +58,58 @@
 /** One run in progress. */
 export class EndpointRun {
   readonly description: RunDescription
-  readonly openedAt: number
   readonly #runs: EndpointRuns
+  #sentAt: number | undefined
   #begunAt: number | undefined
   #isSound = false
+  #isOver = false
 
-  constructor (description: RunDescription, openedAt: number, runs: EndpointRuns) {
+  constructor (description: RunDescription, runs: EndpointRuns) {
     this.description = description
-    this.openedAt = openedAt
     this.#runs = runs
   }
 
+  /** When its request was sent; undefined before. */
+  get sentAt (): number | undefined {
+    return this.#sentAt
+  }
+
   /** When its response began; undefined before. */
   get begunAt (): number | undefined {
     return this.#begunAt
   }
 
+  /** Whether the endpoint may be working on it. */
+  get mayBeRunning (): boolean {
+    return this.#sentAt !== undefined && !this.#isOver
+  }
+
+  /** Records that its request is being sent; its endpoint has accepted a connection. */
+  recordSent (now: number): void {
+    if (this.#sentAt !== undefined) return
+    this.#sentAt = now
+    this.#runs.recordLife(this.description)
+  }
+
   /** Records that a part of the response has arrived. */
   recordOutput (now: number): void {
+    this.recordSent(now)
     this.#begunAt ??= now
-    if (now - this.#begunAt >= soundRunMilliseconds) this.recordAnswer(now)
+    if (now - this.#begunAt < soundRunMilliseconds || this.#isSound) return
+    this.#isSound = true
+    this.#runs.recordAnswer({ ...this.description.prompt, request: undefined }, now)
   }
 
-  /** Records that the response was good and whole, or has gone on for long. */
+  /** Records that the response was good and whole. */
   recordAnswer (now: number): void {
-    if (this.#isSound) return
     this.#isSound = true
-    this.#runs.recordAnswer(this, now)
+    this.#isOver = true
+    this.#runs.recordAnswer(this.description.prompt, now)
+  }
+
+  /** Records that the endpoint has outlived the run without a good answer: it failed the request, or did not run it. */
+  recordOver (): void {
+    this.#isOver = true
   }
 
   /**
@@ -81,8 +118,13 @@
    * @returns whether the run may be the cause
    */
   recordBreak (now: number): boolean {
-    this.#runs.examine(this, now)
-    return this.#begunAt !== undefined && !this.#isSound
+    this.#runs.examine(this.description, now)
+    return this.mayBeRunning && !this.#isSound
+  }
+
+  /** Records that the endpoint refused a connection for the request. */
+  recordRefusal (now: number): void {
+    if (this.#runs.hasAbandonedAt(this.description.instance, now)) this.#runs.examine(this.description, now)
   }
 
   /** To be called when the run has ended, however it did. */
@@ -90,23 +132,42 @@
     this.#runs.close(this)
   }
 
-  /** The run as a suspect; undefined if it is none. */
+  /** The run as a suspect for the prompt parts that it shares; undefined if it is none. */
   get suspect (): SuspectRun | undefined {
     if (this.#isSound || this.#begunAt === undefined) return undefined
-    return { prompt: this.description.prompt, begunAt: this.#begunAt }
+    const { organisation, parts } = this.description.prompt
+    return { prompt: { organisation, parts }, begunAt: this.#begunAt }
   }
 }
 
+/** A run at an endpoint at the moment in which that crashed. */
+interface RunAtCrash {
+  readonly prompt: SharedPrompt
+  readonly sentAt: number
+  readonly begunAt: number | undefined
+  /** Undefined if the run can't be the cause through a part that it shares. */
+  readonly suspect: SuspectRun | undefined
+}
+
+/** A run that was given up while its endpoint may have worked on it. */
+interface AbandonedRun {
+  readonly instance: string
+  readonly run: RunAtCrash
+  readonly abandonedAt: number
+}
+
 /**
  * @example
  * const run = runs.open({ instance, address, prompt, cancel: () => exchange.abort('blocked') })
+ * run.recordSent(clock.now())
  * run.recordOutput(clock.now())
  * run.close()
  */
 export class EndpointRuns {
   readonly #options: EndpointRunsOptions
   readonly #open = new Map<string, Set<EndpointRun>>()
-  /** Incarnations that have crashed, or may have and are being looked at. */
+  readonly #abandoned = new Set<AbandonedRun>()
+  /** Instances that have crashed, or may have and are being looked at. */
   readonly #examined = new Set<string>()
 
   constructor (options: EndpointRunsOptions) {
@@ -115,7 +176,7 @@
 
   /** Adds a run that is about to be sent. */
   open (description: RunDescription): EndpointRun {
-    const run = new EndpointRun(description, this.#options.clock.now(), this)
+    const run = new EndpointRun(description, this)
     getOrCreate(this.#open, description.instance, () => new Set<EndpointRun>()).add(run)
     return run
   }
@@ -128,8 +189,14 @@
     }
   }
 
-  recordAnswer (run: EndpointRun, now: number): void {
-    if (this.#options.breaker.recordAnswer(run.description.prompt, now)) this.#options.onNews()
+  /** Acts on what other gateways have told: cancels runs of blocked prompts, and reports runs that were given up at crashed endpoints. */
+  followNews (now: number): void {
+    this.cancelBlocked(now)
+    this.#reportAbandoned(now)
+  }
+
+  recordAnswer (prompt: SharedPrompt, now: number): void {
+    if (this.#options.breaker.recordAnswer(prompt, now)) this.#options.onNews()
   }
 
   close (run: EndpointRun): void {
@@ -137,44 +204,87 @@
     const runs = this.#open.get(instance)
     runs?.delete(run)
     if (runs?.size === 0) this.#open.delete(instance)
+    if (!run.mayBeRunning) return
+    this.#abandoned.add({ instance, run: atCrash(run), abandonedAt: this.#options.clock.now() })
+    dropOldest(this.#abandoned, maximumAbandoned)
+  }
+
+  /** Records that an endpoint has accepted a connection; one that may crash again under its name is back. */
+  recordLife ({ instance, mayRecur = false }: RunDescription): void {
+    if (mayRecur) this.#examined.delete(instance)
+  }
+
+  /** Whether an endpoint may still work on runs that were given up. */
+  hasAbandonedAt (instance: string, now: number): boolean {
+    return this.#abandonedAt(instance, now).length > 0
   }
 
   /** Looks into the end of a run; all runs at the endpoint end at that moment if it has crashed. */
-  examine ({ description: { instance, address } }: EndpointRun, now: number): void {
-    if (this.#examined.has(instance)) return
+  examine (description: RunDescription, now: number): void {
+    const { instance } = description
+    if (!this.#startExamining(instance)) return
+    const { log } = this.#options
+    this.#reportIfCrashed(description, this.#runsAt(instance, now), now).catch(error => log.error('crash_check_failed', { endpoint: instance, reason: String(error) }))
+  }
+
+  /** Reports the runs that were given up at endpoints of which another gateway has told that they crashed. */
+  #reportAbandoned (now: number): void {
+    for (const [instance, crashedAt] of this.#options.breaker.knownCrashes()) {
+      const seesCrashItself = this.#examined.has(instance) || this.#open.has(instance)
+      if (seesCrashItself || !this.hasAbandonedAt(instance, now)) continue
+      this.#startExamining(instance)
+      this.#report({ instance }, this.#runsAt(instance, now), crashedAt)
+    }
+  }
+
+  /** Returns whether an incarnation is to be examined, which it is once. */
+  #startExamining (instance: string): boolean {
+    if (this.#examined.has(instance)) return false
     this.#examined.add(instance)
     dropOldest(this.#examined, maximumExamined)
-    this.#reportIfCrashed(instance, address, this.#runsAt(instance), now).catch(error => this.#options.log.error('crash_check_failed', { endpoint: instance, reason: String(error) }))
+    return true
   }
 
-  async #reportIfCrashed (instance: string, address: string, runs: readonly RunAtCrash[], crashedAt: number): Promise<void> {
-    if (!await this.#options.hasCrashed(address)) {
-      this.#examined.delete(instance)
-      return
-    }
+  async #reportIfCrashed ({ instance, address, mayRecur }: RunDescription, runs: readonly RunAtCrash[], crashedAt: number): Promise<void> {
+    if (await this.#options.hasCrashed(address)) this.#report({ instance, mayRecur }, runs, crashedAt)
+    else this.#examined.delete(instance)
+  }
+
+  #report ({ instance, mayRecur }: Pick<RunDescription, 'instance' | 'mayRecur'>, runs: readonly RunAtCrash[], crashedAt: number): void {
     const { breaker, clock, log, name, onNews } = this.#options
     log.warn('endpoint_crashed', { endpoint: instance, running: runs.length, runs: runs.slice(0, maximumLoggedRuns).map(run => describe(run, crashedAt)) })
-    const suspects = suspectsAmong(runs)
-    if (suspects.length === 0) return
-    breaker.recordCrash({ instance, reporter: name, crashedAt, runs: suspects }, clock.now())
+    const [suspects, requests] = [suspectsAmong(runs), this.#suspectRequestsAmong(runs)]
+    if (suspects.length === 0 && requests.length === 0) return
+    breaker.recordCrash({ instance, reporter: name, crashedAt, runs: suspects, requests, mayRecur }, clock.now())
     onNews()
   }
 
-  /** The runs at an endpoint now, those that began last first, and behind them those that have not begun, the last opened first. */
-  #runsAt (instance: string): readonly RunAtCrash[] {
-    const runs = [...this.#open.get(instance) ?? []].reverse()
-    const atCrash = runs.map(({ begunAt, description, openedAt, suspect }) => ({ prompt: description.prompt, openedAt, begunAt, suspect }))
-    return atCrash.sort((left, right) => (right.begunAt ?? Number.NEGATIVE_INFINITY) - (left.begunAt ?? Number.NEGATIVE_INFINITY) || 0)
+  /** The runs at an endpoint now, those that began last first, and behind them those that have not begun, the last sent first. */
+  #runsAt (instance: string, now: number): readonly RunAtCrash[] {
+    const running = [...this.#open.get(instance) ?? []].filter(({ mayBeRunning }) => mayBeRunning)
+    const runs = [...running.map(atCrash), ...this.#abandonedAt(instance, now)]
+    return runs.sort((left, right) => latestFirst(left.begunAt, right.begunAt) || latestFirst(left.sentAt, right.sentAt))
+  }
+
+  #abandonedAt (instance: string, now: number): readonly RunAtCrash[] {
+    for (const run of this.#abandoned) {
+      if (run.abandonedAt >= now - abandonedMilliseconds) break
+      this.#abandoned.delete(run)
+    }
+    return [...this.#abandoned].filter(run => run.instance === instance).map(({ run }) => run)
+  }
+
+  /** Requests that lay at other crashes come first, so that a bound on their number hides none of them. */
+  #suspectRequestsAmong (runs: readonly RunAtCrash[]): readonly SuspectRequest[] {
+    const { breaker } = this.#options
+    const [known, others] = [runs.filter(({ prompt }) => breaker.isSuspect(prompt)), runs.filter(({ prompt }) => !breaker.isSuspect(prompt))]
+    const suspects = [...known, ...others].flatMap(({ prompt: { organisation, request }, sentAt }) => request === undefined ? [] : [{ organisation, request, sentAt }])
+    return suspects.slice(0, maximumSuspectRequests)
   }
 }
 
-/** A run at an endpoint at the moment in which that crashed. */
-interface RunAtCrash {
-  readonly prompt: SharedPrompt
-  readonly openedAt: number
-  readonly begunAt: number | undefined
-  /** Undefined if the run can't be the cause. */
-  readonly suspect: SuspectRun | undefined
+function atCrash ({ description, sentAt, begunAt, suspect }: EndpointRun): RunAtCrash {
+  return { prompt: description.prompt, sentAt: sentAt ?? Number.NEGATIVE_INFINITY, begunAt, suspect }
 }
 
 function suspectsAmong (runs: readonly RunAtCrash[]): readonly SuspectRun[] {
@@ -182,8 +292,13 @@
   return suspects.filter(({ prompt }) => prompt.parts.length > 0).slice(0, maximumSuspects)
 }
 
-function describe ({ prompt, openedAt, begunAt }: RunAtCrash, crashedAt: number): string {
+/** Orders times, the latest first; undefined is before all others. */
+function latestFirst (left = Number.MIN_SAFE_INTEGER, right = Number.MIN_SAFE_INTEGER): number {
+  return right - left
+}
+
+function describe ({ prompt, sentAt, begunAt }: RunAtCrash, crashedAt: number): string {
   const parts = prompt.parts.length === 0 ? '' : ` ${prompt.parts.join(',')}`
   const begun = begunAt === undefined ? '' : `, begun ${Math.round(crashedAt - begunAt)}ms`
-  return `${prompt.organisation} request ${prompt.request ?? '-'}${parts} sent ${Math.round(crashedAt - openedAt)}ms${begun} before`
+  return `${prompt.organisation} request ${prompt.request ?? '-'}${parts} sent ${Math.round(crashedAt - sentAt)}ms${begun} before`
 }
--- a/src/breaker/index.ts
+++ b/src/breaker/index.ts
@@ -1,8 +1,7 @@
-/** Circuit breaker on prompt parts: a part that crashes endpoints is blamed, blocked at all gateways, and tried again rarely. */
+/** Circuit breaker on the content of requests: a request or prompt part that crashes endpoints is blamed, blocked at all gateways, and tried again rarely. */
 export {
-  type SharedPrompt, type OrganisationPart, type SuspectRun, type CrashReport, type PartBlock, type PartAnswer, type BlockedPrompt, type BreakerChange
+  type SharedPrompt, type OrganisationPart, type SuspectRun, type SuspectRequest, type CrashReport, type PartBlock, type PartAnswer, type BlockedPrompt, type BreakerChange, isRequestPart
 } from './contract.ts'
-export { blamedPart, type ObservedCrash, type SoundnessCheck } from './blame.ts'
 export { PromptBreaker, type PromptBreakerOptions, type BreakerNews } from './promptBreaker.ts'
 export { EndpointRuns, type EndpointRun, type EndpointRunsOptions, type RunDescription, type CrashCheck } from './endpointRuns.ts'
 export { logBreakerChange } from './breakerLog.ts'
--- a/src/breaker/promptBreaker.ts
+++ b/src/breaker/promptBreaker.ts
@@ -1,17 +1,22 @@
 /**
- * Circuit breaker on prompt parts. Some part of a prompt may crash every endpoint that begins to answer it
- * (a query of death); retries and further requests then carry the crash from endpoint to endpoint. The
- * breaker gathers what all gateways saw of crashes, blames a part, and refuses requests that contain it.
+ * Circuit breaker on the content of requests. A request, or some part of a prompt, may crash every endpoint
+ * that begins to work on it (a query of death); retries and repeats then carry the crash from endpoint to
+ * endpoint. The breaker gathers what all gateways saw of crashes, blames a part, and refuses requests that
+ * contain it. A whole request is the deepest part of its own content, which only its repeats share.
  *
  * All state merges: reports are a set keyed by endpoint incarnation and reporter, a good answer outweighs
  * blame, and of two blocks of a part one takes precedence everywhere. Order and repetition of messages
  * therefore do not matter.
  */
 import { Err, Ok, type Result, dropOldest, getOrCreate } from '../contract/index.ts'
-import { type ObservedCrash, blamedPart } from './blame.ts'
-import { type BlockedPrompt, type BreakerChange, type CrashReport, type OrganisationPart, type PartAnswer, type PartBlock, type SharedPrompt, organisationParts, partKey } from './contract.ts'
+import { type AnswerEvidence, type ObservedCrash, blamedParts, crashesUnder } from './blame.ts'
+import {
+  type BlockedPrompt, type BreakerChange, type CrashReport, type OrganisationPart, type PartAnswer, type PartBlock, type SharedPrompt,
+  isRequestPart, organisationParts, partKey, partOfSuspect, requestPart, sharedParts
+} from './contract.ts'
 import { PartAnswers } from './partAnswers.ts'
 import { PartBlocks, blockEnd, isTrial } from './partBlocks.ts'
+import { SuspectRequests } from './suspectRequests.ts'
 
 /** A crash is judged this long after it, when other gateways have told of their runs and good answers. */
 const settlingMilliseconds = 300
@@ -20,8 +25,14 @@
 const maximumCrashes = 64
 /** Crashes of this time are told to other gateways; older ones they have heard of. */
 const toldCrashMilliseconds = 30_000
+/** Reports of an endpoint that may crash again under its name tell of one crash if they are this close. */
+const sameCrashMilliseconds = 1_000
 /** A good answer is told again when the last one that was told is older than this. */
 const answerRenewalMilliseconds = 60_000
+/** A request that lay unanswered at so many crashes in sequence is not repeated when its run breaks off once more. */
+const repeatedCrashCount = 2
+/** A request that lay unanswered at so many crashes in sequence is not sent until the last of them is judged. */
+const awaitedCrashCount = 3
 
 /** What gateways tell each other. */
 export interface BreakerNews {
@@ -47,9 +58,16 @@
   /** Reports by endpoint incarnation and reporter. */
   readonly #crashes = new Map<string, Map<string, CrashReport>>()
   readonly #answers = new PartAnswers()
+  readonly #requests = new SuspectRequests()
   readonly #blocks = new PartBlocks()
+  /** What the reports tell by crash; undefined after a change. */
+  #observed: readonly ObservedCrash[] | undefined
   /** When crashes are to be judged; infinite if nothing has changed. */
   #reviewAt = Number.POSITIVE_INFINITY
+  readonly #evidence: AnswerEvidence = {
+    isSound: (part, crashedAt) => this.#answers.isSound(part, crashedAt),
+    lastAnsweredAt: request => this.#requests.lastAnsweredAt(request)
+  }
 
   constructor (options: PromptBreakerOptions) {
     this.#options = options
@@ -64,7 +82,12 @@
       if (!this.#blocks.tryTrial(block, this.#options.name, now)) return Err({ part: part.part, retryAfterMilliseconds: blockEnd(block) - now })
       this.#options.onChange?.({ type: 'trial', block })
     }
-    return Ok(undefined)
+    return this.#admitSuspect(prompt, now)
+  }
+
+  /** Whether a request whose run broke off may be sent once more; not if it lay unanswered at earlier crashes too. */
+  mayRepeat ({ organisation, request }: SharedPrompt): boolean {
+    return request === undefined || this.#crashesUnder({ organisation, part: requestPart(request) }).length < repeatedCrashCount
   }
 
   /** Whether a prompt contains a blocked part. */
@@ -83,14 +106,8 @@
    * @returns whether other gateways should be told, because a part of it is suspected or blocked
    */
   recordAnswer (prompt: SharedPrompt, now: number): boolean {
-    let isNews = false
-    for (const part of organisationParts(prompt)) {
-      const known = this.#answers.lastAnswer(part)
-      this.#answers.record({ ...part, answeredAt: now })
-      if (this.#clearBlock(part, now)) isNews = true
-      else if (isRenewal(now, known) && this.#isSuspected(part, now)) isNews = true
-    }
-    return isNews
+    const answers = organisationParts(prompt).map(part => ({ ...part, answeredAt: now }))
+    return answers.filter(answer => this.#recordAnswer(answer, now)).length > 0
   }
 
   /** Merges what another gateway told; returns whether any of it was news. */
@@ -105,10 +122,10 @@
   /** What another gateway should know. */
   news (now: number): BreakerNews {
     const reports = this.#toldReports(now)
-    const suspects = reports.flatMap(({ runs }) => runs.flatMap(({ prompt }) => organisationParts(prompt)))
+    const suspects = reports.flatMap(({ runs }) => runs.flatMap(({ prompt }) => sharedParts(prompt)))
     const parts = new Map(suspects.map(part => [partKey(part), part]))
     const answers = [...parts.values()].flatMap(part => this.#answers.lastAnswer(part) ?? [])
-    return { reports, blocks: this.#blocks.all(now), answers }
+    return { reports, blocks: this.#blocks.all(now), answers: [...answers, ...this.#requests.answersTo(reports)] }
   }
 
   /** Judges the crashes that have settled. */
@@ -116,33 +133,69 @@
     if (now < this.#reviewAt) return
     this.#forgetOldCrashes(now)
     const crashes = this.#observedCrashes()
-    const unsettled = crashes.filter(({ crashedAt }) => crashedAt + settlingMilliseconds > now)
-    this.#reviewAt = Math.min(Number.POSITIVE_INFINITY, ...unsettled.map(({ crashedAt }) => crashedAt + settlingMilliseconds))
+    this.#reviewAt = Math.min(Number.POSITIVE_INFINITY, ...crashes.map(settledAt).filter(at => at > now))
+    const settled = crashes.filter(crash => settledAt(crash) <= now)
     for (;;) {
-      const unexplained = crashes.filter(crash => crash.crashedAt + settlingMilliseconds <= now && !this.#isExplained(crash, now))
-      const part = blamedPart(unexplained, (part, crashedAt) => this.#answers.isSound(part, crashedAt))
-      if (part === undefined || !this.#block({ ...part, holder: this.#options.name, trips: 1, blockedAt: now }, now)) return
+      const parts = blamedParts(this.#withoutExplained(settled, now), this.#evidence)
+      const blocked = parts.filter(part => this.#block({ ...part, holder: this.#options.name, trips: 1, blockedAt: now }, now))
+      if (blocked.length === 0) return
     }
   }
 
+  /** The instances of the crashes that are known, each with the time of its crash. */
+  knownCrashes (): ReadonlyMap<string, number> {
+    return new Map([...this.#crashes].map(([instance, reports]) => [instance, crashTime(reports)]))
+  }
+
+  /** Whether a request lay unanswered at a known crash. */
+  isSuspect ({ organisation, request }: SharedPrompt): boolean {
+    return request !== undefined && this.#requests.has({ organisation, part: requestPart(request) })
+  }
+
+  /** Holds back a request that would be blocked, were its last crash judged; other gateways may still tell of its answer. */
+  #admitSuspect ({ organisation, request }: SharedPrompt, now: number): Result<void, BlockedPrompt> {
+    if (request === undefined) return Ok(undefined)
+    const part = { organisation, part: requestPart(request) }
+    const crashes = this.#crashesUnder(part)
+    if (crashes.length < awaitedCrashCount) return Ok(undefined)
+    const judgedAt = Math.max(...crashes.map(settledAt))
+    return judgedAt > now ? Err({ part: part.part, retryAfterMilliseconds: judgedAt - now }) : Ok(undefined)
+  }
+
+  /** The sequence of crashes at which a request lay unanswered. */
+  #crashesUnder (part: OrganisationPart): readonly ObservedCrash[] {
+    return this.#requests.has(part) ? crashesUnder(this.#observedCrashes(), part, this.#evidence) : []
+  }
+
   #addReport (report: CrashReport, now: number): boolean {
     if (now - report.crashedAt > retentionMilliseconds) return false
-    const reports = getOrCreate(this.#crashes, report.instance, () => new Map<string, CrashReport>())
+    const reports = getOrCreate(this.#crashes, this.#crashKey(report), () => new Map<string, CrashReport>())
     if (reports.has(report.reporter)) return false
     reports.set(report.reporter, report)
+    this.#observed = undefined
+    this.#requests.add(report)
     dropOldest(this.#crashes, maximumCrashes)
-    this.#reviewAt = Math.min(this.#reviewAt, now)
+    this.#reviewAt = Math.min(this.#reviewAt, Math.max(now, settledAt({ crashedAt: crashTime(reports) })))
     this.#renewBlocks(report, now)
     return true
   }
 
+  /** The key of a report's crash. */
+  #crashKey ({ instance, crashedAt, mayRecur = false }: CrashReport): string {
+    for (let crash = 0; ; crash++) {
+      const key = crash === 0 ? instance : `${instance} crash ${crash}`
+      const reports = this.#crashes.get(key)
+      if (!mayRecur || reports === undefined || Math.abs(crashTime(reports) - crashedAt) < sameCrashMilliseconds) return key
+    }
+  }
+
   /** A crash under a trial shows that its block was right. */
-  #renewBlocks ({ runs, crashedAt }: CrashReport, now: number): void {
-    for (const { prompt, begunAt } of runs) {
-      for (const part of organisationParts(prompt)) {
-        const block = this.#blocks.of(part, now)
-        if (block !== undefined && isTrial(block, begunAt)) this.#block({ ...block, trips: block.trips + 1, blockedAt: crashedAt }, now)
-      }
+  #renewBlocks ({ runs, requests = [], crashedAt }: CrashReport, now: number): void {
+    const parts = runs.flatMap(({ prompt, begunAt }) => sharedParts(prompt).map(part => ({ part, startedAt: begunAt })))
+    const wholes = requests.map(request => ({ part: partOfSuspect(request), startedAt: request.sentAt }))
+    for (const { part, startedAt } of [...parts, ...wholes]) {
+      const block = this.#blocks.of(part, now)
+      if (block !== undefined && isTrial(block, startedAt)) this.#block({ ...block, trips: block.trips + 1, blockedAt: crashedAt }, now)
     }
   }
 
@@ -153,10 +206,29 @@
   }
 
   #mergeBlock (block: PartBlock, now: number): boolean {
-    return !this.#answers.isSound(block, block.blockedAt) && this.#block(block, now)
+    return !this.#outweighsBlock(block) && this.#block(block, now)
+  }
+
+  /** Whether a good answer outweighs the crashes that a block rests on. */
+  #outweighsBlock (block: PartBlock): boolean {
+    return isRequestPart(block.part) ? this.#requests.isAnsweredSince(block, block.blockedAt) : this.#answers.isSound(block, block.blockedAt)
+  }
+
+  /** Records a good answer of this gateway; returns whether others should be told. */
+  #recordAnswer (answer: PartAnswer, now: number): boolean {
+    if (isRequestPart(answer.part)) return this.#recordRequestAnswer(answer, now)
+    const known = this.#answers.lastAnswer(answer)
+    this.#answers.record(answer)
+    return this.#clearBlock(answer, now) || (isRenewal(now, known) && this.#isSuspected(answer, now))
+  }
+
+  #recordRequestAnswer (answer: PartAnswer, now: number): boolean {
+    const isCleared = this.#requests.recordAnswer(answer)
+    return this.#clearBlock(answer, now) || isCleared
   }
 
   #mergeAnswer (answer: PartAnswer, now: number): boolean {
+    if (isRequestPart(answer.part)) return this.#recordRequestAnswer(answer, now)
     const isNews = isRenewal(answer.answeredAt, this.#answers.lastAnswer(answer))
     this.#answers.record(answer)
     const isCleared = this.#clearBlock(answer, now)
@@ -167,7 +239,7 @@
   /** Ends the block of a part that is sound. */
   #clearBlock (part: OrganisationPart, now: number): boolean {
     const block = this.#blocks.of(part, now)
-    if (block === undefined || !this.#answers.isSound(part, block.blockedAt)) return false
+    if (block === undefined || !this.#outweighsBlock(block)) return false
     this.#blocks.remove(part)
     this.#options.onChange?.({ type: 'cleared', block })
     return true
@@ -177,15 +249,20 @@
     return this.#toldReports(now).some(({ runs }) => runs.some(({ prompt }) => prompt.organisation === organisation && prompt.parts.includes(part)))
   }
 
-  #isExplained ({ runs }: ObservedCrash, now: number): boolean {
-    return runs.some(({ prompt }) => this.isBlocked(prompt, now))
-  }
-
+  /** The known crashes. */
   #observedCrashes (): readonly ObservedCrash[] {
-    return [...this.#crashes.values()].map(reports => {
+    this.#observed ??= [...this.#crashes.values()].map(reports => {
       const all = [...reports.values()]
-      return { crashedAt: Math.min(...all.map(({ crashedAt }) => crashedAt)), runs: all.flatMap(({ runs }) => runs) }
+      return { crashedAt: crashTime(reports), runs: all.flatMap(({ runs }) => runs), requests: all.flatMap(({ requests = [] }) => requests), isExplainedByRequest: false }
     })
+    return this.#observed
+  }
+
+  /** Leaves out crashes that a blocked prompt part explains, and marks those that a blocked request does. */
+  #withoutExplained (crashes: readonly ObservedCrash[], now: number): readonly ObservedCrash[] {
+    const isBlocked = (part: OrganisationPart) => this.#blocks.of(part, now) !== undefined
+    const unexplained = crashes.filter(({ runs }) => !runs.some(({ prompt }) => sharedParts(prompt).some(isBlocked)))
+    return unexplained.map(crash => ({ ...crash, isExplainedByRequest: crash.requests.map(partOfSuspect).some(isBlocked) }))
   }
 
   #toldReports (now: number): readonly CrashReport[] {
@@ -197,9 +274,21 @@
     for (const [instance, reports] of this.#crashes) {
       if ([...reports.values()].every(({ crashedAt }) => now - crashedAt > retentionMilliseconds)) this.#crashes.delete(instance)
     }
+    this.#observed = undefined
+    this.#requests.retain([...this.#crashes.values()].flatMap(reports => [...reports.values()]))
   }
 }
 
+/** When a crash that several gateways may have seen happened. */
+function crashTime (reports: ReadonlyMap<string, CrashReport>): number {
+  return Math.min(...[...reports.values()].map(({ crashedAt }) => crashedAt))
+}
+
+/** When a crash may be judged. */
+function settledAt ({ crashedAt }: Pick<ObservedCrash, 'crashedAt'>): number {
+  return crashedAt + settlingMilliseconds
+}
+
 function isRenewal (answeredAt: number, known: PartAnswer | undefined): boolean {
   return known === undefined || answeredAt - known.answeredAt > answerRenewalMilliseconds
 }
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -154,12 +154,13 @@
   })
 }
 
-function makeBreaker ({ boot, log, metrics }: ForwarderDependencies): PromptBreaker {
+function makeBreaker (parts: ForwarderDependencies): PromptBreaker {
   return new PromptBreaker({
-    name: boot.current.name,
+    name: parts.boot.current.name,
     onChange: change => {
-      logBreakerChange(log, change)
-      metrics.promptChanges.inc({ change: change.type })
+      logBreakerChange(parts.log, change)
+      parts.metrics.promptChanges.inc({ change: change.type })
+      if (change.type === 'blocked') parts.runs.cancelBlocked(parts.clock.now())
     }
   })
 }
--- a/src/forwarder/exchangeComposition.ts
+++ b/src/forwarder/exchangeComposition.ts
@@ -34,7 +34,7 @@
     breaker,
     limits: announcedLimits,
     peers: () => peers.peers,
-    onBreakerNews: () => parts.runs.cancelBlocked(clock.now()),
+    onBreakerNews: () => parts.runs.followNews(clock.now()),
     clock,
     randomness,
     log
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -7,7 +7,7 @@
 import type { BlockedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
-import { type ForwardRefusal, ForwardRefusals, endpointsLimited, endpointsOverloaded, promptBlocked, sendRefusal } from './forwardRefusal.ts'
+import { type ForwardRefusal, ForwardRefusals, contentBlocked, endpointsLimited, endpointsOverloaded, sendRefusal } from './forwardRefusal.ts'
 
 const answeredOutcome = 'answered'
 const callerLeftOutcome = 'caller_left'
@@ -90,7 +90,7 @@
   refuseUnanswered ({ mayHaveRun, isStopping, isFull, block, overloadMilliseconds, placeMilliseconds }: UnansweredRequest): void {
     const { isPastDeadline } = this.#state
     if (mayHaveRun) return this.refuse(isPastDeadline ? ForwardRefusals.timedOut : ForwardRefusals.attemptLost)
-    if (block !== undefined) return this.refuse(promptBlocked(block.retryAfterMilliseconds))
+    if (block !== undefined) return this.refuse(contentBlocked(block))
     if (isPastDeadline) return this.refuse(ForwardRefusals.notSentInTime)
     if (isStopping) return this.refuse(ForwardRefusals.stopping)
     if (overloadMilliseconds > 0) return this.refuse(endpointsOverloaded(overloadMilliseconds))
--- a/src/gateway/forwardRefusal.ts
+++ b/src/gateway/forwardRefusal.ts
@@ -1,5 +1,6 @@
 /** Responses of the gateway itself to requests without a response from an endpoint. */
 import type { ServerResponse } from 'node:http'
+import { type BlockedPrompt, isRequestPart } from '../breaker/index.ts'
 import type { HeaderCodec } from '../routing/index.ts'
 import { endAfterRequest } from '../server/index.ts'
 
@@ -64,13 +65,13 @@
 }
 
 /**
- * The refusal of a prompt with a part that crashes endpoints: the caller may return when the part is tried again.
+ * The refusal of a request that crashes endpoints, or whose prompt has a part that does: the caller may return when it is tried again.
  *
  * @example
- * callerResponse.refuse(promptBlocked(block.retryAfterMilliseconds))
+ * callerResponse.refuse(contentBlocked(block))
  */
-export function promptBlocked (milliseconds: number): ForwardRefusal {
-  return refusal('prompt_blocked', 503, milliseconds)
+export function contentBlocked ({ part, retryAfterMilliseconds }: BlockedPrompt): ForwardRefusal {
+  return refusal(isRequestPart(part) ? 'request_blocked' : 'prompt_blocked', 503, retryAfterMilliseconds)
 }
 
 /** Sends a refusal as a JSON document, also if the caller is still sending its request. */
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -16,7 +16,7 @@
 
 const misdirectedStatus = 421
 const timerToleranceMilliseconds = 5
-/** A request whose runs have broken off so often, soon after they began, may crash its endpoints. */
+/** A request whose runs have broken off so often may crash its endpoints. */
 const maximumCrashedRuns = 2
 
 export interface ForwardedRequestOptions {
@@ -99,7 +99,7 @@
   /** Whether another attempt may be made; takes it from the retry budget if it is not the first. */
   tryStartAttempt (): boolean {
     const { breaker, retryBudget } = this.dependencies
-    if (this.hasCallerLeft || this.now >= this.deadline || this.attemptsLeft <= 0 || this.#crashedRuns >= maximumCrashedRuns) return false
+    if (this.hasCallerLeft || this.now >= this.deadline || this.attemptsLeft <= 0 || this.#mayCrashEndpoints) return false
     const admission = breaker.admit(this.#prompt, this.now)
     if (admission.err) {
       this.#block = admission.val
@@ -108,6 +108,11 @@
     return this.#sentAttempts === 0 || retryBudget.tryConsume(this.service, this.now)
   }
 
+  /** Whether the runs of this request, or its repeats at any gateway, have broken off too often for another one. */
+  get #mayCrashEndpoints (): boolean {
+    return this.#crashedRuns >= maximumCrashedRuns || (this.#crashedRuns > 0 && !this.dependencies.breaker.mayRepeat(this.#prompt))
+  }
+
   /** Remaining share of the latency target, 0 to 1. */
   get latencyTargetShareLeft (): number {
     const usedShare = (this.now - this.arrivedAt) / this.route.latencyTargetMilliseconds
@@ -215,7 +220,11 @@
       }),
       body: body.length === 0 ? undefined : body,
       inactivityTimeoutMilliseconds: Math.max(1, this.deadline - startedAt),
-      mayStillSend: () => !this.hasCallerLeft && !plannedStop.hasEndedSending && this.now < this.deadline && registry.isServing(endpoint, this.now) && !loads.isOverloaded(endpoint, this.now) && permit.trySend(this.now)
+      mayStillSend: () => {
+        const isSending = !this.hasCallerLeft && !plannedStop.hasEndedSending && this.now < this.deadline && registry.isServing(endpoint, this.now) && !loads.isOverloaded(endpoint, this.now) && permit.trySend(this.now)
+        if (isSending) run.recordSent(this.now)
+        return isSending
+      }
     }
     const work = this.#estimateWork(model)
     const tracker = loads.track(endpoint, work, startedAt)
@@ -225,8 +234,6 @@
       exchange.abort('its prompt is blocked')
     }
     const run = runs.open({ instance: instanceKey(endpoint), address: endpoint.address, prompt: this.#prompt, cancel: cancelBlocked })
-    // The response of a plain service arrives only when it is complete, so its run counts as begun at once.
-    if (this.route.type !== RouteType.Stream) run.recordOutput(startedAt)
     const evidence = rollOuts.openRun(this.service, endpoint.version, `${this.route.name}/${model ?? ''}`, startedAt)
     const exchange = usesOwnConnection ? connections.startDedicated(endpoint.address, exchangeOptions) : connections.startPooled(endpoint.address, exchangeOptions)
     const abandonExchange = () => exchange.abort('caller disconnected')
@@ -264,6 +271,12 @@
     evidence?.finish(this.now)
   }
 
+  /** Records that a whole response tells of a failure; its endpoint has outlived the run. */
+  recordFailure ({ run, evidence }: OpenAttempt): void {
+    run.recordOver()
+    evidence?.recordFailure()
+  }
+
   /** Closes an attempt whose run broke off or was never sent. What its prompt shares with others is logged, since it may be the cause. */
   finishBrokenAttempt (attempt: OpenAttempt, end: AttemptEnd, reason: string): void {
     const { begunAt } = attempt.run
@@ -272,6 +285,7 @@
     if (wasSent) this.dependencies.metrics.brokenRuns.inc({ service: this.service, end, progress: begunAt === undefined ? RunProgress.Waiting : RunProgress.Begun })
     this.#hasBrokenOff ||= wasSent
     if (wasSent && end === AttemptEnd.Failed) this.#recordBreak(attempt)
+    if (!wasSent && end === AttemptEnd.Lost) attempt.run.recordRefusal(this.now)
     const begun = begunAt === undefined ? '' : `, begun ${Math.round(this.now - begunAt)}ms before`
     this.finishAttempt(attempt, end, `${wasSent ? 'broke off' : 'unsent'}${begun}: ${reason}`)
   }
@@ -320,6 +334,7 @@
     const isMisdirected = status === misdirectedStatus
     if (!wasNotExecuted && !isMisdirected) return undefined
     attempt.exchange.discardRest()
+    attempt.run.recordOver()
     this.finishAttempt(attempt, isMisdirected ? AttemptEnd.Lost : AttemptEnd.Full, `not executed, status ${status}`, !isMisdirected)
     return isMisdirected ? NotExecutedReason.Misdirected : NotExecutedReason.Refused
   }
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -84,6 +84,7 @@
     if (notExecutedReason !== undefined) return { type: 'not_run', reason: notExecutedReason }
     if (!responseHead.isSealed || responseHead.isEncoded) return this.#rejectForeignResponse(attempt, 'unsealed')
     attempt.tracker.recordBytes(request.now)
+    attempt.run.recordOutput(request.now)
     return this.#readBody(attempt, head.status, head.headers)
   }
 
@@ -101,7 +102,7 @@
       if (bytes > maximumBufferedBytes) return this.#relay(attempt, status, headers, chunks)
     }
     const isFailed = isServerError(status)
-    if (isFailed) attempt.evidence?.recordFailure()
+    if (isFailed) request.recordFailure(attempt)
     else request.recordAnswer(attempt, headers)
     attempt.tracker.recordResponseStart(request.now)
     request.finishAttempt(attempt, isFailed ? AttemptEnd.Failed : AttemptEnd.Answered, String(status))
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -203,8 +203,9 @@
       chunks.push(event.bytes)
     }
     const isFailed = isServerError(status)
-    if (isFailed) attempt.evidence?.recordFailure()
+    if (isFailed) request.recordFailure(attempt)
     else attempt.evidence?.recordBegin(request.now)
+    attempt.run.recordOver()
     request.finishAttempt(attempt, isFailed ? AttemptEnd.Failed : AttemptEnd.Answered, String(status))
     const failure = { status, headers, body: Buffer.concat(chunks) }
     if (!isFailed && !this.#hasResponseStarted) {
--- a/test/crashLog.test.ts
+++ b/test/crashLog.test.ts
@@ -11,6 +11,8 @@
   const runs = new EndpointRuns({ name: 'gateway-1', breaker: new PromptBreaker({ name: 'gateway-1' }), hasCrashed: async () => true, onNews: () => undefined, clock, log: new Log('info', {}, line => lines.push(line)) })
   const open = (request: string, parts: readonly string[]) => runs.open({ instance: 'endpoint-1', address: '10.0.0.1:80', prompt: { organisation: 'harbour', parts, request }, cancel: () => undefined })
   const plain = open('aaaa', [])
+  plain.recordSent(clock.now())
+  open('unsent', [])
   await clock.advance(100)
   open('bbbb', ['system']).recordOutput(clock.now())
   await clock.advance(50)
