Guard the daemons' path too: chats and calls that crash their endpoints are blocked

The service router had no breaker at all, and a chat was known by its shared messages only.

CrashGuard is one request's side of the breaker for both routers: admission before each attempt, two runs at most that break off with their endpoints, and none more if its repeats crashed two. A keyed call is known by its content whatever its key; one that is blocked is released as not run, while a stored answer is still given. Plain services tell no incarnation, so a crash of theirs may come again under the same name. request_blocked is a new refusal (422).

--- a/src/contract/refusal.ts
+++ b/src/contract/refusal.ts
@@ -27,6 +27,7 @@
   IdempotencyKeyReused: { name: 'idempotency_key_reused', status: 422 },
   IdempotencyKeyMissing: { name: 'idempotency_key_missing', status: 400 },
   PromptBlocked: { name: 'prompt_blocked', status: 422 },
+  RequestBlocked: { name: 'request_blocked', status: 422 },
   ShareExceeded: { name: 'share_exceeded', status: 429 },
   DeadlineTooNear: { name: 'deadline_too_near', status: 429 },
   Overloaded: { name: 'overloaded', status: 503 },
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -137,7 +137,13 @@
   versions: ({ randomness }) => new LearnedVersionPolicy({ randomness }),
   ratingExchange: ({ clock, link, membership, randomness, versions }) => new RatingExchange({ policy: versions, link, membership, clock, randomness }),
   endpoints: ({ here, local, randomness }) => new AffinityEndpointPolicy({ here, randomness, link: new RegionLinkBudget(local.limits.regional_link_bytes_per_second) }),
-  breaker: ({ local, log }) => new PromptBreaker({ name: local.name, onChange: change => logBreakerChange(log, change) }),
+  breaker: dependencies => new PromptBreaker({
+    name: dependencies.local.name,
+    onChange: change => {
+      logBreakerChange(dependencies.log, change)
+      if (change.type === 'blocked') dependencies.runs.cancelBlocked(dependencies.clock.now())
+    }
+  }),
   runs: dependencies => new EndpointRuns({
     name: dependencies.local.name,
     breaker: dependencies.breaker,
@@ -165,7 +171,7 @@
     breaker: dependencies.breaker,
     limits: dependencies.announcedLimits,
     peers: () => dependencies.membership.members().filter(({ name, state }) => name !== dependencies.local.name && state === MemberState.Alive),
-    onBreakerNews: () => dependencies.runs.cancelBlocked(dependencies.clock.now()),
+    onBreakerNews: () => dependencies.runs.followNews(dependencies.clock.now()),
     clock: dependencies.clock,
     randomness: dependencies.randomness,
     log: dependencies.log
@@ -174,7 +180,7 @@
   retries: () => new RatioAttemptBudget(),
   rollOuts: ({ follower }) => new RollOutMonitor(follower, (from, to) => new SequentialRollOutGuard({ from, to })),
   chat: dependencies => new ChatRouter({ ...chatRoutingDependencies(dependencies), versions: dependencies.versions, admission: dependencies.admission, ledger: dependencies.ledger, sessions: dependencies.sessions, ratings: dependencies.ratings, log: dependencies.log }),
-  serviceRouter: ({ claims, clock, directory, here, ledger, places, randomness, retries, services, tracer }) => new ServiceRouter({ claims, clock, directory, here, ledger, places, randomness, retries, services, tracer }),
+  serviceRouter: ({ breaker, claims, clock, directory, here, ledger, places, randomness, retries, runs, services, tracer }) => new ServiceRouter({ breaker, claims, clock, directory, here, ledger, places, randomness, retries, runs, services, tracer }),
   drain: () => new Drain(),
   callerServer: dependencies => new CallerServer({
     clock: dependencies.clock,
--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -8,7 +8,7 @@
   type ChatRequest, type Clock, invariant, type Randomness, Refusal, RefusalCode, RunState, type VersionName
 } from '../contract/index.ts'
 import { AttemptEnd, type AttemptBudget, type EndpointChoice, type EndpointPolicy, type EndpointRequest, type EndpointView } from '../choice/index.ts'
-import type { EndpointRun, EndpointRuns, PromptBreaker, SharedPrompt } from '../breaker/index.ts'
+import type { EndpointRun, EndpointRuns, PromptBreaker } from '../breaker/index.ts'
 import type { SettingsSource } from '../distribution/index.ts'
 import { type AttemptFailure, type EngineChunk, type EngineClient, type EngineFinish, DeliveryState } from '../endpoint/index.ts'
 import { formatTraceParent, type Metrics, type TraceContext, type Tracer } from '../observe/index.ts'
@@ -16,6 +16,7 @@
 import { type EndpointDirectory, acceptsRequests } from './endpointDirectory.ts'
 import { type AttemptGate, type EndpointPlaces, placeRetrySeconds } from './endpointPlaces.ts'
 import type { RollOutMonitor } from './rollOutMonitor.ts'
+import { CrashGuard } from './crashGuard.ts'
 import { furtherDelivery, refusalAfter, runStateAfter } from './deliveryOfAttempts.ts'
 import { sharedPromptOf } from './sharedPrompt.ts'
 
@@ -45,7 +46,6 @@
 /** Retries per request, regardless of the attempt budget. */
 const maximumRetries = 2
 const defaultRetryAfterSeconds = 1
-const millisecondsPerSecond = 1_000
 
 /** Sends attempts to engines and retries failed ones. */
 export class AttemptRunner {
@@ -66,11 +66,11 @@
     const { clock, places, retries } = this.#dependencies
     const arrivedAt = clock.now()
     const excluded = new Set<string>()
-    const prompt = sharedPromptOf(request)
+    const guard = new CrashGuard(this.#dependencies, sharedPromptOf(request))
     let delivery: DeliveryState = DeliveryState.NotSent
     retries.recordFirstAttempt(clock.now())
     for (let attempt = 0; ;) {
-      const refusal = this.#refusalBeforeSend(request, version) ?? this.#refusalOfPrompt(prompt)
+      const refusal = this.#refusalBeforeSend(request, version) ?? guard.refusal()
       if (refusal !== undefined) return yield { type: 'refused', refusal: refusalAfter(delivery, refusal) }
       const views = this.#dependencies.directory.engines(version)
       const usedUp = places.withoutPlace(version, views).filter(name => !excluded.has(name))
@@ -82,14 +82,16 @@
         continue
       }
       if (choice.err) return yield { type: 'refused', refusal: refusalAfter(delivery, choice.val) }
-      const gate = places.open(version, viewOf(views, choice.val))
-      const failedAttempt = yield * this.#runAttempt(request, endpointRequest, choice.val, { run: this.#openRun(prompt, choice.val, views), gate }, parent, signal)
+      const view = viewOf(views, choice.val)
+      const run = guard.open(view)
+      const gate = places.open(version, view, () => run.recordSent(clock.now()))
+      const failedAttempt = yield * this.#runAttempt(request, endpointRequest, choice.val, { guard, run, gate }, parent, signal)
       if (failedAttempt === undefined) return
       if (gate.wasHeldBack) continue
       delivery = furtherDelivery(delivery, failedAttempt.failure.delivery)
       if (failedAttempt.hadOutput) return yield { type: 'refused', refusal: answerCutOff(failedAttempt.failure) }
       excluded.add(choice.val.endpoint.name)
-      const mayRetry = attempt++ < maximumRetries && !signal.aborted && clock.now() < request.deadline && retries.tryAcquire(clock.now())
+      const mayRetry = attempt++ < maximumRetries && guard.mayRepeat && !signal.aborted && clock.now() < request.deadline && retries.tryAcquire(clock.now())
       if (!mayRetry) return yield { type: 'refused', refusal: endpointFailed(delivery, failedAttempt.failure) }
     }
   }
@@ -105,7 +107,7 @@
   }
 
   /** Yields the attempt's chunks and its finish; returns the failure if it failed. */
-  async * #runAttempt (request: ChatRequest, endpointRequest: EndpointRequest, choice: EndpointChoice, { run, gate }: OpenedAttempt, parent: TraceContext | undefined, signal: AbortSignal): AsyncGenerator<AttemptEvent, FailedAttempt | undefined> {
+  async * #runAttempt (request: ChatRequest, endpointRequest: EndpointRequest, choice: EndpointChoice, { guard, run, gate }: OpenedAttempt, parent: TraceContext | undefined, signal: AbortSignal): AsyncGenerator<AttemptEvent, FailedAttempt | undefined> {
     const { clock, metrics, settings, tracer } = this.#dependencies
     const span = tracer.startSpan('attempt', 'client', parent)
     span.setAttribute('endpoint', choice.endpoint.name)
@@ -123,8 +125,7 @@
       for await (const event of this.#dependencies.engines.generate(choice.endpoint, call, signal)) {
         if (event.type === 'failure') {
           end = signal.aborted || gate.wasHeldBack ? AttemptEnd.Cancelled : AttemptEnd.Failed
-          const mayHaveCrashed = end === AttemptEnd.Failed && event.failure.delivery === DeliveryState.PossiblySent
-          if (mayHaveCrashed) run.recordBreak(clock.now())
+          if (end === AttemptEnd.Failed) guard.recordFailure(run, event.failure)
           return { failure: event.failure, hadOutput: completionTokens > 0 }
         }
         if (event.type === 'finish') {
@@ -164,19 +165,6 @@
     return new Refusal(RefusalCode.ModelNotFound, RunState.NotRun, `version ${version} is no longer available to this organisation`)
   }
 
-  #refusalOfPrompt (prompt: SharedPrompt): Refusal | undefined {
-    const admission = this.#dependencies.breaker.admit(prompt, this.#dependencies.clock.now())
-    if (admission.ok) return undefined
-    const retryAfterSeconds = admission.val.retryAfterMilliseconds / millisecondsPerSecond
-    return new Refusal(RefusalCode.PromptBlocked, RunState.NotRun, 'engines crashed when they answered prompts that begin like this one', retryAfterSeconds)
-  }
-
-  /** A run that waits at its engine when its prompt is blocked is left there: its engine keeps it even without a connection. */
-  #openRun (prompt: SharedPrompt, { endpoint }: EndpointChoice, views: readonly EndpointView[]): EndpointRun {
-    const incarnation = views.find(view => view.endpoint.name === endpoint.name)?.report?.incarnation ?? 0
-    return this.#dependencies.runs.open({ instance: `${endpoint.name}@${incarnation}`, address: endpoint.address, prompt, cancel: () => undefined })
-  }
-
   #endpointRequest (request: ChatRequest, version: VersionName, session: string | undefined, excluded: ReadonlySet<string>): EndpointRequest {
     return {
       id: request.id,
@@ -207,6 +195,7 @@
 
 /** What tracks an attempt while it runs. */
 interface OpenedAttempt {
+  readonly guard: CrashGuard
   readonly run: EndpointRun
   readonly gate: AttemptGate
 }
--- a/src/entry/endpointPlaces.ts
+++ b/src/entry/endpointPlaces.ts
@@ -40,12 +40,14 @@
   readonly #endpoint: RatedEndpoint
   readonly #permit: SendPermit
   readonly #openedAt: number
+  readonly #onSend: () => void
 
-  constructor (places: EndpointPlaces, endpoint: RatedEndpoint, permit: SendPermit, openedAt: number) {
+  constructor (places: EndpointPlaces, endpoint: RatedEndpoint, permit: SendPermit, openedAt: number, onSend: () => void) {
     this.#places = places
     this.#endpoint = endpoint
     this.#permit = permit
     this.#openedAt = openedAt
+    this.#onSend = onSend
   }
 
   /** Whether the request was held back for the endpoint's limit. */
@@ -54,7 +56,9 @@
   }
 
   trySend (): boolean {
-    return this.#permit.trySend(this.#places.now)
+    const isSending = this.#permit.trySend(this.#places.now)
+    if (isSending) this.#onSend()
+    return isSending
   }
 
   charge (): void {
@@ -106,10 +110,14 @@
     })
   }
 
-  /** Opens the gate for an attempt at an endpoint. */
-  open (service: string, view: EndpointView): AttemptGate {
+  /**
+   * Opens the gate for an attempt at an endpoint.
+   *
+   * @param onSend called when the request is sent
+   */
+  open (service: string, view: EndpointView, onSend: () => void): AttemptGate {
     const endpoint = rated(service, view)
-    return new AttemptGate(this, endpoint, this.#dependencies.limits.open(endpoint, this.now), this.now)
+    return new AttemptGate(this, endpoint, this.#dependencies.limits.open(endpoint, this.now), this.now, onSend)
   }
 
   charge (endpoint: RatedEndpoint): void {
--- a/src/entry/serviceRouter.ts
+++ b/src/entry/serviceRouter.ts
@@ -6,14 +6,17 @@
 import { createHash } from 'node:crypto'
 import { type Clock, Err, invariant, Proximity, proximityOf, Ok, type Place, Priority, type Randomness, Refusal, RefusalCode, type Result, RunState, withDeadline } from '../contract/index.ts'
 import type { Ledger } from '../billing/index.ts'
+import type { EndpointRun, EndpointRuns, PromptBreaker } from '../breaker/index.ts'
 import type { AttemptBudget, EndpointView } from '../choice/index.ts'
 import { type Claim, type ClaimOpenOutcome, type ClaimRequest, type Claims, type StoredAnswer, ClaimPoint } from '../claim/index.ts'
-import { DeliveryState, type ServiceResponse, type ServiceCall, type ServiceClient } from '../endpoint/index.ts'
+import { type AttemptFailure, DeliveryState, type ServiceResponse, type ServiceCall, type ServiceClient } from '../endpoint/index.ts'
 import { formatTraceParent, type TraceContext, type Tracer } from '../observe/index.ts'
 import type { OrganisationView } from '../settings/index.ts'
+import { CrashGuard } from './crashGuard.ts'
 import { furtherDelivery, refusalAfter, runStateAfter } from './deliveryOfAttempts.ts'
 import { type EndpointDirectory, acceptsRequests } from './endpointDirectory.ts'
 import { type AttemptGate, type EndpointPlaces, placeRetrySeconds } from './endpointPlaces.ts'
+import { sharedCallOf } from './sharedPrompt.ts'
 
 /** An authenticated call to a plain service, with a deadline. */
 export interface ServiceRequest {
@@ -38,6 +41,8 @@
   readonly directory: EndpointDirectory
   readonly services: ServiceClient
   readonly places: EndpointPlaces
+  readonly breaker: PromptBreaker
+  readonly runs: EndpointRuns
   readonly claims: Claims
   readonly ledger: Ledger
   readonly retries: AttemptBudget
@@ -45,6 +50,7 @@
 }
 
 const maximumRetries = 2
+const firstServerErrorStatus = 500
 const retryAfterSeconds = 1
 const runLookupTimeoutMilliseconds = 2_000
 const noUsage = { promptTokens: 0, cachedPromptTokens: 0, completionTokens: 0 }
@@ -72,19 +78,22 @@
   async #callIdempotent (request: ServiceRequest, signal: AbortSignal): Promise<Result<StoredAnswer, Refusal>> {
     const { clock, retries } = this.#dependencies
     const excluded = new Set<string>()
+    const guard = new CrashGuard(this.#dependencies, sharedCallOf(request))
     let delivery: DeliveryState = DeliveryState.NotSent
     retries.recordFirstAttempt(clock.now())
     const arrivedAt = clock.now()
     for (let attempt = 0; ;) {
       const endpoint = await this.#chooseWithPlace(request, excluded, arrivedAt, signal)
       if (endpoint.err) return Err(refusalAfter(delivery, endpoint.val))
-      const gate = this.#dependencies.places.open(request.service, endpoint.val)
-      const answer = await this.#send(request, endpoint.val, gate, always, signal)
-      if (gate.wasHeldBack) continue
+      const refusal = guard.refusal()
+      if (refusal !== undefined) return Err(refusalAfter(delivery, refusal))
+      const opened = this.#open(request, guard, endpoint.val)
+      const answer = await this.#send(request, endpoint.val, opened, always, signal)
+      if (opened.gate.wasHeldBack) continue
       if (answer.ok) return await this.#bill(request, storedAnswerOf(answer.val))
       delivery = furtherDelivery(delivery, answer.val.delivery)
       excluded.add(endpoint.val.endpoint.name)
-      const mayRetry = attempt++ < maximumRetries && !signal.aborted && clock.now() < request.deadline && retries.tryAcquire(clock.now())
+      const mayRetry = attempt++ < maximumRetries && guard.mayRepeat && !signal.aborted && clock.now() < request.deadline && retries.tryAcquire(clock.now())
       if (mayRetry) continue
       return Err(new Refusal(RefusalCode.EndpointFailed, runStateAfter(delivery), answer.val.reason, retryAfterSeconds))
     }
@@ -138,18 +147,21 @@
   }
 
   async #runClaimed (request: ServiceRequest, claim: Claim): Promise<Result<StoredAnswer, Refusal>> {
-    const { claims, clock, places } = this.#dependencies
+    const { claims, clock } = this.#dependencies
     const endpoint = await this.#chooseWithPlace(request, new Set(), clock.now(), new AbortController().signal)
     if (endpoint.err) return await this.#release(claim, endpoint.val)
-    const gate = places.open(request.service, endpoint.val)
+    const guard = new CrashGuard(this.#dependencies, sharedCallOf(request))
+    const refusal = guard.refusal()
+    if (refusal !== undefined) return await this.#release(claim, refusal)
+    const opened = this.#open(request, guard, endpoint.val)
     const dispatched = await claim.dispatch()
     if (dispatched.err) {
-      gate.close()
+      this.#close(opened)
       return dispatched
     }
     const { sendBefore } = dispatched.val
     const answer = await claims.steps.wait(ClaimPoint.Call,
-      () => this.#send(request, endpoint.val, gate, () => clock.now() < sendBefore, new AbortController().signal))
+      () => this.#send(request, endpoint.val, opened, () => clock.now() < sendBefore, new AbortController().signal))
     if (answer.ok) return await this.#settle(request, claim, storedAnswerOf(answer.val))
     if (answer.val.delivery === DeliveryState.NotSent) {
       return await this.#release(claim, new Refusal(RefusalCode.EndpointFailed, RunState.NotRun, answer.val.reason, retryAfterSeconds))
@@ -187,7 +199,18 @@
     return Err(new Refusal(RefusalCode.StoreUnavailable, RunState.Ran, `the answer could not be billed: ${recorded.val.reason}`, retryAfterSeconds))
   }
 
-  async #send (request: ServiceRequest, target: EndpointView, gate: AttemptGate, mayStillSend: () => boolean, signal: AbortSignal) {
+  #open (request: ServiceRequest, guard: CrashGuard, target: EndpointView): OpenedCall {
+    const run = guard.open(target)
+    const gate = this.#dependencies.places.open(request.service, target, () => run.recordSent(this.#dependencies.clock.now()))
+    return { guard, run, gate }
+  }
+
+  #close ({ run, gate }: OpenedCall): void {
+    run.close()
+    gate.close()
+  }
+
+  async #send (request: ServiceRequest, target: EndpointView, opened: OpenedCall, mayStillSend: () => boolean, signal: AbortSignal) {
     const span = this.#dependencies.tracer.startSpan('attempt', 'client', request.parent)
     span.setAttribute('endpoint', target.endpoint.name)
     const call: ServiceCall = {
@@ -197,14 +220,22 @@
       body: request.body,
       idempotencyKey: serviceKeyOf(request),
       traceParent: formatTraceParent(span.context),
-      gate
+      gate: opened.gate
     }
     const answer = await this.#dependencies.services.call(target.endpoint, call, mayStillSend, signal)
-    gate.close()
+    this.#recordOutcome(opened, answer, signal)
+    this.#close(opened)
     span.end(answer.err ? answer.val.reason : undefined)
     return answer
   }
 
+  /** A call that was cancelled tells nothing of its endpoint. */
+  #recordOutcome ({ guard, run }: OpenedCall, answer: Result<ServiceResponse, AttemptFailure>, signal: AbortSignal): void {
+    if (answer.err) return signal.aborted ? undefined : guard.recordFailure(run, answer.val)
+    if (answer.val.status >= firstServerErrorStatus) run.recordOver()
+    else run.recordAnswer(this.#dependencies.clock.now())
+  }
+
   /** Chooses an endpoint; while the rate limits of all are used up, waits for a place. */
   async #chooseWithPlace (request: ServiceRequest, excluded: ReadonlySet<string>, arrivedAt: number, signal: AbortSignal): Promise<Result<EndpointView, Refusal>> {
     const { places } = this.#dependencies
@@ -232,6 +263,13 @@
   }
 }
 
+/** What tracks a call while it runs. */
+interface OpenedCall {
+  readonly guard: CrashGuard
+  readonly run: EndpointRun
+  readonly gate: AttemptGate
+}
+
 /** Prefixes the key with its organisation, because two organisations may use the same key. */
 function serviceKeyOf (request: ServiceRequest): string | undefined {
   return request.idempotencyKey === undefined ? undefined : `${request.organisation.name}/${request.idempotencyKey}`
--- a/test/fakes/entryWorld.ts
+++ b/test/fakes/entryWorld.ts
@@ -177,10 +177,11 @@
     const announcedLimits = new AnnouncedLimits()
     const limits = limitsOf(announcedLimits, fixedFleet({ address: '127.0.0.1:1', region: here.region }))
     const places = new EndpointPlaces({ clock, announcedLimits, limits, placeQueues: new PlaceQueues(clock), onNews: () => undefined, log })
+    const runs = new EndpointRuns({ name: 'entry-1', breaker, hasCrashed, onNews: () => undefined, clock, log })
     const chat = new ChatRouter({
       places,
       breaker,
-      runs: new EndpointRuns({ name: 'entry-1', breaker, hasCrashed, onNews: () => undefined, clock, log }),
+      runs,
       clock,
       randomness,
       settings,
@@ -201,6 +202,8 @@
     })
     const services = new ServiceRouter({
       places,
+      breaker,
+      runs,
       here,
       clock,
       randomness,
--- a/test/fakes/fakeServiceClient.ts
+++ b/test/fakes/fakeServiceClient.ts
@@ -62,7 +62,7 @@
     const scripted = this.script(call, endpoint)
     await this.#clock.sleep(scripted.connectMilliseconds ?? 0, signal)
     const isRefused = scripted.fault === ServiceFault.Refuse
-    if (isRefused || signal.aborted || !mayStillSend()) return Err(new AttemptFailure(DeliveryState.NotSent, 'not sent'))
+    if (isRefused || signal.aborted || !mayStillSend() || call.gate?.trySend() === false) return Err(new AttemptFailure(DeliveryState.NotSent, 'not sent'))
     const outcome = this.#receive(endpoint, call, scripted)
     if (scripted.fault === ServiceFault.Hang) await new Promise<void>(resolve => signal.addEventListener('abort', () => resolve()))
     else await this.#clock.sleep(scripted.workMilliseconds ?? 0, signal)
