Tell peers of crashes only what they lack, instead of all that is known each time

Every gateway told six peers everything of the last 30 s as soon as a single report, block or answer was new to it, got everything in reply, and did the same with two peers each second. The cost grew with the square of the crashes in a storm, and requests made each report longer.

Change: an update carries what is new. Its finder tells six peers; whoever hears it passes it on to three, and to nobody in a fleet of up to seven, where all have been told. Each second two peers compare a digest; where it differs, the asker gets the hashes of the other's facts and sends what that lacks. Requests go without field names, with 16 characters of their digest. Gateways of earlier builds understand all of it and answer as they did.

--- a/src/breaker/breakerMessages.ts
+++ b/src/breaker/breakerMessages.ts
@@ -1,6 +1,6 @@
 /** Crashes, blocks and good answers as gateways tell each other of them. Times travel as ages, since clocks differ. */
 import * as z from 'zod'
-import type { BreakerNews } from './promptBreaker.ts'
+import type { BreakerNews } from './freshNews.ts'
 
 const partSchema = z.object({ organisation: z.string(), part: z.string() })
 const runSchema = z.object({
@@ -9,12 +9,8 @@
   /** From the run's begin to the crash. */
   milliseconds: z.number()
 })
-const requestSchema = z.object({
-  organisation: z.string(),
-  request: z.string(),
-  /** From the sending of the request to the crash. */
-  milliseconds: z.number()
-})
+/** Organisation, request, and the milliseconds from its sending to the crash. There may be many, so they go without names. */
+const requestSchema = z.tuple([z.string(), z.string(), z.number()])
 const reportSchema = z.object({
   instance: z.string(),
   reporter: z.string(),
@@ -40,7 +36,7 @@
       reporter,
       ageMilliseconds: now - crashedAt,
       runs: runs.map(({ prompt, begunAt }) => ({ organisation: prompt.organisation, parts: [...prompt.parts], milliseconds: crashedAt - begunAt })),
-      requests: requests?.map(({ organisation, request, sentAt }) => ({ organisation, request, milliseconds: crashedAt - sentAt })),
+      requests: requests?.map(({ organisation, request, sentAt }) => [organisation, request, Math.round(crashedAt - sentAt)]),
       mayRecur
     })),
     blocks: blocks.map(({ blockedAt, ...block }) => ({ ...block, ageMilliseconds: now - blockedAt })),
@@ -58,7 +54,7 @@
         reporter,
         crashedAt,
         runs: runs.map(({ organisation, parts, milliseconds }) => ({ prompt: { organisation, parts }, begunAt: crashedAt - milliseconds })),
-        requests: requests?.map(({ organisation, request, milliseconds }) => ({ organisation, request, sentAt: crashedAt - milliseconds })),
+        requests: requests?.map(([organisation, request, milliseconds]) => ({ organisation, request, sentAt: crashedAt - milliseconds })),
         mayRecur
       }
     }),
--- a/src/breaker/promptBreaker.ts
+++ b/src/breaker/promptBreaker.ts
@@ -14,6 +14,7 @@
   type BlockedPrompt, type BreakerChange, type CrashReport, type OrganisationPart, type PartAnswer, type PartBlock, type SharedPrompt,
   isRequestPart, organisationParts, partKey, partOfSuspect, requestPart, sharedParts
 } from './contract.ts'
+import { type BreakerNews, FreshNews } from './freshNews.ts'
 import { PartAnswers } from './partAnswers.ts'
 import { PartBlocks, blockEnd, isTrial } from './partBlocks.ts'
 import { SuspectRequests } from './suspectRequests.ts'
@@ -34,11 +35,12 @@
 /** A request that lay unanswered at so many crashes in sequence is not sent until the last of them is judged. */
 const awaitedCrashCount = 3
 
-/** What gateways tell each other. */
-export interface BreakerNews {
-  readonly reports: readonly CrashReport[]
-  readonly blocks: readonly PartBlock[]
-  readonly answers: readonly PartAnswer[]
+/** What a gateway has learnt lately. */
+export interface BreakerUpdate {
+  /** What it saw or decided itself. */
+  readonly own: BreakerNews
+  /** What others told it. */
+  readonly heard: BreakerNews
 }
 
 export interface PromptBreakerOptions {
@@ -60,6 +62,10 @@
   readonly #answers = new PartAnswers()
   readonly #requests = new SuspectRequests()
   readonly #blocks = new PartBlocks()
+  /** What this gateway saw itself and has not told yet. */
+  readonly #ownNews = new FreshNews()
+  /** What others told it and it has not passed on yet. */
+  readonly #heardNews = new FreshNews()
   /** What the reports tell by crash; undefined after a change. */
   #observed: readonly ObservedCrash[] | undefined
   /** When crashes are to be judged; infinite if nothing has changed. */
@@ -97,7 +103,7 @@
 
   /** Records what this gateway saw of a crash. */
   recordCrash (report: CrashReport, now: number): void {
-    this.#addReport(report, now)
+    if (this.#addReport(report, now)) this.#ownNews.addReport(report)
   }
 
   /**
@@ -107,25 +113,31 @@
    */
   recordAnswer (prompt: SharedPrompt, now: number): boolean {
     const answers = organisationParts(prompt).map(part => ({ ...part, answeredAt: now }))
-    return answers.filter(answer => this.#recordAnswer(answer, now)).length > 0
+    const news = answers.filter(answer => this.#recordAnswer(answer, now))
+    for (const answer of news) this.#ownNews.addAnswer(answer)
+    return news.length > 0
   }
 
   /** Merges what another gateway told; returns whether any of it was news. */
   merge ({ reports, blocks, answers }: BreakerNews, now: number): boolean {
-    let isNews = false
-    for (const answer of answers) isNews = this.#mergeAnswer(answer, now) || isNews
-    for (const report of reports) isNews = this.#addReport(report, now) || isNews
-    for (const block of blocks) isNews = this.#mergeBlock(block, now) || isNews
-    return isNews
+    const newAnswers = answers.filter(answer => this.#mergeAnswer(answer, now))
+    const newReports = reports.filter(report => this.#addReport(report, now))
+    const newBlocks = blocks.filter(block => this.#mergeBlock(block, now))
+    for (const answer of newAnswers) this.#heardNews.addAnswer(answer)
+    for (const report of newReports) this.#heardNews.addReport(report)
+    for (const block of newBlocks) this.#heardNews.addBlock(block)
+    return newAnswers.length + newReports.length + newBlocks.length > 0
   }
 
-  /** What another gateway should know. */
+  /** What was learnt since the last call: what peers are told at once. */
+  takeUpdate (): BreakerUpdate {
+    return { own: this.#ownNews.take(), heard: this.#heardNews.take() }
+  }
+
+  /** All that another gateway should know. */
   news (now: number): BreakerNews {
     const reports = this.#toldReports(now)
-    const suspects = reports.flatMap(({ runs }) => runs.flatMap(({ prompt }) => sharedParts(prompt)))
-    const parts = new Map(suspects.map(part => [partKey(part), part]))
-    const answers = [...parts.values()].flatMap(part => this.#answers.lastAnswer(part) ?? [])
-    return { reports, blocks: this.#blocks.all(now), answers: [...answers, ...this.#requests.answersTo(reports)] }
+    return { reports, blocks: this.#blocks.all(now), answers: this.#answersTo(reports) }
   }
 
   /** Judges the crashes that have settled. */
@@ -137,7 +149,7 @@
     const settled = crashes.filter(crash => settledAt(crash) <= now)
     for (;;) {
       const parts = blamedParts(this.#withoutExplained(settled, now), this.#evidence)
-      const blocked = parts.filter(part => this.#block({ ...part, holder: this.#options.name, trips: 1, blockedAt: now }, now))
+      const blocked = parts.filter(part => this.#setBlock({ ...part, holder: this.#options.name, trips: 1, blockedAt: now }, now))
       if (blocked.length === 0) return
     }
   }
@@ -174,12 +186,21 @@
     reports.set(report.reporter, report)
     this.#observed = undefined
     this.#requests.add(report)
+    for (const answer of this.#answersTo([report])) this.#ownNews.addAnswer(answer)
     dropOldest(this.#crashes, maximumCrashes)
     this.#reviewAt = Math.min(this.#reviewAt, Math.max(now, settledAt({ crashedAt: crashTime(reports) })))
     this.#renewBlocks(report, now)
     return true
   }
 
+  /** The last good answers to what the runs of some reports contain. */
+  #answersTo (reports: readonly CrashReport[]): readonly PartAnswer[] {
+    const suspects = reports.flatMap(({ runs }) => runs.flatMap(({ prompt }) => sharedParts(prompt)))
+    const parts = new Map(suspects.map(part => [partKey(part), part]))
+    const answers = [...parts.values()].flatMap(part => this.#answers.lastAnswer(part) ?? [])
+    return [...answers, ...this.#requests.answersTo(reports)]
+  }
+
   /** The key of a report's crash. */
   #crashKey ({ instance, crashedAt, mayRecur = false }: CrashReport): string {
     for (let crash = 0; ; crash++) {
@@ -195,7 +216,7 @@
     const wholes = requests.map(request => ({ part: partOfSuspect(request), startedAt: request.sentAt }))
     for (const { part, startedAt } of [...parts, ...wholes]) {
       const block = this.#blocks.of(part, now)
-      if (block !== undefined && isTrial(block, startedAt)) this.#block({ ...block, trips: block.trips + 1, blockedAt: crashedAt }, now)
+      if (block !== undefined && isTrial(block, startedAt)) this.#setBlock({ ...block, trips: block.trips + 1, blockedAt: crashedAt }, now)
     }
   }
 
@@ -205,6 +226,13 @@
     return isAdded
   }
 
+  /** Sets a block of its own finding, and has peers told. */
+  #setBlock (block: PartBlock, now: number): boolean {
+    const isAdded = this.#block(block, now)
+    if (isAdded) this.#ownNews.addBlock(block)
+    return isAdded
+  }
+
   #mergeBlock (block: PartBlock, now: number): boolean {
     return !this.#outweighsBlock(block) && this.#block(block, now)
   }
--- a/src/breaker/requestDigest.ts
+++ b/src/breaker/requestDigest.ts
@@ -1,7 +1,7 @@
 /** What makes two requests the same: method, host, path with its query, and body. Whose they are is told apart by organisation. */
 import { createHash } from 'node:crypto'
 
-const digestCharacters = 32
+const digestCharacters = 16
 
 /** The content of a request, without anything that changes from one sending of it to the next. */
 export interface RequestContent {
--- a/src/news/newsExchange.ts
+++ b/src/news/newsExchange.ts
@@ -1,11 +1,12 @@
 /**
  * Spreads what a gateway learns of endpoints and prompts to all gateways, without the store: crashes and blocks
  * of the breaker, and the limits that endpoints announce. All of it merges, so order and repetition do not
- * matter. News goes to a few random peers at once, and each gateway to which it is news passes it on (an
- * epidemic broadcast). For a while afterwards, and as long as a part is blocked, gateways exchange what they
- * know with random peers, which reaches those that were cut off. With nothing to tell, nothing is sent.
+ * matter. News goes to a few random peers at once, and each gateway to which it is news passes on just that
+ * (an epidemic broadcast). For a while afterwards, and as long as a part is blocked, gateways compare digests of
+ * what they know with random peers, and tell these what they lack, which reaches those that were cut off
+ * (anti-entropy). With nothing to tell, nothing is sent.
  */
-import { type PromptBreaker, decodeBreakerNews, encodeBreakerNews } from '../breaker/index.ts'
+import { type BreakerNews, type PromptBreaker, decodeBreakerNews, encodeBreakerNews, factHashes, newsBeyond, summaryOf } from '../breaker/index.ts'
 import { type Clock, type Randomness, Wakeup, randomSample } from '../contract/index.ts'
 import type { Link, Peer } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
@@ -14,6 +15,8 @@
 
 /** Peers to which news goes at once. */
 const broadcastPeerCount = 6
+/** Peers to which a gateway passes on what it has heard. */
+const passingPeerCount = 3
 /** Peers in each further round. */
 const roundPeerCount = 2
 /** Interval of the rounds. */
@@ -28,6 +31,9 @@
 /** Requests of callers wait for the first answer at most this long. */
 const firstAnswerMilliseconds = 300
 
+const noNews: BreakerNews = { reports: [], blocks: [], answers: [] }
+const emptyReply: EncodedNews = { reports: [], blocks: [], answers: [] }
+
 export interface NewsExchangeOptions {
   readonly link: Link
   readonly breaker: PromptBreaker
@@ -54,7 +60,7 @@
     this.#options = options
     options.link.handle(newsMessage, async news => {
       this.#merge(news)
-      return this.#ownNews(news.isStarting === true)
+      return this.#replyTo(news)
     })
   }
 
@@ -88,31 +94,56 @@
     while (!this.#stopping.signal.aborted) {
       if (!this.#hasNews) await this.#wakeup.sleep(clock, this.#isEmpty ? idleMilliseconds : roundMilliseconds)
       await clock.sleep(batchMilliseconds, this.#stopping.signal)
-      const peerCount = this.#hasNews ? broadcastPeerCount : roundPeerCount
-      this.#hasNews = false
       this.#options.breaker.review(clock.now())
       // A peer that does not answer must not delay what the others are told next.
-      if (!this.#isEmpty) for (const peer of this.#pickPeers(peerCount)) this.#sendTo(peer).catch(() => undefined)
+      if (this.#hasNews) this.#broadcast()
+      else if (!this.#isEmpty) for (const peer of this.#pickPeers(roundPeerCount)) this.#compareWith(peer).catch(() => undefined)
+    }
+  }
+
+  /** Tells a few peers what was just learnt: some of them what this gateway saw itself, fewer also what others told it. */
+  #broadcast (): void {
+    this.#hasNews = false
+    const { own, heard } = this.#options.breaker.takeUpdate()
+    const peers = this.#pickPeers(broadcastPeerCount)
+    // In a small fleet whoever saw it has told everyone already.
+    const passingCount = this.#options.peers().length > broadcastPeerCount ? passingPeerCount : 0
+    for (const [index, peer] of peers.entries()) {
+      const update = this.#message({ news: index < passingCount ? joined(own, heard) : own, isComplete: false })
+      if (!isEmptyNews(update)) this.#sendTo(peer, { ...update, isUpdate: true }).catch(() => undefined)
     }
   }
 
+  /** Compares digests with a peer, and tells it what it lacks. */
+  async #compareWith (peer: Peer): Promise<void> {
+    const { breaker, clock } = this.#options
+    const summary = summaryOf(factHashes(breaker.news(clock.now())))
+    const reply = await this.#sendTo(peer, { ...this.#message({ news: noNews, isComplete: false }), summary })
+    if (reply === undefined || reply.isSame) return
+    // A gateway of an earlier build tells all that it knows instead of hashes.
+    const lacking = newsBeyond(breaker.news(clock.now()), new Set(reply.known))
+    const update = this.#message({ news: lacking, isComplete: false })
+    if (!isEmptyNews(update)) await this.#sendTo(peer, { ...update, isUpdate: true })
+  }
+
   async #askAfterStart (): Promise<void> {
     const { clock } = this.#options
     clock.schedule(firstAnswerMilliseconds, this.#endAsking)
     for (let attempt = 0; attempt < startAttempts && !this.#stopping.signal.aborted; attempt++) {
-      const answers = await Promise.all(this.#pickPeers(broadcastPeerCount).map(peer => this.#sendTo(peer, true)))
+      const question = { ...this.#allNews(false), isStarting: true }
+      const answers = await Promise.all(this.#pickPeers(broadcastPeerCount).map(peer => this.#sendTo(peer, question)))
       this.#endAsking()
-      if (answers.some(hasAnswered => hasAnswered)) return
+      if (answers.some(answer => answer !== undefined)) return
       await clock.sleep(roundMilliseconds, this.#stopping.signal)
     }
   }
 
-  /** Returns whether the peer answered. */
-  async #sendTo (peer: Peer, isStarting = false): Promise<boolean> {
-    const news = isStarting ? { ...this.#ownNews(false), isStarting } : this.#ownNews(false)
+  /** Returns what the peer told in reply; undefined if it did not answer. */
+  async #sendTo (peer: Peer, news: EncodedNews): Promise<EncodedNews | undefined> {
     const reply = await this.#options.link.request(peer, newsMessage, news, replyTimeoutMilliseconds)
-    if (reply.ok) this.#merge(reply.val)
-    return reply.ok
+    if (reply.err) return undefined
+    this.#merge(reply.val)
+    return reply.val
   }
 
   #merge (news: EncodedNews): void {
@@ -124,20 +155,40 @@
     if (hasBreakerNews || hasLimitNews) this.publish()
   }
 
-  #ownNews (isComplete: boolean): EncodedNews {
-    const { breaker, clock, limits } = this.#options
+  #replyTo ({ isStarting, isUpdate, summary }: EncodedNews): EncodedNews {
+    if (isUpdate) return emptyReply
+    if (summary === undefined) return this.#allNews(isStarting === true)
+    const { breaker, clock } = this.#options
+    const known = factHashes(breaker.news(clock.now()))
+    return summary === summaryOf(known) ? { ...emptyReply, isSame: true } : { ...emptyReply, known: [...known] }
+  }
+
+  /** All that is told; complete with what only a gateway that has just started needs. */
+  #allNews (isComplete: boolean): EncodedNews {
+    const { breaker, clock } = this.#options
+    return this.#message({ news: breaker.news(clock.now()), isComplete })
+  }
+
+  #message ({ news, isComplete }: { readonly news: BreakerNews, readonly isComplete: boolean }): EncodedNews {
+    const { clock, limits } = this.#options
     const now = clock.now()
     const facts = isComplete ? limits.all(now) : limits.news(now)
-    return { ...encodeBreakerNews(breaker.news(now), now), limits: encodeLimitFacts(facts) }
+    return { ...encodeBreakerNews(news, now), limits: encodeLimitFacts(facts) }
   }
 
   get #isEmpty (): boolean {
-    const { breaker, clock, limits } = this.#options
-    const { reports, blocks } = breaker.news(clock.now())
-    return reports.length === 0 && blocks.length === 0 && limits.news(clock.now()).length === 0
+    return isEmptyNews(this.#allNews(false))
   }
 
   #pickPeers (count: number): readonly Peer[] {
     return randomSample(this.#options.randomness, this.#options.peers(), count)
   }
 }
+
+function isEmptyNews ({ reports, blocks, answers, limits = [] }: EncodedNews): boolean {
+  return [reports, blocks, answers, limits].every(facts => facts.length === 0)
+}
+
+function joined (left: BreakerNews, right: BreakerNews): BreakerNews {
+  return { reports: [...left.reports, ...right.reports], blocks: [...left.blocks, ...right.blocks], answers: [...left.answers, ...right.answers] }
+}
--- a/src/news/newsMessages.ts
+++ b/src/news/newsMessages.ts
@@ -7,7 +7,15 @@
 const newsSchema = breakerNewsSchema.extend({
   limits: limitFactsSchema.optional(),
   /** Whether the sender has just started and asks for all that the receiver knows. */
-  isStarting: z.boolean().optional()
+  isStarting: z.boolean().optional(),
+  /** Whether the message tells only what the sender has just learnt; nothing is to be told in reply. */
+  isUpdate: z.boolean().optional(),
+  /** Digest of all that the sender knows of the breaker, told in place of it. */
+  summary: z.number().optional(),
+  /** Told in reply to a digest that differs: the hashes of what the receiver knows of the breaker. */
+  known: z.array(z.number()).optional(),
+  /** Told in reply to a digest: whether it is the receiver's too. */
+  isSame: z.boolean().optional()
 })
 
 export type EncodedNews = z.infer<typeof newsSchema>
--- a/test/fakes/fakeLink.ts
+++ b/test/fakes/fakeLink.ts
@@ -4,6 +4,7 @@
  * over a real link.
  */
 import { type Clock, Err, Ok, type Randomness, type Result } from '../../src/contract/index.ts'
+import { FrameKind, encodeFrame } from '../../src/link/frames.ts'
 import { type Link, LinkFailure, type LinkIdentity, type MessageType, type Peer } from '../../src/link/index.ts'
 
 /** Delay and loss of messages, by sender and receiver. */
@@ -20,6 +21,10 @@
   readonly conditions: NetworkConditions = { delayMilliseconds: () => 0.5, lossRate: () => 0 }
   /** Requests sent so far, by message type. */
   readonly requestCounts = new Map<string, number>()
+  /** Whether the bytes of messages are counted. */
+  countsBytes = false
+  /** Bytes of requests and replies as frames, by message type. */
+  readonly frameBytes = new Map<string, number>()
   readonly #clock: Clock
   readonly #randomness: Randomness
   readonly #links = new Map<string, FakeLink>()
@@ -110,6 +115,12 @@
     this.requestCounts.set(type, (this.requestCounts.get(type) ?? 0) + 1)
   }
 
+  countBytes (type: string, body: unknown): void {
+    if (!this.countsBytes) return
+    const frame = encodeFrame({ kind: FrameKind.Request, id: 1, type, body })
+    this.frameBytes.set(type, (this.frameBytes.get(type) ?? 0) + frame.unwrap().length)
+  }
+
   #isLost (from: LinkIdentity, to: LinkIdentity): boolean {
     if (this.#partitions.has(pairKey(from.place.dataCentre, to.place.dataCentre))) return true
     return this.#randomness.fraction() < this.conditions.lossRate(from, to)
@@ -130,6 +141,7 @@
 
   async request<Body, Reply> (peer: Peer, type: MessageType<Body, Reply>, body: Body, timeoutMilliseconds: number): Promise<Result<Reply, LinkFailure>> {
     this.#network.countRequest(type.name)
+    this.#network.countBytes(type.name, body)
     const settled = new AbortController()
     const timeout = this.#clock.sleep(timeoutMilliseconds, settled.signal).then(() => Err(new LinkFailure('no reply in time', true)))
     const outcome = await Promise.race([this.#exchange(peer, type, body), timeout])
@@ -155,6 +167,7 @@
     const reply = await handler(copy, this.self)
     if (!await this.#network.deliver(target.self, this.self)) return neverSettles()
     if (reply.err) return reply
+    this.#network.countBytes(type.name, reply.val)
     const parsed = type.reply.safeParse(structuredClone(reply.val))
     return parsed.success ? Ok(parsed.data) : Err(new LinkFailure('the reply is malformed', true))
   }
