--- a/test/fakes/crashingEndpoints.ts
+++ b/test/fakes/crashingEndpoints.ts
@@ -7,6 +7,8 @@
   readonly count: number
   /** Whether an endpoint that begins to work on a request crashes. */
   readonly kills: (request: ReceivedRequest) => boolean
+  /** Whether an endpoint lets a request wait without an end instead; it does not by default. */
+  readonly holds?: (request: ReceivedRequest) => boolean
   /** From the begin of the work to the crash. */
   readonly crashMilliseconds: number
   /** For how long an endpoint is away. */
@@ -19,6 +21,8 @@
   /** When a killing request reached an endpoint; milliseconds of `performance.now`. */
   readonly arrivals: number[] = []
   readonly crashTimes: number[] = []
+  /** Requests that wait without an end. */
+  readonly held: ReceivedRequest[] = []
   readonly #harness: ForwarderHarness
   readonly #options: CrashingEndpointsOptions
   readonly #running = new Set<EndpointStandIn>()
@@ -58,6 +62,10 @@
 
   #handlerOf (endpoint: EndpointStandIn): EndpointHandler {
     return async (request, response) => {
+      if (this.#options.holds?.(request)) {
+        this.held.push(request)
+        return
+      }
       if (this.#options.kills(request)) {
         this.arrivals.push(performance.now())
         await sleep(this.#options.crashMilliseconds)
--- a/test/fakes/newsFleet.ts
+++ b/test/fakes/newsFleet.ts
@@ -42,6 +42,12 @@
     this.gateways[index] = this.#start(index)
   }
 
+  /** Starts all gateways anew at the same moment. */
+  restartAll (): void {
+    for (const { address } of this.#peers) this.network.remove(address)
+    for (const index of this.gateways.keys()) this.restart(index)
+  }
+
   /** A run of a request at a gateway, whose endpoint crashes a while after it was sent; sound requests that lie there are answered elsewhere. */
   async crashUnder (index: number, prompt: SharedPrompt, instance: string, crashMilliseconds: number, beside: ReadonlyMap<number, readonly SharedPrompt[]> = new Map()): Promise<void> {
     const lying = [...beside].flatMap(([gateway, prompts]) => prompts.map(prompt => this.#send(gateway, prompt, instance)))
--- a/test/requestFleet.test.ts
+++ b/test/requestFleet.test.ts
@@ -68,3 +68,20 @@
   expect(unaware(fleet)).toEqual([])
   await fleet.stop()
 })
+
+test('gateways that all start anew at the same moment forget a request, which crashes three more endpoints and no others', async () => {
+  const fleet = await startFleet(7)
+  await crashThrice(fleet, [0, 1, 2])
+  await fleet.clock.advance(knownEverywhereMilliseconds)
+  fleet.restartAll()
+  await fleet.clock.advance(1_000)
+  let crashes = 0
+  for (let round = 0; round < 20; round++) {
+    const gateway = fleet.randomness.integerBelow(7)
+    const mayBeSent = fleet.gateways[gateway]!.breaker.admit(kill, fleet.clock.now()).ok
+    if (mayBeSent) await fleet.crashUnder(gateway, kill, `second-${crashes++}`, crashMilliseconds)
+    await fleet.clock.advance(100)
+  }
+  expect(crashes).toBe(3)
+  await fleet.stop()
+})
