--- a/test/fakes/newsFleet.ts
+++ b/test/fakes/newsFleet.ts
@@ -43,9 +43,10 @@
   }
 
   /** Starts all gateways anew at the same moment. */
-  restartAll (): void {
+  async restartAll (): Promise<void> {
     for (const { address } of this.#peers) this.network.remove(address)
-    for (const index of this.gateways.keys()) this.restart(index)
+    await this.stop()
+    for (const index of this.gateways.keys()) this.gateways[index] = this.#start(index)
   }
 
   /** A run of a request at a gateway, whose endpoint crashes a while after it was sent; sound requests that lie there are answered elsewhere. */
--- a/test/requestFleet.test.ts
+++ b/test/requestFleet.test.ts
@@ -73,7 +73,7 @@
   const fleet = await startFleet(7)
   await crashThrice(fleet, [0, 1, 2])
   await fleet.clock.advance(knownEverywhereMilliseconds)
-  fleet.restartAll()
+  await fleet.restartAll()
   await fleet.clock.advance(1_000)
   let crashes = 0
   for (let round = 0; round < 20; round++) {
