Answer what a daemon has read before a connection ends, malformed or stopping

Cause: the daemon's HTTP server knew nothing of its connections. A parser error ended the socket at once; stopping went through the HTTP server's own close, which closes connections that look idle before their input is read, and after three seconds all.

Change: the table of connections that the gateway's listener keeps is a module of its own (TrackedConnections) and serves both. A malformed head is refused after the requests before it are answered; a stop reads what has arrived, then closes idle connections, and what is open after three seconds.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -4,7 +4,7 @@
  * responses. Versions, endpoints and claims are handled by the routers.
  */
 import { createHash } from 'node:crypto'
-import { createServer, type Server } from 'node:http'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
 import type { Socket } from 'node:net'
 import Koa from 'koa'
@@ -17,7 +17,7 @@
 import { respondChat } from './chatResponse.ts'
 import { type ChatCall, type ChatRouter, SessionRequest } from './chatRouter.ts'
 import type { Drain } from './drain.ts'
-import { listenOn, readBoundedBody } from '../server/index.ts'
+import { type CallerConnection, TrackedConnections, listenOn, readBoundedBody, untilInputIsRead } from '../server/index.ts'
 import { errorBody, modelList } from './openAiFormat.ts'
 import type { ServiceRequest, ServiceRouter } from './serviceRouter.ts'
 import { isIdempotent } from './serviceOperation.ts'
@@ -52,8 +52,8 @@
 const headersTimeoutMilliseconds = 10_000
 const keepAliveTimeoutMilliseconds = 60_000
 const idleCloseIntervalMilliseconds = 50
-/** `closeIdleConnections` ignores connections that have not carried a request, so these are closed separately. */
-const unusedCloseDelayMilliseconds = 3_000
+/** Connections that are still open so long after the stop began are closed whatever goes on there. */
+const closeAllDelayMilliseconds = 3_000
 const maximumIdempotencyKeyCharacters = 255
 const millisecondsPerSecond = 1_000
 const servicePathPattern = /^\/v1\/services\/([^/]+)(\/.*)$/
@@ -62,6 +62,7 @@
 export class CallerServer {
   readonly #options: CallerServerOptions
   readonly #server: Server
+  readonly #connections: TrackedConnections
 
   constructor (options: CallerServerOptions) {
     this.#options = options
@@ -69,9 +70,14 @@
     application.on('error', error => options.log.debug('caller_connection_failed', { reason: String(error) }))
     application.use(context => this.#serve(context))
     const limits = { headersTimeout: headersTimeoutMilliseconds, keepAliveTimeout: keepAliveTimeoutMilliseconds, requestTimeout: 0 }
-    const handler = application.callback()
+    const handle = application.callback()
+    const handler = (request: IncomingMessage, response: ServerResponse) => {
+      if (this.#connections.add(request, response)) handle(request, response).catch(error => options.log.error('request_failed', { reason: String(error) }))
+      else request.resume()
+    }
     this.#server = options.tls === undefined ? createServer(limits, handler) : createSecureServer({ ...limits, ...options.tls }, handler)
-    this.#server.on('clientError', (_error, socket) => refuseMalformed(socket as Socket))
+    this.#connections = new TrackedConnections(this.#server, options.tls !== undefined)
+    this.#server.on('clientError', (_error, socket) => refuseMalformed(socket as Socket, this.#connections.of(socket as Socket)))
   }
 
   /**
@@ -91,12 +97,19 @@
 
   /** Stops listening and closes connections as they become idle. Running responses complete. */
   async close (): Promise<void> {
-    const closed = new Promise<void>(resolve => this.#server.close(() => resolve()))
-    const idleTimer = setInterval(() => this.#server.closeIdleConnections(), idleCloseIntervalMilliseconds)
-    const unusedTimer = setTimeout(() => this.#server.closeAllConnections(), unusedCloseDelayMilliseconds)
-    await closed
-    clearInterval(idleTimer)
-    clearTimeout(unusedTimer)
+    const { clock } = this.#options
+    this.#connections.stopListening()
+    const closeAllAt = clock.now() + closeAllDelayMilliseconds
+    for (;;) {
+      // A request may have arrived that was not read yet.
+      await untilInputIsRead(clock)
+      const isLate = clock.now() >= closeAllAt
+      for (const connection of this.#connections.all) if (isLate || connection.isIdle) connection.socket.destroy()
+      if (this.#connections.all.every(({ socket }) => socket.destroyed)) break
+      await clock.sleep(idleCloseIntervalMilliseconds)
+    }
+    // Ends the server's own timers; it listens no more.
+    this.#server.close()
   }
 
   async #serve (context: Koa.Context): Promise<void> {
@@ -267,8 +280,13 @@
   return controller.signal
 }
 
-function refuseMalformed (socket: Socket): void {
-  if (!socket.writable) return
-  const body = JSON.stringify(errorBody(new Refusal(RefusalCode.InvalidRequest, RunState.NotRun, 'the request is not well-formed HTTP')))
-  socket.end(`HTTP/1.1 400 Bad Request\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
+/** Requests before the malformed one are answered first. */
+function refuseMalformed (socket: Socket, connection: CallerConnection | undefined): void {
+  const refuse = () => {
+    if (!socket.writable) return
+    const body = JSON.stringify(errorBody(new Refusal(RefusalCode.InvalidRequest, RunState.NotRun, 'the request is not well-formed HTTP')))
+    socket.end(`HTTP/1.1 400 Bad Request\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
+  }
+  if (connection?.isAnswering === true) connection.untilAnswered().then(refuse)
+  else refuse()
 }
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -3,9 +3,10 @@
  * loaded: callers then connect and wait, where they would otherwise be refused and try elsewhere.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { Server as NetServer, type Socket } from 'node:net'
-import { CallerConnection } from './callerConnection.ts'
+import type { Socket } from 'node:net'
+import type { CallerConnection } from './callerConnection.ts'
 import { listenOn } from './listenOn.ts'
+import { TrackedConnections } from './trackedConnections.ts'
 
 /** Limit of the HTTP parser for request headers; the operator's limit is enforced by forwarding. */
 const parserMaximumHeaderBytes = 64 * 1024
@@ -22,29 +23,27 @@
  */
 export class CallerListener {
   readonly server: Server
-  readonly #connections = new Map<Socket, CallerConnection>()
+  readonly #connections: TrackedConnections
   #isRetiring = false
   readonly #waiting: { readonly request: IncomingMessage, readonly response: ServerResponse }[] = []
   #serve: RequestListener | undefined
 
   constructor () {
     this.server = createServer({ maxHeaderSize: parserMaximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMilliseconds }, (request, response) => this.#receive(request, response))
+    this.#connections = new TrackedConnections(this.server)
     this.server.on('connection', socket => {
-      const connection = new CallerConnection(socket)
-      this.#connections.set(socket, connection)
-      if (this.#isRetiring) connection.retire()
-      socket.once('close', () => this.#connections.delete(socket))
+      if (this.#isRetiring) this.#connections.of(socket)?.retire()
     })
   }
 
   /** Open connections. */
   get connections (): readonly CallerConnection[] {
-    return [...this.#connections.values()]
+    return this.#connections.all
   }
 
   /** The open connection of a socket. */
   connectionOf (socket: Socket): CallerConnection | undefined {
-    return this.#connections.get(socket)
+    return this.#connections.of(socket)
   }
 
   /** Responses of open connections of which the kernel has not taken all bytes yet. */
@@ -63,9 +62,9 @@
     for (const { request, response } of this.#waiting.splice(0)) serve(request, response)
   }
 
-  /** Accepts no further connections. The HTTP server's own method would also close connections with unsent bytes. */
+  /** Accepts no further connections; open ones stay. */
   stopListening (): void {
-    NetServer.prototype.close.call(this.server)
+    this.#connections.stopListening()
   }
 
   /** From now on, the last response on each connection asks its caller to close it. */
@@ -76,7 +75,7 @@
 
   /** A request that can't be answered is not served: HTTP lets a caller expect nothing after `connection: close`. */
   #receive (request: IncomingMessage, response: ServerResponse): void {
-    if (this.#connections.get(request.socket)?.add(request, response) === false) {
+    if (!this.#connections.add(request, response)) {
       request.resume()
       return
     }
