Blame prompt parts of runs that had not begun, and count each crash of an endpoint without incarnations

Where no run at a crash had begun, the parts of all prompts that waited are suspected now; a sequence of five crashes blocks one. requestBreaker's test for it failed before.

--- a/src/breaker/blame.ts
+++ b/src/breaker/blame.ts
@@ -22,7 +22,7 @@
 
 /** Length of a sequence of crashes from which a part is blamed. */
 const blamedSequenceLength = 3
-/** Length from which all requests that can't be told apart are blamed. */
+/** Length from which requests that can't be told apart are blamed, and parts of prompts that only waited. */
 const undecidedSequenceLength = 5
 /** A run that had begun longer before a crash is not blamed for it. */
 const maximumBlamedMilliseconds = 1_000
@@ -52,6 +52,8 @@
 interface BlamedInterval {
   readonly startedAt: number
   readonly crash: ObservedCrash
+  /** Whether the run is not known to have begun. */
+  readonly isWaiting?: boolean
 }
 
 interface PartSuspicion {
@@ -65,6 +67,8 @@
   readonly part: OrganisationPart
   readonly depth: number
   readonly sequence: readonly ObservedCrash[]
+  /** Length of a sequence from which it is blamed. */
+  readonly blamedLength: number
 }
 
 /**
@@ -76,7 +80,7 @@
  * for (const part of blamedParts(crashes, answers)) block(part)
  */
 export function blamedParts (crashes: readonly ObservedCrash[], answers: AnswerEvidence): readonly OrganisationPart[] {
-  const suspects = suspectsOf(crashes, answers).filter(({ sequence }) => sequence.length >= blamedSequenceLength)
+  const suspects = suspectsOf(crashes, answers).filter(({ sequence, blamedLength }) => sequence.length >= blamedLength)
   suspects.sort((left, right) => right.sequence.length - left.sequence.length || compare(right.depth, left.depth))
   for (const suspect of suspects) {
     const tied = tiedWith(suspect, suspects)
@@ -104,11 +108,16 @@
     addPartSuspicions(suspicions, crash, answers)
     if (!crash.isExplainedByRequest) addRequestSuspicions(suspicions, crash, answers)
   }
-  const suspects = [...suspicions.values()].map(({ part, depth, intervals }) => ({ part, depth, sequence: longestSequence(intervals, depth) }))
+  const suspects = [...suspicions.values()].map(suspectOf)
   // Crashes under requests that are blocked already do not speak against what those share with nobody.
   return suspects.filter(({ sequence }) => sequence.some(crash => !crash.isExplainedByRequest))
 }
 
+function suspectOf ({ part, depth, intervals }: PartSuspicion): Suspect {
+  const hasWaited = intervals.some(({ isWaiting }) => isWaiting)
+  return { part, depth, sequence: longestSequence(intervals, depth), blamedLength: hasWaited ? undecidedSequenceLength : blamedSequenceLength }
+}
+
 /** A suspect and the requests with as long a sequence that lay at one of its crashes. */
 function tiedWith (suspect: Suspect, suspects: readonly Suspect[]): readonly Suspect[] {
   if (suspect.depth !== requestDepth) return [suspect]
@@ -124,9 +133,12 @@
 
 function addPartSuspicions (suspicions: Map<string, PartSuspicion>, crash: ObservedCrash, answers: AnswerEvidence): void {
   const run = blamedRun(crash, answers)
-  if (run === undefined) return
-  for (const [depth, part] of sharedParts(run.prompt).entries()) {
-    if (!answers.isSound(part, crash.crashedAt)) addInterval(suspicions, part, depth, { startedAt: run.begunAt, crash })
+  const waiting = crash.requests.map(({ organisation, parts = [], sentAt }) => ({ prompt: { organisation, parts }, startedAt: sentAt, isWaiting: true }))
+  const blamed = run === undefined ? waiting : [{ prompt: run.prompt, startedAt: run.begunAt, isWaiting: false }]
+  for (const { prompt, startedAt, isWaiting } of blamed) {
+    for (const [depth, part] of sharedParts(prompt).entries()) {
+      if (!answers.isSound(part, crash.crashedAt)) addInterval(suspicions, part, depth, { startedAt, crash, isWaiting })
+    }
   }
 }
 
--- a/src/breaker/breakerMessages.ts
+++ b/src/breaker/breakerMessages.ts
@@ -9,8 +9,8 @@
   /** From the run's begin to the crash. */
   milliseconds: z.number()
 })
-/** Organisation, request, and the milliseconds from its sending to the crash. There may be many, so they go without names. */
-const requestSchema = z.tuple([z.string(), z.string(), z.number()])
+/** Organisation, request, the milliseconds from its sending to the crash, and the parts of a prompt that waited. There may be many, so they go without names. */
+const requestSchema = z.tuple([z.string(), z.string(), z.number()]).rest(z.string())
 const reportSchema = z.object({
   instance: z.string(),
   reporter: z.string(),
@@ -18,7 +18,7 @@
   runs: z.array(runSchema),
   /** Absent in reports of earlier builds. */
   requests: z.array(requestSchema).optional(),
-  mayRecur: z.boolean().optional()
+  recurrence: z.number().optional()
 })
 export const breakerNewsSchema = z.object({
   reports: z.array(reportSchema),
@@ -31,13 +31,13 @@
 /** Encodes news with their ages. */
 export function encodeBreakerNews ({ reports, blocks, answers }: BreakerNews, now: number): EncodedBreakerNews {
   return {
-    reports: reports.map(({ instance, reporter, crashedAt, runs, requests, mayRecur }) => ({
+    reports: reports.map(({ instance, reporter, crashedAt, runs, requests, recurrence }) => ({
       instance,
       reporter,
       ageMilliseconds: now - crashedAt,
       runs: runs.map(({ prompt, begunAt }) => ({ organisation: prompt.organisation, parts: [...prompt.parts], milliseconds: crashedAt - begunAt })),
-      requests: requests?.map(({ organisation, request, sentAt }) => [organisation, request, Math.round(crashedAt - sentAt)]),
-      mayRecur
+      requests: requests?.map(({ organisation, request, sentAt, parts = [] }) => [organisation, request, Math.round(crashedAt - sentAt), ...parts]),
+      recurrence
     })),
     blocks: blocks.map(({ blockedAt, ...block }) => ({ ...block, ageMilliseconds: now - blockedAt })),
     answers: answers.map(({ answeredAt, ...answer }) => ({ ...answer, ageMilliseconds: now - answeredAt }))
@@ -47,15 +47,15 @@
 /** Decodes news that have just arrived. */
 export function decodeBreakerNews ({ reports, blocks, answers }: EncodedBreakerNews, now: number): BreakerNews {
   return {
-    reports: reports.map(({ instance, reporter, ageMilliseconds, runs, requests, mayRecur }) => {
+    reports: reports.map(({ instance, reporter, ageMilliseconds, runs, requests, recurrence }) => {
       const crashedAt = now - ageMilliseconds
       return {
         instance,
         reporter,
         crashedAt,
         runs: runs.map(({ organisation, parts, milliseconds }) => ({ prompt: { organisation, parts }, begunAt: crashedAt - milliseconds })),
-        requests: requests?.map(([organisation, request, milliseconds]) => ({ organisation, request, sentAt: crashedAt - milliseconds })),
-        mayRecur
+        requests: requests?.map(([organisation, request, milliseconds, ...parts]) => ({ organisation, request, sentAt: crashedAt - milliseconds, parts })),
+        recurrence
       }
     }),
     blocks: blocks.map(({ ageMilliseconds, ...block }) => ({ ...block, blockedAt: now - ageMilliseconds })),
--- a/src/breaker/contract.ts
+++ b/src/breaker/contract.ts
@@ -31,6 +31,8 @@
   readonly organisation: string
   readonly request: string
   readonly sentAt: number
+  /** The prompt parts that it shares with others, if its run had not begun; undefined otherwise. */
+  readonly parts?: readonly string[]
 }
 
 /** What one gateway saw of the crash of an endpoint's incarnation. */
@@ -42,8 +44,8 @@
   readonly runs: readonly SuspectRun[]
   /** Absent in reports of gateways of earlier builds. */
   readonly requests?: readonly SuspectRequest[]
-  /** Whether the endpoint's incarnations can't be told apart, so that it may crash again under the same name. */
-  readonly mayRecur?: boolean
+  /** How many crashes the reporter had seen before of an endpoint whose incarnations can't be told apart; undefined for others. */
+  readonly recurrence?: number
 }
 
 /** A part that no request may contain for a while, since the endpoints that worked on it crashed. */
@@ -110,3 +112,16 @@
 export function partOfSuspect ({ organisation, request }: SuspectRequest): OrganisationPart {
   return { organisation, part: requestPart(request) }
 }
+
+/** A suspected prompt part and the begin of its run, or the sending of its request if that had not begun. */
+export interface SuspectPart {
+  readonly part: OrganisationPart
+  readonly startedAt: number
+}
+
+/** The prompt parts that the runs and waiting requests at a crash share with others. */
+export function suspectParts ({ runs, requests = [] }: Pick<CrashReport, 'runs' | 'requests'>): readonly SuspectPart[] {
+  const begun = runs.flatMap(({ prompt, begunAt }) => sharedParts(prompt).map(part => ({ part, startedAt: begunAt })))
+  const waiting = requests.flatMap(({ organisation, parts = [], sentAt }) => sharedParts({ organisation, parts }).map(part => ({ part, startedAt: sentAt })))
+  return [...begun, ...waiting]
+}
--- a/src/breaker/endpointRuns.ts
+++ b/src/breaker/endpointRuns.ts
@@ -169,6 +169,8 @@
   readonly #abandoned = new Set<AbandonedRun>()
   /** Instances that have crashed, or may have and are being looked at. */
   readonly #examined = new Set<string>()
+  /** Crashes seen of instances that may crash again. */
+  readonly #recurrences = new Map<string, number>()
 
   constructor (options: EndpointRunsOptions) {
     this.#options = options
@@ -255,10 +257,18 @@
     log.warn('endpoint_crashed', { endpoint: instance, running: runs.length, runs: runs.slice(0, maximumLoggedRuns).map(run => describe(run, crashedAt)) })
     const [suspects, requests] = [suspectsAmong(runs), this.#suspectRequestsAmong(runs)]
     if (suspects.length === 0 && requests.length === 0) return
-    breaker.recordCrash({ instance, reporter: name, crashedAt, runs: suspects, requests, mayRecur }, clock.now())
+    breaker.recordCrash({ instance, reporter: name, crashedAt, runs: suspects, requests, recurrence: mayRecur ? this.#countCrash(instance) : undefined }, clock.now())
     onNews()
   }
 
+  /** Counts a crash of an instance; returns how many were seen before. */
+  #countCrash (instance: string): number {
+    const before = this.#recurrences.get(instance) ?? 0
+    this.#recurrences.set(instance, before + 1)
+    dropOldest(this.#recurrences, maximumExamined)
+    return before
+  }
+
   /** The runs at an endpoint now, those that began last first, and behind them those that have not begun, the last sent first. */
   #runsAt (instance: string, now: number): readonly RunAtCrash[] {
     const running = [...this.#open.get(instance) ?? []].filter(({ mayBeRunning }) => mayBeRunning)
@@ -278,7 +288,9 @@
   #suspectRequestsAmong (runs: readonly RunAtCrash[]): readonly SuspectRequest[] {
     const { breaker } = this.#options
     const [known, others] = [runs.filter(({ prompt }) => breaker.isSuspect(prompt)), runs.filter(({ prompt }) => !breaker.isSuspect(prompt))]
-    const suspects = [...known, ...others].flatMap(({ prompt: { organisation, request }, sentAt }) => request === undefined ? [] : [{ organisation, request, sentAt }])
+    const suspects = [...known, ...others].flatMap(({ prompt: { organisation, request, parts }, sentAt, begunAt }) => {
+      return request === undefined ? [] : [{ organisation, request, sentAt, parts: begunAt === undefined ? parts : undefined }]
+    })
     return suspects.slice(0, maximumSuspectRequests)
   }
 }
--- a/src/breaker/promptBreaker.ts
+++ b/src/breaker/promptBreaker.ts
@@ -12,7 +12,7 @@
 import { type AnswerEvidence, type ObservedCrash, blamedParts, crashesUnder } from './blame.ts'
 import {
   type BlockedPrompt, type BreakerChange, type CrashReport, type OrganisationPart, type PartAnswer, type PartBlock, type SharedPrompt,
-  isRequestPart, organisationParts, partKey, partOfSuspect, requestPart, sharedParts
+  isRequestPart, organisationParts, partKey, partOfSuspect, requestPart, suspectParts
 } from './contract.ts'
 import { type BreakerNews, FreshNews } from './freshNews.ts'
 import { PartAnswers } from './partAnswers.ts'
@@ -26,7 +26,7 @@
 const maximumCrashes = 64
 /** Crashes of this time are told to other gateways; older ones they have heard of. */
 const toldCrashMilliseconds = 30_000
-/** Reports of an endpoint that may crash again under its name tell of one crash if they are this close. */
+/** Reports of several gateways on an endpoint that may crash again under its name tell of one crash if they are this close. */
 const sameCrashMilliseconds = 1_000
 /** A good answer is told again when the last one that was told is older than this. */
 const answerRenewalMilliseconds = 60_000
@@ -195,26 +195,29 @@
 
   /** The last good answers to what the runs of some reports contain. */
   #answersTo (reports: readonly CrashReport[]): readonly PartAnswer[] {
-    const suspects = reports.flatMap(({ runs }) => runs.flatMap(({ prompt }) => sharedParts(prompt)))
-    const parts = new Map(suspects.map(part => [partKey(part), part]))
+    const suspects = reports.flatMap(suspectParts)
+    const parts = new Map(suspects.map(({ part }) => [partKey(part), part]))
     const answers = [...parts.values()].flatMap(part => this.#answers.lastAnswer(part) ?? [])
     return [...answers, ...this.#requests.answersTo(reports)]
   }
 
   /** The key of a report's crash. */
-  #crashKey ({ instance, crashedAt, mayRecur = false }: CrashReport): string {
+  #crashKey ({ instance, reporter, crashedAt, recurrence }: CrashReport): string {
+    if (recurrence === undefined) return instance
     for (let crash = 0; ; crash++) {
-      const key = crash === 0 ? instance : `${instance} crash ${crash}`
+      const key = `${instance} crash ${crash}`
       const reports = this.#crashes.get(key)
-      if (!mayRecur || reports === undefined || Math.abs(crashTime(reports) - crashedAt) < sameCrashMilliseconds) return key
+      const own = reports?.get(reporter)
+      if (reports === undefined || own?.recurrence === recurrence) return key
+      if (own === undefined && Math.abs(crashTime(reports) - crashedAt) < sameCrashMilliseconds) return key
     }
   }
 
   /** A crash under a trial shows that its block was right. */
-  #renewBlocks ({ runs, requests = [], crashedAt }: CrashReport, now: number): void {
-    const parts = runs.flatMap(({ prompt, begunAt }) => sharedParts(prompt).map(part => ({ part, startedAt: begunAt })))
+  #renewBlocks (report: CrashReport, now: number): void {
+    const { requests = [], crashedAt } = report
     const wholes = requests.map(request => ({ part: partOfSuspect(request), startedAt: request.sentAt }))
-    for (const { part, startedAt } of [...parts, ...wholes]) {
+    for (const { part, startedAt } of [...suspectParts(report), ...wholes]) {
       const block = this.#blocks.of(part, now)
       if (block !== undefined && isTrial(block, startedAt)) this.#setBlock({ ...block, trips: block.trips + 1, blockedAt: crashedAt }, now)
     }
@@ -274,7 +277,7 @@
   }
 
   #isSuspected ({ organisation, part }: OrganisationPart, now: number): boolean {
-    return this.#toldReports(now).some(({ runs }) => runs.some(({ prompt }) => prompt.organisation === organisation && prompt.parts.includes(part)))
+    return this.#toldReports(now).some(report => suspectParts(report).some(suspect => suspect.part.organisation === organisation && suspect.part.part === part))
   }
 
   /** The known crashes. */
@@ -289,7 +292,7 @@
   /** Leaves out crashes that a blocked prompt part explains, and marks those that a blocked request does. */
   #withoutExplained (crashes: readonly ObservedCrash[], now: number): readonly ObservedCrash[] {
     const isBlocked = (part: OrganisationPart) => this.#blocks.of(part, now) !== undefined
-    const unexplained = crashes.filter(({ runs }) => !runs.some(({ prompt }) => sharedParts(prompt).some(isBlocked)))
+    const unexplained = crashes.filter(crash => !suspectParts(crash).some(({ part }) => isBlocked(part)))
     return unexplained.map(crash => ({ ...crash, isExplainedByRequest: crash.requests.map(partOfSuspect).some(isBlocked) }))
   }
 
--- a/test/requestBreaker.test.ts
+++ b/test/requestBreaker.test.ts
@@ -7,6 +7,9 @@
 const sound: SharedPrompt = { organisation: 'harbour', parts: [], request: 'sound' }
 /** Time after which a crash is judged. */
 const settled = 1_000
+const gatewayCount = 4
+/** Crashes after which a request is blocked, whatever lay beside it. */
+const crashBound = 5
 
 const suspect = ({ organisation, request }: SharedPrompt, sentAt: number): SuspectRequest => ({ organisation, request: request!, sentAt })
 
@@ -87,13 +90,27 @@
   expect(blocked).toContain('poison')
 })
 
+test('a prompt part that crashes engines before their first token is blocked, although each request with it is another', () => {
+  const { breaker, blocked } = createBreaker()
+  const prompt = (request: string): SharedPrompt => ({ organisation: 'harbour', parts: ['system', 'poison'], request })
+  breaker.recordAnswer({ organisation: 'harbour', parts: ['system'], request: 'other' }, 0)
+  for (let index = 0; index < crashBound; index++) {
+    const at = 100 + 300 * index
+    const beside = { organisation: 'harbour', request: `beside-${index}`, sentAt: at - 20, parts: ['system'] }
+    breaker.recordCrash({ instance: `engine-${index}`, reporter: 'gateway-1', crashedAt: at, runs: [], requests: [{ ...suspect(prompt(`request-${index}`), at - 60), parts: ['system', 'poison'] }, beside] }, at)
+  }
+  expect(breaker.admit(prompt('next'), 2_500).err).toBe(true)
+  expect(breaker.admit({ organisation: 'harbour', parts: ['system'], request: 'other' }, 2_500).ok).toBe(true)
+  expect(blocked).toEqual(['poison'])
+})
+
 test('an endpoint without incarnations counts once for each time that it crashes, whoever reports it', () => {
   const { breaker } = createBreaker()
-  const report = (reporter: string, at: number) => breaker.recordCrash({ instance: 'ledger@0', reporter, crashedAt: at, runs: [], requests: [suspect(kill, at - 50)], mayRecur: true }, at)
-  for (const reporter of ['gateway-1', 'gateway-2', 'gateway-3']) report(reporter, 100)
+  const report = (reporter: string, at: number, recurrence: number) => breaker.recordCrash({ instance: 'ledger@0', reporter, crashedAt: at, runs: [], requests: [suspect(kill, at - 50)], recurrence }, at)
+  for (const reporter of ['gateway-1', 'gateway-2', 'gateway-3']) report(reporter, 100, 0)
   expect(breaker.admit(kill, 100 + settled).ok).toBe(true)
-  for (const at of [3_000, 6_000]) report('gateway-2', at)
-  expect(breaker.admit(kill, 6_000 + settled).err).toBe(true)
+  for (const [index, at] of [1_400, 1_800].entries()) report('gateway-2', at, index + 1)
+  expect(breaker.admit(kill, 1_800 + settled).err).toBe(true)
 })
 
 test('state stays bounded under ever new requests', () => {
@@ -107,10 +124,7 @@
   expect([reports.length <= 64, answers.length <= 64, blocks.length]).toEqual([true, true, 0])
 })
 
-const gatewayCount = 4
 const requestNames = Array.from({ length: 12 }, (_, index) => `sound-${index}`)
-/** Crashes after which a request is blocked, whatever lay beside it. */
-const crashBound = 5
 
 /** Gateways whose endpoints crash under one request, and for other reasons, while sound requests lie there and are answered elsewhere. */
 class RandomCrashes {
