Split the breaker's crash reports and the runs at a crash from the files that had grown

CrashReports keeps the reports, their keys and their times; runAtCrash.ts says what is told and logged of a run; sharedPromptOf says what a forwarded request shares. A block that this gateway sets is published at once rather than with the next round.

--- a/src/breaker/endpointRuns.ts
+++ b/src/breaker/endpointRuns.ts
@@ -10,21 +10,16 @@
  */
 import { type Clock, dropOldest, getOrCreate } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
-import type { SharedPrompt, SuspectRequest, SuspectRun } from './contract.ts'
+import type { SharedPrompt, SuspectRun } from './contract.ts'
 import type { PromptBreaker } from './promptBreaker.ts'
+import { type RunAtCrash, describeRuns, latestFirst, suspectRequestsAmong, suspectsAmong } from './runAtCrash.ts'
 
 /** A prompt that lets its run write for this time does not crash its endpoint. */
 const soundRunMilliseconds = 2_000
-/** Number of runs in a report. */
-const maximumSuspects = 4
-/** Number of requests in a report. */
-const maximumSuspectRequests = 64
 /** An endpoint may work on a run for this time after it was given up. */
 const abandonedMilliseconds = 5_000
 /** Number of runs that were given up and are remembered, the last ones. */
 const maximumAbandoned = 1_024
-/** Number of runs in a log line. */
-const maximumLoggedRuns = 12
 /** Number of crashed incarnations that are remembered, so that each is checked once. */
 const maximumExamined = 1_000
 
@@ -140,15 +135,6 @@
   }
 }
 
-/** A run at an endpoint at the moment in which that crashed. */
-interface RunAtCrash {
-  readonly prompt: SharedPrompt
-  readonly sentAt: number
-  readonly begunAt: number | undefined
-  /** Undefined if the run can't be the cause through a part that it shares. */
-  readonly suspect: SuspectRun | undefined
-}
-
 /** A run that was given up while its endpoint may have worked on it. */
 interface AbandonedRun {
   readonly instance: string
@@ -254,8 +240,8 @@
 
   #report ({ instance, mayRecur }: Pick<RunDescription, 'instance' | 'mayRecur'>, runs: readonly RunAtCrash[], crashedAt: number): void {
     const { breaker, clock, log, name, onNews } = this.#options
-    log.warn('endpoint_crashed', { endpoint: instance, running: runs.length, runs: runs.slice(0, maximumLoggedRuns).map(run => describe(run, crashedAt)) })
-    const [suspects, requests] = [suspectsAmong(runs), this.#suspectRequestsAmong(runs)]
+    log.warn('endpoint_crashed', { endpoint: instance, running: runs.length, runs: describeRuns(runs, crashedAt) })
+    const [suspects, requests] = [suspectsAmong(runs), suspectRequestsAmong(runs, prompt => breaker.isSuspect(prompt))]
     if (suspects.length === 0 && requests.length === 0) return
     breaker.recordCrash({ instance, reporter: name, crashedAt, runs: suspects, requests, recurrence: mayRecur ? this.#countCrash(instance) : undefined }, clock.now())
     onNews()
@@ -269,11 +255,10 @@
     return before
   }
 
-  /** The runs at an endpoint now, those that began last first, and behind them those that have not begun, the last sent first. */
+  /** The runs at an endpoint now, and those that were given up there. */
   #runsAt (instance: string, now: number): readonly RunAtCrash[] {
     const running = [...this.#open.get(instance) ?? []].filter(({ mayBeRunning }) => mayBeRunning)
-    const runs = [...running.map(atCrash), ...this.#abandonedAt(instance, now)]
-    return runs.sort((left, right) => latestFirst(left.begunAt, right.begunAt) || latestFirst(left.sentAt, right.sentAt))
+    return [...running.map(atCrash), ...this.#abandonedAt(instance, now)].sort(latestFirst)
   }
 
   #abandonedAt (instance: string, now: number): readonly RunAtCrash[] {
@@ -283,34 +268,8 @@
     }
     return [...this.#abandoned].filter(run => run.instance === instance).map(({ run }) => run)
   }
-
-  /** Requests that lay at other crashes come first, so that a bound on their number hides none of them. */
-  #suspectRequestsAmong (runs: readonly RunAtCrash[]): readonly SuspectRequest[] {
-    const { breaker } = this.#options
-    const [known, others] = [runs.filter(({ prompt }) => breaker.isSuspect(prompt)), runs.filter(({ prompt }) => !breaker.isSuspect(prompt))]
-    const suspects = [...known, ...others].flatMap(({ prompt: { organisation, request, parts }, sentAt, begunAt }) => {
-      return request === undefined ? [] : [{ organisation, request, sentAt, parts: begunAt === undefined ? parts : undefined }]
-    })
-    return suspects.slice(0, maximumSuspectRequests)
-  }
 }
 
 function atCrash ({ description, sentAt, begunAt, suspect }: EndpointRun): RunAtCrash {
   return { prompt: description.prompt, sentAt: sentAt ?? Number.NEGATIVE_INFINITY, begunAt, suspect }
 }
-
-function suspectsAmong (runs: readonly RunAtCrash[]): readonly SuspectRun[] {
-  const suspects = runs.flatMap(({ suspect }) => suspect ?? [])
-  return suspects.filter(({ prompt }) => prompt.parts.length > 0).slice(0, maximumSuspects)
-}
-
-/** Orders times, the latest first; undefined is before all others. */
-function latestFirst (left = Number.MIN_SAFE_INTEGER, right = Number.MIN_SAFE_INTEGER): number {
-  return right - left
-}
-
-function describe ({ prompt, sentAt, begunAt }: RunAtCrash, crashedAt: number): string {
-  const parts = prompt.parts.length === 0 ? '' : ` ${prompt.parts.join(',')}`
-  const begun = begunAt === undefined ? '' : `, begun ${Math.round(crashedAt - begunAt)}ms`
-  return `${prompt.organisation} request ${prompt.request ?? '-'}${parts} sent ${Math.round(crashedAt - sentAt)}ms${begun} before`
-}
--- a/src/breaker/promptBreaker.ts
+++ b/src/breaker/promptBreaker.ts
@@ -8,12 +8,13 @@
  * blame, and of two blocks of a part one takes precedence everywhere. Order and repetition of messages
  * therefore do not matter.
  */
-import { Err, Ok, type Result, dropOldest, getOrCreate } from '../contract/index.ts'
+import { Err, Ok, type Result } from '../contract/index.ts'
 import { type AnswerEvidence, type ObservedCrash, blamedParts, crashesUnder } from './blame.ts'
 import {
   type BlockedPrompt, type BreakerChange, type CrashReport, type OrganisationPart, type PartAnswer, type PartBlock, type SharedPrompt,
   isRequestPart, organisationParts, partKey, partOfSuspect, requestPart, suspectParts
 } from './contract.ts'
+import { CrashReports } from './crashReports.ts'
 import { type BreakerNews, FreshNews } from './freshNews.ts'
 import { PartAnswers } from './partAnswers.ts'
 import { PartBlocks, blockEnd, isTrial } from './partBlocks.ts'
@@ -21,13 +22,6 @@
 
 /** A crash is judged this long after it, when other gateways have told of their runs and good answers. */
 const settlingMilliseconds = 300
-/** Crashes are kept for this time. */
-const retentionMilliseconds = 10 * 60_000
-const maximumCrashes = 64
-/** Crashes of this time are told to other gateways; older ones they have heard of. */
-const toldCrashMilliseconds = 30_000
-/** Reports of several gateways on an endpoint that may crash again under its name tell of one crash if they are this close. */
-const sameCrashMilliseconds = 1_000
 /** A good answer is told again when the last one that was told is older than this. */
 const answerRenewalMilliseconds = 60_000
 /** A request that lay unanswered at so many crashes in sequence is not repeated when its run breaks off once more. */
@@ -57,8 +51,7 @@
  */
 export class PromptBreaker {
   readonly #options: PromptBreakerOptions
-  /** Reports by endpoint incarnation and reporter. */
-  readonly #crashes = new Map<string, Map<string, CrashReport>>()
+  readonly #crashes = new CrashReports()
   readonly #answers = new PartAnswers()
   readonly #requests = new SuspectRequests()
   readonly #blocks = new PartBlocks()
@@ -66,8 +59,6 @@
   readonly #ownNews = new FreshNews()
   /** What others told it and it has not passed on yet. */
   readonly #heardNews = new FreshNews()
-  /** What the reports tell by crash; undefined after a change. */
-  #observed: readonly ObservedCrash[] | undefined
   /** When crashes are to be judged; infinite if nothing has changed. */
   #reviewAt = Number.POSITIVE_INFINITY
   readonly #evidence: AnswerEvidence = {
@@ -136,15 +127,16 @@
 
   /** All that another gateway should know. */
   news (now: number): BreakerNews {
-    const reports = this.#toldReports(now)
+    const reports = this.#crashes.told(now)
     return { reports, blocks: this.#blocks.all(now), answers: this.#answersTo(reports) }
   }
 
   /** Judges the crashes that have settled. */
   review (now: number): void {
     if (now < this.#reviewAt) return
-    this.#forgetOldCrashes(now)
-    const crashes = this.#observedCrashes()
+    this.#crashes.forgetOld(now)
+    this.#requests.retain(this.#crashes.all)
+    const crashes = this.#crashes.observed
     this.#reviewAt = Math.min(Number.POSITIVE_INFINITY, ...crashes.map(settledAt).filter(at => at > now))
     const settled = crashes.filter(crash => settledAt(crash) <= now)
     for (;;) {
@@ -156,7 +148,7 @@
 
   /** The instances of the crashes that are known, each with the time of its crash. */
   knownCrashes (): ReadonlyMap<string, number> {
-    return new Map([...this.#crashes].map(([instance, reports]) => [instance, crashTime(reports)]))
+    return this.#crashes.instances
   }
 
   /** Whether a request lay unanswered at a known crash. */
@@ -176,19 +168,15 @@
 
   /** The sequence of crashes at which a request lay unanswered. */
   #crashesUnder (part: OrganisationPart): readonly ObservedCrash[] {
-    return this.#requests.has(part) ? crashesUnder(this.#observedCrashes(), part, this.#evidence) : []
+    return this.#requests.has(part) ? crashesUnder(this.#crashes.observed, part, this.#evidence) : []
   }
 
   #addReport (report: CrashReport, now: number): boolean {
-    if (now - report.crashedAt > retentionMilliseconds) return false
-    const reports = getOrCreate(this.#crashes, this.#crashKey(report), () => new Map<string, CrashReport>())
-    if (reports.has(report.reporter)) return false
-    reports.set(report.reporter, report)
-    this.#observed = undefined
+    const crashedAt = this.#crashes.add(report, now)
+    if (crashedAt === undefined) return false
     this.#requests.add(report)
     for (const answer of this.#answersTo([report])) this.#ownNews.addAnswer(answer)
-    dropOldest(this.#crashes, maximumCrashes)
-    this.#reviewAt = Math.min(this.#reviewAt, Math.max(now, settledAt({ crashedAt: crashTime(reports) })))
+    this.#reviewAt = Math.min(this.#reviewAt, Math.max(now, settledAt({ crashedAt })))
     this.#renewBlocks(report, now)
     return true
   }
@@ -201,18 +189,6 @@
     return [...answers, ...this.#requests.answersTo(reports)]
   }
 
-  /** The key of a report's crash. */
-  #crashKey ({ instance, reporter, crashedAt, recurrence }: CrashReport): string {
-    if (recurrence === undefined) return instance
-    for (let crash = 0; ; crash++) {
-      const key = `${instance} crash ${crash}`
-      const reports = this.#crashes.get(key)
-      const own = reports?.get(reporter)
-      if (reports === undefined || own?.recurrence === recurrence) return key
-      if (own === undefined && Math.abs(crashTime(reports) - crashedAt) < sameCrashMilliseconds) return key
-    }
-  }
-
   /** A crash under a trial shows that its block was right. */
   #renewBlocks (report: CrashReport, now: number): void {
     const { requests = [], crashedAt } = report
@@ -277,16 +253,7 @@
   }
 
   #isSuspected ({ organisation, part }: OrganisationPart, now: number): boolean {
-    return this.#toldReports(now).some(report => suspectParts(report).some(suspect => suspect.part.organisation === organisation && suspect.part.part === part))
-  }
-
-  /** The known crashes. */
-  #observedCrashes (): readonly ObservedCrash[] {
-    this.#observed ??= [...this.#crashes.values()].map(reports => {
-      const all = [...reports.values()]
-      return { crashedAt: crashTime(reports), runs: all.flatMap(({ runs }) => runs), requests: all.flatMap(({ requests = [] }) => requests), isExplainedByRequest: false }
-    })
-    return this.#observed
+    return this.#crashes.told(now).some(report => suspectParts(report).some(suspect => suspect.part.organisation === organisation && suspect.part.part === part))
   }
 
   /** Leaves out crashes that a blocked prompt part explains, and marks those that a blocked request does. */
@@ -295,24 +262,6 @@
     const unexplained = crashes.filter(crash => !suspectParts(crash).some(({ part }) => isBlocked(part)))
     return unexplained.map(crash => ({ ...crash, isExplainedByRequest: crash.requests.map(partOfSuspect).some(isBlocked) }))
   }
-
-  #toldReports (now: number): readonly CrashReport[] {
-    const reports = [...this.#crashes.values()].flatMap(reports => [...reports.values()])
-    return reports.filter(({ crashedAt }) => now - crashedAt < toldCrashMilliseconds)
-  }
-
-  #forgetOldCrashes (now: number): void {
-    for (const [instance, reports] of this.#crashes) {
-      if ([...reports.values()].every(({ crashedAt }) => now - crashedAt > retentionMilliseconds)) this.#crashes.delete(instance)
-    }
-    this.#observed = undefined
-    this.#requests.retain([...this.#crashes.values()].flatMap(reports => [...reports.values()]))
-  }
-}
-
-/** When a crash that several gateways may have seen happened. */
-function crashTime (reports: ReadonlyMap<string, CrashReport>): number {
-  return Math.min(...[...reports.values()].map(({ crashedAt }) => crashedAt))
 }
 
 /** When a crash may be judged. */
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -141,7 +141,9 @@
     name: dependencies.local.name,
     onChange: change => {
       logBreakerChange(dependencies.log, change)
-      if (change.type === 'blocked') dependencies.runs.cancelBlocked(dependencies.clock.now())
+      if (change.type !== 'blocked') return
+      dependencies.runs.cancelBlocked(dependencies.clock.now())
+      dependencies.news.publish()
     }
   }),
   runs: dependencies => new EndpointRuns({
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -160,7 +160,9 @@
     onChange: change => {
       logBreakerChange(parts.log, change)
       parts.metrics.promptChanges.inc({ change: change.type })
-      if (change.type === 'blocked') parts.runs.cancelBlocked(parts.clock.now())
+      if (change.type !== 'blocked') return
+      parts.runs.cancelBlocked(parts.clock.now())
+      parts.news.publish()
     }
   })
 }
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -3,13 +3,14 @@
  * and the attempts made so far. Shared by plain and streamed forwarding.
  */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
-import { type BlockedPrompt, type SharedPrompt, requestDigest } from '../breaker/index.ts'
+import type { BlockedPrompt, SharedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import { latestTurn, type WaitingRequest } from '../rateLimit/index.ts'
 import { AttemptEnd, type PlacementRequest, estimateWork } from '../placement/index.ts'
 import { type ResponseHead, type RequestHead, RouteType, type Route, type RoutedEndpoint, type RoutedOrganisation, instanceKey, ratedEndpoint } from '../routing/index.ts'
 import { CallerResponse, type RequestState } from './callerResponse.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
+import { sharedPromptOf } from './sharedPrompt.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
 import { isSelfDelimited } from './responseFraming.ts'
 import type { RoutingSnapshot } from './routingView.ts'
@@ -65,7 +66,7 @@
     this.dependencies = dependencies
     this.arrivedAt = arrivedAt
     this.deadline = arrivedAt + Math.min(route.timeoutMilliseconds, head.timeoutMilliseconds ?? route.timeoutMilliseconds)
-    this.#prompt = promptOf(options)
+    this.#prompt = sharedPromptOf(options)
     response.once('close', () => {
       if (!response.writableFinished) this.callerAbort.abort('caller disconnected')
     })
@@ -375,13 +376,3 @@
     return estimateWork(this.route, service, model, this.head.promptTokens, this.head.maximumOutputTokens)
   }
 }
-
-/** What a request shares with others: parts of its prompt, and all of it with its repeats. */
-function promptOf ({ request, head, body, organisation }: ForwardedRequestOptions): SharedPrompt {
-  const { method = 'GET', url = '/', headers } = request
-  return {
-    organisation: organisation?.name ?? '',
-    parts: head.promptParts.slice(0, -1).map(({ id }) => id),
-    request: requestDigest({ method, host: headers.host ?? '', path: url, body })
-  }
-}
--- a/src/news/newsExchange.ts
+++ b/src/news/newsExchange.ts
@@ -177,7 +177,9 @@
   }
 
   get #isEmpty (): boolean {
-    return isEmptyNews(this.#allNews(false))
+    const { breaker, clock, limits } = this.#options
+    const { reports, blocks } = breaker.news(clock.now())
+    return reports.length === 0 && blocks.length === 0 && limits.news(clock.now()).length === 0
   }
 
   #pickPeers (count: number): readonly Peer[] {
