Read what has arrived before a connection is closed as idle or a head refused as late

Cause: timers run before input is read, so after a stall a timer sees silence where bytes wait in the kernel.

--- a/src/gateway/headRefusals.ts
+++ b/src/gateway/headRefusals.ts
@@ -4,7 +4,7 @@
  */
 import type { Socket } from 'node:net'
 import type { Log } from '../observe/index.ts'
-import type { CallerConnection, CallerListener, HeadTimeLimits } from '../server/index.ts'
+import { type CallerConnection, type CallerListener, type HeadTimeLimits, untilInputIsRead } from '../server/index.ts'
 
 /** After the refusal the caller has this time to read it and to close its side. */
 const maximumCloseMilliseconds = 3_000
@@ -61,13 +61,22 @@
     if (this.#listener.connectionOf(socket)?.isReadingBody === true) return
     const millisecondsLeft = this.#limits.millisecondsLeft(socket)
     if (millisecondsLeft === Infinity) return
-    if (millisecondsLeft === 0) return this.#refuse(error, socket)
+    if (millisecondsLeft === 0) return this.#refuseUnlessArrived(error, socket)
     const recheck = setTimeout(() => {
       if (this.#limits.isKept(socket) && !this.isRefused(socket)) this.#refuse(error, socket)
     }, millisecondsLeft)
     socket.once('close', () => clearTimeout(recheck))
   }
 
+  /** After a stall of the event loop a head looks late that has arrived in time and was not read yet. */
+  #refuseUnlessArrived (error: ParserError, socket: Socket): void {
+    const headCount = this.#listener.connectionOf(socket)?.headCount
+    untilInputIsRead(performance).then(() => {
+      const hasArrived = this.#listener.connectionOf(socket)?.headCount !== headCount
+      if (!hasArrived && !this.isRefused(socket)) this.#refuse(error, socket)
+    })
+  }
+
   #refuse (error: ParserError, socket: Socket): void {
     this.#refusedAt.set(socket, socket.bytesRead)
     this.#log.info('request_malformed', { reason: error.code ?? error.message, caller: `${socket.remoteAddress}:${socket.remotePort}`, sentBytes: socket.bytesWritten })
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -22,6 +22,7 @@
   #isRetiring = false
   /** Bytes received up to the end of the latest whole request. */
   #wholeRequestBytes = 0
+  #headCount = 0
 
   constructor (socket: Socket) {
     this.socket = socket
@@ -32,6 +33,11 @@
     return this.#openResponses.size
   }
 
+  /** Number of requests whose heads have arrived. */
+  get headCount (): number {
+    return this.#headCount
+  }
+
   /** Whether a request that was read to its end has not been answered. */
   get isAnswering (): boolean {
     return this.#answering.length > 0
@@ -73,6 +79,7 @@
    */
   add (request: IncomingMessage, response: ServerResponse): boolean {
     if (this.#hasAnnouncedEnd) return false
+    this.#headCount++
     this.#openResponses.add(response)
     const close = () => this.#openResponses.delete(response)
     response.once('finish', close)
--- a/src/server/headTimeLimits.ts
+++ b/src/server/headTimeLimits.ts
@@ -6,6 +6,7 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { CallerConnection } from './callerConnection.ts'
+import { untilInputIsRead } from './inputPoll.ts'
 
 /** A head that is late is noticed this much later at most. */
 const noticeMilliseconds = 1_500
@@ -34,7 +35,9 @@
     const { server } = listener
     server.on('connection', socket => this.#limitUnused(socket))
     server.on('request', ({ socket }) => this.#endHead(socket))
-    server.on('timeout', socket => this.#endIdleTime(socket))
+    server.on('timeout', socket => {
+      untilInputIsRead(performance).then(() => this.#endIdleTime(socket))
+    })
     for (const { socket } of listener.connections) this.#limitUnused(socket)
   }
 
@@ -80,9 +83,11 @@
     socket.setTimeout(0)
   }
 
-  /** A head that is arriving has its own limit; the connection ends if none was found after that. */
+  /** A request that has arrived ends the idle time, and a head that is arriving has its own limit; the connection ends if none was found after that. */
   #endIdleTime (socket: Socket): void {
-    const isHeadArriving = this.#listener.connectionOf(socket)?.isIdle === false
+    const connection = this.#listener.connectionOf(socket)
+    if (connection === undefined || connection.openResponseCount > 0) return
+    const isHeadArriving = !connection.isIdle
     if (!isHeadArriving || this.#extended.has(socket)) {
       socket.destroy()
       return
--- a/src/server/inputPoll.ts
+++ b/src/server/inputPoll.ts
@@ -16,7 +16,7 @@
  * await untilInputIsRead(clock)
  * connections.closeIdle()
  */
-export async function untilInputIsRead (clock: Clock): Promise<void> {
+export async function untilInputIsRead (clock: Pick<Clock, 'now'>): Promise<void> {
   const startedAt = clock.now()
   for (let round = 1; ; round++) {
     const roundStartedAt = clock.now()
