--- a/src/breaker/blame.ts
+++ b/src/breaker/blame.ts
@@ -109,13 +109,14 @@
     if (!crash.isExplainedByRequest) addRequestSuspicions(suspicions, crash, answers)
   }
   const suspects = [...suspicions.values()].map(suspectOf)
-  // Crashes under requests that are blocked already do not speak against what those share with nobody.
+  // Crashes under one request that is blocked already blame a prompt part only together with another crash.
   return suspects.filter(({ sequence }) => sequence.some(crash => !crash.isExplainedByRequest))
 }
 
 function suspectOf ({ part, depth, intervals }: PartSuspicion): Suspect {
-  const hasWaited = intervals.some(({ isWaiting }) => isWaiting)
-  return { part, depth, sequence: longestSequence(intervals, depth), blamedLength: hasWaited ? undecidedSequenceLength : blamedSequenceLength }
+  const begun = longestSequence(intervals.filter(({ isWaiting }) => isWaiting !== true), depth)
+  const blamedLength = begun.length >= blamedSequenceLength ? blamedSequenceLength : undecidedSequenceLength
+  return { part, depth, sequence: longestSequence(intervals, depth), blamedLength }
 }
 
 /** A suspect and the requests with as long a sequence that lay at one of its crashes. */
--- a/test/requestBreaker.test.ts
+++ b/test/requestBreaker.test.ts
@@ -104,6 +104,15 @@
   expect(blocked).toEqual(['poison'])
 })
 
+test('a prompt part under which three runs had just begun is blocked, although one of its prompts also waited at a crash', () => {
+  const { breaker, blocked } = createBreaker()
+  const poison = { organisation: 'harbour', parts: ['poison'] }
+  breaker.recordCrash({ instance: 'engine-0', reporter: 'gateway-1', crashedAt: 100, runs: [], requests: [{ organisation: 'harbour', request: 'first', sentAt: 40, parts: ['poison'] }] }, 100)
+  for (const at of [400, 700, 1_000]) breaker.recordCrash({ instance: `engine-${at}`, reporter: 'gateway-1', crashedAt: at, runs: [{ prompt: poison, begunAt: at - 40 }], requests: [] }, at)
+  expect(breaker.admit(poison, 1_000 + settled).err).toBe(true)
+  expect(blocked).toEqual(['poison'])
+})
+
 test('an endpoint without incarnations counts once for each time that it crashes, whoever reports it', () => {
   const { breaker } = createBreaker()
   const report = (reporter: string, at: number, recurrence: number) => breaker.recordCrash({ instance: 'ledger@0', reporter, crashedAt: at, runs: [], requests: [suspect(kill, at - 50)], recurrence }, at)
