Keep the bound on a request's broken runs in one place

Found while reading the whole change: gateways and daemons each held the bound of two runs and the question about earlier crashes. PromptBreaker.mayRepeat answers both now. Behaviour is as it was; no test changes.

--- a/src/breaker/crashReports.ts
+++ b/src/breaker/crashReports.ts
@@ -25,7 +25,7 @@
     return [...this.#crashes.values()].flatMap(reports => [...reports.values()])
   }
 
-  /** The instances that have crashed, each with the time of its crash. */
+  /** The incarnations that have crashed, each with the time of its crash; crashes that may come again are under keys of their own. */
   get instances (): ReadonlyMap<string, number> {
     return new Map([...this.#crashes].map(([instance, reports]) => [instance, crashTime(reports)]))
   }
--- a/src/breaker/promptBreaker.ts
+++ b/src/breaker/promptBreaker.ts
@@ -24,6 +24,8 @@
 const settlingMilliseconds = 300
 /** A good answer is told again when the last one that was told is older than this. */
 const answerRenewalMilliseconds = 60_000
+/** A request whose runs have broken off so often may crash its endpoints. */
+const maximumBrokenRuns = 2
 /** A request that lay unanswered at so many crashes in sequence is not repeated when its run breaks off once more. */
 const repeatedCrashCount = 2
 /** A request that lay unanswered at so many crashes in sequence is not sent until the last of them is judged. */
@@ -82,8 +84,14 @@
     return this.#admitSuspect(prompt, now)
   }
 
-  /** Whether a request whose run broke off may be sent once more; not if it lay unanswered at earlier crashes too. */
-  mayRepeat ({ organisation, request }: SharedPrompt): boolean {
+  /**
+   * Whether a request may be sent once more; not if too many of its runs broke off, or one did and it lay unanswered at earlier crashes too.
+   *
+   * @param brokenRuns its own runs that broke off and may be the cause
+   */
+  mayRepeat ({ organisation, request }: SharedPrompt, brokenRuns = 1): boolean {
+    if (brokenRuns === 0) return true
+    if (brokenRuns >= maximumBrokenRuns) return false
     return request === undefined || this.#crashesUnder({ organisation, part: requestPart(request) }).length < repeatedCrashCount
   }
 
--- a/src/breaker/suspectRequests.ts
+++ b/src/breaker/suspectRequests.ts
@@ -33,7 +33,7 @@
 
   /** Keeps only the requests of some reports. */
   retain (reports: readonly CrashReport[]): void {
-    const kept = new Set(reports.flatMap(({ requests = [] }) => requests.map(request => partKey(partOfSuspect(request)))))
+    const kept = requestKeys(reports)
     for (const [key, { answeredAt }] of this.#suspects) {
       if (kept.has(key)) continue
       this.#suspects.delete(key)
@@ -77,8 +77,7 @@
 
   /** The last answers to the requests of some reports. */
   answersTo (reports: readonly CrashReport[]): readonly PartAnswer[] {
-    const keys = new Set(reports.flatMap(({ requests = [] }) => requests.map(request => partKey(partOfSuspect(request)))))
-    return [...keys].flatMap(key => {
+    return [...requestKeys(reports)].flatMap(key => {
       const suspect = this.#suspects.get(key)
       return suspect?.answeredAt === undefined ? [] : [{ ...suspect.part, answeredAt: suspect.answeredAt }]
     })
@@ -91,3 +90,7 @@
     dropOldest(this.#recentAnswers, maximumRecentAnswers)
   }
 }
+
+function requestKeys (reports: readonly CrashReport[]): ReadonlySet<string> {
+  return new Set(reports.flatMap(({ requests = [] }) => requests.map(request => partKey(partOfSuspect(request)))))
+}
--- a/src/entry/crashGuard.ts
+++ b/src/entry/crashGuard.ts
@@ -8,8 +8,6 @@
 import { type AttemptFailure, DeliveryState } from '../endpoint/index.ts'
 
 const millisecondsPerSecond = 1_000
-/** A request whose runs have broken off so often may crash its endpoints. */
-const maximumCrashedRuns = 2
 
 export interface CrashGuardDependencies {
   readonly clock: Clock
@@ -49,7 +47,7 @@
 
   /** Whether the request may be sent once more; not if its runs, or those of its repeats at any daemon, broke off too often. */
   get mayRepeat (): boolean {
-    return this.#crashedRuns === 0 || (this.#crashedRuns < maximumCrashedRuns && this.#dependencies.breaker.mayRepeat(this.#prompt))
+    return this.#dependencies.breaker.mayRepeat(this.#prompt, this.#crashedRuns)
   }
 
   /** Opens a run at an endpoint. If the request is blocked while it waits there, the run's signal tells so. */
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -17,8 +17,6 @@
 
 const misdirectedStatus = 421
 const timerToleranceMilliseconds = 5
-/** A request whose runs have broken off so often may crash its endpoints. */
-const maximumCrashedRuns = 2
 
 export interface ForwardedRequestOptions {
   readonly request: IncomingMessage
@@ -100,7 +98,8 @@
   /** Whether another attempt may be made; takes it from the retry budget if it is not the first. */
   tryStartAttempt (): boolean {
     const { breaker, retryBudget } = this.dependencies
-    if (this.hasCallerLeft || this.now >= this.deadline || this.attemptsLeft <= 0 || this.#mayCrashEndpoints) return false
+    if (this.hasCallerLeft || this.now >= this.deadline || this.attemptsLeft <= 0) return false
+    if (!breaker.mayRepeat(this.#prompt, this.#crashedRuns)) return false
     const admission = breaker.admit(this.#prompt, this.now)
     if (admission.err) {
       this.#block = admission.val
@@ -109,11 +108,6 @@
     return this.#sentAttempts === 0 || retryBudget.tryConsume(this.service, this.now)
   }
 
-  /** Whether the runs of this request, or its repeats at any gateway, have broken off too often for another one. */
-  get #mayCrashEndpoints (): boolean {
-    return this.#crashedRuns >= maximumCrashedRuns || (this.#crashedRuns > 0 && !this.dependencies.breaker.mayRepeat(this.#prompt))
-  }
-
   /** Remaining share of the latency target, 0 to 1. */
   get latencyTargetShareLeft (): number {
     const usedShare = (this.now - this.arrivedAt) / this.route.latencyTargetMilliseconds
