Show that a killed gateway lets a stream without a frame look whole

Cause: the gateway passes an answer that has neither a length nor chunks on without either, and a killed process closes its connections in order, which is then the end of a whole answer.

--- /dev/null
+++ b/review/lib/caller.ts
@@ -0,0 +1,57 @@
+/** A client on a TCP connection of its own, which sees how an answer ends. */
+import { connect } from 'node:net'
+
+const callerPort = 8227
+
+/** How a connection ended. */
+export const ConnectionEnd = {
+  /** The other side closed it in order. */
+  Orderly: 'orderly',
+  Reset: 'reset',
+  /** It was still open when the client stopped waiting. */
+  Open: 'open'
+} as const
+export type ConnectionEnd = typeof ConnectionEnd[keyof typeof ConnectionEnd]
+
+export interface Answer {
+  readonly head: string
+  readonly body: string
+  readonly end: ConnectionEnd
+}
+
+export interface CallOptions {
+  readonly host: string
+  readonly method: string
+  readonly path: string
+  readonly id: string
+  readonly body?: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly timeoutMilliseconds: number
+}
+
+/** Sends one request on a new connection and reads until that ends. */
+export function call ({ host, method, path, id, body = '', headers = {}, timeoutMilliseconds }: CallOptions): Promise<Answer> {
+  const lines = Object.entries({
+    host: 'desk.example',
+    'attempt-id': id,
+    authorization: 'Bearer good-key',
+    'deadline-ms': String(timeoutMilliseconds),
+    'content-length': String(Buffer.byteLength(body)),
+    ...headers
+  }).map(([name, value]) => `${name}: ${value}\r\n`)
+  return new Promise(resolve => {
+    const socket = connect({ host, port: callerPort })
+    let received = ''
+    const finish = (end: ConnectionEnd) => {
+      clearTimeout(timer)
+      socket.destroy()
+      const headEnd = received.indexOf('\r\n\r\n')
+      resolve({ head: headEnd < 0 ? '' : received.slice(0, headEnd), body: headEnd < 0 ? '' : received.slice(headEnd + 4), end })
+    }
+    const timer = setTimeout(() => finish(ConnectionEnd.Open), timeoutMilliseconds)
+    socket.on('data', bytes => { received += bytes.toString('latin1') })
+    socket.once('end', () => finish(ConnectionEnd.Orderly))
+    socket.once('error', () => finish(ConnectionEnd.Reset))
+    socket.write(`${method} ${path} HTTP/1.1\r\n${lines.join('')}\r\n${body}`)
+  })
+}
