--- a/review/lib/caller.ts
+++ b/review/lib/caller.ts
@@ -5,6 +5,8 @@
 
 /** How a connection ended. */
 export const ConnectionEnd = {
+  /** The answer's last chunk arrived; only if the client looks for it. */
+  Framed: 'framed',
   /** The other side closed it in order. */
   Orderly: 'orderly',
   Reset: 'reset',
@@ -27,10 +29,14 @@
   readonly body?: string
   readonly headers?: Readonly<Record<string, string>>
   readonly timeoutMilliseconds: number
+  /** Whether to stop reading at the last chunk of an answer; until the connection ends by default. */
+  readonly untilFramed?: boolean
 }
 
+const lastChunk = '\r\n0\r\n\r\n'
+
 /** Sends one request on a new connection and reads until that ends. */
-export function call ({ host, method, path, id, body = '', headers = {}, timeoutMilliseconds }: CallOptions): Promise<Answer> {
+export function call ({ host, method, path, id, body = '', headers = {}, timeoutMilliseconds, untilFramed = false }: CallOptions): Promise<Answer> {
   const lines = Object.entries({
     host: 'desk.example',
     'attempt-id': id,
@@ -49,7 +55,10 @@
       resolve({ head: headEnd < 0 ? '' : received.slice(0, headEnd), body: headEnd < 0 ? '' : received.slice(headEnd + 4), end })
     }
     const timer = setTimeout(() => finish(ConnectionEnd.Open), timeoutMilliseconds)
-    socket.on('data', bytes => { received += bytes.toString('latin1') })
+    socket.on('data', bytes => {
+      received += bytes.toString('latin1')
+      if (untilFramed && received.endsWith(lastChunk)) finish(ConnectionEnd.Framed)
+    })
     socket.once('end', () => finish(ConnectionEnd.Orderly))
     socket.once('error', () => finish(ConnectionEnd.Reset))
     socket.write(`${method} ${path} HTTP/1.1\r\n${lines.join('')}\r\n${body}`)
