--- a/review/1/run.ts
+++ b/review/1/run.ts
@@ -1,12 +1,17 @@
 /**
- * Streams whose endpoint delimits them by the end of the connection are passed on by a gateway. The gateway's
- * process is killed in the middle of them; no client may take what it has got for a whole answer.
+ * Two of four engines send one stream in twenty without a length and without chunks; it ends with its connection.
+ * The process of the gateway that passes the streams on is killed in the middle of them; no client may take what it
+ * has got for a whole answer.
  */
 import type { EndpointStandIn } from '../../platform/standin/index.ts'
 import { type Answer, ConnectionEnd, call } from '../lib/caller.ts'
 import { Trial, Verdict, hasTrouble, pause } from '../lib/trial.ts'
 
-const streamCount = 12
+const engineCount = 4
+/** Engines that send some of their streams without a frame. */
+const unframedEngineCount = 2
+const streamsPerUnframed = 20
+const streamCount = 160
 const eventCount = 40
 const eventIntervalMilliseconds = 100
 const timeBeforeKillMilliseconds = 1_700
@@ -20,20 +25,25 @@
   return `id: ${id}\ndata: piece ${id} of ${eventCount}\n\n`
 }
 
-/** Answers with a stream that has neither a length nor chunks and ends with its connection. */
-function streamUnframed (trial: Trial, engine: EndpointStandIn): void {
+/** Writes all events of a stream, with chunks or, one in twenty at some engines, without a frame. */
+function stream (trial: Trial, engine: EndpointStandIn, sendsUnframed: boolean): void {
+  let count = 0
   engine.handleWith(async ({ headers }, response) => {
     const { socket } = response
     if (socket === null) return
     const id = headers['attempt-id']
-    trial.record(`${engine.identity} runs ${id}`)
-    socket.write(`HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nserver-seal: seal-of-${engine.identity}\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n`)
+    const isUnframed = ++count % streamsPerUnframed === 0 && sendsUnframed
+    trial.record(`${engine.identity} runs ${id}${isUnframed ? ', without a frame' : ''}`)
+    if (isUnframed) socket.write(`HTTP/1.1 200 OK\r\nattempt-id: ${id}\r\nserver-seal: seal-of-${engine.identity}\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n`)
+    else response.writeHead(200, { 'content-type': 'text/event-stream' })
     for (let event = 1; event <= eventCount && !socket.destroyed; event++) {
-      socket.write(eventText(event))
+      if (isUnframed) socket.write(eventText(event))
+      else response.write(eventText(event))
       await pause(eventIntervalMilliseconds)
     }
-    trial.record(`${engine.identity} ends ${id}, ${socket.destroyed ? 'whose connection was closed' : 'whole'}`)
-    socket.end()
+    if (socket.destroyed) return
+    if (isUnframed) socket.end()
+    else response.end()
   })
 }
 
@@ -52,15 +62,15 @@
 
 Trial.run('review/1/record.txt', async trial => {
   trial.putConfiguration(1, { routes })
-  for (let count = 0; count < 2; count++) streamUnframed(trial, await trial.startEndpoint('engines', { llms: [] }))
+  for (let number = 1; number <= engineCount; number++) stream(trial, await trial.startEndpoint('engines', { llms: [], slots: 64 }), number <= unframedEngineCount)
   const gateway = await trial.startGateway()
   await trial.startGateway()
   const calls = Array.from({ length: streamCount }, async (_, index) => {
     const id = `stream-${index + 1}`
     trial.record(`client sends ${id}`)
-    const answer = await call({ host: gateway.host, method: 'POST', path: '/query/1', id, body: 'question', headers: { 'token-usage': '100,400', 'prefix-hash': 'a1:60,b2:40' }, timeoutMilliseconds })
+    const answer = await call({ host: gateway.host, method: 'POST', path: '/query/1', id, body: 'question', headers: { connection: 'close', 'token-usage': '100,400', 'prefix-hash': 'a1:60,b2:40' }, timeoutMilliseconds })
     const isWhole = looksWhole(answer)
-    trial.record(`client of ${id}: ${answer.head.split('\r\n').join(' | ')}`)
+    if (isWhole) trial.record(`client of ${id}: ${answer.head.split('\r\n').join(' | ')}`)
     trial.record(`client of ${id}: ${eventsIn(answer)} of ${eventCount} events, connection end: ${answer.end}, looks whole: ${isWhole}`)
     return { isWhole, events: eventsIn(answer) }
   })
--- a/review/2/run.ts
+++ b/review/2/run.ts
@@ -1,12 +1,12 @@
 /**
- * One of three runners of a plain service fails some of the requests that it has run: it answers them 503 without
+ * One of eight runners of a plain service fails some of the requests that it has run: it answers them 503 without
  * the mark of a request that was not run. No client of a request that isn't idempotent may be told 503 then.
  */
 import type { EndpointStandIn } from '../../platform/standin/index.ts'
 import { call } from '../lib/caller.ts'
 import { Trial, Verdict, hasTrouble, pause } from '../lib/trial.ts'
 
-const endpointCount = 3
+const endpointCount = 8
 const refundCount = 240
 const refundIntervalMilliseconds = 15
 const workMilliseconds = 40
@@ -31,7 +31,7 @@
     if (isFailed) debt--
     trial.record(`${ledger.identity} has run ${id} (${body}) and answers ${isFailed ? '503, without Not-Executed' : '200'}`)
     response.writeHead(isFailed ? promiseStatus : 200)
-    response.end(isFailed ? 'the booking was made, its confirmation failed' : 'done')
+    response.end(isFailed ? 'failed' : 'done')
   })
 }
 
