Give every answer a length or chunks, so that a killed gateway's streams do not look whole

Cause: the gateway passed on that an endpoint's answer has no frame (delimitByConnectionClose). It reset such a connection when it cut the answer itself, but a killed process can't; the kernel closes its connections in order.

The new test with a real gateway process and SIGKILL failed before (no transfer-encoding), as did 7 of 7 in answerFraming.test.ts.

Why this works: the only framings left are a length and chunks, whose end a killed process can't send. An HTTP/1.0 caller, which reads no chunks, gets its streams and long answers held until their length is known (4 MiB at most).

--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -5,7 +5,6 @@
 import type { Socket } from 'node:net'
 import type { Log } from '../observe/index.ts'
 import type { CallerListener } from '../server/index.ts'
-import { cutConnection } from './responseFraming.ts'
 
 /**
  * @example
@@ -38,7 +37,7 @@
   closeAll (): void {
     for (const { socket, unsentBytes } of this.#listener.connections) {
       if (unsentBytes > 0) this.#recordCut(socket, unsentBytes)
-      cutConnection(socket)
+      socket.destroy()
     }
     this.#listener.server.close()
   }
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -3,7 +3,7 @@
  * it ends, one line is logged with everything that determined the outcome.
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
-import { cutResponse, delimitByConnectionClose, isSelfDelimited } from './responseFraming.ts'
+import { cutResponse } from './responseFraming.ts'
 import type { BlockedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
@@ -98,11 +98,9 @@
     this.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
   }
 
-  /** Sends a buffered response. A response without explicit framing is sent without it as well. */
+  /** Sends a buffered response. */
   deliver ({ status, headers, body }: CompleteResponse): void {
-    const length = isSelfDelimited(headers) ? { 'content-length': body.length } : {}
-    if (!isSelfDelimited(headers)) delimitByConnectionClose(this.response)
-    this.response.writeHead(status, { ...this.toCallerHeaders(headers), ...length })
+    this.response.writeHead(status, { ...this.toCallerHeaders(headers), 'content-length': body.length })
     this.response.end(body)
     this.recordDelivery(status)
   }
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -8,7 +8,7 @@
 import { withDeadline } from '../contract/index.ts'
 import { AttemptEnd } from '../placement/index.ts'
 import { RouteType, type RoutedEndpoint } from '../routing/index.ts'
-import { delimitByConnectionClose, isSelfDelimited } from './responseFraming.ts'
+import { maximumHeldBytes, takesChunks } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { type OpenAttempt, NotExecutedReason, isServerError } from './openAttempt.ts'
@@ -99,7 +99,8 @@
       if (event.type !== 'data') continue
       chunks.push(event.bytes)
       bytes += event.bytes.length
-      if (bytes > maximumBufferedBytes) return this.#relay(attempt, status, headers, chunks)
+      if (bytes > maximumBufferedBytes && this.#canRelay(headers)) return this.#relay(attempt, status, headers, chunks)
+      if (bytes > maximumHeldBytes) return this.#failAttempt(attempt, 'response too large to be held for an HTTP/1.0 caller')
     }
     const isFailed = isServerError(status)
     if (isFailed) request.recordFailure(attempt)
@@ -109,13 +110,18 @@
     return { type: 'answer', status, headers, body: Buffer.concat(chunks) }
   }
 
+  /** Whether the caller can tell a response that breaks off from a complete one. */
+  #canRelay (headers: IncomingHttpHeaders): boolean {
+    return headers['content-length'] !== undefined || takesChunks(this.#request.callerResponse.response)
+  }
+
   /** Relays a long response as it arrives; if it breaks off, the caller's connection is closed. */
   async #relay (attempt: OpenAttempt, status: number, headers: IncomingHttpHeaders, buffered: readonly Buffer[]): Promise<PlainOutcome> {
     const request = this.#request
     const { response } = request.callerResponse
     request.callerResponse.markFirstByte()
-    if (!isSelfDelimited(headers)) delimitByConnectionClose(response)
-    response.writeHead(status, request.callerResponse.toCallerHeaders(headers))
+    const { 'content-length': length } = headers
+    response.writeHead(status, { ...request.callerResponse.toCallerHeaders(headers), ...(length === undefined ? {} : { 'content-length': length }) })
     for (const chunk of buffered) response.write(chunk)
     for (;;) {
       const event = await withDeadline(request.dependencies.clock, request.deadline, attempt.exchange.next())
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -7,7 +7,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { DeadlineReader, type ExchangeEvent } from '../endpoint/index.ts'
 import { type RunSilence, AttemptEnd, millisecondsToAbandonment } from '../placement/index.ts'
-import { delimitByConnectionClose, isSelfDelimited } from './responseFraming.ts'
+import { maximumHeldBytes } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import { EventSplitter } from './eventSplitter.ts'
 import { EventStreamResponse } from './eventStreamResponse.ts'
@@ -51,8 +51,6 @@
   readonly #choice: ModelChoice
   #lastEventId: string | undefined
   #hasResponseStarted = false
-  /** Whether the caller can tell the end of the response from its framing. */
-  #isSelfDelimited = true
   #mayHaveRun = false
   #failedResponse: CompleteResponse | undefined
 
@@ -90,7 +88,7 @@
   #endUnanswered (isFull: boolean): void {
     const request = this.#request
     this.#choice.recordAnswerEnd(false)
-    if (this.#hasResponseStarted) return request.callerResponse.abort(request.isPastDeadline ? 'timed_out' : 'stream_lost')
+    if (request.callerResponse.response.headersSent) return request.callerResponse.abort(request.isPastDeadline ? 'timed_out' : 'stream_lost')
     if (this.#failedResponse !== undefined) return request.callerResponse.deliver(this.#failedResponse)
     request.refuseUnanswered(this.#mayHaveRun, isFull)
   }
@@ -132,9 +130,7 @@
     let hasRunStarted = false
     for (let waitedSince = request.now; ;) {
       const event = await this.#nextEvent(attempt, reader, hasRunStarted)
-      const isCompleteEnd = event?.type === 'end' && splitter.pendingBytes === 0
-      if (isCompleteEnd && this.#canEndResponse(headers)) return this.#finishResponse(attempt, headers)
-      if (isCompleteEnd) return this.#failRun(attempt, 'connection closed without an explicit end of the response')
+      if (event?.type === 'end' && splitter.pendingBytes === 0) return this.#finishResponse(attempt, headers)
       if (event === undefined && hasRunStarted) this.#choice.recordEvents(0, request.now - waitedSince)
       if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
@@ -149,7 +145,9 @@
       this.#startResponse(headers)
       this.#lastEventId = events.lastEventId ?? this.#lastEventId
       request.callerResponse.recordEvents(events.count)
-      if (!this.#events.write(events.text)) await waitForDrain(request.callerResponse.response, request.callerAbort.signal)
+      const isTaken = this.#events.write(events.text)
+      if (this.#events.heldBytes > maximumHeldBytes) return this.#failRun(attempt, 'stream too large to be held for an HTTP/1.0 caller')
+      if (!isTaken) await waitForDrain(request.callerResponse.response, request.callerAbort.signal)
       waitedSince = request.now
     }
   }
@@ -169,23 +167,16 @@
   #startResponse (headers: IncomingHttpHeaders): void {
     if (this.#hasResponseStarted) return
     this.#hasResponseStarted = true
-    this.#isSelfDelimited = isSelfDelimited(headers)
     this.#request.callerResponse.markFirstByte()
-    if (!this.#isSelfDelimited) delimitByConnectionClose(this.#request.callerResponse.response)
     this.#events.begin(successStatus, this.#request.callerResponse.toCallerHeaders(headers))
   }
 
-  /** A run without explicit framing can't end a response whose framing promises the caller a reliable end. */
-  #canEndResponse (headers: IncomingHttpHeaders): boolean {
-    return !this.#hasResponseStarted || !this.#isSelfDelimited || isSelfDelimited(headers)
-  }
-
   #finishResponse (attempt: OpenAttempt, headers: IncomingHttpHeaders): RunOutcome {
     this.#startResponse(headers)
     this.#choice.recordAnswerEnd(true)
     this.#request.recordAnswer(attempt, headers)
     this.#request.finishAttempt(attempt, AttemptEnd.Answered, 'whole')
-    this.#request.callerResponse.response.end()
+    this.#events.end()
     this.#request.callerResponse.recordDelivery(successStatus)
     return RunOutcome.Done
   }
--- /dev/null
+++ b/test/answerFraming.test.ts
@@ -0,0 +1,114 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { type EndpointHandler } from '../platform/standin/index.ts'
+import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
+import { ConnectionState, RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
+
+const streamHeaders = 'token-usage: 10,10\r\nprefix-hash: a1:10\r\n'
+const lastChunk = '0\r\n\r\n'
+const eventCount = 4
+const eventMilliseconds = 60
+const longAnswerBytes = 400_000
+
+let harness: ForwarderHarness
+let caller: RawCaller | undefined
+beforeEach(async () => { harness = await ForwarderHarness.start() })
+afterEach(async () => {
+  caller?.close()
+  await harness.close()
+})
+
+async function startReadyForwarder (): Promise<string> {
+  harness.putConfiguration(1)
+  const host = await harness.startForwarder()
+  await harness.waitUntilReady(host)
+  return host
+}
+
+/** Answers with neither a length nor chunks; the answer ends with its connection. */
+function unframed (parts: readonly string[]): EndpointHandler {
+  return async ({ headers }, { socket }) => {
+    socket?.write(`HTTP/1.1 200 OK\r\nattempt-id: ${headers['attempt-id']}\r\nserver-seal: s\r\nconfidence: 90\r\nconnection: close\r\n\r\n`)
+    for (const part of parts) {
+      socket?.write(part)
+      await pause(eventMilliseconds)
+    }
+    socket?.end()
+  }
+}
+
+const unframedEvents = unframed(Array.from({ length: eventCount }, (_, index) => formatEvent(index + 1)))
+
+/** Streams the rest of the events, with chunks. */
+const resumedEvents: EndpointHandler = ({ headers }, response) => {
+  response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90 })
+  for (let id = Number(headers['last-event-id'] ?? 0) + 1; id <= eventCount; id++) response.write(formatEvent(id))
+  response.end()
+}
+
+async function callRaw (host: string, text: string): Promise<RawCaller> {
+  caller = await RawCaller.connect(host)
+  caller.write(text)
+  return caller
+}
+
+async function untilClosed (open: RawCaller): Promise<void> {
+  await waitUntil(() => open.state !== ConnectionState.Open)
+}
+
+test('the caller of a stream without a frame sees by its last chunk whether it is whole', async () => {
+  const engine = await harness.startEndpoint('engines')
+  engine.handleWith(unframedEvents)
+  const host = await startReadyForwarder()
+  const open = await callRaw(host, requestHead('/query/1', { id: 'a', headers: `${streamHeaders}connection: close\r\n` }))
+  await waitUntil(() => open.text.includes(formatEvent(2)))
+  expect(open.text).toMatch(/^transfer-encoding: chunked\r$/im)
+  expect(open.text.endsWith(lastChunk)).toBe(false)
+  await untilClosed(open)
+  expect(open.text.endsWith(lastChunk)).toBe(true)
+})
+
+test('the caller of a long answer without a frame sees by its last chunk whether it is whole', async () => {
+  const ledger = await harness.startEndpoint('ledger')
+  ledger.handleWith(unframed(['x'.repeat(longAnswerBytes), 'y']))
+  const host = await startReadyForwarder()
+  const open = await callRaw(host, requestHead('/balance/1', { id: 'a', method: 'GET', headers: 'connection: close\r\n' }))
+  await untilClosed(open)
+  expect(open.text).toMatch(/^transfer-encoding: chunked\r$/im)
+  expect(open.text.endsWith(lastChunk)).toBe(true)
+})
+
+test('the caller of a long answer with a length is told the length, by which it sees whether the answer is whole', async () => {
+  const ledger = await harness.startEndpoint('ledger')
+  ledger.handleWith((_request, response) => {
+    response.writeHead(200, { 'content-length': longAnswerBytes })
+    response.end('x'.repeat(longAnswerBytes))
+  })
+  const host = await startReadyForwarder()
+  const open = await callRaw(host, requestHead('/balance/1', { id: 'a', method: 'GET' }))
+  await open.until(1)
+  expect(open.responses[0]?.bodyLength).toBe(longAnswerBytes)
+})
+
+test('an answer without a frame that is passed on whole has a length', async () => {
+  const ledger = await harness.startEndpoint('ledger')
+  ledger.handleWith(unframed(['done']))
+  const host = await startReadyForwarder()
+  const open = await callRaw(host, requestHead('/release/1', { id: 'a' }))
+  await open.until(1)
+  expect(open.responses[0]).toMatchObject({ status: 200, bodyLength: 4 })
+})
+
+test.each([
+  ['a stream', '/query/1', 'engines', resumedEvents],
+  ['a stream without a frame', '/query/1', 'engines', unframedEvents],
+  ['a long answer without a frame', '/balance/1', 'ledger', unframed(['x'.repeat(longAnswerBytes), 'y'])]
+] as const)('an HTTP/1.0 caller, which can read no chunks, gets %s with a length', async (_name, path, service, handler) => {
+  const endpoint = await harness.startEndpoint(service)
+  endpoint.handleWith(handler)
+  const host = await startReadyForwarder()
+  const open = await callRaw(host, requestHead(path, { id: 'a', headers: streamHeaders }).replace('HTTP/1.1', 'HTTP/1.0'))
+  await untilClosed(open)
+  expect(open.responses).toHaveLength(1)
+  expect(open.responses[0]?.bodyLength).toBeGreaterThan(0)
+  expect(open.text).not.toMatch(/^transfer-encoding:/im)
+})
--- a/test/gatewaySignals.test.ts
+++ b/test/gatewaySignals.test.ts
@@ -5,8 +5,8 @@
 import { afterAll, afterEach, beforeAll, beforeEach, expect, test } from 'vitest'
 import { bootFilePathVariable } from '../platform/index.ts'
 import { EndpointStandIn, StoreStandIn, bootDocument, configurationDocument, endpointDocument } from '../platform/standin/index.ts'
-import { RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
-import { waitUntil } from './fakes/forwarderWorld.ts'
+import { ConnectionState, RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
+import { formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
 
 const directory = mkdtempSync(join(tmpdir(), 'lavenderdoor-signals-'))
 const bootFilePath = join(directory, 'boot.json')
@@ -113,3 +113,19 @@
   expect(slow.responses).toHaveLength(largeAnswerCount)
   expect(await exitCode).toBe(0)
 })
+
+test('a stream without a frame does not look whole to its caller when its gateway is killed', async () => {
+  const engine = await EndpointStandIn.start('127.0.0.1', 'i-engine')
+  store.put('servers', engine.identity, endpointDocument('engines', engine.address))
+  engine.handleWith(({ headers }, { socket }) => {
+    socket?.write(`HTTP/1.1 200 OK\r\nattempt-id: ${headers['attempt-id']}\r\nserver-seal: s\r\nconfidence: 90\r\nconnection: close\r\n\r\n${formatEvent(1)}`)
+  })
+  const streaming = await launch(0)
+  streaming.write(requestHead('/query/1', { id: 'stream', headers: 'token-usage: 10,10\r\nprefix-hash: a1:10\r\nconnection: close\r\n' }))
+  await waitUntil(() => streaming.text.includes(formatEvent(1)))
+  program.kill('SIGKILL')
+  await waitUntil(() => streaming.state !== ConnectionState.Open)
+  expect(streaming.text).toMatch(/^transfer-encoding: chunked\r$/im)
+  expect(streaming.text.endsWith('0\r\n\r\n')).toBe(false)
+  await engine.close()
+})
