Take an answer without a frame for broken off when its endpoint has ended with it

Cause: an orderly end was the only proof asked for. Change: after such an end the gateway opens a connection to the endpoint; if nothing listens there and the endpoint is not leaving as planned, the run has broken off.

Evidence: two tests of a stream and of an answer that must not run twice failed before (2 of 4 events as complete; 200 with half a body) and pass now; an endpoint that leaves as planned and no longer listens still gives whole answers.

Why this works: a killed process has closed its listener when the end of its connection arrives, and the new connection gets there later. Cost: one connection for each answer without a frame.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -178,8 +178,8 @@
   })
 }
 
-function makeLiveness ({ clock, loads }: ForwarderDependencies): EndpointLiveness {
-  return new EndpointLiveness({ probe: connectionProbe(endpointConnectTimeoutMilliseconds), checkMilliseconds: endpointConnectTimeoutMilliseconds, loads, clock })
+function makeLiveness ({ clock, loads, registry }: ForwarderDependencies): EndpointLiveness {
+  return new EndpointLiveness({ probe: connectionProbe(endpointConnectTimeoutMilliseconds), checkMilliseconds: endpointConnectTimeoutMilliseconds, loads, registry, clock })
 }
 
 function makeForwarding (parts: ForwarderDependencies): Forwarding {
--- a/src/gateway/endpointLiveness.ts
+++ b/src/gateway/endpointLiveness.ts
@@ -3,9 +3,9 @@
  * fleet often has a single run at an endpoint, so that nothing else shows that the endpoint is alive; it then
  * opens a connection, which a live endpoint accepts however busy it is.
  */
-import type { Clock } from '../contract/index.ts'
+import { type Clock, withDeadline } from '../contract/index.ts'
 import { ConnectionOutcome, type ConnectionProbe } from '../httpClient/index.ts'
-import type { EndpointLoads } from '../placement/index.ts'
+import type { EndpointLoads, EndpointRegistry } from '../placement/index.ts'
 import { type RoutedEndpoint, instanceKey } from '../routing/index.ts'
 
 export interface EndpointLivenessOptions {
@@ -13,6 +13,7 @@
   /** Longest time that a probe takes, in milliseconds. */
   readonly checkMilliseconds: number
   readonly loads: Pick<EndpointLoads, 'recordAcceptance'>
+  readonly registry: Pick<EndpointRegistry, 'isServing'>
   readonly clock: Clock
 }
 
@@ -43,6 +44,21 @@
     this.#probe(endpoint).finally(() => this.#running.delete(instance))
   }
 
+  /**
+   * Whether an endpoint has ended without having said so: nothing listens at its address any more. One that
+   * leaves as planned may stop listening while it still answers.
+   *
+   * @param deadline milliseconds of the process's clock; an endpoint that has not shown its end by then counts as alive
+   * @example
+   * if (await liveness.hasEnded(endpoint, deadline)) discard(response)
+   */
+  async hasEnded (endpoint: RoutedEndpoint, deadline: number): Promise<boolean> {
+    const { clock, probe, registry } = this.#options
+    if (!registry.isServing(endpoint, clock.now())) return false
+    const outcome = await withDeadline(clock, deadline, probe(endpoint.address))
+    return outcome === ConnectionOutcome.Refused && registry.isServing(endpoint, clock.now())
+  }
+
   async #probe (endpoint: RoutedEndpoint): Promise<void> {
     const { clock, loads, probe } = this.#options
     const outcome = await probe(endpoint.address)
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -259,6 +259,14 @@
     this.#attemptSummaries.push(`${identity} ${version} ${attempt.model ?? '-'} ${Math.round(this.now - attempt.startedAt)}ms ${outcome}`)
   }
 
+  /**
+   * Whether an orderly end shows that a response is whole. A killed endpoint's connections end in order too, so
+   * the end of a response without a frame proves that only of an endpoint that has outlived it.
+   */
+  async isWhole ({ endpoint }: OpenAttempt, headers: IncomingHttpHeaders): Promise<boolean> {
+    return isSelfDelimited(headers) || !(await this.dependencies.liveness.hasEnded(endpoint, this.deadline))
+  }
+
   /** Records that a response is whole. Where only the end of the connection tells so, it proves nothing of the endpoint's health. */
   recordAnswer ({ run, evidence }: OpenAttempt, headers: IncomingHttpHeaders): void {
     if (isSelfDelimited(headers)) run.recordAnswer(this.now)
--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -61,6 +61,9 @@
   readonly usesOwnConnection: boolean
 }
 
+/** Why a response without a frame counts as broken off although its connection ended in order. */
+export const endpointEndedReason = 'endpoint ended with its response'
+
 const firstServerErrorStatus = 500
 
 /**
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -11,7 +11,7 @@
 import { maximumHeldBytes, takesChunks } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
-import { type OpenAttempt, NotExecutedReason, isServerError } from './openAttempt.ts'
+import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 
 /** Responses larger than this are relayed as they arrive. */
 const maximumBufferedBytes = 256 * 1024
@@ -102,6 +102,7 @@
       if (bytes > maximumBufferedBytes && this.#canRelay(headers)) return this.#relay(attempt, status, headers, chunks)
       if (bytes > maximumHeldBytes) return this.#failAttempt(attempt, 'response too large to be held for an HTTP/1.0 caller')
     }
+    if (!(await request.isWhole(attempt, headers))) return this.#failAttempt(attempt, endpointEndedReason)
     const isFailed = isServerError(status)
     if (isFailed) request.recordFailure(attempt)
     else request.recordAnswer(attempt, headers)
@@ -129,7 +130,7 @@
         if (!response.write(event.bytes)) await waitForDrain(response, request.callerAbort.signal)
         continue
       }
-      if (event?.type === 'end') {
+      if (event?.type === 'end' && await request.isWhole(attempt, headers)) {
         request.recordAnswer(attempt, headers)
         request.finishAttempt(attempt, AttemptEnd.Answered, String(status))
         response.end()
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -13,7 +13,7 @@
 import { EventStreamResponse } from './eventStreamResponse.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { ModelChoice } from './modelChoice.ts'
-import { type OpenAttempt, NotExecutedReason, isServerError } from './openAttempt.ts'
+import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 import { untilInputIsRead } from '../server/index.ts'
 import { waitForDrain } from './plainForwarding.ts'
 
@@ -130,7 +130,7 @@
     let hasRunStarted = false
     for (let waitedSince = request.now; ;) {
       const event = await this.#nextEvent(attempt, reader, hasRunStarted)
-      if (event?.type === 'end' && splitter.pendingBytes === 0) return this.#finishResponse(attempt, headers)
+      if (event?.type === 'end' && splitter.pendingBytes === 0) return await this.#finishResponse(attempt, headers)
       if (event === undefined && hasRunStarted) this.#choice.recordEvents(0, request.now - waitedSince)
       if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
@@ -171,7 +171,8 @@
     this.#events.begin(successStatus, this.#request.callerResponse.toCallerHeaders(headers))
   }
 
-  #finishResponse (attempt: OpenAttempt, headers: IncomingHttpHeaders): RunOutcome {
+  async #finishResponse (attempt: OpenAttempt, headers: IncomingHttpHeaders): Promise<RunOutcome> {
+    if (!(await this.#request.isWhole(attempt, headers))) return this.#failRun(attempt, endpointEndedReason)
     this.#startResponse(headers)
     this.#choice.recordAnswerEnd(true)
     this.#request.recordAnswer(attempt, headers)
@@ -193,6 +194,7 @@
       if (bytes > maximumFailureBodyBytes) return this.#failRun(attempt, 'error body too large')
       chunks.push(event.bytes)
     }
+    if (!(await request.isWhole(attempt, headers))) return this.#failRun(attempt, endpointEndedReason)
     const isFailed = isServerError(status)
     if (isFailed) request.recordFailure(attempt)
     else attempt.evidence?.recordBegin(request.now)
--- a/test/answerFraming.test.ts
+++ b/test/answerFraming.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { type EndpointHandler } from '../platform/standin/index.ts'
+import { type EndpointHandler, type EndpointStandIn, endpointDocument } from '../platform/standin/index.ts'
 import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
 import { ConnectionState, RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
 
@@ -24,14 +24,19 @@
   return host
 }
 
-/** Answers with neither a length nor chunks; the answer ends with its connection. */
-function unframed (parts: readonly string[]): EndpointHandler {
+function expectedEvents (count: number): string {
+  return Array.from({ length: count }, (_, index) => formatEvent(index + 1)).join('')
+}
+
+/** Answers with neither a length nor chunks; the answer ends with its connection, as that of a killed process does. */
+function unframed (parts: readonly string[], beforeEnd: () => void = () => undefined): EndpointHandler {
   return async ({ headers }, { socket }) => {
     socket?.write(`HTTP/1.1 200 OK\r\nattempt-id: ${headers['attempt-id']}\r\nserver-seal: s\r\nconfidence: 90\r\nconnection: close\r\n\r\n`)
     for (const part of parts) {
       socket?.write(part)
       await pause(eventMilliseconds)
     }
+    beforeEnd()
     socket?.end()
   }
 }
@@ -112,3 +117,29 @@
   expect(open.responses[0]?.bodyLength).toBeGreaterThan(0)
   expect(open.text).not.toMatch(/^transfer-encoding:/im)
 })
+
+test('a stream without a frame that ends because its engine was killed goes on at another engine', async () => {
+  const engines = [await harness.startEndpoint('engines'), await harness.startEndpoint('engines')]
+  let runs = 0
+  for (const engine of engines) engine.handleWith((request, response) => (runs++ === 0 ? unframed([formatEvent(1), formatEvent(2)], () => engine.stopListening()) : resumedEvents)(request, response))
+  const host = await startReadyForwarder()
+  const response = await harness.call(host, '/query/1', { headers: { 'token-usage': '10,10', 'prefix-hash': 'a1:10' } })
+  expect(response).toMatchObject({ status: 200, body: expectedEvents(eventCount), isComplete: true })
+})
+
+test('an answer without a frame is not passed on as whole when its endpoint was killed', async () => {
+  const ledger = await harness.startEndpoint('ledger')
+  ledger.handleWith(unframed(['perhaps half'], () => ledger.stopListening()))
+  const host = await startReadyForwarder()
+  expect((await harness.call(host, '/release/1')).status).toBe(502)
+})
+
+test('an answer without a frame is whole although its endpoint, which leaves as planned, accepts no more connections', async () => {
+  const ledger: EndpointStandIn = await harness.startEndpoint('ledger')
+  ledger.handleWith(unframed(['do', 'ne', ''], () => ledger.stopListening()))
+  const host = await startReadyForwarder()
+  const response = harness.call(host, '/release/1')
+  await waitUntil(() => ledger.received.length === 1)
+  harness.store.put('servers', ledger.identity, endpointDocument('ledger', ledger.address, { state: 'draining' }))
+  expect(await response).toMatchObject({ status: 200, body: 'done', isComplete: true })
+})
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -145,7 +145,7 @@
       placement: new EndpointPlacement(place, loads, randomness, limits),
       limits,
       placeQueues: new PlaceQueues(clock),
-      liveness: new EndpointLiveness({ probe: async () => ConnectionOutcome.Accepted, checkMilliseconds: connectTimeoutMilliseconds, loads, clock }),
+      liveness: new EndpointLiveness({ probe: async () => ConnectionOutcome.Accepted, checkMilliseconds: connectTimeoutMilliseconds, loads, registry, clock }),
       plannedStop: new PlannedStop(clock),
       modelCascade: new ModelCascade(),
       retryBudget: new RetryBudget(retryRatio),
