Pass no status on that promises that a request was not run when its endpoint may have run it

Cause: a gateway looked for the endpoint's mark of a request that was not run, and handed on whatever had none with the endpoint's status, also 408, 429 and 503, for plain services, calls, streams and after lost attempts.

Change: contract/notRunPromise.ts decides which statuses promise it and when an endpoint states it. A promise without the statement is a failed run: tried elsewhere where it may be repeated, else 502 without the seal. A mark on a success no longer counts as a statement; such a request was sent to a second endpoint.

Why this works: every answer of an endpoint passes the one decision before its status is looked at in any other way.

--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -3,6 +3,7 @@
  * and the attempts made so far. Shared by plain and streamed forwarding.
  */
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import { promisesNotRun, statesNotRun } from '../contract/index.ts'
 import type { BlockedPrompt, SharedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import { latestTurn, type WaitingRequest } from '../rateLimit/index.ts'
@@ -334,14 +335,28 @@
 
   /** Closes an attempt that the endpoint reports as not executed; undefined if it makes no such statement. */
   finishIfNotExecuted (attempt: OpenAttempt, status: number, { wasNotExecuted }: ResponseHead): NotExecutedReason | undefined {
+    if (!statesNotRun(status, wasNotExecuted)) return undefined
     const isMisdirected = status === misdirectedStatus
-    if (!wasNotExecuted && !isMisdirected) return undefined
     attempt.exchange.discardRest()
     attempt.run.recordOver()
     this.finishAttempt(attempt, isMisdirected ? AttemptEnd.Lost : AttemptEnd.Full, `not executed, status ${status}`, !isMisdirected)
     return isMisdirected ? NotExecutedReason.Misdirected : NotExecutedReason.Refused
   }
 
+  /**
+   * Closes an attempt that the endpoint may have run and failed, under a status that would promise the caller
+   * that it was not run. Another status must not bear the endpoint's seal, so nothing of its response is passed on.
+   *
+   * @returns false if the status promises nothing
+   */
+  finishIfFalselyPromised (attempt: OpenAttempt, status: number): boolean {
+    if (!promisesNotRun(status)) return false
+    attempt.exchange.discardRest()
+    this.recordFailure(attempt)
+    this.finishAttempt(attempt, AttemptEnd.Failed, `status ${status} without a statement that it was not run`)
+    return true
+  }
+
   /** Makes an endpoint eligible again after its run ended through no fault of its own. */
   allowRetryAt (endpoint: RoutedEndpoint): void {
     this.#triedInstances.delete(instanceKey(endpoint))
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -83,6 +83,7 @@
     const notExecutedReason = request.finishIfNotExecuted(attempt, head.status, responseHead)
     if (notExecutedReason !== undefined) return { type: 'not_run', reason: notExecutedReason }
     if (!responseHead.isSealed || responseHead.isEncoded) return this.#rejectForeignResponse(attempt, 'unsealed')
+    if (request.finishIfFalselyPromised(attempt, head.status)) return { type: 'lost' }
     attempt.tracker.recordBytes(request.now)
     attempt.run.recordOutput(request.now)
     return this.#readBody(attempt, head.status, head.headers)
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -103,6 +103,7 @@
     request.recordAnnouncements(attempt, head.status, responseHead)
     const notExecutedReason = request.finishIfNotExecuted(attempt, head.status, responseHead)
     if (notExecutedReason !== undefined) return notExecutedReason === NotExecutedReason.Misdirected ? RunOutcome.Unsent : RunOutcome.NotExecuted
+    if (request.finishIfFalselyPromised(attempt, head.status)) return RunOutcome.Failed
     attempt.tracker.recordBytes(request.now)
     attempt.run.recordOutput(request.now)
     if (head.status !== successStatus) return this.#readFailure(attempt, reader, head.status, head.headers)
