Give a daemon's refusal no promising status when its request may have run

Callers saw: 503 with run "unknown" (a lookup whose first attempt may have run, a call that ran and could not be billed), and a service's own 408, 421, 429 or 503 of a call that it had run.

Change: Refusal.status; a service's promising answer becomes endpoint_failed (502). Repeats with its key get the same. The stand-in of a service can fail a call that it has run.

The property over all codes and run states is new with Refusal.status.

--- a/src/contract/refusal.ts
+++ b/src/contract/refusal.ts
@@ -4,6 +4,8 @@
  * request has reached an endpoint and none can reach one later.
  */
 
+import { promisesNotRun, unpromisingStatus } from './notRunPromise.ts'
+
 /** Whether a refused request was executed. */
 export const RunState = {
   NotRun: 'not_run',
@@ -12,7 +14,7 @@
 } as const
 export type RunState = typeof RunState[keyof typeof RunState]
 
-/** Error codes with their HTTP status. */
+/** Error codes with their HTTP status, as far as a refusal's run state allows it. */
 export const RefusalCode = {
   InvalidRequest: { name: 'invalid_request', status: 400 },
   InvalidSession: { name: 'invalid_session', status: 400 },
@@ -62,4 +64,10 @@
     this.message = message
     this.retryAfterSeconds = retryAfterSeconds
   }
+
+  /** HTTP status for the caller; that of the code, unless it would promise that a request which may have run was not. */
+  get status (): number {
+    const isFalsePromise = this.run !== RunState.NotRun && promisesNotRun(this.code.status)
+    return isFalsePromise ? unpromisingStatus : this.code.status
+  }
 }
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -257,7 +257,7 @@
 
   #refuse (context: Koa.Context, refusal: Refusal): void {
     this.#options.metrics.refusals.inc({ code: refusal.code.name, run: refusal.run })
-    context.status = refusal.code.status
+    context.status = refusal.status
     if (refusal.retryAfterSeconds !== undefined) context.set('retry-after', String(Math.ceil(refusal.retryAfterSeconds)))
     const isBodyUnread = refusal.code === RefusalCode.BodyTooLarge || refusal.code === RefusalCode.RequestTimeout
     if (isBodyUnread) context.set('connection', 'close')
--- a/src/entry/chatResponse.ts
+++ b/src/entry/chatResponse.ts
@@ -120,7 +120,7 @@
 }
 
 function refuse (context: Koa.Context, refusal: Refusal): ChatResponseEnd {
-  context.status = refusal.code.status
+  context.status = refusal.status
   if (refusal.retryAfterSeconds !== undefined) context.set('retry-after', String(Math.ceil(refusal.retryAfterSeconds)))
   context.body = errorBody(refusal)
   return { outcome: 'refused', refusal }
--- a/src/entry/openAiFormat.ts
+++ b/src/entry/openAiFormat.ts
@@ -42,7 +42,7 @@
 
 /** Error body, extended by the request's run state. */
 export function errorBody (refusal: Refusal) {
-  const type = refusal.code.status < 500 ? 'invalid_request_error' : 'server_error'
+  const type = refusal.status < 500 ? 'invalid_request_error' : 'server_error'
   return { error: { message: refusal.message, type, param: null, code: refusal.code.name, run: refusal.run } }
 }
 
--- a/src/entry/serviceRouter.ts
+++ b/src/entry/serviceRouter.ts
@@ -4,7 +4,7 @@
  * once, and a repeat of it is answered from its claim.
  */
 import { createHash } from 'node:crypto'
-import { type Clock, Err, invariant, Proximity, proximityOf, Ok, type Place, Priority, type Randomness, Refusal, RefusalCode, type Result, RunState, withDeadline } from '../contract/index.ts'
+import { type Clock, Err, invariant, Proximity, promisesNotRun, proximityOf, Ok, type Place, Priority, type Randomness, Refusal, RefusalCode, type Result, RunState, withDeadline } from '../contract/index.ts'
 import type { Ledger } from '../billing/index.ts'
 import type { EndpointRun, EndpointRuns, PromptBreaker } from '../breaker/index.ts'
 import type { AttemptBudget, EndpointView } from '../choice/index.ts'
@@ -72,7 +72,8 @@
    * const answer = await router.answer(request, signal)
    */
   async answer (request: ServiceRequest, signal: AbortSignal): Promise<Result<StoredAnswer, Refusal>> {
-    return request.idempotent ? await this.#callIdempotent(request, signal) : await this.#callOnce(request)
+    const answer = request.idempotent ? await this.#callIdempotent(request, signal) : await this.#callOnce(request)
+    return answer.andThen(withoutFalsePromise)
   }
 
   async #callIdempotent (request: ServiceRequest, signal: AbortSignal): Promise<Result<StoredAnswer, Refusal>> {
@@ -289,6 +290,12 @@
   return { status: answer.status, contentType: answer.contentType, body: Buffer.from(answer.body).toString('base64') }
 }
 
+/** A service has no way to state that it has not run a call, so its status must not promise that. */
+function withoutFalsePromise (answer: StoredAnswer): Result<StoredAnswer, Refusal> {
+  if (!promisesNotRun(answer.status)) return Ok(answer)
+  return Err(new Refusal(RefusalCode.EndpointFailed, RunState.Unknown, `the service answered with status ${answer.status}`, retryAfterSeconds))
+}
+
 function outcomeUnknown (): Refusal {
   return new Refusal(RefusalCode.OutcomeUnknown, RunState.Unknown, 'it is not known whether the call ran; repeat it with the same key to learn its outcome', 2)
 }
--- a/src/standin/service.ts
+++ b/src/standin/service.ts
@@ -43,13 +43,16 @@
   /** Runs each of the next `times` calls, then cuts the connection instead of replying. */
   DropReply: 'drop_reply',
   /** Cuts the connection of each of the next `times` calls without running it. */
-  DropRequest: 'drop_request'
+  DropRequest: 'drop_request',
+  /** Runs each of the next `times` calls, then answers with `status`. */
+  FailRun: 'fail_run'
 } as const
 export type ServiceFault = typeof ServiceFault[keyof typeof ServiceFault]
 
 const faultRequestSchema = z.object({
   fault: z.enum(ServiceFault),
   milliseconds: z.number().nonnegative().default(0),
+  status: z.number().int().min(400).max(599).default(503),
   times: z.number().int().positive().default(1)
 })
 
@@ -85,6 +88,8 @@
   #addedDelayMilliseconds = 0
   #repliesToDrop = 0
   #requestsToDrop = 0
+  #runsToFail = 0
+  #failureStatus = 0
   #isLeaving = false
 
   constructor (options: ServiceOptions) {
@@ -124,6 +129,10 @@
       return
     }
     await this.#waitWhileFrozen()
+    if (this.#runsToFail > 0) {
+      this.#runsToFail--
+      return replyJson(exchange, this.#failureStatus, { error: 'failed' })
+    }
     replyBytes(exchange, answer.status, answer.contentType, Buffer.from(answer.body))
   }
 
@@ -161,7 +170,12 @@
     if (request.fault === ServiceFault.Slow) this.#addedDelayMilliseconds = request.milliseconds
     if (request.fault === ServiceFault.DropReply) this.#repliesToDrop = request.times
     if (request.fault === ServiceFault.DropRequest) this.#requestsToDrop = request.times
+    if (request.fault === ServiceFault.FailRun) {
+      this.#runsToFail = request.times
+      this.#failureStatus = request.status
+    }
     if (request.fault !== ServiceFault.None) return
+    this.#runsToFail = 0
     this.#frozenUntil = 0
     this.#addedDelayMilliseconds = 0
     this.#repliesToDrop = 0
--- a/test/entry.test.ts
+++ b/test/entry.test.ts
@@ -1,6 +1,6 @@
 import { connect } from 'node:net'
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { Ok } from '../src/contract/index.ts'
+import { Ok, Refusal, RefusalCode, RunState } from '../src/contract/index.ts'
 import { TableFault } from './fakes/faultyTableService.ts'
 import { EntryHarness, guidesKey } from './fakes/entryWorld.ts'
 
@@ -165,5 +165,20 @@
 test('a lookup whose first attempt may have run is never refused as not run', async () => {
   await harness.injectFault('service', { fault: 'freeze', milliseconds: 3_000 })
   const refused = await harness.call('/v1/services/ledger/balances/deposit-7')
+  expect(refused.status).toBe(502)
   expect(await errorOf(refused)).toMatchObject({ code: 'no_endpoint', run: 'unknown' })
 })
+
+test.each([408, 421, 429, 503])('a refund that ran and was answered %d, which promises that it was not run, is not handed on as a promise', async status => {
+  await harness.injectFault('service', { fault: 'fail_run', status })
+  const refused = await requestRefund('refund-6')
+  expect(refused.status).toBe(502)
+  expect(await errorOf(refused)).toMatchObject({ code: 'endpoint_failed', run: 'unknown' })
+  expect((await requestRefund('refund-6')).status).toBe(502)
+  expect(await harness.serviceRuns()).toHaveLength(1)
+})
+
+test.each(Object.values(RefusalCode))('a refusal as $name of a request that may have run has no status that promises that it was not', code => {
+  for (const run of [RunState.Ran, RunState.Unknown]) expect([408, 421, 429, 503]).not.toContain(new Refusal(code, run, 'refused').status)
+  expect(new Refusal(code, RunState.NotRun, 'refused').status).toBe(code.status)
+})
