Publish the sessions that begin between a roll-out's order and its trial

Callers saw (PINNED, on sound roll-outs in turn): a session that began on the old version at one gateway went on at the new one through another.

Cause: gateways listed their sessions once, 0.5 s after the start, but the trial begins at 1.8 s. Sessions that began in between were unknown elsewhere. Change: the list is published again while new ones come, until the trial begins.

Evidence: the new test failed before.

--- a/src/gateway/rollOutCoordinator.ts
+++ b/src/gateway/rollOutCoordinator.ts
@@ -175,14 +175,17 @@
 
   /**
    * Publishes pinned sessions: their requests reach other daemons too, which must know that the sessions began
-   * on the old version.
+   * on the old version. Until the trial begins there are new ones.
    */
   async #publishPins (order: RollOutOrder): Promise<void> {
     const { clock, log, observer, store, versionSelector, view } = this.#options
     const key = rollOutKey(order)
     const elapsedMilliseconds = view.elapsedMillisecondsOf(order) ?? 0
     if (view.statusOf(order)?.state !== RollOutState.Running || elapsedMilliseconds < pinListingDelayMilliseconds) return
-    const sessions = this.#pins.get(key) ?? new Set(versionSelector.sessionsToPin(order.toVersion, view.scheduleOf(order).trialShare, clock.now()))
+    const schedule = view.scheduleOf(order)
+    const known = this.#pins.get(key)
+    const isListing = known === undefined || schedule.exposureAt(elapsedMilliseconds, false) === undefined
+    const sessions = isListing ? new Set([...known ?? [], ...versionSelector.sessionsToPin(order.toVersion, schedule.trialShare, clock.now())]) : known
     this.#pins.set(key, sessions)
     if (sessions.size <= (this.#publishedPins.get(key) ?? 0)) return
     const isWritten = await store.writePins({ service: order.service, toVersion: order.toVersion, observer, sessions: [...sessions] })
--- a/test/rollOutFleet.test.ts
+++ b/test/rollOutFleet.test.ts
@@ -258,3 +258,34 @@
   view.installStatuses(rowsOf('v2', RollOutState.Running))
   expect(versionsOfSessions(60_000)).toContain('v2')
 })
+
+test('a session that begins between the order and the trial is published too, since its next request may reach another gateway', async () => {
+  const clock = new ManualClock()
+  const view = new RollOutView('gateway-0', 0.15, () => clock.now())
+  const versionSelector = new VersionSelector(5_000)
+  const place = { region: 'coast', dataCentre: 'coast-1' }
+  const old = [{ identity: 'old', bornAt: 1, service: order.service, address: '10.0.0.1:80', place, version: 'v1', isDraining: false, models: [] }]
+  const published = new Set<string>()
+  const store: RollOutStore = {
+    get storeTime () { return clock.now() },
+    epoch: 0,
+    writeStatus: async () => ({ outcome: 'written', isWritten: true }),
+    writeEvidence: async () => 'written',
+    writePins: async ({ sessions }) => {
+      for (const session of sessions) published.add(session)
+      return true
+    },
+    writeHandOver: async () => 'written'
+  }
+  view.installOrders([order])
+  const coordinator = new RollOutCoordinator({ view, versionSelector, observer: 'gateway-0', store, clock, randomness: new SeededRandomness(1), log: new Log('error', {}, () => undefined), hasEndpoints: () => true })
+  coordinator.start()
+  const serve = (name: string) => { for (let index = 0; index < 400; index++) versionSelector.chooseEndpoints(old, undefined, `${name}-${index}`, '', clock.now()) }
+  serve('before')
+  await clock.advance(1_400)
+  serve('between')
+  await clock.advance(1_000)
+  coordinator.stop()
+  const counts = ['before', 'between'].map(name => [...published].filter(session => session.startsWith(name)).length)
+  expect(Math.min(...counts)).toBeGreaterThan(10)
+})
