Let the test of sessions before a trial fail without the fix

They begin half a second later now, and on the old coordinator none of them is published (0, more than 10 wanted).

--- a/test/rollOutFleet.test.ts
+++ b/test/rollOutFleet.test.ts
@@ -282,7 +282,7 @@
   coordinator.start()
   const serve = (name: string) => { for (let index = 0; index < 400; index++) versionSelector.chooseEndpoints(old, undefined, `${name}-${index}`, '', clock.now()) }
   serve('before')
-  await clock.advance(1_400)
+  await clock.advance(1_900)
   serve('between')
   await clock.advance(1_000)
   coordinator.stop()
