--- a/src/endpoint/connections.ts
+++ b/src/endpoint/connections.ts
@@ -56,12 +56,12 @@
 
   /** Starts an exchange on a pooled, possibly reused connection. */
   startPooled (address: string, exchange: ExchangeOptions): Exchange {
-    return Exchange.start(this.#poolFor(address), this.#withFailureCheck(exchange))
+    return Exchange.start(() => this.#poolFor(address), this.#withFailureCheck(exchange))
   }
 
   /** Starts an exchange on a new connection, closed afterwards. */
   startDedicated (address: string, exchange: ExchangeOptions): Exchange {
-    return Exchange.start(this.#factory.createSingleUse(address), { ...this.#withFailureCheck(exchange), closesConnection: true })
+    return Exchange.start(() => this.#factory.createSingleUse(address), { ...this.#withFailureCheck(exchange), closesConnection: true })
   }
 
   /** Excludes the open connections to an address from new exchanges. */
--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -62,25 +62,30 @@
   }
 
   /**
-   * Sends a request through a pool or client of the HTTP library.
+   * Sends a request through a pool or client of the HTTP library. What the library rejects is never sent, and
+   * the exchange has then failed.
    *
+   * @param open returns the pool or client
    * @example
-   * const exchange = Exchange.start(pool, options)
+   * const exchange = Exchange.start(() => pool, options)
    * const head = await exchange.next()
    */
-  static start (dispatcher: Pick<Dispatcher, 'dispatch'>, options: ExchangeOptions): Exchange {
+  static start (open: () => Pick<Dispatcher, 'dispatch'>, options: ExchangeOptions): Exchange {
     const exchange = new Exchange(options)
-    dispatcher.dispatch({
-      method: options.method as Dispatcher.HttpMethod,
-      path: options.path,
-      headers: options.headers,
-      body: options.body ?? null,
-      reset: options.closesConnection ?? false
-    }, exchange)
+    try {
+      exchange.#dispatch(open())
+    } catch (error) {
+      exchange.#finish({ type: 'failure', reason: `request can't be sent: ${error instanceof Error ? error.message : String(error)}`, timedOut: false })
+    }
     exchange.#watchInactivity().catch(() => undefined)
     return exchange
   }
 
+  #dispatch (dispatcher: Pick<Dispatcher, 'dispatch'>): void {
+    const { method, path, headers, body, closesConnection } = this.#options
+    dispatcher.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body: body ?? null, reset: closesConnection ?? false }, this)
+  }
+
   /** False only if no byte of the request has left this process and none will. */
   get mayHaveSent (): boolean {
     return this.#mayHaveSent
--- a/src/httpClient/connectionProbe.ts
+++ b/src/httpClient/connectionProbe.ts
@@ -25,7 +25,7 @@
  * if (await probe('10.0.0.7:8024') === ConnectionOutcome.Accepted) wait()
  */
 export function connectionProbe (timeoutMilliseconds: number): ConnectionProbe {
-  return address => new Promise(resolve => {
+  return address => new Promise<ConnectionOutcome>(resolve => {
     const separator = address.lastIndexOf(':')
     const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)), timeout: timeoutMilliseconds })
     const finish = (outcome: ConnectionOutcome) => {
@@ -35,5 +35,5 @@
     socket.once('connect', () => finish(ConnectionOutcome.Accepted))
     socket.once('timeout', () => finish(ConnectionOutcome.Unanswered))
     socket.once('error', (error: NodeJS.ErrnoException) => finish(error.code === connectionRefused ? ConnectionOutcome.Refused : ConnectionOutcome.Unanswered))
-  })
+  }).catch(() => ConnectionOutcome.Unanswered)
 }
