Let no odd handshake, address or message of a peer end the process

Cause: a proof of 64 characters that are not ASCII has more bytes, so that timingSafeEqual throws; a peer's address with no valid port makes connect throw; a handler that throws on a message rejects a promise that nobody waits for.

Change: the proof's bytes are compared, an address is looked at before it is dialled, and a handler's exception refuses its message and is logged. Broken invariants still end the process.

--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -102,11 +102,12 @@
   ratings: ({ local }) => new HttpRatingService({ address: local.platform.rating_service, timeoutMilliseconds: platformTimeoutMilliseconds }),
   engines: ({ clock }) => new HttpEngineClient({ clock, connectTimeoutMilliseconds, inactivityTimeoutMilliseconds: engineInactivityTimeoutMilliseconds }),
   services: ({ clock }) => new HttpServiceClient({ clock, connectTimeoutMilliseconds, inactivityTimeoutMilliseconds: serviceInactivityTimeoutMilliseconds }),
-  link: ({ clock, here, local }) => new TcpLink({
+  link: ({ clock, here, local, log }) => new TcpLink({
     identity: { name: local.name, address: local.listen.link, place: here, rack: local.rack, incarnation: Math.floor(clock.now()) },
     secret: local.link.secret,
     clock,
-    tls: local.link.tls
+    tls: local.link.tls,
+    onHandlerFailure: (message, reason) => log.error('message_failed', { message, reason })
   }),
   membership: dependencies => new GossipMembership({
     link: dependencies.link,
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -136,9 +136,14 @@
   return container
 }
 
-function makeLink ({ boot, secret, clock }: ForwarderDependencies): TcpLink {
+function makeLink ({ boot, secret, clock, log }: ForwarderDependencies): TcpLink {
   const { name, peerAddress, place } = boot.current
-  return new TcpLink({ identity: { name, address: peerAddress, place, rack: '', incarnation: Math.floor(clock.now()) }, secret, clock })
+  return new TcpLink({
+    identity: { name, address: peerAddress, place, rack: '', incarnation: Math.floor(clock.now()) },
+    secret,
+    clock,
+    onHandlerFailure: (message, reason) => log.error('message_failed', { message, reason })
+  })
 }
 
 function makeRollOutCoordinator ({ boot, rollOuts, rollOutStore, versionSelector, clock, randomness, log, registry }: ForwarderDependencies): RollOutCoordinator {
--- a/src/link/connection.ts
+++ b/src/link/connection.ts
@@ -144,7 +144,7 @@
     this.#activeRequests += 1
     const outcome = await this.#handler(type, body, this.peer)
     this.#activeRequests -= 1
-    if (outcome.err) return this.#send({ kind: FrameKind.Refusal, id, reason: outcome.val.reason, handled: false })
+    if (outcome.err) return this.#send({ kind: FrameKind.Refusal, id, reason: outcome.val.reason, handled: outcome.val.mayHaveArrived })
     this.#send({ kind: FrameKind.Reply, id, body: outcome.val })
   }
 
--- a/src/link/handshake.ts
+++ b/src/link/handshake.ts
@@ -98,5 +98,6 @@
 }
 
 function proofMatches (found: string, expected: string): boolean {
-  return found.length === expected.length && timingSafeEqual(Buffer.from(found), Buffer.from(expected))
+  const [foundBytes, expectedBytes] = [Buffer.from(found), Buffer.from(expected)]
+  return foundBytes.length === expectedBytes.length && timingSafeEqual(foundBytes, expectedBytes)
 }
--- a/src/link/tcpLink.ts
+++ b/src/link/tcpLink.ts
@@ -4,9 +4,9 @@
  * for which one to keep. A connection is opened at its first use and reused; after it closes, the next
  * request opens a new one.
  */
-import { connect as connectPlain, createServer, type Server, type Socket } from 'node:net'
+import { connect as connectPlain, createServer, isIP, type Server, type Socket } from 'node:net'
 import { connect as connectSecure, createServer as createSecureServer, type Server as SecureServer } from 'node:tls'
-import { type Clock, Err, Ok, type Result } from '../contract/index.ts'
+import { type Clock, Err, InvariantViolation, Ok, type Result } from '../contract/index.ts'
 import { type LinkCertificateFiles, type LinkCertificates, readCertificates, readCertificatesIfChanged } from './certificates.ts'
 import { Connection } from './connection.ts'
 import { type Link, LinkFailure, type LinkIdentity, type MessageType, type Peer } from './contract.ts'
@@ -16,6 +16,7 @@
 const tickIntervalMilliseconds = 500
 const handshakeTimeoutMilliseconds = 2_000
 const certificateCheckIntervalMilliseconds = 5_000
+const maximumPort = 65_535
 const drainTimeoutMilliseconds = 5_000
 const drainPollIntervalMilliseconds = 20
 
@@ -26,6 +27,8 @@
   readonly clock: Clock
   /** Certificate and key files. Without them the link is neither encrypted nor protected against tampering. */
   readonly tls?: LinkCertificateFiles
+  /** Called when the handler of a message has thrown; the message is refused. */
+  readonly onHandlerFailure?: (type: string, reason: string) => void
 }
 
 /** Bytes transferred over all connections of a link, without TCP and IP headers. */
@@ -49,6 +52,7 @@
   readonly #secret: string
   readonly #clock: Clock
   readonly #certificateFiles: LinkCertificateFiles | undefined
+  readonly #onHandlerFailure: (type: string, reason: string) => void
   readonly #handlers = new Map<string, MessageHandler>()
   readonly #dials = new Map<string, Promise<Result<Connection, LinkFailure>>>()
   /** Connections ready for requests, by address. */
@@ -61,11 +65,12 @@
   #closedBytesIn = 0
   #closedBytesOut = 0
 
-  constructor ({ identity, secret, clock, tls }: TcpLinkOptions) {
+  constructor ({ identity, secret, clock, tls, onHandlerFailure = () => undefined }: TcpLinkOptions) {
     this.self = identity
     this.#secret = secret
     this.#clock = clock
     this.#certificateFiles = tls
+    this.#onHandlerFailure = onHandlerFailure
   }
 
   /** Bytes transferred since the start. */
@@ -153,17 +158,19 @@
 
   async #dial (peer: Peer): Promise<Result<Connection, LinkFailure>> {
     const socket = this.#connect(peer.address)
-    const opened = await this.#open(socket, dialHandshake)
+    if (socket.err) return socket
+    const opened = await this.#open(socket.val, dialHandshake)
     if (opened.ok) this.#connections.add(opened.val)
     return opened
   }
 
-  #connect (address: string): Socket {
+  #connect (address: string): Result<Socket, LinkFailure> {
     const { host, port } = splitAddress(address)
+    if (isIP(host) === 0 || !(port > 0 && port <= maximumPort)) return Err(new LinkFailure(`${JSON.stringify(address)} is not an IP address and port`, false))
     const certificates = this.#certificates
-    if (certificates === undefined) return connectPlain({ host, port, noDelay: true })
+    if (certificates === undefined) return Ok(connectPlain({ host, port, noDelay: true }))
     // The certificate's authority proves membership. Daemons are reached by IP address, which certificates need not name.
-    return connectSecure({ ...certificates, host, port, checkServerIdentity: () => undefined }).setNoDelay(true)
+    return Ok(connectSecure({ ...certificates, host, port, checkServerIdentity: () => undefined }).setNoDelay(true))
   }
 
   async #open (socket: Socket, handshake: Handshake): Promise<Result<Connection, LinkFailure>> {
@@ -206,7 +213,13 @@
   async #dispatch (type: string, body: unknown, from: LinkIdentity): Promise<Result<unknown, LinkFailure>> {
     const handler = this.#handlers.get(type)
     if (handler === undefined) return Err(new LinkFailure(`unknown message type ${type}`, false))
-    return handler(body, from)
+    try {
+      return await handler(body, from)
+    } catch (error) {
+      if (error instanceof InvariantViolation) throw error
+      this.#onHandlerFailure(type, error instanceof Error ? error.stack ?? error.message : String(error))
+      return Err(new LinkFailure(`the handler of ${type} failed`, true))
+    }
   }
 
   /** Runs the timer shared by all connections. */
