--- a/test/oddRows.test.ts
+++ b/test/oddRows.test.ts
@@ -100,3 +100,18 @@
   expect(await connectionProbe(100)(address)).toBe(ConnectionOutcome.Unanswered)
   await connections.close()
 })
+
+test.each([['token-usage', 'Infinity,1'], ['token-usage', '1e308,1e308'], ['token-usage', '1,2e9'], ['prefix-hash', `a1:${'9'.repeat(400)}`]])('a request whose %s is %s is refused, and leaves no endless load at an endpoint', async (name, value) => {
+  const engine = await harness.startEndpoint('engines')
+  engine.handleWith((_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90 })
+    response.end('id: 1\ndata: a\n\n')
+  })
+  harness.putConfiguration(1)
+  const host = await harness.startForwarder()
+  await harness.waitUntilReady(host)
+  const usual = { 'token-usage': '10,10', 'prefix-hash': 'a1:10' }
+  expect((await harness.call(host, '/query/1', { headers: { ...usual, [name]: value } })).status).toBe(400)
+  expect((await harness.call(host, '/query/2', { headers: usual })).status).toBe(200)
+  expect(engine.received).toHaveLength(1)
+})
