--- a/src/contract/clock.ts
+++ b/src/contract/clock.ts
@@ -27,6 +27,13 @@
   schedule (milliseconds: number, callback: () => void): () => void
 }
 
+/** Node.js fires a timer with a longer delay at once. */
+const longestTimerMilliseconds = 2 ** 31 - 1
+
+function timerMilliseconds (milliseconds: number): number {
+  return Math.min(longestTimerMilliseconds, Math.max(0, milliseconds))
+}
+
 /** The system clock, derived from the monotonic timer so that a step of the wall clock can't move it back. */
 export class SystemClock implements Clock {
   now (): number {
@@ -41,13 +48,13 @@
         signal?.removeEventListener('abort', finish)
         resolve()
       }
-      const timer = setTimeout(finish, Math.max(0, milliseconds))
+      const timer = setTimeout(finish, timerMilliseconds(milliseconds))
       signal?.addEventListener('abort', finish, { once: true })
     })
   }
 
   schedule (milliseconds: number, callback: () => void): () => void {
-    const timer = setTimeout(callback, Math.max(0, milliseconds))
+    const timer = setTimeout(callback, timerMilliseconds(milliseconds))
     return () => clearTimeout(timer)
   }
 }
