Claim no more of a short answer without a frame than its endpoint did

Cause: since such answers got a length. The endpoint listened on, so its connection told nothing. Change: an answer of up to 16 KiB without a frame is passed on without one again, in one write, which the kernel finishes although the process is killed. Streams and longer answers, which leave bit by bit, keep chunks or a length.

--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net'
 import type { Log } from '../observe/index.ts'
 import type { CallerListener } from '../server/index.ts'
+import { cutConnection } from './responseFraming.ts'
 
 /**
  * @example
@@ -37,7 +38,7 @@
   closeAll (): void {
     for (const { socket, unsentBytes } of this.#listener.connections) {
       if (unsentBytes > 0) this.#recordCut(socket, unsentBytes)
-      socket.destroy()
+      cutConnection(socket)
     }
     this.#listener.server.close()
   }
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -3,7 +3,7 @@
  * it ends, one line is logged with everything that determined the outcome.
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
-import { cutResponse } from './responseFraming.ts'
+import { cutResponse, endWithoutFrame, isSelfDelimited, maximumSingleWriteBytes } from './responseFraming.ts'
 import type { BlockedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
@@ -98,10 +98,11 @@
     this.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
   }
 
-  /** Sends a buffered response. */
+  /** Sends a buffered response. Of a short one without a frame no more is claimed than its endpoint did. */
   deliver ({ status, headers, body }: CompleteResponse): void {
-    this.response.writeHead(status, { ...this.toCallerHeaders(headers), 'content-length': body.length })
-    this.response.end(body)
+    const callerHeaders = this.toCallerHeaders(headers)
+    if (isSelfDelimited(headers) || body.length > maximumSingleWriteBytes) this.response.writeHead(status, { ...callerHeaders, 'content-length': body.length }).end(body)
+    else endWithoutFrame(this.response, status, callerHeaders, body)
     this.recordDelivery(status)
   }
 
--- a/src/gateway/responseFraming.ts
+++ b/src/gateway/responseFraming.ts
@@ -1,11 +1,18 @@
 /**
  * HTTP response framing. A process that is killed can't reset its connections: the kernel closes them in
- * order. The close of a connection therefore never is a caller's only sign that a response is complete.
- * Each response has a length or is chunked; one for an HTTP/1.0 caller, which can read no chunks, is held
- * until its length is known.
+ * order. What leaves this process bit by bit is therefore never delimited by the close of its connection:
+ * it has a length or is chunked, or is held for an HTTP/1.0 caller, which can read no chunks. A short response
+ * that its endpoint delimited by the close leaves in one write, which no kill can cut, and is delimited the
+ * same way, since a frame would claim a completeness that is not known.
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 
+/** Connections whose orderly close would end a response that is not complete. */
+const delimitingConnections = new WeakSet<Socket>()
+
+/** Largest response that the kernel is sure to take in one write. */
+export const maximumSingleWriteBytes = 16 * 1024
 /** Largest response that is held for a caller that can read no chunks. */
 export const maximumHeldBytes = 4 * 1024 * 1024
 
@@ -29,6 +36,34 @@
   return response.useChunkedEncodingByDefault
 }
 
+/**
+ * Sends a complete response in one write, delimited by the close of its connection.
+ *
+ * @example
+ * endWithoutFrame(response, 200, headers, body)
+ */
+export function endWithoutFrame (response: ServerResponse, status: number, headers: Readonly<Record<string, string | string[]>>, body: Buffer): void {
+  const { socket } = response.req
+  response.useChunkedEncodingByDefault = false
+  response.shouldKeepAlive = false
+  delimitingConnections.add(socket)
+  response.once('finish', () => delimitingConnections.delete(socket))
+  response.writeHead(status, headers)
+  response.end(body)
+}
+
+/**
+ * Closes a connection at once; an unfinished response on it does not look complete.
+ *
+ * @example
+ * for (const socket of listener.sockets) cutConnection(socket)
+ */
+export function cutConnection (socket: Socket): void {
+  // A connection whose end was sent already can't be reset.
+  if (delimitingConnections.has(socket) && !socket.destroyed && !socket.writableEnded) socket.resetAndDestroy()
+  else socket.destroy()
+}
+
 /**
  * Ends a response that will not be completed by closing its connection, once it is its turn on it.
  *
@@ -36,6 +71,6 @@
  * cutResponse(response)
  */
 export function cutResponse (response: ServerResponse): void {
-  response.socket?.destroy()
+  if (response.socket !== null) cutConnection(response.socket)
   response.destroy()
 }
