Send streams that may run once on connections of their own

Cause: these streams used kept connections, where a second copy of an earlier refusal with the same ID may wait. Calls that may run once had a connection of their own for this reason. Change: so have these streams.

--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -68,7 +68,8 @@
       this.#choice.chooseInTime()
       const endpoint = await request.awaitEndpoint(this.#choice.model, this.#hasResponseStarted)
       if (endpoint === undefined) break
-      const attempt = request.send(endpoint, { model: this.#choice.model, lastEventId: this.#lastEventId, usesOwnConnection: false })
+      // On a kept connection an earlier refusal, written once more, could be taken for that of a repeated request.
+      const attempt = request.send(endpoint, { model: this.#choice.model, lastEventId: this.#lastEventId, usesOwnConnection: !request.route.isResumable })
       this.#choice.recordRunStart()
       const reader = new DeadlineReader(attempt.exchange, request.dependencies.clock)
       const outcome = await this.#readResponse(attempt, reader)
