Look for the endpoint's seal before the status of a stream's answer

Cause: every status but 200 was handed on before the seal was looked for; plain routes look for it first.

--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -104,11 +104,11 @@
     request.recordAnnouncements(attempt, head.status, responseHead)
     const notExecutedReason = request.finishIfNotExecuted(attempt, head.status, responseHead)
     if (notExecutedReason !== undefined) return notExecutedReason === NotExecutedReason.Misdirected ? RunOutcome.Unsent : RunOutcome.NotExecuted
+    if (!responseHead.isSealed || responseHead.isEncoded) return this.#failRun(attempt, 'unsealed', AttemptEnd.Cancelled)
     if (request.finishIfFalselyPromised(attempt, head.status)) return RunOutcome.Failed
     attempt.tracker.recordBytes(request.now)
     attempt.run.recordOutput(request.now)
     if (head.status !== successStatus) return this.#readFailure(attempt, reader, head.status, head.headers)
-    if (!responseHead.isSealed || responseHead.isEncoded) return this.#failRun(attempt, 'unsealed', AttemptEnd.Cancelled)
     this.#choice.recordWaitEnd()
     const isTrusted = this.#choice.isTrusted(responseHead.confidence, this.#hasResponseStarted)
     if (!isTrusted && request.hasEndpointBeside(attempt.endpoint, this.#choice.larger)) return this.#discardForLargerModel(attempt, responseHead.confidence)
--- a/test/streamFaults.test.ts
+++ b/test/streamFaults.test.ts
@@ -83,6 +83,22 @@
   expect(caller.text.endsWith(lastChunk)).toBe(false)
 })
 
+test('the caller of a stream gets no success without a seal, whatever its status', async () => {
+  const engines = [await harness.startEndpoint('ledger'), await harness.startEndpoint('ledger')]
+  let runs = 0
+  for (const engine of engines) {
+    engine.handleWith((_request, response) => {
+      if (runs++ > 0) return response.writeHead(200).end(formatEvent(1)) as never
+      response.removeHeader('server-seal')
+      response.writeHead(202).end('accepted')
+    })
+  }
+  const host = await startReadyForwarder()
+  const response = await harness.call(host, '/query/1', { headers: { 'token-usage': '10,10', 'prefix-hash': 'a1:10' } })
+  expect(response).toMatchObject({ status: 200, body: formatEvent(1) })
+  expect(response.headers['server-seal']).toBeDefined()
+})
+
 test('a refusal that an endpoint writes once more on a kept connection is not taken for the answer to a repeated stream that may run once', async () => {
   const counts = { requests: 0, runs: 0 }
   server = createServer(socket => {
