Leave a silent stream to its endpoint while the gateway is being stopped

Cause: a run is given up after 1.5 times the largest gap although its endpoint lives, because its connection may be dead; the other engines were full then, and in a stop there is no time for another try. Change: in a stop a started run is left to an endpoint that shows that it lives.

--- a/src/gateway/plannedStop.ts
+++ b/src/gateway/plannedStop.ts
@@ -27,6 +27,11 @@
     return this.#lastSendAt
   }
 
+  /** Whether a stop has begun. */
+  get hasBegun (): boolean {
+    return this.#lastSendAt !== Infinity
+  }
+
   /** Whether nothing is sent to endpoints any more. */
   get hasEndedSending (): boolean {
     return this.#clock.now() >= this.#lastSendAt
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -242,6 +242,7 @@
       endpointSilentMilliseconds: Math.min(tracker.silentMilliseconds(now), unacceptedMilliseconds),
       endpointWaitMilliseconds: tracker.waitMilliseconds(now),
       promptMilliseconds,
+      isStopping: this.#request.dependencies.plannedStop.hasBegun,
       hasStarted,
       latencyTargetMilliseconds,
       maximumEventGapMilliseconds
--- a/src/placement/runSilence.ts
+++ b/src/placement/runSilence.ts
@@ -5,7 +5,8 @@
  * prefill, and the run that replaces it adds to the load that made it wait. A run is therefore
  * abandoned early only if nothing at all was received from its endpoint; if the endpoint's other runs
  * make progress, or it was just seen to accept a connection, the run keeps waiting until its own silence
- * is so long that its connection must be at fault. Reading a long prompt takes its time at an idle endpoint
+ * is so long that its connection must be at fault. While the daemon is being stopped a started run is left to an
+ * endpoint that shows that it lives, since no other run may end in time. Reading a long prompt takes its time at an idle endpoint
  * too, so that time is allowed in addition.
  */
 
@@ -34,6 +35,8 @@
   readonly endpointWaitMilliseconds: number
   /** Time that the endpoint is expected to need for reading the run's prompt. */
   readonly promptMilliseconds: number
+  /** Whether this daemon is being stopped: what it begins anew may not end in the time that is left. */
+  readonly isStopping: boolean
   /** Whether its first complete event, or the head of an error response, was received. */
   readonly hasStarted: boolean
   /** Target of the route for the time to the first event. */
@@ -47,15 +50,16 @@
  *
  * @returns milliseconds; 0 or less if it should be abandoned now
  * @example
- * const milliseconds = millisecondsToAbandonment({ waitedMilliseconds: 0, endpointSilentMilliseconds: 0, endpointWaitMilliseconds: 0, promptMilliseconds: 0, hasStarted: true, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 })
+ * const milliseconds = millisecondsToAbandonment({ waitedMilliseconds: 0, endpointSilentMilliseconds: 0, endpointWaitMilliseconds: 0, promptMilliseconds: 0, isStopping: false, hasStarted: true, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 })
  */
 export function millisecondsToAbandonment (silence: RunSilence): number {
-  const { waitedMilliseconds, promptMilliseconds, hasStarted, latencyTargetMilliseconds, maximumEventGapMilliseconds } = silence
+  const { waitedMilliseconds, promptMilliseconds, hasStarted, isStopping, latencyTargetMilliseconds, maximumEventGapMilliseconds } = silence
   // The endpoint may have been idle before the run was sent; only its silence during the wait counts.
   const endpointSilentDuringWaitMilliseconds = Math.min(waitedMilliseconds, silence.endpointSilentMilliseconds)
   const allowedSilenceMilliseconds = hasStarted
     ? maximumEventGapMilliseconds * eventGapSilenceShare
     : Math.max(minimumStartSilenceMilliseconds, latencyTargetMilliseconds * startSilenceTargetShare) + silence.endpointWaitMilliseconds + promptMilliseconds
-  const allowedWaitMilliseconds = hasStarted ? maximumEventGapMilliseconds * eventGapWaitRatio : latencyTargetMilliseconds * startWaitTargetRatio + promptMilliseconds
+  const allowedGapMilliseconds = isStopping ? Number.POSITIVE_INFINITY : maximumEventGapMilliseconds * eventGapWaitRatio
+  const allowedWaitMilliseconds = hasStarted ? allowedGapMilliseconds : latencyTargetMilliseconds * startWaitTargetRatio + promptMilliseconds
   return Math.min(allowedSilenceMilliseconds - endpointSilentDuringWaitMilliseconds, allowedWaitMilliseconds - waitedMilliseconds)
 }
--- a/test/gatewayStopTimes.test.ts
+++ b/test/gatewayStopTimes.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
-import { ForwarderHarness, waitUntil } from './fakes/forwarderWorld.ts'
+import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
 import { ConnectionState, RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
 import { Log } from '../src/observe/index.ts'
 
@@ -87,3 +87,36 @@
   expect(callers[0]?.state).toBe(ConnectionState.Open)
   await stopped
 })
+
+test('a planned stop does not give up a stream\'s silent run before another endpoint has taken it over', async () => {
+  const engines = [await harness.startEndpoint('engines'), await harness.startEndpoint('engines')]
+  const [silentMilliseconds, eventMilliseconds] = [1_200, 50]
+  let streams = 0
+  let busy: string | undefined
+  for (const engine of engines) {
+    engine.handleWith(async (_request, response) => {
+      busy ??= engine.identity
+      // The other engine is full.
+      if (engine.identity !== busy) return response.writeHead(503, { 'not-executed': '1' }).end() as never
+      const isPreempted = streams++ === 0
+      response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90 })
+      for (let id = 1; id <= 30; id++) {
+        response.write(formatEvent(id))
+        await pause(isPreempted && id === 2 ? silentMilliseconds : eventMilliseconds)
+      }
+      response.end()
+    })
+  }
+  harness.putConfiguration(1, { routes: [{ name: 'query', hostname: 'desk.example', prefix: '/query/', route_type: 'streaming', timeout_ms: 9_000, target_latency_ms: 400, target_gap_ms: 400, priority: 1, max_attempts: 3, resumable: true, public: false, backend: 'engines' }] })
+  const host = await harness.startForwarder({ graceSeconds })
+  await harness.waitUntilReady(host)
+  const ask = () => harness.call(host, '/query/1', { headers: { 'token-usage': '10,10', 'prefix-hash': 'a1:10', 'deadline-ms': '8000' } })
+  const answers = [ask()]
+  await waitUntil(() => streams === 1)
+  answers.push(ask())
+  await waitUntil(() => streams === 2)
+  const stopped = harness.stopForwarder(host)
+  const ends = await Promise.all(answers)
+  expect(ends.map(({ isComplete, body }) => ({ isComplete, events: body.match(/^id: /gm)?.length }))).toEqual(ends.map(() => ({ isComplete: true, events: 30 })))
+  await stopped
+})
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -202,22 +202,24 @@
 const shouldAbandonRun = (silence: RunSilence) => millisecondsToAbandonment(silence) <= 0
 
 test('a waiting run is kept while its endpoint responds and abandoned when the endpoint is silent', () => {
-  const waiting = { waitedMilliseconds: 2_500, endpointSilentMilliseconds: 100, endpointWaitMilliseconds: 0, promptMilliseconds: 0, hasStarted: false, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 }
+  const waiting = { waitedMilliseconds: 2_500, endpointSilentMilliseconds: 100, endpointWaitMilliseconds: 0, promptMilliseconds: 0, isStopping: false, hasStarted: false, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 }
   expect(shouldAbandonRun(waiting)).toBe(false)
   expect(shouldAbandonRun({ ...waiting, endpointSilentMilliseconds: 2_500 })).toBe(true)
   expect(shouldAbandonRun({ ...waiting, hasStarted: true, waitedMilliseconds: 1_000 })).toBe(false)
   expect(shouldAbandonRun({ ...waiting, hasStarted: true, waitedMilliseconds: 1_900 })).toBe(true)
+  expect(shouldAbandonRun({ ...waiting, hasStarted: true, isStopping: true, waitedMilliseconds: 1_900 })).toBe(false)
+  expect(shouldAbandonRun({ ...waiting, hasStarted: true, isStopping: true, waitedMilliseconds: 1_900, endpointSilentMilliseconds: 1_900 })).toBe(true)
 })
 
 test('a waiting run is not taken from an endpoint whose requests were seen to wait as long', () => {
-  const waiting = { waitedMilliseconds: 2_500, endpointSilentMilliseconds: 2_500, endpointWaitMilliseconds: 1_500, promptMilliseconds: 0, hasStarted: false, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 }
+  const waiting = { waitedMilliseconds: 2_500, endpointSilentMilliseconds: 2_500, endpointWaitMilliseconds: 1_500, promptMilliseconds: 0, isStopping: false, hasStarted: false, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 }
   expect(shouldAbandonRun(waiting)).toBe(false)
   expect(shouldAbandonRun({ ...waiting, waitedMilliseconds: 3_100, endpointSilentMilliseconds: 3_100 })).toBe(true)
   expect(shouldAbandonRun({ ...waiting, endpointWaitMilliseconds: 0 })).toBe(true)
 })
 
 test('a run with a long prompt is not taken from its endpoint while that reads the prompt', () => {
-  const waiting = { waitedMilliseconds: 3_200, endpointSilentMilliseconds: 3_200, endpointWaitMilliseconds: 0, promptMilliseconds: 2_700, hasStarted: false, latencyTargetMilliseconds: 4_000, maximumEventGapMilliseconds: 1_500 }
+  const waiting = { waitedMilliseconds: 3_200, endpointSilentMilliseconds: 3_200, endpointWaitMilliseconds: 0, promptMilliseconds: 2_700, isStopping: false, hasStarted: false, latencyTargetMilliseconds: 4_000, maximumEventGapMilliseconds: 1_500 }
   expect(shouldAbandonRun(waiting)).toBe(false)
   expect(shouldAbandonRun({ ...waiting, waitedMilliseconds: 5_800, endpointSilentMilliseconds: 5_800 })).toBe(true)
   expect(shouldAbandonRun({ ...waiting, promptMilliseconds: 0 })).toBe(true)
