Split the state of a forwarded request from the choice of its endpoints and from its attempts

Choosing and waiting for an endpoint is in endpointSelection.ts now, starting, sending and closing an attempt in requestAttempts.ts. No behaviour changes.

--- a/src/gateway/modelChoice.ts
+++ b/src/gateway/modelChoice.ts
@@ -80,8 +80,8 @@
   isTrusted (confidence: number | undefined, hasResponseStarted: boolean): boolean {
     const { larger } = this
     if (larger === undefined || this.#model === larger || hasResponseStarted) return true
-    const { attemptsLeft, dependencies, route, service, now } = this.#request
-    if (attemptsLeft < Math.min(attemptsOfCascade, route.maximumAttempts) || !dependencies.retryBudget.allows(service, now)) return true
+    const { attempts, dependencies, route, service, now } = this.#request
+    if (attempts.left < Math.min(attemptsOfCascade, route.maximumAttempts) || !dependencies.retryBudget.allows(service, now)) return true
     return dependencies.modelCascade.accepts(confidence, now, this.#timeShareOf(larger, now - this.#runStartedAt))
   }
 
@@ -96,9 +96,9 @@
   }
 
   #planCascade (): void {
-    const { attemptsLeft, latencyTargetShareLeft, dependencies, head, route, service, now } = this.#request
+    const { attempts, latencyTargetShareLeft, dependencies, head, route, service, now } = this.#request
     const mayRetry = route.isResumable && head.lastEventId === undefined && dependencies.retryBudget.allows(service, now)
-    this.#plan = dependencies.modelCascade.plan(route.modelSizes, { attemptsLeft, latencyTargetShareLeft, mayRetry, timeShareOf: model => this.#timeShareOf(model) })
+    this.#plan = dependencies.modelCascade.plan(route.modelSizes, { attemptsLeft: attempts.left, latencyTargetShareLeft, mayRetry, timeShareOf: model => this.#timeShareOf(model) })
     this.#model = this.#plan.first
   }
 
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -43,8 +43,8 @@
     const request = this.#request
     let isFull = false
     let lastFailure: CompleteResponse | undefined
-    while (request.tryStartAttempt()) {
-      const endpoint = await request.awaitEndpoint(undefined)
+    while (request.attempts.tryStart()) {
+      const endpoint = await request.selection.awaitEndpoint(undefined)
       if (endpoint === undefined) break
       const outcome = await this.#attempt(endpoint)
       if (outcome.type === 'relayed') return
@@ -65,7 +65,7 @@
   }
 
   async #attempt (endpoint: RoutedEndpoint): Promise<PlainOutcome> {
-    const attempt = this.#request.send(endpoint, { model: undefined, lastEventId: undefined, usesOwnConnection: !this.#isIdempotent })
+    const attempt = this.#request.attempts.send(endpoint, { model: undefined, lastEventId: undefined, usesOwnConnection: !this.#isIdempotent })
     const outcome = await this.#readResponse(attempt)
     const mayHaveRun = outcome.type === 'lost' || outcome.type === 'answer' || outcome.type === 'relayed'
     this.#mayHaveRun ||= mayHaveRun
@@ -79,11 +79,11 @@
     if (head.type !== 'head') return this.#failAttempt(attempt, 'body data before the response headers')
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
     if (!request.isOwnResponse(responseHead)) return this.#rejectForeignResponse(attempt, responseHead.attemptId)
-    request.recordAnnouncements(attempt, head.status, responseHead)
-    const notExecutedReason = request.finishIfNotExecuted(attempt, head.status, responseHead)
+    request.attempts.recordAnnouncements(attempt, head.status, responseHead)
+    const notExecutedReason = request.attempts.finishIfNotExecuted(attempt, head.status, responseHead)
     if (notExecutedReason !== undefined) return { type: 'not_run', reason: notExecutedReason }
     if (!responseHead.isSealed || responseHead.isEncoded) return this.#rejectForeignResponse(attempt, 'unsealed')
-    if (request.finishIfFalselyPromised(attempt, head.status)) return { type: 'lost' }
+    if (request.attempts.finishIfFalselyPromised(attempt, head.status)) return { type: 'lost' }
     attempt.tracker.recordBytes(request.now)
     attempt.run.recordOutput(request.now)
     return this.#readBody(attempt, head.status, head.headers)
@@ -104,12 +104,12 @@
       if (bytes > maximumBufferedBytes && this.#canRelay(headers)) return this.#relay(attempt, status, headers, chunks)
       if (bytes > maximumHeldBytes) return this.#failAttempt(attempt, 'response too large to be held for an HTTP/1.0 caller')
     }
-    if (!(await request.isWhole(attempt, headers))) return this.#failAttempt(attempt, endpointEndedReason)
+    if (!(await request.attempts.isWhole(attempt, headers))) return this.#failAttempt(attempt, endpointEndedReason)
     const isFailed = isServerError(status)
-    if (isFailed) request.recordFailure(attempt)
-    else request.recordAnswer(attempt, headers)
+    if (isFailed) request.attempts.recordFailure(attempt)
+    else request.attempts.recordAnswer(attempt, headers)
     attempt.tracker.recordResponseStart(request.now)
-    request.finishAttempt(attempt, isFailed ? AttemptEnd.Failed : AttemptEnd.Answered, String(status))
+    request.attempts.finish(attempt, isFailed ? AttemptEnd.Failed : AttemptEnd.Answered, String(status))
     return { type: 'answer', status, headers, body: Buffer.concat(chunks) }
   }
 
@@ -132,14 +132,14 @@
         if (!response.write(event.bytes)) await request.holding.whileUnread(waitForDrain(response, request.callerAbort.signal))
         continue
       }
-      if (event?.type === 'end' && await request.isWhole(attempt, headers)) {
-        request.recordAnswer(attempt, headers)
-        request.finishAttempt(attempt, AttemptEnd.Answered, String(status))
+      if (event?.type === 'end' && await request.attempts.isWhole(attempt, headers)) {
+        request.attempts.recordAnswer(attempt, headers)
+        request.attempts.finish(attempt, AttemptEnd.Answered, String(status))
         response.end()
         request.callerResponse.recordDelivery(status)
       } else {
         attempt.exchange.abort('response broke off')
-        request.finishAttempt(attempt, AttemptEnd.Lost, 'broke off')
+        request.attempts.finish(attempt, AttemptEnd.Lost, 'broke off')
         request.callerResponse.abort('answer_broke_off')
       }
       return { type: 'relayed' }
@@ -150,23 +150,23 @@
   #nextEvent (attempt: OpenAttempt) {
     const { clock } = this.#request.dependencies
     const { deadline, route } = this.#request
-    const silenceDeadline = this.#isIdempotent && this.#request.attemptsLeft > 1 ? clock.now() + route.latencyTargetMilliseconds * silenceTargetShare : deadline
+    const silenceDeadline = this.#isIdempotent && this.#request.attempts.left > 1 ? clock.now() + route.latencyTargetMilliseconds * silenceTargetShare : deadline
     return withDeadline(clock, Math.min(deadline, silenceDeadline), attempt.exchange.next())
   }
 
   /** @param reason undefined if the attempt was silent for too long */
   #failAttempt (attempt: OpenAttempt, reason: string | undefined): PlainOutcome {
     const request = this.#request
-    const end = request.attemptEndWithoutResponse(attempt, reason === undefined)
+    const end = request.attempts.endWithoutResponse(attempt, reason === undefined)
     attempt.exchange.abort(reason ?? 'silent')
-    request.finishBrokenAttempt(attempt, end, reason ?? 'silent')
+    request.attempts.finishBroken(attempt, end, reason ?? 'silent')
     return { type: attempt.exchange.mayHaveSent ? 'lost' : 'unsent' }
   }
 
   /** Rejects a response to another request; nothing on this connection can be trusted any more. */
   #rejectForeignResponse (attempt: OpenAttempt, responseOwner: string | undefined): PlainOutcome {
     attempt.exchange.abort('response belongs to another request')
-    this.#request.finishAttempt(attempt, AttemptEnd.Cancelled, `response to another attempt: ${responseOwner ?? 'unnamed'}`)
+    this.#request.attempts.finish(attempt, AttemptEnd.Cancelled, `response to another attempt: ${responseOwner ?? 'unnamed'}`)
     return { type: 'lost' }
   }
 }
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -64,12 +64,12 @@
   async run (): Promise<void> {
     const request = this.#request
     let isFull = false
-    while (request.tryStartAttempt()) {
+    while (request.attempts.tryStart()) {
       this.#choice.chooseInTime()
-      const endpoint = await request.awaitEndpoint(this.#choice.model, this.#hasResponseStarted)
+      const endpoint = await request.selection.awaitEndpoint(this.#choice.model, this.#hasResponseStarted)
       if (endpoint === undefined) break
       // On a kept connection an earlier refusal, written once more, could be taken for that of a repeated request.
-      const attempt = request.send(endpoint, { model: this.#choice.model, lastEventId: this.#lastEventId, usesOwnConnection: !request.route.isResumable })
+      const attempt = request.attempts.send(endpoint, { model: this.#choice.model, lastEventId: this.#lastEventId, usesOwnConnection: !request.route.isResumable })
       this.#choice.recordRunStart()
       const reader = new DeadlineReader(attempt.exchange, request.dependencies.clock)
       const outcome = await this.#readResponse(attempt, reader)
@@ -101,17 +101,17 @@
     if (head === undefined || head.type !== 'head') return this.#failRun(attempt, reasonOf(head))
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
     if (!request.isOwnResponse(responseHead)) return this.#failRun(attempt, `response to another attempt: ${responseHead.attemptId ?? 'unnamed'}`, AttemptEnd.Cancelled)
-    request.recordAnnouncements(attempt, head.status, responseHead)
-    const notExecutedReason = request.finishIfNotExecuted(attempt, head.status, responseHead)
+    request.attempts.recordAnnouncements(attempt, head.status, responseHead)
+    const notExecutedReason = request.attempts.finishIfNotExecuted(attempt, head.status, responseHead)
     if (notExecutedReason !== undefined) return notExecutedReason === NotExecutedReason.Misdirected ? RunOutcome.Unsent : RunOutcome.NotExecuted
     if (!responseHead.isSealed || responseHead.isEncoded) return this.#failRun(attempt, 'unsealed', AttemptEnd.Cancelled)
-    if (request.finishIfFalselyPromised(attempt, head.status)) return RunOutcome.Failed
+    if (request.attempts.finishIfFalselyPromised(attempt, head.status)) return RunOutcome.Failed
     attempt.tracker.recordBytes(request.now)
     attempt.run.recordOutput(request.now)
     if (head.status !== successStatus) return this.#readFailure(attempt, reader, head.status, head.headers)
     this.#choice.recordWaitEnd()
     const isTrusted = this.#choice.isTrusted(responseHead.confidence, this.#hasResponseStarted)
-    if (!isTrusted && request.hasEndpointBeside(attempt.endpoint, this.#choice.larger)) return this.#discardForLargerModel(attempt, responseHead.confidence)
+    if (!isTrusted && request.selection.hasEndpointBeside(attempt.endpoint, this.#choice.larger)) return this.#discardForLargerModel(attempt, responseHead.confidence)
     return this.#relay(attempt, reader, head.headers)
   }
 
@@ -119,8 +119,8 @@
     const request = this.#request
     attempt.evidence?.recordBegin(request.now)
     attempt.exchange.abort('discarded in favour of a larger model')
-    request.finishAttempt(attempt, AttemptEnd.Answered, `dropped at confidence ${confidence}`)
-    request.allowRetryAt(attempt.endpoint)
+    request.attempts.finish(attempt, AttemptEnd.Answered, `dropped at confidence ${confidence}`)
+    request.selection.allowRetryAt(attempt.endpoint)
     request.dependencies.metrics.escalations.inc({ service: request.service })
     this.#choice.escalate()
     return RunOutcome.Discarded
@@ -174,11 +174,11 @@
   }
 
   async #finishResponse (attempt: OpenAttempt, headers: IncomingHttpHeaders): Promise<RunOutcome> {
-    if (!(await this.#request.isWhole(attempt, headers))) return this.#failRun(attempt, endpointEndedReason)
+    if (!(await this.#request.attempts.isWhole(attempt, headers))) return this.#failRun(attempt, endpointEndedReason)
     this.#startResponse(headers)
     this.#choice.recordAnswerEnd(true)
-    this.#request.recordAnswer(attempt, headers)
-    this.#request.finishAttempt(attempt, AttemptEnd.Answered, 'whole')
+    this.#request.attempts.recordAnswer(attempt, headers)
+    this.#request.attempts.finish(attempt, AttemptEnd.Answered, 'whole')
     this.#events.end()
     this.#request.callerResponse.recordDelivery(successStatus)
     return RunOutcome.Done
@@ -196,12 +196,12 @@
       if (bytes > maximumFailureBodyBytes) return this.#failRun(attempt, 'error body too large')
       chunks.push(event.bytes)
     }
-    if (!(await request.isWhole(attempt, headers))) return this.#failRun(attempt, endpointEndedReason)
+    if (!(await request.attempts.isWhole(attempt, headers))) return this.#failRun(attempt, endpointEndedReason)
     const isFailed = isServerError(status)
-    if (isFailed) request.recordFailure(attempt)
+    if (isFailed) request.attempts.recordFailure(attempt)
     else attempt.evidence?.recordBegin(request.now)
     attempt.run.recordOver()
-    request.finishAttempt(attempt, isFailed ? AttemptEnd.Failed : AttemptEnd.Answered, String(status))
+    request.attempts.finish(attempt, isFailed ? AttemptEnd.Failed : AttemptEnd.Answered, String(status))
     const failure = { status, headers, body: Buffer.concat(chunks) }
     if (!isFailed && !this.#hasResponseStarted) {
       request.callerResponse.deliver(failure)
@@ -251,15 +251,15 @@
 
   /** Whether another run is possible if the present one is abandoned. If not, waiting is better, since a silent run may still respond. */
   #canResumeElsewhere (): boolean {
-    const { attemptsLeft, dependencies, route, service, now } = this.#request
-    if (attemptsLeft < 2 || !route.isResumable || !dependencies.retryBudget.allows(service, now)) return false
-    return this.#request.chooseEndpoint(this.#choice.model) !== undefined
+    const { attempts, dependencies, route, service, now } = this.#request
+    if (attempts.left < 2 || !route.isResumable || !dependencies.retryBudget.allows(service, now)) return false
+    return this.#request.selection.choose(this.#choice.model) !== undefined
   }
 
-  #failRun (attempt: OpenAttempt, reason: string, end: AttemptEnd = this.#request.attemptEndWithoutResponse(attempt, reason === silentReason)): RunOutcome {
+  #failRun (attempt: OpenAttempt, reason: string, end: AttemptEnd = this.#request.attempts.endWithoutResponse(attempt, reason === silentReason)): RunOutcome {
     const request = this.#request
     attempt.exchange.abort(reason)
-    request.finishBrokenAttempt(attempt, end, `${reason}, after ${this.#lastEventId ?? 'nothing'}`)
+    request.attempts.finishBroken(attempt, end, `${reason}, after ${this.#lastEventId ?? 'nothing'}`)
     return attempt.exchange.mayHaveSent ? RunOutcome.Broken : RunOutcome.Unsent
   }
 }
