--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -258,7 +258,8 @@
     log,
     handle: (request, response) => forwarding.handle(request, response),
     refuseLate: (request, response) => forwarding.refuseStopping(request, response),
-    requestsInFlight: () => forwarding.inFlight
+    requestsInFlight: () => forwarding.inFlight,
+    readRequests: () => forwarding.readRequests
   })
 }
 
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -3,7 +3,7 @@
  * it ends, one line is logged with everything that determined the outcome.
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
-import { cutResponse, endWithoutFrame, isSelfDelimited, maximumSingleWriteBytes } from './responseFraming.ts'
+import { ResponseFrame, cutResponse, endWithoutFrame, frameOf, isSelfDelimited, maximumSingleWriteBytes } from './responseFraming.ts'
 import type { BlockedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
@@ -58,6 +58,9 @@
   #isEnded = false
   #firstByteAt: number | undefined
   #relayedEvents = 0
+  readonly #endpointFrames: string[] = []
+  #callerFrame: ResponseFrame | undefined
+  #bodyBytes = 0
 
   constructor (response: ServerResponse, state: RequestState, dependencies: Pick<ForwardingDependencies, 'codec' | 'log' | 'metrics' | 'plannedStop'>) {
     this.response = response
@@ -83,6 +86,18 @@
     this.#relayedEvents += count
   }
 
+  /** Records how an answer that is passed on, or a run of a stream, is delimited by its endpoint and to the caller. */
+  recordFrames (headers: IncomingHttpHeaders, callerFrame: ResponseFrame): void {
+    const frame = frameOf(headers)
+    this.#endpointFrames.push(frame === ResponseFrame.Length ? `${frame} ${headers['content-length']}` : frame)
+    this.#callerFrame = callerFrame
+  }
+
+  /** Counts bytes of a body that were passed on to the caller, without their framing. */
+  recordBytes (count: number): void {
+    this.#bodyBytes += count
+  }
+
   /** Ends the request with a refusal. */
   refuse (refusal: ForwardRefusal): void {
     this.#recordEnd(refusal.code, refusal.status)
@@ -105,7 +120,10 @@
   /** Sends a buffered response. Of a short one without a frame no more is claimed than its endpoint did. */
   deliver ({ status, headers, body }: CompleteResponse): void {
     const callerHeaders = this.toCallerHeaders(headers)
-    if (isSelfDelimited(headers) || body.length > maximumSingleWriteBytes) this.response.writeHead(status, { ...callerHeaders, 'content-length': body.length }).end(body)
+    const isDelimited = isSelfDelimited(headers) || body.length > maximumSingleWriteBytes
+    this.recordFrames(headers, isDelimited ? ResponseFrame.Length : ResponseFrame.Close)
+    this.recordBytes(body.length)
+    if (isDelimited) this.response.writeHead(status, { ...callerHeaders, 'content-length': body.length }).end(body)
     else endWithoutFrame(this.response, status, callerHeaders, body)
     this.recordDelivery(status)
   }
@@ -138,12 +156,24 @@
     this.#dependencies.log.warn('answer_unsent', { request, route, milliseconds: Math.round(this.#elapsedMilliseconds) })
   }
 
+  /** What tells a body apart that has another length than its endpoint's. */
+  #bodyFields (): LogFields {
+    if (this.#callerFrame === undefined) return {}
+    return { endpointFrames: this.#endpointFrames, callerFrame: this.#callerFrame, bytes: this.#bodyBytes }
+  }
+
+  /** Once a stop has cut what was left, attempts end since it closes all connections. */
+  #outcomeOf (end: string): string {
+    if (end === answeredOutcome) return end
+    if (this.#dependencies.plannedStop.hasCut) return cutByStopOutcome
+    return this.#state.hasCallerLeft ? callerLeftOutcome : end
+  }
+
   #recordEnd (end: string, status: number | undefined): void {
     if (this.#isEnded) return
     this.#isEnded = true
-    const { arrivedAt, hasCallerLeft, service } = this.#state
-    const leftOutcome = this.#dependencies.plannedStop.hasCut ? cutByStopOutcome : callerLeftOutcome
-    const outcome = hasCallerLeft && end !== answeredOutcome ? leftOutcome : end
+    const { arrivedAt, service } = this.#state
+    const outcome = this.#outcomeOf(end)
     this.#dependencies.metrics.requests.inc({ service, outcome })
     const { request, route, organisation, ...rest } = this.#state.logFields()
     this.#dependencies.log.info('request_ended', {
@@ -155,6 +185,7 @@
       milliseconds: Math.round(this.#elapsedMilliseconds),
       firstByte: this.#firstByteAt === undefined ? undefined : Math.round(this.#firstByteAt - arrivedAt),
       events: this.#relayedEvents === 0 ? undefined : this.#relayedEvents,
+      ...this.#bodyFields(),
       ...rest
     })
   }
--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -9,6 +9,7 @@
 import { type CallerListener, untilInputIsRead } from '../server/index.ts'
 import { CallerConnections } from './callerConnections.ts'
 import { type PlannedStop, signalDelayMilliseconds } from './plannedStop.ts'
+import { type CutRequest, cutFields } from './requestTimes.ts'
 
 /** Time until the load balancer, which checks once a second, has taken this VM out after two failed checks. */
 const balancerRemovalMilliseconds = 2_400
@@ -27,11 +28,13 @@
   readonly clock: Clock
   readonly log: Log
   readonly requestsInFlight: () => number
+  /** Those of them whose body has been read. */
+  readonly readRequests: () => readonly CutRequest[]
 }
 
 /**
  * @example
- * const drain = new Drain({ listener, plannedStop, clock, log, requestsInFlight: () => forwarding.inFlight })
+ * const drain = new Drain({ listener, plannedStop, clock, log, requestsInFlight: () => forwarding.inFlight, readRequests: () => forwarding.readRequests })
  * await drain.run(7_000)
  */
 export class Drain {
@@ -68,11 +71,13 @@
     await untilInputIsRead(clock)
     listener.stopListening()
     await this.#untilAnswered(startedAt + graceMilliseconds)
+    const cutRequestFields = cutFields(this.#options.readRequests(), startedAt)
     const cut = this.#closeAll()
     eventLoopDelay.disable()
     this.#options.log.info('drained', {
       milliseconds: Math.round(clock.now() - startedAt),
       cut,
+      ...cutRequestFields,
       unsent: this.#connections.unsentCount,
       longestEventLoopDelay: Math.round(eventLoopDelay.max / nanosecondsPerMillisecond)
     })
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -14,6 +14,7 @@
 import { HeldBackAt } from './openAttempt.ts'
 import { RequestAttempts } from './requestAttempts.ts'
 import type { RequestHolding } from './requestHolding.ts'
+import { type CutRequest, type RequestTimes, stopTimeFields } from './requestTimes.ts'
 import type { RoutingSnapshot } from './routingView.ts'
 import { sharedPromptOf } from './sharedPrompt.ts'
 
@@ -34,7 +35,7 @@
   readonly dependencies: ForwardingDependencies
 }
 
-export class ForwardedRequest implements RequestState {
+export class ForwardedRequest implements RequestState, CutRequest {
   readonly incoming: IncomingMessage
   readonly head: RequestHead
   readonly body: Buffer
@@ -54,6 +55,7 @@
   readonly selection: EndpointSelection
   readonly attempts: RequestAttempts
   readonly #snapshot: RoutingSnapshot
+  readonly #bodyReadAt: number
   #block: BlockedPrompt | undefined
 
   constructor (options: ForwardedRequestOptions) {
@@ -70,6 +72,7 @@
     this.dependencies = dependencies
     this.prompt = sharedPromptOf(options)
     this.#snapshot = snapshot
+    this.#bodyReadAt = dependencies.clock.now()
     response.once('close', () => {
       if (!response.writableFinished) this.callerAbort.abort('caller disconnected')
     })
@@ -92,6 +95,16 @@
     return this.callerAbort.signal.aborted
   }
 
+  get times (): RequestTimes {
+    const { firstSentAt, lastSentAt } = this.attempts
+    return { bodyReadAt: this.#bodyReadAt, firstSentAt, lastSentAt }
+  }
+
+  /** Whether it may be sent again once it may have run. */
+  get isRepeatable (): boolean {
+    return this.route.type === RouteType.Idempotent || (this.route.type === RouteType.Stream && this.route.isResumable)
+  }
+
   /** The organisation's priority, or the route's; 0 is the most urgent. */
   get priority (): number {
     return this.organisation?.priority ?? this.route.priority
@@ -157,6 +170,7 @@
       settings: this.#snapshot.settings.version,
       content: hasBrokenOff ? this.prompt.request : undefined,
       promptParts: hasBrokenOff ? this.prompt.parts : undefined,
+      ...stopTimeFields(this.times, this.dependencies.plannedStop.begunAt),
       attempts: summaries
     }
   }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -69,6 +69,7 @@
 
 export class Forwarding {
   readonly #dependencies: ForwardingDependencies
+  readonly #readRequests = new Set<ForwardedRequest>()
   #inFlight = 0
   #withManyFields = 0
 
@@ -81,6 +82,11 @@
     return this.#inFlight
   }
 
+  /** The requests being forwarded whose body has been read. */
+  get readRequests (): readonly ForwardedRequest[] {
+    return [...this.#readRequests]
+  }
+
   /** Forwards one request; resolves when the response has ended or its connection is closed. */
   async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#inFlight++
@@ -143,6 +149,7 @@
   async #run (forwardedRequest: ForwardedRequest): Promise<void> {
     const { retryBudget, clock, log, versionSelector } = this.#dependencies
     retryBudget.recordRequest(forwardedRequest.service, clock.now())
+    this.#readRequests.add(forwardedRequest)
     const endSessionRequest = versionSelector.trackRequest(forwardedRequest.head.session)
     try {
       const isStream = forwardedRequest.route.type === RouteType.Stream
@@ -153,6 +160,7 @@
     } finally {
       endSessionRequest(clock.now())
       forwardedRequest.callerResponse.endUnfinished()
+      this.#readRequests.delete(forwardedRequest)
     }
   }
 
--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -36,6 +36,12 @@
 } as const
 export type NotExecutedReason = typeof NotExecutedReason[keyof typeof NotExecutedReason]
 
+/** Whether an endpoint is sent a request for the first time, or it or another was sent it before. */
+export const SendKind = {
+  First: 'first',
+  Repeat: 'repeat'
+} as const
+
 /** Where an attempt was held back for a rate limit. */
 export const HeldBackAt = {
   /** No endpoint had a place, so the request had to wait or was refused. */
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -8,7 +8,7 @@
 import { withDeadline } from '../contract/index.ts'
 import { AttemptEnd } from '../placement/index.ts'
 import { RouteType, type RoutedEndpoint } from '../routing/index.ts'
-import { maximumHeldBytes, takesChunks } from './responseFraming.ts'
+import { ResponseFrame, maximumHeldBytes, takesChunks } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
@@ -125,10 +125,15 @@
     request.callerResponse.markFirstByte()
     const { 'content-length': length } = headers
     response.writeHead(status, { ...request.callerResponse.toCallerHeaders(headers), ...(length === undefined ? {} : { 'content-length': length }) })
-    for (const chunk of buffered) response.write(chunk)
+    request.callerResponse.recordFrames(headers, length === undefined ? ResponseFrame.Chunks : ResponseFrame.Length)
+    for (const chunk of buffered) {
+      request.callerResponse.recordBytes(chunk.length)
+      response.write(chunk)
+    }
     for (;;) {
       const event = await withDeadline(request.dependencies.clock, request.deadline, attempt.exchange.next())
       if (event?.type === 'data') {
+        request.callerResponse.recordBytes(event.bytes.length)
         if (!response.write(event.bytes)) await request.holding.whileUnread(waitForDrain(response, request.callerAbort.signal))
         continue
       }
--- a/src/gateway/plannedStop.ts
+++ b/src/gateway/plannedStop.ts
@@ -15,6 +15,7 @@
 export class PlannedStop {
   readonly #clock: Clock
   readonly #listeners = new Set<() => void>()
+  #begunAt: number | undefined
   #lastSendAt = Infinity
   #hasCut = false
 
@@ -22,6 +23,11 @@
     this.#clock = clock
   }
 
+  /** When the stop began, in milliseconds of the process's clock; undefined before. */
+  get begunAt (): number | undefined {
+    return this.#begunAt
+  }
+
   /** When sending to endpoints ends, in milliseconds of the process's clock; infinite if no stop has begun. */
   get lastSendAt (): number {
     return this.#lastSendAt
@@ -44,6 +50,7 @@
 
   /** Begins the stop. */
   begin (lastSendAt: number): void {
+    this.#begunAt = this.#clock.now()
     this.#lastSendAt = lastSendAt
   }
 
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -8,7 +8,7 @@
 import { AttemptEnd } from '../placement/index.ts'
 import { type ResponseHead, RouteType, type RoutedEndpoint, instanceKey, ratedEndpoint } from '../routing/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
-import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
+import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress, SendKind } from './openAttempt.ts'
 import { isSelfDelimited } from './responseFraming.ts'
 
 const misdirectedStatus = 421
@@ -23,6 +23,8 @@
   readonly #request: ForwardedRequest
   readonly #summaries: string[] = []
   #sentCount = 0
+  #firstSentAt: number | undefined
+  #lastSentAt: number | undefined
   #hasBrokenOff = false
   #crashedRuns = 0
 
@@ -35,6 +37,16 @@
     return this.#summaries
   }
 
+  /** When the first attempt was written to a connection, in milliseconds of the process's clock; undefined before. */
+  get firstSentAt (): number | undefined {
+    return this.#firstSentAt
+  }
+
+  /** When the last attempt was written to a connection, in milliseconds of the process's clock; undefined before. */
+  get lastSentAt (): number | undefined {
+    return this.#lastSentAt
+  }
+
   /** Whether a run of the request broke off. */
   get hasBrokenOff (): boolean {
     return this.#hasBrokenOff
@@ -63,7 +75,7 @@
     request.selection.markTried(endpoint)
     const mayStillSend = () => {
       const isSending = !request.hasCallerLeft && !plannedStop.hasEndedSending && request.now < request.deadline && request.selection.isEligible(endpoint) && !loads.isOverloaded(endpoint, request.now) && permit.trySend(request.now)
-      if (isSending) run.recordSent(request.now)
+      if (isSending) this.#recordSent(run)
       return isSending
     }
     const exchangeOptions = this.#exchangeOptions(endpoint, options, startedAt, mayStillSend)
@@ -82,6 +94,16 @@
     return { endpoint, model, exchange, startedAt, forgetStop, unfollowCaller, promptMilliseconds: work.prefillMilliseconds, tracker, run, permit, evidence, isBlocked: () => isBlocked }
   }
 
+  /** To be called in the event-loop turn that writes the request. */
+  #recordSent (run: OpenAttempt['run']): void {
+    const { now, service } = this.#request
+    const kind = this.#firstSentAt === undefined ? SendKind.First : SendKind.Repeat
+    run.recordSent(now)
+    this.#dependencies.metrics.sends.inc({ service, kind })
+    this.#firstSentAt ??= now
+    this.#lastSentAt = now
+  }
+
   #exchangeOptions (endpoint: RoutedEndpoint, { model, lastEventId }: AttemptOptions, startedAt: number, mayStillSend: () => boolean): ExchangeOptions {
     const { body, deadline, incoming, organisation, priority, route } = this.#request
     const { clock, codec } = this.#dependencies
@@ -211,12 +233,19 @@
   finishIfNotExecuted (attempt: OpenAttempt, status: number, { wasNotExecuted }: ResponseHead): NotExecutedReason | undefined {
     if (!statesNotRun(status, wasNotExecuted)) return undefined
     const isMisdirected = status === misdirectedStatus
+    if (isMisdirected) this.#recordMisdirected(attempt)
     attempt.exchange.discardRest()
     attempt.run.recordOver()
     this.finish(attempt, isMisdirected ? AttemptEnd.Lost : AttemptEnd.Full, `not executed, status ${status}`, !isMisdirected)
     return isMisdirected ? NotExecutedReason.Misdirected : NotExecutedReason.Refused
   }
 
+  #recordMisdirected ({ endpoint: { address, identity } }: OpenAttempt): void {
+    const { head, service } = this.#request
+    this.#dependencies.metrics.misdirected.inc({ service })
+    this.#dependencies.log.warn('endpoint_misdirected', { endpoint: identity, address, service, request: head.attemptId })
+  }
+
   /**
    * Closes an attempt that the endpoint may have run and failed, under a status that would promise the caller
    * that it was not run. Another status must not bear the endpoint's seal, so nothing of its response is passed on.
--- a/src/gateway/responseFraming.ts
+++ b/src/gateway/responseFraming.ts
@@ -16,6 +16,26 @@
 /** Largest response that is held for a caller that can read no chunks. */
 export const maximumHeldBytes = 4 * 1024 * 1024
 
+/** How a response is delimited. */
+export const ResponseFrame = {
+  Length: 'length',
+  Chunks: 'chunks',
+  /** By the close of its connection. */
+  Close: 'close'
+} as const
+export type ResponseFrame = typeof ResponseFrame[keyof typeof ResponseFrame]
+
+/**
+ * How a response's headers delimit its body.
+ *
+ * @example
+ * const frame = frameOf(head.headers)
+ */
+export function frameOf (headers: IncomingHttpHeaders): ResponseFrame {
+  if (headers['transfer-encoding'] !== undefined) return ResponseFrame.Chunks
+  return headers['content-length'] === undefined ? ResponseFrame.Close : ResponseFrame.Length
+}
+
 /**
  * Whether a response's headers delimit its body.
  *
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -7,7 +7,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { DeadlineReader, type ExchangeEvent } from '../endpoint/index.ts'
 import { type RunSilence, AttemptEnd, millisecondsToAbandonment } from '../placement/index.ts'
-import { maximumHeldBytes } from './responseFraming.ts'
+import { ResponseFrame, maximumHeldBytes, takesChunks } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import { EventSplitter } from './eventSplitter.ts'
 import { EventStreamResponse } from './eventStreamResponse.ts'
@@ -129,6 +129,7 @@
   async #relay (attempt: OpenAttempt, reader: DeadlineReader, headers: IncomingHttpHeaders): Promise<RunOutcome> {
     const request = this.#request
     const splitter = new EventSplitter()
+    request.callerResponse.recordFrames(headers, takesChunks(request.callerResponse.response) ? ResponseFrame.Chunks : ResponseFrame.Length)
     let hasRunStarted = false
     for (let waitedSince = request.now; ;) {
       const event = await this.#nextEvent(attempt, reader, hasRunStarted)
@@ -147,6 +148,7 @@
       this.#startResponse(headers)
       this.#lastEventId = events.lastEventId ?? this.#lastEventId
       request.callerResponse.recordEvents(events.count)
+      request.callerResponse.recordBytes(events.text.length)
       const isTaken = this.#events.write(events.text)
       if (this.#events.heldBytes > maximumHeldBytes) return this.#failRun(attempt, 'stream too large to be held for an HTTP/1.0 caller')
       if (!isTaken) await request.holding.whileUnread(waitForDrain(request.callerResponse.response, request.callerAbort.signal))
