Count each write of a request beyond its first as a repeat, also one that was answered 421

What the services saw: an endpoint whose address had been used again got each request of every gateway, and so did the next one, until all endpoints of the service had answered 421.

Cause: the retry budget was asked once the attempt before had counted as a run. A 421 does not, so the next attempt was taken for the first and drew on nothing.

RequestArrivals owns the count now. Every path asks it: the start of an attempt, a run that may be given up because another can resume it, and a model cascade's second run. It draws in the event-loop turn that writes the request, so that an attempt that is never written costs nothing and a 421 costs one. A 421 still does not count against the maximum of attempts of a route, which bounds runs.

An attempt that the budget holds back at its write is no failure of its endpoint and counts as cancelled.

--- a/src/gateway/modelChoice.ts
+++ b/src/gateway/modelChoice.ts
@@ -80,8 +80,8 @@
   isTrusted (confidence: number | undefined, hasResponseStarted: boolean): boolean {
     const { larger } = this
     if (larger === undefined || this.#model === larger || hasResponseStarted) return true
-    const { attempts, dependencies, route, service, now } = this.#request
-    if (attempts.left < Math.min(attemptsOfCascade, route.maximumAttempts) || !dependencies.retryBudget.allows(service, now)) return true
+    const { attempts, dependencies, route, now } = this.#request
+    if (attempts.left < Math.min(attemptsOfCascade, route.maximumAttempts) || !attempts.allowsRepeat) return true
     return dependencies.modelCascade.accepts(confidence, now, this.#timeShareOf(larger, now - this.#runStartedAt))
   }
 
@@ -96,8 +96,8 @@
   }
 
   #planCascade (): void {
-    const { attempts, latencyTargetShareLeft, dependencies, head, route, service, now } = this.#request
-    const mayRetry = route.isResumable && head.lastEventId === undefined && dependencies.retryBudget.allows(service, now)
+    const { attempts, latencyTargetShareLeft, dependencies, head, route } = this.#request
+    const mayRetry = route.isResumable && head.lastEventId === undefined && attempts.allowsRepeat
     this.#plan = dependencies.modelCascade.plan(route.modelSizes, { attemptsLeft: attempts.left, latencyTargetShareLeft, mayRetry, timeShareOf: model => this.#timeShareOf(model) })
     this.#model = this.#plan.first
   }
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -43,7 +43,7 @@
     const request = this.#request
     let isFull = false
     let lastFailure: CompleteResponse | undefined
-    while (request.attempts.tryStart()) {
+    while (request.attempts.mayStart()) {
       const endpoint = await request.selection.awaitEndpoint(undefined)
       if (endpoint === undefined) break
       const outcome = await this.#attempt(endpoint)
--- /dev/null
+++ b/src/gateway/requestArrivals.ts
@@ -0,0 +1,44 @@
+/**
+ * Counts how often one request is written to endpoints. The first time belongs to the request; every further
+ * one, whatever the cause and however the endpoint responds, is a repeat that draws on the retry budget of the
+ * service. It draws in the event-loop turn that writes, so that what is never written costs nothing.
+ */
+import type { RetryBudget } from '../placement/index.ts'
+
+/**
+ * @example
+ * if (arrivals.mayFollow(now)) arrivals.record(now)
+ */
+export class RequestArrivals {
+  readonly #service: string
+  readonly #retryBudget: RetryBudget
+  #count = 0
+  #isHeldBack = false
+
+  constructor (service: string, retryBudget: RetryBudget) {
+    this.#service = service
+    this.#retryBudget = retryBudget
+  }
+
+  /** Whether the budget held the request back when it was last to be written. */
+  get isHeldBack (): boolean {
+    return this.#isHeldBack
+  }
+
+  /** Whether the request may be written now; the first time it always may. */
+  mayFollow (now: number): boolean {
+    this.#isHeldBack = this.#count > 0 && !this.allowsRepeat(now)
+    return !this.#isHeldBack
+  }
+
+  /** Whether the budget allows a repeat, for a decision to give up a run or to plan a second one. */
+  allowsRepeat (now: number): boolean {
+    return this.#retryBudget.allows(this.#service, now)
+  }
+
+  /** Records that the request is written now. */
+  record (now: number): void {
+    if (this.#count > 0) this.#retryBudget.tryConsume(this.#service, now)
+    this.#count++
+  }
+}
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -9,25 +9,28 @@
 import { type ResponseHead, RouteType, type RoutedEndpoint, instanceKey, ratedEndpoint } from '../routing/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
+import { RequestArrivals } from './requestArrivals.ts'
 import { isSelfDelimited } from './responseFraming.ts'
 
 const misdirectedStatus = 421
 
 /**
  * @example
- * if (attempts.tryStart()) {
+ * if (attempts.mayStart()) {
  *   const attempt = attempts.send(endpoint, { model: undefined, lastEventId: undefined, usesOwnConnection: true })
  * }
  */
 export class RequestAttempts {
   readonly #request: ForwardedRequest
+  readonly #arrivals: RequestArrivals
   readonly #summaries: string[] = []
-  #sentCount = 0
+  #runCount = 0
   #hasBrokenOff = false
   #crashedRuns = 0
 
   constructor (request: ForwardedRequest) {
     this.#request = request
+    this.#arrivals = new RequestArrivals(request.service, request.dependencies.retryBudget)
   }
 
   /** One line for each attempt that has ended. */
@@ -42,15 +45,20 @@
 
   /** Further attempts that may be made; none at the end of a planned stop. */
   get left (): number {
-    return this.#dependencies.plannedStop.hasEndedSending ? 0 : this.#request.route.maximumAttempts - this.#sentCount
+    return this.#dependencies.plannedStop.hasEndedSending ? 0 : this.#request.route.maximumAttempts - this.#runCount
   }
 
-  /** Whether another attempt may be made; takes it from the retry budget if it is not the first. */
-  tryStart (): boolean {
-    const { hasCallerLeft, now, deadline, service } = this.#request
+  /** Whether the retry budget allows a run after the present or the planned one. */
+  get allowsRepeat (): boolean {
+    return this.#arrivals.allowsRepeat(this.#request.now)
+  }
+
+  /** Whether another attempt may be made. */
+  mayStart (): boolean {
+    const { hasCallerLeft, now, deadline } = this.#request
     if (hasCallerLeft || now >= deadline || this.left <= 0) return false
     if (!this.#request.isAdmitted(this.#crashedRuns)) return false
-    return this.#sentCount === 0 || this.#dependencies.retryBudget.tryConsume(service, now)
+    return this.#arrivals.mayFollow(now)
   }
 
   /** Starts an attempt at an endpoint. */
@@ -62,7 +70,8 @@
     const permit = limits.open(ratedEndpoint(endpoint), startedAt)
     request.selection.markTried(endpoint)
     const mayStillSend = () => {
-      const isSending = !request.hasCallerLeft && !plannedStop.hasEndedSending && request.now < request.deadline && request.selection.isEligible(endpoint) && !loads.isOverloaded(endpoint, request.now) && permit.trySend(request.now)
+      const isSending = !request.hasCallerLeft && !plannedStop.hasEndedSending && request.now < request.deadline && request.selection.isEligible(endpoint) && !loads.isOverloaded(endpoint, request.now) && this.#arrivals.mayFollow(request.now) && permit.trySend(request.now)
+      if (isSending) this.#arrivals.record(request.now)
       if (isSending) run.recordSent(request.now)
       return isSending
     }
@@ -119,12 +128,12 @@
   /**
    * Closes an attempt: releases its tracked load, counts its outcome and adds it to the request's log line.
    *
-   * @param countsAsSent whether the attempt counts against the route's maximum number of attempts
+   * @param countsAsRun whether the attempt counts against the route's maximum number of attempts
    */
-  finish (attempt: OpenAttempt, end: AttemptEnd, outcome: string, countsAsSent = attempt.exchange.mayHaveSent): void {
+  finish (attempt: OpenAttempt, end: AttemptEnd, outcome: string, countsAsRun = attempt.exchange.mayHaveSent): void {
     const { now, service } = this.#request
     attempt.unfollowCaller()
-    if (countsAsSent) this.#sentCount++
+    if (countsAsRun) this.#runCount++
     this.#countLimited(attempt)
     attempt.forgetStop()
     attempt.run.close()
@@ -176,10 +185,14 @@
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
     if (this.#request.hasCallerLeft || attempt.isBlocked()) return AttemptEnd.Cancelled
     const isOverloaded = !attempt.exchange.mayHaveSent && this.#dependencies.loads.isOverloaded(attempt.endpoint, this.#request.now)
-    if (isOverloaded || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
+    if (isOverloaded || attempt.permit.wasHeldBack || this.#wasHeldBack(attempt)) return AttemptEnd.Cancelled
     return isSilent || !attempt.exchange.mayHaveSent ? AttemptEnd.Lost : AttemptEnd.Failed
   }
 
+  #wasHeldBack ({ exchange }: OpenAttempt): boolean {
+    return !exchange.mayHaveSent && this.#arrivals.isHeldBack
+  }
+
   /**
    * Whether an orderly end shows that a response is whole. A killed endpoint's connections end in order too, so
    * the end of a response without a frame proves that only of an endpoint that has outlived it.
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -64,7 +64,7 @@
   async run (): Promise<void> {
     const request = this.#request
     let isFull = false
-    while (request.attempts.tryStart()) {
+    while (request.attempts.mayStart()) {
       this.#choice.chooseInTime()
       const endpoint = await request.selection.awaitEndpoint(this.#choice.model, this.#hasResponseStarted)
       if (endpoint === undefined) break
@@ -251,8 +251,8 @@
 
   /** Whether another run is possible if the present one is abandoned. If not, waiting is better, since a silent run may still respond. */
   #canResumeElsewhere (): boolean {
-    const { attempts, dependencies, route, service, now } = this.#request
-    if (attempts.left < 2 || !route.isResumable || !dependencies.retryBudget.allows(service, now)) return false
+    const { attempts, route } = this.#request
+    if (attempts.left < 2 || !route.isResumable || !attempts.allowsRepeat) return false
     return this.#request.selection.choose(this.#choice.model) !== undefined
   }
 
