--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -41,6 +41,7 @@
   First: 'first',
   Repeat: 'repeat'
 } as const
+export type SendKind = typeof SendKind[keyof typeof SendKind]
 
 /** Where an attempt was held back for a rate limit. */
 export const HeldBackAt = {
