Lay a 421 to the model where the caller named one that the endpoint may not have

Callers of other requests saw endpoints left alone for one to eight seconds, and each request for a model that no endpoint has arrived at every endpoint of the service: an endpoint answers 421 both when the request names another endpoint and when it doesn't run the model that is asked, and every 421 was taken for the first.

A rejection is laid to the model if the caller named it, unless the route allows it and the endpoint's own registration lists it. Such a request is tried at one more endpoint, since the first may really not be at its address, and is then refused with no_endpoint; it says nothing of the endpoint's health. 12 requests make 24 arrivals at most now.

--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -9,9 +9,12 @@
 import { type ResponseHead, RouteType, type RoutedEndpoint, instanceKey, ratedEndpoint } from '../routing/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
+import { mayRejectModel } from './rejectedModel.ts'
 import { isSelfDelimited } from './responseFraming.ts'
 
 const misdirectedStatus = 421
+/** Endpoints that may reject the model that a caller named before its request is given up; one of them may just not be at its address. */
+const maximumModelRejections = 2
 
 /**
  * @example
@@ -25,6 +28,7 @@
   #sentCount = 0
   #hasBrokenOff = false
   #crashedRuns = 0
+  #modelRejections = 0
 
   constructor (request: ForwardedRequest) {
     this.#request = request
@@ -40,8 +44,9 @@
     return this.#hasBrokenOff
   }
 
-  /** Further attempts that may be made; none at the end of a planned stop. */
+  /** Further attempts that may be made; none at the end of a planned stop, or once two endpoints have rejected the model that the caller named. */
   get left (): number {
+    if (this.#modelRejections >= maximumModelRejections) return 0
     return this.#dependencies.plannedStop.hasEndedSending ? 0 : this.#request.route.maximumAttempts - this.#sentCount
   }
 
@@ -211,9 +216,11 @@
   finishIfNotExecuted (attempt: OpenAttempt, status: number, { wasNotExecuted }: ResponseHead): NotExecutedReason | undefined {
     if (!statesNotRun(status, wasNotExecuted)) return undefined
     const isMisdirected = status === misdirectedStatus
+    const isModelInDoubt = isMisdirected && this.#mayRejectModel(attempt)
+    if (isModelInDoubt) this.#modelRejections++
     attempt.exchange.discardRest()
     attempt.run.recordOver()
-    this.finish(attempt, isMisdirected ? AttemptEnd.Lost : AttemptEnd.Full, `not executed, status ${status}`, !isMisdirected)
+    this.finish(attempt, notExecutedEnd(isMisdirected, isModelInDoubt), `not executed, status ${status}`, !isMisdirected)
     return isMisdirected ? NotExecutedReason.Misdirected : NotExecutedReason.Refused
   }
 
@@ -231,7 +238,17 @@
     return true
   }
 
+  #mayRejectModel ({ endpoint, model }: OpenAttempt): boolean {
+    const { head, route } = this.#request
+    return mayRejectModel({ head, route, endpoint, model })
+  }
+
   get #dependencies () {
     return this.#request.dependencies
   }
 }
+
+function notExecutedEnd (isMisdirected: boolean, isModelInDoubt: boolean): AttemptEnd {
+  if (isModelInDoubt) return AttemptEnd.Cancelled
+  return isMisdirected ? AttemptEnd.Lost : AttemptEnd.Full
+}
--- /dev/null
+++ b/test/rejectedModel.test.ts
@@ -0,0 +1,54 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import type { EndpointHandler } from '../platform/standin/index.ts'
+import { mayRejectModel } from '../src/gateway/index.ts'
+import { ForwarderHarness, formatEvent } from './fakes/forwarderWorld.ts'
+
+let harness: ForwarderHarness
+beforeEach(async () => { harness = await ForwarderHarness.start() })
+afterEach(async () => await harness.close())
+
+const headers = { 'token-usage': '600,100', 'deadline-ms': '2000' }
+const rejectedCalls = 12
+
+/** An engine without the model that some callers name. */
+const serveOthers: EndpointHandler = (request, response) => {
+  const isServed = request.headers.model !== 'none'
+  response.writeHead(isServed ? 200 : 421, { 'content-type': 'text/event-stream', confidence: 90 })
+  response.end(isServed ? formatEvent(1) : '')
+}
+
+test.each([
+  ['that no endpoint has', { llms: [] }],
+  ['that the route does not allow', { llms: [{ name: 'small' }, { name: 'none' }] }]
+])('a caller who names a model %s reaches two endpoints with each request, and takes none of them from the others', async (_name, row) => {
+  const engines = await Promise.all([1, 2, 3, 4].map(() => harness.startEndpoint('engines', row)))
+  for (const engine of engines) engine.handleWith(serveOthers)
+  harness.putConfiguration(1)
+  const host = await harness.startForwarder()
+  await harness.waitUntilReady(host)
+  const call = (model: string) => harness.call(host, '/query/1', { headers: { ...headers, model } })
+  for (let index = 0; index < rejectedCalls; index++) {
+    const { status, body } = await call('none')
+    expect(`${status} ${body}`).toBe('503 {"error":"no_endpoint"}')
+  }
+  const arrivals = engines.map(({ received }) => received.length)
+  expect(arrivals.reduce((sum, count) => sum + count, 0)).toBeLessThanOrEqual(2 * rejectedCalls)
+  for (let index = 0; index < 60; index++) expect((await call('small')).status).toBe(200)
+  for (const [index, { received }] of engines.entries()) expect(received.length).toBeGreaterThan(arrivals[index]!)
+}, 30_000)
+
+const sizes = ['small', 'large']
+test.each([
+  ['a request without a model', undefined, undefined, [], [], false],
+  ['a model that the gateway chose', '*', 'small', sizes, [], false],
+  ['any model where the route has none to choose from', '*', undefined, [], ['small'], true],
+  ['a named model that the endpoint lists', 'small', 'small', [], ['small'], false],
+  ['a named model that the endpoint does not list', 'small', 'small', [], ['large'], true],
+  ['a named model at an endpoint that lists none', 'small', 'small', [], [], true],
+  ['a named model of the route', 'small', 'small', sizes, ['small'], false],
+  ['a named model that is not of the route', 'tiny', 'tiny', sizes, ['tiny'], true],
+  ['a model that a plain request passes on', 'small', undefined, [], [], true],
+  ['an empty name', '', '', [], [], true]
+])('a rejection of %s is laid to the model only if it may be', (_name, named, model, modelSizes, models, isExpected) => {
+  expect(mayRejectModel({ head: { model: named, acceptsAnyModel: named === '*' }, route: { modelSizes }, endpoint: { models }, model })).toBe(isExpected)
+})
