--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -9,10 +9,13 @@
 import { type ResponseHead, RouteType, type RoutedEndpoint, instanceKey, ratedEndpoint } from '../routing/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
+import { mayRejectModel } from './rejectedModel.ts'
 import { RequestArrivals } from './requestArrivals.ts'
 import { isSelfDelimited } from './responseFraming.ts'
 
 const misdirectedStatus = 421
+/** Endpoints that may reject the model that a caller named before its request is given up; one of them may just not be at its address. */
+const maximumModelRejections = 2
 
 /**
  * @example
@@ -27,6 +30,7 @@
   #runCount = 0
   #hasBrokenOff = false
   #crashedRuns = 0
+  #modelRejections = 0
 
   constructor (request: ForwardedRequest) {
     this.#request = request
@@ -53,8 +57,9 @@
     return this.#hasBrokenOff
   }
 
-  /** Further attempts that may be made; none at the end of a planned stop. */
+  /** Further attempts that may be made; none at the end of a planned stop, or once two endpoints have rejected the model that the caller named. */
   get left (): number {
+    if (this.#modelRejections >= maximumModelRejections) return 0
     return this.#dependencies.plannedStop.hasEndedSending ? 0 : this.#request.route.maximumAttempts - this.#runCount
   }
 
@@ -241,17 +246,19 @@
   finishIfNotExecuted (attempt: OpenAttempt, status: number, { wasNotExecuted }: ResponseHead): NotExecutedReason | undefined {
     if (!statesNotRun(status, wasNotExecuted)) return undefined
     const isMisdirected = status === misdirectedStatus
-    if (isMisdirected) this.#recordMisdirected(attempt)
+    const isModelInDoubt = isMisdirected && this.#mayRejectModel(attempt)
+    if (isModelInDoubt) this.#modelRejections++
+    if (isMisdirected) this.#logMisdirected(attempt, isModelInDoubt)
     attempt.exchange.discardRest()
     attempt.run.recordOver()
-    this.finish(attempt, isMisdirected ? AttemptEnd.Lost : AttemptEnd.Full, `not executed, status ${status}`, !isMisdirected)
+    this.finish(attempt, notExecutedEnd(isMisdirected, isModelInDoubt), `not executed, status ${status}`, !isMisdirected)
     return isMisdirected ? NotExecutedReason.Misdirected : NotExecutedReason.Refused
   }
 
-  #recordMisdirected ({ endpoint: { address, identity } }: OpenAttempt): void {
+  #logMisdirected ({ endpoint: { address, identity }, model }: OpenAttempt, isModelInDoubt: boolean): void {
     const { head, service } = this.#request
     this.#dependencies.metrics.misdirected.inc({ service })
-    this.#dependencies.log.warn('endpoint_misdirected', { endpoint: identity, address, service, request: head.attemptId })
+    this.#dependencies.log.warn('request_misdirected', { endpoint: identity, address, service, request: head.attemptId, model, isModelInDoubt })
   }
 
   /**
@@ -268,7 +275,17 @@
     return true
   }
 
+  #mayRejectModel ({ endpoint, model }: OpenAttempt): boolean {
+    const { head, route } = this.#request
+    return mayRejectModel({ head, route, endpoint, model })
+  }
+
   get #dependencies () {
     return this.#request.dependencies
   }
 }
+
+function notExecutedEnd (isMisdirected: boolean, isModelInDoubt: boolean): AttemptEnd {
+  if (isModelInDoubt) return AttemptEnd.Cancelled
+  return isMisdirected ? AttemptEnd.Lost : AttemptEnd.Full
+}
--- a/test/requestTraces.test.ts
+++ b/test/requestTraces.test.ts
@@ -59,7 +59,7 @@
   const ledger = await harness.startEndpoint('ledger')
   harness.store.delete('servers', ledger.identity)
   for (const gone of ['gone-1', 'gone-2']) harness.store.put('servers', gone, endpointDocument('ledger', ledger.address))
-  const misdirected = recordLines('warn', 'endpoint_misdirected')
+  const misdirected = recordLines('warn', 'request_misdirected')
   const host = await startReadyForwarder()
   await harness.call(host, '/balance/1', { method: 'GET', headers: { 'attempt-id': 'a' } })
   expect(misdirected()).toEqual(expect.arrayContaining(['gone-1', 'gone-2'].map(endpoint => ({ endpoint, address: ledger.address, service: 'ledger', request: 'a' }))))
