Reject a response head that is two heads read as one

The parser can't see where the second head begins. Its status line becomes part of the value, and its headers are added to those of the first.

A status line inside a value or the reason phrase shows it. ProgressClient checks this for all users of connections: forwarded requests, load reports, peers' HTTP and the store. Such a request fails as one that was sent and may have run, so an idempotent one is tried elsewhere and another gets 502.

--- a/src/httpClient/progressClient.ts
+++ b/src/httpClient/progressClient.ts
@@ -2,10 +2,11 @@
  * An HTTP client on one connection that closes it when the peer sends bytes without end that are no part of an
  * answer: an endless first line, chunk size or chunk extension, or preliminary answers one after the other. The
  * HTTP parser reads such bytes without keeping or reporting them, so they would keep the process busy until the
- * request's deadline.
+ * request's deadline. Response heads that are two read as one are rejected here as well, for all users of connections.
  */
 import type { Socket } from 'node:net'
 import { Client, type Dispatcher, Pool, buildConnector } from 'undici'
+import { assertSingleHead } from './responseHead.ts'
 
 /** More than the parser may have before it when it reports nothing: the longest head and what the socket buffers. */
 const maximumBytesWithoutProgress = 256 * 1024
@@ -66,18 +67,21 @@
 
 /**
  * Passes all events on and records which of them show progress. A preliminary answer shows none and is not
- * passed on. A pool hands over handlers of the library's older interface, a client those of the newer one.
+ * passed on. A head that is two read as one fails the request, since the library aborts it for what a handler
+ * throws. A pool hands over handlers of the library's older interface, a client those of the newer one.
  */
 function withProgress (handler: Dispatcher.DispatchHandler, progress: ConnectionProgress): Dispatcher.DispatchHandler {
   const replacements: Dispatcher.DispatchHandler = {
     onHeaders: (status, headers, resume, statusText) => {
       if (status < firstFinalStatus) return true
       progress.record()
+      assertSingleHead(statusText, headers)
       return handler.onHeaders?.(status, headers, resume, statusText) ?? true
     },
     onResponseStart: (controller, status, headers, statusMessage) => {
       if (status < firstFinalStatus) return
       progress.record()
+      assertSingleHead(statusMessage, Object.values(headers))
       handler.onResponseStart?.(controller, status, headers, statusMessage)
     },
     onData: chunk => {
