Send nothing to an endpoint whose address answers 421, from any gateway

Addresses of endpoints that have ended are given to other services, and a 421 says so of an address. Nothing was learnt from it: each request went to the same addresses again, from every gateway, and each arrival beyond a request's first counts against the service's retry budget.

src/misdirection remembers an incarnation at its address as misdirected from a 421 on. Eligibility, where every choice begins and which is asked again in the turn of the send, leaves it out, so that a service of such endpoints refuses at once with no_endpoint. A heartbeat later than the rejected registration's, or a registration that outlives the time in which the store drops that of an ended endpoint, lets one request at a time try it; its answer brings the endpoint back at all gateways, and a rejection holds until still later evidence, so that late rows cost one arrival each. The registration's wait is needed since the platform's rows don't change when only the heartbeat does. Gateways tell each other with the news of the breaker and of limits; the facts merge in any order, are bounded, and a gateway that starts is told all. Endpoints' heartbeat numbers are read from their rows for it. endpoint_address_lost, _tried and _confirmed, and lavenderdoor_endpoint_address_changes_total, tell of the state.

An attempt that is withheld since its endpoint was found misdirected while it connected is no loss of the endpoint.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -9,7 +9,7 @@
   ['rateLimit'],
   ['observe', 'routing', 'server', 'httpClient'],
   ['settings', 'link', 'store'],
-  ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution', 'replica', 'breaker', 'fleet', 'fleetLoad'],
+  ['membership', 'claim', 'billing', 'session', 'choice', 'endpoint', 'distribution', 'replica', 'breaker', 'fleet', 'fleetLoad', 'misdirection'],
   ['entry', 'placement', 'news'],
   ['steward', 'gateway'],
   ['daemon', 'standin', 'forwarder'],
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -9,13 +9,14 @@
 import { type LoadReports, WorkNews } from '../fleetLoad/index.ts'
 import { connectionProbe } from '../httpClient/index.ts'
 import { TcpLink } from '../link/index.ts'
+import type { MisdirectedEndpoints } from '../misdirection/index.ts'
 import type { NewsExchange } from '../news/index.ts'
 import { LineQueue, Log, descriptorSink } from '../observe/index.ts'
 import { EndpointEligibility, EndpointLoads, EndpointPlacement, EndpointRegistry, Evacuations, ModelCascade, RetryBudget, VersionSelector } from '../placement/index.ts'
 import { type AnnouncedLimits, type EndpointLimits, PlaceQueues, type WarmUps } from '../rateLimit/index.ts'
 import type { PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay } from '../replica/index.ts'
 import { type CallerListener, HeldBytes } from '../server/index.ts'
-import { makeAnnouncedLimits, makeFleet, makeFleetReports, makeLimits, makeLoadReports, makeNews, makeWarmUps } from './exchangeComposition.ts'
+import { makeAnnouncedLimits, makeFleet, makeFleetReports, makeLimits, makeLoadReports, makeMisdirected, makeNews, makeWarmUps } from './exchangeComposition.ts'
 import { makeFollower, makePeers, makeRelay, makeRelayFollower } from './followingComposition.ts'
 import { EvacuationLoader } from './evacuationLoader.ts'
 import { RowRollOutStore } from './rollOutStore.ts'
@@ -67,6 +68,7 @@
   readonly routing: RoutingView
   readonly registry: EndpointRegistry
   readonly evacuations: Evacuations
+  readonly misdirected: MisdirectedEndpoints
   readonly eligibility: EndpointEligibility
   readonly loads: EndpointLoads
   readonly liveness: EndpointLiveness
@@ -126,7 +128,8 @@
     routing: single(() => new RoutingView()),
     registry: single(() => new EndpointRegistry()),
     evacuations: single(() => new Evacuations()),
-    eligibility: single(({ registry, evacuations }) => new EndpointEligibility(registry, evacuations)),
+    misdirected: single(makeMisdirected),
+    eligibility: single(({ registry, evacuations, misdirected }) => new EndpointEligibility(registry, evacuations, misdirected)),
     loads: single(parts => new EndpointLoads(now => parts.loadReports.notifyWork(now))),
     liveness: single(makeLiveness),
     rollOuts: single(parts => new RollOutView(parts.boot.current.name, parts.boot.current.maximumExposedShare, () => parts.follower.storeTime)),
@@ -216,6 +219,7 @@
     routing: parts.routing,
     registry: parts.registry,
     eligibility: parts.eligibility,
+    misdirected: parts.misdirected,
     loads,
     liveness: parts.liveness,
     rollOuts: parts.rollOuts,
@@ -244,8 +248,8 @@
   return new HeldBytes({ maximumBytes, clock, onEviction: () => metrics.evictedHoldings.inc() })
 }
 
-function makeAnnouncements ({ announcedLimits, clock, loads, log, news, randomness, registry, warmUps }: ForwarderDependencies): EndpointAnnouncements {
-  return new EndpointAnnouncements({ registry, loads, announcedLimits, warmUps, onLimitNews: () => news.publish(), clock, randomness, log })
+function makeAnnouncements ({ announcedLimits, clock, loads, log, misdirected, news, randomness, registry, warmUps }: ForwarderDependencies): EndpointAnnouncements {
+  return new EndpointAnnouncements({ registry, loads, announcedLimits, misdirected, warmUps, onNews: () => news.publish(), clock, randomness, log })
 }
 
 function makeGateway (parts: ForwarderDependencies): GatewayServer {
--- a/src/forwarder/exchangeComposition.ts
+++ b/src/forwarder/exchangeComposition.ts
@@ -1,14 +1,34 @@
-/** Composes what gateways tell each other: who runs, limits, crashes, and their work at endpoints. */
+/** Composes what gateways tell each other: who runs, limits, crashes, misdirected endpoints, and their work at endpoints. */
 import { FleetDirectory, FleetReports } from '../fleet/index.ts'
 import { LoadReports } from '../fleetLoad/index.ts'
-import { NewsExchange, logLimitChange } from '../news/index.ts'
+import { MisdirectedEndpoints } from '../misdirection/index.ts'
+import { NewsExchange, logLimitChange, logMisdirection } from '../news/index.ts'
 import { AnnouncedLimits, EndpointLimits, WarmUps } from '../rateLimit/index.ts'
+import type { ReplicaFollower } from '../replica/index.ts'
 import type { ForwarderDependencies } from './composition.ts'
+import { registrationExpiryMilliseconds } from './tableLoader.ts'
 
 export function makeAnnouncedLimits (parts: ForwarderDependencies): AnnouncedLimits {
   return new AnnouncedLimits(change => logLimitChange(parts.log, change, parts.limits.sentTo(change.fact.instance)))
 }
 
+export function makeMisdirected (parts: ForwarderDependencies): MisdirectedEndpoints {
+  const { boot, log, metrics, randomness } = parts
+  return new MisdirectedEndpoints({
+    registrationMilliseconds: () => registrationExpiryMilliseconds(boot.current),
+    followedSince: () => followedSince(parts.follower),
+    randomness,
+    onChange: change => {
+      logMisdirection(log, change)
+      metrics.addressChanges.inc({ change: change.type })
+    }
+  })
+}
+
+function followedSince ({ hasFailingFeed, lastRecoveredAt, lastRestoredAt }: ReplicaFollower): number {
+  return hasFailingFeed ? Number.POSITIVE_INFINITY : Math.max(lastRecoveredAt, lastRestoredAt)
+}
+
 export function makeLimits ({ announcedLimits, fleet, registry, warmUps }: ForwarderDependencies): EndpointLimits {
   return new EndpointLimits({ announced: announcedLimits, fleet, regionsServing: service => registry.regionsServing(service), warmUps })
 }
@@ -35,11 +55,12 @@
 }
 
 export function makeNews (parts: ForwarderDependencies): NewsExchange {
-  const { link, breaker, announcedLimits, peers, clock, randomness, log } = parts
+  const { link, breaker, announcedLimits, misdirected, peers, clock, randomness, log } = parts
   return new NewsExchange({
     link,
     breaker,
     limits: announcedLimits,
+    misdirected,
     peers: () => peers.peers,
     onBreakerNews: () => parts.runs.followNews(clock.now()),
     clock,
--- a/src/forwarder/tableLoader.ts
+++ b/src/forwarder/tableLoader.ts
@@ -116,7 +116,7 @@
       this.#collect(row, decoded, endpoints)
       if (decoded.ok) this.#recordWarmUp(decoded.val, row.version)
     }
-    const expiryMilliseconds = missedHeartbeatsToExpiry * boot.current.endpointHeartbeatIntervalMilliseconds + storeRecoveryNoticeMilliseconds
+    const expiryMilliseconds = registrationExpiryMilliseconds(boot.current)
     const now = clock.now()
     const wasStoreRestored = now - follower.lastRestoredAt < expiryMilliseconds
     const storeWasOut = wasStoreRestored || follower.hasFailingFeed || now - follower.lastRecoveredAt < expiryMilliseconds
@@ -181,6 +181,11 @@
   }
 }
 
+/** How long the registration of an endpoint that has ended may stay, as a gateway that follows the store sees it. */
+export function registrationExpiryMilliseconds ({ endpointHeartbeatIntervalMilliseconds }: BootFile): number {
+  return missedHeartbeatsToExpiry * endpointHeartbeatIntervalMilliseconds + storeRecoveryNoticeMilliseconds
+}
+
 function bytesOf (row: FeedRow): Uint8Array {
   return row.bytes ?? new Uint8Array()
 }
--- a/src/gateway/endpointAnnouncements.ts
+++ b/src/gateway/endpointAnnouncements.ts
@@ -1,9 +1,11 @@
 /**
  * Acts on what endpoints announce in the heads of their responses: that they are draining or warming up, that they
- * want no requests for some time, or that they take only so many a second from all gateways together. All of it is
- * known here before the store tells, and also while it is out.
+ * want no requests for some time, that they take only so many a second from all gateways together, or that they are
+ * not the endpoint that a request was meant for. All of it is known here before the store tells, and also while it
+ * is out.
  */
 import { type Clock, type Randomness, dropOldest } from '../contract/index.ts'
+import type { MisdirectedEndpoints } from '../misdirection/index.ts'
 import type { Log } from '../observe/index.ts'
 import { type EndpointLoads, type EndpointRegistry, overloadBackoff } from '../placement/index.ts'
 import type { AnnouncedLimits, RateAnnouncement, WarmUps } from '../rateLimit/index.ts'
@@ -21,8 +23,9 @@
   readonly loads: EndpointLoads
   readonly announcedLimits: AnnouncedLimits
   readonly warmUps: Pick<WarmUps, 'recordResponse'>
-  /** Called when other gateways should be told of a limit. */
-  readonly onLimitNews: () => void
+  readonly misdirected: Pick<MisdirectedEndpoints, 'recordAnswer' | 'recordRejection'>
+  /** Called when other gateways should be told of a limit or of an endpoint's address. */
+  readonly onNews: () => void
   readonly clock: Clock
   readonly randomness: Randomness
   readonly log: Log
@@ -48,16 +51,32 @@
   record (endpoint: RoutedEndpoint, status: number, head: ResponseHead, sentAt: number): void {
     if (head.error !== undefined) this.#logInvalidHeader(endpoint, head.error)
     if (head.isDraining) this.#recordDraining(endpoint)
+    if (head.isSealed && !head.wasNotExecuted) this.#recordAnswer(endpoint, sentAt)
     if (head.warmUpMilliseconds !== undefined) this.#recordWarmUp(endpoint, head.warmUpMilliseconds)
     this.#recordRateLimit(endpoint, status, head.rateLimit, sentAt)
     if (status === serviceUnavailableStatus && head.retryAfterMilliseconds !== undefined) this.#recordOverload(endpoint, head.retryAfterMilliseconds)
   }
 
+  /**
+   * Records that the address of an endpoint answers for another one.
+   *
+   * @param sentAt when the rejected request was sent
+   */
+  recordRejection (endpoint: RoutedEndpoint, sentAt: number): void {
+    const { clock, misdirected, onNews } = this.#options
+    if (misdirected.recordRejection(endpoint, sentAt, clock.now())) onNews()
+  }
+
+  #recordAnswer (endpoint: RoutedEndpoint, sentAt: number): void {
+    const { clock, misdirected, onNews } = this.#options
+    if (misdirected.recordAnswer(endpoint, sentAt, clock.now())) onNews()
+  }
+
   #recordRateLimit (endpoint: RoutedEndpoint, status: number, announcement: RateAnnouncement, sentAt: number): void {
-    const { clock, announcedLimits, onLimitNews } = this.#options
+    const { clock, announcedLimits, onNews } = this.#options
     const isServed = status < firstErrorStatus
     const isNews = announcedLimits.observe({ instance: instanceKey(endpoint), announcement, sentAt, isServed }, clock.now())
-    if (isNews) onLimitNews()
+    if (isNews) onNews()
   }
 
   #recordWarmUp (endpoint: RoutedEndpoint, milliseconds: number): void {
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -7,6 +7,7 @@
 import { type Clock, type Refusal, RefusalCode } from '../contract/index.ts'
 import type { EndpointRuns, PromptBreaker } from '../breaker/index.ts'
 import type { Connections } from '../endpoint/index.ts'
+import type { MisdirectedEndpoints } from '../misdirection/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { EndpointEligibility, EndpointRegistry, EndpointLoads, EndpointPlacement, ModelCascade, RetryBudget, VersionSelector } from '../placement/index.ts'
 import { chooseService } from '../placement/index.ts'
@@ -33,6 +34,7 @@
   readonly routing: RoutingView
   readonly registry: EndpointRegistry
   readonly eligibility: EndpointEligibility
+  readonly misdirected: MisdirectedEndpoints
   readonly loads: EndpointLoads
   readonly liveness: EndpointLiveness
   readonly placement: EndpointPlacement
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -61,7 +61,7 @@
   /** Starts an attempt at an endpoint. */
   send (endpoint: RoutedEndpoint, options: AttemptOptions): OpenAttempt {
     const request = this.#request
-    const { connections, limits, plannedStop, loads, rollOuts, runs } = this.#dependencies
+    const { connections, limits, misdirected, plannedStop, loads, rollOuts, runs } = this.#dependencies
     const { model, usesOwnConnection } = options
     const startedAt = request.now
     const permit = limits.open(ratedEndpoint(endpoint), startedAt)
@@ -69,6 +69,7 @@
     const mayStillSend = () => {
       const isSending = !request.hasCallerLeft && !plannedStop.hasEndedSending && request.now < request.deadline && request.selection.isEligible(endpoint) && !loads.isOverloaded(endpoint, request.now) && permit.trySend(request.now)
       if (isSending) run.recordSent(request.now)
+      if (isSending) misdirected.recordSent(endpoint, request.now)
       return isSending
     }
     const exchangeOptions = this.#exchangeOptions(endpoint, options, startedAt, mayStillSend)
@@ -180,11 +181,18 @@
    */
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
     if (this.#request.hasCallerLeft || attempt.isBlocked()) return AttemptEnd.Cancelled
-    const isOverloaded = !attempt.exchange.mayHaveSent && this.#dependencies.loads.isOverloaded(attempt.endpoint, this.#request.now)
-    if (isOverloaded || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
+    const isUnwanted = !attempt.exchange.mayHaveSent && this.#isUnwanted(attempt.endpoint)
+    if (isUnwanted || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
     return isSilent || !attempt.exchange.mayHaveSent ? AttemptEnd.Lost : AttemptEnd.Failed
   }
 
+  /** Whether an endpoint is left alone now. That it was not sent to then says nothing of whether it can be reached. */
+  #isUnwanted (endpoint: RoutedEndpoint): boolean {
+    const { loads, misdirected } = this.#dependencies
+    const { now } = this.#request
+    return loads.isOverloaded(endpoint, now) || misdirected.isMisdirected(endpoint, now)
+  }
+
   /**
    * Whether an orderly end shows that a response is whole. A killed endpoint's connections end in order too, so
    * the end of a response without a frame proves that only of an endpoint that has outlived it.
@@ -218,6 +226,7 @@
     const isMisdirected = status === misdirectedStatus
     const isModelInDoubt = isMisdirected && this.#mayRejectModel(attempt)
     if (isModelInDoubt) this.#modelRejections++
+    else if (isMisdirected) this.#dependencies.announcements.recordRejection(attempt.endpoint, attempt.startedAt)
     attempt.exchange.discardRest()
     attempt.run.recordOver()
     this.finish(attempt, notExecutedEnd(isMisdirected, isModelInDoubt), `not executed, status ${status}`, !isMisdirected)
--- a/src/news/newsExchange.ts
+++ b/src/news/newsExchange.ts
@@ -1,7 +1,7 @@
 /**
  * Spreads what a gateway learns of endpoints and prompts to all gateways, without the store: crashes and blocks
- * of the breaker, and the limits that endpoints announce. All of it merges, so order and repetition do not
- * matter. News goes to a few random peers at once, and each gateway to which it is news passes on just that
+ * of the breaker, the limits that endpoints announce, and endpoints that are not at their address any more. All of
+ * it merges, so order and repetition do not matter. News goes to a few random peers at once, and each gateway to which it is news passes on just that
  * (an epidemic broadcast). For a while afterwards, and as long as a part is blocked, gateways compare digests of
  * what they know with random peers, and tell these what they lack, which reaches those that were cut off
  * (anti-entropy). With nothing to tell, nothing is sent.
@@ -9,6 +9,7 @@
 import { type BreakerNews, type PromptBreaker, decodeBreakerNews, encodeBreakerNews, factHashes, newsBeyond, summaryOf } from '../breaker/index.ts'
 import { type Clock, type Randomness, Wakeup, randomSample } from '../contract/index.ts'
 import type { Link, Peer } from '../link/index.ts'
+import { type MisdirectedEndpoints, encodeMisdirectionFacts } from '../misdirection/index.ts'
 import type { Log } from '../observe/index.ts'
 import { type AnnouncedLimits, decodeLimitFacts, encodeLimitFacts } from '../rateLimit/index.ts'
 import { type EncodedNews, newsMessage } from './newsMessages.ts'
@@ -38,6 +39,8 @@
   readonly link: Link
   readonly breaker: PromptBreaker
   readonly limits: AnnouncedLimits
+  /** Undefined where requests don't name their endpoint, so that nothing tells whose address it is. */
+  readonly misdirected?: Pick<MisdirectedEndpoints, 'merge' | 'news' | 'all'>
   /** Other gateways that are known. */
   readonly peers: () => readonly Peer[]
   /** Called after each message that brought news of the breaker. */
@@ -147,12 +150,13 @@
   }
 
   #merge (news: EncodedNews): void {
-    const { breaker, clock, limits, onBreakerNews } = this.#options
+    const { breaker, clock, limits, misdirected, onBreakerNews } = this.#options
     const now = clock.now()
     const hasBreakerNews = breaker.merge(decodeBreakerNews(news, now), now)
     const hasLimitNews = limits.merge(decodeLimitFacts(news.limits ?? []), now)
+    const hasMisdirectionNews = misdirected?.merge(news.misdirected ?? [], now) ?? false
     if (hasBreakerNews) onBreakerNews()
-    if (hasBreakerNews || hasLimitNews) this.publish()
+    if (hasBreakerNews || hasLimitNews || hasMisdirectionNews) this.publish()
   }
 
   #replyTo ({ isStarting, isUpdate, summary }: EncodedNews): EncodedNews {
@@ -170,16 +174,18 @@
   }
 
   #message ({ news, isComplete }: { readonly news: BreakerNews, readonly isComplete: boolean }): EncodedNews {
-    const { clock, limits } = this.#options
+    const { clock, limits, misdirected } = this.#options
     const now = clock.now()
-    const facts = isComplete ? limits.all(now) : limits.news(now)
-    return { ...encodeBreakerNews(news, now), limits: encodeLimitFacts(facts) }
+    const limitFacts = isComplete ? limits.all(now) : limits.news(now)
+    const misdirectionFacts = isComplete ? misdirected?.all(now) : misdirected?.news(now)
+    return { ...encodeBreakerNews(news, now), limits: encodeLimitFacts(limitFacts), misdirected: encodeMisdirectionFacts(misdirectionFacts ?? []) }
   }
 
   get #isEmpty (): boolean {
-    const { breaker, clock, limits } = this.#options
-    const { reports, blocks } = breaker.news(clock.now())
-    return reports.length === 0 && blocks.length === 0 && limits.news(clock.now()).length === 0
+    const { breaker, clock, limits, misdirected } = this.#options
+    const now = clock.now()
+    const { reports, blocks } = breaker.news(now)
+    return [reports, blocks, limits.news(now), misdirected?.news(now) ?? []].every(facts => facts.length === 0)
   }
 
   #pickPeers (count: number): readonly Peer[] {
@@ -187,8 +193,8 @@
   }
 }
 
-function isEmptyNews ({ reports, blocks, answers, limits = [] }: EncodedNews): boolean {
-  return [reports, blocks, answers, limits].every(facts => facts.length === 0)
+function isEmptyNews ({ reports, blocks, answers, limits = [], misdirected = [] }: EncodedNews): boolean {
+  return [reports, blocks, answers, limits, misdirected].every(facts => facts.length === 0)
 }
 
 function joined (left: BreakerNews, right: BreakerNews): BreakerNews {
--- a/src/news/newsMessages.ts
+++ b/src/news/newsMessages.ts
@@ -2,10 +2,12 @@
 import * as z from 'zod'
 import { breakerNewsSchema } from '../breaker/index.ts'
 import type { MessageType } from '../link/index.ts'
+import { misdirectionFactsSchema } from '../misdirection/index.ts'
 import { limitFactsSchema } from '../rateLimit/index.ts'
 
 const newsSchema = breakerNewsSchema.extend({
   limits: limitFactsSchema.optional(),
+  misdirected: misdirectionFactsSchema.optional(),
   /** Whether the sender has just started and asks for all that the receiver knows. */
   isStarting: z.boolean().optional(),
   /** Whether the message tells only what the sender has just learnt; nothing is to be told in reply. */
--- a/src/placement/endpointEligibility.ts
+++ b/src/placement/endpointEligibility.ts
@@ -1,9 +1,10 @@
 /**
- * Decides which endpoints of a service a request may reach: those that take new work, in a region that its route
- * and its organisation allow, in a data centre that is not evacuated. Every choice of an endpoint begins here,
+ * Decides which endpoints of a service a request may reach: those that take new work, are at their address, in a
+ * region that its route and its organisation allow, in a data centre that is not evacuated. Every choice of an endpoint begins here,
  * and the endpoint is checked again in the event-loop turn that sends the request. If nothing is left, it says
  * what stands in the way.
  */
+import type { MisdirectedEndpoints } from '../misdirection/index.ts'
 import type { AllowedRegions, RoutedEndpoint } from '../routing/index.ts'
 import type { EndpointRegistry } from './endpointRegistry.ts'
 import type { Evacuations } from './evacuations.ts'
@@ -16,7 +17,7 @@
 
 /** Why no endpoint of a service may be reached. */
 export const Ineligibility = {
-  /** No endpoint of the service takes new work. */
+  /** No endpoint of the service takes new work at its address. */
   NoEndpoint: 'no_endpoint',
   /** None is in a region that the request may be served in. */
   NoAllowedRegion: 'no_allowed_region',
@@ -32,26 +33,28 @@
 export class EndpointEligibility {
   readonly #registry: Pick<EndpointRegistry, 'servingEndpoints' | 'isServing'>
   readonly #evacuations: Evacuations
+  readonly #misdirected: Pick<MisdirectedEndpoints, 'isMisdirected'>
 
-  constructor (registry: Pick<EndpointRegistry, 'servingEndpoints' | 'isServing'>, evacuations: Evacuations) {
+  constructor (registry: Pick<EndpointRegistry, 'servingEndpoints' | 'isServing'>, evacuations: Evacuations, misdirected: Pick<MisdirectedEndpoints, 'isMisdirected'>) {
     this.#registry = registry
     this.#evacuations = evacuations
+    this.#misdirected = misdirected
   }
 
   /** The endpoints that a request may reach. */
   endpointsFor ({ service, allowedRegions }: EligibilityRequest, now: number): readonly RoutedEndpoint[] {
-    return this.#registry.servingEndpoints(service, now).filter(endpoint => this.#isOpenTo(endpoint, allowedRegions))
+    return this.#servingEndpoints(service, now).filter(endpoint => this.#isOpenTo(endpoint, allowedRegions))
   }
 
   /** Whether a request may be sent to an endpoint that was chosen earlier. */
   isEligible (endpoint: RoutedEndpoint, allowedRegions: AllowedRegions, now: number): boolean {
-    return this.#isOpenTo(endpoint, allowedRegions) && this.#registry.isServing(endpoint, now)
+    return this.#isOpenTo(endpoint, allowedRegions) && this.#registry.isServing(endpoint, now) && !this.#misdirected.isMisdirected(endpoint, now)
   }
 
   /** What leaves a request without an endpoint; undefined if it has one. */
   ineligibilityOf (request: EligibilityRequest, now: number): Ineligibility | undefined {
     if (request.allowedRegions?.size === 0) return Ineligibility.NoAllowedRegion
-    const serving = this.#registry.servingEndpoints(request.service, now)
+    const serving = this.#servingEndpoints(request.service, now)
     if (serving.length === 0) return Ineligibility.NoEndpoint
     const allowed = serving.filter(({ place }) => isAllowed(place.region, request.allowedRegions))
     if (allowed.length === 0) return Ineligibility.NoAllowedRegion
@@ -59,6 +62,10 @@
     return isReachable ? undefined : Ineligibility.Evacuated
   }
 
+  #servingEndpoints (service: string, now: number): readonly RoutedEndpoint[] {
+    return this.#registry.servingEndpoints(service, now).filter(endpoint => !this.#misdirected.isMisdirected(endpoint, now))
+  }
+
   #isOpenTo ({ place }: RoutedEndpoint, allowedRegions: AllowedRegions): boolean {
     return isAllowed(place.region, allowedRegions) && !this.#evacuations.isEvacuated(place.dataCentre)
   }
--- a/src/routing/routedEndpoint.ts
+++ b/src/routing/routedEndpoint.ts
@@ -15,6 +15,8 @@
   /** The version of its software. */
   readonly version: string
   readonly isDraining: boolean
+  /** Number of the latest heartbeat in its registration; it only rises within an incarnation. Undefined if it does not say. */
+  readonly heartbeat?: number
   /** Models it has loaded; empty for a plain service. */
   readonly models: readonly string[]
   /** Requests that it executes at once, others wait; undefined if it does not say. */
--- a/test/endpointAnnouncements.test.ts
+++ b/test/endpointAnnouncements.test.ts
@@ -8,6 +8,7 @@
 import { EndpointLoads, EndpointRegistry, overloadBackoff } from '../src/placement/index.ts'
 import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
 import { ManualClock } from './fakes/manualClock.ts'
+import { noMisdirected } from './fakes/misdirection.ts'
 
 let harness: ForwarderHarness
 beforeEach(async () => { harness = await ForwarderHarness.start() })
@@ -143,7 +144,7 @@
   const warmUps = new WarmUps({ requestsPerSecondOf: () => 2, tolerance: { rateFactor: 1.5, additionalRequests: 5 } })
   const registry = new EndpointRegistry()
   registry.update({ endpoints: [target], wasStoreUnavailable: false, now: 0 })
-  const announcements = new EndpointAnnouncements({ registry, loads, announcedLimits: new AnnouncedLimits(), warmUps, onLimitNews: () => undefined, clock, randomness: new SeededRandomness(5), log: new Log('info', {}, line => lines.push(line)) })
+  const announcements = new EndpointAnnouncements({ registry, loads, announcedLimits: new AnnouncedLimits(), warmUps, misdirected: noMisdirected(), onNews: () => undefined, clock, randomness: new SeededRandomness(5), log: new Log('info', {}, line => lines.push(line)) })
   const record = (status: number, headers: Record<string, string>) => announcements.record(target, status, new PlatformHeaders().readResponseHead(headers), clock.now())
   return { clock, loads, registry, warmUps, record, lines: () => lines.map(line => JSON.parse(line)) }
 }
--- a/test/endpointRow.test.ts
+++ b/test/endpointRow.test.ts
@@ -14,3 +14,7 @@
   expect(decode({ slots }).identity).toBe('i-1')
   expect(decode({ slots }).slots).toBeUndefined()
 })
+
+test('the heartbeat of an endpoint is read from its row', () => {
+  expect(decode({ seq_no: 41 }).heartbeat).toBe(41)
+})
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -14,6 +14,7 @@
 import { HeldBytes } from '../../src/server/index.ts'
 import { limitsOf, noWarmUps } from './limitWorld.ts'
 import { ManualClock } from './manualClock.ts'
+import { noMisdirected } from './misdirection.ts'
 import { StreamEngine } from './streamEngine.ts'
 
 export const place = { region: 'coast', dataCentre: 'west' }
@@ -131,7 +132,7 @@
     const { clock } = this
     const randomness = new SeededRandomness(seed)
     const log = new Log('info', {}, line => this.lines.push(JSON.parse(line)))
-    const [routing, registry, loads, announcedLimits] = [new RoutingView(), new EndpointRegistry(), new EndpointLoads(), new AnnouncedLimits()]
+    const [routing, registry, loads, announcedLimits, misdirected] = [new RoutingView(), new EndpointRegistry(), new EndpointLoads(), new AnnouncedLimits(), noMisdirected()]
     const limits = limitsOf(announcedLimits)
     const breaker = new PromptBreaker({ name: `gateway-${seed}`, onChange: () => undefined })
     routing.install(settingsWith(timeoutMilliseconds))
@@ -143,7 +144,8 @@
       codec: new PlatformHeaders(),
       routing,
       registry,
-      eligibility: new EndpointEligibility(registry, new Evacuations()),
+      eligibility: new EndpointEligibility(registry, new Evacuations(), misdirected),
+      misdirected,
       loads,
       placement: new EndpointPlacement(place, loads, randomness, limits),
       limits,
@@ -155,7 +157,7 @@
       retryBudget: new RetryBudget(retryRatio),
       breaker,
       runs: new EndpointRuns({ name: `gateway-${seed}`, breaker, hasCrashed: async () => false, onNews: () => undefined, clock, log }),
-      announcements: new EndpointAnnouncements({ registry, loads, announcedLimits, warmUps: noWarmUps(), onLimitNews: () => undefined, clock, randomness, log }),
+      announcements: new EndpointAnnouncements({ registry, loads, announcedLimits, misdirected, warmUps: noWarmUps(), onNews: () => undefined, clock, randomness, log }),
       versionSelector: new VersionSelector(sessionTimeoutMilliseconds),
       rollOuts: new RollOutView(`gateway-${seed}`, 0.15, () => clock.now()),
       connections: connectionsTo(this.engines),
