--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -3,9 +3,11 @@
  * how each ended.
  */
 import type { IncomingHttpHeaders } from 'node:http'
+import type { EndpointRun } from '../breaker/index.ts'
 import type { Exchange, ExchangeOptions } from '../endpoint/index.ts'
 import { promisesNotRun, statesNotRun } from '../contract/index.ts'
 import { AttemptEnd } from '../placement/index.ts'
+import type { SendPermit } from '../rateLimit/index.ts'
 import { type ResponseHead, RouteType, type RoutedEndpoint, instanceKey, ratedEndpoint } from '../routing/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
@@ -85,8 +87,8 @@
     const permit = limits.open(ratedEndpoint(endpoint), startedAt)
     request.selection.markTried(endpoint)
     const mayStillSend = () => {
-      const isSending = !request.hasCallerLeft && !plannedStop.hasEndedSending && request.now < request.deadline && request.selection.isEligible(endpoint) && !loads.isOverloaded(endpoint, request.now) && this.#arrivals.mayFollow(request.now) && permit.trySend(request.now)
-      if (isSending) this.#recordSent(run)
+      const isSending = this.#mayWrite(endpoint, permit)
+      if (isSending) this.#recordSent(endpoint, run)
       return isSending
     }
     const exchangeOptions = this.#exchangeOptions(endpoint, options, startedAt, mayStillSend)
@@ -105,12 +107,23 @@
     return { endpoint, model, exchange, startedAt, forgetStop, unfollowCaller, promptMilliseconds: work.prefillMilliseconds, tracker, run, permit, evidence, isBlocked: () => isBlocked }
   }
 
+  /** Whether the request may be written to an endpoint; asked in the event-loop turn that writes it. Takes its place under the endpoint's rate limit. */
+  #mayWrite (endpoint: RoutedEndpoint, permit: SendPermit): boolean {
+    const { deadline, hasCallerLeft, now, selection } = this.#request
+    const { loads, plannedStop } = this.#dependencies
+    if (hasCallerLeft || now >= deadline || plannedStop.hasEndedSending) return false
+    if (!selection.isEligible(endpoint) || loads.isOverloaded(endpoint, now)) return false
+    return this.#arrivals.mayFollow(now) && permit.trySend(now)
+  }
+
   /** To be called in the event-loop turn that writes the request. */
-  #recordSent (run: OpenAttempt['run']): void {
+  #recordSent (endpoint: RoutedEndpoint, run: EndpointRun): void {
     const { now, service } = this.#request
+    const { metrics, misdirected } = this.#dependencies
     const kind = this.#arrivals.record(now)
     run.recordSent(now)
-    this.#dependencies.metrics.sends.inc({ service, kind })
+    misdirected.recordSent(endpoint, now)
+    metrics.sends.inc({ service, kind })
   }
 
   #exchangeOptions (endpoint: RoutedEndpoint, { model, lastEventId }: AttemptOptions, startedAt: number, mayStillSend: () => boolean): ExchangeOptions {
@@ -206,13 +219,16 @@
    */
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
     if (this.#request.hasCallerLeft || attempt.isBlocked()) return AttemptEnd.Cancelled
-    const isOverloaded = !attempt.exchange.mayHaveSent && this.#dependencies.loads.isOverloaded(attempt.endpoint, this.#request.now)
-    if (isOverloaded || attempt.permit.wasHeldBack || this.#wasHeldBack(attempt)) return AttemptEnd.Cancelled
+    const wasLeftAlone = !attempt.exchange.mayHaveSent && this.#isLeftAlone(attempt.endpoint)
+    if (wasLeftAlone || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
     return isSilent || !attempt.exchange.mayHaveSent ? AttemptEnd.Lost : AttemptEnd.Failed
   }
 
-  #wasHeldBack ({ exchange }: OpenAttempt): boolean {
-    return !exchange.mayHaveSent && this.#arrivals.isHeldBack
+  /** Whether the request may not be sent to an endpoint now. That says nothing of whether the endpoint can be reached. */
+  #isLeftAlone (endpoint: RoutedEndpoint): boolean {
+    const { loads, misdirected } = this.#dependencies
+    const { now } = this.#request
+    return loads.isOverloaded(endpoint, now) || misdirected.isMisdirected(endpoint, now) || this.#arrivals.isHeldBack
   }
 
   /**
@@ -248,6 +264,7 @@
     const isMisdirected = status === misdirectedStatus
     const isModelInDoubt = isMisdirected && this.#mayRejectModel(attempt)
     if (isModelInDoubt) this.#modelRejections++
+    else if (isMisdirected) this.#dependencies.announcements.recordRejection(attempt.endpoint, attempt.startedAt)
     if (isMisdirected) this.#logMisdirected(attempt, isModelInDoubt)
     attempt.exchange.discardRest()
     attempt.run.recordOver()
