Tell each gateway what part it has of what the whole fleet may spend in a window

FleetShare gives one gateway an equal part, and none - while most seeds do not answer: two gateways with a part then have a seed in common that lists each to the other; - until all lists that lack it are out of use, and one window longer, since others may have spent larger parts until then and its own predecessor may have spent its part; - where a window is so long that one that is gone is forgotten within it.

The test lets gateways spend their parts at once, on an in-process network of fleet reports.

--- a/src/fleet/fleetDirectory.ts
+++ b/src/fleet/fleetDirectory.ts
@@ -9,9 +9,9 @@
  */
 import { createHash } from 'node:crypto'
 import type { Fleet, FleetMember } from '../rateLimit/index.ts'
+import { retentionMilliseconds } from './fleetTimes.ts'
+import { SeedContact } from './seedContact.ts'
 
-/** A seed lists a gateway for this time after its last report. */
-export const retentionMilliseconds = 60_000
 /** Without any answer, a gateway takes the seeds and itself for the whole fleet after this time. */
 const settlingMilliseconds = 5_000
 
@@ -34,6 +34,8 @@
  * const { members } = directory
  */
 export class FleetDirectory implements Fleet {
+  /** With the seeds that sent lists. */
+  readonly contact: SeedContact
   readonly #options: FleetDirectoryOptions
   /** Gateways that reported to this one. */
   readonly #reports = new Map<string, ListedMember>()
@@ -44,6 +46,7 @@
 
   constructor (options: FleetDirectoryOptions) {
     this.#options = options
+    this.contact = new SeedContact({ ...options, address: options.self.address })
     this.#members = [options.self]
     this.#updateMembers()
   }
@@ -89,6 +92,7 @@
     this.#listsBySeed.set(seed, members)
     for (const member of members) this.#list(member, now)
     this.#lastListAt = now
+    this.contact.record(seed, now)
     this.#forgetUnlisted(now)
     this.#updateMembers()
   }
--- a/src/fleet/fleetReports.ts
+++ b/src/fleet/fleetReports.ts
@@ -7,11 +7,7 @@
 import type { Link, MessageType } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
 import { type FleetDirectory, membersDigest } from './fleetDirectory.ts'
-
-/** Reports are repeated after this time and then at doubling intervals. */
-const minimumIntervalMilliseconds = 1_500
-const maximumIntervalMilliseconds = 20_000
-const replyTimeoutMilliseconds = 1_000
+import { maximumIntervalMilliseconds, minimumIntervalMilliseconds, replyTimeoutMilliseconds } from './fleetTimes.ts'
 
 const requestSchema = z.object({
   /** Of the list that the sender has from this seed; empty if it has none. */
