Keep the repeats of all gateways together within the operators' ratio, window and slack

What services saw: more repeats in a window than operators allow while gateways are replaced or a large fleet is quiet.

Cause: of the three figures only the ratio was read. Each gateway had a floor of three in ten seconds, which it got again with every start and which grew with the fleet, unlike the slack of the large deployments.

The boot file's retry_window_s and retry_slack are read and checked now (10 s and 10 unless it names them). A repeat is allowed if for every begin of a window that may hold it the repeats since are no more than ratio x half the requests since one window before, and the gateway's part of the slack. Half the requests of two successive windows are never more than those of the larger one, and as a linear bound it sums over gateways. FleetShare gives the part of the slack.

Tests of other things send one request to a gateway that has just started, so the stand-in's boot file has a ratio that allows it; the tests of the budget name their own.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -5,7 +5,7 @@
 import { type Clock, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { Connections } from '../endpoint/index.ts'
 import { EndpointAnnouncements, EndpointLiveness, Forwarding, GatewayMetrics, GatewayServer, OperationsServer, PlannedStop, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
-import type { FleetDirectory, FleetReports } from '../fleet/index.ts'
+import { type FleetDirectory, type FleetReports, FleetShare } from '../fleet/index.ts'
 import { type LoadReports, WorkNews } from '../fleetLoad/index.ts'
 import { connectionProbe } from '../httpClient/index.ts'
 import { TcpLink } from '../link/index.ts'
@@ -227,7 +227,7 @@
     limits: parts.limits,
     placeQueues: parts.placeQueues,
     modelCascade: new ModelCascade(),
-    retryBudget: new RetryBudget(boot.current.retryRatio),
+    retryBudget: makeRetryBudget(parts),
     breaker: parts.breaker,
     runs: parts.runs,
     announcements: makeAnnouncements(parts),
@@ -238,6 +238,12 @@
   })
 }
 
+function makeRetryBudget ({ boot, fleet }: ForwarderDependencies): RetryBudget {
+  const { retryLimits } = boot.current
+  const share = new FleetShare({ directory: fleet, windowMilliseconds: retryLimits.windowMilliseconds })
+  return new RetryBudget(retryLimits, now => share.at(now))
+}
+
 /** The rest of the memory is for the program, its tables and what the garbage collector has yet to free. */
 function makeHeldBytes ({ boot, clock, metrics }: ForwarderDependencies): HeldBytes {
   const maximumBytes = Math.max(minimumHeldBytes, (boot.current.memoryBytes ?? assumedMemoryBytes) * heldMemoryShare)
--- a/src/placement/retryBudget.ts
+++ b/src/placement/retryBudget.ts
@@ -1,76 +1,76 @@
 /**
- * Retry budget per service. Operators allow retries as a share of all requests over all daemons. Each
- * daemon keeps to that share of the requests it receives itself, so the total stays within the limit
- * without coordination.
+ * Retry budget per service, which keeps all gateways together within what operators allow, though each counts only
+ * its own requests and repeats.
+ *
+ * A repeat at time s is allowed if for every begin b of a window that may hold it the repeats since b, with this
+ * one, are no more than `ratio` times half the requests since b - window, and the gateway's part of the slack. Half
+ * the requests of two successive windows are never more than those of the larger one. Unlike the larger one, they
+ * can be summed over gateways, however requests move between these and whichever of them start or end.
  */
-import { getOrCreate } from '../contract/index.ts'
-
-const windowMilliseconds = 10_000
-const bucketCount = 20
-const bucketMilliseconds = windowMilliseconds / bucketCount
-/** Share of the budget that is used; the margin keeps the limit when the request rate drops suddenly. */
-const budgetUtilisation = 0.8
-/** Retries allowed in each window regardless of the number of requests. */
-const minimumRetriesPerWindow = 3
-
-class SlidingWindowCounter {
-  readonly #counts = new Map<number, number>()
-
-  add (now: number): void {
-    const bucket = Math.floor(now / bucketMilliseconds)
-    this.#counts.set(bucket, (this.#counts.get(bucket) ?? 0) + 1)
-    for (const old of this.#counts.keys()) {
-      if (old <= bucket - bucketCount) this.#counts.delete(old)
-    }
-  }
+import { type RetryLimits, getOrCreate } from '../contract/index.ts'
+import { BucketCounts } from './bucketCounts.ts'
 
-  total (now: number): number {
-    const oldest = Math.floor(now / bucketMilliseconds) - bucketCount
-    let sum = 0
-    for (const [bucket, count] of this.#counts) if (bucket > oldest) sum += count
-    return sum
-  }
-}
+const bucketsPerWindow = 40
+/** Repeats take some time from here to the endpoint, so a window holds some that were sent before it began. */
+const bucketsOfRetries = bucketsPerWindow + 2
+const bucketsOfRequests = bucketsOfRetries + bucketsPerWindow
 
 interface ServiceCounts {
-  readonly requests: SlidingWindowCounter
-  readonly retries: SlidingWindowCounter
+  readonly requests: BucketCounts
+  readonly retries: BucketCounts
 }
 
 /**
- * Retry budget of one daemon.
+ * Retry budget of one gateway.
  *
  * @example
  * retryBudget.recordRequest('ledger', now)
  * if (retryBudget.tryConsume('ledger', now)) tryAgain()
  */
 export class RetryBudget {
-  readonly #retryRatio: number
+  readonly #limits: RetryLimits
+  readonly #slackShare: (now: number) => number
   readonly #countsByService = new Map<string, ServiceCounts>()
 
-  /** @param retryRatio retries that operators allow for each request */
-  constructor (retryRatio: number) {
-    this.#retryRatio = retryRatio
+  /** @param slackShare this gateway's part of the slack, from 0 to 1; the parts of all gateways are 1 at most */
+  constructor (limits: RetryLimits, slackShare: (now: number) => number) {
+    this.#limits = limits
+    this.#slackShare = slackShare
   }
 
   recordRequest (service: string, now: number): void {
-    this.#countsOf(service).requests.add(now)
+    this.#countsOf(service).requests.add(this.#bucketAt(now))
   }
 
   /** Whether a retry is allowed, without consuming the budget. */
   allows (service: string, now: number): boolean {
     const { requests, retries } = this.#countsOf(service)
-    return retries.total(now) + 1 <= requests.total(now) * this.#retryRatio * budgetUtilisation + minimumRetriesPerWindow
+    const { ratio, slack } = this.#limits
+    const present = this.#bucketAt(now)
+    const ownSlack = slack * this.#slackShare(now)
+    let requestCount = requests.sum(present - bucketsPerWindow + 1, present)
+    let retryCount = 1
+    // Of the bucket in which a window begins all retries count, and no requests of one window before.
+    for (let begin = present; begin > present - bucketsOfRetries; begin--) {
+      retryCount += retries.at(begin)
+      if (retryCount > ratio * requestCount / 2 + ownSlack) return false
+      requestCount += requests.at(begin - bucketsPerWindow)
+    }
+    return true
   }
 
   /** Consumes budget for one retry if that is allowed; returns whether it was. */
   tryConsume (service: string, now: number): boolean {
     if (!this.allows(service, now)) return false
-    this.#countsOf(service).retries.add(now)
+    this.#countsOf(service).retries.add(this.#bucketAt(now))
     return true
   }
 
+  #bucketAt (now: number): number {
+    return Math.floor(now / this.#limits.windowMilliseconds * bucketsPerWindow)
+  }
+
   #countsOf (service: string): ServiceCounts {
-    return getOrCreate(this.#countsByService, service, () => ({ requests: new SlidingWindowCounter(), retries: new SlidingWindowCounter() }))
+    return getOrCreate(this.#countsByService, service, () => ({ requests: new BucketCounts(bucketsOfRequests), retries: new BucketCounts(bucketsOfRetries) }))
   }
 }
--- a/test/fakes/forwarderWorld.ts
+++ b/test/fakes/forwarderWorld.ts
@@ -28,6 +28,8 @@
   readonly seeds?: readonly string[]
   readonly storeAddress?: string
   readonly graceSeconds?: number
+  /** Other bounds of the boot file. */
+  readonly bounds?: Record<string, number>
 }
 
 let nextHostNumber = 20
@@ -63,10 +65,10 @@
    *
    * @returns the host that it listens on
    */
-  async startForwarder ({ seeds = [], storeAddress = this.store.address, graceSeconds = 1.5 }: ForwarderOptions = {}): Promise<string> {
+  async startForwarder ({ seeds = [], storeAddress = this.store.address, graceSeconds = 1.5, bounds }: ForwarderOptions = {}): Promise<string> {
     const host = allocateLoopbackHost()
     const path = join(this.#directory, `${host}.json`)
-    await writeFile(path, JSON.stringify(bootDocument(`edge-${host}`, host, storeAddress, seeds, graceSeconds)))
+    await writeFile(path, JSON.stringify(bootDocument(`edge-${host}`, host, storeAddress, seeds, graceSeconds, bounds)))
     const bootFile = (await readBootFile(path)).unwrap()
     const forwarder = new Forwarder(path, { boot: bootFile, secret: 'secret of a test', listener: new CallerListener() })
     ;(await forwarder.start()).unwrap()
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -19,7 +19,7 @@
 export const place = { region: 'coast', dataCentre: 'west' }
 export const engineService = 'engines'
 const sessionTimeoutMilliseconds = 6_500
-const retryRatio = 0.9
+const retryLimits = { ratio: 0.9, windowMilliseconds: 10_000, slack: 54 }
 const connectTimeoutMilliseconds = 450
 
 /** A route of streams that may be resumed, with models of three sizes. */
@@ -152,7 +152,7 @@
       plannedStop: new PlannedStop(clock),
       heldBytes: new HeldBytes({ maximumBytes: 100_000_000, clock }),
       modelCascade: new ModelCascade(),
-      retryBudget: new RetryBudget(retryRatio),
+      retryBudget: new RetryBudget(retryLimits, () => 1 / this.gatewayCount),
       breaker,
       runs: new EndpointRuns({ name: `gateway-${seed}`, breaker, hasCrashed: async () => false, onNews: () => undefined, clock, log }),
       announcements: new EndpointAnnouncements({ registry, loads, announcedLimits, warmUps: noWarmUps(), onLimitNews: () => undefined, clock, randomness, log }),
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -183,7 +183,8 @@
 
 test('retries of all daemons together stay within the configured ratio in every window', () => {
   const ratio = 0.9
-  const daemons = [1, 2, 3, 4, 5, 6, 7].map(() => new RetryBudget(ratio))
+  const slack = 54
+  const daemons = [1, 2, 3, 4, 5, 6, 7].map(() => new RetryBudget({ ratio, windowMilliseconds: 10_000, slack }, () => 1 / 7))
   const randomness = new SeededRandomness(5)
   const requests: number[] = []
   const retries: number[] = []
@@ -195,7 +196,7 @@
   }
   for (let end = 10_000; end < 60_000; end += 500) {
     const countInWindow = (times: readonly number[]) => times.filter(time => time > end - 10_000 && time <= end).length
-    expect(countInWindow(retries)).toBeLessThanOrEqual(countInWindow(requests) * ratio + 54)
+    expect(countInWindow(retries)).toBeLessThanOrEqual(countInWindow(requests) * ratio + slack)
   }
 })
 
--- a/test/retryArrivals.test.ts
+++ b/test/retryArrivals.test.ts
@@ -4,7 +4,6 @@
 const gatewayCount = 3
 const endpointCount = 6
 const requestsPerGateway = 20
-/** Of the boot file. */
 const retryRatio = 0.9
 const retrySlack = 10
 const misdirectedStatus = 421
@@ -23,7 +22,7 @@
 ] as const)('endpoints of %s that all answer 421 do not get each request in turn from every gateway', async (service, path) => {
   const endpoints = await Promise.all(Array.from({ length: endpointCount }, () => harness.startEndpoint(service)))
   for (const endpoint of endpoints) endpoint.handleWith((_request, response) => { response.writeHead(misdirectedStatus).end() })
-  const hosts = await Promise.all(Array.from({ length: gatewayCount }, () => harness.startForwarder()))
+  const hosts = await Promise.all(Array.from({ length: gatewayCount }, () => harness.startForwarder({ bounds: { retry_ratio: retryRatio, retry_slack: retrySlack } })))
   await Promise.all(hosts.map(host => harness.waitUntilReady(host)))
   const statuses = await Promise.all(hosts.flatMap(host => Array.from({ length: requestsPerGateway }, async () => (await harness.call(host, path, { headers: { model: 'small' } })).status)))
   expect(new Set(statuses)).toEqual(new Set([503]))
