Count first arrivals and repeats, and log a request that ended since its retry budget was used up

What operators saw: no metric told how many repeats a service got or how often the budget held one back, and a request that ended for that reason was logged like one whose endpoints were all tried.

lavenderdoor_forward_arrivals_total{service,kind} counts where RequestArrivals counts, so that it agrees with what draws on the budget. lavenderdoor_forward_repeats_held_back_total and isRetryBudgetUsedUp of request_ended tell of requests that were held back.

--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -146,7 +146,7 @@
   }
 
   logFields (): LogFields {
-    const { hasBrokenOff, summaries } = this.attempts
+    const { hasBrokenOff, isHeldBackByBudget, summaries } = this.attempts
     return {
       request: this.head.attemptId,
       route: this.route.name,
@@ -157,6 +157,7 @@
       settings: this.#snapshot.settings.version,
       content: hasBrokenOff ? this.prompt.request : undefined,
       promptParts: hasBrokenOff ? this.prompt.parts : undefined,
+      isRetryBudgetUsedUp: isHeldBackByBudget ? true : undefined,
       attempts: summaries
     }
   }
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -30,7 +30,7 @@
 
   constructor (request: ForwardedRequest) {
     this.#request = request
-    this.#arrivals = new RequestArrivals(request.service, request.dependencies.retryBudget)
+    this.#arrivals = new RequestArrivals({ service: request.service, ...request.dependencies })
   }
 
   /** One line for each attempt that has ended. */
@@ -53,6 +53,11 @@
     return this.#arrivals.allowsRepeat(this.#request.now)
   }
 
+  /** Whether the retry budget held back the request's last attempt, or one that was to follow it. */
+  get isHeldBackByBudget (): boolean {
+    return this.#arrivals.isHeldBack
+  }
+
   /** Whether another attempt may be made. */
   mayStart (): boolean {
     const { hasCallerLeft, now, deadline } = this.#request
--- /dev/null
+++ b/test/requestArrivals.test.ts
@@ -0,0 +1,45 @@
+import { expect, test } from 'vitest'
+import { GatewayMetrics } from '../src/gateway/index.ts'
+import { RequestArrivals } from '../src/gateway/requestArrivals.ts'
+import { RetryBudget } from '../src/placement/index.ts'
+import { GatewayFleet } from './fakes/gatewayFleet.ts'
+
+const service = 'ledger'
+
+/** A budget that allows two repeats. */
+function startWorld () {
+  const metrics = new GatewayMetrics()
+  const retryBudget = new RetryBudget({ ratio: 0, windowMilliseconds: 10_000, slack: 2 }, () => 1)
+  const countOf = async (counter: 'arrivals' | 'heldBackRepeats', kind?: string) =>
+    (await metrics[counter].get()).values.find(({ labels }) => 'kind' in labels ? labels.kind === kind : true)?.value ?? 0
+  return { countOf, startRequest: () => new RequestArrivals({ service, metrics, retryBudget }) }
+}
+
+test('the first write of each request is free, and an attempt that is never written costs nothing', () => {
+  const { startRequest } = startWorld()
+  for (let request = 0; request < 5; request++) {
+    const arrivals = startRequest()
+    arrivals.mayFollow(0)
+    arrivals.record(0)
+    for (let unsent = 0; unsent < 5; unsent++) expect(arrivals.mayFollow(0)).toBe(true)
+  }
+})
+
+test('first arrivals, repeats and requests that the budget held back are counted', async () => {
+  const { countOf, startRequest } = startWorld()
+  const arrivals = startRequest()
+  while (arrivals.mayFollow(0)) arrivals.record(0)
+  expect(arrivals.mayFollow(0)).toBe(false)
+  expect(arrivals.isHeldBack).toBe(true)
+  expect([await countOf('arrivals', 'first'), await countOf('arrivals', 'repeat'), await countOf('heldBackRepeats')]).toEqual([1, 2, 1])
+})
+
+test.each([[0, true], [1, undefined]])('with a retry budget of %i, the log of a stream that broke off tells whether the budget ended it', async (slack, isRetryBudgetUsedUp) => {
+  const fleet = new GatewayFleet({ gateways: 1, engines: 2, slots: 1, queueLimit: 0, paces: { small: 1 }, seed: 1, retryLimits: { ratio: 0, windowMilliseconds: 10_000, slack } })
+  const response = fleet.call(0, '/query/50', { 'attempt-id': 'a1', model: 'small', 'token-usage': '600,300', 'deadline-ms': '10000' })
+  await fleet.clock.advance(100)
+  fleet.drainEngine(fleet.engines.find(({ hasFreeSlot }) => !hasFreeSlot)!, 0)
+  await fleet.clock.advance(12_000)
+  expect((await response).status).toBe(slack > 0 ? 200 : 502)
+  expect(fleet.lines.find(({ event }) => event === 'request_ended')?.isRetryBudgetUsedUp).toBe(isRetryBudgetUsedUp)
+})
