--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -159,7 +159,7 @@
   }
 
   logFields (): LogFields {
-    const { hasBrokenOff, summaries } = this.attempts
+    const { hasBrokenOff, isHeldBackByBudget, summaries } = this.attempts
     return {
       request: this.head.attemptId,
       route: this.route.name,
@@ -171,6 +171,7 @@
       content: hasBrokenOff ? this.prompt.request : undefined,
       promptParts: hasBrokenOff ? this.prompt.parts : undefined,
       ...stopTimeFields(this.times, this.dependencies.plannedStop.begunAt),
+      isRetryBudgetUsedUp: isHeldBackByBudget ? true : undefined,
       attempts: summaries
     }
   }
--- a/src/gateway/requestArrivals.ts
+++ b/src/gateway/requestArrivals.ts
@@ -4,23 +4,28 @@
  * service. It draws in the event-loop turn that writes, so that what is never written costs nothing.
  */
 import type { RetryBudget } from '../placement/index.ts'
+import type { GatewayMetrics } from './gatewayMetrics.ts'
 import { SendKind } from './openAttempt.ts'
 
+export interface RequestArrivalsOptions {
+  readonly service: string
+  readonly retryBudget: RetryBudget
+  readonly metrics: Pick<GatewayMetrics, 'sends' | 'heldBackRepeats'>
+}
+
 /**
  * @example
  * if (arrivals.mayFollow(now)) arrivals.record(now)
  */
 export class RequestArrivals {
-  readonly #service: string
-  readonly #retryBudget: RetryBudget
+  readonly #options: RequestArrivalsOptions
   #count = 0
   #firstAt: number | undefined
   #lastAt: number | undefined
   #isHeldBack = false
 
-  constructor (service: string, retryBudget: RetryBudget) {
-    this.#service = service
-    this.#retryBudget = retryBudget
+  constructor (options: RequestArrivalsOptions) {
+    this.#options = options
   }
 
   /** When it was first written, in milliseconds of the process's clock; undefined before. */
@@ -40,22 +45,27 @@
 
   /** Whether the request may be written now; the first time it always may. */
   mayFollow (now: number): boolean {
+    const { metrics, service } = this.#options
+    const wasHeldBack = this.#isHeldBack
     this.#isHeldBack = this.#count > 0 && !this.allowsRepeat(now)
+    if (this.#isHeldBack && !wasHeldBack) metrics.heldBackRepeats.inc({ service })
     return !this.#isHeldBack
   }
 
   /** Whether the budget allows a repeat, for a decision to give up a run or to plan a second one. */
   allowsRepeat (now: number): boolean {
-    return this.#retryBudget.allows(this.#service, now)
+    const { retryBudget, service } = this.#options
+    return retryBudget.allows(service, now)
   }
 
   /** Records that the request is written now. */
-  record (now: number): SendKind {
+  record (now: number): void {
+    const { metrics, retryBudget, service } = this.#options
     const kind = this.#count === 0 ? SendKind.First : SendKind.Repeat
-    if (kind === SendKind.Repeat) this.#retryBudget.tryConsume(this.#service, now)
+    if (kind === SendKind.Repeat) retryBudget.tryConsume(service, now)
+    metrics.sends.inc({ service, kind })
     this.#count++
     this.#firstAt ??= now
     this.#lastAt = now
-    return kind
   }
 }
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -36,7 +36,7 @@
 
   constructor (request: ForwardedRequest) {
     this.#request = request
-    this.#arrivals = new RequestArrivals(request.service, request.dependencies.retryBudget)
+    this.#arrivals = new RequestArrivals({ service: request.service, ...request.dependencies })
   }
 
   /** One line for each attempt that has ended. */
@@ -70,6 +70,11 @@
     return this.#arrivals.allowsRepeat(this.#request.now)
   }
 
+  /** Whether the retry budget held back the request's last attempt, or one that was to follow it. */
+  get isHeldBackByBudget (): boolean {
+    return this.#arrivals.isHeldBack
+  }
+
   /** Whether another attempt may be made. */
   mayStart (): boolean {
     const { hasCallerLeft, now, deadline } = this.#request
@@ -118,12 +123,10 @@
 
   /** To be called in the event-loop turn that writes the request. */
   #recordSent (endpoint: RoutedEndpoint, run: EndpointRun): void {
-    const { now, service } = this.#request
-    const { metrics, misdirected } = this.#dependencies
-    const kind = this.#arrivals.record(now)
+    const { now } = this.#request
+    this.#arrivals.record(now)
     run.recordSent(now)
-    misdirected.recordSent(endpoint, now)
-    metrics.sends.inc({ service, kind })
+    this.#dependencies.misdirected.recordSent(endpoint, now)
   }
 
   #exchangeOptions (endpoint: RoutedEndpoint, { model, lastEventId }: AttemptOptions, startedAt: number, mayStillSend: () => boolean): ExchangeOptions {
