Send a request during a planned stop only if it can still be answered

Callers of a gateway that was stopped as planned lost requests that had been passed on to endpoints: they were cut at the end of the grace without an answer, requests that must not run twice among them.

Whether a request comes too late was decided once, when its head arrived. A body that ended later, a retry and a wait for a place went on being sent until 300 ms before the end, however long the route takes.

A SendWindow of each request is asked at the moment of sending now: by every attempt, in the turn that writes it, by the wait for a body and by the wait for a place. It closes when the request could no longer be answered before the end, by its own deadline or by the time that runs of its route take: the longest of the latest 64 where it may run once only, what 19 of 20 take otherwise, runs at work included (RunDurations, which a test drives without a network). A stream that has begun needs time for its rest only. Waits end when their window closes, also while the load balancer still sends, so that `stopping` with its Retry-After reaches the caller.

Evidence: test/gatewayStopLate.test.ts, 66 kept connections, once-only requests, idempotent ones and streams, grace of 4 s.

Two tests of test/gatewayStop.test.ts sent the first request of a route with a deadline of 20 s during the stop and expected an answer; they send one before now, and expect as much as before. A test of test/forwarder.test.ts meant to stop the gateway once a request was passed on, and took an earlier one for it: it looks for the right path now.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -11,7 +11,7 @@
 import { TcpLink } from '../link/index.ts'
 import type { NewsExchange } from '../news/index.ts'
 import { LineQueue, Log, descriptorSink } from '../observe/index.ts'
-import { EndpointEligibility, EndpointLoads, EndpointPlacement, EndpointRegistry, Evacuations, ModelCascade, RetryBudget, VersionSelector } from '../placement/index.ts'
+import { EndpointEligibility, EndpointLoads, EndpointPlacement, EndpointRegistry, Evacuations, ModelCascade, RetryBudget, RunDurations, VersionSelector } from '../placement/index.ts'
 import { type AnnouncedLimits, type EndpointLimits, PlaceQueues, type WarmUps } from '../rateLimit/index.ts'
 import type { PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay } from '../replica/index.ts'
 import { type CallerListener, HeldBytes } from '../server/index.ts'
@@ -228,6 +228,7 @@
     placeQueues: parts.placeQueues,
     modelCascade: new ModelCascade(),
     retryBudget: new RetryBudget(boot.current.retryRatio),
+    runDurations: new RunDurations(),
     breaker: parts.breaker,
     runs: parts.runs,
     announcements: makeAnnouncements(parts),
--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -64,7 +64,7 @@
     const lastSendMilliseconds = Math.max(0, graceMilliseconds - refusalMilliseconds)
     plannedStop.begin(startedAt + lastSendMilliseconds)
     listener.retireConnections()
-    await clock.sleep(Math.min(balancerRemovalMilliseconds, lastSendMilliseconds))
+    await this.#untilBalancerHasLeft(startedAt + Math.min(balancerRemovalMilliseconds, lastSendMilliseconds))
     await untilInputIsRead(clock)
     listener.stopListening()
     await this.#untilAnswered(startedAt + graceMilliseconds)
@@ -78,6 +78,15 @@
     })
   }
 
+  /** Waits that have reached their limits end meanwhile. */
+  async #untilBalancerHasLeft (leavesAt: number): Promise<void> {
+    const { clock, plannedStop } = this.#options
+    while (clock.now() < leavesAt) {
+      await clock.sleep(Math.min(pollIntervalMilliseconds, leavesAt - clock.now()))
+      plannedStop.endWaits()
+    }
+  }
+
   async #untilAnswered (endsAt: number): Promise<void> {
     const { clock, plannedStop } = this.#options
     while (clock.now() < endsAt) {
--- a/src/gateway/endpointSelection.ts
+++ b/src/gateway/endpointSelection.ts
@@ -74,7 +74,7 @@
   /** Chooses an endpoint; while the rate limits of all are used up, waits for a place. Undefined if none is eligible in time. */
   async awaitEndpoint (model: string | undefined, isResumed = false): Promise<RoutedEndpoint | undefined> {
     const request = this.#request
-    const { metrics, placeQueues, plannedStop } = this.#dependencies
+    const { metrics, placeQueues } = this.#dependencies
     const waiting = this.#waitingRequest(this.#placementRequest(model, isResumed))
     for (let isItsTurn = false; ;) {
       const endpoint = this.choose(model, isResumed)
@@ -83,7 +83,7 @@
       metrics.heldBack.inc({ service: request.service, at: HeldBackAt.Choice })
       const turn = await placeQueues.of(request.service).wait(waiting)
       if (turn.err) this.#placeMilliseconds = turn.val.retryAfterMilliseconds
-      this.#isEndedByStop = turn.err && waiting.giveUpAt === plannedStop.lastSendAt
+      this.#isEndedByStop = turn.err && request.sendWindow.closesAt <= waiting.latestTurn
       if (turn.err || request.hasCallerLeft || request.wasBlockedMeanwhile()) return undefined
       isItsTurn = true
     }
@@ -103,16 +103,17 @@
     return this.#request.dependencies
   }
 
-  #waitingRequest (placementRequest: PlacementRequest): WaitingRequest {
+  #waitingRequest (placementRequest: PlacementRequest): WaitingRequest & { readonly latestTurn: number } {
     const request = this.#request
-    const { placement, plannedStop } = this.#dependencies
+    const { placement } = this.#dependencies
     const ownLatestTurn = latestTurn(request.now, request.deadline)
     return {
       organisation: request.organisation?.name ?? '',
       priority: request.priority,
       arrivedAt: request.arrivedAt,
       // A stop may begin while the request waits.
-      get giveUpAt () { return Math.min(ownLatestTurn, plannedStop.lastSendAt) },
+      latestTurn: ownLatestTurn,
+      get giveUpAt () { return Math.min(ownLatestTurn, request.sendWindow.closesAt) },
       signal: request.callerAbort.signal,
       forecast: () => placement.forecast(placementRequest, this.#untriedEndpoints(), request.now)
     }
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -15,6 +15,7 @@
 import { RequestAttempts } from './requestAttempts.ts'
 import type { RequestHolding } from './requestHolding.ts'
 import type { RoutingSnapshot } from './routingView.ts'
+import type { SendWindow } from './sendWindow.ts'
 import { sharedPromptOf } from './sharedPrompt.ts'
 
 const timerToleranceMilliseconds = 5
@@ -30,6 +31,9 @@
   readonly holding: RequestHolding
   /** Milliseconds of the process's clock. */
   readonly arrivedAt: number
+  /** The earlier of the caller's and the route's timeout, in milliseconds of the process's clock. */
+  readonly deadline: number
+  readonly sendWindow: SendWindow
   readonly snapshot: RoutingSnapshot
   readonly dependencies: ForwardingDependencies
 }
@@ -46,6 +50,8 @@
   readonly arrivedAt: number
   /** The earlier of the caller's and the route's timeout, in milliseconds of the process's clock. */
   readonly deadline: number
+  /** Until when it may be sent during a planned stop. */
+  readonly sendWindow: SendWindow
   readonly dependencies: ForwardingDependencies
   readonly callerResponse: CallerResponse
   /** Aborted when the caller disconnects. */
@@ -57,7 +63,7 @@
   #block: BlockedPrompt | undefined
 
   constructor (options: ForwardedRequestOptions) {
-    const { request, route, organisation, service, head, body, holding, dependencies, arrivedAt, response, snapshot } = options
+    const { request, route, organisation, service, head, body, holding, dependencies, arrivedAt, deadline, sendWindow, response, snapshot } = options
     this.incoming = request
     this.head = head
     this.body = body
@@ -66,7 +72,8 @@
     this.service = service
     this.holding = holding
     this.arrivedAt = arrivedAt
-    this.deadline = arrivedAt + Math.min(route.timeoutMilliseconds, head.timeoutMilliseconds ?? route.timeoutMilliseconds)
+    this.deadline = deadline
+    this.sendWindow = sendWindow
     this.dependencies = dependencies
     this.prompt = sharedPromptOf(options)
     this.#snapshot = snapshot
@@ -128,10 +135,10 @@
 
   /** Refuses the request, which got no response from any endpoint. */
   refuseUnanswered (mayHaveRun: boolean, isFull: boolean): void {
-    const { metrics, plannedStop } = this.dependencies
+    const { metrics } = this.dependencies
     const { placeMilliseconds, isEndedByStop, ineligibility, overloadMilliseconds } = this.selection
     if (placeMilliseconds !== undefined) metrics.heldBack.inc({ service: this.service, at: HeldBackAt.Refusal })
-    this.callerResponse.refuseUnanswered({ mayHaveRun, isStopping: isEndedByStop || plannedStop.hasEndedSending, isFull, block: this.block, ineligibility, overloadMilliseconds, placeMilliseconds })
+    this.callerResponse.refuseUnanswered({ mayHaveRun, isStopping: isEndedByStop || this.sendWindow.isClosed, isFull, block: this.block, ineligibility, overloadMilliseconds, placeMilliseconds })
   }
 
   /** Whether a response carries the attempt ID of this request. */
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -8,7 +8,7 @@
 import type { EndpointRuns, PromptBreaker } from '../breaker/index.ts'
 import type { Connections } from '../endpoint/index.ts'
 import type { Log } from '../observe/index.ts'
-import type { EndpointEligibility, EndpointRegistry, EndpointLoads, EndpointPlacement, ModelCascade, RetryBudget, VersionSelector } from '../placement/index.ts'
+import type { EndpointEligibility, EndpointRegistry, EndpointLoads, EndpointPlacement, ModelCascade, RetryBudget, RunDurations, VersionSelector } from '../placement/index.ts'
 import { chooseService } from '../placement/index.ts'
 import type { EndpointLimits, PlaceQueues } from '../rateLimit/index.ts'
 import { type HeldBytes, readBoundedBody } from '../server/index.ts'
@@ -23,6 +23,7 @@
 import type { PlannedStop } from './plannedStop.ts'
 import type { RollOutView } from './rollOutView.ts'
 import type { RoutingSnapshot, RoutingView } from './routingView.ts'
+import { SendWindow } from './sendWindow.ts'
 import { StreamForwarding } from './streamForwarding.ts'
 
 export interface ForwardingDependencies {
@@ -47,6 +48,7 @@
   readonly rollOuts: RollOutView
   readonly connections: Connections
   readonly plannedStop: PlannedStop
+  readonly runDurations: RunDurations
   readonly heldBytes: HeldBytes
   /** Resolves when the settings and endpoints are known, or when a process that has just started should wait no longer for them. */
   readonly untilTablesAreRead: () => Promise<void>
@@ -101,22 +103,25 @@
   }
 
   async #forward (request: IncomingMessage, response: ServerResponse, holding: RequestHolding): Promise<void> {
-    const { clock, codec, plannedStop, routing, untilTablesAreRead } = this.#dependencies
+    const { clock, codec, plannedStop, routing, runDurations, untilTablesAreRead } = this.#dependencies
     const arrivedAt = clock.now()
     const headSize = headSizeOf(request)
     if (!this.#hasRoomFor(headSize, response) || !holding.tryAddHead(headSize)) return this.#refuse(request, response, ForwardRefusals.memoryFull)
-    await plannedStop.orEnd(untilTablesAreRead())
+    await plannedStop.orEnd(untilTablesAreRead(), plannedStop)
     const snapshot = routing.snapshot
     if (snapshot === undefined) return this.#refuse(request, response, ForwardRefusals.noSettings)
     if (headSize.bytes > snapshot.settings.limits.maximumHeaderBytes) return this.#refuse(request, response, ForwardRefusals.headTooLarge)
     const head = codec.readRequestHead(request.headers)
     const admitted = this.#admit(request, head, snapshot)
     if ('code' in admitted) return this.#refuse(request, response, admitted, head)
-    const body = await plannedStop.orEnd(readBoundedBody(request, { maximumBytes: snapshot.settings.limits.maximumBodyBytes, timeoutMilliseconds: bodyTimeoutMilliseconds, holding, evicted: holding.evicted }))
+    const deadline = arrivedAt + Math.min(admitted.route.timeoutMilliseconds, head.timeoutMilliseconds ?? Infinity)
+    const sendWindow = new SendWindow({ plannedStop, runDurations, route: admitted.route, deadline, now: () => clock.now() })
+    if (sendWindow.isClosed) return this.#refuse(request, response, ForwardRefusals.stopping, head)
+    const body = await plannedStop.orEnd(readBoundedBody(request, { maximumBytes: snapshot.settings.limits.maximumBodyBytes, timeoutMilliseconds: bodyTimeoutMilliseconds, holding, evicted: holding.evicted }), sendWindow)
     if (body === undefined) return this.#refuse(request, response, ForwardRefusals.stopping, head)
     if (body.err) return this.#refuseBody(request, response, body.val, head)
     holding.beginWork()
-    const forwardedRequest = new ForwardedRequest({ ...admitted, holding, request, response, head, body: body.val, arrivedAt, snapshot, dependencies: this.#dependencies })
+    const forwardedRequest = new ForwardedRequest({ ...admitted, holding, request, response, head, body: body.val, arrivedAt, deadline, sendWindow, snapshot, dependencies: this.#dependencies })
     await this.#run(forwardedRequest)
   }
 
--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -2,7 +2,7 @@
 import type { EndpointRun } from '../breaker/index.ts'
 import type { Exchange } from '../endpoint/index.ts'
 import type { SendPermit } from '../rateLimit/index.ts'
-import type { AttemptTracker, EvidenceRun } from '../placement/index.ts'
+import type { AttemptTracker, EvidenceRun, RunDuration } from '../placement/index.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
 
 /** An attempt in progress at an endpoint. */
@@ -16,6 +16,7 @@
   /** Takes back what is to happen at the end of a planned stop. */
   readonly forgetStop: () => void
   readonly tracker: AttemptTracker
+  readonly duration: RunDuration
   readonly run: EndpointRun
   /** Its place under the endpoint's rate limit. */
   readonly permit: SendPermit
--- a/src/gateway/plannedStop.ts
+++ b/src/gateway/plannedStop.ts
@@ -1,20 +1,25 @@
 /**
- * The planned stop of this gateway, as requests see it: shortly before its end nothing more is sent to
- * endpoints, and requests that still wait are refused, so that their callers try another gateway.
+ * The planned stop of this gateway, as requests see it: what could not be answered before its end is not sent to
+ * endpoints any more, and requests that still wait then are refused, so that their callers try another gateway.
  */
 import type { Clock } from '../contract/index.ts'
 
 /** How much later than it was sent a busy VM may notice the signal to stop. The platform counts from when it was sent. */
 export const signalDelayMilliseconds = 400
 
+/** Until when something may wait during a planned stop, in milliseconds of the process's clock. */
+export interface WaitLimit {
+  readonly closesAt: number
+}
+
 /**
  * @example
- * const body = await plannedStop.orEnd(readBoundedBody(request, { maximumBytes }))
+ * const body = await plannedStop.orEnd(readBoundedBody(request, { maximumBytes }), sendWindow)
  * if (body === undefined) refuse(ForwardRefusals.stopping)
  */
 export class PlannedStop {
   readonly #clock: Clock
-  readonly #listeners = new Set<() => void>()
+  readonly #waits = new Map<() => void, WaitLimit>()
   #lastSendAt = Infinity
   #hasCut = false
 
@@ -22,21 +27,21 @@
     this.#clock = clock
   }
 
-  /** When sending to endpoints ends, in milliseconds of the process's clock; infinite if no stop has begun. */
+  /** When sending to endpoints ends, and answers are to have arrived, in milliseconds of the process's clock; infinite if no stop has begun. */
   get lastSendAt (): number {
     return this.#lastSendAt
   }
 
+  /** The limit of waits whose route is not known yet. */
+  get closesAt (): number {
+    return this.#lastSendAt
+  }
+
   /** Whether a stop has begun. */
   get hasBegun (): boolean {
     return this.#lastSendAt !== Infinity
   }
 
-  /** Whether nothing is sent to endpoints any more. */
-  get hasEndedSending (): boolean {
-    return this.#clock.now() >= this.#lastSendAt
-  }
-
   /** Whether the stop has reached its bound and closed connections with requests in flight. */
   get hasCut (): boolean {
     return this.#hasCut
@@ -47,10 +52,12 @@
     this.#lastSendAt = lastSendAt
   }
 
-  /** Ends what waits, if the time for sending is over. */
+  /** Ends the waits that have reached their limits. */
   endWaits (): void {
-    if (!this.hasEndedSending) return
-    for (const end of [...this.#listeners]) end()
+    const now = this.#clock.now()
+    for (const [end, limit] of [...this.#waits]) {
+      if (now >= limit.closesAt) end()
+    }
   }
 
   /** Records that the remaining requests are cut. */
@@ -59,19 +66,19 @@
   }
 
   /**
-   * Calls a function when sending ends.
+   * Calls a function when a wait has reached its limit during a stop.
    *
    * @returns a function that takes it back
    */
-  onEnd (end: () => void): () => void {
-    this.#listeners.add(end)
-    return () => this.#listeners.delete(end)
+  onEnd (end: () => void, limit: WaitLimit): () => void {
+    this.#waits.set(end, limit)
+    return () => this.#waits.delete(end)
   }
 
-  /** The value of a promise, or undefined if sending ends before. */
-  orEnd <Value>(promise: Promise<Value>): Promise<Value | undefined> {
+  /** The value of a promise, or undefined if the wait for it reaches its limit during a stop. */
+  orEnd <Value>(promise: Promise<Value>, limit: WaitLimit): Promise<Value | undefined> {
     return new Promise((resolve, reject) => {
-      const forget = this.onEnd(() => resolve(undefined))
+      const forget = this.onEnd(() => resolve(undefined), limit)
       promise.then(resolve, reject).finally(forget)
     })
   }
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -40,9 +40,9 @@
     return this.#hasBrokenOff
   }
 
-  /** Further attempts that may be made; none at the end of a planned stop. */
+  /** Further attempts that may be made; none that would be cut by a planned stop. */
   get left (): number {
-    return this.#dependencies.plannedStop.hasEndedSending ? 0 : this.#request.route.maximumAttempts - this.#sentCount
+    return this.#request.sendWindow.isClosed ? 0 : this.#request.route.maximumAttempts - this.#sentCount
   }
 
   /** Whether another attempt may be made; takes it from the retry budget if it is not the first. */
@@ -56,19 +56,20 @@
   /** Starts an attempt at an endpoint. */
   send (endpoint: RoutedEndpoint, options: AttemptOptions): OpenAttempt {
     const request = this.#request
-    const { connections, limits, plannedStop, loads, rollOuts, runs } = this.#dependencies
+    const { connections, limits, plannedStop, loads, rollOuts, runDurations, runs } = this.#dependencies
     const { model, usesOwnConnection } = options
     const startedAt = request.now
     const permit = limits.open(ratedEndpoint(endpoint), startedAt)
     request.selection.markTried(endpoint)
     const mayStillSend = () => {
-      const isSending = !request.hasCallerLeft && !plannedStop.hasEndedSending && request.now < request.deadline && request.selection.isEligible(endpoint) && !loads.isOverloaded(endpoint, request.now) && permit.trySend(request.now)
+      const isSending = !request.hasCallerLeft && !request.sendWindow.isClosed && request.now < request.deadline && request.selection.isEligible(endpoint) && !loads.isOverloaded(endpoint, request.now) && permit.trySend(request.now)
       if (isSending) run.recordSent(request.now)
       return isSending
     }
     const exchangeOptions = this.#exchangeOptions(endpoint, options, startedAt, mayStillSend)
     const work = request.estimateWork(model)
     const tracker = loads.track(endpoint, work, startedAt)
+    const duration = runDurations.open(request.route.name, startedAt)
     let isBlocked = false
     const cancelBlocked = () => {
       isBlocked = true
@@ -78,8 +79,8 @@
     const evidence = rollOuts.openRun(request.service, endpoint.version, { kind: request.route.name, requestClass: `${request.route.name}/${model ?? ''}`, sentAt: startedAt })
     const exchange = usesOwnConnection ? connections.startDedicated(endpoint.address, exchangeOptions) : connections.startPooled(endpoint.address, exchangeOptions)
     const unfollowCaller = this.#abortWithCaller(exchange)
-    const forgetStop = plannedStop.onEnd(() => { if (!exchange.mayHaveSent) exchange.abort('stopping') })
-    return { endpoint, model, exchange, startedAt, forgetStop, unfollowCaller, promptMilliseconds: work.prefillMilliseconds, tracker, run, permit, evidence, isBlocked: () => isBlocked }
+    const forgetStop = plannedStop.onEnd(() => { if (!exchange.mayHaveSent) exchange.abort('stopping') }, request.sendWindow)
+    return { endpoint, model, exchange, startedAt, forgetStop, unfollowCaller, promptMilliseconds: work.prefillMilliseconds, tracker, duration, run, permit, evidence, isBlocked: () => isBlocked }
   }
 
   #exchangeOptions (endpoint: RoutedEndpoint, { model, lastEventId }: AttemptOptions, startedAt: number, mayStillSend: () => boolean): ExchangeOptions {
@@ -131,6 +132,7 @@
     attempt.permit.close()
     attempt.evidence?.abandon(now)
     attempt.tracker.close(end, now)
+    attempt.duration.close(end === AttemptEnd.Answered, now)
     this.#dependencies.metrics.attempts.inc({ service, end })
     const { identity, version } = attempt.endpoint
     this.#summaries.push(`${identity} ${version} ${attempt.model ?? '-'} ${Math.round(now - attempt.startedAt)}ms ${outcome}`)
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -144,6 +144,7 @@
       hasRunStarted = true
       attempt.tracker.recordBytes(now)
       attempt.run.recordOutput(now)
+      request.sendWindow.recordStreamStart(attempt.startedAt)
       this.#startResponse(headers)
       this.#lastEventId = events.lastEventId ?? this.#lastEventId
       request.callerResponse.recordEvents(events.count)
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -8,7 +8,7 @@
 import { EndpointAnnouncements, EndpointLiveness, Forwarding, GatewayMetrics, PlannedStop, RollOutView, RoutingView } from '../../src/gateway/index.ts'
 import { ConnectionOutcome } from '../../src/httpClient/index.ts'
 import { Log } from '../../src/observe/index.ts'
-import { EndpointEligibility, Evacuations, EndpointLoads, EndpointPlacement, EndpointRegistry, ModelCascade, RetryBudget, VersionSelector } from '../../src/placement/index.ts'
+import { EndpointEligibility, Evacuations, EndpointLoads, EndpointPlacement, EndpointRegistry, ModelCascade, RetryBudget, RunDurations, VersionSelector } from '../../src/placement/index.ts'
 import { AnnouncedLimits, PlaceQueues } from '../../src/rateLimit/index.ts'
 import { type Route, type RoutingSettings, RouteType } from '../../src/routing/index.ts'
 import { HeldBytes } from '../../src/server/index.ts'
@@ -153,6 +153,7 @@
       heldBytes: new HeldBytes({ maximumBytes: 100_000_000, clock }),
       modelCascade: new ModelCascade(),
       retryBudget: new RetryBudget(retryRatio),
+      runDurations: new RunDurations(),
       breaker,
       runs: new EndpointRuns({ name: `gateway-${seed}`, breaker, hasCrashed: async () => false, onNews: () => undefined, clock, log }),
       announcements: new EndpointAnnouncements({ registry, loads, announcedLimits, warmUps: noWarmUps(), onLimitNews: () => undefined, clock, randomness, log }),
--- a/test/forwarder.test.ts
+++ b/test/forwarder.test.ts
@@ -420,7 +420,7 @@
   await new Promise(resolve => unused.once('connect', resolve))
   let hasEnded = false
   const running = harness.call(host, '/release/1', { headers: { 'deadline-ms': '5000' } }).finally(() => { hasEnded = true })
-  await waitUntil(() => ledger.received.length === 1)
+  await waitUntil(() => ledger.received.some(({ path }) => path === '/release/1'))
   const stopped = harness.forwarderAt(host).stop()
   await new Promise(resolve => unused.once('close', resolve))
   expect(hasEnded).toBe(false)
--- a/test/gatewayStop.test.ts
+++ b/test/gatewayStop.test.ts
@@ -43,6 +43,13 @@
   return ledger
 }
 
+/** A gateway that stops passes on only requests whose routes it has seen answered in the time that is left. */
+async function showDuration (host: string): Promise<void> {
+  const caller = await connectCaller(host)
+  caller.write(requestHead('/release/0', { id: 'before' }))
+  await caller.until(1)
+}
+
 /** A caller that sends requests for large answers and reads none of them yet. */
 async function connectSlowReader (host: string, ledger: EndpointStandIn): Promise<RawCaller> {
   const caller = await connectCaller(host)
@@ -98,11 +105,13 @@
   const ledger = await startLedger(400)
   const host = await startReadyForwarder()
   const caller = await connectCaller(host)
+  caller.write(requestHead('/release/0', { id: 'before' }))
+  await caller.until(1)
   const stopped = harness.stopForwarder(host)
   caller.write(['first', 'second'].map(id => requestHead(`/release/${id}`, { id })).join(''))
-  await caller.until(2)
+  await caller.until(3)
   expect(ledger.received).toHaveLength(caller.responses.length)
-  expect(caller.statuses).toEqual([200, 200])
+  expect(caller.statuses).toEqual([200, 200, 200])
   await stopped
 })
 
@@ -194,6 +203,7 @@
 test('a request whose head had arrived in part when the stop began is answered', async () => {
   await startLedger(10)
   const host = await startReadyForwarder()
+  await showDuration(host)
   const caller = await connectCaller(host)
   const head = requestHead('/release/1', { id: 'partly' })
   caller.write(head.slice(0, 40))
--- /dev/null
+++ b/test/gatewayStopLate.test.ts
@@ -0,0 +1,150 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { SeededRandomness } from '../src/contract/index.ts'
+import type { EndpointStandIn } from '../platform/standin/index.ts'
+import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
+import { RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
+
+const graceSeconds = 4
+const callerCount = 66
+/** Heads arrive within this time of the stop, and bodies anywhere in the grace. */
+const headMilliseconds = 2_200
+/** Well before the end of the stop: answers that are expected by then are wanted. */
+const surelyServedMilliseconds = 2_300
+const body = 'x'.repeat(40)
+const streamEvents = 4
+const streamHeaders = 'token-usage: 10,10\r\nprefix-hash: a1:10\r\n'
+const routes = [
+  { prefix: '/release/', route_type: 'non_idempotent', backend: 'ledger', max_attempts: 1 },
+  { prefix: '/balance/', route_type: 'idempotent', backend: 'ledger', max_attempts: 2 },
+  { prefix: '/query/', route_type: 'streaming', backend: 'engines', max_attempts: 2, resumable: true, target_gap_ms: 9_000 }
+].map(route => ({ name: route.prefix, hostname: 'desk.example', timeout_ms: 20_000, target_latency_ms: 9_000, priority: 1, public: false, ...route }))
+
+let harness: ForwarderHarness
+let callers: RawCaller[]
+beforeEach(async () => {
+  harness = await ForwarderHarness.start()
+  callers = []
+})
+afterEach(async () => {
+  for (const caller of callers) caller.close()
+  await harness.close()
+})
+
+/** The attempts that reached endpoints which work for a time on each. */
+async function startEndpoints (milliseconds: number): Promise<() => readonly string[]> {
+  const ledger = await harness.startEndpoint('ledger')
+  ledger.handleWith((_request, response) => { setTimeout(() => response.end('done'), milliseconds) })
+  const engine = await harness.startEndpoint('engines', { slots: 60 })
+  engine.handleWith(async (_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90 })
+    for (let id = 1; id <= streamEvents; id++) {
+      await pause(milliseconds / streamEvents)
+      response.write(formatEvent(id))
+    }
+    response.end()
+  })
+  return () => [...ledger.received, ...engine.received].map(({ headers }) => String(headers['attempt-id']))
+}
+
+async function connectCaller (host: string): Promise<RawCaller> {
+  const caller = await RawCaller.connect(host)
+  callers.push(caller)
+  return caller
+}
+
+/** The statuses of all whole answers on a connection, streams among them. */
+function statusesOf ({ text }: RawCaller): readonly string[] {
+  const answers = text.split('HTTP/1.1 ').slice(1)
+  const isWhole = (answer: string) => !/^transfer-encoding: chunked/im.test(answer) || answer.endsWith('0\r\n\r\n')
+  return answers.filter(isWhole).map(answer => answer.slice(0, 3))
+}
+
+function head (prefix: string, id: string): string {
+  return requestHead(`${prefix}${id}`, { id, bodyLength: body.length, headers: prefix === '/query/' ? streamHeaders : '' })
+}
+
+test.each([100, 500, 1_000, 1_800])('no request that a stopping gateway passes on to endpoints that work %d ms is cut, and all others are refused in time', async milliseconds => {
+  const received = await startEndpoints(milliseconds)
+  harness.putConfiguration(1, { routes })
+  const host = await harness.startForwarder({ graceSeconds })
+  await harness.waitUntilReady(host)
+  const random = new SeededRandomness(milliseconds)
+  const attempts = await Promise.all(Array.from({ length: callerCount }, async (_, index) => {
+    const prefix = routes[index % routes.length]?.prefix ?? ''
+    const caller = await connectCaller(host)
+    // A first request keeps the connection, and shows the gateway how long its route takes.
+    caller.write(head(prefix, `before-${index}`) + body)
+    const headAt = random.fraction() * headMilliseconds
+    return { id: `late-${index}`, prefix, caller, headAt, bodyAt: headAt + random.fraction() * (graceSeconds * 1_000 - headAt) }
+  }))
+  while (attempts.some(({ caller }) => statusesOf(caller).length === 0)) await pause(20)
+  const stopped = harness.stopForwarder(host)
+  await Promise.all(attempts.map(async ({ id, prefix, caller, headAt, bodyAt }) => {
+    await pause(headAt)
+    caller.write(head(prefix, id))
+    await pause(bodyAt - headAt)
+    caller.write(body)
+  }))
+  await stopped
+  const ends = attempts.map(({ id, caller, bodyAt }) => ({ id, bodyAt, wasPassedOn: received().includes(id), end: statusesOf(caller)[1] ?? 'cut', mayReturn: /^retry-after: 0\.\d+\r$/im.test(caller.text) }))
+  expect(ends.filter(({ wasPassedOn, end }) => wasPassedOn && end !== '200')).toEqual([])
+  expect(ends.filter(({ wasPassedOn, end, mayReturn }) => !wasPassedOn && (end !== '503' || !mayReturn))).toEqual([])
+  expect(ends.filter(({ wasPassedOn, bodyAt }) => !wasPassedOn && bodyAt < surelyServedMilliseconds - milliseconds)).toEqual([])
+})
+
+/** A gateway that has seen a route answered after a time, and the caller that asked. */
+async function startAfterRun (milliseconds: number, path: string, ledgerHeaders: Record<string, string> = {}): Promise<{ host: string, caller: RawCaller, ledger: EndpointStandIn }> {
+  const ledger = await harness.startEndpoint('ledger')
+  ledger.handleWith((_request, response) => {
+    response.writeHead(200, ledgerHeaders)
+    setTimeout(() => response.end('done'), milliseconds)
+  })
+  harness.putConfiguration(1, { routes })
+  const host = await harness.startForwarder({ graceSeconds })
+  await harness.waitUntilReady(host)
+  const caller = await connectCaller(host)
+  caller.write(requestHead(`${path}before`, { id: 'before', method: 'GET' }))
+  await caller.until(1)
+  return { host, caller, ledger }
+}
+
+test('a request whose run breaks off late in a stop is not sent to another endpoint that would be cut', async () => {
+  const { host, caller, ledger } = await startAfterRun(1_800, '/balance/')
+  const other = await harness.startEndpoint('ledger')
+  const received = () => [...ledger.received, ...other.received].filter(({ path }) => path === '/balance/1')
+  for (const endpoint of [ledger, other]) {
+    endpoint.handleWith((_request, response) => {
+      if (received().length === 1) setTimeout(() => response.socket?.destroy(), 1_500)
+      else setTimeout(() => response.end('done'), 1_800)
+    })
+  }
+  await pause(100)
+  caller.write(requestHead('/balance/1', { id: 'broken', method: 'GET' }))
+  await waitUntil(() => received().length === 1)
+  await harness.stopForwarder(host)
+  await caller.until(2)
+  expect(caller.statuses).toEqual([200, 502])
+  expect(received()).toHaveLength(1)
+})
+
+test('a request that waits for a place which comes too late for its route is refused in a stop, and not passed on and cut', async () => {
+  const { host, caller, ledger } = await startAfterRun(1_500, '/release/', { 'server-limit': '0.5' })
+  caller.write(requestHead('/release/1', { id: 'waiting' }))
+  await pause(100)
+  await harness.stopForwarder(host)
+  await caller.until(2)
+  expect(caller.statuses).toEqual([200, 503])
+  expect(ledger.received.map(({ path }) => path)).toEqual(['/release/before'])
+})
+
+test('a request on a route that a gateway has never seen answered is refused in a stop, if its deadline lies beyond the end', async () => {
+  const { host, caller, ledger } = await startAfterRun(10, '/balance/')
+  const other = await connectCaller(host)
+  const stopped = harness.stopForwarder(host)
+  caller.write(requestHead('/release/1', { id: 'unknown' }))
+  other.write(requestHead('/release/2', { id: 'short', timeoutMilliseconds: 2_000 }))
+  await Promise.all([caller.until(2), other.until(1)])
+  expect([...caller.statuses, ...other.statuses]).toEqual([200, 503, 200])
+  expect(ledger.received.map(({ path }) => path)).toEqual(['/balance/before', '/release/2'])
+  await stopped
+})
