Answer the callers of runs that outlast a planned stop before their connections close

A run that was still at work at the end of a planned stop ended with a closed connection, and with it the finished answers of requests that its caller had sent behind it on the same connection. The drain closed all connections at its bound, whatever was ready on them.

100 ms before the bound the remaining runs are ended now. Their callers get 502, which promises nothing, unless an answer has begun, and finished answers behind them follow.

--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -138,12 +138,17 @@
     this.#dependencies.log.warn('answer_unsent', { request, route, milliseconds: Math.round(this.#elapsedMilliseconds) })
   }
 
+  #outcomeOf (end: string): string {
+    if (end === answeredOutcome) return end
+    if (this.#dependencies.plannedStop.hasCut) return cutByStopOutcome
+    return this.#state.hasCallerLeft ? callerLeftOutcome : end
+  }
+
   #recordEnd (end: string, status: number | undefined): void {
     if (this.#isEnded) return
     this.#isEnded = true
-    const { arrivedAt, hasCallerLeft, service } = this.#state
-    const leftOutcome = this.#dependencies.plannedStop.hasCut ? cutByStopOutcome : callerLeftOutcome
-    const outcome = hasCallerLeft && end !== answeredOutcome ? leftOutcome : end
+    const { arrivedAt, service } = this.#state
+    const outcome = this.#outcomeOf(end)
     this.#dependencies.metrics.requests.inc({ service, outcome })
     const { request, route, organisation, ...rest } = this.#state.logFields()
     this.#dependencies.log.info('request_ended', {
--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -18,6 +18,8 @@
 const lateRequestMilliseconds = excusedRequestMilliseconds - signalDelayMilliseconds
 /** Time before the end of a stop in which waiting requests are refused and the refusals are sent. */
 const refusalMilliseconds = 300
+/** Time before the end of a stop in which runs that are still at work are ended and their callers told so. */
+const cutMilliseconds = 100
 const pollIntervalMilliseconds = 50
 const nanosecondsPerMillisecond = 1_000_000
 
@@ -67,8 +69,11 @@
     await this.#untilBalancerHasLeft(startedAt + Math.min(balancerRemovalMilliseconds, lastSendMilliseconds))
     await untilInputIsRead(clock)
     listener.stopListening()
-    await this.#untilAnswered(startedAt + graceMilliseconds)
-    const cut = this.#closeAll()
+    const endsAt = startedAt + graceMilliseconds
+    await this.#untilAnswered(endsAt - cutMilliseconds)
+    const cut = this.#cutRuns()
+    await this.#untilAnswered(endsAt)
+    this.#connections.closeAll()
     eventLoopDelay.disable()
     this.#options.log.info('drained', {
       milliseconds: Math.round(clock.now() - startedAt),
@@ -103,12 +108,11 @@
     return requestsInFlight() === 0 && listener.openResponseCount === 0
   }
 
-  /** Closes the remaining connections; returns how many requests were in flight. */
-  #closeAll (): number {
+  /** Ends what is still at work; returns how many requests were in flight. */
+  #cutRuns (): number {
     const { plannedStop, requestsInFlight } = this.#options
     const cut = requestsInFlight()
     if (cut > 0) plannedStop.cut()
-    this.#connections.closeAll()
     return cut
   }
 }
--- a/src/gateway/plannedStop.ts
+++ b/src/gateway/plannedStop.ts
@@ -20,6 +20,7 @@
 export class PlannedStop {
   readonly #clock: Clock
   readonly #waits = new Map<() => void, WaitLimit>()
+  readonly #runs = new Set<() => void>()
   #lastSendAt = Infinity
   #hasCut = false
 
@@ -42,7 +43,7 @@
     return this.#lastSendAt !== Infinity
   }
 
-  /** Whether the stop has reached its bound and closed connections with requests in flight. */
+  /** Whether the stop has reached its bound with requests in flight, and ended them. */
   get hasCut (): boolean {
     return this.#hasCut
   }
@@ -60,9 +61,20 @@
     }
   }
 
-  /** Records that the remaining requests are cut. */
+  /** Ends the remaining runs, so that their callers get answers that promise nothing. */
   cut (): void {
     this.#hasCut = true
+    for (const end of [...this.#runs]) end()
+  }
+
+  /**
+   * Calls a function when the remaining runs are ended.
+   *
+   * @returns a function that takes it back
+   */
+  onCut (end: () => void): () => void {
+    this.#runs.add(end)
+    return () => this.#runs.delete(end)
   }
 
   /**
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -79,7 +79,12 @@
     const evidence = rollOuts.openRun(request.service, endpoint.version, { kind: request.route.name, requestClass: `${request.route.name}/${model ?? ''}`, sentAt: startedAt })
     const exchange = usesOwnConnection ? connections.startDedicated(endpoint.address, exchangeOptions) : connections.startPooled(endpoint.address, exchangeOptions)
     const unfollowCaller = this.#abortWithCaller(exchange)
-    const forgetStop = plannedStop.onEnd(() => { if (!exchange.mayHaveSent) exchange.abort('stopping') }, request.sendWindow)
+    const forgetWait = plannedStop.onEnd(() => { if (!exchange.mayHaveSent) exchange.abort('stopping') }, request.sendWindow)
+    const forgetCut = plannedStop.onCut(() => exchange.abort('cut by the stop'))
+    const forgetStop = () => {
+      forgetWait()
+      forgetCut()
+    }
     return { endpoint, model, exchange, startedAt, forgetStop, unfollowCaller, promptMilliseconds: work.prefillMilliseconds, tracker, duration, run, permit, evidence, isBlocked: () => isBlocked }
   }
 
@@ -176,7 +181,7 @@
    * accepting it is reachable; one that refused the connection or stayed silent may not be.
    */
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
-    if (this.#request.hasCallerLeft || attempt.isBlocked()) return AttemptEnd.Cancelled
+    if (this.#request.hasCallerLeft || attempt.isBlocked() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
     const isOverloaded = !attempt.exchange.mayHaveSent && this.#dependencies.loads.isOverloaded(attempt.endpoint, this.#request.now)
     if (isOverloaded || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
     return isSilent || !attempt.exchange.mayHaveSent ? AttemptEnd.Lost : AttemptEnd.Failed
--- a/test/gatewayStopLate.test.ts
+++ b/test/gatewayStopLate.test.ts
@@ -2,7 +2,7 @@
 import { SeededRandomness } from '../src/contract/index.ts'
 import type { EndpointStandIn } from '../platform/standin/index.ts'
 import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
-import { RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
+import { ConnectionState, RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
 
 const graceSeconds = 4
 const callerCount = 66
@@ -148,3 +148,16 @@
   expect(ledger.received.map(({ path }) => path)).toEqual(['/balance/before', '/release/2'])
   await stopped
 })
+
+test('a run that outlasts a stop ends with an answer that promises nothing, and answers behind it on its connection arrive', async () => {
+  const { host, caller, ledger } = await startAfterRun(10, '/balance/')
+  ledger.handleWith(({ path }, response) => { if (path !== '/release/1') response.end('done') })
+  caller.write(requestHead('/release/1', { id: 'endless' }))
+  await waitUntil(() => ledger.received.length === 2)
+  const stopped = harness.stopForwarder(host)
+  caller.write(requestHead('/balance/1', { id: 'behind', method: 'GET' }))
+  await stopped
+  await caller.until(3)
+  expect(caller.statuses).toEqual([200, 502, 200])
+  expect(caller.state).not.toBe(ConnectionState.Broken)
+})
