Let a stop that has begun take its time wherever it is asked for again

A second call of Forwarder.stop drained once more, with the grace of a boot file that had been read again meanwhile: it ended sending, cut what was running and closed the connections to endpoints under it. Callers of the program never saw this, since its signal handler called it once only; the guard is in the one place that every caller passes now.

--- a/src/forwarder/forwarder.ts
+++ b/src/forwarder/forwarder.ts
@@ -21,6 +21,7 @@
   readonly #bootFilePath: string
   readonly #container: AwilixContainer<ForwarderDependencies>
   readonly #stopping = new AbortController()
+  #stopped: Promise<void> | undefined
 
   constructor (bootFilePath: string, options: ForwarderOptions) {
     this.#bootFilePath = bootFilePath
@@ -66,8 +67,13 @@
     log.info('reloaded', { seeds: read.val.seeds, needsRestart })
   }
 
-  /** Planned stop: waits for accepted requests within the grace period, then closes all components. */
+  /** Planned stop: waits for accepted requests within the grace period, then closes all components. One that has begun takes its time, however often it is asked for. */
   async stop (): Promise<void> {
+    this.#stopped ??= this.#stop()
+    await this.#stopped
+  }
+
+  async #stop (): Promise<void> {
     const { boot, clock, fleetReports, loadReports, news, rollOutCoordinator, follower, gateway, logLines, link, log, operations, peers, relayFollower, store, connections, forwarding } = this.#container.cradle
     log.info('stopping', { inFlight: forwarding.inFlight, graceMilliseconds: boot.current.graceMilliseconds })
     this.#stopping.abort('stopping')
--- a/src/forwarder/main.ts
+++ b/src/forwarder/main.ts
@@ -35,16 +35,10 @@
   if (started.err) return fail(started.val)
   signals.handleWith({
     SIGHUP: () => { forwarder.reload().catch(error => fail(String(error))) },
-    SIGTERM: stopOnce(forwarder)
+    SIGTERM: () => { forwarder.stop().then(() => process.exit(0), error => fail(String(error))) }
   })
 }
 
-/** A stop that has begun takes its time, however often it is asked for. */
-function stopOnce (forwarder: Forwarder): () => void {
-  let stopped: Promise<void> | undefined
-  return () => { stopped ??= forwarder.stop().then(() => process.exit(0), error => fail(String(error))) }
-}
-
 function fail (reason: string): void {
   process.stderr.write(`${JSON.stringify({ time: new Date().toISOString(), level: 'error', event: 'failed', reason })}\n`)
   process.exit(failureExitCode)
--- a/test/fakes/forwarderWorld.ts
+++ b/test/fakes/forwarderWorld.ts
@@ -1,5 +1,5 @@
 /** Runs forwarders against a stand-in of the users' platform, each on a loopback address of its own. */
-import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
 import { type IncomingHttpHeaders, request as httpRequest } from 'node:http'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -65,7 +65,7 @@
    */
   async startForwarder ({ seeds = [], storeAddress = this.store.address, graceSeconds = 1.5 }: ForwarderOptions = {}): Promise<string> {
     const host = allocateLoopbackHost()
-    const path = join(this.#directory, `${host}.json`)
+    const path = this.#bootFilePath(host)
     await writeFile(path, JSON.stringify(bootDocument(`edge-${host}`, host, storeAddress, seeds, graceSeconds)))
     const bootFile = (await readBootFile(path)).unwrap()
     const forwarder = new Forwarder(path, { boot: bootFile, secret: 'secret of a test', listener: new CallerListener() })
@@ -74,6 +74,16 @@
     return host
   }
 
+  /** Changes members of a forwarder's boot file, which it reads again when it is told to, or in time. */
+  async changeBootFile (host: string, changes: Record<string, unknown>): Promise<void> {
+    const document = JSON.parse(await readFile(this.#bootFilePath(host), 'utf8'))
+    await writeFile(this.#bootFilePath(host), JSON.stringify({ ...document, ...changes }))
+  }
+
+  #bootFilePath (host: string): string {
+    return join(this.#directory, `${host}.json`)
+  }
+
   /** Starts an endpoint and writes its registration to the store. */
   async startEndpoint (service: 'ledger' | 'engines', overrides: Record<string, unknown> = {}): Promise<EndpointStandIn> {
     const endpoint = await EndpointStandIn.start('127.0.0.1', `i-${nextEndpointNumber++}`)
--- a/test/gatewayStopLate.test.ts
+++ b/test/gatewayStopLate.test.ts
@@ -161,3 +161,39 @@
   expect(caller.statuses).toEqual([200, 502, 200])
   expect(caller.state).not.toBe(ConnectionState.Broken)
 })
+
+test('requests that are sent ahead on a kept connection during a stop are each answered, or refused and not passed on', async () => {
+  const { host, caller, ledger } = await startAfterRun(600, '/release/')
+  const ids = Array.from({ length: 40 }, (_, index) => `ahead-${index}`)
+  const late = requestHead('/release/late', { id: 'late', bodyLength: body.length })
+  const stopped = harness.stopForwarder(host)
+  // More than are worked on at a time, so that the last ones begin too late.
+  caller.write(ids.slice(0, 20).map(id => requestHead(`/release/${id}`, { id })).join(''))
+  await pause(1_000)
+  caller.write(ids.slice(20).map(id => requestHead(`/release/${id}`, { id })).join('') + late)
+  await pause(1_500)
+  caller.write(body)
+  await stopped
+  await caller.until(ids.length + 2)
+  const received = ledger.received.map(({ headers }) => headers['attempt-id'])
+  expect(caller.statuses.slice(1)).toEqual([...ids, 'late'].map(id => received.includes(id) ? 200 : 503))
+  expect(received).not.toContain('late')
+})
+
+test('a reload and a second signal during a stop change nothing for requests that were passed on or are still sent', async () => {
+  const { host, caller, ledger } = await startAfterRun(1_200, '/release/')
+  const late = await connectCaller(host)
+  caller.write(requestHead('/release/1', { id: 'running' }))
+  await waitUntil(() => ledger.received.length === 2)
+  const stopped = harness.stopForwarder(host)
+  late.write(requestHead('/release/2', { id: 'sending', bodyLength: body.length }))
+  await pause(300)
+  await harness.changeBootFile(host, { bounds: { grace_s: 0.2, session_s: 5, retry_ratio: 0.9 } })
+  await harness.forwarderAt(host).reload()
+  harness.putConfiguration(2, { routes: [] })
+  await Promise.race([harness.forwarderAt(host).stop(), pause(600)])
+  late.write(body)
+  await Promise.all([caller.until(2), late.until(1)])
+  expect([...caller.statuses, ...late.statuses]).toEqual([200, 200, 200])
+  await stopped
+})
