See a head that began in one packet with the request before it

A caller whose next head had begun in the packet that ended its request lost that connection, if the gateway stopped while the rest was on its way: the connection was closed as idle, and the second request got no answer.

A connection counted as idle if nothing had been received since its latest request ended. When that request's end is seen, the first part of the next head has been received as well, so that it counted as part of the request. The parser knows better: it tells how long it has been at a request, and 0 between two. It is asked beside the bytes now. Node.js doesn't document that method; without it a connection is judged by its bytes as before.

--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -14,6 +14,14 @@
   readonly mayKeepAlive: boolean
 }
 
+/** A socket that is read by Node.js's HTTP parser. What the parser tells of itself is not documented, so it may be missing. */
+interface ParsedSocket extends Socket {
+  readonly parser?: {
+    /** How long the parser has been at the present request, in milliseconds; 0 between two requests. */
+    readonly duration?: () => number
+  } | null
+}
+
 /**
  * @example
  * const connection = new CallerConnection(socket)
@@ -93,7 +101,13 @@
 
   /** Whether nothing is to be answered or sent, and no part of a further request has been read. */
   get isIdle (): boolean {
-    return this.openResponseCount === 0 && this.unsentBytes === 0 && this.socket.bytesRead === this.#wholeRequestBytes
+    return this.openResponseCount === 0 && this.unsentBytes === 0 && this.socket.bytesRead === this.#wholeRequestBytes && !this.#hasBegunHead
+  }
+
+  /** Bytes alone don't show a head whose first part came in one packet with the request before. */
+  get #hasBegunHead (): boolean {
+    const { parser } = this.socket as ParsedSocket
+    return this.#headCount > 0 && (parser?.duration?.() ?? 0) > 0
   }
 
   /**
