--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -12,7 +12,7 @@
 import type { MisdirectedEndpoints } from '../misdirection/index.ts'
 import type { NewsExchange } from '../news/index.ts'
 import { LineQueue, Log, descriptorSink } from '../observe/index.ts'
-import { EndpointEligibility, EndpointLoads, EndpointPlacement, EndpointRegistry, Evacuations, ModelCascade, RetryBudget, VersionSelector } from '../placement/index.ts'
+import { EndpointEligibility, EndpointLoads, EndpointPlacement, EndpointRegistry, Evacuations, ModelCascade, RetryBudget, RunDurations, VersionSelector } from '../placement/index.ts'
 import { type AnnouncedLimits, type EndpointLimits, PlaceQueues, type WarmUps } from '../rateLimit/index.ts'
 import type { PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay } from '../replica/index.ts'
 import { type CallerListener, HeldBytes } from '../server/index.ts'
@@ -232,6 +232,7 @@
     placeQueues: parts.placeQueues,
     modelCascade: new ModelCascade(),
     retryBudget: makeRetryBudget(parts),
+    runDurations: new RunDurations(),
     breaker: parts.breaker,
     runs: parts.runs,
     announcements: makeAnnouncements(parts),
--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -19,6 +19,8 @@
 const lateRequestMilliseconds = excusedRequestMilliseconds - signalDelayMilliseconds
 /** Time before the end of a stop in which waiting requests are refused and the refusals are sent. */
 const refusalMilliseconds = 300
+/** Time before the end of a stop in which runs that are still at work are ended and their callers told so. */
+const cutMilliseconds = 100
 const pollIntervalMilliseconds = 50
 const nanosecondsPerMillisecond = 1_000_000
 
@@ -67,12 +69,15 @@
     const lastSendMilliseconds = Math.max(0, graceMilliseconds - refusalMilliseconds)
     plannedStop.begin(startedAt + lastSendMilliseconds)
     listener.retireConnections()
-    await clock.sleep(Math.min(balancerRemovalMilliseconds, lastSendMilliseconds))
+    await this.#untilBalancerHasLeft(startedAt + Math.min(balancerRemovalMilliseconds, lastSendMilliseconds))
     await untilInputIsRead(clock)
     listener.stopListening()
-    await this.#untilAnswered(startedAt + graceMilliseconds)
+    const endsAt = startedAt + graceMilliseconds
+    await this.#untilAnswered(endsAt - cutMilliseconds)
     const cutRequestFields = cutFields(this.#options.readRequests(), startedAt)
-    const cut = this.#closeAll()
+    const cut = this.#cutRuns()
+    await this.#untilAnswered(endsAt)
+    this.#connections.closeAll()
     eventLoopDelay.disable()
     this.#options.log.info('drained', {
       milliseconds: Math.round(clock.now() - startedAt),
@@ -83,6 +88,15 @@
     })
   }
 
+  /** Waits that have reached their limits end meanwhile. */
+  async #untilBalancerHasLeft (leavesAt: number): Promise<void> {
+    const { clock, plannedStop } = this.#options
+    while (clock.now() < leavesAt) {
+      await clock.sleep(Math.min(pollIntervalMilliseconds, leavesAt - clock.now()))
+      plannedStop.endWaits()
+    }
+  }
+
   async #untilAnswered (endsAt: number): Promise<void> {
     const { clock, plannedStop } = this.#options
     while (clock.now() < endsAt) {
@@ -99,12 +113,11 @@
     return requestsInFlight() === 0 && listener.openResponseCount === 0
   }
 
-  /** Closes the remaining connections; returns how many requests were in flight. */
-  #closeAll (): number {
+  /** Ends what is still at work; returns how many requests were in flight. */
+  #cutRuns (): number {
     const { plannedStop, requestsInFlight } = this.#options
     const cut = requestsInFlight()
     if (cut > 0) plannedStop.cut()
-    this.#connections.closeAll()
     return cut
   }
 }
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -7,7 +7,7 @@
 import type { BlockedPrompt, SharedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import { estimateWork } from '../placement/index.ts'
-import { type ResponseHead, type RequestHead, RouteType, type Route, type RoutedOrganisation } from '../routing/index.ts'
+import { type ResponseHead, type RequestHead, RouteType, type Route, type RoutedOrganisation, isRepeatable } from '../routing/index.ts'
 import { CallerResponse, type RequestState } from './callerResponse.ts'
 import { EndpointSelection } from './endpointSelection.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
@@ -16,6 +16,7 @@
 import type { RequestHolding } from './requestHolding.ts'
 import { type CutRequest, type RequestTimes, stopTimeFields } from './requestTimes.ts'
 import type { RoutingSnapshot } from './routingView.ts'
+import type { SendWindow } from './sendWindow.ts'
 import { sharedPromptOf } from './sharedPrompt.ts'
 
 const timerToleranceMilliseconds = 5
@@ -31,6 +32,9 @@
   readonly holding: RequestHolding
   /** Milliseconds of the process's clock. */
   readonly arrivedAt: number
+  /** The earlier of the caller's and the route's timeout, in milliseconds of the process's clock. */
+  readonly deadline: number
+  readonly sendWindow: SendWindow
   readonly snapshot: RoutingSnapshot
   readonly dependencies: ForwardingDependencies
 }
@@ -47,6 +51,8 @@
   readonly arrivedAt: number
   /** The earlier of the caller's and the route's timeout, in milliseconds of the process's clock. */
   readonly deadline: number
+  /** Until when it may be sent during a planned stop. */
+  readonly sendWindow: SendWindow
   readonly dependencies: ForwardingDependencies
   readonly callerResponse: CallerResponse
   /** Aborted when the caller disconnects. */
@@ -59,7 +65,7 @@
   #block: BlockedPrompt | undefined
 
   constructor (options: ForwardedRequestOptions) {
-    const { request, route, organisation, service, head, body, holding, dependencies, arrivedAt, response, snapshot } = options
+    const { request, route, organisation, service, head, body, holding, dependencies, arrivedAt, deadline, sendWindow, response, snapshot } = options
     this.incoming = request
     this.head = head
     this.body = body
@@ -68,7 +74,8 @@
     this.service = service
     this.holding = holding
     this.arrivedAt = arrivedAt
-    this.deadline = arrivedAt + Math.min(route.timeoutMilliseconds, head.timeoutMilliseconds ?? route.timeoutMilliseconds)
+    this.deadline = deadline
+    this.sendWindow = sendWindow
     this.dependencies = dependencies
     this.prompt = sharedPromptOf(options)
     this.#snapshot = snapshot
@@ -102,7 +109,7 @@
 
   /** Whether it may be sent again once it may have run. */
   get isRepeatable (): boolean {
-    return this.route.type === RouteType.Idempotent || (this.route.type === RouteType.Stream && this.route.isResumable)
+    return isRepeatable(this.route)
   }
 
   /** The organisation's priority, or the route's; 0 is the most urgent. */
@@ -141,10 +148,10 @@
 
   /** Refuses the request, which got no response from any endpoint. */
   refuseUnanswered (mayHaveRun: boolean, isFull: boolean): void {
-    const { metrics, plannedStop } = this.dependencies
+    const { metrics } = this.dependencies
     const { placeMilliseconds, isEndedByStop, ineligibility, overloadMilliseconds } = this.selection
     if (placeMilliseconds !== undefined) metrics.heldBack.inc({ service: this.service, at: HeldBackAt.Refusal })
-    this.callerResponse.refuseUnanswered({ mayHaveRun, isStopping: isEndedByStop || plannedStop.hasEndedSending, isFull, block: this.block, ineligibility, overloadMilliseconds, placeMilliseconds })
+    this.callerResponse.refuseUnanswered({ mayHaveRun, isStopping: isEndedByStop || this.sendWindow.isClosed, isFull, block: this.block, ineligibility, overloadMilliseconds, placeMilliseconds })
   }
 
   /** Whether a response carries the attempt ID of this request. */
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -5,6 +5,7 @@
 export { EndpointLiveness, type EndpointLivenessOptions } from './endpointLiveness.ts'
 export { mayRejectModel, type RejectedRequest } from './rejectedModel.ts'
 export { PlannedStop, signalDelayMilliseconds } from './plannedStop.ts'
+export { SendWindow, type SendWindowOptions } from './sendWindow.ts'
 export { RoutingView } from './routingView.ts'
 export { RollOutView, type VersionedStatus, type RollOutRows } from './rollOutView.ts'
 export { PinnedSessions, type PinnedRollOut } from './pinnedSessions.ts'
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -59,10 +59,10 @@
     return this.#hasBrokenOff
   }
 
-  /** Further attempts that may be made; none at the end of a planned stop, or once two endpoints have rejected the model that the caller named. */
+  /** Further attempts that may be made; none that a planned stop would cut, or once two endpoints have rejected the model that the caller named. */
   get left (): number {
-    if (this.#modelRejections >= maximumModelRejections) return 0
-    return this.#dependencies.plannedStop.hasEndedSending ? 0 : this.#request.route.maximumAttempts - this.#runCount
+    if (this.#request.sendWindow.isClosed || this.#modelRejections >= maximumModelRejections) return 0
+    return this.#request.route.maximumAttempts - this.#runCount
   }
 
   /** Whether the retry budget allows a run after the present or the planned one. */
@@ -86,7 +86,7 @@
   /** Starts an attempt at an endpoint. */
   send (endpoint: RoutedEndpoint, options: AttemptOptions): OpenAttempt {
     const request = this.#request
-    const { connections, limits, plannedStop, loads, rollOuts, runs } = this.#dependencies
+    const { connections, limits, plannedStop, loads, rollOuts, runDurations, runs } = this.#dependencies
     const { model, usesOwnConnection } = options
     const startedAt = request.now
     const permit = limits.open(ratedEndpoint(endpoint), startedAt)
@@ -99,6 +99,7 @@
     const exchangeOptions = this.#exchangeOptions(endpoint, options, startedAt, mayStillSend)
     const work = request.estimateWork(model)
     const tracker = loads.track(endpoint, work, startedAt)
+    const duration = runDurations.open(request.route.name, startedAt)
     let isBlocked = false
     const cancelBlocked = () => {
       isBlocked = true
@@ -108,16 +109,20 @@
     const evidence = rollOuts.openRun(request.service, endpoint.version, { kind: request.route.name, requestClass: `${request.route.name}/${model ?? ''}`, sentAt: startedAt })
     const exchange = usesOwnConnection ? connections.startDedicated(endpoint.address, exchangeOptions) : connections.startPooled(endpoint.address, exchangeOptions)
     const unfollowCaller = this.#abortWithCaller(exchange)
-    const forgetStop = plannedStop.onEnd(() => { if (!exchange.mayHaveSent) exchange.abort('stopping') })
-    return { endpoint, model, exchange, startedAt, forgetStop, unfollowCaller, promptMilliseconds: work.prefillMilliseconds, tracker, run, permit, evidence, isBlocked: () => isBlocked }
+    const forgetWait = plannedStop.onEnd(() => { if (!exchange.mayHaveSent) exchange.abort('stopping') }, request.sendWindow)
+    const forgetCut = plannedStop.onCut(() => exchange.abort('cut by the stop'))
+    const forgetStop = () => {
+      forgetWait()
+      forgetCut()
+    }
+    return { endpoint, model, exchange, startedAt, forgetStop, unfollowCaller, promptMilliseconds: work.prefillMilliseconds, tracker, duration, run, permit, evidence, isBlocked: () => isBlocked }
   }
 
   /** Whether the request may be written to an endpoint; asked in the event-loop turn that writes it. Takes its place under the endpoint's rate limit. */
   #mayWrite (endpoint: RoutedEndpoint, permit: SendPermit): boolean {
-    const { deadline, hasCallerLeft, now, selection } = this.#request
-    const { loads, plannedStop } = this.#dependencies
-    if (hasCallerLeft || now >= deadline || plannedStop.hasEndedSending) return false
-    if (!selection.isEligible(endpoint) || loads.isOverloaded(endpoint, now)) return false
+    const { deadline, hasCallerLeft, now, selection, sendWindow } = this.#request
+    if (hasCallerLeft || now >= deadline || sendWindow.isClosed) return false
+    if (!selection.isEligible(endpoint) || this.#dependencies.loads.isOverloaded(endpoint, now)) return false
     return this.#arrivals.mayFollow(now) && permit.trySend(now)
   }
 
@@ -178,6 +183,7 @@
     attempt.permit.close()
     attempt.evidence?.abandon(now)
     attempt.tracker.close(end, now)
+    attempt.duration.close(end === AttemptEnd.Answered, now)
     this.#dependencies.metrics.attempts.inc({ service, end })
     const { identity, version } = attempt.endpoint
     this.#summaries.push(`${identity} ${version} ${attempt.model ?? '-'} ${Math.round(now - attempt.startedAt)}ms ${outcome}`)
@@ -221,7 +227,7 @@
    * accepting it is reachable; one that refused the connection or stayed silent may not be.
    */
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
-    if (this.#request.hasCallerLeft || attempt.isBlocked()) return AttemptEnd.Cancelled
+    if (this.#request.hasCallerLeft || attempt.isBlocked() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
     const wasLeftAlone = !attempt.exchange.mayHaveSent && this.#isLeftAlone(attempt.endpoint)
     if (wasLeftAlone || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
     return isSilent || !attempt.exchange.mayHaveSent ? AttemptEnd.Lost : AttemptEnd.Failed
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -3,7 +3,7 @@
  * All are immutable; updates create new values.
  */
 export {
-  RouteType, type Route, type WeightedService, type RoutedService, type RoutedModel, type RoutedOrganisation,
+  RouteType, isRepeatable, type Route, type WeightedService, type RoutedService, type RoutedModel, type RoutedOrganisation,
   type CallerLimits, type RoutingSettings, type AllowedRegions, type WarmUp
 } from './routingSettings.ts'
 export { RouteTable } from './routeTable.ts'
--- a/src/routing/routingSettings.ts
+++ b/src/routing/routingSettings.ts
@@ -49,6 +49,16 @@
   readonly allowedRegions: AllowedRegions
 }
 
+/**
+ * Whether a request of a route may be sent again once it may have run.
+ *
+ * @example
+ * if (mayHaveRun && !isRepeatable(route)) return
+ */
+export function isRepeatable ({ type, isResumable }: Pick<Route, 'type' | 'isResumable'>): boolean {
+  return type === RouteType.Idempotent || (type === RouteType.Stream && isResumable)
+}
+
 /** A model that a service's endpoints run. */
 export interface RoutedModel {
   readonly name: string
