Trust no response head in which a single header stands twice

Of a repeated attempt id, seal or other single header the codec read the first value and passed all of them on to the caller. Such a head consists of parts of two responses, so it now belongs to no attempt: it is handled like the response to another request, which may have run.

--- a/src/routing/headerCodec.ts
+++ b/src/routing/headerCodec.ts
@@ -48,7 +48,7 @@
 
 /** Decoded headers of an endpoint's response. */
 export interface ResponseHead {
-  /** The client attempt that the response belongs to. */
+  /** The client attempt that the response belongs to; undefined if it can't be told. */
   readonly attemptId: string | undefined
   /** Whether the response carries the endpoint's seal. */
   readonly isSealed: boolean
--- a/test/responseHead.test.ts
+++ b/test/responseHead.test.ts
@@ -1,7 +1,16 @@
 import { expect, test } from 'vitest'
+import { PlatformHeaders } from '../platform/headers.ts'
 import { createPool } from '../src/httpClient/index.ts'
 import { startScriptedServer } from './fakes/scriptedServer.ts'
 
+const head = { 'attempt-id': 'a', 'server-seal': 's', confidence: '90', 'content-type': 'text/plain', 'content-length': '2', 'retry-after': '1', 'cold-ms': '10', 'not-executed': '1' }
+const codec = new PlatformHeaders()
+
+test.each(Object.keys(head))('a head in which %s stands twice belongs to no attempt', name => {
+  expect(codec.readResponseHead(head).attemptId).toBe('a')
+  expect(codec.readResponseHead({ ...head, [name]: ['a', 'a'] }).attemptId).toBeUndefined()
+})
+
 test.each([
   ['a header value', 'HTTP/1.1 200 OK\r\nx-note: tHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'],
   ['the reason phrase', 'HTTP/1.1 200 OHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok']
