--- a/test/responseHead.test.ts
+++ b/test/responseHead.test.ts
@@ -11,6 +11,11 @@
   expect(codec.readResponseHead({ ...head, [name]: ['a', 'a'] }).attemptId).toBeUndefined()
 })
 
+test('a repeated list of connection options does not fail the request, and names headers that are not passed on', () => {
+  const headers = { connection: ['x-first', 'X-Second'], 'x-first': '1', 'x-second': '2', 'x-third': '3' }
+  expect(codec.writeResponseHeaders(headers as never)).toEqual({ 'x-third': '3' })
+})
+
 test.each([
   ['a header value', 'HTTP/1.1 200 OK\r\nx-note: tHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'],
   ['the reason phrase', 'HTTP/1.1 200 OHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok']
