Break off a response whose body contains the head of another one

Callers got a 200 with the endpoint's seal and a body that was not the endpoint's: as long as it should be, but completed by the bytes of a second answer; in chunks a body that goes on with the second one; or, without a frame, both answers after each other. The endpoint had stopped in the body and sent a whole answer behind it on the same connection. The parser can't see the second head: its bytes fill what is missing of the length or of the chunk.

Exchange now looks for a status line followed by headers of which one has the attempt's id as its value, in the body across reads and, where the body ends inside such a head, in what came with it in one read. It fails before the data is handed on that completes the head; a body that ends inside what looks like one is not whole either. A body that merely shows a status line is delivered, and so is a whole answer that an extra one follows. The attempt may have run: an idempotent request is tried elsewhere, a stream goes on elsewhere, a once-only request gets 502, and a long answer that is relayed is cut. Gateways give their attempt id, daemons that of an engine's stream and the idempotency key of a service call.

--- a/src/endpoint/connections.ts
+++ b/src/endpoint/connections.ts
@@ -8,6 +8,7 @@
  * times out, its whole pool is therefore retired: running exchanges continue, but no new exchange
  * uses its connections. Idle connections are closed after a few seconds for the same reason.
  */
+import type { Socket } from 'node:net'
 import { type Dispatcher, Pool, buildConnector } from 'undici'
 import { ProgressClient } from '../httpClient/index.ts'
 import { Exchange, type ExchangeOptions } from './exchange.ts'
@@ -38,11 +39,14 @@
    * ends when its connection closes, and the HTTP client reports a reset as such an end too.
    */
   readonly isFailing?: boolean
+  /** What was received in one read with the given bytes, which the HTTP client is handing on, and follows them. */
+  bytesBehind? (bytes: Buffer): Buffer
   createPool (address: string): ConnectionPool
   /** Opens a connection for one exchange, closed afterwards. */
   createSingleUse (address: string): Pick<Dispatcher, 'dispatch'>
 }
 
+const noBytes: Buffer = Buffer.alloc(0)
 const defaultKeepAliveTimeoutMilliseconds = 4_000
 
 /** Connections of one client to its endpoints. */
@@ -56,12 +60,12 @@
 
   /** Starts an exchange on a pooled, possibly reused connection. */
   startPooled (address: string, exchange: ExchangeOptions): Exchange {
-    return Exchange.start(() => this.#poolFor(address), this.#withFailureCheck(exchange))
+    return Exchange.start(() => this.#poolFor(address), this.#withConnectionState(exchange))
   }
 
   /** Starts an exchange on a new connection, closed afterwards. */
   startDedicated (address: string, exchange: ExchangeOptions): Exchange {
-    return Exchange.start(() => this.#factory.createSingleUse(address), { ...this.#withFailureCheck(exchange), closesConnection: true })
+    return Exchange.start(() => this.#factory.createSingleUse(address), { ...this.#withConnectionState(exchange), closesConnection: true })
   }
 
   /** Excludes the open connections to an address from new exchanges. */
@@ -79,8 +83,8 @@
     await Promise.all(pools.map(pool => pool.destroy()))
   }
 
-  #withFailureCheck (exchange: ExchangeOptions): ExchangeOptions {
-    return { ...exchange, isConnectionFailing: () => this.#factory.isFailing === true }
+  #withConnectionState (exchange: ExchangeOptions): ExchangeOptions {
+    return { ...exchange, isConnectionFailing: () => this.#factory.isFailing === true, bytesBehind: bytes => this.#factory.bytesBehind?.(bytes) ?? noBytes }
   }
 
   #poolFor (address: string): ConnectionPool {
@@ -103,6 +107,8 @@
 class TcpConnectionFactory implements ConnectionFactory {
   readonly #options: ConnectionOptions
   #isFailing = false
+  /** The HTTP client parses what it has read before it reads again, so one read is kept for all connections. */
+  #lastRead: Buffer = noBytes
 
   constructor (options: ConnectionOptions) {
     this.#options = options
@@ -112,6 +118,12 @@
     return this.#isFailing
   }
 
+  bytesBehind (bytes: Buffer): Buffer {
+    const read = this.#lastRead
+    if (bytes.buffer !== read.buffer) return noBytes
+    return read.subarray(bytes.byteOffset + bytes.length - read.byteOffset)
+  }
+
   createPool (address: string): ConnectionPool {
     return new TcpPool(`http://${address}`, { factory: origin => new ProgressClient(origin, this.#clientOptions()) })
   }
@@ -125,11 +137,21 @@
     const connect = buildConnector({ timeout: this.#options.connectTimeoutMilliseconds })
     return (options, callback) => connect(options, (...opened) => {
       const [, socket] = opened
-      socket?.on('error', () => this.#markFailing())
+      if (socket) this.#follow(socket)
       callback(...opened)
     })
   }
 
+  #follow (socket: Socket): void {
+    socket.on('error', () => this.#markFailing())
+    const read = socket.read.bind(socket)
+    socket.read = size => {
+      const bytes: unknown = read(size)
+      if (Buffer.isBuffer(bytes)) this.#lastRead = bytes
+      return bytes
+    }
+  }
+
   #markFailing (): void {
     this.#isFailing = true
     process.nextTick(() => { this.#isFailing = false })
--- a/src/endpoint/engineAttempt.ts
+++ b/src/endpoint/engineAttempt.ts
@@ -166,6 +166,6 @@
     if (body !== undefined) headers['content-type'] = 'application/json'
     if (this.#call.traceParent !== undefined) headers.traceparent = this.#call.traceParent
     const { clock, inactivityTimeoutMilliseconds } = this.#options
-    return { clock, inactivityTimeoutMilliseconds, method, path, body, headers, mayStillSend: () => true }
+    return { clock, inactivityTimeoutMilliseconds, method, path, body, headers, responseMark: this.#call.attemptId, mayStillSend: () => true }
   }
 }
--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -1,5 +1,5 @@
 /**
- * Pull-based HTTP exchange. It provides three guarantees to its users.
+ * Pull-based HTTP exchange. It provides four guarantees to its users.
  *
  * Delivery: `mayStillSend` is checked in the handler that the HTTP client calls synchronously before
  * it writes the request head to the connected socket, in the same event-loop turn. If it returns
@@ -10,12 +10,16 @@
  *
  * Backpressure: unread bytes are bounded; the socket is paused above the bound.
  *
+ * One response: the exchange fails before it hands on the head of another response of the same attempt, which an
+ * endpoint may send behind a response that stopped in the middle of its body.
+ *
  * Inactivity: the exchange fails if nothing arrives within the timeout. Time during which the reader
  * keeps the socket paused does not count.
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
 import { type Clock, invariant, sleepUntil } from '../contract/index.ts'
+import { SecondHeadScanner } from './secondHeadScanner.ts'
 
 /** Events of an exchange: a head, any number of data events, then an end; or a failure at any point. */
 export type ExchangeEvent =
@@ -38,8 +42,15 @@
   readonly closesConnection?: boolean
   /** Whether a connection is failing in this event-loop turn; an end received then counts as a failure. */
   readonly isConnectionFailing?: () => boolean
+  /** Value of a header that identifies the responses of this attempt; undefined if none does. */
+  readonly responseMark?: string | undefined
+  /** What was received in one read with the given bytes of a response, and follows them. */
+  readonly bytesBehind?: (bytes: Buffer) => Buffer
 }
 
+const noBytes: Buffer = Buffer.alloc(0)
+const secondHeadReason = 'the body of the response contains the head of another one'
+
 /** Unread bytes above which the socket is paused. */
 export const maximumBufferedBytes = 64 * 1024
 
@@ -48,6 +59,8 @@
   readonly #options: ExchangeOptions
   readonly #timeoutWatch = new AbortController()
   readonly #events: ExchangeEvent[] = []
+  readonly #secondHead: SecondHeadScanner | undefined
+  #bytesBehind: Buffer = noBytes
   #bufferedBytes = 0
   #lastActivityAt: number
   #controller: Dispatcher.DispatchController | undefined
@@ -58,6 +71,7 @@
 
   constructor (options: ExchangeOptions) {
     this.#options = options
+    this.#secondHead = options.responseMark === undefined ? undefined : new SecondHeadScanner(options.responseMark)
     this.#lastActivityAt = options.clock.now()
   }
 
@@ -153,6 +167,8 @@
   onResponseData (controller: Dispatcher.DispatchController, bytes: Buffer): void {
     if (this.#isDiscarding) return
     this.#lastActivityAt = this.#options.clock.now()
+    if (this.#secondHead?.push(bytes) === true) return this.abort(secondHeadReason)
+    this.#bytesBehind = this.#options.bytesBehind?.(bytes) ?? noBytes
     this.#bufferedBytes += bytes.length
     this.#push({ type: 'data', bytes })
     if (this.#bufferedBytes > maximumBufferedBytes) controller.pause()
@@ -160,6 +176,7 @@
 
   onResponseEnd (): void {
     if (this.#options.isConnectionFailing?.() === true) return this.#finish({ type: 'failure', reason: 'connection failed at the end of the response', timedOut: false })
+    if (this.#secondHead?.end(this.#bytesBehind) === true) return this.#finish({ type: 'failure', reason: secondHeadReason, timedOut: false })
     this.#finish({ type: 'end' })
   }
 
--- /dev/null
+++ b/src/endpoint/secondHeadScanner.ts
@@ -0,0 +1,105 @@
+/**
+ * Finds the head of another response inside the body of a response. An endpoint that stops in the middle of a body and
+ * then sends a whole response leaves the HTTP parser no way to see it: the second response fills the missing bytes.
+ * A second head is told from a body that merely shows one by a header whose value identifies the attempt.
+ */
+const statusLineStart = 'HTTP/1.'
+const statusLinePattern = /^HTTP\/1\.[01] \d{3}(?: |$)/
+const shortestStatusLine = 'HTTP/1.1 200'
+const headerPattern = /^[^\s:]+:[ \t]*(.*?)[ \t]*$/
+const lineEnd = '\r\n'
+/** The HTTP parser takes no longer head. */
+const maximumHeadBytes = 16 * 1024
+
+/** What is known of the text that begins at a possible status line. */
+const Finding = {
+  /** It is no head, or that of another attempt's response. */
+  Nothing: 'nothing',
+  /** More bytes are needed. */
+  Undecided: 'undecided',
+  /** It is the head of a response of the attempt. */
+  SecondHead: 'second_head'
+} as const
+type Finding = typeof Finding[keyof typeof Finding]
+
+/**
+ * @example
+ * const scanner = new SecondHeadScanner('a-17')
+ * if (scanner.push(bytes)) exchange.abort('two responses in one')
+ */
+export class SecondHeadScanner {
+  readonly #mark: string
+  /** Bytes from a possible status line on, as latin1 text. */
+  #undecided = ''
+
+  /** @param mark value of a header that is found in each response of the attempt */
+  constructor (mark: string) {
+    this.#mark = mark
+  }
+
+  /** Adds bytes of the body; returns whether they complete what tells of a second head. */
+  push (bytes: Buffer): boolean {
+    if (this.#undecided === '' && !mayBeginStatusLine(bytes)) return false
+    const text = this.#undecided + bytes.toString('latin1')
+    this.#undecided = ''
+    for (let start = indexOfStatusLine(text, 0); start >= 0; start = indexOfStatusLine(text, start + 1)) {
+      const finding = this.#judge(text, start)
+      if (finding === Finding.SecondHead) return true
+      if (finding === Finding.Nothing || text.length - start > maximumHeadBytes) continue
+      this.#undecided = text.slice(start)
+      return false
+    }
+    return false
+  }
+
+  /**
+   * Whether a body that ends here contains a second head, or ends inside what looks like one.
+   *
+   * @param bytesBehind what was received together with the end of the body, and follows it
+   */
+  end (bytesBehind: Buffer): boolean {
+    if (this.#undecided === '') return false
+    const body = this.#undecided
+    const text = body + bytesBehind.subarray(0, maximumHeadBytes).toString('latin1')
+    for (let start = 0; start >= 0 && start < body.length; start = indexOfStatusLine(text, start + 1)) {
+      const finding = this.#judge(text, start)
+      const isInsideHead = finding === Finding.Undecided && body.includes(lineEnd, start)
+      if (finding === Finding.SecondHead || isInsideHead) return true
+    }
+    return false
+  }
+
+  #judge (text: string, start: number): Finding {
+    let position = start
+    for (let end = text.indexOf(lineEnd, position); end >= 0; end = text.indexOf(lineEnd, position)) {
+      const line = text.slice(position, end)
+      if (position === start) {
+        if (!statusLinePattern.test(line)) return Finding.Nothing
+      } else {
+        const [, value] = headerPattern.exec(line) ?? []
+        if (value === undefined) return Finding.Nothing
+        if (value === this.#mark) return Finding.SecondHead
+      }
+      position = end + lineEnd.length
+    }
+    const isStatusLineShort = position === start && text.length - start < shortestStatusLine.length
+    if (position === start && !isStatusLineShort && !statusLinePattern.test(text.slice(start, start + shortestStatusLine.length))) return Finding.Nothing
+    return Finding.Undecided
+  }
+}
+
+/** Whether bytes contain the start of a status line, or end in what may be one. */
+function mayBeginStatusLine (bytes: Buffer): boolean {
+  if (bytes.includes(statusLineStart)) return true
+  return indexOfStatusLine(bytes.subarray(-statusLineStart.length).toString('latin1'), 0) >= 0
+}
+
+/** Offset of the next start of a status line, or of what may be one at the end of the text; -1 if there is none. */
+function indexOfStatusLine (text: string, from: number): number {
+  const whole = text.indexOf(statusLineStart, from)
+  if (whole >= 0) return whole
+  for (let start = Math.max(from, text.length - statusLineStart.length + 1); start < text.length; start++) {
+    if (statusLineStart.startsWith(text.slice(start))) return start
+  }
+  return -1
+}
--- a/src/endpoint/serviceClient.ts
+++ b/src/endpoint/serviceClient.ts
@@ -74,6 +74,7 @@
       path: call.path,
       headers: headersOf(call),
       body: call.body,
+      responseMark: call.idempotencyKey,
       inactivityTimeoutMilliseconds: this.#options.inactivityTimeoutMilliseconds,
       mayStillSend: () => !signal.aborted && mayStillSend() && (call.gate?.trySend() ?? true)
     }
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -83,7 +83,7 @@
   }
 
   #exchangeOptions (endpoint: RoutedEndpoint, { model, lastEventId }: AttemptOptions, startedAt: number, mayStillSend: () => boolean): ExchangeOptions {
-    const { body, deadline, incoming, organisation, priority, route } = this.#request
+    const { body, deadline, head, incoming, organisation, priority, route } = this.#request
     const { clock, codec } = this.#dependencies
     return {
       clock,
@@ -98,6 +98,7 @@
         priority: route.type === RouteType.Stream ? priority : undefined
       }),
       body: body.length === 0 ? undefined : body,
+      responseMark: head.attemptId,
       inactivityTimeoutMilliseconds: Math.max(1, deadline - startedAt),
       mayStillSend
     }
