Cut answers at every byte of their heads and close the connection

Other operators report that an endpoint stopped in the middle of its answer's head and closed, and that clients got a 200 with an empty or short body.

--- a/test/fakes/stutteringEndpoint.ts
+++ b/test/fakes/stutteringEndpoint.ts
@@ -1,7 +1,7 @@
 /**
  * Endpoints that stutter: the answer to a request stops after any number of bytes, and a whole answer to the same
- * request follows on the same connection. A request's path names the framing, the cut and the pause; the second
- * time that a request comes it is answered as it should be.
+ * request follows on the same connection, or the connection ends. A request's path names the framing, the cut and the
+ * fault; the second time that a request comes it is answered as it should be.
  */
 import type { Socket } from 'node:net'
 import { formatEvent } from './forwarderWorld.ts'
@@ -16,12 +16,28 @@
 } as const
 export type Framing = typeof Framing[keyof typeof Framing]
 
+/** What comes with an answer, or in place of its rest. */
+export const Fault = {
+  /** A whole answer to the same request, at once. */
+  SecondAnswer: 'second_answer',
+  /** The same, 3 ms later. */
+  LateSecondAnswer: 'late_second_answer',
+  /** An orderly end. */
+  End: 'end',
+  Reset: 'reset',
+  LateReset: 'late_reset',
+  /** On a kept connection, the start of the answer to the request before comes once more, ahead of the whole answer. */
+  OldStart: 'old_start',
+  /** The same with the end of that answer. */
+  OldEnd: 'old_end'
+} as const
+export type Fault = typeof Fault[keyof typeof Fault]
+
 export interface Stutter {
   readonly framing: Framing
-  /** Bytes of the first answer. */
+  /** Bytes of the first answer; of an old one, bytes up to where it is cut. */
   readonly cut: number
-  /** Before the second answer; none means that both are written as one. */
-  readonly pauseMilliseconds: number | undefined
+  readonly fault: Fault
 }
 
 /** Longer than the head of an answer, so that a whole second head fits in. */
@@ -45,15 +61,20 @@
 }
 
 /** The path of a request whose answer stutters. */
-export function stutterPath (prefix: string, { framing, cut, pauseMilliseconds }: Stutter): string {
-  return `${prefix}${framing}/${cut}/${pauseMilliseconds ?? 'at-once'}`
+export function stutterPath (prefix: string, { framing, cut, fault }: Stutter): string {
+  return `${prefix}${framing}/${cut}/${fault}`
 }
 
+const secondAnswerMilliseconds = 3
+const resetMilliseconds = 30
 const headPattern = /^(\S+) (\/\S*?)([^/]+)\/(\d+)\/(\S+) HTTP\/1\.1\r\n([^]*?)\r\n\r\n/
 
 export class StutteringEndpoints {
   /** Attempt ids, each as often as it has come. */
   readonly arrivals: string[] = []
+  /** Requests ahead of whose answer came a part of the one before. */
+  readonly idsBehindOldParts: string[] = []
+  readonly #lastAnswers = new WeakMap<Socket, string>()
   readonly #servers: ScriptedServer[] = []
 
   /**
@@ -79,19 +100,29 @@
   }
 
   #answer (socket: Socket, text: string): void {
-    const [, , prefix, framing, cut, pause, head = ''] = headPattern.exec(text) ?? []
+    const [, , prefix, framing, cut, fault, head = ''] = headPattern.exec(text) ?? []
     const id = /^attempt-id: (.*)$/im.exec(head)?.[1] ?? ''
     const isRepeat = this.arrivals.includes(id)
     this.arrivals.push(id)
     const lastEvent = Number(/^last-event-id: (\d+)$/im.exec(head)?.[1] ?? 0)
     const whole = answerText(id, framing as Framing, prefix === '/query/' ? streamParts.slice(lastEvent) : [plainBody])
-    const first = isRepeat ? '' : whole.slice(0, Number(cut))
-    const end = (bytes: string) => {
-      socket.write(bytes)
-      if (framing === Framing.None) socket.end()
-    }
-    if (pause === 'at-once' || isRepeat) return end(first + whole)
+    const old = this.#lastAnswers.get(socket)
+    if (old !== undefined) this.idsBehindOldParts.push(id)
+    this.#lastAnswers.set(socket, whole)
+    if (isRepeat) return finish(socket, framing, whole)
+    const first = whole.slice(0, Number(cut))
+    if (fault === Fault.SecondAnswer) return finish(socket, framing, first + whole)
+    if (fault === Fault.OldStart) return finish(socket, framing, (old?.slice(0, Number(cut)) ?? '') + whole)
+    if (fault === Fault.OldEnd) return finish(socket, framing, (old?.slice(Number(cut)) ?? '') + whole)
     socket.write(first)
-    setTimeout(() => { if (!socket.destroyed) end(whole) }, Number(pause))
+    if (fault === Fault.LateSecondAnswer) setTimeout(() => { if (!socket.destroyed) finish(socket, framing, whole) }, secondAnswerMilliseconds)
+    if (fault === Fault.End) socket.end()
+    if (fault === Fault.Reset) socket.resetAndDestroy()
+    if (fault === Fault.LateReset) setTimeout(() => socket.resetAndDestroy(), resetMilliseconds)
   }
 }
+
+function finish (socket: Socket, framing: string | undefined, bytes: string): void {
+  socket.write(bytes)
+  if (framing === Framing.None) socket.end()
+}
--- a/test/secondAnswers.test.ts
+++ b/test/secondAnswers.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { Framing } from './fakes/stutteringEndpoint.ts'
+import { Fault, Framing } from './fakes/stutteringEndpoint.ts'
 import { StutteringWorld, faultOf, prefixes, wholeAnswer } from './fakes/stutteringWorld.ts'
 
 let world: StutteringWorld
@@ -8,7 +8,7 @@
 
 /** Sends a request whose answer stops in the middle of its body, or as far from there as is said. */
 async function cutOnce (id: string, prefix: string, framing: Framing, cutOf: (answer: string) => number = answer => answer.length - 100) {
-  const response = await world.ask(prefix, id, { framing, cut: cutOf(wholeAnswer(id, prefix, framing)), pauseMilliseconds: undefined })
+  const response = await world.ask(prefix, id, { framing, cut: cutOf(wholeAnswer(id, prefix, framing)), fault: Fault.SecondAnswer })
   return { status: response?.status, fault: faultOf(id, prefix, response), runs: world.runsOf(id) }
 }
 
