Remember the sessions of a service whose old version is gone

A session that began when only the new version of a roll-out was left (from its end until the next order, and while all endpoints of the old one were away) was not remembered. Nobody listed it when the next roll-out began, so that its next request could run on the version on trial (PINNED), and it could return to the old version when that came back. The choice returned before it recorded the session. It records whichever version it chose now.

Both tests failed before.

--- a/src/placement/rollOutExposure.ts
+++ b/src/placement/rollOutExposure.ts
@@ -120,12 +120,8 @@
     }
     const oldEndpoints = oldEndpointsAmong(endpoints, split)
     const newEndpoints = endpoints.filter(endpoint => endpoint.version === split.toVersion)
-    if (oldEndpoints.length === 0) return newEndpoints
-    if (newEndpoints.length === 0) {
-      this.#recordSession(session, undefined, now)
-      return oldEndpoints
-    }
-    const takesNewVersion = this.#takesNewVersion(split, session, key, now)
+    if (endpoints.length === 0) return endpoints
+    const takesNewVersion = newEndpoints.length > 0 && (oldEndpoints.length === 0 || this.#takesNewVersion(split, session, key, now))
     this.#recordSession(session, takesNewVersion ? split.toVersion : undefined, now)
     return takesNewVersion ? newEndpoints : oldEndpoints
   }
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -355,6 +355,27 @@
   expect(new Set(chosenVersions)).toEqual(new Set(['v1']))
 })
 
+test('a session that began when only the new version of the last roll-out was left keeps it in the next one', () => {
+  const versions = new VersionSelector(5_000)
+  const moved = [endpoint('moved', { version: 'v2' })]
+  const sessions = Array.from({ length: 200 }, (_, index) => `session-${index}`)
+  const versionsOf = (endpoints: readonly RoutedEndpoint[], toVersion: string, progress: number, now: number) =>
+    new Set(sessions.map(session => versions.chooseEndpoints(endpoints, { toVersion, exposure: exposureAt(progress), pinnedSessions: new Set() }, session, session, now)[0]?.version))
+  expect(versionsOf(moved, 'v2', 1, 0)).toEqual(new Set(['v2']))
+  expect(versions.sessionsToPin('v3', schedule.trialShare, 1_000).length).toBeGreaterThan(0)
+  expect(versionsOf([...moved, endpoint('new', { version: 'v3' })], 'v3', 0.1, 3_000)).toEqual(new Set(['v2']))
+})
+
+test('a session that was served by the new version while none of the old was left does not return from it', () => {
+  const versions = new VersionSelector(5_000)
+  const [old, moved] = [endpoint('old'), endpoint('new', { version: 'v2' })]
+  const choose = (endpoints: readonly RoutedEndpoint[], now: number) => versions.chooseEndpoints(endpoints, { toVersion: 'v2', exposure: exposureAt(0.6), pinnedSessions: new Set() }, 'session-2', 'session-2', now)
+  expect(choose([old, moved], 0)).toEqual([old])
+  expect(choose([moved], 1_000)).toEqual([moved])
+  expect(choose([], 2_000)).toEqual([])
+  expect(choose([old, moved], 3_000)).toEqual([moved])
+})
+
 test('a session is active while a request of it runs and for its timeout afterwards, however long that takes', () => {
   const versions = new VersionSelector(5_000)
   const running = { toVersion: 'v2', exposure: exposureAt(0.1), pinnedSessions: new Set<string>() }
