Count crashes under a request that is repeated at once at another gateway

What a gateway hears of a crash is dated too late by the time that the news was on the way. A caller that repeats its request at once at another gateway has it sent before the crash, as that one dates it, so that the crashes form no sequence there and it doesn't judge the request. In the log of such a run one gateway blocks the request, and the other sends it 25 ms later and is told of the block meanwhile.

A request may have been sent up to 50 ms before a crash as that is dated, if its own endpoint crashed at least 15 ms later. Endpoints of a rack end together, so that this joins no such crashes; prompt parts are judged as before, since many requests share them.

--- a/src/breaker/blame.ts
+++ b/src/breaker/blame.ts
@@ -28,6 +28,10 @@
 const maximumBlamedMilliseconds = 1_000
 /** Crashes under one request that are this far apart follow one another, whenever it was sent. */
 const separateCrashMilliseconds = 100
+/** What another gateway tells is dated too late by the time for which its news was on the way, mostly no longer than this. */
+const newsDelayMilliseconds = 50
+/** Endpoints that end together crash within a shorter time, as their gateways see it. */
+const distinctCrashMilliseconds = 15
 /** A request is shared by fewer others than any prompt part. */
 const requestDepth = Number.POSITIVE_INFINITY
 
@@ -157,12 +161,11 @@
 
 /** The crashes of a longest sequence in which each follows the one before. */
 function longestSequence (intervals: readonly BlamedInterval[], depth: number): readonly ObservedCrash[] {
-  const separationMilliseconds = depth === requestDepth ? separateCrashMilliseconds : Number.POSITIVE_INFINITY
   const byEnd = [...intervals].sort((left, right) => left.crash.crashedAt - right.crash.crashedAt)
   const sequence: ObservedCrash[] = []
   let endedAt = Number.NEGATIVE_INFINITY
   for (const { startedAt, crash } of byEnd) {
-    const follows = startedAt >= endedAt || crash.crashedAt - endedAt >= separationMilliseconds
+    const follows = startedAt >= endedAt || (depth === requestDepth && repeatMayFollow(startedAt, crash, endedAt))
     if (!follows) continue
     sequence.push(crash)
     endedAt = crash.crashedAt
@@ -170,6 +173,13 @@
   return sequence
 }
 
+/** Whether a request may have been sent after an earlier crash, although the known times say that it was not. */
+function repeatMayFollow (sentAt: number, { crashedAt }: ObservedCrash, earlierCrashAt: number): boolean {
+  const millisecondsBetween = crashedAt - earlierCrashAt
+  if (millisecondsBetween >= separateCrashMilliseconds) return true
+  return millisecondsBetween >= distinctCrashMilliseconds && sentAt >= earlierCrashAt - newsDelayMilliseconds
+}
+
 function compare (left: number, right: number): number {
   return left === right ? 0 : left - right
 }
--- a/test/fakes/newsFleet.ts
+++ b/test/fakes/newsFleet.ts
@@ -50,7 +50,7 @@
   }
 
   /** A run of a request at a gateway, whose endpoint crashes a while after it was sent; sound requests that lie there are answered elsewhere. */
-  async crashUnder (index: number, prompt: SharedPrompt, instance: string, crashMilliseconds: number, beside: ReadonlyMap<number, readonly SharedPrompt[]> = new Map()): Promise<void> {
+  async crashUnder (index: number, prompt: SharedPrompt, instance: string, crashMilliseconds: number, beside: ReadonlyMap<number, readonly SharedPrompt[]> = new Map(), afterwardsMilliseconds = crashMilliseconds): Promise<void> {
     const lying = [...beside].flatMap(([gateway, prompts]) => prompts.map(prompt => this.#send(gateway, prompt, instance)))
     const run = this.#send(index, prompt, instance)
     await this.clock.advance(crashMilliseconds)
@@ -58,7 +58,7 @@
       broken.recordBreak(this.clock.now())
       broken.close()
     }
-    await this.clock.advance(crashMilliseconds)
+    await this.clock.advance(afterwardsMilliseconds)
     for (const [gateway, prompts] of beside) for (const prompt of prompts) this.gateways[gateway]!.runs.recordAnswer(prompt, this.clock.now())
   }
 
--- a/test/requestFleet.test.ts
+++ b/test/requestFleet.test.ts
@@ -6,6 +6,10 @@
 /** After the third crash all gateways that can be reached know of the request within this time. */
 const knownEverywhereMilliseconds = 4_000
 const crashMilliseconds = 60
+const shortCrashMilliseconds = 40
+/** From the end of a run to its caller's repeat at another gateway. */
+const repeatMilliseconds = 8
+const judgedMilliseconds = 600
 
 async function startFleet (size: number): Promise<NewsFleet> {
   const fleet = new NewsFleet(size)
@@ -27,6 +31,14 @@
   await fleet.stop()
 }, 60_000)
 
+test.each([[[0, 2, 0]], [[0, 2, 4]], [[2, 0, 2]], [[4, 4, 1]]])('a request that its caller repeats at once, at gateways %j, is refused by all of them once its third crash is judged, however long news takes', async gateways => {
+  const fleet = await startFleet(7)
+  for (const [crash, gateway] of gateways.entries()) await fleet.crashUnder(gateway, kill, `endpoint-${crash}`, shortCrashMilliseconds, new Map(), repeatMilliseconds)
+  await fleet.clock.advance(judgedMilliseconds)
+  expect(fleet.gateways.filter(({ breaker }) => breaker.admit(kill, fleet.clock.now()).ok)).toEqual([])
+  await fleet.stop()
+})
+
 test('a gateway that starts after the crashes knows of the request at once', async () => {
   const fleet = await startFleet(7)
   await crashThrice(fleet, [0, 1, 2])
