Date news once its connection is open

News tells how long ago a crash was. Links can be connected beforehand now, and news is composed then.

The test failed before: two of seven gateways let the request pass that had crashed three endpoints.

--- a/measure/membershipFleet.ts
+++ b/measure/membershipFleet.ts
@@ -24,6 +24,10 @@
     this.#link = link
   }
 
+  connect (peer: Peer, timeoutMilliseconds: number): Promise<void> {
+    return this.#link.connect(peer, timeoutMilliseconds)
+  }
+
   async request<Body, Reply> (peer: Peer, type: MessageType<Body, Reply>, body: Body, timeoutMilliseconds: number) {
     this.requestCount += 1
     return this.#link.request(peer, type, body, timeoutMilliseconds)
--- a/src/link/contract.ts
+++ b/src/link/contract.ts
@@ -43,6 +43,14 @@
 /** The links of one daemon to its peers. */
 export interface Link {
   readonly self: LinkIdentity
+  /**
+   * Opens a connection to a peer if there is none, for messages that tell how long ago things were; a failure shows
+   * when a message is sent.
+   *
+   * @example
+   * await link.connect(peer, 500)
+   */
+  connect (peer: Peer, timeoutMilliseconds: number): Promise<void>
   /**
    * Sends a message and waits for its reply.
    *
--- a/src/link/tcpLink.ts
+++ b/src/link/tcpLink.ts
@@ -115,18 +115,33 @@
     for (const socket of this.#sockets) socket.destroy()
   }
 
+  async connect (peer: Peer, timeoutMilliseconds: number): Promise<void> {
+    const isReady = this.#readyConnectionTo(peer) !== undefined || this.#stopping.signal.aborted
+    if (!isReady) await this.#openTo(peer, timeoutMilliseconds)
+  }
+
   async request<Body, Reply> (peer: Peer, type: MessageType<Body, Reply>, body: Body, timeoutMilliseconds: number): Promise<Result<Reply, LinkFailure>> {
     if (this.#stopping.signal.aborted) return Err(new LinkFailure('the link is closing', false))
-    const ready = this.#readyConnections.get(peer.address)
-    if (ready?.isOpen && isPeer(ready, peer)) return ready.request(type, body, timeoutMilliseconds)
+    const ready = this.#readyConnectionTo(peer)
+    if (ready !== undefined) return ready.request(type, body, timeoutMilliseconds)
     const startedAt = this.#clock.now()
-    const connection = await this.#withTimeout(this.#connectionTo(peer), timeoutMilliseconds)
+    const connection = await this.#openTo(peer, timeoutMilliseconds)
     if (connection.err) return connection
-    this.#readyConnections.set(peer.address, connection.val)
     const remaining = timeoutMilliseconds - (this.#clock.now() - startedAt)
     return connection.val.request(type, body, remaining)
   }
 
+  #readyConnectionTo (peer: Peer): Connection | undefined {
+    const ready = this.#readyConnections.get(peer.address)
+    return ready?.isOpen && isPeer(ready, peer) ? ready : undefined
+  }
+
+  async #openTo (peer: Peer, timeoutMilliseconds: number): Promise<Result<Connection, LinkFailure>> {
+    const connection = await this.#withTimeout(this.#connectionTo(peer), timeoutMilliseconds)
+    if (connection.ok) this.#readyConnections.set(peer.address, connection.val)
+    return connection
+  }
+
   handle<Body, Reply> (type: MessageType<Body, Reply>, handler: (body: Body, from: LinkIdentity) => Promise<Reply>): void {
     this.#handlers.set(type.name, async (body, from) => {
       const checked = type.body.safeParse(body)
--- a/src/news/newsExchange.ts
+++ b/src/news/newsExchange.ts
@@ -109,8 +109,8 @@
     // In a small fleet whoever saw it has told everyone already.
     const passingCount = this.#options.peers().length > broadcastPeerCount ? passingPeerCount : 0
     for (const [index, peer] of peers.entries()) {
-      const update = this.#message({ news: index < passingCount ? joined(own, heard) : own, isComplete: false })
-      if (!isEmptyNews(update)) this.#sendTo(peer, { ...update, isUpdate: true }).catch(() => undefined)
+      const news = index < passingCount ? joined(own, heard) : own
+      if (!isEmptyNews(this.#message({ news, isComplete: false }))) this.#sendUpdate(peer, news).catch(() => undefined)
     }
   }
 
@@ -118,19 +118,18 @@
   async #compareWith (peer: Peer): Promise<void> {
     const { breaker, clock } = this.#options
     const summary = summaryOf(factHashes(breaker.news(clock.now())))
-    const reply = await this.#sendTo(peer, { ...this.#message({ news: noNews, isComplete: false }), summary })
+    const reply = await this.#sendTo(peer, () => ({ ...this.#message({ news: noNews, isComplete: false }), summary }))
     if (reply === undefined || reply.isSame) return
     // A gateway of an earlier build tells all that it knows instead of hashes.
     const lacking = newsBeyond(breaker.news(clock.now()), new Set(reply.known))
-    const update = this.#message({ news: lacking, isComplete: false })
-    if (!isEmptyNews(update)) await this.#sendTo(peer, { ...update, isUpdate: true })
+    if (!isEmptyNews(this.#message({ news: lacking, isComplete: false }))) await this.#sendUpdate(peer, lacking)
   }
 
   async #askAfterStart (): Promise<void> {
     const { clock } = this.#options
     clock.schedule(firstAnswerMilliseconds, this.#endAsking)
     for (let attempt = 0; attempt < startAttempts && !this.#stopping.signal.aborted; attempt++) {
-      const question = { ...this.#allNews(false), isStarting: true }
+      const question = () => ({ ...this.#allNews(false), isStarting: true })
       const answers = await Promise.all(this.#pickPeers(broadcastPeerCount).map(peer => this.#sendTo(peer, question)))
       this.#endAsking()
       if (answers.some(answer => answer !== undefined)) return
@@ -138,9 +137,19 @@
     }
   }
 
-  /** Returns what the peer told in reply; undefined if it did not answer. */
-  async #sendTo (peer: Peer, news: EncodedNews): Promise<EncodedNews | undefined> {
-    const reply = await this.#options.link.request(peer, newsMessage, news, replyTimeoutMilliseconds)
+  async #sendUpdate (peer: Peer, news: BreakerNews): Promise<void> {
+    await this.#sendTo(peer, () => ({ ...this.#message({ news, isComplete: false }), isUpdate: true }))
+  }
+
+  /**
+   * Sends what is composed once the peer is connected, since it tells how long ago things were.
+   *
+   * @returns what the peer told in reply; undefined if it did not answer
+   */
+  async #sendTo (peer: Peer, compose: () => EncodedNews): Promise<EncodedNews | undefined> {
+    const { link } = this.#options
+    await link.connect(peer, replyTimeoutMilliseconds)
+    const reply = await link.request(peer, newsMessage, compose(), replyTimeoutMilliseconds)
     if (reply.err) return undefined
     this.#merge(reply.val)
     return reply.val
--- a/test/fakes/fakeLink.ts
+++ b/test/fakes/fakeLink.ts
@@ -13,12 +13,14 @@
   delayMilliseconds: (from: LinkIdentity, to: LinkIdentity) => number
   /** Probability, 0 to 1, that a message is lost in this direction. */
   lossRate: (from: LinkIdentity, to: LinkIdentity) => number
+  /** Time that a daemon needs to connect to a peer before its first message. */
+  connectMilliseconds: number
 }
 
 type MessageHandler = (body: unknown, from: LinkIdentity) => Promise<Result<unknown, LinkFailure>>
 
 export class FakeLinkNetwork {
-  readonly conditions: NetworkConditions = { delayMilliseconds: () => 0.5, lossRate: () => 0 }
+  readonly conditions: NetworkConditions = { delayMilliseconds: () => 0.5, lossRate: () => 0, connectMilliseconds: 0 }
   /** Requests sent so far, by message type. */
   readonly requestCounts = new Map<string, number>()
   /** Whether the bytes of messages are counted. */
@@ -80,6 +82,11 @@
     frozen?.thaw()
   }
 
+  /** Closes all connections; the next messages need new ones. */
+  disconnect (): void {
+    for (const link of this.#links.values()) link.forgetConnections()
+  }
+
   /** Removes a daemon from the network at once. */
   remove (address: string): void {
     this.#links.delete(address)
@@ -132,6 +139,7 @@
   readonly #network: FakeLinkNetwork
   readonly #clock: Clock
   readonly #handlers = new Map<string, MessageHandler>()
+  readonly #connected = new Set<string>()
 
   constructor (self: LinkIdentity, network: FakeLinkNetwork, clock: Clock) {
     this.self = self
@@ -139,6 +147,16 @@
     this.#clock = clock
   }
 
+  forgetConnections (): void {
+    this.#connected.clear()
+  }
+
+  async connect ({ address }: Peer): Promise<void> {
+    const { connectMilliseconds } = this.#network.conditions
+    if (connectMilliseconds > 0 && !this.#connected.has(address)) await this.#clock.sleep(connectMilliseconds)
+    this.#connected.add(address)
+  }
+
   async request<Body, Reply> (peer: Peer, type: MessageType<Body, Reply>, body: Body, timeoutMilliseconds: number): Promise<Result<Reply, LinkFailure>> {
     this.#network.countRequest(type.name)
     this.#network.countBytes(type.name, body)
@@ -161,6 +179,7 @@
     const target = this.#network.linkAt(peer.address)
     if (target === undefined) return Err(new LinkFailure('no daemon listens at the address', false))
     const copy = structuredClone(body)
+    await this.connect(peer)
     if (!await this.#network.deliver(this.self, target.self)) return neverSettles()
     const handler = target.#handlers.get(type.name)
     if (handler === undefined) return Err(new LinkFailure(`unknown message type ${type.name}`, false))
--- a/test/requestFleet.test.ts
+++ b/test/requestFleet.test.ts
@@ -39,6 +39,16 @@
   await fleet.stop()
 })
 
+test('a crash is not dated later for the connection that its news needs first', async () => {
+  const fleet = await startFleet(7)
+  fleet.network.conditions.connectMilliseconds = 45
+  fleet.network.disconnect()
+  for (const gateway of [0, 1, 3]) await fleet.crashUnder(gateway, kill, `endpoint-${gateway}`, shortCrashMilliseconds, new Map(), repeatMilliseconds)
+  await fleet.clock.advance(judgedMilliseconds)
+  expect(fleet.gateways.filter(({ breaker }) => breaker.admit(kill, fleet.clock.now()).ok)).toEqual([])
+  await fleet.stop()
+})
+
 test('a gateway that starts after the crashes knows of the request at once', async () => {
   const fleet = await startFleet(7)
   await crashThrice(fleet, [0, 1, 2])
--- a/trial/prove/processGate.ts
+++ b/trial/prove/processGate.ts
@@ -121,6 +121,10 @@
     this.#gate = gate
   }
 
+  connect (peer: Peer): Promise<void> {
+    return this.#gate.runStep(() => this.#link.connect(peer))
+  }
+
   request<Body, Reply> (peer: Peer, type: MessageType<Body, Reply>, body: Body, timeoutMilliseconds: number): Promise<Result<Reply, LinkFailure>> {
     return this.#gate.runStep(() => this.#link.request(peer, type, body, timeoutMilliseconds))
   }
--- a/trial/prove/scriptedLinks.ts
+++ b/trial/prove/scriptedLinks.ts
@@ -64,6 +64,8 @@
     this.#handlers.set(type.name, async (body, from) => type.reply.parse(await handler(type.body.parse(body), from)))
   }
 
+  async connect (): Promise<void> {}
+
   async request<Body, Reply> (peer: Peer, type: MessageType<Body, Reply>, body: Body, timeoutMilliseconds: number): Promise<Result<Reply, LinkFailure>> {
     this.#network.requestCounts.set(type.name, (this.#network.requestCounts.get(type.name) ?? 0) + 1)
     const target = this.#network.linkAt(peer.address)
