Test second answers behind long answers, at daemons and on kept connections

A body that shows the head of an answer is delivered. Parts of an earlier answer, cut at every byte and read on a kept connection as the next request is written, reach no other request.

--- a/test/fakes/stutteringWorld.ts
+++ b/test/fakes/stutteringWorld.ts
@@ -1,6 +1,6 @@
 /** A gateway in front of endpoints that stutter, and the check of what its callers get. */
 import { configurationDocument, endpointDocument } from '../../platform/standin/index.ts'
-import { type ClientResponse, ForwarderHarness } from './forwarderWorld.ts'
+import { type ClientResponse, ForwarderHarness, waitUntil } from './forwarderWorld.ts'
 import { Framing, type Stutter, StutteringEndpoints, answerText, plainBody, streamBody, streamParts, stutterPath } from './stutteringEndpoint.ts'
 
 const endpointCount = 3
@@ -10,6 +10,7 @@
   { ...common, name: 'release', prefix: '/release/', route_type: 'non_idempotent' },
   { ...common, name: 'query', prefix: '/query/', route_type: 'streaming', target_gap_ms: 2_000, resumable: true }
 ]
+const engineRoute = { ...common, name: 'engines', prefix: '/engines/', route_type: 'non_idempotent', backend: 'engines' }
 const streamPrefix = '/query/'
 /** Prefixes of idempotent requests, of requests that run once, and of streams. */
 export const prefixes = ['/balance/', '/release/', streamPrefix] as const
@@ -37,7 +38,7 @@
   async #startGateway (): Promise<void> {
     const { endpoints, harness } = this
     for (let index = 0; index < endpointCount; index++) harness.store.put('servers', `i-stutter-${index}`, endpointDocument('ledger', await endpoints.start(), { slots: 200 }))
-    harness.putConfiguration(1, { routes, backends: configurationDocument(1).backends })
+    harness.putConfiguration(1, { routes: [...routes, engineRoute], backends: configurationDocument(1).backends })
     this.#host = await harness.startForwarder()
     await harness.waitUntilReady(this.#host)
   }
@@ -53,6 +54,12 @@
     return this.harness.call(this.#host, stutterPath(prefix, stutter), { headers }).catch(() => undefined)
   }
 
+  /** Sends a request to the service whose endpoints a test adds; undefined if its connection was closed. */
+  async askEngines (id: string): Promise<ClientResponse | undefined> {
+    await waitUntil(async () => (await this.harness.call(this.#host, '/engines/', { method: 'GET', headers: { 'attempt-id': `${id}-first` } })).status !== 503)
+    return this.harness.call(this.#host, '/engines/', { headers: { 'attempt-id': id } }).catch(() => undefined)
+  }
+
   /** How often endpoints got a request. */
   runsOf (id: string): number {
     return this.endpoints.arrivals.filter(arrival => arrival === id).length
