Notice a reset that arrives together with the end of a response

Callers got a short answer without a frame as a whole one, and the start of a stream as a complete one, though the endpoint had reset the connection. Where the reset is there when the last bytes are read, libuv reports an orderly end: it takes the hang-up behind a partial read for one and does not read the error. A plain connection of Node.js shows it: bytes, end, close, and no error.

At an end the connection is now asked for its peer, which one that was reset has no longer; such a response fails as one whose connection failed. The tests cut answers at every byte of the body and close the connection, by end or reset.

--- a/src/endpoint/connections.ts
+++ b/src/endpoint/connections.ts
@@ -144,6 +144,8 @@
 
   #follow (socket: Socket): void {
     socket.on('error', () => this.#markFailing())
+    // A reset that arrives together with data is reported as an orderly end, but a connection that was reset has no peer.
+    socket.on('end', () => { if (socket.remoteAddress === undefined) this.#markFailing() })
     const read = socket.read.bind(socket)
     socket.read = size => {
       const bytes: unknown = read(size)
--- a/test/stutteringAnswers.test.ts
+++ b/test/stutteringAnswers.test.ts
@@ -56,3 +56,11 @@
 test.each(closes)('an answer that stops anywhere in its head is not passed on when its connection closes ($prefix, $framing, $fault)', async variant => {
   expect(await cutEach('closed', variant, answer => [0, endOfHead(answer)])).toEqual([])
 }, 60_000)
+
+const bodyCloses = variantsWith([Fault.End, Fault.Reset])
+  // Without a frame an orderly end is that of a whole answer.
+  .filter(({ framing, fault }) => framing !== Framing.None || fault !== Fault.End)
+
+test.each(bodyCloses)('an answer that stops anywhere in its body does not look whole when its connection closes ($prefix, $framing, $fault)', async variant => {
+  expect(await cutEach('short', variant, answer => [endOfHead(answer), answer.length])).toEqual([])
+}, 60_000)
