Remember the durations of as many routes as large configurations have

A configuration may have 1,490 routes (docs/CAPACITY.md). With 1,024 remembered, a gateway would forget those that it saw first and refuse their requests in its stop as if it had never seen them answered.

--- a/src/placement/runDurations.ts
+++ b/src/placement/runDurations.ts
@@ -5,7 +5,7 @@
  */
 import { dropOldest, getOrCreate } from '../contract/index.ts'
 
-const maximumRoutes = 1_024
+const maximumRoutes = 4_096
 const maximumRememberedRuns = 64
 /** Share of the runs that are expected to be no longer. */
 const usualQuantile = 0.95
