Search a long event once, and not again for each piece of it

Only what has just arrived is searched, behind the last two characters before it, and pieces are joined once.

The test counts the searched characters and failed before. A property test compares the splitter with a search of all that is pending; it held before as well.

--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -8,6 +8,8 @@
 
 const blankLinePattern = /\n\r?\n/g
 const idField = 'id:'
+/** One less than the longest blank line with the line break before it. */
+const maximumTailLength = 2
 
 /** One or more complete events. */
 export interface CompleteEvents {
@@ -19,29 +21,47 @@
 }
 
 /**
- * Buffers bytes and returns complete events.
+ * Buffers bytes and returns complete events. Only what has just arrived is searched: a long event in small pieces would
+ * otherwise be copied and searched once for each of them.
  *
  * @example
  * const events = splitter.push(bytes)
  * if (events !== undefined) response.write(events.text, 'latin1')
  */
 export class EventSplitter {
-  #pending = ''
+  /** What has arrived of an incomplete event. */
+  #pieces: string[] = []
+  #pendingBytes = 0
+  /** Its end, in which a blank line may have begun. */
+  #tail = ''
 
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes (): number {
-    return this.#pending.length
+    return this.#pendingBytes
   }
 
   /** Adds bytes; returns undefined while no event is complete. */
   push (bytes: Buffer): CompleteEvents | undefined {
-    const received = this.#pending + bytes.toString('latin1')
-    const end = endOfLastCompleteEvent(received)
-    this.#pending = received.slice(end)
-    if (end === 0) return undefined
-    const text = received.slice(0, end)
+    const received = bytes.toString('latin1')
+    const end = endOfLastCompleteEvent(this.#tail + received) - this.#tail.length
+    if (end <= 0) {
+      this.#keep(received)
+      return undefined
+    }
+    const text = this.#pieces.join('') + received.slice(0, end)
+    this.#pieces = []
+    this.#pendingBytes = 0
+    this.#tail = ''
+    this.#keep(received.slice(end))
     return { text, count: countEvents(text), lastEventId: lastEventIdIn(text) }
   }
+
+  #keep (piece: string): void {
+    if (piece === '') return
+    this.#pieces.push(piece)
+    this.#pendingBytes += piece.length
+    this.#tail = (this.#tail + piece).slice(-maximumTailLength)
+  }
 }
 
 /** Returns the offset after the last blank line; 0 if there is none. */
--- a/test/eventSplitter.test.ts
+++ b/test/eventSplitter.test.ts
@@ -1,6 +1,9 @@
-import { expect, test } from 'vitest'
+import fastCheck from 'fast-check'
+import { afterEach, expect, test, vi } from 'vitest'
 import { EventSplitter } from '../src/gateway/eventSplitter.ts'
 
+afterEach(() => { vi.restoreAllMocks() })
+
 const push = (splitter: EventSplitter, bytes: string) => splitter.push(Buffer.from(bytes, 'utf8'))
 
 test('only complete events are emitted, and the rest waits for its end', () => {
@@ -28,3 +31,29 @@
   expect(splitter.push(bytes.subarray(0, 8))).toBeUndefined()
   expect(Buffer.from(splitter.push(bytes.subarray(8))?.text ?? '', 'latin1')).toEqual(bytes)
 })
+
+test('however bytes are split, what leaves ends at the last blank line so far, and nothing is lost', () => {
+  const pieces = fastCheck.array(fastCheck.string({ unit: fastCheck.constantFrom('\n', '\r', 'id: 1', 'data: a'), maxLength: 6 }), { maxLength: 12 })
+  fastCheck.assert(fastCheck.property(pieces, pieces => {
+    const splitter = new EventSplitter()
+    let pending = ''
+    for (const piece of pieces) {
+      pending += piece
+      const complete = /^[^]*\n\r?\n/.exec(pending)?.[0]
+      pending = pending.slice(complete?.length ?? 0)
+      expect(push(splitter, piece)?.text).toBe(complete)
+      expect(splitter.pendingBytes).toBe(pending.length)
+    }
+  }), { seed: 27, numRuns: 2_000 })
+})
+
+test('a long event that comes in small pieces is searched once, and not once for each of them', () => {
+  const [pieceBytes, pieces] = [1_024, 1_024]
+  const searches = vi.spyOn(String.prototype, 'lastIndexOf')
+  const splitter = new EventSplitter()
+  for (let piece = 0; piece < pieces; piece++) push(splitter, 'a'.repeat(pieceBytes))
+  const searched = searches.mock.contexts.reduce<number>((sum, text) => sum + String(text).length, 0)
+  vi.restoreAllMocks()
+  expect(searched).toBeGreaterThan(0)
+  expect(searched).toBeLessThan(4 * pieceBytes * pieces)
+})
