--- /dev/null
+++ b/src/gateway/rejectedRequest.ts
@@ -0,0 +1,38 @@
+/**
+ * Why an endpoint rejects a request with the status for a wrong address: either it is not the endpoint that the
+ * request names, or it does not take the request, most often since it does not run the model that is asked. Only the
+ * first tells anything of the endpoint; otherwise a caller who names models that don't exist would take endpoints out
+ * of service.
+ */
+import type { RequestHead, ResponseHead, Route, RoutedEndpoint } from '../routing/index.ts'
+
+export interface RejectedRequest {
+  readonly head: Pick<RequestHead, 'model' | 'acceptsAnyModel'>
+  readonly route: Pick<Route, 'modelSizes'>
+  /** The endpoint that the request was meant for. */
+  readonly endpoint: Pick<RoutedEndpoint, 'identity' | 'models'>
+  /** The model that the attempt asked; undefined if it passed on what its caller named. */
+  readonly model: string | undefined
+  readonly response: Pick<ResponseHead, 'responder'>
+}
+
+/**
+ * Whether a rejection may be due to the request. It is if the endpoint itself responds, and it is not if another one
+ * does. If the response does not say, it may be due to the model that the caller named, unless the route allows that
+ * and the endpoint's own registration lists it.
+ *
+ * @example
+ * if (!mayBeRequestsFault({ head, route, endpoint, model, response })) misdirected.recordRejection(endpoint, sentAt, now)
+ */
+export function mayBeRequestsFault (rejected: RejectedRequest): boolean {
+  const { responder } = rejected.response
+  return responder === undefined ? mayLackModel(rejected) : responder === rejected.endpoint.identity
+}
+
+function mayLackModel ({ head, route, endpoint, model = head.model }: RejectedRequest): boolean {
+  if (model === undefined) return false
+  const isOfRoute = route.modelSizes.includes(model)
+  if (head.acceptsAnyModel && isOfRoute) return false
+  const isAllowed = isOfRoute || route.modelSizes.length === 0
+  return !isAllowed || !endpoint.models.includes(model)
+}
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -9,12 +9,12 @@
 import { type ResponseHead, RouteType, type RoutedEndpoint, instanceKey, ratedEndpoint } from '../routing/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
-import { mayRejectModel } from './rejectedModel.ts'
+import { mayBeRequestsFault } from './rejectedRequest.ts'
 import { isSelfDelimited } from './responseFraming.ts'
 
 const misdirectedStatus = 421
-/** Endpoints that may reject the model that a caller named before its request is given up; one of them may just not be at its address. */
-const maximumModelRejections = 2
+/** Endpoints that may reject a request for what its caller sent before it is given up; one of them may just not be at its address. */
+const maximumOwnRejections = 2
 
 /**
  * @example
@@ -28,7 +28,7 @@
   #sentCount = 0
   #hasBrokenOff = false
   #crashedRuns = 0
-  #modelRejections = 0
+  #ownRejections = 0
 
   constructor (request: ForwardedRequest) {
     this.#request = request
@@ -44,9 +44,9 @@
     return this.#hasBrokenOff
   }
 
-  /** Further attempts that may be made; none at the end of a planned stop, or once two endpoints have rejected the model that the caller named. */
+  /** Further attempts that may be made; none at the end of a planned stop, or once two endpoints have rejected what the caller sent. */
   get left (): number {
-    if (this.#modelRejections >= maximumModelRejections) return 0
+    if (this.#ownRejections >= maximumOwnRejections) return 0
     return this.#dependencies.plannedStop.hasEndedSending ? 0 : this.#request.route.maximumAttempts - this.#sentCount
   }
 
@@ -221,15 +221,15 @@
   }
 
   /** Closes an attempt that the endpoint reports as not executed; undefined if it makes no such statement. */
-  finishIfNotExecuted (attempt: OpenAttempt, status: number, { wasNotExecuted }: ResponseHead): NotExecutedReason | undefined {
-    if (!statesNotRun(status, wasNotExecuted)) return undefined
+  finishIfNotExecuted (attempt: OpenAttempt, status: number, response: ResponseHead): NotExecutedReason | undefined {
+    if (!statesNotRun(status, response.wasNotExecuted)) return undefined
     const isMisdirected = status === misdirectedStatus
-    const isModelInDoubt = isMisdirected && this.#mayRejectModel(attempt)
-    if (isModelInDoubt) this.#modelRejections++
+    const isOwnFault = isMisdirected && this.#mayBeRequestsFault(attempt, response)
+    if (isOwnFault) this.#ownRejections++
     else if (isMisdirected) this.#dependencies.announcements.recordRejection(attempt.endpoint, attempt.startedAt)
     attempt.exchange.discardRest()
     attempt.run.recordOver()
-    this.finish(attempt, notExecutedEnd(isMisdirected, isModelInDoubt), `not executed, status ${status}`, !isMisdirected)
+    this.finish(attempt, notExecutedEnd(isMisdirected, isOwnFault), `not executed, status ${status}`, !isMisdirected)
     return isMisdirected ? NotExecutedReason.Misdirected : NotExecutedReason.Refused
   }
 
@@ -247,9 +247,9 @@
     return true
   }
 
-  #mayRejectModel ({ endpoint, model }: OpenAttempt): boolean {
+  #mayBeRequestsFault ({ endpoint, model }: OpenAttempt, response: ResponseHead): boolean {
     const { head, route } = this.#request
-    return mayRejectModel({ head, route, endpoint, model })
+    return mayBeRequestsFault({ head, route, endpoint, model, response })
   }
 
   get #dependencies () {
@@ -257,7 +257,7 @@
   }
 }
 
-function notExecutedEnd (isMisdirected: boolean, isModelInDoubt: boolean): AttemptEnd {
-  if (isModelInDoubt) return AttemptEnd.Cancelled
+function notExecutedEnd (isMisdirected: boolean, isOwnFault: boolean): AttemptEnd {
+  if (isOwnFault) return AttemptEnd.Cancelled
   return isMisdirected ? AttemptEnd.Lost : AttemptEnd.Full
 }
--- a/src/routing/headerCodec.ts
+++ b/src/routing/headerCodec.ts
@@ -50,6 +50,8 @@
 export interface ResponseHead {
   /** The client attempt that the response belongs to. */
   readonly attemptId: string | undefined
+  /** The identity of the endpoint that responds; undefined if it does not say. */
+  readonly responder?: string | undefined
   /** Whether the response carries the endpoint's seal. */
   readonly isSealed: boolean
   /** Whether it states that the request was not executed and never will be. */
--- a/test/rejectedModel.test.ts
+++ b/test/rejectedRequest.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import type { EndpointHandler } from '../platform/standin/index.ts'
-import { mayRejectModel } from '../src/gateway/index.ts'
+import { type EndpointHandler, configurationDocument } from '../platform/standin/index.ts'
+import { mayBeRequestsFault } from '../src/gateway/index.ts'
 import { ForwarderHarness, formatEvent } from './fakes/forwarderWorld.ts'
 
 let harness: ForwarderHarness
@@ -49,6 +49,20 @@
   ['a named model that is not of the route', 'tiny', 'tiny', sizes, ['tiny'], true],
   ['a model that a plain request passes on', 'small', undefined, [], [], true],
   ['an empty name', '', '', [], [], true]
-])('a rejection of %s is laid to the model only if it may be', (_name, named, model, modelSizes, models, isExpected) => {
-  expect(mayRejectModel({ head: { model: named, acceptsAnyModel: named === '*' }, route: { modelSizes }, endpoint: { models }, model })).toBe(isExpected)
+])('a rejection of %s is laid to the request only if it may be', (_name, named, model, modelSizes, models, isExpected) => {
+  const rejected = { head: { model: named, acceptsAnyModel: named === '*' }, route: { modelSizes }, endpoint: { identity: 'i-1', models }, model }
+  expect(mayBeRequestsFault({ ...rejected, response: {} })).toBe(isExpected)
+  expect(mayBeRequestsFault({ ...rejected, response: { responder: 'i-1' } })).toBe(true)
+  expect(mayBeRequestsFault({ ...rejected, response: { responder: 'i-2' } })).toBe(false)
 })
+
+test('a caller whose fields are more than an endpoint reads neither hides from it which endpoint is meant nor takes it from the others', async () => {
+  const endpoint = await harness.startEndpoint('ledger')
+  harness.putConfiguration(1, { limits: { ...configurationDocument(1).limits, max_header_bytes: 64_000 } })
+  const host = await harness.startForwarder()
+  await harness.waitUntilReady(host)
+  const manyFields = Object.fromEntries(Array.from({ length: 2_100 }, (_, index) => [`f${index.toString(36)}`, '']))
+  expect((await harness.call(host, '/release/1', { body: 'x', headers: manyFields })).status).toBe(200)
+  expect((await harness.call(host, '/release/2')).status).toBe(200)
+  expect(endpoint.received.length).toBe(2)
+}, 30_000)
