--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -11,13 +11,13 @@
 import { type ResponseHead, RouteType, type RoutedEndpoint, instanceKey, ratedEndpoint } from '../routing/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
-import { mayRejectModel } from './rejectedModel.ts'
+import { mayBeRequestsFault } from './rejectedRequest.ts'
 import { RequestArrivals } from './requestArrivals.ts'
 import { isSelfDelimited } from './responseFraming.ts'
 
 const misdirectedStatus = 421
-/** Endpoints that may reject the model that a caller named before its request is given up; one of them may just not be at its address. */
-const maximumModelRejections = 2
+/** Endpoints that may reject a request for what its caller sent before it is given up; one of them may just not be at its address. */
+const maximumOwnRejections = 2
 
 /**
  * @example
@@ -32,7 +32,7 @@
   #runCount = 0
   #hasBrokenOff = false
   #crashedRuns = 0
-  #modelRejections = 0
+  #ownRejections = 0
 
   constructor (request: ForwardedRequest) {
     this.#request = request
@@ -59,9 +59,9 @@
     return this.#hasBrokenOff
   }
 
-  /** Further attempts that may be made; none that a planned stop would cut, or once two endpoints have rejected the model that the caller named. */
+  /** Further attempts that may be made; none that a planned stop would cut, or once two endpoints have rejected what the caller sent. */
   get left (): number {
-    if (this.#request.sendWindow.isClosed || this.#modelRejections >= maximumModelRejections) return 0
+    if (this.#request.sendWindow.isClosed || this.#ownRejections >= maximumOwnRejections) return 0
     return this.#request.route.maximumAttempts - this.#runCount
   }
 
@@ -269,23 +269,23 @@
   }
 
   /** Closes an attempt that the endpoint reports as not executed; undefined if it makes no such statement. */
-  finishIfNotExecuted (attempt: OpenAttempt, status: number, { wasNotExecuted }: ResponseHead): NotExecutedReason | undefined {
-    if (!statesNotRun(status, wasNotExecuted)) return undefined
+  finishIfNotExecuted (attempt: OpenAttempt, status: number, response: ResponseHead): NotExecutedReason | undefined {
+    if (!statesNotRun(status, response.wasNotExecuted)) return undefined
     const isMisdirected = status === misdirectedStatus
-    const isModelInDoubt = isMisdirected && this.#mayRejectModel(attempt)
-    if (isModelInDoubt) this.#modelRejections++
+    const isOwnFault = isMisdirected && this.#mayBeRequestsFault(attempt, response)
+    if (isOwnFault) this.#ownRejections++
     else if (isMisdirected) this.#dependencies.announcements.recordRejection(attempt.endpoint, attempt.startedAt)
-    if (isMisdirected) this.#logMisdirected(attempt, isModelInDoubt)
+    if (isMisdirected) this.#logMisdirected(attempt, isOwnFault)
     attempt.exchange.discardRest()
     attempt.run.recordOver()
-    this.finish(attempt, notExecutedEnd(isMisdirected, isModelInDoubt), `not executed, status ${status}`, !isMisdirected)
+    this.finish(attempt, notExecutedEnd(isMisdirected, isOwnFault), `not executed, status ${status}`, !isMisdirected)
     return isMisdirected ? NotExecutedReason.Misdirected : NotExecutedReason.Refused
   }
 
-  #logMisdirected ({ endpoint: { address, identity }, model }: OpenAttempt, isModelInDoubt: boolean): void {
+  #logMisdirected ({ endpoint: { address, identity }, model }: OpenAttempt, isRequestInDoubt: boolean): void {
     const { head, service } = this.#request
     this.#dependencies.metrics.misdirected.inc({ service })
-    this.#dependencies.log.warn('request_misdirected', { endpoint: identity, address, service, request: head.attemptId, model, isModelInDoubt })
+    this.#dependencies.log.warn('request_misdirected', { endpoint: identity, address, service, request: head.attemptId, model, isRequestInDoubt })
   }
 
   /**
@@ -302,9 +302,9 @@
     return true
   }
 
-  #mayRejectModel ({ endpoint, model }: OpenAttempt): boolean {
+  #mayBeRequestsFault ({ endpoint, model }: OpenAttempt, response: ResponseHead): boolean {
     const { head, route } = this.#request
-    return mayRejectModel({ head, route, endpoint, model })
+    return mayBeRequestsFault({ head, route, endpoint, model, response })
   }
 
   get #dependencies () {
@@ -312,7 +312,7 @@
   }
 }
 
-function notExecutedEnd (isMisdirected: boolean, isModelInDoubt: boolean): AttemptEnd {
-  if (isModelInDoubt) return AttemptEnd.Cancelled
+function notExecutedEnd (isMisdirected: boolean, isOwnFault: boolean): AttemptEnd {
+  if (isOwnFault) return AttemptEnd.Cancelled
   return isMisdirected ? AttemptEnd.Lost : AttemptEnd.Full
 }
