--- a/test/fakes/stutteringWorld.ts
+++ b/test/fakes/stutteringWorld.ts
@@ -38,11 +38,20 @@
   async #startGateway (): Promise<void> {
     const { endpoints, harness } = this
     for (let index = 0; index < endpointCount; index++) harness.store.put('servers', `i-stutter-${index}`, endpointDocument('ledger', await endpoints.start(), { slots: 200 }))
-    harness.putConfiguration(1, { routes: [...routes, engineRoute], backends: configurationDocument(1).backends })
+    this.putConfiguration(1)
     this.#host = await harness.startForwarder()
     await harness.waitUntilReady(this.#host)
   }
 
+  putConfiguration (version: number): void {
+    this.harness.putConfiguration(version, { routes: [...routes, engineRoute], backends: configurationDocument(version).backends })
+  }
+
+  /** Stops the gateway as planned. */
+  stopGateway (): Promise<void> {
+    return this.harness.stopForwarder(this.#host)
+  }
+
   async close (): Promise<void> {
     await this.harness.close()
     await this.endpoints.close()
