Look for a second head without reading each event's end as text

Only a first byte of a status line among the last bytes needs a closer look, and what follows a body is needed only if the body may end in a head.

--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -168,7 +168,7 @@
     if (this.#isDiscarding) return
     this.#lastActivityAt = this.#options.clock.now()
     if (this.#secondHead?.push(bytes) === true) return this.abort(secondHeadReason)
-    this.#bytesBehind = this.#options.bytesBehind?.(bytes) ?? noBytes
+    if (this.#secondHead?.isUndecided === true) this.#bytesBehind = this.#options.bytesBehind?.(bytes) ?? noBytes
     this.#bufferedBytes += bytes.length
     this.#push({ type: 'data', bytes })
     if (this.#bufferedBytes > maximumBufferedBytes) controller.pause()
--- a/src/endpoint/secondHeadScanner.ts
+++ b/src/endpoint/secondHeadScanner.ts
@@ -4,6 +4,7 @@
  * A second head is told from a body that merely shows one by a header whose value identifies the attempt.
  */
 const statusLineStart = 'HTTP/1.'
+const firstByte = statusLineStart.charCodeAt(0)
 const statusLinePattern = /^HTTP\/1\.[01] \d{3}(?: |$)/
 const shortestStatusLine = 'HTTP/1.1 200'
 const headerPattern = /^[^\s:]+:[ \t]*(.*?)[ \t]*$/
@@ -37,9 +38,14 @@
     this.#mark = mark
   }
 
+  /** Whether the bytes so far end in what may be a second head. */
+  get isUndecided (): boolean {
+    return this.#undecided !== ''
+  }
+
   /** Adds bytes of the body; returns whether they complete what tells of a second head. */
   push (bytes: Buffer): boolean {
-    if (this.#undecided === '' && !mayBeginStatusLine(bytes)) return false
+    if (!this.isUndecided && !mayBeginStatusLine(bytes)) return false
     const text = this.#undecided + bytes.toString('latin1')
     this.#undecided = ''
     for (let start = indexOfStatusLine(text, 0); start >= 0; start = indexOfStatusLine(text, start + 1)) {
@@ -58,7 +64,7 @@
    * @param bytesBehind what was received together with the end of the body, and follows it
    */
   end (bytesBehind: Buffer): boolean {
-    if (this.#undecided === '') return false
+    if (!this.isUndecided) return false
     const body = this.#undecided
     const text = body + bytesBehind.subarray(0, maximumHeadBytes).toString('latin1')
     for (let start = 0; start >= 0 && start < body.length; start = indexOfStatusLine(text, start + 1)) {
@@ -88,10 +94,10 @@
   }
 }
 
-/** Whether bytes contain the start of a status line, or end in what may be one. */
+/** Whether bytes contain the start of a status line, or may end in one. */
 function mayBeginStatusLine (bytes: Buffer): boolean {
-  if (bytes.includes(statusLineStart)) return true
-  return indexOfStatusLine(bytes.subarray(-statusLineStart.length).toString('latin1'), 0) >= 0
+  const tailStart = Math.max(0, bytes.length - statusLineStart.length)
+  return bytes.indexOf(firstByte, tailStart) >= 0 || bytes.includes(statusLineStart, 0, 'latin1')
 }
 
 /** Offset of the next start of a status line, or of what may be one at the end of the text; -1 if there is none. */
