Keep an endpoint that has just answered others when an odd request makes it answer 421

A caller who finds any way to make a sound endpoint answer 421 without naming itself took the endpoint out of service for all callers, at all gateways, for longer with every repeat: nothing told such a rejection from one of another endpoint at that address. In the new test with two gateways the next ordinary call was refused with 503.

An address is not used again before reuse_after_s, which is read from the boot file now. An endpoint that has answered a request sent within half of that time is therefore at its address, and the rejection is laid to the request. A gateway that is told of a rejection while it has such an answer refutes it, so that all keep the endpoint. Where nobody states the time, nothing is refuted. After an answer the wait for a registration that stays begins anew, instead of doubling.

--- a/src/forwarder/exchangeComposition.ts
+++ b/src/forwarder/exchangeComposition.ts
@@ -17,6 +17,7 @@
   return new MisdirectedEndpoints({
     registrationMilliseconds: () => registrationExpiryMilliseconds(boot.current),
     followedSince: () => followedSince(parts.follower),
+    addressReuseMilliseconds: () => boot.current.addressReuseMilliseconds,
     randomness,
     onChange: change => {
       logMisdirection(log, change)
--- a/src/gateway/rejectedRequest.ts
+++ b/src/gateway/rejectedRequest.ts
@@ -14,19 +14,22 @@
   /** The model that the attempt asked; undefined if it passed on what its caller named. */
   readonly model: string | undefined
   readonly response: Pick<ResponseHead, 'responder'>
+  /** Whether the endpoint has answered so lately that no other one can have its address. */
+  readonly hasJustAnswered: boolean
 }
 
 /**
  * Whether a rejection may be due to the request. It is if the endpoint itself responds, and it is not if another one
- * does. If the response does not say, it may be due to the model that the caller named, unless the route allows that
- * and the endpoint's own registration lists it.
+ * does. If the response does not say, it is if the endpoint has just answered others, and it may be due to the model
+ * that the caller named, unless the route allows that and the endpoint's own registration lists it.
  *
  * @example
- * if (!mayBeRequestsFault({ head, route, endpoint, model, response })) misdirected.recordRejection(endpoint, sentAt, now)
+ * if (!mayBeRequestsFault({ head, route, endpoint, model, response, hasJustAnswered })) misdirected.recordRejection(endpoint, sentAt, now)
  */
 export function mayBeRequestsFault (rejected: RejectedRequest): boolean {
   const { responder } = rejected.response
-  return responder === undefined ? mayLackModel(rejected) : responder === rejected.endpoint.identity
+  if (responder !== undefined) return responder === rejected.endpoint.identity
+  return rejected.hasJustAnswered || mayLackModel(rejected)
 }
 
 function mayLackModel ({ head, route, endpoint, model = head.model }: RejectedRequest): boolean {
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -248,8 +248,9 @@
   }
 
   #mayBeRequestsFault ({ endpoint, model }: OpenAttempt, response: ResponseHead): boolean {
-    const { head, route } = this.#request
-    return mayBeRequestsFault({ head, route, endpoint, model, response })
+    const { head, now, route } = this.#request
+    const hasJustAnswered = this.#dependencies.misdirected.hasJustAnswered(endpoint, now)
+    return mayBeRequestsFault({ head, route, endpoint, model, response, hasJustAnswered })
   }
 
   get #dependencies () {
--- a/src/misdirection/misdirectedEndpoints.ts
+++ b/src/misdirection/misdirectedEndpoints.ts
@@ -8,6 +8,9 @@
  * has ended. Either may still be wrong, since rows arrive late, so that one request at a time tries it. Its answer
  * gives the endpoint its work back everywhere; a rejection holds until still later evidence.
  *
+ * An address is not used again at once. An endpoint that has answered within that time is at its address, so that a
+ * rejection must be due to the request: callers can't take a busy endpoint out of service by odd requests.
+ *
  * Clocks differ and messages overtake each other. Of two facts on an incarnation at an address the one of the
  * later heartbeat holds, then the one of the higher revision, which is one higher than the newest that its
  * observer knew, then the rejection. Order and repetition of messages therefore do not matter.
@@ -25,12 +28,18 @@
 const retentionMilliseconds = 10 * 60_000
 /** A trial without any response is followed by another one after this time. */
 const trialMilliseconds = 2_000
-/** After each further change the wait for a registration that stays is twice as long, up to this factor. */
+/** Endpoints whose last answer is remembered. */
+const maximumAnswers = 4_096
+/** Share of the time before an address is used again that an answer counts for; the rest is for clocks and late answers. */
+const answerShare = 0.5
+/** After each further rejection in a row the wait for a registration that stays is twice as long, up to this factor. */
 const maximumWaitFactor = 16
 
 interface HeldFact {
   readonly fact: MisdirectionFact
   readonly learntAt: number
+  /** Rejections in a row, as far as this gateway heard of them. */
+  readonly rejections: number
   /** For how long the registration has to stay to speak for the endpoint; unlike at each gateway, so that one of them tries it first. */
   readonly waitMilliseconds: number
   /** When a request was last sent on trial. */
@@ -42,6 +51,8 @@
   readonly registrationMilliseconds: () => number
   /** Since when the store has been followed without a break; infinite while it is not. */
   readonly followedSince: () => number
+  /** Time for which the address of an endpoint that has ended is not given to another one, in milliseconds. */
+  readonly addressReuseMilliseconds: () => number
   readonly randomness: Randomness
   /** Called after each change of an endpoint's standing. */
   readonly onChange?: (change: MisdirectionChange) => void
@@ -58,6 +69,8 @@
 export class MisdirectedEndpoints {
   readonly #options: MisdirectedEndpointsOptions
   readonly #facts = new Map<string, HeldFact>()
+  /** When the last request was sent that an endpoint has answered at its address. */
+  readonly #answeredSentAt = new Map<string, number>()
 
   constructor (options: MisdirectedEndpointsOptions) {
     this.#options = options
@@ -80,6 +93,11 @@
     this.#options.onChange?.({ type: MisdirectionChangeType.AddressTried, fact: held.fact, source })
   }
 
+  /** Whether an endpoint answered so lately that no other one can have its address yet. */
+  hasJustAnswered (endpoint: RegisteredEndpoint, now: number): boolean {
+    return this.#hasJustAnswered(keyOfEndpoint(endpoint), now)
+  }
+
   /**
    * Records that whatever listens at an endpoint's address is not that endpoint.
    *
@@ -101,6 +119,7 @@
    * @returns whether other gateways should be told
    */
   recordAnswer (endpoint: RegisteredEndpoint, sentAt: number, now: number): boolean {
+    this.#rememberAnswer(keyOfEndpoint(endpoint), sentAt)
     const held = this.#doubted(endpoint)
     if (held === undefined || sentAt <= held.learntAt) return false
     this.#learn(this.#nextFact(endpoint, false), MisdirectionSource.Response, now)
@@ -128,7 +147,7 @@
 
   /** The fact that speaks against an endpoint; undefined without one. */
   #doubted (endpoint: RegisteredEndpoint): HeldFact | undefined {
-    const held = this.#facts.get(keyOf({ instance: instanceKey(endpoint), address: endpoint.address }))
+    const held = this.#facts.get(keyOfEndpoint(endpoint))
     return held?.fact.isMisdirected === true ? held : undefined
   }
 
@@ -149,25 +168,41 @@
   #mergeFact (fact: MisdirectionFact, now: number): boolean {
     const known = this.#facts.get(keyOf(fact))?.fact
     const isNews = known === undefined || takesPrecedence(fact, known)
-    if (isNews) this.#learn(fact, MisdirectionSource.Peer, now)
-    return isNews
+    if (!isNews) return false
+    const isRefuted = fact.isMisdirected && this.#hasJustAnswered(keyOf(fact), now)
+    this.#learn(isRefuted ? { ...fact, revision: fact.revision + 1, isMisdirected: false } : fact, MisdirectionSource.Peer, now)
+    return true
+  }
+
+  #hasJustAnswered (key: string, now: number): boolean {
+    const sentAt = this.#answeredSentAt.get(key)
+    return sentAt !== undefined && now - sentAt < this.#options.addressReuseMilliseconds() * answerShare
+  }
+
+  #rememberAnswer (key: string, sentAt: number): void {
+    const before = this.#answeredSentAt.get(key) ?? sentAt
+    this.#answeredSentAt.delete(key)
+    this.#answeredSentAt.set(key, Math.max(before, sentAt))
+    dropOldest(this.#answeredSentAt, maximumAnswers)
   }
 
   #learn (fact: MisdirectionFact, source: MisdirectionSource, now: number): void {
     this.#forgetOld(now)
     const key = keyOf(fact)
-    const wasMisdirected = this.#facts.get(key)?.fact.isMisdirected ?? false
+    const before = this.#facts.get(key)
+    const wasMisdirected = before?.fact.isMisdirected ?? false
+    const rejections = fact.isMisdirected ? (before?.rejections ?? 0) + 1 : 0
     this.#facts.delete(key)
-    this.#facts.set(key, { fact, learntAt: now, waitMilliseconds: this.#waitAfter(fact), triedAt: Number.NEGATIVE_INFINITY })
+    this.#facts.set(key, { fact, learntAt: now, rejections, waitMilliseconds: this.#waitAfter(rejections), triedAt: Number.NEGATIVE_INFINITY })
     dropOldest(this.#facts, maximumFacts)
     if (fact.isMisdirected === wasMisdirected) return
     const type = fact.isMisdirected ? MisdirectionChangeType.AddressLost : MisdirectionChangeType.AddressConfirmed
     this.#options.onChange?.({ type, fact, source })
   }
 
-  #waitAfter ({ revision }: MisdirectionFact): number {
+  #waitAfter (rejections: number): number {
     const { randomness, registrationMilliseconds } = this.#options
-    const factor = Math.min(maximumWaitFactor, 2 ** (revision - 1))
+    const factor = Math.min(maximumWaitFactor, 2 ** (rejections - 1))
     return registrationMilliseconds() * factor * (1 + randomness.fraction())
   }
 
@@ -178,6 +213,10 @@
   }
 }
 
+function keyOfEndpoint (endpoint: RegisteredEndpoint): string {
+  return keyOf({ instance: instanceKey(endpoint), address: endpoint.address })
+}
+
 function keyOf ({ instance, address }: Pick<MisdirectionFact, 'instance' | 'address'>): string {
   return `${instance} ${address}`
 }
--- a/test/misdirection.test.ts
+++ b/test/misdirection.test.ts
@@ -1,7 +1,7 @@
 import * as fc from 'fast-check'
 import { expect, test } from 'vitest'
 import { type MisdirectionFact, MisdirectedEndpoints } from '../src/misdirection/index.ts'
-import { noMisdirected, registrationMilliseconds } from './fakes/misdirection.ts'
+import { addressReuseMilliseconds, noMisdirected, registrationMilliseconds } from './fakes/misdirection.ts'
 
 const endpoint = { identity: 'i-1', bornAt: 7, address: '10.0.0.1:80', heartbeat: 5 }
 const renewed = { ...endpoint, heartbeat: 6 }
@@ -128,3 +128,26 @@
     expect(other.isMisdirected(rejected, 2)).toBe(true)
   }), { seed: 48, numRuns: 300 })
 })
+
+test('an endpoint that answered so lately that its address can not be used again yet is kept, also if another gateway tells of a rejection', () => {
+  const [busy, idle] = [noMisdirected(), noMisdirected()]
+  const justBefore = addressReuseMilliseconds / 2 - 1
+  busy.recordAnswer(endpoint, 0, 5)
+  expect(busy.hasJustAnswered(endpoint, justBefore)).toBe(true)
+  expect(busy.hasJustAnswered({ ...endpoint, bornAt: 8 }, justBefore)).toBe(false)
+  expect(busy.hasJustAnswered(endpoint, justBefore + 1)).toBe(false)
+  idle.recordRejection(endpoint, 0, 10)
+  expect(busy.merge(idle.all(10), justBefore)).toBe(true)
+  expect(busy.isMisdirected(endpoint, justBefore)).toBe(false)
+  idle.merge(busy.all(justBefore), justBefore)
+  expect(idle.isMisdirected(endpoint, justBefore)).toBe(false)
+})
+
+test('a rejection after an answer counts as the first one', () => {
+  const misdirected = afterRejection()
+  for (let sentAt = 10 + longestWait, round = 0; round < 5; round++, sentAt += longestWait + 2) {
+    expect(misdirected.isMisdirected(endpoint, sentAt)).toBe(false)
+    misdirected.recordAnswer(endpoint, sentAt, sentAt + 1)
+    misdirected.recordRejection(endpoint, sentAt + 1, sentAt + 2)
+  }
+})
