Retry a daemon's request twice at most, however many versions answer it in turn

A chat completion whose smaller answer is dropped was sent to engines six times where two retries are allowed: each step of its plan had two retries of its own, and each counted as a first attempt, so that steps raised the attempt budget by what only requests should. Retries belong to the request now (src/entry/requestRetries.ts), for chat completions and for calls to services, which had the same lines twice.

--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -1,5 +1,5 @@
 /**
- * Runs a request on one version: chooses an endpoint, sends an attempt, and retries on another
+ * Runs a request on one version after the other: chooses an endpoint, sends an attempt, and retries on another
  * endpoint only if no text has been passed on and the attempt budget allows it. Before each send, in
  * the same event-loop turn, it checks again that the version is still allowed, because the settings
  * may have changed since the version was chosen.
@@ -18,6 +18,7 @@
 import type { RollOutMonitor } from './rollOutMonitor.ts'
 import { CrashGuard } from './crashGuard.ts'
 import { furtherDelivery, refusalAfter, runStateAfter } from './deliveryOfAttempts.ts'
+import { RequestRetries } from './requestRetries.ts'
 import { sharedPromptOf } from './sharedPrompt.ts'
 
 /** Events of a run: any number of chunks, then a finish or a refusal. */
@@ -43,16 +44,16 @@
   readonly tracer: Tracer
 }
 
-/** Retries per request, regardless of the attempt budget. */
-const maximumRetries = 2
 const defaultRetryAfterSeconds = 1
 
-/** Sends attempts to engines and retries failed ones. */
+/** Sends the attempts of one request to engines and retries failed ones. */
 export class AttemptRunner {
   readonly #dependencies: AttemptRunnerDependencies
+  readonly #retries: RequestRetries
 
   constructor (dependencies: AttemptRunnerDependencies) {
     this.#dependencies = dependencies
+    this.#retries = new RequestRetries(dependencies.retries, dependencies.clock.now())
   }
 
   /**
@@ -63,13 +64,12 @@
    * for await (const event of runner.run(request, 'small@3', session, parent, signal)) …
    */
   async * run (request: ChatRequest, version: VersionName, session: string | undefined, parent: TraceContext | undefined, signal: AbortSignal): AsyncGenerator<AttemptEvent> {
-    const { clock, places, retries } = this.#dependencies
+    const { clock, places } = this.#dependencies
     const arrivedAt = clock.now()
     const excluded = new Set<string>()
     const guard = new CrashGuard(this.#dependencies, sharedPromptOf(request))
     let delivery: DeliveryState = DeliveryState.NotSent
-    retries.recordFirstAttempt(clock.now())
-    for (let attempt = 0; ;) {
+    for (;;) {
       const refusal = this.#refusalBeforeSend(request, version) ?? guard.refusal()
       if (refusal !== undefined) return yield { type: 'refused', refusal: refusalAfter(delivery, refusal) }
       const views = this.#dependencies.directory.engines(version)
@@ -91,7 +91,7 @@
       delivery = furtherDelivery(delivery, failedAttempt.failure.delivery)
       if (failedAttempt.hadOutput) return yield { type: 'refused', refusal: answerCutOff(failedAttempt.failure) }
       excluded.add(choice.val.endpoint.name)
-      const mayRetry = attempt++ < maximumRetries && guard.mayRepeat && !signal.aborted && clock.now() < request.deadline && retries.tryAcquire(clock.now())
+      const mayRetry = guard.mayRepeat && !signal.aborted && clock.now() < request.deadline && this.#retries.tryTake(clock.now())
       if (!mayRetry) return yield { type: 'refused', refusal: endpointFailed(delivery, failedAttempt.failure) }
     }
   }
--- a/src/entry/chatRouter.ts
+++ b/src/entry/chatRouter.ts
@@ -45,6 +45,12 @@
   readonly sessions: SessionTokens
 }
 
+/** A request while it is answered. */
+interface RunningCall extends ChatCall {
+  /** Sends its attempts, of all steps of its plan. */
+  readonly attempts: AttemptRunner
+}
+
 /** A step's complete answer, held until it is rated. */
 interface BufferedAnswer {
   readonly text: string
@@ -54,12 +60,10 @@
 /** Answers chat completions according to the version policy's plan. */
 export class ChatRouter {
   readonly #dependencies: ChatRouterDependencies
-  readonly #attempts: AttemptRunner
   readonly #rater: AnswerRater
 
   constructor (dependencies: ChatRouterDependencies) {
     this.#dependencies = dependencies
-    this.#attempts = new AttemptRunner(dependencies)
     this.#rater = new AnswerRater(dependencies)
   }
 
@@ -79,14 +83,15 @@
     const admission = this.#admit(call, first.version)
     if (admission.err) return yield refusedEvent(admission.val)
     try {
-      yield * this.#runPlan(admission.val.withinShare ? call : withBackgroundPriority(call), plan.val, session, signal)
+      const admitted = admission.val.withinShare ? call : withBackgroundPriority(call)
+      yield * this.#runPlan({ ...admitted, attempts: new AttemptRunner(this.#dependencies) }, plan.val, session, signal)
     } finally {
       admission.val.close()
     }
   }
 
   /** Runs the steps of a plan until an answer is released. */
-  async * #runPlan (call: ChatCall, plan: VersionPlan, session: { readonly id: string } | undefined, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
+  async * #runPlan (call: RunningCall, plan: VersionPlan, session: { readonly id: string } | undefined, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
     const earlierRatings: EarlierRating[] = []
     let extraCost = 0
     let skipsNext = false
@@ -175,10 +180,10 @@
   }
 
   /** Passes text on as it arrives. */
-  async * #streamStep (call: ChatCall, step: PlanStep, session: { readonly id: string } | undefined, extraCost: number, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
+  async * #streamStep (call: RunningCall, step: PlanStep, session: { readonly id: string } | undefined, extraCost: number, signal: AbortSignal): AsyncGenerator<AnswerEvent> {
     let text = ''
     let hasStarted = false
-    for await (const event of this.#attempts.run(call.request, step.version, session?.id, call.parent, signal)) {
+    for await (const event of call.attempts.run(call.request, step.version, session?.id, call.parent, signal)) {
       if (event.type === 'refused') {
         if (event.refusal.run !== RunState.NotRun) this.#rater.observeFailure(call.request, step.version)
         return yield refusedEvent(event.refusal)
@@ -200,9 +205,9 @@
   }
 
   /** Buffers a step's answer so that it can be rated before its release. */
-  async #bufferStep (call: ChatCall, step: PlanStep, signal: AbortSignal): Promise<Result<BufferedAnswer, Refusal>> {
+  async #bufferStep (call: RunningCall, step: PlanStep, signal: AbortSignal): Promise<Result<BufferedAnswer, Refusal>> {
     let text = ''
-    for await (const event of this.#attempts.run(call.request, step.version, undefined, call.parent, signal)) {
+    for await (const event of call.attempts.run(call.request, step.version, undefined, call.parent, signal)) {
       if (event.type === 'refused') {
         if (event.refusal.run !== RunState.NotRun) this.#rater.observeFailure(call.request, step.version)
         return Err(event.refusal)
--- a/src/entry/serviceRouter.ts
+++ b/src/entry/serviceRouter.ts
@@ -16,6 +16,7 @@
 import { furtherDelivery, refusalAfter, runStateAfter } from './deliveryOfAttempts.ts'
 import { type EndpointDirectory, acceptsRequests } from './endpointDirectory.ts'
 import { type AttemptGate, type EndpointPlaces, placeRetrySeconds } from './endpointPlaces.ts'
+import { RequestRetries } from './requestRetries.ts'
 import { sharedCallOf } from './sharedPrompt.ts'
 
 /** An authenticated call to a plain service, with a deadline. */
@@ -49,7 +50,6 @@
   readonly tracer: Tracer
 }
 
-const maximumRetries = 2
 const firstServerErrorStatus = 500
 const retryAfterSeconds = 1
 const runLookupTimeoutMilliseconds = 2_000
@@ -77,13 +77,13 @@
   }
 
   async #callIdempotent (request: ServiceRequest, signal: AbortSignal): Promise<Result<StoredAnswer, Refusal>> {
-    const { clock, retries } = this.#dependencies
+    const { clock } = this.#dependencies
     const excluded = new Set<string>()
     const guard = new CrashGuard(this.#dependencies, sharedCallOf(request))
     let delivery: DeliveryState = DeliveryState.NotSent
-    retries.recordFirstAttempt(clock.now())
+    const retries = new RequestRetries(this.#dependencies.retries, clock.now())
     const arrivedAt = clock.now()
-    for (let attempt = 0; ;) {
+    for (;;) {
       const endpoint = await this.#chooseWithPlace(request, excluded, arrivedAt, signal)
       if (endpoint.err) return Err(refusalAfter(delivery, endpoint.val))
       const refusal = guard.refusal()
@@ -94,7 +94,7 @@
       if (answer.ok) return await this.#bill(request, storedAnswerOf(answer.val))
       delivery = furtherDelivery(delivery, answer.val.delivery)
       excluded.add(endpoint.val.endpoint.name)
-      const mayRetry = attempt++ < maximumRetries && guard.mayRepeat && !signal.aborted && clock.now() < request.deadline && retries.tryAcquire(clock.now())
+      const mayRetry = guard.mayRepeat && !signal.aborted && clock.now() < request.deadline && retries.tryTake(clock.now())
       if (mayRetry) continue
       return Err(new Refusal(RefusalCode.EndpointFailed, runStateAfter(delivery), answer.val.reason, retryAfterSeconds))
     }
