Reserve a repeat from the moment in which a run is given up for it until it is written

Runs that fall silent together were all given up for the one repeat that was left, and all but one of their callers lost a run that might still have answered.

An attempt that is prepared holds a reservation now, which counts against other requests and is given back when the attempt is written (and draws), or when its request ends. The test failed before: six of six runs were given up for two repeats.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -152,6 +152,7 @@
       forwardedRequest.callerResponse.abort('internal_failure')
     } finally {
       endSessionRequest(clock.now())
+      forwardedRequest.attempts.close()
       forwardedRequest.callerResponse.endUnfinished()
     }
   }
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -43,7 +43,7 @@
     const request = this.#request
     let isFull = false
     let lastFailure: CompleteResponse | undefined
-    while (request.attempts.mayStart()) {
+    while (request.attempts.tryStart()) {
       const endpoint = await request.selection.awaitEndpoint(undefined)
       if (endpoint === undefined) break
       const outcome = await this.#attempt(endpoint)
--- a/src/gateway/requestArrivals.ts
+++ b/src/gateway/requestArrivals.ts
@@ -1,7 +1,8 @@
 /**
  * Counts how often one request is written to endpoints. The first time belongs to the request; every further
  * one, whatever the cause and however the endpoint responds, is a repeat that draws on the retry budget of the
- * service. It draws in the event-loop turn that writes, so that what is never written costs nothing.
+ * service. It draws in the event-loop turn that writes, so that what is never written costs nothing. Until then a
+ * repeat that is being prepared is reserved: a run that is given up for it could otherwise be given up for nothing.
  */
 import type { RetryBudget } from '../placement/index.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
@@ -20,11 +21,13 @@
 
 /**
  * @example
- * if (arrivals.mayFollow(now)) arrivals.record(now)
+ * if (arrivals.tryPrepare(now)) connect()
+ * if (arrivals.mayWrite(now)) arrivals.recordWrite(now)
  */
 export class RequestArrivals {
   readonly #options: RequestArrivalsOptions
   #count = 0
+  #isReserved = false
   #isHeldBack = false
 
   constructor (options: RequestArrivalsOptions) {
@@ -36,27 +39,48 @@
     return this.#isHeldBack
   }
 
-  /** Whether the request may be written now; the first time it always may. */
-  mayFollow (now: number): boolean {
-    const { metrics, service } = this.#options
-    const wasHeldBack = this.#isHeldBack
-    this.#isHeldBack = this.#count > 0 && !this.allowsRepeat(now)
-    if (this.#isHeldBack && !wasHeldBack) metrics.heldBackRepeats.inc({ service })
-    return !this.#isHeldBack
-  }
-
   /** Whether the budget allows a repeat, for a decision to give up a run or to plan a second one. */
   allowsRepeat (now: number): boolean {
     const { retryBudget, service } = this.#options
-    return retryBudget.allows(service, now)
+    return this.#isReserved || retryBudget.allows(service, now)
+  }
+
+  /** Whether an attempt may be prepared; the first always may. Reserves a repeat until it is written or the request ends. */
+  tryPrepare (now: number): boolean {
+    const { retryBudget, service } = this.#options
+    if (this.#count === 0 || this.#isReserved) return true
+    this.#isReserved = retryBudget.tryReserve(service, now)
+    this.#recordHeldBack(!this.#isReserved)
+    return this.#isReserved
+  }
+
+  /** Whether the request may be written now. */
+  mayWrite (now: number): boolean {
+    const { retryBudget, service } = this.#options
+    this.close()
+    this.#recordHeldBack(this.#count > 0 && !retryBudget.allows(service, now))
+    return !this.#isHeldBack
   }
 
   /** Records that the request is written now. */
-  record (now: number): void {
+  recordWrite (now: number): void {
     const { metrics, retryBudget, service } = this.#options
     const kind = this.#count === 0 ? ArrivalKind.First : ArrivalKind.Repeat
     if (kind === ArrivalKind.Repeat) retryBudget.tryConsume(service, now)
     metrics.arrivals.inc({ service, kind })
     this.#count++
   }
+
+  /** Gives back what is reserved. */
+  close (): void {
+    const { retryBudget, service } = this.#options
+    if (this.#isReserved) retryBudget.release(service)
+    this.#isReserved = false
+  }
+
+  #recordHeldBack (isHeldBack: boolean): void {
+    const { metrics, service } = this.#options
+    if (isHeldBack && !this.#isHeldBack) metrics.heldBackRepeats.inc({ service })
+    this.#isHeldBack = isHeldBack
+  }
 }
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -16,7 +16,7 @@
 
 /**
  * @example
- * if (attempts.mayStart()) {
+ * if (attempts.tryStart()) {
  *   const attempt = attempts.send(endpoint, { model: undefined, lastEventId: undefined, usesOwnConnection: true })
  * }
  */
@@ -58,12 +58,17 @@
     return this.#arrivals.isHeldBack
   }
 
-  /** Whether another attempt may be made. */
-  mayStart (): boolean {
+  /** Whether another attempt may be made; reserves it in the retry budget. */
+  tryStart (): boolean {
     const { hasCallerLeft, now, deadline } = this.#request
     if (hasCallerLeft || now >= deadline || this.left <= 0) return false
     if (!this.#request.isAdmitted(this.#crashedRuns)) return false
-    return this.#arrivals.mayFollow(now)
+    return this.#arrivals.tryPrepare(now)
+  }
+
+  /** Gives back what is reserved for an attempt that was not sent. */
+  close (): void {
+    this.#arrivals.close()
   }
 
   /** Starts an attempt at an endpoint. */
@@ -75,8 +80,8 @@
     const permit = limits.open(ratedEndpoint(endpoint), startedAt)
     request.selection.markTried(endpoint)
     const mayStillSend = () => {
-      const isSending = !request.hasCallerLeft && !plannedStop.hasEndedSending && request.now < request.deadline && request.selection.isEligible(endpoint) && !loads.isOverloaded(endpoint, request.now) && this.#arrivals.mayFollow(request.now) && permit.trySend(request.now)
-      if (isSending) this.#arrivals.record(request.now)
+      const isSending = !request.hasCallerLeft && !plannedStop.hasEndedSending && request.now < request.deadline && request.selection.isEligible(endpoint) && !loads.isOverloaded(endpoint, request.now) && this.#arrivals.mayWrite(request.now) && permit.trySend(request.now)
+      if (isSending) this.#arrivals.recordWrite(request.now)
       if (isSending) run.recordSent(request.now)
       return isSending
     }
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -64,7 +64,7 @@
   async run (): Promise<void> {
     const request = this.#request
     let isFull = false
-    while (request.attempts.mayStart()) {
+    while (request.attempts.tryStart()) {
       this.#choice.chooseInTime()
       const endpoint = await request.selection.awaitEndpoint(this.#choice.model, this.#hasResponseStarted)
       if (endpoint === undefined) break
--- a/src/placement/retryBudget.ts
+++ b/src/placement/retryBudget.ts
@@ -18,6 +18,8 @@
 interface ServiceCounts {
   readonly requests: BucketCounts
   readonly retries: BucketCounts
+  /** Retries that are being prepared. */
+  reserved: number
 }
 
 /**
@@ -42,14 +44,14 @@
     this.#countsOf(service).requests.add(this.#bucketAt(now))
   }
 
-  /** Whether a retry is allowed, without consuming the budget. */
+  /** Whether a retry is allowed beside those that are being prepared, without consuming the budget. */
   allows (service: string, now: number): boolean {
-    const { requests, retries } = this.#countsOf(service)
+    const { requests, retries, reserved } = this.#countsOf(service)
     const { ratio, slack } = this.#limits
     const present = this.#bucketAt(now)
     const ownSlack = slack * this.#slackShare(now)
     let requestCount = requests.sum(present - bucketsPerWindow + 1, present)
-    let retryCount = 1
+    let retryCount = reserved + 1
     // Of the bucket in which a window begins all retries count, and no requests of one window before.
     for (let begin = present; begin > present - bucketsOfRetries; begin--) {
       retryCount += retries.at(begin)
@@ -59,6 +61,18 @@
     return true
   }
 
+  /** Keeps budget for a retry that is being prepared, if that is allowed; returns whether it was. */
+  tryReserve (service: string, now: number): boolean {
+    if (!this.allows(service, now)) return false
+    this.#countsOf(service).reserved++
+    return true
+  }
+
+  /** Gives a reservation back. */
+  release (service: string): void {
+    this.#countsOf(service).reserved--
+  }
+
   /** Consumes budget for one retry if that is allowed; returns whether it was. */
   tryConsume (service: string, now: number): boolean {
     if (!this.allows(service, now)) return false
@@ -71,6 +85,6 @@
   }
 
   #countsOf (service: string): ServiceCounts {
-    return getOrCreate(this.#countsByService, service, () => ({ requests: new BucketCounts(bucketsOfRequests), retries: new BucketCounts(bucketsOfRetries) }))
+    return getOrCreate(this.#countsByService, service, () => ({ requests: new BucketCounts(bucketsOfRequests), retries: new BucketCounts(bucketsOfRetries), reserved: 0 }))
   }
 }
