--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -21,7 +21,7 @@
 
 /**
  * @example
- * if (attempts.mayStart()) {
+ * if (attempts.tryStart()) {
  *   const attempt = attempts.send(endpoint, { model: undefined, lastEventId: undefined, usesOwnConnection: true })
  * }
  */
@@ -75,12 +75,17 @@
     return this.#arrivals.isHeldBack
   }
 
-  /** Whether another attempt may be made. */
-  mayStart (): boolean {
+  /** Whether another attempt may be made; reserves it in the retry budget. */
+  tryStart (): boolean {
     const { hasCallerLeft, now, deadline } = this.#request
     if (hasCallerLeft || now >= deadline || this.left <= 0) return false
     if (!this.#request.isAdmitted(this.#crashedRuns)) return false
-    return this.#arrivals.mayFollow(now)
+    return this.#arrivals.tryPrepare(now)
+  }
+
+  /** Gives back what is reserved for an attempt that was not sent. */
+  close (): void {
+    this.#arrivals.close()
   }
 
   /** Starts an attempt at an endpoint. */
@@ -123,13 +128,13 @@
     const { deadline, hasCallerLeft, now, selection, sendWindow } = this.#request
     if (hasCallerLeft || now >= deadline || sendWindow.isClosed) return false
     if (!selection.isEligible(endpoint) || this.#dependencies.loads.isOverloaded(endpoint, now)) return false
-    return this.#arrivals.mayFollow(now) && permit.trySend(now)
+    return this.#arrivals.mayWrite(now) && permit.trySend(now)
   }
 
   /** To be called in the event-loop turn that writes the request. */
   #recordSent (endpoint: RoutedEndpoint, run: EndpointRun): void {
     const { now } = this.#request
-    this.#arrivals.record(now)
+    this.#arrivals.recordWrite(now)
     run.recordSent(now)
     this.#dependencies.misdirected.recordSent(endpoint, now)
   }
