--- a/src/fleet/fleetShare.ts
+++ b/src/fleet/fleetShare.ts
@@ -5,7 +5,7 @@
  * - Lists are of use while most seeds answer, so that any two gateways with a part know each other.
  * - A gateway that has just reported has no part until all lists that lack it are out of use. It then waits for one
  *   more window, in which larger parts of the others, or that of its own predecessor, may still have been spent.
- * - One that is gone is listed for longer than a window.
+ * - One that is gone is listed for at least a window after it can have spent anything.
  */
 import type { FleetDirectory } from './fleetDirectory.ts'
 import { maximumListAgeMilliseconds, replyTimeoutMilliseconds, retentionMilliseconds } from './fleetTimes.ts'
@@ -16,7 +16,7 @@
   readonly windowMilliseconds: number
 }
 
-/** A gateway that is gone is listed for this time after the last list that it read. */
+/** The others list a gateway for the retention after its last report; it spends until its lists are too old. */
 const maximumWindowMilliseconds = retentionMilliseconds - maximumListAgeMilliseconds
 
 /**
