--- a/src/gateway/endpointSelection.ts
+++ b/src/gateway/endpointSelection.ts
@@ -111,8 +111,8 @@
       organisation: request.organisation?.name ?? '',
       priority: request.priority,
       arrivedAt: request.arrivedAt,
-      // A stop may begin while the request waits.
       latestTurn: ownLatestTurn,
+      // A stop may begin while the request waits.
       get giveUpAt () { return Math.min(ownLatestTurn, request.sendWindow.closesAt) },
       signal: request.callerAbort.signal,
       forecast: () => placement.forecast(placementRequest, this.#untriedEndpoints(), request.now)
