--- a/test/poisonPrompt.test.ts
+++ b/test/poisonPrompt.test.ts
@@ -57,9 +57,11 @@
   }
 }
 
+/** Each request has a body of its own, as prompts that differ have; with the same one it would be a repeat. */
 function callWith (host: string, parts: readonly string[]) {
-  const promptParts = [...parts, `f${nextLastPart++}:50`].join(',')
-  return harness.call(host, '/query/1', { body: 'q', headers: { model: 'small', 'token-usage': '600,100', 'prefix-hash': promptParts, 'deadline-ms': '2000' } })
+  const lastPart = nextLastPart++
+  const promptParts = [...parts, `f${lastPart}:50`].join(',')
+  return harness.call(host, '/query/1', { body: `q${lastPart}`, headers: { model: 'small', 'token-usage': '600,100', 'prefix-hash': promptParts, 'deadline-ms': '2000' } })
 }
 
 async function startFleet (gatewayCount: number): Promise<{ readonly hosts: readonly string[], readonly engines: CrashingEngines }> {
