Ask again that every request to addresses of other endpoints is refused with no_endpoint

The test asked it only of requests that had reached no endpoint, since under load a 421 can come later than a silent attempt is waited for (0.9 of a latency target of 400 ms). The routes of the test have times that a busy machine keeps now.

--- a/test/misdirectedEndpoints.test.ts
+++ b/test/misdirectedEndpoints.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import type { EndpointHandler, EndpointStandIn } from '../platform/standin/index.ts'
+import { type EndpointHandler, type EndpointStandIn, configurationDocument } from '../platform/standin/index.ts'
 import { ForwarderHarness, waitUntil } from './fakes/forwarderWorld.ts'
 
 let harness: ForwarderHarness
@@ -7,7 +7,9 @@
 afterEach(async () => await harness.close())
 
 const requestIntervalMilliseconds = 20
-const streamHeaders = { 'token-usage': '600,100', 'prefix-hash': 'a1:500,b2:100', 'deadline-ms': '2000' }
+const streamHeaders = { 'token-usage': '600,100', 'prefix-hash': 'a1:500,b2:100', 'deadline-ms': '25000' }
+/** No endpoint counts as silent while the machine is busy. */
+const patientTimes = { timeout_ms: 25_000, target_latency_ms: 20_000 }
 
 /** What listens at an address that was given to another endpoint. */
 const rejectAll: EndpointHandler = (_request, response) => {
@@ -22,7 +24,7 @@
 }
 
 async function startFleet (gatewayCount: number): Promise<readonly string[]> {
-  harness.putConfiguration(1)
+  harness.putConfiguration(1, { routes: configurationDocument(1).routes.map(route => ({ ...route, ...patientTimes })) })
   const first = await harness.startForwarder()
   const hosts = [first]
   while (hosts.length < gatewayCount) hosts.push(await harness.startForwarder({ seeds: [`${first}:8229`] }))
@@ -33,8 +35,7 @@
 async function sendInTurn (hosts: readonly string[], count: number, path = '/balance/1', headers: Record<string, string> = {}) {
   const responses = []
   for (let index = 0; index < count; index++) {
-    const id = `a-${index}`
-    responses.push(harness.call(hosts[index % hosts.length]!, path, { headers: { ...headers, 'attempt-id': id } }).then(response => ({ ...response, id })))
+    responses.push(harness.call(hosts[index % hosts.length]!, path, { headers: { 'deadline-ms': '25000', ...headers } }))
     await new Promise(resolve => setTimeout(resolve, requestIntervalMilliseconds))
   }
   return await Promise.all(responses)
@@ -61,12 +62,11 @@
   const gone = await startEndpoints(service, 2, rejectAll)
   const hosts = await startFleet(3)
   const responses = await sendInTurn(hosts, 120, path, headers)
-  const arrived = gone.flatMap(({ received }) => received.map(request => request.headers['attempt-id']))
-  expect(arrived.length).toBeGreaterThan(0)
+  const arrivals = gone.reduce((sum, { received }) => sum + received.length, 0)
+  expect(arrivals).toBeGreaterThan(0)
   // Without the news each request arrives at both.
-  expect(arrived.length).toBeLessThanOrEqual(2 * responses.length / 10)
-  const refused = responses.filter(({ id }) => !arrived.includes(id))
-  expect(new Set(refused.map(({ status, body }) => `${status} ${body}`))).toEqual(new Set(['503 {"error":"no_endpoint"}']))
+  expect(arrivals).toBeLessThanOrEqual(2 * responses.length / 10)
+  expect(new Set(responses.map(({ status, body }) => `${status} ${body}`))).toEqual(new Set(['503 {"error":"no_endpoint"}']))
 }, 60_000)
 
 test('an endpoint whose address answers 421 to one gateway gets nothing from the others, nor from one that starts later', async () => {
