Send what an endpoint needs of a request before its caller's other fields

A caller with 2,100 fields whose names are numbers got 502 although its endpoint was sound. The gateway's own fields were to come first, but an object has names that are numbers before all others, whatever the order in which they were added. The endpoint read the first 2,000 fields, and so neither whom the request was for nor its attempt id; an answer without that can't be told from another request's. The attempt id came behind the caller's other fields in any case.

The fields are sent from a map, which keeps their order: the own ones, those of the caller that endpoints need, the others. The case with numbers failed before (502, 200 wanted).

--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -32,7 +32,7 @@
   readonly clock: Clock
   readonly method: string
   readonly path: string
-  readonly headers: Readonly<Record<string, string>>
+  readonly headers: Readonly<Record<string, string>> | ReadonlyMap<string, string>
   readonly body: Uint8Array | string | undefined
   /** The exchange fails after this many milliseconds without a received byte. */
   readonly inactivityTimeoutMilliseconds: number
--- a/src/routing/headerCodec.ts
+++ b/src/routing/headerCodec.ts
@@ -76,9 +76,10 @@
   readRequestHead (headers: IncomingHttpHeaders): RequestHead
   /**
    * Returns the headers of an attempt: the caller's headers without hop-by-hop headers and those that
-   * only the system may set, plus the system's own.
+   * only the system may set, plus the system's own. In the order in which they are sent, which an object
+   * does not keep for names that are numbers.
    */
-  writeAttemptHeaders (headers: IncomingHttpHeaders, head: AttemptHead): Record<string, string>
+  writeAttemptHeaders (headers: IncomingHttpHeaders, head: AttemptHead): ReadonlyMap<string, string>
   readResponseHead (headers: IncomingHttpHeaders): ResponseHead
   /** Returns the response headers for the caller, without hop-by-hop headers. */
   writeResponseHeaders (headers: IncomingHttpHeaders): Record<string, string | string[]>
--- a/test/rejectedRequest.test.ts
+++ b/test/rejectedRequest.test.ts
@@ -56,12 +56,15 @@
   expect(mayBeRequestsFault({ ...rejected, response: { responder: 'i-2' } })).toBe(false)
 })
 
-test('a caller whose fields are more than an endpoint reads neither hides from it which endpoint is meant nor takes it from the others', async () => {
+test.each([
+  ['fields', (index: number) => `f${index.toString(36)}`],
+  ['fields named by numbers', String]
+])('a caller whose %s are more than an endpoint reads neither hides from it which endpoint is meant nor takes it from the others', async (_name, fieldName) => {
   const endpoint = await harness.startEndpoint('ledger')
   harness.putConfiguration(1, { limits: { ...configurationDocument(1).limits, max_header_bytes: 64_000 } })
   const host = await harness.startForwarder()
   await harness.waitUntilReady(host)
-  const manyFields = Object.fromEntries(Array.from({ length: 2_100 }, (_, index) => [`f${index.toString(36)}`, '']))
+  const manyFields = Object.fromEntries(Array.from({ length: 2_100 }, (_, index) => [fieldName(index), '']))
   expect((await harness.call(host, '/release/1', { body: 'x', headers: manyFields })).status).toBe(200)
   expect((await harness.call(host, '/release/2')).status).toBe(200)
   expect(endpoint.received.length).toBe(2)
