--- a/test/responseHead.test.ts
+++ b/test/responseHead.test.ts
@@ -16,6 +16,12 @@
   expect(codec.writeResponseHeaders(headers as never)).toEqual({ 'x-third': '3' })
 })
 
+test('a caller that names fields as connection options does not hide from the endpoint which request and model is meant', () => {
+  const named = { 'attempt-id': 'a', model: 'small', 'token-usage': '600,100', 'prefix-hash': 'a1:500' }
+  const headers = { ...named, connection: Object.keys(named).join(', ') }
+  expect(Object.fromEntries(codec.writeAttemptHeaders(headers, { timeoutMilliseconds: 100, endpointIdentity: 'i-1' } as never))).toMatchObject(named)
+})
+
 test.each([
   ['a header value', 'HTTP/1.1 200 OK\r\nx-note: tHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'],
   ['the reason phrase', 'HTTP/1.1 200 OHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok']
