Read a body of many status lines once

Each possible status line in a body was read on by itself up to the line that decided, so that 64 KiB of nested ones kept the process busy for 2.0 s, and 64 KiB of an access log for 12 ms.

--- a/src/endpoint/secondHeadScanner.ts
+++ b/src/endpoint/secondHeadScanner.ts
@@ -23,6 +23,12 @@
 } as const
 type Finding = typeof Finding[keyof typeof Finding]
 
+interface Judgement {
+  readonly finding: Finding
+  /** Offset of the line that decided. What begins before it would be decided by the same line. */
+  readonly decidedAt: number
+}
+
 /**
  * @example
  * const scanner = new SecondHeadScanner('a-17')
@@ -48,12 +54,15 @@
     if (!this.isUndecided && !mayBeginStatusLine(bytes)) return false
     const text = this.#undecided + bytes.toString('latin1')
     this.#undecided = ''
-    for (let start = indexOfStatusLine(text, 0); start >= 0; start = indexOfStatusLine(text, start + 1)) {
-      const finding = this.#judge(text, start)
+    for (let start = indexOfStatusLine(text, 0); start >= 0;) {
+      const { finding, decidedAt } = this.#judge(text, start)
       if (finding === Finding.SecondHead) return true
-      if (finding === Finding.Nothing || text.length - start > maximumHeadBytes) continue
-      this.#undecided = text.slice(start)
-      return false
+      if (finding === Finding.Undecided && text.length - start <= maximumHeadBytes) {
+        this.#undecided = text.slice(start)
+        return false
+      }
+      const next = finding === Finding.Nothing ? decidedAt : text.length - maximumHeadBytes
+      start = indexOfStatusLine(text, Math.max(start + 1, next))
     }
     return false
   }
@@ -67,30 +76,32 @@
     if (!this.isUndecided) return false
     const body = this.#undecided
     const text = body + bytesBehind.subarray(0, maximumHeadBytes).toString('latin1')
-    for (let start = 0; start >= 0 && start < body.length; start = indexOfStatusLine(text, start + 1)) {
-      const finding = this.#judge(text, start)
+    for (let start = 0; start >= 0 && start < body.length;) {
+      const { finding, decidedAt } = this.#judge(text, start)
       const isInsideHead = finding === Finding.Undecided && body.includes(lineEnd, start)
       if (finding === Finding.SecondHead || isInsideHead) return true
+      start = indexOfStatusLine(text, Math.max(start + 1, decidedAt))
     }
     return false
   }
 
-  #judge (text: string, start: number): Finding {
+  #judge (text: string, start: number): Judgement {
+    const beginning = text.slice(start, start + shortestStatusLine.length)
+    if (beginning.length === shortestStatusLine.length && !statusLinePattern.test(beginning)) return { finding: Finding.Nothing, decidedAt: start }
     let position = start
     for (let end = text.indexOf(lineEnd, position); end >= 0; end = text.indexOf(lineEnd, position)) {
-      const line = text.slice(position, end)
-      if (position === start) {
-        if (!statusLinePattern.test(line)) return Finding.Nothing
-      } else {
-        const [, value] = headerPattern.exec(line) ?? []
-        if (value === undefined) return Finding.Nothing
-        if (value === this.#mark) return Finding.SecondHead
-      }
+      const finding = this.#judgeLine(text.slice(position, end), position === start)
+      if (finding !== Finding.Undecided) return { finding, decidedAt: position }
       position = end + lineEnd.length
     }
-    const isStatusLineShort = position === start && text.length - start < shortestStatusLine.length
-    if (position === start && !isStatusLineShort && !statusLinePattern.test(text.slice(start, start + shortestStatusLine.length))) return Finding.Nothing
-    return Finding.Undecided
+    return { finding: Finding.Undecided, decidedAt: start }
+  }
+
+  #judgeLine (line: string, isFirst: boolean): Finding {
+    if (isFirst) return statusLinePattern.test(line) ? Finding.Undecided : Finding.Nothing
+    const [, value] = headerPattern.exec(line) ?? []
+    if (value === undefined) return Finding.Nothing
+    return value === this.#mark ? Finding.SecondHead : Finding.Undecided
   }
 }
 
--- a/test/secondHeadScanner.test.ts
+++ b/test/secondHeadScanner.test.ts
@@ -1,4 +1,4 @@
-import { expect, test } from 'vitest'
+import { expect, test, vi } from 'vitest'
 import { SecondHeadScanner } from '../src/endpoint/secondHeadScanner.ts'
 
 const secondHead = 'HTTP/1.1 200 OK\r\nserver: e\r\nattempt-id: a-1\r\n'
@@ -38,3 +38,16 @@
   expect(scanner.push(Buffer.from('\r\nattempt-id: a-1\r\n'))).toBe(false)
   expect(scanner.end(none)).toBe(false)
 })
+
+test.each([
+  ['lines of an access log', '"GET / HTTP/1.1" 200\n'],
+  ['status lines', 'HTTP/1.1 200 '],
+  ['status lines inside of headers', 'HTTP/1.1 200\r\na: HTTP/1.1 200\r\nb: ']
+])('a long body of %s is read in few steps', (_name, text) => {
+  const indexOf = vi.spyOn(String.prototype, 'indexOf')
+  const scanner = new SecondHeadScanner('a-1')
+  for (let count = 0; count < 4; count++) scanner.push(Buffer.from(text.repeat(Math.ceil(65_536 / text.length))))
+  const { length } = indexOf.mock.calls
+  indexOf.mockRestore()
+  expect(length).toBeLessThan(100_000)
+})
