--- a/test/secondHeadScanner.test.ts
+++ b/test/secondHeadScanner.test.ts
@@ -47,3 +47,16 @@
   slice.mockRestore()
   expect(sliced).toBeLessThan(10 * body.length)
 })
+
+test.each([
+  ['lines of an access log', '"GET / HTTP/1.1" 200\n'],
+  ['status lines', 'HTTP/1.1 200 '],
+  ['status lines inside of headers', 'HTTP/1.1 200\r\na: HTTP/1.1 200\r\nb: ']
+])('a long body of %s is read in few steps', (_name, text) => {
+  const indexOf = vi.spyOn(String.prototype, 'indexOf')
+  const scanner = new SecondHeadScanner('a-1')
+  for (let count = 0; count < 4; count++) scanner.push(Buffer.from(text.repeat(Math.ceil(65_536 / text.length))))
+  const { length } = indexOf.mock.calls
+  indexOf.mockRestore()
+  expect(length).toBeLessThan(100_000)
+})
