Ignore a rejection that is older than an endpoint's answer

A 421 to a request that was sent before an endpoint answered at its address, and that arrived after that answer, took the endpoint out of service again everywhere, for a wait that had doubled meanwhile. An answer was compared with what was learnt before it, a rejection only with earlier rejections. Now only a rejection of a request that was sent after the latest fact counts as news, unless it brings a later heartbeat. The test failed before.

--- a/src/misdirection/misdirectedEndpoints.ts
+++ b/src/misdirection/misdirectedEndpoints.ts
@@ -83,13 +83,13 @@
   /**
    * Records that whatever listens at an endpoint's address is not that endpoint.
    *
-   * @param sentAt when the rejected request was sent
+   * @param sentAt when the rejected request was sent; only one that was sent after the latest fact tells anything
    * @returns whether other gateways should be told
    */
   recordRejection (endpoint: RegisteredEndpoint, sentAt: number, now: number): boolean {
-    const held = this.#doubted(endpoint)
-    const isKnown = held !== undefined && heartbeatOf(endpoint) <= held.fact.heartbeat && sentAt <= held.learntAt
-    if (isKnown) return false
+    const held = this.#heldOn(endpoint)
+    const isOlder = held !== undefined && heartbeatOf(endpoint) <= held.fact.heartbeat && sentAt <= held.learntAt
+    if (isOlder) return false
     this.#learn(this.#nextFact(endpoint, true), MisdirectionSource.Response, now)
     return true
   }
@@ -128,10 +128,14 @@
 
   /** The fact that speaks against an endpoint; undefined without one. */
   #doubted (endpoint: RegisteredEndpoint): HeldFact | undefined {
-    const held = this.#facts.get(keyOf({ instance: instanceKey(endpoint), address: endpoint.address }))
+    const held = this.#heldOn(endpoint)
     return held?.fact.isMisdirected === true ? held : undefined
   }
 
+  #heldOn (endpoint: RegisteredEndpoint): HeldFact | undefined {
+    return this.#facts.get(keyOf({ instance: instanceKey(endpoint), address: endpoint.address }))
+  }
+
   /** What speaks for an endpoint that was rejected; undefined if nothing does. */
   #evidenceFor (endpoint: RegisteredEndpoint, { fact, learntAt, waitMilliseconds }: HeldFact, now: number): MisdirectionSource | undefined {
     if (heartbeatOf(endpoint) > fact.heartbeat) return MisdirectionSource.Heartbeat
--- a/test/misdirection.test.ts
+++ b/test/misdirection.test.ts
@@ -49,6 +49,16 @@
   expect(misdirected.news(50)).toEqual([{ instance: 'i-1@7', address: endpoint.address, heartbeat: 6, revision: 2, isMisdirected: false }])
 })
 
+test('a rejection that arrives late does not take back the work of an endpoint that has answered meanwhile', () => {
+  const misdirected = afterRejection()
+  misdirected.recordSent(renewed, 40)
+  expect(misdirected.recordAnswer(renewed, 40, 50)).toBe(true)
+  expect(misdirected.recordRejection(endpoint, 5, 60)).toBe(false)
+  expect(misdirected.isMisdirected(endpoint, 60)).toBe(false)
+  expect(misdirected.recordRejection(endpoint, 55, 70)).toBe(true)
+  expect(misdirected.isMisdirected(endpoint, 70)).toBe(true)
+})
+
 test('a trial without any response is followed by another one', () => {
   const misdirected = afterRejection()
   misdirected.recordSent(renewed, 20)
