Repeat a report to the seeds soon after it failed

The next report followed after the longest interval, 20 s, by which time the last lists were out of use, and then the wait of a gateway that has just started began anew.

Once a seed that answered ceases to, the intervals start anew at the shortest one, so that a cut of two seconds leaves the lists in use. A seed that is gone is asked a few times more and then as rarely as before.

--- a/src/fleet/fleetReports.ts
+++ b/src/fleet/fleetReports.ts
@@ -55,21 +55,29 @@
   async #run (): Promise<void> {
     const { clock, link, seeds } = this.#options
     let interval = minimumIntervalMilliseconds
+    let answering: readonly string[] = []
     while (!this.#stopping.signal.aborted) {
       const otherSeeds = seeds().filter(address => address !== link.self.address)
-      await Promise.all(otherSeeds.map(seed => this.#reportTo(seed)))
+      const answers = await Promise.all(otherSeeds.map(seed => this.#reportTo(seed)))
+      const nowAnswering = otherSeeds.filter((_, index) => answers[index])
+      // A list gets too old if a report that failed is only repeated after the longest interval.
+      const hasLostSeed = answering.some(seed => !nowAnswering.includes(seed))
+      if (hasLostSeed) interval = minimumIntervalMilliseconds
+      answering = nowAnswering
       await clock.sleep(interval, this.#stopping.signal)
       interval = Math.min(maximumIntervalMilliseconds, interval * 2)
     }
   }
 
-  async #reportTo (seed: string): Promise<void> {
+  /** Returns whether the seed answered. */
+  async #reportTo (seed: string): Promise<boolean> {
     const { clock, directory, link } = this.#options
     const known = directory.listOf(seed)
     const digest = known.length === 0 ? '' : membersDigest(known)
     const reply = await link.request({ name: '', address: seed }, fleetReport, { digest }, replyTimeoutMilliseconds)
-    if (reply.err) return
+    if (reply.err) return false
     const members = reply.val.members?.map(({ address, region }) => ({ address, region }))
     directory.recordList(seed, members ?? known, clock.now())
+    return true
   }
 }
--- a/src/fleet/fleetTimes.ts
+++ b/src/fleet/fleetTimes.ts
@@ -1,6 +1,6 @@
 /** Times of the reports between gateways and seeds, which what is divided among a fleet rests on. In milliseconds. */
 
-/** Reports are repeated after this time and then at doubling intervals. */
+/** Reports are repeated after this time and then at doubling intervals, anew once a seed has ceased to answer. */
 export const minimumIntervalMilliseconds = 1_500
 export const maximumIntervalMilliseconds = 20_000
 export const replyTimeoutMilliseconds = 1_000
--- a/test/fleetShare.test.ts
+++ b/test/fleetShare.test.ts
@@ -118,6 +118,18 @@
   expect(fleet.sumOfShares).toBeCloseTo(1, 9)
 }, 60_000)
 
+test('gateways that are cut off from most seeds for two seconds keep their parts', async () => {
+  const fleet = startFleet(8)
+  await fleet.play(settlingMilliseconds)
+  for (let cut = 0; cut < 24; cut++) {
+    for (const other of ['east', 'north']) fleet.network.partition('west', other)
+    await fleet.play(2_000)
+    for (const other of ['east', 'north']) fleet.network.heal('west', other)
+    await fleet.play(25_500)
+    expect(fleet.sumOfShares).toBeCloseTo(1, 9)
+  }
+})
+
 test('a gateway that is replaced time and again does not get its part with every start', async () => {
   const fleet = startFleet(8)
   await fleet.play(settlingMilliseconds)
