Blame no sound request for a rack that ends within a tenth of a second

A request that many callers send lies at all endpoints of a rack. If these ended one after the other within 80 ms, its callers got 502 instead of a repeat, and it could be blocked. Since a copy may have been sent up to 50 ms before an earlier crash and still follow it, because what another gateway tells is dated late by its time on the way.

That doubt exists only where the gateway that sent the copy heard of the earlier crash. If it saw that crash itself, its times are exact, as they are for a request that it had at several endpoints of the rack. Observed crashes name their reporters now, and suspected requests theirs.

--- a/src/breaker/blame.ts
+++ b/src/breaker/blame.ts
@@ -38,12 +38,19 @@
 /** The crash of an endpoint with the runs and requests that all gateways had there. */
 export interface ObservedCrash {
   readonly crashedAt: number
+  /** The gateways that saw it themselves. */
+  readonly reporters: ReadonlySet<string>
   readonly runs: readonly SuspectRun[]
-  readonly requests: readonly SuspectRequest[]
+  readonly requests: readonly ReportedRequest[]
   /** Whether a blocked request explains it; it then counts only for what several requests share. */
   readonly isExplainedByRequest: boolean
 }
 
+/** A suspected request with the gateway that sent it. */
+export interface ReportedRequest extends SuspectRequest {
+  readonly reporter: string
+}
+
 /** What is known of good answers. */
 export interface AnswerEvidence {
   /** Whether a prompt part counts as sound at the time of a crash. */
@@ -56,6 +63,8 @@
 interface BlamedInterval {
   readonly startedAt: number
   readonly crash: ObservedCrash
+  /** The gateway that sent a suspected request; undefined for a run that had begun. */
+  readonly reporter?: string
   /** Whether the run is not known to have begun. */
   readonly isWaiting?: boolean
 }
@@ -102,7 +111,7 @@
 export function crashesUnder (crashes: readonly ObservedCrash[], request: OrganisationPart, answers: AnswerEvidence): readonly ObservedCrash[] {
   const answeredAt = answers.lastAnsweredAt(request) ?? Number.NEGATIVE_INFINITY
   const isMeant = (suspect: SuspectRequest) => suspect.organisation === request.organisation && requestPart(suspect.request) === request.part && suspect.sentAt > answeredAt
-  const intervals = crashes.flatMap(crash => crash.requests.filter(isMeant).map(({ sentAt }) => ({ startedAt: sentAt, crash })))
+  const intervals = crashes.flatMap(crash => crash.requests.filter(isMeant).map(({ sentAt, reporter }) => ({ startedAt: sentAt, crash, reporter })))
   return longestSequence(intervals, requestDepth)
 }
 
@@ -151,7 +160,7 @@
   for (const request of crash.requests) {
     const part = partOfSuspect(request)
     const answeredAt = answers.lastAnsweredAt(part) ?? Number.NEGATIVE_INFINITY
-    if (request.sentAt > answeredAt) addInterval(suspicions, part, requestDepth, { startedAt: request.sentAt, crash })
+    if (request.sentAt > answeredAt) addInterval(suspicions, part, requestDepth, { startedAt: request.sentAt, crash, reporter: request.reporter })
   }
 }
 
@@ -163,21 +172,23 @@
 function longestSequence (intervals: readonly BlamedInterval[], depth: number): readonly ObservedCrash[] {
   const byEnd = [...intervals].sort((left, right) => left.crash.crashedAt - right.crash.crashedAt)
   const sequence: ObservedCrash[] = []
-  let endedAt = Number.NEGATIVE_INFINITY
-  for (const { startedAt, crash } of byEnd) {
-    const follows = startedAt >= endedAt || (depth === requestDepth && repeatMayFollow(startedAt, crash, endedAt))
-    if (!follows) continue
-    sequence.push(crash)
-    endedAt = crash.crashedAt
+  for (const interval of byEnd) {
+    const earlier = sequence.at(-1)
+    const follows = earlier === undefined || interval.startedAt >= earlier.crashedAt || (depth === requestDepth && repeatMayFollow(interval, earlier))
+    if (follows) sequence.push(interval.crash)
   }
   return sequence
 }
 
-/** Whether a request may have been sent after an earlier crash, although the known times say that it was not. */
-function repeatMayFollow (sentAt: number, { crashedAt }: ObservedCrash, earlierCrashAt: number): boolean {
-  const millisecondsBetween = crashedAt - earlierCrashAt
+/**
+ * Whether a request may have been sent after an earlier crash, although the known times say that it was not. They
+ * are exact if the gateway that sent the request saw that crash itself.
+ */
+function repeatMayFollow ({ startedAt, crash, reporter }: BlamedInterval, earlier: ObservedCrash): boolean {
+  const millisecondsBetween = crash.crashedAt - earlier.crashedAt
   if (millisecondsBetween >= separateCrashMilliseconds) return true
-  return millisecondsBetween >= distinctCrashMilliseconds && sentAt >= earlierCrashAt - newsDelayMilliseconds
+  if (reporter === undefined || earlier.reporters.has(reporter)) return false
+  return millisecondsBetween >= distinctCrashMilliseconds && startedAt >= earlier.crashedAt - newsDelayMilliseconds
 }
 
 function compare (left: number, right: number): number {
--- a/src/breaker/crashReports.ts
+++ b/src/breaker/crashReports.ts
@@ -32,11 +32,7 @@
 
   /** The crashes, each with the runs and requests of all its reports. */
   get observed (): readonly ObservedCrash[] {
-    this.#observed ??= [...this.#crashes.values()].map(reports => {
-      const all = [...reports.values()]
-      const [runs, requests] = [all.flatMap(({ runs }) => runs), all.flatMap(({ requests = [] }) => requests)]
-      return { crashedAt: crashTime(reports), runs, requests, isExplainedByRequest: false }
-    })
+    this.#observed ??= [...this.#crashes.values()].map(observedCrash)
     return this.#observed
   }
 
@@ -80,6 +76,17 @@
   }
 }
 
+function observedCrash (reports: ReadonlyMap<string, CrashReport>): ObservedCrash {
+  const all = [...reports.values()]
+  return {
+    crashedAt: crashTime(reports),
+    reporters: new Set(reports.keys()),
+    runs: all.flatMap(({ runs }) => runs),
+    requests: all.flatMap(({ reporter, requests = [] }) => requests.map(request => ({ ...request, reporter }))),
+    isExplainedByRequest: false
+  }
+}
+
 /** When a crash that several gateways may have seen happened. */
 function crashTime (reports: ReadonlyMap<string, CrashReport>): number {
   return Math.min(...[...reports.values()].map(({ crashedAt }) => crashedAt))
