Call a retry a retry, and a request at fault by one name

The budget, its counters and its log lines had four words for what is sent again (retry, repeat, arrival, send), and four names told that a 421 is due to its request.

--- a/src/contract/retryLimits.ts
+++ b/src/contract/retryLimits.ts
@@ -4,9 +4,9 @@
  * one before or of the one half a window before, whichever has most.
  */
 export interface RetryLimits {
-  /** Repeats for each request; 0 or more. */
+  /** Retries for each request; 0 or more. */
   readonly ratio: number
   readonly windowMilliseconds: number
-  /** Repeats in each window regardless of the number of requests. */
+  /** Retries in each window regardless of the number of requests. */
   readonly slack: number
 }
--- a/src/gateway/modelChoice.ts
+++ b/src/gateway/modelChoice.ts
@@ -81,7 +81,7 @@
     const { larger } = this
     if (larger === undefined || this.#model === larger || hasResponseStarted) return true
     const { attempts, dependencies, route, now } = this.#request
-    if (attempts.left < Math.min(attemptsOfCascade, route.maximumAttempts) || !attempts.allowsRepeat) return true
+    if (attempts.left < Math.min(attemptsOfCascade, route.maximumAttempts) || !attempts.allowsRetry) return true
     return dependencies.modelCascade.accepts(confidence, now, this.#timeShareOf(larger, now - this.#runStartedAt))
   }
 
@@ -97,7 +97,7 @@
 
   #planCascade (): void {
     const { attempts, latencyTargetShareLeft, dependencies, head, route } = this.#request
-    const mayRetry = route.isResumable && head.lastEventId === undefined && attempts.allowsRepeat
+    const mayRetry = route.isResumable && head.lastEventId === undefined && attempts.allowsRetry
     this.#plan = dependencies.modelCascade.plan(route.modelSizes, { attemptsLeft: attempts.left, latencyTargetShareLeft, mayRetry, timeShareOf: model => this.#timeShareOf(model) })
     this.#model = this.#plan.first
   }
--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -37,10 +37,10 @@
 } as const
 export type NotExecutedReason = typeof NotExecutedReason[keyof typeof NotExecutedReason]
 
-/** Whether an endpoint is sent a request for the first time, or it or another was sent it before. */
+/** Whether a request is written to an endpoint for the first time, or was written to it or another before. */
 export const SendKind = {
   First: 'first',
-  Repeat: 'repeat'
+  Retry: 'retry'
 } as const
 export type SendKind = typeof SendKind[keyof typeof SendKind]
 
--- a/src/gateway/plannedStop.ts
+++ b/src/gateway/plannedStop.ts
@@ -46,7 +46,7 @@
 
   /** Whether a stop has begun. */
   get hasBegun (): boolean {
-    return this.#lastSendAt !== Infinity
+    return this.#begunAt !== undefined
   }
 
   /** Whether the stop has reached its bound with requests in flight, and ended them. */
--- a/src/gateway/rejectedRequest.ts
+++ b/src/gateway/rejectedRequest.ts
@@ -24,9 +24,9 @@
  * that the caller named, unless the route allows that and the endpoint's own registration lists it.
  *
  * @example
- * if (!mayBeRequestsFault({ head, route, endpoint, model, response, hasJustAnswered })) misdirected.recordRejection(endpoint, sentAt, now)
+ * if (!isRequestAtFault({ head, route, endpoint, model, response, hasJustAnswered })) misdirected.recordRejection(endpoint, sentAt, now)
  */
-export function mayBeRequestsFault (rejected: RejectedRequest): boolean {
+export function isRequestAtFault (rejected: RejectedRequest): boolean {
   const { responder } = rejected.response
   if (responder !== undefined) return responder === rejected.endpoint.identity
   return rejected.hasJustAnswered || mayLackModel(rejected)
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -11,13 +11,13 @@
 import { type ResponseHead, RouteType, type RoutedEndpoint, instanceKey, ratedEndpoint } from '../routing/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
-import { mayBeRequestsFault } from './rejectedRequest.ts'
-import { RequestArrivals } from './requestArrivals.ts'
+import { isRequestAtFault } from './rejectedRequest.ts'
+import { RequestSends } from './requestSends.ts'
 import { isSelfDelimited } from './responseFraming.ts'
 
 const misdirectedStatus = 421
 /** Endpoints that may reject a request for what its caller sent before it is given up; one of them may just not be at its address. */
-const maximumOwnRejections = 2
+const maximumRequestRejections = 2
 
 /**
  * @example
@@ -27,16 +27,16 @@
  */
 export class RequestAttempts {
   readonly #request: ForwardedRequest
-  readonly #arrivals: RequestArrivals
+  readonly #sends: RequestSends
   readonly #summaries: string[] = []
   #runCount = 0
   #hasBrokenOff = false
   #crashedRuns = 0
-  #ownRejections = 0
+  #requestRejections = 0
 
   constructor (request: ForwardedRequest) {
     this.#request = request
-    this.#arrivals = new RequestArrivals({ service: request.service, ...request.dependencies })
+    this.#sends = new RequestSends({ service: request.service, ...request.dependencies })
   }
 
   /** One line for each attempt that has ended. */
@@ -46,12 +46,12 @@
 
   /** When the first attempt was written to a connection, in milliseconds of the process's clock; undefined before. */
   get firstSentAt (): number | undefined {
-    return this.#arrivals.firstAt
+    return this.#sends.firstAt
   }
 
   /** When the last attempt was written to a connection, in milliseconds of the process's clock; undefined before. */
   get lastSentAt (): number | undefined {
-    return this.#arrivals.lastAt
+    return this.#sends.lastAt
   }
 
   /** Whether a run of the request broke off. */
@@ -61,18 +61,18 @@
 
   /** Further attempts that may be made; none that a planned stop would cut, or once two endpoints have rejected what the caller sent. */
   get left (): number {
-    if (this.#request.sendWindow.isClosed || this.#ownRejections >= maximumOwnRejections) return 0
+    if (this.#request.sendWindow.isClosed || this.#requestRejections >= maximumRequestRejections) return 0
     return this.#request.route.maximumAttempts - this.#runCount
   }
 
   /** Whether the retry budget allows a run after the present or the planned one. */
-  get allowsRepeat (): boolean {
-    return this.#arrivals.allowsRepeat(this.#request.now)
+  get allowsRetry (): boolean {
+    return this.#sends.allowsRetry(this.#request.now)
   }
 
   /** Whether the retry budget held back the request's last attempt, or one that was to follow it. */
   get isHeldBackByBudget (): boolean {
-    return this.#arrivals.isHeldBack
+    return this.#sends.isHeldBack
   }
 
   /** Whether another attempt may be made; reserves it in the retry budget. */
@@ -80,12 +80,12 @@
     const { hasCallerLeft, now, deadline } = this.#request
     if (hasCallerLeft || now >= deadline || this.left <= 0) return false
     if (!this.#request.isAdmitted(this.#crashedRuns)) return false
-    return this.#arrivals.tryPrepare(now)
+    return this.#sends.tryPrepare(now)
   }
 
   /** Gives back what is reserved for an attempt that was not sent. */
   close (): void {
-    this.#arrivals.close()
+    this.#sends.close()
   }
 
   /** Starts an attempt at an endpoint. */
@@ -128,13 +128,13 @@
     const { deadline, hasCallerLeft, now, selection, sendWindow } = this.#request
     if (hasCallerLeft || now >= deadline || sendWindow.isClosed) return false
     if (!selection.isEligible(endpoint) || this.#dependencies.loads.isOverloaded(endpoint, now)) return false
-    return this.#arrivals.mayWrite(now) && permit.trySend(now)
+    return this.#sends.mayWrite(now) && permit.trySend(now)
   }
 
   /** To be called in the event-loop turn that writes the request. */
   #recordSent (endpoint: RoutedEndpoint, run: EndpointRun): void {
     const { now } = this.#request
-    this.#arrivals.recordWrite(now)
+    this.#sends.recordWrite(now)
     run.recordSent(now)
     this.#dependencies.misdirected.recordSent(endpoint, now)
   }
@@ -243,7 +243,7 @@
   #isLeftAlone (endpoint: RoutedEndpoint): boolean {
     const { loads, misdirected } = this.#dependencies
     const { now } = this.#request
-    return loads.isOverloaded(endpoint, now) || misdirected.isMisdirected(endpoint, now) || this.#arrivals.isHeldBack
+    return loads.isOverloaded(endpoint, now) || misdirected.isMisdirected(endpoint, now) || this.#sends.isHeldBack
   }
 
   /**
@@ -277,20 +277,20 @@
   finishIfNotExecuted (attempt: OpenAttempt, status: number, response: ResponseHead): NotExecutedReason | undefined {
     if (!statesNotRun(status, response.wasNotExecuted)) return undefined
     const isMisdirected = status === misdirectedStatus
-    const isOwnFault = isMisdirected && this.#mayBeRequestsFault(attempt, response)
-    if (isOwnFault) this.#ownRejections++
+    const isRequestAtFault = isMisdirected && this.#isRequestAtFault(attempt, response)
+    if (isRequestAtFault) this.#requestRejections++
     else if (isMisdirected) this.#dependencies.announcements.recordRejection(attempt.endpoint, attempt.startedAt)
-    if (isMisdirected) this.#logMisdirected(attempt, isOwnFault)
+    if (isMisdirected) this.#logMisdirected(attempt, isRequestAtFault)
     attempt.exchange.discardRest()
     attempt.run.recordOver()
-    this.finish(attempt, notExecutedEnd(isMisdirected, isOwnFault), `not executed, status ${status}`, !isMisdirected)
+    this.finish(attempt, notExecutedEnd(isMisdirected, isRequestAtFault), `not executed, status ${status}`, !isMisdirected)
     return isMisdirected ? NotExecutedReason.Misdirected : NotExecutedReason.Refused
   }
 
-  #logMisdirected ({ endpoint: { address, identity }, model }: OpenAttempt, isRequestInDoubt: boolean): void {
+  #logMisdirected ({ endpoint: { address, identity }, model }: OpenAttempt, isRequestAtFault: boolean): void {
     const { head, service } = this.#request
     this.#dependencies.metrics.misdirected.inc({ service })
-    this.#dependencies.log.warn('request_misdirected', { endpoint: identity, address, service, request: head.attemptId, model, isRequestInDoubt })
+    this.#dependencies.log.warn('request_misdirected', { endpoint: identity, address, service, request: head.attemptId, model, isRequestAtFault })
   }
 
   /**
@@ -307,10 +307,10 @@
     return true
   }
 
-  #mayBeRequestsFault ({ endpoint, model }: OpenAttempt, response: ResponseHead): boolean {
+  #isRequestAtFault ({ endpoint, model }: OpenAttempt, response: ResponseHead): boolean {
     const { head, now, route } = this.#request
     const hasJustAnswered = this.#dependencies.misdirected.hasJustAnswered(endpoint, now)
-    return mayBeRequestsFault({ head, route, endpoint, model, response, hasJustAnswered })
+    return isRequestAtFault({ head, route, endpoint, model, response, hasJustAnswered })
   }
 
   get #dependencies () {
@@ -318,7 +318,7 @@
   }
 }
 
-function notExecutedEnd (isMisdirected: boolean, isOwnFault: boolean): AttemptEnd {
-  if (isOwnFault) return AttemptEnd.Cancelled
+function notExecutedEnd (isMisdirected: boolean, isRequestAtFault: boolean): AttemptEnd {
+  if (isRequestAtFault) return AttemptEnd.Cancelled
   return isMisdirected ? AttemptEnd.Lost : AttemptEnd.Full
 }
--- a/src/gateway/requestArrivals.ts
+++ b/src/gateway/requestSends.ts
@@ -1,33 +1,33 @@
 /**
  * Counts how often one request is written to endpoints. The first time belongs to the request; every further
- * one, whatever the cause and however the endpoint responds, is a repeat that draws on the retry budget of the
+ * one, whatever the cause and however the endpoint responds, is a retry that draws on the retry budget of the
  * service. It draws in the event-loop turn that writes, so that what is never written costs nothing. Until then a
- * repeat that is being prepared is reserved: a run that is given up for it could otherwise be given up for nothing.
+ * retry that is being prepared is reserved: a run that is given up for it could otherwise be given up for nothing.
  */
 import type { RetryBudget } from '../placement/index.ts'
 import type { GatewayMetrics } from './gatewayMetrics.ts'
 import { SendKind } from './openAttempt.ts'
 
-export interface RequestArrivalsOptions {
+export interface RequestSendsOptions {
   readonly service: string
   readonly retryBudget: RetryBudget
-  readonly metrics: Pick<GatewayMetrics, 'sends' | 'heldBackRepeats'>
+  readonly metrics: Pick<GatewayMetrics, 'sends' | 'heldBackRetries'>
 }
 
 /**
  * @example
- * if (arrivals.tryPrepare(now)) connect()
- * if (arrivals.mayWrite(now)) arrivals.recordWrite(now)
+ * if (sends.tryPrepare(now)) connect()
+ * if (sends.mayWrite(now)) sends.recordWrite(now)
  */
-export class RequestArrivals {
-  readonly #options: RequestArrivalsOptions
+export class RequestSends {
+  readonly #options: RequestSendsOptions
   #count = 0
   #firstAt: number | undefined
   #lastAt: number | undefined
   #isReserved = false
   #isHeldBack = false
 
-  constructor (options: RequestArrivalsOptions) {
+  constructor (options: RequestSendsOptions) {
     this.#options = options
   }
 
@@ -46,13 +46,13 @@
     return this.#isHeldBack
   }
 
-  /** Whether the budget allows a repeat, for a decision to give up a run or to plan a second one. */
-  allowsRepeat (now: number): boolean {
+  /** Whether the budget allows a retry, for a decision to give up a run or to plan a second one. */
+  allowsRetry (now: number): boolean {
     const { retryBudget, service } = this.#options
     return this.#isReserved || retryBudget.allows(service, now)
   }
 
-  /** Whether an attempt may be prepared; the first always may. Reserves a repeat until it is written or the request ends. */
+  /** Whether an attempt may be prepared; the first always may. Reserves a retry until it is written or the request ends. */
   tryPrepare (now: number): boolean {
     const { retryBudget, service } = this.#options
     if (this.#count === 0 || this.#isReserved) return true
@@ -72,8 +72,8 @@
   /** Records that the request is written now. */
   recordWrite (now: number): void {
     const { metrics, retryBudget, service } = this.#options
-    const kind = this.#count === 0 ? SendKind.First : SendKind.Repeat
-    if (kind === SendKind.Repeat) retryBudget.tryConsume(service, now)
+    const kind = this.#count === 0 ? SendKind.First : SendKind.Retry
+    if (kind === SendKind.Retry) retryBudget.tryConsume(service, now)
     metrics.sends.inc({ service, kind })
     this.#count++
     this.#firstAt ??= now
@@ -89,7 +89,7 @@
 
   #recordHeldBack (isHeldBack: boolean): void {
     const { metrics, service } = this.#options
-    if (isHeldBack && !this.#isHeldBack) metrics.heldBackRepeats.inc({ service })
+    if (isHeldBack && !this.#isHeldBack) metrics.heldBackRetries.inc({ service })
     this.#isHeldBack = isHeldBack
   }
 }
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -255,7 +255,7 @@
   /** Whether another run is possible if the present one is abandoned. If not, waiting is better, since a silent run may still respond. */
   #canResumeElsewhere (): boolean {
     const { attempts, route } = this.#request
-    if (attempts.left < 2 || !route.isResumable || !attempts.allowsRepeat) return false
+    if (attempts.left < 2 || !route.isResumable || !attempts.allowsRetry) return false
     return this.#request.selection.choose(this.#choice.model) !== undefined
   }
 
--- a/src/placement/retryBudget.ts
+++ b/src/placement/retryBudget.ts
@@ -1,8 +1,8 @@
 /**
  * Retry budget per service, which keeps all gateways together within what operators allow, though each counts only
- * its own requests and repeats.
+ * its own requests and retries.
  *
- * A repeat at time s is allowed if for every begin b of a window that may hold it the repeats since b, with this
+ * A retry at time s is allowed if for every begin b of a window that may hold it the retries since b, with this
  * one, are no more than `ratio` times half the requests since b - window, and the gateway's part of the slack. Half
  * the requests of two successive windows are never more than those of the larger one. Unlike the larger one, they
  * can be summed over gateways, however requests move between these and whichever of them start or end.
@@ -11,7 +11,7 @@
 import { BucketCounts } from './bucketCounts.ts'
 
 const bucketsPerWindow = 40
-/** Repeats take some time from here to the endpoint, so a window holds some that were sent before it began. */
+/** Retries take some time from here to the endpoint, so a window holds some that were sent before it began. */
 const bucketsOfRetries = bucketsPerWindow + 2
 const bucketsOfRequests = bucketsOfRetries + bucketsPerWindow
 
--- a/src/placement/runDurations.ts
+++ b/src/placement/runDurations.ts
@@ -37,6 +37,7 @@
     const { open, ended } = this.#runs
     const milliseconds = this.millisecondsAt(now)
     open.delete(this)
+    // Without any answer nothing is known of the route, however long a run went unanswered.
     const longest = ended.length === 0 ? Infinity : Math.max(...ended)
     if (!isAnswered && milliseconds <= longest) return
     ended.push(milliseconds)
--- a/test/rejectedRequest.test.ts
+++ b/test/rejectedRequest.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { type EndpointHandler, configurationDocument } from '../platform/standin/index.ts'
-import { mayBeRequestsFault } from '../src/gateway/index.ts'
+import { isRequestAtFault } from '../src/gateway/index.ts'
 import { ForwarderHarness, formatEvent } from './fakes/forwarderWorld.ts'
 
 let harness: ForwarderHarness
@@ -51,10 +51,10 @@
   ['an empty name', '', '', [], [], true]
 ])('a rejection of %s is laid to the request only if it may be', (_name, named, model, modelSizes, models, isExpected) => {
   const rejected = { head: { model: named, acceptsAnyModel: named === '*' }, route: { modelSizes }, endpoint: { identity: 'i-1', models }, model, hasJustAnswered: false }
-  expect(mayBeRequestsFault({ ...rejected, response: {} })).toBe(isExpected)
-  expect(mayBeRequestsFault({ ...rejected, response: {}, hasJustAnswered: true })).toBe(true)
-  expect(mayBeRequestsFault({ ...rejected, response: { responder: 'i-1' } })).toBe(true)
-  expect(mayBeRequestsFault({ ...rejected, response: { responder: 'i-2' }, hasJustAnswered: true })).toBe(false)
+  expect(isRequestAtFault({ ...rejected, response: {} })).toBe(isExpected)
+  expect(isRequestAtFault({ ...rejected, response: {}, hasJustAnswered: true })).toBe(true)
+  expect(isRequestAtFault({ ...rejected, response: { responder: 'i-1' } })).toBe(true)
+  expect(isRequestAtFault({ ...rejected, response: { responder: 'i-2' }, hasJustAnswered: true })).toBe(false)
 })
 
 test.each([
--- a/test/requestArrivals.test.ts
+++ b/test/requestSends.test.ts
@@ -1,50 +1,50 @@
 import { expect, test } from 'vitest'
 import { GatewayMetrics } from '../src/gateway/index.ts'
-import { RequestArrivals } from '../src/gateway/requestArrivals.ts'
+import { RequestSends } from '../src/gateway/requestSends.ts'
 import { RetryBudget } from '../src/placement/index.ts'
 import { GatewayFleet } from './fakes/gatewayFleet.ts'
 
 const service = 'ledger'
-const allowedRepeats = 2
+const allowedRetries = 2
 
 function startWorld () {
   const metrics = new GatewayMetrics()
-  const retryBudget = new RetryBudget({ ratio: 0, windowMilliseconds: 10_000, slack: allowedRepeats }, () => 1)
-  const countOf = async (counter: 'sends' | 'heldBackRepeats', kind?: string) =>
+  const retryBudget = new RetryBudget({ ratio: 0, windowMilliseconds: 10_000, slack: allowedRetries }, () => 1)
+  const countOf = async (counter: 'sends' | 'heldBackRetries', kind?: string) =>
     (await metrics[counter].get()).values.find(({ labels }) => 'kind' in labels ? labels.kind === kind : true)?.value ?? 0
-  return { countOf, startRequest: () => new RequestArrivals({ service, metrics, retryBudget }) }
+  return { countOf, startRequest: () => new RequestSends({ service, metrics, retryBudget }) }
 }
 
 test('the first write of each request is free, and an attempt that is never written costs nothing', () => {
   const { startRequest } = startWorld()
   for (let request = 0; request < 5; request++) {
-    const arrivals = startRequest()
-    expect(arrivals.tryPrepare(0) && arrivals.mayWrite(0)).toBe(true)
-    arrivals.recordWrite(0)
-    for (let unsent = 0; unsent < 5; unsent++) expect(arrivals.tryPrepare(0)).toBe(true)
-    arrivals.close()
+    const sends = startRequest()
+    expect(sends.tryPrepare(0) && sends.mayWrite(0)).toBe(true)
+    sends.recordWrite(0)
+    for (let unsent = 0; unsent < 5; unsent++) expect(sends.tryPrepare(0)).toBe(true)
+    sends.close()
   }
 })
 
 test('runs that fall silent together are not all given up for the one repeat that is left', () => {
   const { startRequest } = startWorld()
   const requests = Array.from({ length: 6 }, startRequest)
-  for (const arrivals of requests) arrivals.recordWrite(0)
-  const givenUp = requests.filter(arrivals => arrivals.allowsRepeat(0) && arrivals.tryPrepare(0))
-  expect(givenUp).toHaveLength(allowedRepeats)
-  for (const arrivals of givenUp) {
-    expect(arrivals.mayWrite(0)).toBe(true)
-    arrivals.recordWrite(0)
+  for (const sends of requests) sends.recordWrite(0)
+  const givenUp = requests.filter(sends => sends.allowsRetry(0) && sends.tryPrepare(0))
+  expect(givenUp).toHaveLength(allowedRetries)
+  for (const sends of givenUp) {
+    expect(sends.mayWrite(0)).toBe(true)
+    sends.recordWrite(0)
   }
 })
 
-test('first arrivals, repeats and requests that the budget held back are counted', async () => {
+test('first sends, repeats and requests that the budget held back are counted', async () => {
   const { countOf, startRequest } = startWorld()
-  const arrivals = startRequest()
-  while (arrivals.tryPrepare(0) && arrivals.mayWrite(0)) arrivals.recordWrite(0)
-  expect(arrivals.tryPrepare(0)).toBe(false)
-  expect(arrivals.isHeldBack).toBe(true)
-  expect([await countOf('sends', 'first'), await countOf('sends', 'repeat'), await countOf('heldBackRepeats')]).toEqual([1, allowedRepeats, 1])
+  const sends = startRequest()
+  while (sends.tryPrepare(0) && sends.mayWrite(0)) sends.recordWrite(0)
+  expect(sends.tryPrepare(0)).toBe(false)
+  expect(sends.isHeldBack).toBe(true)
+  expect([await countOf('sends', 'first'), await countOf('sends', 'retry'), await countOf('heldBackRetries')]).toEqual([1, allowedRetries, 1])
 })
 
 test.each([[0, true], [1, undefined]])('with a retry budget of %i, the log of a stream that broke off tells whether the budget ended it', async (slack, isRetryBudgetUsedUp) => {
--- a/test/requestTraces.test.ts
+++ b/test/requestTraces.test.ts
@@ -62,10 +62,10 @@
   const misdirected = recordLines('warn', 'request_misdirected')
   const host = await startReadyForwarder()
   await harness.call(host, '/balance/1', { method: 'GET', headers: { 'attempt-id': 'a' } })
-  expect(misdirected()).toEqual(expect.arrayContaining(['gone-1', 'gone-2'].map(endpoint => ({ endpoint, address: ledger.address, service: 'ledger', request: 'a', isRequestInDoubt: false }))))
+  expect(misdirected()).toEqual(expect.arrayContaining(['gone-1', 'gone-2'].map(endpoint => ({ endpoint, address: ledger.address, service: 'ledger', request: 'a', isRequestAtFault: false }))))
   const metrics = await (await fetch(`http://${host}:9464/metrics`)).text()
   expect(metrics).toContain('lavenderdoor_forward_sends_total{service="ledger",kind="first"} 1')
-  expect(metrics).toContain('lavenderdoor_forward_sends_total{service="ledger",kind="repeat"} 1')
+  expect(metrics).toContain('lavenderdoor_forward_sends_total{service="ledger",kind="retry"} 1')
   expect(metrics).toContain('lavenderdoor_forward_misdirected_total{service="ledger"} 2')
 })
 
