Let the simulated engines read the headers of a request from a map

Since a request's headers are a map, whose order is kept. The engines of the simulated fleet read them as an object, so that none knew its attempt id and five test files with them waited until their time limit.

--- a/test/fakes/streamEngine.ts
+++ b/test/fakes/streamEngine.ts
@@ -69,7 +69,7 @@
   }
 
   dispatch ({ path, headers }: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-    this.options.clock.schedule(connectMilliseconds, () => this.#accept(path, headers as IncomingHttpHeaders, handler))
+    this.options.clock.schedule(connectMilliseconds, () => this.#accept(path, Object.fromEntries(headers as ReadonlyMap<string, string>), handler))
     return true
   }
 
