--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -1,14 +1,12 @@
 /**
- * Starts, sends and closes the attempts of one forwarded request, and tells every component that follows attempts
- * how each ended.
+ * The attempts of one forwarded request: whether another one may be made, and how each ended, which every component
+ * that follows attempts is told.
  */
 import type { IncomingHttpHeaders } from 'node:http'
-import type { EndpointRun } from '../breaker/index.ts'
-import type { Exchange, ExchangeOptions } from '../endpoint/index.ts'
 import { promisesNotRun, statesNotRun } from '../contract/index.ts'
 import { AttemptEnd } from '../placement/index.ts'
-import type { SendPermit } from '../rateLimit/index.ts'
-import { type ResponseHead, RouteType, type RoutedEndpoint, instanceKey, ratedEndpoint } from '../routing/index.ts'
+import type { ResponseHead, RoutedEndpoint } from '../routing/index.ts'
+import { AttemptOpener } from './attemptOpener.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
 import { isRequestAtFault } from './rejectedRequest.ts'
@@ -28,6 +26,7 @@
 export class RequestAttempts {
   readonly #request: ForwardedRequest
   readonly #sends: RequestSends
+  readonly #opener: AttemptOpener
   readonly #summaries: string[] = []
   #runCount = 0
   #hasBrokenOff = false
@@ -37,6 +36,7 @@
   constructor (request: ForwardedRequest) {
     this.#request = request
     this.#sends = new RequestSends({ service: request.service, ...request.dependencies })
+    this.#opener = new AttemptOpener(request, this.#sends)
   }
 
   /** One line for each attempt that has ended. */
@@ -90,88 +90,7 @@
 
   /** Starts an attempt at an endpoint. */
   send (endpoint: RoutedEndpoint, options: AttemptOptions): OpenAttempt {
-    const request = this.#request
-    const { connections, limits, plannedStop, loads, rollOuts, runDurations, runs } = this.#dependencies
-    const { model, usesOwnConnection } = options
-    const startedAt = request.now
-    const permit = limits.open(ratedEndpoint(endpoint), startedAt)
-    request.selection.markTried(endpoint)
-    const mayStillSend = () => {
-      const isSending = this.#mayWrite(endpoint, permit)
-      if (isSending) this.#recordSent(endpoint, run)
-      return isSending
-    }
-    const exchangeOptions = this.#exchangeOptions(endpoint, options, startedAt, mayStillSend)
-    const work = request.estimateWork(model)
-    const tracker = loads.track(endpoint, work, startedAt)
-    const duration = runDurations.open(request.route.name, startedAt)
-    let isBlocked = false
-    const cancelBlocked = () => {
-      isBlocked = true
-      exchange.abort('its prompt is blocked')
-    }
-    const run = runs.open({ instance: instanceKey(endpoint), address: endpoint.address, prompt: request.prompt, cancel: cancelBlocked })
-    const evidence = rollOuts.openRun(request.service, endpoint.version, { kind: request.route.name, requestClass: `${request.route.name}/${model ?? ''}`, sentAt: startedAt })
-    const exchange = usesOwnConnection ? connections.startDedicated(endpoint.address, exchangeOptions) : connections.startPooled(endpoint.address, exchangeOptions)
-    const unfollowCaller = this.#abortWithCaller(exchange)
-    const forgetWait = plannedStop.onEnd(() => { if (!exchange.mayHaveSent) exchange.abort('stopping') }, request.sendWindow)
-    const forgetCut = plannedStop.onCut(() => exchange.abort('cut by the stop'))
-    const forgetStop = () => {
-      forgetWait()
-      forgetCut()
-    }
-    return { endpoint, model, exchange, startedAt, forgetStop, unfollowCaller, promptMilliseconds: work.prefillMilliseconds, tracker, duration, run, permit, evidence, isBlocked: () => isBlocked }
-  }
-
-  /** Whether the request may be written to an endpoint; asked in the event-loop turn that writes it. Takes its place under the endpoint's rate limit. */
-  #mayWrite (endpoint: RoutedEndpoint, permit: SendPermit): boolean {
-    const { deadline, hasCallerLeft, now, selection, sendWindow } = this.#request
-    if (hasCallerLeft || now >= deadline || sendWindow.isClosed) return false
-    if (!selection.isEligible(endpoint) || this.#dependencies.loads.isOverloaded(endpoint, now)) return false
-    return this.#sends.mayWrite(now) && permit.trySend(now)
-  }
-
-  /** To be called in the event-loop turn that writes the request. */
-  #recordSent (endpoint: RoutedEndpoint, run: EndpointRun): void {
-    const { now } = this.#request
-    this.#sends.recordWrite(now)
-    run.recordSent(now)
-    this.#dependencies.misdirected.recordSent(endpoint, now)
-  }
-
-  #exchangeOptions (endpoint: RoutedEndpoint, { model, lastEventId }: AttemptOptions, startedAt: number, mayStillSend: () => boolean): ExchangeOptions {
-    const { body, deadline, head, incoming, organisation, priority, route } = this.#request
-    const { clock, codec } = this.#dependencies
-    return {
-      clock,
-      method: incoming.method ?? 'GET',
-      path: incoming.url ?? '/',
-      headers: codec.writeAttemptHeaders(incoming.headers, {
-        timeoutMilliseconds: deadline - startedAt,
-        endpointIdentity: endpoint.identity,
-        organisation: organisation?.name,
-        model,
-        lastEventId,
-        priority: route.type === RouteType.Stream ? priority : undefined
-      }),
-      body: body.length === 0 ? undefined : body,
-      responseMark: head.attemptId,
-      inactivityTimeoutMilliseconds: Math.max(1, deadline - startedAt),
-      mayStillSend
-    }
-  }
-
-  /**
-   * Aborts an exchange when the caller disconnects.
-   *
-   * @returns a function that takes it back
-   */
-  #abortWithCaller (exchange: Exchange): () => void {
-    const { signal } = this.#request.callerAbort
-    const abandon = () => exchange.abort('caller disconnected')
-    signal.addEventListener('abort', abandon, { once: true })
-    if (signal.aborted) abandon()
-    return () => signal.removeEventListener('abort', abandon)
+    return this.#opener.open(endpoint, options)
   }
 
   /**
