Count a retry that is written whatever the budget says at that moment

A retry asked the budget twice in the turn that writes it: whether it may be written, and again when it was recorded. The second answer decided whether it was counted at all, so that a retry written while the gateway's part of the slack ran out, or on the edge of a bucket, could go uncounted; found by reading, not seen. What is written is recorded now without asking again, which also spares a walk over the buckets for each retry.

--- a/src/gateway/requestSends.ts
+++ b/src/gateway/requestSends.ts
@@ -69,11 +69,11 @@
     return !this.#isHeldBack
   }
 
-  /** Records that the request is written now. */
+  /** Records that the request is written now, which `mayWrite` has allowed. */
   recordWrite (now: number): void {
     const { metrics, retryBudget, service } = this.#options
     const kind = this.#count === 0 ? SendKind.First : SendKind.Retry
-    if (kind === SendKind.Retry) retryBudget.tryConsume(service, now)
+    if (kind === SendKind.Retry) retryBudget.recordRetry(service, now)
     metrics.sends.inc({ service, kind })
     this.#count++
     this.#firstAt ??= now
--- a/src/placement/retryBudget.ts
+++ b/src/placement/retryBudget.ts
@@ -73,10 +73,15 @@
     this.#countsOf(service).reserved--
   }
 
+  /** Consumes budget for one retry, whether or not that is allowed. */
+  recordRetry (service: string, now: number): void {
+    this.#countsOf(service).retries.add(this.#bucketAt(now))
+  }
+
   /** Consumes budget for one retry if that is allowed; returns whether it was. */
   tryConsume (service: string, now: number): boolean {
     if (!this.allows(service, now)) return false
-    this.#countsOf(service).retries.add(this.#bucketAt(now))
+    this.recordRetry(service, now)
     return true
   }
 
