Log and count each run that the gateway gives up, with what was known then

Callers saw 502 while their endpoints lived, and the log said only 'broke off: silent'.

Each run that is given up (silence, deadline, larger model) now leaves a line run_given_up: how long the run and its endpoint were silent, when a liveness check last saw the endpoint accept a connection, and what was certain of the next attempt (attempts left, retry budget, untried endpoints, those of them with a place under their limits). lavenderdoor_forward_given_up_runs_total counts them by reason. No decision is changed.

--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -105,6 +105,11 @@
     return this.#mayHaveSent
   }
 
+  /** When something of the response was last received, or the request was sent, in milliseconds of the process's clock. */
+  get lastActivityAt (): number {
+    return this.#lastActivityAt
+  }
+
   /** Bytes received and not yet read. */
   get bufferedBytes (): number {
     return this.#bufferedBytes
--- a/src/gateway/endpointSelection.ts
+++ b/src/gateway/endpointSelection.ts
@@ -46,6 +46,17 @@
     return this.#dependencies.eligibility.ineligibilityOf(this.#eligibilityRequest, this.#request.now)
   }
 
+  /** Number of endpoints that the request may reach and has not tried. */
+  get untriedCount (): number {
+    return this.#reachableUntried().length
+  }
+
+  /** Number of those whose rate limit has a place. */
+  get untriedWithPlaceCount (): number {
+    const { limits } = this.#dependencies
+    return this.#reachableUntried().filter(endpoint => limits.hasPlace(ratedEndpoint(endpoint), this.#request.now)).length
+  }
+
   /** How long it takes until an endpoint of the service wants requests again, in milliseconds; 0 if one does now. */
   get overloadMilliseconds (): number {
     const { eligibility, loads } = this.#dependencies
@@ -134,6 +145,11 @@
     return candidates.filter(endpoint => !this.#triedInstances.has(instanceKey(endpoint)))
   }
 
+  #reachableUntried (): readonly RoutedEndpoint[] {
+    const serving = this.#dependencies.eligibility.endpointsFor(this.#eligibilityRequest, this.#request.now)
+    return serving.filter(endpoint => !this.#triedInstances.has(instanceKey(endpoint)))
+  }
+
   #placementRequest (model: string | undefined, isResumed: boolean): PlacementRequest {
     const { head, route } = this.#request
     return {
--- /dev/null
+++ b/src/gateway/givenUpRun.ts
@@ -0,0 +1,84 @@
+/**
+ * Records why the gateway gives a run up: what was known of its endpoint at that moment, and what was certain of the
+ * attempt that may follow. A run that breaks off by itself is not given up.
+ */
+import type { LogFields } from '../observe/index.ts'
+import type { ForwardedRequest } from './forwardedRequest.ts'
+import type { OpenAttempt } from './openAttempt.ts'
+
+/** Why a run is given up. */
+export const GiveUpReason = {
+  /** Nothing was received for so long that another run is to answer. */
+  Silence: 'silence',
+  /** The request's deadline has passed. */
+  Deadline: 'deadline',
+  /** The answer of its model is not good enough. */
+  LargerModel: 'larger_model'
+} as const
+export type GiveUpReason = typeof GiveUpReason[keyof typeof GiveUpReason]
+
+/** Signs of life of a run's endpoint. */
+interface EndpointSigns {
+  /** Time since anything of the run's response was received, or since it was sent. */
+  readonly runSilentMilliseconds: number
+  /** Time since anything was received from the endpoint, by any run; undefined if nothing ever was. */
+  readonly endpointSilentMilliseconds: number | undefined
+  /** Time since a liveness check saw the endpoint accept a connection; undefined if none did. */
+  readonly acceptedMillisecondsAgo: number | undefined
+}
+
+/** What is certain of the next attempt. */
+interface NextAttempt {
+  /** Further attempts that the route allows after the present one. */
+  readonly attemptsLeft: number
+  readonly isAllowedByBudget: boolean
+  /** Endpoints that the request may reach and has not tried. */
+  readonly untriedEndpoints: number
+  /** Those of them whose rate limit has a place. */
+  readonly untriedWithPlace: number
+}
+
+/**
+ * Logs and counts a run that is given up; to be called before it is closed.
+ *
+ * @example
+ * recordGivenUp(request, attempt, GiveUpReason.Silence)
+ */
+export function recordGivenUp (request: ForwardedRequest, attempt: OpenAttempt, reason: GiveUpReason): void {
+  const { dependencies: { log, metrics }, head, service } = request
+  metrics.givenUpRuns.inc({ service, reason })
+  log.info('run_given_up', {
+    request: head.attemptId,
+    service,
+    endpoint: attempt.endpoint.identity,
+    model: attempt.model,
+    reason,
+    ...fieldsOf(signsOf(attempt, request.now)),
+    ...fieldsOf(nextAttemptOf(request))
+  })
+}
+
+function signsOf ({ exchange, tracker }: OpenAttempt, now: number): EndpointSigns {
+  return {
+    runSilentMilliseconds: Math.round(now - exchange.lastActivityAt),
+    endpointSilentMilliseconds: finiteOrUndefined(tracker.silentMilliseconds(now)),
+    acceptedMillisecondsAgo: finiteOrUndefined(tracker.unacceptedMilliseconds(now))
+  }
+}
+
+function nextAttemptOf ({ attempts, selection }: ForwardedRequest): NextAttempt {
+  return {
+    attemptsLeft: attempts.left - 1,
+    isAllowedByBudget: attempts.allowsRetry,
+    untriedEndpoints: selection.untriedCount,
+    untriedWithPlace: selection.untriedWithPlaceCount
+  }
+}
+
+function finiteOrUndefined (milliseconds: number): number | undefined {
+  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined
+}
+
+function fieldsOf (facts: EndpointSigns | NextAttempt): LogFields {
+  return { ...facts }
+}
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -11,6 +11,7 @@
 import { ResponseFrame, maximumHeldBytes, takesChunks } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
+import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 
 /** Responses larger than this are relayed as they arrive. */
@@ -162,6 +163,7 @@
   /** @param reason undefined if the attempt was silent for too long */
   #failAttempt (attempt: OpenAttempt, reason: string | undefined): PlainOutcome {
     const request = this.#request
+    if (reason === undefined) recordGivenUp(request, attempt, request.isPastDeadline ? GiveUpReason.Deadline : GiveUpReason.Silence)
     const end = request.attempts.endWithoutResponse(attempt, reason === undefined)
     attempt.exchange.abort(reason ?? 'silent')
     request.attempts.finishBroken(attempt, end, reason ?? 'silent')
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -12,6 +12,7 @@
 import { EventSplitter } from './eventSplitter.ts'
 import { EventStreamResponse } from './eventStreamResponse.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
+import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { ModelChoice } from './modelChoice.ts'
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 import { untilInputIsRead } from '../server/index.ts'
@@ -118,6 +119,7 @@
   #discardForLargerModel (attempt: OpenAttempt, confidence: number | undefined): RunOutcome {
     const request = this.#request
     attempt.evidence?.recordBegin(request.now)
+    recordGivenUp(request, attempt, GiveUpReason.LargerModel)
     attempt.exchange.abort('discarded in favour of a larger model')
     request.attempts.finish(attempt, AttemptEnd.Answered, `dropped at confidence ${confidence}`)
     request.selection.allowRetryAt(attempt.endpoint)
@@ -261,6 +263,7 @@
 
   #failRun (attempt: OpenAttempt, reason: string, end: AttemptEnd = this.#request.attempts.endWithoutResponse(attempt, reason === silentReason)): RunOutcome {
     const request = this.#request
+    if (reason === silentReason) recordGivenUp(request, attempt, request.isPastDeadline ? GiveUpReason.Deadline : GiveUpReason.Silence)
     attempt.exchange.abort(reason)
     request.attempts.finishBroken(attempt, end, `${reason}, after ${this.#lastEventId ?? 'nothing'}`)
     return attempt.exchange.mayHaveSent ? RunOutcome.Broken : RunOutcome.Unsent
