Log how old the store's confirmation of the tables is, and over which hop it came

Each confirmation now carries its hop (store, or relay with its address). confirmation_stale is logged once the stalest table was confirmed longer ago than 0.85 of the time in which changes must be in force, with the version of the configuration, the age and the hop; confirmation_recovered when it is recent again. lavenderdoor_confirmation_age_seconds has the age, labelled with the hop. No call, wait or decision changes.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -14,10 +14,10 @@
 import { LineQueue, Log, descriptorSink } from '../observe/index.ts'
 import { EndpointEligibility, EndpointLoads, EndpointPlacement, EndpointRegistry, Evacuations, ModelCascade, RetryBudget, RunDurations, VersionSelector } from '../placement/index.ts'
 import { type AnnouncedLimits, type EndpointLimits, PlaceQueues, type WarmUps } from '../rateLimit/index.ts'
-import type { PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay } from '../replica/index.ts'
+import type { ConfirmationMonitor, PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay } from '../replica/index.ts'
 import { type CallerListener, HeldBytes } from '../server/index.ts'
 import { makeAnnouncedLimits, makeFleet, makeFleetReports, makeLimits, makeLoadReports, makeMisdirected, makeNews, makeWarmUps } from './exchangeComposition.ts'
-import { makeFollower, makePeers, makeRelay, makeRelayFollower } from './followingComposition.ts'
+import { makeConfirmationMonitor, makeFollower, makePeers, makeRelay, makeRelayFollower } from './followingComposition.ts'
 import { EvacuationLoader } from './evacuationLoader.ts'
 import { RowRollOutStore } from './rollOutStore.ts'
 import { TableLoader } from './tableLoader.ts'
@@ -65,6 +65,7 @@
   readonly peers: PeerReplicaExchange
   readonly relay: ReplicaRelay
   readonly relayFollower: RelayFollower
+  readonly confirmationMonitor: ConfirmationMonitor
   readonly routing: RoutingView
   readonly registry: EndpointRegistry
   readonly evacuations: Evacuations
@@ -125,6 +126,7 @@
     peers: single(makePeers),
     relay: single(makeRelay),
     relayFollower: single(makeRelayFollower),
+    confirmationMonitor: single(makeConfirmationMonitor),
     routing: single(() => new RoutingView()),
     registry: single(() => new EndpointRegistry()),
     evacuations: single(() => new Evacuations()),
@@ -295,6 +297,8 @@
         metrics.droppedLogLines.set(logLines.droppedCount)
         metrics.heldBytes.set(heldBytes.totalBytes)
         metrics.storeLost.set(follower.hasFailingFeed ? 1 : 0)
+        metrics.confirmationAge.reset()
+        metrics.confirmationAge.set({ hop: follower.stalestConfirmation?.hop ?? 'none' }, follower.ageMilliseconds / 1_000)
         metrics.loadNewsAge.set(loadNews.ageMilliseconds(clock.now()) / 1_000)
         return metrics.text()
       }
--- a/src/forwarder/followingComposition.ts
+++ b/src/forwarder/followingComposition.ts
@@ -1,6 +1,6 @@
 /** Composes how a gateway follows the store: itself, through a relay, or through its peers. */
 import { Table } from '../../platform/index.ts'
-import { PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay, defaultFeedWaitMilliseconds } from '../replica/index.ts'
+import { ConfirmationMonitor, PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay, defaultFeedWaitMilliseconds } from '../replica/index.ts'
 import type { ForwarderDependencies } from './composition.ts'
 
 /** Tables that every forwarder follows. */
@@ -10,6 +10,8 @@
 const minimumRelayFleetSize = 16
 /** A relay's tables must have been confirmed by the store within this share of the time allowed for applying new settings. */
 const relayFreshnessShare = 0.7
+/** The store's confirmation of the tables counts as stale from this share of that time. */
+const staleConfirmationShare = 0.85
 /** On a slower link a gateway that starts waits longer for a relay, which sends tables deflated, before it reads the store. */
 const fastLinkMegabits = 500
 const startUpReplyMilliseconds = 120
@@ -67,6 +69,16 @@
   })
 }
 
+export function makeConfirmationMonitor ({ follower, routing, clock, log, boot }: ForwarderDependencies): ConfirmationMonitor {
+  return new ConfirmationMonitor({
+    follower,
+    configurationVersion: () => routing.snapshot?.settings.version,
+    staleAfterMilliseconds: () => boot.current.settingsApplyTimeoutMilliseconds * staleConfirmationShare,
+    clock,
+    log
+  })
+}
+
 function relayMaximumAgeMilliseconds ({ boot }: ForwarderDependencies): number {
   return boot.current.settingsApplyTimeoutMilliseconds * relayFreshnessShare
 }
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -23,6 +23,7 @@
   readonly inFlight = new Gauge({ name: 'lavenderdoor_forward_in_flight', help: 'Requests being forwarded.', registers: [this.registry] })
   readonly settingsVersion = new Gauge({ name: 'lavenderdoor_routing_version', help: 'The version of the routing settings in force.', registers: [this.registry] })
   readonly storeLost = new Gauge({ name: 'lavenderdoor_store_lost', help: '1 while some table of the store can not be followed.', registers: [this.registry] })
+  readonly confirmationAge = new Gauge({ name: 'lavenderdoor_confirmation_age_seconds', help: 'Time since the store last confirmed the stalest table, by the hop over which that was heard: store, relay, none before the first.', labelNames: ['hop'], registers: [this.registry] })
   readonly loadNewsAge = new Gauge({ name: 'lavenderdoor_load_news_age_seconds', help: 'Age of the news of the work of other gateways; infinite before the first.', registers: [this.registry] })
   readonly heldBytes = new Gauge({ name: 'lavenderdoor_held_bytes', help: 'Bytes held for callers: heads, bodies and answers that they have not read.', registers: [this.registry] })
   readonly evictedHoldings = new Counter({ name: 'lavenderdoor_evicted_holdings_total', help: 'Requests that were refused or cut because what they held was needed for others.', registers: [this.registry] })
--- a/src/replica/feedState.ts
+++ b/src/replica/feedState.ts
@@ -4,13 +4,14 @@
  */
 import type { Clock } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
+import type { Confirmation } from './confirmation.ts'
 import type { FeedFailure } from './contract.ts'
 
 export class FeedState {
   readonly #clock: Clock
   readonly #log: Log
   readonly #failingSince = new Map<string, number>()
-  readonly #confirmedAtByTable = new Map<string, number>()
+  readonly #confirmations = new Map<string, Confirmation>()
   #lastRecoveredAt = Number.NEGATIVE_INFINITY
   #lastRestoredAt = Number.NEGATIVE_INFINITY
   #storeClock: { readonly storeTime: number, readonly receivedAt: number } | undefined
@@ -43,7 +44,13 @@
 
   /** When the store last confirmed the stalest of some tables. */
   confirmedAt (tables: readonly string[]): number {
-    return Math.min(...tables.map(table => this.#confirmedAtByTable.get(table) ?? Number.NEGATIVE_INFINITY))
+    return Math.min(...tables.map(table => this.#confirmations.get(table)?.confirmedAt ?? Number.NEGATIVE_INFINITY))
+  }
+
+  /** The last confirmation of the stalest of some tables; undefined before the first of any. */
+  stalestConfirmation (tables: readonly string[]): Confirmation | undefined {
+    const known = tables.map(table => this.#confirmations.get(table)).filter(confirmation => confirmation !== undefined)
+    return known.sort((left, right) => left.confirmedAt - right.confirmedAt)[0]
   }
 
   /** Sets the store's monotonic clock. */
@@ -52,8 +59,9 @@
   }
 
   /** Records that the store confirmed a table; an earlier time than the known one has no effect. */
-  recordConfirmation (table: string, confirmedAt: number): void {
-    this.#confirmedAtByTable.set(table, Math.max(confirmedAt, this.#confirmedAtByTable.get(table) ?? confirmedAt))
+  recordConfirmation (table: string, confirmation: Confirmation): void {
+    const known = this.#confirmations.get(table)
+    if (known === undefined || confirmation.confirmedAt >= known.confirmedAt) this.#confirmations.set(table, confirmation)
   }
 
   /** Records that the store came back from an older copy. */
--- a/src/replica/index.ts
+++ b/src/replica/index.ts
@@ -1,6 +1,8 @@
 /** Replicas of the store's tables at every daemon: followed through feeds, or fetched from peers while the store is unavailable. */
 export { type FeedRow, type TablePosition, type TableSnapshot, type TableChanges, type TableFeed, FeedFailure } from './contract.ts'
 export { TableReplica, type PositionedRows, type ReplicaChanges, comparePositions } from './tableReplica.ts'
+export { type Confirmation, ConfirmationHop } from './confirmation.ts'
+export { ConfirmationMonitor, type ConfirmationMonitorOptions } from './confirmationMonitor.ts'
 export { ReplicaFollower, type ReplicaFollowerOptions, defaultFeedWaitMilliseconds } from './replicaFollower.ts'
 export { ReplicaRelay, type ReplicaRelayOptions } from './replicaRelay.ts'
 export { RelayFollower, type RelayFollowerOptions } from './relayFollower.ts'
--- a/src/replica/relayFollower.ts
+++ b/src/replica/relayFollower.ts
@@ -13,6 +13,7 @@
 import { type Clock, Ok, type Result, hashFraction } from '../contract/index.ts'
 import type { Link, Peer } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
+import { type Confirmation, ConfirmationHop } from './confirmation.ts'
 import { type RelayReply, relayRequest, encodePositions } from './relayMessages.ts'
 import type { ReplicaFollower } from './replicaFollower.ts'
 import type { ReplicaRelay } from './replicaRelay.ts'
@@ -179,7 +180,7 @@
     const reason = this.#reasonToLeave(reply.val)
     if (reason !== undefined) return { reason, backoffMilliseconds: staleRelayBackoffMilliseconds }
     if (!this.#isFleetLarge && follower.isComplete) return smallFleet
-    const applied = this.#applyReply(reply.val)
+    const applied = this.#applyReply(reply.val, address)
     if (applied.err) return { reason: applied.val.reason, backoffMilliseconds: unresponsiveRelayBackoffMilliseconds }
     // A gateway that starts takes its first tables from a relay whatever the size of the fleet, which it does not know yet.
     if (!this.#isFleetLarge) return smallFleet
@@ -196,13 +197,13 @@
     return isOfEarlierEpoch ? 'the relay has not read the store since it came back from an older copy' : undefined
   }
 
-  #applyReply ({ tables, ageMilliseconds, storeTime }: RelayReply): Result<void, RowFault> {
+  #applyReply ({ tables, ageMilliseconds, storeTime }: RelayReply, relay: string): Result<void, RowFault> {
     const { clock, follower } = this.#options
-    const confirmedAt = clock.now() - ageMilliseconds
+    const confirmation: Confirmation = { confirmedAt: clock.now() - ageMilliseconds, hop: ConfirmationHop.Relay, relay }
     for (const { table, version, epoch = 0, isWhole, rows } of tables) {
       const decoded = decodeRows(rows)
       if (decoded.err) return decoded
-      follower.applyRelayed(table, { version, epoch, isWhole, rows: decoded.val }, confirmedAt)
+      follower.applyRelayed(table, { version, epoch, isWhole, rows: decoded.val }, confirmation)
     }
     if (storeTime !== undefined) follower.setStoreTime(storeTime)
     return Ok(undefined)
--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -6,6 +6,7 @@
  */
 import { type Clock, type Randomness, type Result, Err, Ok, Wakeup, withDeadline } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
+import { type Confirmation, ConfirmationHop } from './confirmation.ts'
 import { FeedFailure, type TableChanges, type TableFeed, type TableSnapshot } from './contract.ts'
 import { FeedState } from './feedState.ts'
 import { type PositionedRows, TableReplica } from './tableReplica.ts'
@@ -103,6 +104,12 @@
     return this.#state.confirmedAt(this.#options.tables.filter(table => this.#isFollowed(table)))
   }
 
+  /** The last confirmation of the stalest followed table; undefined before the first of any. */
+  get stalestConfirmation (): Confirmation | undefined {
+    return this.#state.stalestConfirmation(this.#options.tables.filter(table => this.#isFollowed(table)))
+  }
+
+  /** Time since `confirmedAt`. */
   get ageMilliseconds (): number {
     return this.#options.clock.now() - this.confirmedAt
   }
@@ -165,10 +172,10 @@
   /**
    * Applies what a relay sent of a table.
    *
-   * @param confirmedAt when the store confirmed it, on this process's clock
+   * @param confirmation the relay and when the store confirmed its copy
    */
-  applyRelayed (table: string, changes: PositionedRows & { readonly isWhole: boolean }, confirmedAt: number): void {
-    this.#state.recordConfirmation(table, confirmedAt)
+  applyRelayed (table: string, changes: PositionedRows & { readonly isWhole: boolean }, confirmation: Confirmation): void {
+    this.#state.recordConfirmation(table, confirmation)
     this.#state.recordRecovery(table)
     if (changes.isWhole) this.installSnapshot(table, changes)
     else this.#applyChanges(table, changes)
@@ -188,7 +195,7 @@
         // An earlier failure of the feed means nothing while the feed is paused.
         this.#state.forgetFailure(table)
         // A table that is not needed misses nothing; its age counts from when it is needed again.
-        if (!this.#isFollowed(table)) this.#state.recordConfirmation(table, this.#options.clock.now())
+        if (!this.#isFollowed(table)) this.#state.recordConfirmation(table, this.#confirmationNow())
         await this.#feedWakeup.sleep(this.#options.clock, pausedCheckIntervalMilliseconds)
         continue
       }
@@ -265,10 +272,14 @@
   }
 
   #recordConfirmation (table: string, { storeTime }: TableSnapshot): void {
-    this.#state.recordConfirmation(table, this.#options.clock.now())
+    this.#state.recordConfirmation(table, this.#confirmationNow())
     this.#state.setStoreTime(storeTime)
   }
 
+  #confirmationNow (): Confirmation {
+    return { confirmedAt: this.#options.clock.now(), hop: ConfirmationHop.Store }
+  }
+
   #recordRestoration (table: string, known: TableReplica, next: TableReplica): void {
     const { log } = this.#options
     this.#state.recordRestoration()
