Read a response that is discarded up to a bound of bytes and of time

What callers saw: nothing yet; an operator of another system reported a process that ran out of memory under a faulty endpoint's bytes without end. Here such an endpoint, answering 503 with "not executed" or 421, or a status that may not be passed on, kept the gateway reading: 330 to 410 MB for one request in its 1.5 s, and a connection that stayed open until the request's deadline, long after its caller had the answer.

Cause: `Exchange.discardRest` read and threw away for as long as bytes came. Only the inactivity timeout ended it, which for a gateway is the whole time that the request is allowed.

Fix: a discarded response is read up to 64 KiB and for one second, and its connection is closed at the bound; what had arrived is released at once. A kept connection is worth no more than that. A response that ends within both leaves its connection open, as before.

Evidence: `npx vitest run test/endlessBytes.test.ts -t "no further than a bound"`: 18 of 18 failed before (6 kinds on 3 kinds of routes), all pass now.

--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -15,6 +15,9 @@
  *
  * Inactivity: the exchange fails if nothing arrives within the timeout. Time during which the reader
  * keeps the socket paused does not count.
+ *
+ * Discarding: what nobody needs of a response is read within a bound of bytes and of time, so that its connection
+ * can be used again, and the connection is closed at the bound.
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
@@ -54,6 +57,11 @@
 /** Unread bytes above which the socket is paused. */
 export const maximumBufferedBytes = 64 * 1024
 
+/** A connection is closed once more than this was read of a response that is discarded. */
+export const maximumDiscardedBytes = 64 * 1024
+/** A connection is closed if a response that is discarded has not ended within this time. */
+export const maximumDiscardMilliseconds = 1_000
+
 /** A request and its response, read event by event. */
 export class Exchange implements Dispatcher.DispatchHandler {
   readonly #options: ExchangeOptions
@@ -68,6 +76,8 @@
   #finalEvent: ExchangeEvent | undefined
   #wakeReader: (() => void) | undefined
   #isDiscarding = false
+  #discardedBytes = 0
+  #cancelDiscardLimit: () => void = () => undefined
 
   constructor (options: ExchangeOptions) {
     this.#options = options
@@ -139,9 +149,16 @@
     this.#controller?.abort(new Error(reason))
   }
 
-  /** Discards the rest of the response. The connection is reusable if the response ends before the inactivity timeout; otherwise it is closed. */
+  /**
+   * Discards what has arrived of the response and the rest of it. The connection is reusable if the response ends
+   * within `maximumDiscardedBytes` and `maximumDiscardMilliseconds`, and is closed otherwise.
+   */
   discardRest (): void {
+    if (this.#finalEvent !== undefined || this.#isDiscarding) return
     this.#isDiscarding = true
+    this.#events.length = 0
+    this.#bufferedBytes = 0
+    this.#cancelDiscardLimit = this.#options.clock.schedule(maximumDiscardMilliseconds, () => this.abort('the response did not end in time when it was discarded'))
     if (this.#controller?.paused === true) this.#controller.resume()
   }
 
@@ -165,7 +182,7 @@
   }
 
   onResponseData (controller: Dispatcher.DispatchController, bytes: Buffer): void {
-    if (this.#isDiscarding) return
+    if (this.#isDiscarding) return this.#discard(bytes)
     this.#lastActivityAt = this.#options.clock.now()
     if (this.#secondHead?.push(bytes) === true) return this.abort(secondHeadReason)
     if (this.#secondHead?.isUndecided === true) this.#bytesBehind = this.#options.bytesBehind?.(bytes) ?? noBytes
@@ -184,6 +201,11 @@
     this.#finish({ type: 'failure', reason: error.message || error.name, timedOut: false })
   }
 
+  #discard (bytes: Buffer): void {
+    this.#discardedBytes += bytes.length
+    if (this.#discardedBytes > maximumDiscardedBytes) this.abort('the response is too long to be discarded')
+  }
+
   #consume (event: ExchangeEvent): ExchangeEvent {
     if (event.type !== 'data') return event
     this.#bufferedBytes -= event.bytes.length
@@ -205,6 +227,7 @@
     if (this.#finalEvent !== undefined) return
     this.#finalEvent = event
     this.#timeoutWatch.abort()
+    this.#cancelDiscardLimit()
     this.#wake()
   }
 
--- a/test/endlessBytes.test.ts
+++ b/test/endlessBytes.test.ts
@@ -31,10 +31,23 @@
 }
 const bytesAfterBody: Flood = { begin: request => `HTTP/1.1 200 OK\r\n${ownHeaders(request)}content-length: 2\r\n\r\nok`, block: letters }
 const endlessEvent: Flood = { begin: request => `${chunkedHead(request)}${httpChunk('id: 1\ndata: ')}`, block: httpChunk(letters) }
+/** Responses of which a gateway uses the head alone, with a body without end. */
+const discardedFloods: Record<string, Flood> = {
+  'a refusal': { begin: request => refusalHead(request, '503 Service Unavailable', 'not-executed: 1\r\n'), block: httpChunk(letters) },
+  'a failure marked as not executed': { begin: request => refusalHead(request, '500 Internal Server Error', 'not-executed: 1\r\n'), block: httpChunk(letters) },
+  'a rejection as misdirected': { begin: request => refusalHead(request, '421 Misdirected Request'), block: httpChunk(letters) },
+  'a status that promises too much': { begin: request => refusalHead(request, '429 Too Many Requests'), block: httpChunk(letters) },
+  'a refusal of an immense length': { begin: request => refusalHead(request, '503 Service Unavailable', 'not-executed: 1\r\n', 'content-length: 1000000000000'), block: letters },
+  'a refusal without a frame': { begin: request => refusalHead(request, '503 Service Unavailable', 'not-executed: 1\r\n', 'connection: close'), block: letters }
+}
 const streamFloods: Record<string, Flood> = { ...floods, 'an event that never ends': endlessEvent }
 /** Whole answers of plain services are no longer than this. */
 const maximumAnswerBytes = 16 * 1024 * 1024
 
+function refusalHead (request: string, status: string, headers = '', frame = 'transfer-encoding: chunked'): string {
+  return `HTTP/1.1 ${status}\r\n${ownHeaders(request)}${headers}${frame}\r\n\r\n`
+}
+
 function httpChunk (text: string): string {
   return `${text.length.toString(16)}\r\n${text}\r\n`
 }
@@ -138,6 +151,18 @@
     })
   }, 20_000)
 
+test.each(
+  ['/release/1', '/balance/1', '/query/1'].flatMap(path => Object.keys(discardedFloods).map(name => [path, name] as const))
+)('a gateway reads the body without end of %s under %s no further than a bound, and answers without it', async (path, name) => {
+  const isStream = path === '/query/1'
+  const host = await startGateway(discardedFloods[name]!, isStream ? 'engines' : 'ledger')
+  await expectBounded(async () => {
+    const answer = await harness!.call(host, path, { headers: { 'deadline-ms': String(deadlineMilliseconds), ...(isStream ? streamHeaders : {}) } })
+    expect(answer.status).toBe(name === 'a status that promises too much' ? 502 : 503)
+    expect(answer.isComplete).toBe(true)
+  })
+}, 20_000)
+
 /** Calls a gateway as a caller that keeps nothing of the answer; returns whether it ended as its framing requires. */
 async function isCompleteWhenDiscarded (host: string, path: string): Promise<boolean> {
   const headers = { host: 'desk.example', authorization: 'Bearer good-key', 'attempt-id': 'a-discarded', 'deadline-ms': String(deadlineMilliseconds), 'content-length': 0 }
