Log and count the requests that the gateway itself cuts, with the cause

Callers whose connection was closed under a whole request left no line that told why: only a drained stop and connections that gave way to others were logged, and those without the requests that they cut.

Each place that closes a caller's connection records its cause at the socket; when the connection closes and its caller has not left first, one line (requests_cut) and a counter (lavenderdoor_caller_requests_cut_total) tell the cause, how many requests were arriving, unanswered or answered in part, and the version of the settings in force. No logic is changed.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -15,7 +15,7 @@
 import { EndpointEligibility, EndpointLoads, EndpointPlacement, EndpointRegistry, Evacuations, ModelCascade, RetryBudget, RunDurations, VersionSelector } from '../placement/index.ts'
 import { type AnnouncedLimits, type EndpointLimits, PlaceQueues, type WarmUps } from '../rateLimit/index.ts'
 import type { PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay } from '../replica/index.ts'
-import { type CallerListener, HeldBytes } from '../server/index.ts'
+import { type CallerListener, HeldBytes, watchCutRequests } from '../server/index.ts'
 import { makeAnnouncedLimits, makeFleet, makeFleetReports, makeLimits, makeLoadReports, makeMisdirected, makeNews, makeWarmUps } from './exchangeComposition.ts'
 import { makeFollower, makePeers, makeRelay, makeRelayFollower } from './followingComposition.ts'
 import { EvacuationLoader } from './evacuationLoader.ts'
@@ -262,6 +262,7 @@
 function makeGateway (parts: ForwarderDependencies): GatewayServer {
   const { clock, log, forwarding, listener, plannedStop } = parts
   guardConnections(parts)
+  reportCutRequests(parts)
   return new GatewayServer({
     listener,
     plannedStop,
@@ -286,6 +287,13 @@
   })
 }
 
+function reportCutRequests ({ listener, log, metrics, plannedStop, routing }: ForwarderDependencies): void {
+  watchCutRequests(listener, (cause, requests) => {
+    for (const [state, count] of Object.entries(requests)) metrics.cutRequests.inc({ cause, state }, count)
+    log.warn('requests_cut', { cause, ...requests, settings: routing.snapshot?.settings.version, isStopping: plannedStop.hasBegun })
+  })
+}
+
 function makeOperations ({ clock, tableLoader, gateway, heldBytes, loadNews, metrics, logLines, follower }: ForwarderDependencies): OperationsServer {
   return new OperationsServer({
     readyPath,
--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -4,7 +4,7 @@
  */
 import type { Socket } from 'node:net'
 import type { Log } from '../observe/index.ts'
-import type { CallerListener } from '../server/index.ts'
+import { type CallerListener, CloseCause } from '../server/index.ts'
 import { cutConnection } from './responseFraming.ts'
 
 /**
@@ -38,7 +38,7 @@
   closeAll (): void {
     for (const { socket, unsentBytes } of this.#listener.connections) {
       if (unsentBytes > 0) this.#recordCut(socket, unsentBytes)
-      cutConnection(socket)
+      cutConnection(socket, CloseCause.Stop)
     }
     this.#listener.server.close()
   }
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -8,6 +8,7 @@
 import type { LogFields } from '../observe/index.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
 import type { Ineligibility } from '../placement/index.ts'
+import { CloseCause } from '../server/index.ts'
 import { type ForwardRefusal, ForwardRefusals, contentBlocked, endpointsLimited, endpointsOverloaded, sendRefusal, unreachable } from './forwardRefusal.ts'
 
 const answeredOutcome = 'answered'
@@ -137,7 +138,7 @@
   /** Ends the request by closing its connection, so that the response does not look complete. */
   abort (reason: string): void {
     this.#recordEnd(reason, undefined)
-    cutResponse(this.response)
+    cutResponse(this.response, CloseCause.AnswerBroken)
   }
 
   /** Ends the request as unfinished, unless it has ended already. */
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -12,7 +12,7 @@
 import type { EndpointEligibility, EndpointRegistry, EndpointLoads, EndpointPlacement, ModelCascade, RetryBudget, RunDurations, VersionSelector } from '../placement/index.ts'
 import { chooseService } from '../placement/index.ts'
 import type { EndpointLimits, PlaceQueues } from '../rateLimit/index.ts'
-import { type HeldBytes, readBoundedBody } from '../server/index.ts'
+import { CloseCause, type HeldBytes, readBoundedBody, recordCloseCause } from '../server/index.ts'
 import { type RequestHead, type HeaderCodec, RouteType, type Route, type RoutedOrganisation } from '../routing/index.ts'
 import { type ForwardRefusal, ForwardRefusals, sendRefusal } from './forwardRefusal.ts'
 import type { EndpointAnnouncements } from './endpointAnnouncements.ts'
@@ -176,6 +176,7 @@
     if (code === RefusalCode.BodyTooLarge) return this.#refuse(request, response, ForwardRefusals.bodyTooLarge, head)
     if (code === RefusalCode.Overloaded) return this.#refuse(request, response, ForwardRefusals.memoryFull, head)
     this.#dependencies.log.info('request_broken', { request: head.attemptId, path: request.url })
+    recordCloseCause(request.socket, CloseCause.BodyBroken)
     response.destroy()
   }
 
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -1,7 +1,7 @@
 /** HTTP server for callers. During a planned stop it drains. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { CallerLimits } from '../routing/index.ts'
-import { HeadTimeLimits, untilInputIsRead } from '../server/index.ts'
+import { CloseCause, HeadTimeLimits, untilInputIsRead } from '../server/index.ts'
 import { Drain, type DrainOptions } from './drain.ts'
 import { HeadRefusals } from './headRefusals.ts'
 import { cutResponse } from './responseFraming.ts'
@@ -36,7 +36,7 @@
     listener.serveWith((request, response) => {
       this.#serve(request, response).catch(error => {
         log.error('request_failed', { reason: error instanceof Error ? error.stack : String(error) })
-        cutResponse(response)
+        cutResponse(response, CloseCause.Failure)
       })
     })
     return await listener.listen(address)
--- a/src/gateway/headRefusals.ts
+++ b/src/gateway/headRefusals.ts
@@ -4,7 +4,7 @@
  */
 import type { Socket } from 'node:net'
 import type { Log } from '../observe/index.ts'
-import { type CallerConnection, type CallerListener, type HeadTimeLimits, untilInputIsRead } from '../server/index.ts'
+import { type CallerConnection, type CallerListener, CloseCause, type HeadTimeLimits, recordCloseCause, untilInputIsRead } from '../server/index.ts'
 
 /** After the refusal the caller has this time to read it and to close its side. */
 const maximumCloseMilliseconds = 3_000
@@ -79,6 +79,7 @@
 
   #refuse (error: ParserError, socket: Socket): void {
     this.#refusedAt.set(socket, socket.bytesRead)
+    recordCloseCause(socket, CloseCause.HeadRefused)
     this.#log.info('request_malformed', { reason: error.code ?? error.message, caller: `${socket.remoteAddress}:${socket.remotePort}`, sentBytes: socket.bytesWritten })
     const connection = this.#listener.connectionOf(socket)
     if (connection === undefined) return
--- a/src/gateway/requestHolding.ts
+++ b/src/gateway/requestHolding.ts
@@ -1,6 +1,6 @@
 /** What one request holds for its caller, from its head to the last byte of its response. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { HeldBytes, Holding } from '../server/index.ts'
+import { CloseCause, type HeldBytes, type Holding } from '../server/index.ts'
 import { cutResponse } from './responseFraming.ts'
 
 /** Memory that a field of a head takes beyond its text, by the time it has been read and copied for an attempt. */
@@ -72,13 +72,13 @@
   }
 
   #holdUnread (bytes: number): void {
-    const unread = this.#heldBytes.open(() => cutResponse(this.#response))
+    const unread = this.#heldBytes.open(() => cutResponse(this.#response, CloseCause.Evicted))
     unread.setUnread(bytes)
     this.#response.once('close', () => unread.release())
   }
 
   #evict (): void {
-    if (this.#hasBegunWork) cutResponse(this.#response)
+    if (this.#hasBegunWork) cutResponse(this.#response, CloseCause.Evicted)
     else this.#eviction.abort()
   }
 }
--- a/src/gateway/responseFraming.ts
+++ b/src/gateway/responseFraming.ts
@@ -7,6 +7,7 @@
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { type CloseCause, recordCloseCause } from '../server/index.ts'
 
 /** Connections whose orderly close would end a response that is not complete. */
 const delimitingConnections = new WeakSet<Socket>()
@@ -76,9 +77,10 @@
  * Closes a connection at once; an unfinished response on it does not look complete.
  *
  * @example
- * for (const socket of listener.sockets) cutConnection(socket)
+ * for (const socket of listener.sockets) cutConnection(socket, CloseCause.Stop)
  */
-export function cutConnection (socket: Socket): void {
+export function cutConnection (socket: Socket, cause: CloseCause): void {
+  recordCloseCause(socket, cause)
   // A connection whose end was sent already can't be reset.
   if (delimitingConnections.has(socket) && !socket.destroyed && !socket.writableEnded) socket.resetAndDestroy()
   else socket.destroy()
@@ -88,9 +90,10 @@
  * Ends a response that will not be completed by closing its connection, once it is its turn on it.
  *
  * @example
- * cutResponse(response)
+ * cutResponse(response, CloseCause.AnswerBroken)
  */
-export function cutResponse (response: ServerResponse): void {
-  if (response.socket !== null) cutConnection(response.socket)
+export function cutResponse (response: ServerResponse, cause: CloseCause): void {
+  if (response.socket === null) recordCloseCause(response.req.socket, cause)
+  else cutConnection(response.socket, cause)
   response.destroy()
 }
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -7,6 +7,16 @@
 /** Requests that a caller may send ahead of their answers. */
 const maximumOpenResponses = 64
 
+/** Numbers of requests that have no complete answer. */
+export interface UnfinishedRequests {
+  /** Those whose body is arriving. */
+  readonly arriving: number
+  /** Those that were read to their end. */
+  readonly unanswered: number
+  /** Those whose answer has been sent in part. */
+  readonly begun: number
+}
+
 /** The response to the latest request. */
 interface LastResponse {
   readonly response: ServerResponse
@@ -85,6 +95,13 @@
     return [...this.#openResponses].some(({ headersSent }) => headersSent)
   }
 
+  /** The requests that have no complete answer, by their state. */
+  get unfinishedRequests (): UnfinishedRequests {
+    const begun = [...this.#openResponses].filter(({ headersSent }) => headersSent).length
+    const arriving = [...this.#openResponses].filter(({ headersSent, req }) => !headersSent && !req.complete).length
+    return { arriving, unanswered: this.#openResponses.size - begun - arriving, begun }
+  }
+
   /** Resolves when the requests that were read to their end so far are answered. */
   async untilAnswered (): Promise<void> {
     await Promise.all(this.#answering.map(response => new Promise(resolve => response.once('close', resolve))))
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -5,7 +5,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { CallerConnection } from './callerConnection.ts'
-import { CloseCause, ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
+import { CloseCause, recordCloseCause } from './closeCause.ts'
+import { ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
 import { IncomingBody } from './incomingBody.ts'
 import { listenOn } from './listenOn.ts'
 import { TrackedConnections } from './trackedConnections.ts'
@@ -108,6 +109,7 @@
     IncomingBody.of(request)
     const connection = this.#connections.of(request.socket)
     if (connection?.hasTooManyRequests) {
+      recordCloseCause(connection.socket, CloseCause.RequestsAhead)
       connection.socket.destroy()
       this.#onClose(CloseCause.RequestsAhead)
       return
--- a/src/server/connectionGuard.ts
+++ b/src/server/connectionGuard.ts
@@ -6,6 +6,7 @@
  * first; those that hold most go first where memory is short.
  */
 import type { CallerConnection } from './callerConnection.ts'
+import { CloseCause, recordCloseCause } from './closeCause.ts'
 
 /** Memory of a head that is arriving, as a multiple of its bytes, when its fields are as short as possible. */
 const headMemoryFactor = 12
@@ -13,17 +14,6 @@
 /** Fewer connections can't hold much. */
 const minimumCheckedConnections = 32
 
-/** Why a connection was closed. */
-export const CloseCause = {
-  /** More connections were open than the process may have. */
-  Connections: 'connections',
-  /** Heads that were arriving took too much memory. */
-  Heads: 'heads',
-  /** Too many requests were sent ahead of their answers. */
-  RequestsAhead: 'requests_ahead'
-} as const
-export type CloseCause = typeof CloseCause[keyof typeof CloseCause]
-
 export interface ConnectionGuardOptions {
   readonly connections: () => readonly CallerConnection[]
   readonly maximumConnections: number
@@ -80,6 +70,7 @@
   }
 
   #close (connection: CallerConnection, cause: CloseCause): void {
+    recordCloseCause(connection.socket, cause)
     connection.socket.destroy()
     this.#options.onClose(cause)
   }
--- a/src/server/endAfterRequest.ts
+++ b/src/server/endAfterRequest.ts
@@ -3,6 +3,7 @@
  * under the rest of the request, the kernel would reset it, and the caller might never see the response.
  */
 import type { ServerResponse } from 'node:http'
+import { CloseCause, recordCloseCause } from './closeCause.ts'
 import { IncomingBody } from './incomingBody.ts'
 
 /** After the response, the rest of its request is read for at most this time and up to so many bytes. */
@@ -29,6 +30,7 @@
   }
   const giveUp = () => {
     request.pause()
+    recordCloseCause(request.socket, CloseCause.BodyUnread)
     response.once('finish', () => request.destroy())
     end()
   }
--- a/src/server/headTimeLimits.ts
+++ b/src/server/headTimeLimits.ts
@@ -6,6 +6,7 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { CallerConnection } from './callerConnection.ts'
+import { CloseCause, recordCloseCause } from './closeCause.ts'
 import { untilInputIsRead } from './inputPoll.ts'
 
 /** A head that is late is noticed this much later at most. */
@@ -89,6 +90,7 @@
     if (connection === undefined || connection.openResponseCount > 0) return
     const isHeadArriving = !connection.isIdle
     if (!isHeadArriving || this.#extended.has(socket)) {
+      recordCloseCause(socket, CloseCause.Idle)
       socket.destroy()
       return
     }
--- a/src/server/incomingBody.ts
+++ b/src/server/incomingBody.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { ByteCollector } from './byteCollector.ts'
+import { CloseCause, recordCloseCause } from './closeCause.ts'
 
 /** Bytes kept before the body is read; ordinary bodies arrive completely by then. */
 const maximumEarlyBytes = 256 * 1024
@@ -118,6 +119,7 @@
   /** To read the rest, if only to discard it, is what takes the time. */
   #endFragmented (): void {
     this.#finish(BodyEnd.Fragmented)
+    recordCloseCause(this.#request.socket, CloseCause.BodyFragmented)
     this.#request.destroy()
   }
 
--- a/src/server/index.ts
+++ b/src/server/index.ts
@@ -1,7 +1,9 @@
 /** Helpers shared by the HTTP servers: listening on an IP address, limits on sizes and times, and ending responses. */
-export type { CallerConnection } from './callerConnection.ts'
+export type { CallerConnection, UnfinishedRequests } from './callerConnection.ts'
 export { CallerListener, type ConnectionLimits, type RequestListener } from './callerListener.ts'
-export { CloseCause, ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
+export { CloseCause, recordCloseCause } from './closeCause.ts'
+export { ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
+export { watchCutRequests } from './cutRequests.ts'
 export { endAfterRequest } from './endAfterRequest.ts'
 export { HeadTimeLimits } from './headTimeLimits.ts'
 export { untilInputIsRead } from './inputPoll.ts'
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -189,7 +189,7 @@
 /** The caller's side of a response. */
 class RecordedResponse extends Writable {
   headersSent = false
-  readonly req = { complete: true }
+  readonly req = { complete: true, socket: {} }
   readonly socket = null
   readonly chunkedEncoding = false
   #status: number | undefined
