Keep a connection for the idle time that its last answer announced

Callers on kept connections: an answer said 'Keep-Alive: timeout=15', and half a second later the gateway closed the connection, so that the next request crossed the close and got neither an answer nor a refusal.

Cause: Node.js writes the idle time that is in force when a request arrives into the head of its answer, and sets the socket's timer to the one in force when the answer ends. A configuration with a shorter idle_timeout_ms that comes between the two breaks the announcement. Connections that were idle already kept the longer time.

Evidence: a request that runs for 200 ms, idle_timeout_ms from 15 s to 0.5 s meanwhile; the next request 1.5 s later was never answered.

Fix: the timer is raised to what the answer announced. A request that arrives later announces the new time, and ends with it.

The test failed before and passes now: npx vitest run test/callerCloses.test.ts

--- a/src/server/headTimeLimits.ts
+++ b/src/server/headTimeLimits.ts
@@ -1,9 +1,10 @@
 /**
  * Time limits of callers' connections between requests: how long a head may take to arrive, and how long
  * a connection may be idle. Node.js measures both, but counts a head's time from the connect until its first
- * byte, and applies a new limit to heads that have begun under a longer one.
+ * byte, applies a new limit to heads that have begun under a longer one, and closes connections before the
+ * idle time that their last answer announced.
  */
-import type { Server } from 'node:http'
+import type { Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { CallerConnection } from './callerConnection.ts'
 import { CloseCause, recordCloseCause } from './closeCause.ts'
@@ -35,7 +36,10 @@
     this.#listener = listener
     const { server } = listener
     server.on('connection', socket => this.#limitUnused(socket))
-    server.on('request', ({ socket }) => this.#endHead(socket))
+    server.on('request', ({ socket }, response) => {
+      this.#endHead(socket)
+      this.#keepAnnouncedIdleTime(socket, response)
+    })
     server.on('timeout', socket => {
       untilInputIsRead(performance).then(() => this.#endIdleTime(socket))
     })
@@ -84,6 +88,15 @@
     socket.setTimeout(0)
   }
 
+  /** The answer announces the idle time that is in force when its request arrives; Node.js applies the one that is in force when it ends. */
+  #keepAnnouncedIdleTime (socket: Socket, response: ServerResponse): void {
+    const announcedMilliseconds = this.#listener.server.keepAliveTimeout
+    response.once('finish', () => {
+      const { timeout = 0 } = socket
+      if (timeout > 0 && timeout < announcedMilliseconds) socket.setTimeout(announcedMilliseconds)
+    })
+  }
+
   /** A request that has arrived ends the idle time, and a head that is arriving has its own limit; the connection ends if none was found after that. */
   #endIdleTime (socket: Socket): void {
     const connection = this.#listener.connectionOf(socket)
--- /dev/null
+++ b/test/callerCloses.test.ts
@@ -0,0 +1,42 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import type { EndpointStandIn } from '../platform/standin/index.ts'
+import { ForwarderHarness, waitUntil } from './fakes/forwarderWorld.ts'
+import { RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
+
+const answerMilliseconds = 200
+const longIdleMilliseconds = 15_000
+const shortIdleMilliseconds = 500
+
+let harness: ForwarderHarness
+let ledger: EndpointStandIn
+let host: string
+let caller: RawCaller
+beforeEach(async () => {
+  harness = await ForwarderHarness.start()
+  ledger = await harness.startEndpoint('ledger', { slots: 100 })
+  ledger.handleWith((_request, response) => { setTimeout(() => response.end('done'), answerMilliseconds) })
+  putIdleTime(1, longIdleMilliseconds)
+  host = await harness.startForwarder()
+  await harness.waitUntilReady(host)
+  caller = await RawCaller.connect(host)
+})
+afterEach(async () => {
+  caller.close()
+  await harness.close()
+})
+
+function putIdleTime (version: number, milliseconds: number): void {
+  harness.putConfiguration(version, { limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3_000, idle_timeout_ms: milliseconds } })
+}
+
+test('a connection is kept for as long as its answer announced although a shorter idle time came into force while the request ran', async () => {
+  caller.write(requestHead('/balance/1', { id: 'running', method: 'GET' }))
+  await waitUntil(() => ledger.received.length === 1)
+  putIdleTime(2, shortIdleMilliseconds)
+  await caller.until(1)
+  expect(caller.responses[0]?.head).toMatch(/^keep-alive: timeout=15$/im)
+  await pause(3 * shortIdleMilliseconds)
+  caller.write(requestHead('/balance/2', { id: 'after', method: 'GET' }))
+  await caller.until(2)
+  expect(caller.statuses).toEqual([200, 200])
+})
