Answer whole requests that wait behind others when a later head is refused

Callers that send more than 16 requests ahead on one connection: once a head after them was refused (malformed, or late, also under a shorter header_timeout_ms), the requests that were still waiting for their turn got neither an answer nor a refusal, and the connection hung.

Cause: whether a head had been refused was asked when a request began to be served, not when it arrived. A request that waited behind others had arrived before, and was dropped; the refusal then waited for its answer.

Evidence: 20 requests and a malformed one in one packet: 16 answers, then nothing for 5 s.

Fix: the connection itself takes no further requests from the refusal on; those that it has taken are served, and then the refusal is sent.

The test failed before and passes now: npx vitest run test/callerCloses.test.ts

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -16,13 +16,12 @@
   readonly #options: GatewayServerOptions
   readonly #drain: Drain
   readonly #headLimits: HeadTimeLimits
-  readonly #headRefusals: HeadRefusals
 
   constructor (options: GatewayServerOptions) {
     this.#options = options
     this.#drain = new Drain(options)
     this.#headLimits = new HeadTimeLimits(options.listener)
-    this.#headRefusals = new HeadRefusals(options.listener, this.#headLimits, options.log)
+    new HeadRefusals(options.listener, this.#headLimits, options.log).begin()
   }
 
   /** Whether a planned stop has begun. */
@@ -59,10 +58,6 @@
 
   /** A busy process may read a request long after its caller has left; what ended the connection is read first. */
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (this.#headRefusals.isRefused(request.socket)) {
-      request.resume()
-      return
-    }
     await untilInputIsRead(this.#options.clock)
     if (this.#drain.isTooLate) return this.#options.refuseLate(request, response)
     await this.#options.handle(request, response)
--- a/src/gateway/headRefusals.ts
+++ b/src/gateway/headRefusals.ts
@@ -1,6 +1,7 @@
 /**
  * Refuses heads of requests that are malformed, too large or late. Requests before them on the same
- * connection are answered first; then comes the refusal, and then the end of the connection.
+ * connection are answered first; then comes the refusal, and then the end of the connection. What follows
+ * on it is not served.
  */
 import type { Socket } from 'node:net'
 import type { Log } from '../observe/index.ts'
@@ -27,8 +28,7 @@
 
 /**
  * @example
- * const refusals = new HeadRefusals(listener, limits, log)
- * if (refusals.isRefused(request.socket)) return
+ * new HeadRefusals(listener, limits, log).begin()
  */
 export class HeadRefusals {
   readonly #listener: CallerListener
@@ -41,17 +41,20 @@
     this.#listener = listener
     this.#limits = limits
     this.#log = log
-    listener.server.on('clientError', (error: ParserError, socket) => this.#receive(error, socket as Socket))
   }
 
-  /** Whether a head was refused on a connection. What follows on it is not served. */
-  isRefused (socket: Socket): boolean {
+  /** From now on, heads are refused. */
+  begin (): void {
+    this.#listener.server.on('clientError', (error: ParserError, socket) => this.#receive(error, socket as Socket))
+  }
+
+  #isRefused (socket: Socket): boolean {
     return this.#refusedAt.has(socket)
   }
 
   /** Node.js reports each further read of a connection with a malformed head again. */
   #receive (error: ParserError, socket: Socket): void {
-    if (this.isRefused(socket)) return this.#boundDiscardedBytes(socket)
+    if (this.#isRefused(socket)) return this.#boundDiscardedBytes(socket)
     if (error.code === lateCode) return this.#receiveLate(error, socket)
     this.#refuse(error, socket)
   }
@@ -63,7 +66,7 @@
     if (millisecondsLeft === Infinity) return
     if (millisecondsLeft === 0) return this.#refuseUnlessArrived(error, socket)
     const recheck = setTimeout(() => {
-      if (this.#limits.isKept(socket) && !this.isRefused(socket)) this.#refuse(error, socket)
+      if (this.#limits.isKept(socket) && !this.#isRefused(socket)) this.#refuse(error, socket)
     }, millisecondsLeft)
     socket.once('close', () => clearTimeout(recheck))
   }
@@ -73,7 +76,7 @@
     const headCount = this.#listener.connectionOf(socket)?.headCount
     untilInputIsRead(performance).then(() => {
       const hasArrived = this.#listener.connectionOf(socket)?.headCount !== headCount
-      if (!hasArrived && !this.isRefused(socket)) this.#refuse(error, socket)
+      if (!hasArrived && !this.#isRefused(socket)) this.#refuse(error, socket)
     })
   }
 
@@ -83,6 +86,7 @@
     this.#log.info('request_malformed', { reason: error.code ?? error.message, caller: `${socket.remoteAddress}:${socket.remotePort}`, sentBytes: socket.bytesWritten })
     const connection = this.#listener.connectionOf(socket)
     if (connection === undefined) return
+    connection.stopRequests()
     if (error.code === endedCode) return this.#endForLeaving(connection, error)
     connection.untilAnswered().then(() => this.#end(connection, error))
   }
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -43,6 +43,7 @@
   readonly #openResponses = new Set<ServerResponse>()
   #last: LastResponse | undefined
   #isRetiring = false
+  #takesRequests = true
   /** Bytes received up to the end of the latest whole request. */
   #wholeRequestBytes = 0
   #headCount = 0
@@ -130,10 +131,10 @@
   /**
    * Adds a request that has arrived on the connection.
    *
-   * @returns false if it can't be answered, since an earlier response has announced the end of the connection
+   * @returns false if it can't be answered, since an earlier response has announced the end of the connection or a head was refused
    */
   add (request: IncomingMessage, response: ServerResponse): boolean {
-    if (this.#hasAnnouncedEnd || this.socket.destroyed) return false
+    if (!this.#takesRequests || this.#hasAnnouncedEnd || this.socket.destroyed) return false
     this.#headCount++
     this.#lastActiveAt = performance.now()
     this.#openResponses.add(response)
@@ -165,6 +166,11 @@
     serve()
   }
 
+  /** Takes no further requests; those that were added are served. */
+  stopRequests (): void {
+    this.#takesRequests = false
+  }
+
   /** Announces the end of the connection in its last response, unless the head of that has been sent. */
   retire (): void {
     this.#isRetiring = true
--- a/test/callerCloses.test.ts
+++ b/test/callerCloses.test.ts
@@ -40,3 +40,10 @@
   await caller.until(2)
   expect(caller.statuses).toEqual([200, 200])
 })
+
+test('requests that wait behind others of their connection are answered although a malformed one comes after them', async () => {
+  const requests = Array.from({ length: 20 }, (_, index) => requestHead(`/balance/${index}`, { id: `ahead-${index}`, method: 'GET' }))
+  caller.write(`${requests.join('')}malformed\r\n\r\n`)
+  await Promise.race([caller.until(21), pause(5_000)])
+  expect(caller.statuses).toEqual([...requests.map(() => 200), 400])
+})
