--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -7,6 +7,16 @@
 /** Requests that a caller may send ahead of their answers. */
 const maximumOpenResponses = 64
 
+/** Numbers of requests that have no complete answer. */
+export interface UnfinishedRequests {
+  /** Those whose body is arriving. */
+  readonly arriving: number
+  /** Those that were read to their end. */
+  readonly unanswered: number
+  /** Those whose answer has been sent in part. */
+  readonly begun: number
+}
+
 /** The response to the latest request. */
 interface LastResponse {
   readonly response: ServerResponse
@@ -33,6 +43,7 @@
   readonly #openResponses = new Set<ServerResponse>()
   #last: LastResponse | undefined
   #isRetiring = false
+  #takesRequests = true
   /** Bytes received up to the end of the latest whole request. */
   #wholeRequestBytes = 0
   #headCount = 0
@@ -85,6 +96,13 @@
     return [...this.#openResponses].some(({ headersSent }) => headersSent)
   }
 
+  /** The requests that have no complete answer, by their state. */
+  get unfinishedRequests (): UnfinishedRequests {
+    const begun = [...this.#openResponses].filter(({ headersSent }) => headersSent).length
+    const arriving = [...this.#openResponses].filter(({ headersSent, req }) => !headersSent && !req.complete).length
+    return { arriving, unanswered: this.#openResponses.size - begun - arriving, begun }
+  }
+
   /** Resolves when the requests that were read to their end so far are answered. */
   async untilAnswered (): Promise<void> {
     await Promise.all(this.#answering.map(response => new Promise(resolve => response.once('close', resolve))))
@@ -113,10 +131,10 @@
   /**
    * Adds a request that has arrived on the connection.
    *
-   * @returns false if it can't be answered, since an earlier response has announced the end of the connection
+   * @returns false if it can't be answered, since an earlier response has announced the end of the connection or a head was refused
    */
   add (request: IncomingMessage, response: ServerResponse): boolean {
-    if (this.#hasAnnouncedEnd || this.socket.destroyed) return false
+    if (!this.#takesRequests || this.#hasAnnouncedEnd || this.socket.destroyed) return false
     this.#headCount++
     this.#lastActiveAt = performance.now()
     this.#openResponses.add(response)
@@ -148,6 +166,11 @@
     serve()
   }
 
+  /** Takes no further requests; those that were added are served. */
+  stopRequests (): void {
+    this.#takesRequests = false
+  }
+
   /** Announces the end of the connection in its last response, unless the head of that has been sent. */
   retire (): void {
     this.#isRetiring = true
