Read nothing but the head of an engine's refusal or of its answer to a cancelled stream

What callers saw: a daemon's attempt at an engine that refuses with a body without end waited for 16 MiB of it, and for as long as bytes came one at a time; the answer to the cancelling of a stream was read without any bound of time.

Cause: both collected the whole body, although only the head and whether the response is whole are needed.

Fix: both discard the body within the bounds of a discarded response. A refusal still counts as one only if it ends whole and names the attempt; a body over the bound is "may have run", as a broken one was before.

--- a/src/endpoint/collectResponse.ts
+++ b/src/endpoint/collectResponse.ts
@@ -5,7 +5,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { Err, Ok, type Result } from '../contract/index.ts'
 import { AttemptFailure, DeliveryState } from './contract.ts'
-import type { Exchange } from './exchange.ts'
+import type { Exchange, ResponseHeadEvent } from './exchange.ts'
 
 /** A complete response. */
 export interface CollectedResponse {
@@ -37,8 +37,7 @@
     if (event.type === 'head') {
       status = event.status
       headers = event.headers
-      const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-      if (!isFramed && !bodilessStatuses.has(status)) return abortExchange(exchange, 'response has neither content-length nor transfer-encoding')
+      if (!isFramed(event)) return abortExchange(exchange, 'response has neither content-length nor transfer-encoding')
       continue
     }
     receivedBytes += event.bytes.length
@@ -47,6 +46,16 @@
   }
 }
 
+/**
+ * Whether the end of a response can be told from that of its connection.
+ *
+ * @example
+ * if (!isFramed(head)) exchange.abort('the response may have been cut short')
+ */
+export function isFramed ({ status, headers }: ResponseHeadEvent): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || bodilessStatuses.has(status)
+}
+
 function abortExchange (exchange: Exchange, reason: string): Result<CollectedResponse, AttemptFailure> {
   exchange.abort(reason)
   return failureOf(exchange, reason)
--- a/src/endpoint/engineAttempt.ts
+++ b/src/endpoint/engineAttempt.ts
@@ -7,12 +7,11 @@
  */
 import { type Clock, invariant } from '../contract/index.ts'
 import { StreamAssembler } from './streamAssembler.ts'
-import { collectResponse } from './collectResponse.ts'
 import type { Connections } from './connections.ts'
 import { AttemptFailure, type EngineCall, type EngineEvent, DeliveryState } from './contract.ts'
-import type { Exchange } from './exchange.ts'
+import type { Exchange, ResponseHeadEvent } from './exchange.ts'
 import { announcementIn } from './rateHeader.ts'
-import { type ResponseHeadEvent, type StreamEvent, StreamReader } from './streamReader.ts'
+import { type StreamEvent, StreamReader } from './streamReader.ts'
 
 export interface EngineAttemptOptions {
   readonly clock: Clock
@@ -154,7 +153,7 @@
   #cancelStream (): void {
     this.#call.gate?.charge()
     const exchange = this.#options.connections.startDedicated(this.#options.address, this.#exchangeOptions('DELETE', this.#streamPath, undefined))
-    collectResponse(exchange).catch(() => undefined)
+    exchange.next().then(() => exchange.discardRest())
   }
 
   get #streamPath (): string {
--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -31,6 +31,9 @@
   | { readonly type: 'end' }
   | { readonly type: 'failure', readonly reason: string, readonly timedOut: boolean }
 
+/** The head of a response. */
+export type ResponseHeadEvent = Extract<ExchangeEvent, { type: 'head' }>
+
 export interface ExchangeOptions {
   readonly clock: Clock
   readonly method: string
@@ -151,13 +154,14 @@
 
   /**
    * Discards what has arrived of the response and the rest of it. The connection is reusable if the response ends
-   * within `maximumDiscardedBytes` and `maximumDiscardMilliseconds`, and is closed otherwise.
+   * within `maximumDiscardedBytes` and `maximumDiscardMilliseconds`, and is closed otherwise. The next event is the
+   * end or the failure of the exchange.
    */
   discardRest (): void {
-    if (this.#finalEvent !== undefined || this.#isDiscarding) return
-    this.#isDiscarding = true
     this.#events.length = 0
     this.#bufferedBytes = 0
+    if (this.#finalEvent !== undefined || this.#isDiscarding) return
+    this.#isDiscarding = true
     this.#cancelDiscardLimit = this.#options.clock.schedule(maximumDiscardMilliseconds, () => this.abort('the response did not end in time when it was discarded'))
     if (this.#controller?.paused === true) this.#controller.resume()
   }
--- a/src/endpoint/streamReader.ts
+++ b/src/endpoint/streamReader.ts
@@ -3,10 +3,10 @@
  * assembler keeps the position in the answer and outlives the connection.
  */
 import type { AssemblyResult, StreamAssembler } from './streamAssembler.ts'
-import { collectResponse } from './collectResponse.ts'
+import { isFramed } from './collectResponse.ts'
 import { AttemptFailure, DeliveryState } from './contract.ts'
 import { EventStreamDecoder } from './eventStreamDecoder.ts'
-import type { Exchange, ExchangeEvent } from './exchange.ts'
+import type { Exchange, ExchangeEvent, ResponseHeadEvent } from './exchange.ts'
 
 /** Events of one connection: any number of chunks, then how it ended. */
 export type StreamEvent =
@@ -16,9 +16,6 @@
   /** The connection failed; the stream may be resumed over another one. */
   | { readonly type: 'lost', readonly reason: string, readonly timedOut: boolean }
 
-/** The head of a response. */
-export type ResponseHeadEvent = Extract<ExchangeEvent, { type: 'head' }>
-
 const okStatus = 200
 const conflictStatus = 409
 const firstServerErrorStatus = 500
@@ -82,12 +79,17 @@
     return undefined
   }
 
-  /** Counts as a rejection only if it carries the attempt's id, because a connection may deliver the response to another request. */
+  /**
+   * Counts as a rejection only if it is whole and carries the attempt's id, because a connection may deliver the response
+   * to another request. Nothing of its body is needed.
+   */
   async #rejected (head: ResponseHeadEvent): Promise<StreamEvent> {
-    const body = await collectResponse(this.#exchange)
+    this.#exchange.discardRest()
+    const { type: end } = await this.#exchange.next()
+    const isWhole = end === 'end' && isFramed(head)
     const isRejection = head.status < firstServerErrorStatus ? head.status !== conflictStatus : head.status === unavailableStatus
     const namesAttempt = head.headers['x-attempt-id'] === this.#assembler.attemptId
-    const delivery = isRejection && namesAttempt && body.ok ? DeliveryState.Rejected : DeliveryState.PossiblySent
+    const delivery = isRejection && namesAttempt && isWhole ? DeliveryState.Rejected : DeliveryState.PossiblySent
     const seconds = Number(head.headers['retry-after'])
     const retryAfterSeconds = Number.isFinite(seconds) ? seconds : undefined
     return { type: 'refused', failure: new AttemptFailure(delivery, `status ${head.status}`, retryAfterSeconds) }
--- a/test/discardedResponse.test.ts
+++ b/test/discardedResponse.test.ts
@@ -1,17 +1,19 @@
 import { expect, test } from 'vitest'
 import { Exchange, maximumDiscardMilliseconds, maximumDiscardedBytes } from '../src/endpoint/exchange.ts'
+import { StreamAssembler } from '../src/endpoint/streamAssembler.ts'
+import { StreamReader } from '../src/endpoint/streamReader.ts'
 import { ManualClock } from './fakes/manualClock.ts'
 
 const letters = Buffer.alloc(1_024, 'a')
 const byteIntervalMilliseconds = 10
 
 /** An exchange whose refusal has begun to arrive, and the connection that it came over. */
-function receiveRefusal () {
+function receiveRefusal (headers: Readonly<Record<string, string>> = {}) {
   const clock = new ManualClock()
   const connection = { paused: false, isClosed: false, pause: () => { connection.paused = true }, resume: () => { connection.paused = false }, abort: () => { connection.isClosed = true } }
   const exchange = new Exchange({ clock, method: 'GET', path: '/', headers: {}, body: undefined, inactivityTimeoutMilliseconds: 60_000, mayStillSend: () => true })
   exchange.onRequestStart(connection as never)
-  exchange.onResponseStart(connection as never, 503, {})
+  exchange.onResponseStart(connection as never, 503, headers)
   const receive = (bytes: Buffer) => exchange.onResponseData(connection as never, bytes)
   return { clock, connection, exchange, receive }
 }
@@ -61,3 +63,22 @@
   expect(exchange.bufferedBytes).toBe(0)
   expect(connection.paused).toBe(false)
 })
+
+test('an engine whose refusal arrives byte by byte does not hold up its attempt, and is not taken to have refused', async () => {
+  const { clock, connection, exchange, receive } = receiveRefusal({ 'x-attempt-id': 'a-1', 'transfer-encoding': 'chunked' })
+  const refusal = new StreamReader(exchange, new StreamAssembler('a-1')).next()
+  for (let milliseconds = 0; milliseconds < maximumDiscardMilliseconds; milliseconds += byteIntervalMilliseconds) {
+    receive(letters.subarray(0, 1))
+    await clock.advance(byteIntervalMilliseconds)
+  }
+  expect(connection.isClosed).toBe(true)
+  expect(await refusal).toMatchObject({ type: 'refused', failure: { delivery: 'maybe' } })
+})
+
+test('an engine whose refusal arrives whole in one read has refused', async () => {
+  const { exchange, receive } = receiveRefusal({ 'x-attempt-id': 'a-1', 'content-length': '1' })
+  receive(letters.subarray(0, 1))
+  exchange.onResponseEnd()
+  const refusal = new StreamReader(exchange, new StreamAssembler('a-1')).next()
+  expect(await refusal).toMatchObject({ type: 'refused', failure: { delivery: 'refused' } })
+})
--- a/test/endlessBytes.test.ts
+++ b/test/endlessBytes.test.ts
@@ -9,6 +9,7 @@
 import { HttpTableService } from '../src/store/index.ts'
 import { type Flood, FloodServer, headerIn } from './fakes/floodServer.ts'
 import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
+import { httpChunk, startScriptedServer } from './fakes/scriptedServer.ts'
 
 /** A connection whose bytes are no answer is closed before it has delivered more than this. */
 const maximumFloodBytes = 8 * 1024 * 1024
@@ -48,10 +49,6 @@
   return `HTTP/1.1 ${status}\r\n${ownHeaders(request)}${headers}${frame}\r\n\r\n`
 }
 
-function httpChunk (text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`
-}
-
 let server: FloodServer | undefined
 afterEach(async () => { await server?.close() })
 
@@ -93,6 +90,36 @@
   })
 }, 20_000)
 
+const refusedCall = { attemptId: 'a-1', version: 'small@1' as const, messages: [], maximumTokens: 8, priority: Priority.Normal, prefixKey: '', traceParent: undefined }
+
+test.each(Object.keys(discardedFloods))('a daemon reads the body without end of an engine under %s no further than a bound', async name => {
+  const address = await startFlood(discardedFloods[name]!)
+  await expectBounded(async () => {
+    const events = []
+    for await (const event of new HttpEngineClient(clientOptions).generate(endpointAt(address), refusedCall, neverAborted)) events.push(event)
+    expect(events).toMatchObject([{ type: 'failure', failure: { delivery: 'maybe' } }])
+  })
+}, 20_000)
+
+test('a daemon whose engine answers the cancelling of a stream byte by byte without end closes their connection', async () => {
+  let hasCancelled = false
+  let isClosed = false
+  const slow = await startScriptedServer((socket, _connection, received) => {
+    if (received.startsWith('POST')) return socket.destroy()
+    if (!received.startsWith('DELETE') || hasCancelled) return
+    hasCancelled = true
+    socket.write(chunkedHead(received))
+    const bytes = setInterval(() => socket.write(httpChunk('a')), 10)
+    socket.on('close', () => {
+      clearInterval(bytes)
+      isClosed = true
+    })
+  })
+  for await (const event of new HttpEngineClient({ ...clientOptions, maximumResumes: 0 }).generate(endpointAt(slow.address), refusedCall, neverAborted)) expect(event.type).toBe('failure')
+  await waitUntil(() => hasCancelled && isClosed)
+  await slow.close()
+}, 20_000)
+
 test('a daemon ends a call whose service sends a body without end at the longest answer', async () => {
   const address = await startFlood(endlessEvent)
   await expectBounded(async () => {
