Use no connection to the store that was open when another one timed out

RowStore kept its pool after a timeout; PlatformClient replaced it.

The rule is now in one place, RenewablePool in src/httpClient, and both clients use it: after a call that fails otherwise than by being unable to connect, later calls go over connections opened after it, while running calls may end. A call that its caller ends changes nothing.

test/fakes/silencingProxy.ts silences all open TCP connections without closing them; new ones work. With the former RowStore

npx vitest run test/silentConnections.test.ts

failed in the read after a timeout (the first two of three reads beside each other failed; the test took 3.5 s) and in the write after one ('unknown' instead of 'written'); now all 5 tests pass. The third test failed for its own set-up in the run before and was corrected: one of the three calls had taken a new connection.

--- a/src/store/platformClient.ts
+++ b/src/store/platformClient.ts
@@ -8,16 +8,14 @@
  * Requests are not pipelined, because the HTTP library resends those queued behind a failed one: a second
  * copy of an applied transaction would be answered with a false conflict.
  *
- * When a connection fails or stays silent until the timeout, other connections open at that time may be
- * silent too, so they get no new requests. Each request carries an id, and a reply with another id is
- * rejected: otherwise a duplicated reply would answer the next request.
+ * Each request carries an id, and a reply with another id is rejected: otherwise a duplicated reply would
+ * answer the next request.
  */
 import { randomUUID } from 'node:crypto'
 import type { IncomingHttpHeaders } from 'node:http'
-import type { Pool } from 'undici'
 import { Err, Ok, type Result } from '../contract/index.ts'
 import { PlatformUnavailable } from './platformServices.ts'
-import { createPool, readBoundedResponse } from '../httpClient/index.ts'
+import { RenewablePool, isConnectError, readBoundedResponse } from '../httpClient/index.ts'
 
 export interface PlatformClientOptions {
   /** `IP:port`. */
@@ -50,17 +48,14 @@
 const binaryType = 'application/octet-stream'
 const notFoundStatus = 404
 const unavailableStatus = 503
-const connectErrorCodes: ReadonlySet<string> = new Set([
-  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'
-])
 
 /** Sends requests over a connection pool and returns failures as values. */
 export class PlatformClient {
   readonly #options: PlatformClientOptions
   /** Makes request ids unique across clients. */
   readonly #clientId = randomUUID()
+  readonly #pool: RenewablePool
   #requestCount = 0
-  #pool: Pool
 
   constructor (options: PlatformClientOptions) {
     this.#options = options
@@ -69,10 +64,10 @@
 
   /** Sends a request once. A 404 response is returned; any other failure is `PlatformUnavailable`. */
   async request (request: PlatformRequest): Promise<Result<PlatformResponse, PlatformUnavailable>> {
-    const pool = this.#pool
+    const connections = this.#pool.current
     const requestId = `${this.#clientId}-${this.#requestCount++}`
     try {
-      const response = await pool.request({
+      const response = await connections.request({
         method: request.method,
         path: request.path,
         body: request.body ?? null,
@@ -81,20 +76,19 @@
       })
       const read = await readBoundedResponse(response.body, maximumResponseBytes)
       if (read.err) {
-        this.#replacePool(pool)
+        this.#pool.reportFailure(connections)
         return Err(new PlatformUnavailable(read.val, request.isWrite))
       }
       const body = new Uint8Array(read.val)
       const fault = responseFault(response.headers, requestId)
       if (fault !== undefined) {
-        this.#replacePool(pool)
+        this.#pool.reportFailure(connections)
         return Err(new PlatformUnavailable(fault, request.isWrite))
       }
       return checkStatus({ status: response.statusCode, body }, request.isWrite)
     } catch (error) {
-      const isConnectFailure = isConnectError(error)
-      if (!isConnectFailure) this.#replacePool(pool)
-      return Err(new PlatformUnavailable(reasonOf(error), request.isWrite && !isConnectFailure))
+      this.#pool.reportFailure(connections, error)
+      return Err(new PlatformUnavailable(reasonOf(error), request.isWrite && !isConnectError(error)))
     }
   }
 
@@ -112,17 +106,10 @@
   async close (): Promise<void> {
     await this.#pool.destroy()
   }
-
-  /** Opens a new pool, so that connections open at the time of a failure get no new requests. */
-  #replacePool (pool: Pool): void {
-    if (pool !== this.#pool) return
-    this.#pool = createClientPool(this.#options)
-    pool.close().catch(() => undefined)
-  }
 }
 
-function createClientPool (options: PlatformClientOptions): Pool {
-  return createPool(`http://${options.address}`, {
+function createClientPool (options: PlatformClientOptions): RenewablePool {
+  return new RenewablePool(`http://${options.address}`, {
     connections: options.maximumConnections ?? defaultMaximumConnections,
     pipelining: 1,
     keepAliveTimeout: keepAliveTimeoutMilliseconds,
@@ -163,11 +150,6 @@
   return typeof value === 'object' && value !== null && 'applied' in value && value.applied === false
 }
 
-function isConnectError (error: unknown): boolean {
-  const code = error instanceof Error && 'code' in error ? error.code : undefined
-  return typeof code === 'string' && connectErrorCodes.has(code)
-}
-
 function reasonOf (error: unknown): string {
   return error instanceof Error ? `${error.name}: ${error.message}` : String(error)
 }
