Send no request over a link on which one timed out in silence

When all open connections between gateways had fallen silent, a request that timed out after 0.4 s (a question to a relay) left its connection in use until 1.5 s had passed without a byte, so the next requests to that gateway were lost as well and a follower left a relay that was well.

A request that ends without a reply, while nothing at all was received on its connection since it was sent, now makes the connection take no further requests; those that wait may still be answered, and the next request opens a new connection. A reply to another request or a pong shows that the connection is alive.

test/link.test.ts uses the proxy of test/fakes in place of its own.

--- a/src/link/connection.ts
+++ b/src/link/connection.ts
@@ -3,6 +3,9 @@
  * connection's state, after which the connection stays silent. Therefore the connection is pinged while
  * a reply is awaited and closed after a silence timeout, so that the next request opens a new one. An idle
  * connection is pinged at a longer interval, at negligible cost.
+ *
+ * Many requests have shorter timeouts than that. One that ends without a reply, while nothing at all was received since it
+ * was sent, makes the connection take no further requests: the next one opens a new connection.
  */
 import type { Socket } from 'node:net'
 import { type Clock, Err, Ok, type Result } from '../contract/index.ts'
@@ -39,7 +42,10 @@
   #activeRequests = 0
   #lastReceivedAt: number
   #lastPingAt: number
+  #receivedFrames = 0
   #isOpen = true
+  /** Whether a request timed out in silence. */
+  #isSuspect = false
 
   constructor ({ socket, peer, clock, handler }: ConnectionOptions) {
     this.#socket = socket
@@ -51,8 +57,8 @@
   }
 
   /** Whether requests may be sent over the connection. */
-  get isOpen (): boolean {
-    return this.#isOpen
+  get acceptsRequests (): boolean {
+    return this.#isOpen && !this.#isSuspect
   }
 
   /** Number of the peer's requests being handled. */
@@ -65,6 +71,7 @@
     let reason = 'the connection ended'
     for await (const frame of frames) {
       this.#lastReceivedAt = this.#clock.now()
+      this.#receivedFrames++
       if (frame.err) {
         reason = frame.val.reason
         break
@@ -76,7 +83,7 @@
 
   /** Sends a request and waits for its reply. */
   async request<Body, Reply> (type: MessageType<Body, Reply>, body: Body, timeoutMilliseconds: number): Promise<Result<Reply, LinkFailure>> {
-    if (!this.#isOpen) return Err(new LinkFailure('the connection is closed', false))
+    if (!this.acceptsRequests) return Err(new LinkFailure('the connection is closed', false))
     const id = this.#nextId++
     const frame = encodeFrame({ kind: FrameKind.Request, id, type: type.name, body })
     if (frame.err) return Err(new LinkFailure(frame.val.reason, false))
@@ -119,7 +126,11 @@
 
   /** A reply does not cancel the timeout's timer: cancelling would cost more than letting it run. */
   #awaitReply (id: number, timeoutMilliseconds: number): Promise<Result<unknown, LinkFailure>> {
-    this.#clock.sleep(timeoutMilliseconds).then(() => this.#fail(id, `no reply within ${timeoutMilliseconds} ms`))
+    const receivedBefore = this.#receivedFrames
+    this.#clock.sleep(timeoutMilliseconds).then(() => {
+      if (this.#pending.has(id) && this.#receivedFrames === receivedBefore) this.#isSuspect = true
+      this.#fail(id, `no reply within ${timeoutMilliseconds} ms`)
+    })
     return new Promise(resolve => this.#pending.set(id, resolve))
   }
 
@@ -127,6 +138,7 @@
     const resolveReply = this.#pending.get(id)
     this.#pending.delete(id)
     resolveReply?.(outcome)
+    if (this.#isSuspect && this.#pending.size === 0) this.close('the connection went silent')
   }
 
   #fail (id: number, reason: string): void {
--- a/src/link/tcpLink.ts
+++ b/src/link/tcpLink.ts
@@ -133,7 +133,7 @@
 
   #readyConnectionTo (peer: Peer): Connection | undefined {
     const ready = this.#readyConnections.get(peer.address)
-    return ready?.isOpen && isPeer(ready, peer) ? ready : undefined
+    return ready?.acceptsRequests && isPeer(ready, peer) ? ready : undefined
   }
 
   async #openTo (peer: Peer, timeoutMilliseconds: number): Promise<Result<Connection, LinkFailure>> {
@@ -164,7 +164,7 @@
   async #connectionTo (peer: Peer): Promise<Result<Connection, LinkFailure>> {
     const known = this.#dials.get(peer.address)
     const connection = await known
-    if (connection?.ok && connection.val.isOpen && isPeer(connection.val, peer)) return connection
+    if (connection?.ok && connection.val.acceptsRequests && isPeer(connection.val, peer)) return connection
     if (this.#dials.get(peer.address) === known) this.#dials.set(peer.address, this.#dial(peer))
     const dialled = await (this.#dials.get(peer.address) ?? this.#dial(peer))
     if (dialled.err || isPeer(dialled.val, peer)) return dialled
--- a/test/link.test.ts
+++ b/test/link.test.ts
@@ -1,8 +1,9 @@
-import { connect, createServer, type Server, type Socket } from 'node:net'
+import { connect } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
 import * as z from 'zod'
 import { SystemClock } from '../src/contract/index.ts'
 import { type LinkFailure, type LinkIdentity, maximumFrameBytes, type MessageType, type Peer, TcpLink } from '../src/link/index.ts'
+import { SilencingProxy } from './fakes/silencingProxy.ts'
 
 const secret = 'a secret of all daemons'
 const echo: MessageType<{ text: string }, { text: string }> = {
@@ -12,11 +13,11 @@
 }
 
 const openLinks: TcpLink[] = []
-const openServers: Server[] = []
+const openProxies: SilencingProxy[] = []
 
 afterEach(async () => {
   await Promise.all(openLinks.splice(0).map(link => link.close()))
-  for (const server of openServers.splice(0)) server.close()
+  await Promise.all(openProxies.splice(0).map(proxy => proxy.close()))
 })
 
 function identityOf (name: string): LinkIdentity {
@@ -36,28 +37,10 @@
   return started
 }
 
-/** A TCP proxy that can stop forwarding on its open connections, which stay open and silent. */
-async function startProxy (target: string): Promise<{ address: string, stopForwarding: () => void }> {
-  const port = Number(target.split(':')[1])
-  const pairs: Array<[Socket, Socket]> = []
-  const server = createServer(client => {
-    const upstream = connect({ host: '127.0.0.1', port })
-    client.pipe(upstream)
-    upstream.pipe(client)
-    client.on('error', () => undefined).on('close', () => upstream.destroy())
-    upstream.on('error', () => undefined)
-    pairs.push([client, upstream])
-  })
-  openServers.push(server)
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const bound = server.address()
-  const stopForwarding = () => {
-    for (const [client, upstream] of pairs.splice(0)) {
-      client.unpipe(upstream).resume()
-      upstream.unpipe(client).resume()
-    }
-  }
-  return { address: `127.0.0.1:${typeof bound === 'object' ? bound?.port : 0}`, stopForwarding }
+async function startProxy (target: string): Promise<SilencingProxy> {
+  const proxy = await SilencingProxy.start('127.0.0.1', target)
+  openProxies.push(proxy)
+  return proxy
 }
 
 test('a request is answered by its handler, which learns the identity of the requester', async () => {
@@ -122,12 +105,36 @@
   const requester = await startLink('right')
   const proxyPeer = { name: 'left', address: proxy.address }
   expect((await requester.link.request(proxyPeer, echo, { text: 'before' }, 2_000)).ok).toBe(true)
-  proxy.stopForwarding()
+  proxy.silence()
   const silent = await requester.link.request(proxyPeer, echo, { text: 'into silence' }, 10_000)
   expect(silent.val).toMatchObject({ reason: 'the connection went silent', mayHaveArrived: true })
   expect((await requester.link.request(proxyPeer, echo, { text: 'after' }, 2_000)).unwrap()).toEqual({ text: 'after' })
 })
 
+test('a request after one that timed out in silence uses a new connection', async () => {
+  const { peer } = await startEcho('left')
+  const proxy = await startProxy(peer.address)
+  const requester = await startLink('right')
+  const proxyPeer = { name: 'left', address: proxy.address }
+  expect((await requester.link.request(proxyPeer, echo, { text: 'before' }, 2_000)).ok).toBe(true)
+  proxy.silence()
+  expect((await requester.link.request(proxyPeer, echo, { text: 'into silence' }, 200)).ok).toBe(false)
+  expect((await requester.link.request(proxyPeer, echo, { text: 'after' }, 200)).unwrap()).toEqual({ text: 'after' })
+})
+
+test('a request that times out beside one that is answered leaves their connection in use', async () => {
+  const { link, peer } = await startLink('left')
+  link.handle(echo, body => body.text === 'never' ? new Promise(() => undefined) : Promise.resolve(body))
+  const proxy = await startProxy(peer.address)
+  const requester = await startLink('right')
+  const proxyPeer = { name: 'left', address: proxy.address }
+  const unanswered = requester.link.request(proxyPeer, echo, { text: 'never' }, 300)
+  expect((await requester.link.request(proxyPeer, echo, { text: 'beside' }, 200)).ok).toBe(true)
+  expect((await unanswered).ok).toBe(false)
+  expect((await requester.link.request(proxyPeer, echo, { text: 'after' }, 200)).ok).toBe(true)
+  expect(proxy.connectionCount).toBe(1)
+})
+
 test('a slow handler does not make its connection count as silent', async () => {
   const { link, peer } = await startLink('left')
   const requester = await startLink('right')
