Let stand-in endpoints fall silent and go on where they were

Stand-ins were dead or alive, never silent and alive, so that no test could show what a sound endpoint's silence of a second does to its requests.

--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -15,13 +15,12 @@
 import { limitsOf, noWarmUps } from './limitWorld.ts'
 import { ManualClock } from './manualClock.ts'
 import { noMisdirected } from './misdirection.ts'
-import { StreamEngine } from './streamEngine.ts'
+import { StreamEngine, connectTimeoutMilliseconds } from './streamEngine.ts'
 
 export const place = { region: 'coast', dataCentre: 'west' }
 export const engineService = 'engines'
 const sessionTimeoutMilliseconds = 6_500
 const retrySlackPerGateway = 3
-const connectTimeoutMilliseconds = 450
 
 /** A route of streams that may be resumed, with models of three sizes. */
 export const queryRoute: Route = {
--- a/test/fakes/streamEngine.ts
+++ b/test/fakes/streamEngine.ts
@@ -27,6 +27,9 @@
 const chunkTokens = 2_048
 export const tokensPerEvent = 6
 const connectMilliseconds = 1
+export const connectTimeoutMilliseconds = 450
+/** Of a request that has no connection. */
+const unopenedController: Dispatcher.DispatchController = { aborted: false, paused: false, reason: null, pause: () => undefined, resume: () => undefined, abort: () => undefined }
 
 interface Job {
   readonly headers: IncomingHttpHeaders
@@ -48,6 +51,8 @@
   readonly #queue: Job[] = []
   #isStepping = false
   #isGone = false
+  #silentUntil = Number.NEGATIVE_INFINITY
+  #acceptsConnections = true
   refusals = 0
 
   constructor (options: StreamEngineOptions) {
@@ -68,8 +73,20 @@
     for (const job of [...this.#running, ...this.#queue]) this.#break(job, 'read ECONNRESET')
   }
 
+  /** Falls silent: it takes requests and sends nothing, then goes on where it was. */
+  pauseFor (milliseconds: number): void {
+    this.#silentUntil = this.options.clock.now() + milliseconds
+  }
+
+  /** From now on new connections are neither accepted nor refused; runs go on. */
+  stopAccepting (): void {
+    this.#acceptsConnections = false
+  }
+
   dispatch ({ path, headers }: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-    this.options.clock.schedule(connectMilliseconds, () => this.#accept(path, Object.fromEntries(headers as ReadonlyMap<string, string>), handler))
+    const { clock } = this.options
+    if (this.#acceptsConnections) clock.schedule(connectMilliseconds, () => this.#accept(path, Object.fromEntries(headers as ReadonlyMap<string, string>), handler))
+    else clock.schedule(connectTimeoutMilliseconds, () => handler.onResponseError?.(unopenedController, new Error('Connect Timeout Error')))
     return true
   }
 
@@ -91,7 +108,13 @@
     }
     if (this.#isGone) return handler.onResponseError?.(controller, new Error('connect ECONNREFUSED'))
     handler.onRequestStart?.(controller, {})
-    if (!job.isOver) this.#place(job)
+    this.#afterSilence(() => { if (!job.isOver) this.#place(job) })
+  }
+
+  #afterSilence (act: () => void): void {
+    const milliseconds = this.#silentUntil - this.options.clock.now()
+    if (milliseconds > 0) this.options.clock.schedule(milliseconds, () => this.#afterSilence(act))
+    else act()
   }
 
   #place (job: Job): void {
@@ -123,12 +146,12 @@
     const chunk = Math.min(chunkTokens, reading?.unreadTokens ?? 0)
     const generationPace = generating.length === 0 ? 0 : generating.reduce((sum, { pace }) => sum + pace, 0) / generating.length
     const generationMilliseconds = (stepMilliseconds + stepMillisecondsPerRun * generating.length) * generationPace
-    this.options.clock.schedule(generationMilliseconds + chunk / promptTokensPerMillisecond * (reading?.pace ?? 0), () => {
+    this.options.clock.schedule(generationMilliseconds + chunk / promptTokensPerMillisecond * (reading?.pace ?? 0), () => this.#afterSilence(() => {
       this.#isStepping = false
       if (reading !== undefined) reading.unreadTokens -= chunk
       for (const job of generating) this.#generate(job)
       this.#startStep()
-    })
+    }))
   }
 
   #generate (job: Job): void {
