Give a run up only in the turn that writes the one that takes its place

Callers of idempotent routes got 502 although their endpoint only fell silent for about a second and went on; a stream that had begun could be closed the same way, and a smaller model's answer was dropped for a larger model's run that could not be sent.

Cause: a run was given up first, and whether another one was possible was asked afterwards. Plain calls asked only for attempts left; a stream asked for the retry budget and an endpoint too, but reserved neither, and between its look and the next attempt input is read and a place is awaited; nothing made sure that the other endpoint accepts a connection.

RunHandover owns the decision for plain calls, streams and the answers that a cascade drops. A look reserves budget, an endpoint that need not be queued for and its place, and opens the connection in one turn; the present run is read on meanwhile and closed only in the turn that writes the other one. If it sends something first, or the other is refused, not accepted or not allowed any more, what was reserved is given back and the present run goes on, with another look 200 ms later. So the caller is never worse off, and two runs of one request are never at work beside each other. Requests that may run once are never given up for silence.

--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -62,6 +62,7 @@
   readonly #secondHead: SecondHeadScanner | undefined
   #bytesBehind: Buffer = noBytes
   #bufferedBytes = 0
+  #eventCount = 0
   #lastActivityAt: number
   #controller: Dispatcher.DispatchController | undefined
   #mayHaveSent = false
@@ -110,6 +111,11 @@
     return this.#lastActivityAt
   }
 
+  /** Number of events so far, read or not. */
+  get eventCount (): number {
+    return this.#eventCount
+  }
+
   /** Bytes received and not yet read. */
   get bufferedBytes (): number {
     return this.#bufferedBytes
@@ -203,12 +209,14 @@
   #push (event: ExchangeEvent): void {
     if (this.#finalEvent !== undefined) return
     this.#events.push(event)
+    this.#eventCount++
     this.#wake()
   }
 
   #finish (event: ExchangeEvent): void {
     if (this.#finalEvent !== undefined) return
     this.#finalEvent = event
+    this.#eventCount++
     this.#timeoutWatch.abort()
     this.#wake()
   }
--- a/src/gateway/attemptOpener.ts
+++ b/src/gateway/attemptOpener.ts
@@ -34,7 +34,7 @@
   open (endpoint: RoutedEndpoint, options: AttemptOptions): OpenAttempt {
     const request = this.#request
     const { limits, loads, rollOuts, runDurations } = request.dependencies
-    const { model } = options
+    const { model, replacement } = options
     const startedAt = request.now
     const permit = limits.open(ratedEndpoint(endpoint), startedAt)
     request.selection.markTried(endpoint)
@@ -45,9 +45,10 @@
     const run = this.#openRun(endpoint, blocked)
     const evidence = rollOuts.openRun(request.service, endpoint.version, { kind: request.route.name, requestClass: `${request.route.name}/${model ?? ''}`, sentAt: startedAt })
     const mayStillSend = () => {
-      const isSending = this.#mayWrite(endpoint, permit)
-      if (isSending) this.#recordSent(endpoint, run)
-      return isSending
+      if (replacement?.isStillWanted() === false || !this.#mayWrite(endpoint, permit)) return false
+      this.#recordSent(endpoint, run)
+      replacement?.onWrite()
+      return true
     }
     const exchange = this.#startExchange(endpoint, options, { startedAt, mayStillSend })
     blocked.signal.addEventListener('abort', () => exchange.abort('its prompt is blocked'), { once: true })
--- a/src/gateway/endpointSelection.ts
+++ b/src/gateway/endpointSelection.ts
@@ -74,12 +74,10 @@
     return this.#dependencies.placement.choose(this.#placementRequest(model, isResumed), this.#untriedEndpoints(), this.#request.now)
   }
 
-  /** Whether an endpoint is eligible now for another run, counting the one of the present run. */
-  hasEndpointBeside (present: RoutedEndpoint, model: string | undefined): boolean {
-    this.allowRetryAt(present)
-    const isEligible = this.choose(model) !== undefined
-    this.markTried(present)
-    return isEligible
+  /** Chooses an endpoint that need not be queued for; undefined if there is none. */
+  chooseAtOnce (model: string | undefined, isResumed: boolean): RoutedEndpoint | undefined {
+    const endpoint = this.choose(model, isResumed)
+    return endpoint === undefined || this.#hasToQueueFor(endpoint) ? undefined : endpoint
   }
 
   /** Chooses an endpoint; while the rate limits of all are used up, waits for a place. Undefined if none is eligible in time. */
--- a/src/gateway/givenUpRun.ts
+++ b/src/gateway/givenUpRun.ts
@@ -3,6 +3,7 @@
  * attempt that may follow. A run that breaks off by itself is not given up.
  */
 import type { LogFields } from '../observe/index.ts'
+import type { RoutedEndpoint } from '../routing/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import type { OpenAttempt } from './openAttempt.ts'
 
@@ -27,7 +28,7 @@
   readonly acceptedMillisecondsAgo: number | undefined
 }
 
-/** What is certain of the next attempt. */
+/** What is certain of the next attempt, or, where that is being written already, of the one after it. */
 interface NextAttempt {
   /** Further attempts that the route allows after the present one. */
   readonly attemptsLeft: number
@@ -36,15 +37,18 @@
   readonly untriedEndpoints: number
   /** Those of them whose rate limit has a place. */
   readonly untriedWithPlace: number
+  /** The endpoint to which the next attempt is being written; undefined if there is none. */
+  readonly nextEndpoint: string | undefined
 }
 
 /**
  * Logs and counts a run that is given up; to be called before it is closed.
  *
+ * @param nextEndpoint the endpoint to which the run that takes its place is being written
  * @example
  * recordGivenUp(request, attempt, GiveUpReason.Silence)
  */
-export function recordGivenUp (request: ForwardedRequest, attempt: OpenAttempt, reason: GiveUpReason): void {
+export function recordGivenUp (request: ForwardedRequest, attempt: OpenAttempt, reason: GiveUpReason, nextEndpoint?: RoutedEndpoint): void {
   const { dependencies: { log, metrics }, head, service } = request
   metrics.givenUpRuns.inc({ service, reason })
   log.info('run_given_up', {
@@ -54,7 +58,7 @@
     model: attempt.model,
     reason,
     ...fieldsOf(signsOf(attempt, request.now)),
-    ...fieldsOf(nextAttemptOf(request))
+    ...fieldsOf(nextAttemptOf(request, nextEndpoint))
   })
 }
 
@@ -66,12 +70,13 @@
   }
 }
 
-function nextAttemptOf ({ attempts, selection }: ForwardedRequest): NextAttempt {
+function nextAttemptOf ({ attempts, selection }: ForwardedRequest, nextEndpoint: RoutedEndpoint | undefined): NextAttempt {
   return {
     attemptsLeft: attempts.left - 1,
     isAllowedByBudget: attempts.allowsRetry,
     untriedEndpoints: selection.untriedCount,
-    untriedWithPlace: selection.untriedWithPlaceCount
+    untriedWithPlace: selection.untriedWithPlaceCount,
+    nextEndpoint: nextEndpoint?.identity
   }
 }
 
--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -62,11 +62,21 @@
   Begun: 'begun'
 } as const
 
+/** A run that another one is to take the place of. */
+export interface RunReplacement {
+  /** Asked in the event-loop turn that would write the other run. */
+  readonly isStillWanted: () => boolean
+  /** Called in the event-loop turn that writes the other run. */
+  readonly onWrite: () => void
+}
+
 export interface AttemptOptions {
   readonly model: string | undefined
   readonly lastEventId: string | undefined
   /** Whether the attempt uses a dedicated connection instead of a pooled one. */
   readonly usesOwnConnection: boolean
+  /** The run that it takes the place of; none by default. */
+  readonly replacement?: RunReplacement
 }
 
 /** Why a response without a frame counts as broken off although its connection ended in order. */
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -6,18 +6,21 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { withDeadline } from '../contract/index.ts'
+import { DeadlineReader, type ExchangeEvent } from '../endpoint/index.ts'
 import { AttemptEnd } from '../placement/index.ts'
-import { RouteType, type RoutedEndpoint } from '../routing/index.ts'
+import { RouteType } from '../routing/index.ts'
 import { ResponseFrame, maximumHeldBytes, takesChunks } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
+import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
 
 /** Responses larger than this are relayed as they arrive. */
 const maximumBufferedBytes = 256 * 1024
 /** Share of the latency target for which an idempotent attempt may be silent before another endpoint is tried. */
 const silenceTargetShare = 0.9
+const silentReason = 'silent'
 
 /** Outcome of one attempt. */
 type PlainOutcome =
@@ -33,10 +36,12 @@
 export class PlainForwarding {
   readonly #request: ForwardedRequest
   readonly #isIdempotent: boolean
+  readonly #handover: RunHandover
   #mayHaveRun = false
 
   constructor (request: ForwardedRequest) {
     this.#request = request
+    this.#handover = new RunHandover(request)
     this.#isIdempotent = request.route.type === RouteType.Idempotent
   }
 
@@ -44,10 +49,8 @@
     const request = this.#request
     let isFull = false
     let lastFailure: CompleteResponse | undefined
-    while (request.attempts.tryStart()) {
-      const endpoint = await request.selection.awaitEndpoint(undefined)
-      if (endpoint === undefined) break
-      const outcome = await this.#attempt(endpoint)
+    for (let attempt = await this.#start(); attempt !== undefined; attempt = this.#handover.takeNext() ?? await this.#start()) {
+      const outcome = await this.#attempt(attempt)
       if (outcome.type === 'relayed') return
       if (outcome.type === 'answer') {
         lastFailure = outcome
@@ -65,17 +68,30 @@
     this.#request.callerResponse.deliver(answer)
   }
 
-  async #attempt (endpoint: RoutedEndpoint): Promise<PlainOutcome> {
-    const attempt = this.#request.attempts.send(endpoint, { model: undefined, lastEventId: undefined, usesOwnConnection: !this.#isIdempotent })
-    const outcome = await this.#readResponse(attempt)
+  /** Starts an attempt at an endpoint; undefined if none is possible. */
+  async #start (): Promise<OpenAttempt | undefined> {
+    const { attempts, selection } = this.#request
+    if (!attempts.tryStart()) return undefined
+    const endpoint = await selection.awaitEndpoint(undefined)
+    return endpoint === undefined ? undefined : attempts.send(endpoint, this.#attemptOptions)
+  }
+
+  get #attemptOptions () {
+    return { model: undefined, lastEventId: undefined, usesOwnConnection: !this.#isIdempotent }
+  }
+
+  async #attempt (attempt: OpenAttempt): Promise<PlainOutcome> {
+    const reader = new DeadlineReader(attempt.exchange, this.#request.dependencies.clock)
+    const outcome = await this.#readResponse(attempt, reader)
+    reader.close()
     const mayHaveRun = outcome.type === 'lost' || outcome.type === 'answer' || outcome.type === 'relayed'
     this.#mayHaveRun ||= mayHaveRun
     return outcome
   }
 
-  async #readResponse (attempt: OpenAttempt): Promise<PlainOutcome> {
+  async #readResponse (attempt: OpenAttempt, reader: DeadlineReader): Promise<PlainOutcome> {
     const request = this.#request
-    const head = await this.#nextEvent(attempt)
+    const head = await this.#nextEvent(attempt, reader)
     if (head === undefined || head.type === 'failure') return this.#failAttempt(attempt, head?.reason)
     if (head.type !== 'head') return this.#failAttempt(attempt, 'body data before the response headers')
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
@@ -87,15 +103,15 @@
     if (request.attempts.finishIfFalselyPromised(attempt, head.status)) return { type: 'lost' }
     attempt.tracker.recordBytes(request.now)
     attempt.run.recordOutput(request.now)
-    return this.#readBody(attempt, head.status, head.headers)
+    return this.#readBody(attempt, reader, head.status, head.headers)
   }
 
-  async #readBody (attempt: OpenAttempt, status: number, headers: IncomingHttpHeaders): Promise<PlainOutcome> {
+  async #readBody (attempt: OpenAttempt, reader: DeadlineReader, status: number, headers: IncomingHttpHeaders): Promise<PlainOutcome> {
     const request = this.#request
     const chunks: Buffer[] = []
     let bytes = 0
     for (;;) {
-      const event = await this.#nextEvent(attempt)
+      const event = await this.#nextEvent(attempt, reader)
       if (event === undefined || event.type === 'failure') return this.#failAttempt(attempt, event?.reason)
       if (event.type === 'end') break
       if (event.type !== 'data') continue
@@ -152,21 +168,41 @@
     }
   }
 
-  /** Returns the next event; undefined if the attempt was silent for too long. */
-  #nextEvent (attempt: OpenAttempt) {
-    const { clock } = this.#request.dependencies
-    const { deadline, route } = this.#request
-    const silenceDeadline = this.#isIdempotent && this.#request.attempts.left > 1 ? clock.now() + route.latencyTargetMilliseconds * silenceTargetShare : deadline
-    return withDeadline(clock, Math.min(deadline, silenceDeadline), attempt.exchange.next())
+  /** Returns the next event; undefined if the deadline has passed. A silent idempotent run may be given up meanwhile. */
+  async #nextEvent (attempt: OpenAttempt, reader: DeadlineReader): Promise<ExchangeEvent | undefined> {
+    const request = this.#request
+    const { deadline, route } = request
+    let lookAt = this.#isIdempotent ? request.now + route.latencyTargetMilliseconds * silenceTargetShare : deadline
+    for (;;) {
+      const event = await reader.next(Math.min(deadline, lookAt))
+      if (event !== undefined || request.now >= deadline) {
+        this.#handover.cancel()
+        return event
+      }
+      const arrived = await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt))
+      if (arrived !== undefined) return arrived
+      lookAt = request.now + silenceCheckIntervalMilliseconds
+    }
+  }
+
+  #plannedHandover (attempt: OpenAttempt): PlannedHandover {
+    return {
+      present: attempt,
+      next: this.#attemptOptions,
+      isResumed: false,
+      endsWithOutput: true,
+      closePresent: nextEndpoint => this.#request.attempts.giveUpSilent(attempt, silentReason, nextEndpoint)
+    }
   }
 
-  /** @param reason undefined if the attempt was silent for too long */
+  /** @param reason undefined if the deadline has passed */
   #failAttempt (attempt: OpenAttempt, reason: string | undefined): PlainOutcome {
+    if (this.#handover.hasReplaced(attempt)) return { type: 'lost' }
     const request = this.#request
-    if (reason === undefined) recordGivenUp(request, attempt, request.isPastDeadline ? GiveUpReason.Deadline : GiveUpReason.Silence)
+    if (reason === undefined) recordGivenUp(request, attempt, GiveUpReason.Deadline)
     const end = request.attempts.endWithoutResponse(attempt, reason === undefined)
-    attempt.exchange.abort(reason ?? 'silent')
-    request.attempts.finishBroken(attempt, end, reason ?? 'silent')
+    attempt.exchange.abort(reason ?? silentReason)
+    request.attempts.finishBroken(attempt, end, reason ?? silentReason)
     return { type: attempt.exchange.mayHaveSent ? 'lost' : 'unsent' }
   }
 
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -8,6 +8,7 @@
 import type { ResponseHead, RoutedEndpoint } from '../routing/index.ts'
 import { AttemptOpener } from './attemptOpener.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
+import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
 import { isRequestAtFault } from './rejectedRequest.ts'
 import { RequestSends } from './requestSends.ts'
@@ -135,6 +136,13 @@
     this.finish(attempt, end, `${wasSent ? 'broke off' : 'unsent'}${begun}: ${reason}`)
   }
 
+  /** Gives up a run that was silent for too long, in the event-loop turn that writes another one. */
+  giveUpSilent (attempt: OpenAttempt, description: string, nextEndpoint: RoutedEndpoint): void {
+    recordGivenUp(this.#request, attempt, GiveUpReason.Silence, nextEndpoint)
+    attempt.exchange.abort('silent')
+    this.finishBroken(attempt, this.endWithoutResponse(attempt, true), description)
+  }
+
   #recordHeldBack ({ endpoint }: OpenAttempt): void {
     this.#dependencies.metrics.heldBack.inc({ service: this.#request.service, at: HeldBackAt.Send })
     this.#request.selection.allowRetryAt(endpoint)
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -15,7 +15,8 @@
 import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { ModelChoice } from './modelChoice.ts'
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
-import { untilInputIsRead } from '../server/index.ts'
+import type { RoutedEndpoint } from '../routing/index.ts'
+import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
 import { waitForDrain } from './plainForwarding.ts'
 
 const successStatus = 200
@@ -24,8 +25,6 @@
 /** Largest error body that is relayed to the caller. */
 const maximumFailureBodyBytes = 64 * 1024
 const silentReason = 'silent'
-/** A run that could be abandoned, but could not resume elsewhere when last checked, is checked again after this time. */
-const silenceCheckIntervalMilliseconds = 200
 /** Share of the route's maximum event gap within which an endpoint is to show that it is alive. */
 const livenessGapShare = 0.3
 
@@ -50,6 +49,7 @@
   readonly #request: ForwardedRequest
   readonly #events: EventStreamResponse
   readonly #choice: ModelChoice
+  readonly #handover: RunHandover
   #lastEventId: string | undefined
   #hasResponseStarted = false
   #mayHaveRun = false
@@ -60,18 +60,14 @@
     this.#events = new EventStreamResponse(request.callerResponse.response)
     this.#lastEventId = request.head.lastEventId
     this.#choice = new ModelChoice(request)
+    this.#handover = new RunHandover(request)
   }
 
   async run (): Promise<void> {
     const request = this.#request
     let isFull = false
-    while (request.attempts.tryStart()) {
-      this.#choice.chooseInTime()
-      const endpoint = await request.selection.awaitEndpoint(this.#choice.model, this.#hasResponseStarted)
-      if (endpoint === undefined) break
-      // On a kept connection an earlier refusal, written once more, could be taken for that of a repeated request.
-      const attempt = request.attempts.send(endpoint, { model: this.#choice.model, lastEventId: this.#lastEventId, usesOwnConnection: !request.route.isResumable })
-      this.#choice.recordRunStart()
+    for (let attempt = await this.#start(); attempt !== undefined; attempt = this.#handover.takeNext() ?? await this.#start()) {
+      this.#choice.recordRunStart(attempt.model)
       const reader = new DeadlineReader(attempt.exchange, request.dependencies.clock)
       const outcome = await this.#readResponse(attempt, reader)
       reader.close()
@@ -87,6 +83,20 @@
     this.#endUnanswered(isFull)
   }
 
+  /** Starts a run at an endpoint; undefined if none is possible. */
+  async #start (): Promise<OpenAttempt | undefined> {
+    const { attempts, selection } = this.#request
+    if (!attempts.tryStart()) return undefined
+    const model = this.#choice.modelInTime
+    const endpoint = await selection.awaitEndpoint(model, this.#hasResponseStarted)
+    return endpoint === undefined ? undefined : attempts.send(endpoint, this.#attemptOptions(model))
+  }
+
+  #attemptOptions (model: string | undefined) {
+    // On a kept connection an earlier refusal, written once more, could be taken for that of a repeated request.
+    return { model, lastEventId: this.#lastEventId, usesOwnConnection: !this.#request.route.isResumable }
+  }
+
   #endUnanswered (isFull: boolean): void {
     const request = this.#request
     this.#choice.recordAnswerEnd(false)
@@ -98,7 +108,7 @@
   async #readResponse (attempt: OpenAttempt, reader: DeadlineReader): Promise<RunOutcome> {
     const request = this.#request
     const head = await this.#nextEvent(attempt, reader, false)
-    if (head === undefined) this.#choice.recordWaitEnd()
+    if (head === undefined || this.#handover.hasReplaced(attempt)) this.#choice.recordWaitEnd()
     if (head === undefined || head.type !== 'head') return this.#failRun(attempt, reasonOf(head))
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
     if (!request.isOwnResponse(responseHead)) return this.#failRun(attempt, `response to another attempt: ${responseHead.attemptId ?? 'unnamed'}`, AttemptEnd.Cancelled)
@@ -112,20 +122,36 @@
     if (head.status !== successStatus) return this.#readFailure(attempt, reader, head.status, head.headers)
     this.#choice.recordWaitEnd()
     const isTrusted = this.#choice.isTrusted(responseHead.confidence, this.#hasResponseStarted)
-    if (!isTrusted && request.selection.hasEndpointBeside(attempt.endpoint, this.#choice.larger)) return this.#discardForLargerModel(attempt, responseHead.confidence)
+    if (!isTrusted && await this.#isReplacedByLargerModel(attempt, responseHead.confidence)) return RunOutcome.Discarded
     return this.#relay(attempt, reader, head.headers)
   }
 
-  #discardForLargerModel (attempt: OpenAttempt, confidence: number | undefined): RunOutcome {
+  /** Begins a larger model's run, and waits until it is written in the place of the present one or can't be. */
+  async #isReplacedByLargerModel (attempt: OpenAttempt, confidence: number | undefined): Promise<boolean> {
+    const { selection } = this.#request
+    const model = this.#choice.largerInTime
+    if (model === undefined) return false
+    const planned: PlannedHandover = {
+      present: attempt,
+      next: this.#attemptOptions(model),
+      isResumed: false,
+      endsWithOutput: false,
+      closePresent: nextEndpoint => this.#discard(attempt, confidence, nextEndpoint)
+    }
+    selection.allowRetryAt(attempt.endpoint)
+    if (this.#handover.tryBegin(planned)) await this.#handover.untilDecided()
+    const isReplaced = this.#handover.hasReplaced(attempt)
+    if (!isReplaced) selection.markTried(attempt.endpoint)
+    return isReplaced
+  }
+
+  #discard (attempt: OpenAttempt, confidence: number | undefined, nextEndpoint: RoutedEndpoint): void {
     const request = this.#request
     attempt.evidence?.recordBegin(request.now)
-    recordGivenUp(request, attempt, GiveUpReason.LargerModel)
+    recordGivenUp(request, attempt, GiveUpReason.LargerModel, nextEndpoint)
     attempt.exchange.abort('discarded in favour of a larger model')
     request.attempts.finish(attempt, AttemptEnd.Answered, `dropped at confidence ${confidence}`)
-    request.selection.allowRetryAt(attempt.endpoint)
     request.dependencies.metrics.escalations.inc({ service: request.service })
-    this.#choice.escalate()
-    return RunOutcome.Discarded
   }
 
   async #relay (attempt: OpenAttempt, reader: DeadlineReader, headers: IncomingHttpHeaders): Promise<RunOutcome> {
@@ -136,7 +162,7 @@
     for (let waitedSince = request.now; ;) {
       const event = await this.#nextEvent(attempt, reader, hasRunStarted)
       if (event?.type === 'end' && splitter.pendingBytes === 0) return await this.#finishResponse(attempt, headers)
-      if (event === undefined && hasRunStarted) this.#choice.recordEvents(0, request.now - waitedSince)
+      if (hasRunStarted && (event === undefined || this.#handover.hasReplaced(attempt))) this.#choice.recordEvents(0, request.now - waitedSince)
       if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
       if (splitter.pendingBytes > maximumEventBytes) return this.#failRun(attempt, 'event too large')
@@ -216,7 +242,7 @@
     return RunOutcome.Failed
   }
 
-  /** Returns the next event; undefined if the run is abandoned for its silence or the deadline has passed. */
+  /** Returns the next event; undefined if the deadline has passed. A silent run may be given up for another meanwhile. */
   async #nextEvent (attempt: OpenAttempt, reader: DeadlineReader, hasRunStarted: boolean): Promise<ExchangeEvent | undefined> {
     const request = this.#request
     const { liveness } = request.dependencies
@@ -224,19 +250,27 @@
     const waitingSince = request.now
     for (let now = waitingSince; ; now = request.now) {
       const millisecondsLeft = millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, waitingSince, now))
-      if (millisecondsLeft <= 0 && this.#canResumeElsewhere()) return await this.#eventAfterStall(attempt)
+      const arrived = millisecondsLeft <= 0 ? await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt)) : undefined
+      if (arrived !== undefined) return arrived
       const millisecondsToCheck = millisecondsLeft - livenessMilliseconds
-      if (hasRunStarted && millisecondsToCheck <= 0 && this.#canResumeElsewhere()) liveness.check(attempt.endpoint)
+      if (hasRunStarted && millisecondsToCheck <= 0 && this.#handover.mayBegin(this.#plannedHandover(attempt))) liveness.check(attempt.endpoint)
       const nextLookMilliseconds = [millisecondsToCheck, millisecondsLeft].find(milliseconds => milliseconds > 0) ?? silenceCheckIntervalMilliseconds
       const event = await reader.next(Math.min(request.deadline, now + Math.ceil(nextLookMilliseconds)))
-      if (event !== undefined || request.now >= request.deadline || request.hasCallerLeft) return event
+      if (event !== undefined || request.now >= request.deadline || request.hasCallerLeft) {
+        this.#handover.cancel()
+        return event
+      }
     }
   }
 
-  /** After a stall of the event loop a run looks silent although its next event has arrived. */
-  async #eventAfterStall ({ exchange }: OpenAttempt): Promise<ExchangeEvent | undefined> {
-    await untilInputIsRead(this.#request.dependencies.clock)
-    return exchange.poll()
+  #plannedHandover (attempt: OpenAttempt): PlannedHandover {
+    return {
+      present: attempt,
+      next: this.#attemptOptions(this.#choice.modelInTime),
+      isResumed: this.#hasResponseStarted,
+      endsWithOutput: true,
+      closePresent: nextEndpoint => this.#request.attempts.giveUpSilent(attempt, this.#describe(silentReason), nextEndpoint)
+    }
   }
 
   #silenceOf ({ promptMilliseconds, tracker }: OpenAttempt, hasStarted: boolean, waitingSince: number, now: number): RunSilence {
@@ -254,20 +288,18 @@
     }
   }
 
-  /** Whether another run is possible if the present one is abandoned. If not, waiting is better, since a silent run may still respond. */
-  #canResumeElsewhere (): boolean {
-    const { attempts, route } = this.#request
-    if (attempts.left < 2 || !route.isResumable || !attempts.allowsRetry) return false
-    return this.#request.selection.choose(this.#choice.model) !== undefined
-  }
-
   #failRun (attempt: OpenAttempt, reason: string, end: AttemptEnd = this.#request.attempts.endWithoutResponse(attempt, reason === silentReason)): RunOutcome {
-    const request = this.#request
-    if (reason === silentReason) recordGivenUp(request, attempt, request.isPastDeadline ? GiveUpReason.Deadline : GiveUpReason.Silence)
+    if (this.#handover.hasReplaced(attempt)) return RunOutcome.Broken
+    const { attempts } = this.#request
+    if (reason === silentReason) recordGivenUp(this.#request, attempt, GiveUpReason.Deadline)
     attempt.exchange.abort(reason)
-    request.attempts.finishBroken(attempt, end, `${reason}, after ${this.#lastEventId ?? 'nothing'}`)
+    attempts.finishBroken(attempt, end, this.#describe(reason))
     return attempt.exchange.mayHaveSent ? RunOutcome.Broken : RunOutcome.Unsent
   }
+
+  #describe (reason: string): string {
+    return `${reason}, after ${this.#lastEventId ?? 'nothing'}`
+  }
 }
 
 function reasonOf (event: ExchangeEvent | undefined): string {
