Leave an endpoint in service that was silent and goes on

A run that was given up for silence ended as lost, like one whose endpoint refuses connections: the endpoint was excluded for 1 s, doubling to 8 s, and bytes that it sent meanwhile did not end that. A sound endpoint that falls silent for a second now and then was out of service at each gateway, so that fewer endpoints were left to others.

Silence has an end of its own now (AttemptEnd.Silent). It excludes the endpoint for 1 s, or 2 s if nothing was received since the silence before, and the first byte received by any run ends that. A silent endpoint is probed by one request beside the runs that are as silent.

Tests: npx vitest run test/placement.test.ts. With the end as lost in place of silent, the test of ten pauses fails, since the endpoint is still excluded when it sends again; it passes now.

--- a/src/gateway/endpointSelection.ts
+++ b/src/gateway/endpointSelection.ts
@@ -74,10 +74,11 @@
     return this.#dependencies.placement.choose(this.#placementRequest(model, isResumed), this.#untriedEndpoints(), this.#request.now)
   }
 
-  /** Chooses an endpoint that need not be queued for; undefined if there is none. */
+  /** Chooses an endpoint that has not just fallen silent and need not be queued for; undefined if there is none. */
   chooseAtOnce (model: string | undefined, isResumed: boolean): RoutedEndpoint | undefined {
     const endpoint = this.choose(model, isResumed)
-    return endpoint === undefined || this.#hasToQueueFor(endpoint) ? undefined : endpoint
+    if (endpoint === undefined || this.#hasToQueueFor(endpoint)) return undefined
+    return this.#dependencies.loads.isSilent(endpoint, this.#request.now) ? undefined : endpoint
   }
 
   /** Chooses an endpoint; while the rate limits of all are used up, waits for a place. Undefined if none is eligible in time. */
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -157,13 +157,14 @@
 
   /**
    * Classifies an attempt that ended without a response. An endpoint that broke off a request after
-   * accepting it is reachable; one that refused the connection or stayed silent may not be.
+   * accepting it is reachable, and so may one be that stayed silent; one that refused the connection is not.
    */
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
     if (this.#request.hasCallerLeft || attempt.isBlocked() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
     const wasLeftAlone = !attempt.exchange.mayHaveSent && this.#isLeftAlone(attempt.endpoint)
     if (wasLeftAlone || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
-    return isSilent || !attempt.exchange.mayHaveSent ? AttemptEnd.Lost : AttemptEnd.Failed
+    if (!attempt.exchange.mayHaveSent) return AttemptEnd.Lost
+    return isSilent ? AttemptEnd.Silent : AttemptEnd.Failed
   }
 
   /** Whether the request may not be sent to an endpoint now. That says nothing of whether the endpoint can be reached. */
--- a/src/placement/endpointHealth.ts
+++ b/src/placement/endpointHealth.ts
@@ -1,12 +1,16 @@
 /**
  * Passive health checking of one endpoint, based on the outcomes of this daemon's own attempts. An
  * endpoint that is unreachable or silent is excluded at once, because every attempt at it uses up part
- * of a caller's timeout. An endpoint that fails some of its responses stays eligible at a higher cost,
+ * of a caller's timeout. A sound endpoint may be silent for a moment, so that the exclusion of a silent one is
+ * short and ends with the first byte that is received from it. An endpoint that fails some of its responses stays eligible at a higher cost,
  * since the requests themselves may cause the failures.
  */
 
 const initialExclusionMilliseconds = 1_000
 const maximumExclusionMilliseconds = 8_000
+const initialSilenceExclusionMilliseconds = 1_000
+/** After further silences with no byte received between them. */
+const repeatedSilenceExclusionMilliseconds = 2_000
 /** Exclusion after a refusal for lack of capacity; short, since capacity may be free again a moment later. */
 const fullExclusionMilliseconds = 150
 /** Attempts in flight that an endpoint may have at first after its overload; doubles with each response that begins. */
@@ -27,6 +31,10 @@
   #allowedAttempts = Number.POSITIVE_INFINITY
   #failureRate = 0
   #isHalfOpen = false
+  #silentUntil = Number.NEGATIVE_INFINITY
+  #hasBeenSilent = false
+  /** Attempts in flight that a silent endpoint may have, one of them a probe. */
+  #allowedAttemptsInSilence = Number.POSITIVE_INFINITY
 
   /** Records a response; `failed` if the endpoint itself failed the request. */
   recordResponse (failed: boolean): void {
@@ -36,7 +44,31 @@
     this.#isHalfOpen = false
   }
 
-  /** Records that the endpoint was unreachable or fell silent. Excludes it with exponential backoff. */
+  /**
+   * Records that an attempt was given up because nothing was received. Excludes the endpoint for a short time.
+   *
+   * @param inFlight this daemon's other attempts in flight, which may be as silent
+   */
+  recordSilence (now: number, inFlight: number): void {
+    this.#allowedAttemptsInSilence = inFlight + 1
+    if (this.isSilent(now)) return
+    this.#silentUntil = now + (this.#hasBeenSilent ? repeatedSilenceExclusionMilliseconds : initialSilenceExclusionMilliseconds)
+    this.#hasBeenSilent = true
+  }
+
+  /** Records that bytes were received from the endpoint, which is not silent then. */
+  recordBytes (): void {
+    this.#silentUntil = Number.NEGATIVE_INFINITY
+    this.#hasBeenSilent = false
+    this.#allowedAttemptsInSilence = Number.POSITIVE_INFINITY
+  }
+
+  /** Whether the endpoint is excluded because it has fallen silent. */
+  isSilent (now: number): boolean {
+    return now < this.#silentUntil
+  }
+
+  /** Records that the endpoint was unreachable. Excludes it with exponential backoff. */
   recordLoss (now: number): void {
     if (now < this.#excludedUntil) return
     const milliseconds = Math.min(maximumExclusionMilliseconds, initialExclusionMilliseconds * 2 ** this.#consecutiveExclusions)
@@ -68,7 +100,8 @@
    * @param inFlight this daemon's attempts in flight; after an exclusion only one probe at a time is let through
    */
   mayTry (now: number, inFlight: number): boolean {
-    if (now < this.#excludedUntil || this.isFull(now) || inFlight >= this.#allowedAttempts) return false
+    if (now < this.#excludedUntil || this.isSilent(now) || this.isFull(now)) return false
+    if (inFlight >= Math.min(this.#allowedAttempts, this.#allowedAttemptsInSilence)) return false
     return !this.#isHalfOpen || inFlight === 0
   }
 
--- a/src/placement/endpointLoads.ts
+++ b/src/placement/endpointLoads.ts
@@ -14,8 +14,10 @@
   Answered: 'answered',
   /** The endpoint failed the request, or broke it off while it was reachable. */
   Failed: 'failed',
-  /** The endpoint was unreachable or fell silent. */
+  /** The endpoint was unreachable. */
   Lost: 'lost',
+  /** Nothing was received for so long that the attempt was given up; the endpoint may be sound. */
+  Silent: 'silent',
   /** The endpoint had no capacity and did not execute the request. */
   Full: 'full',
   /** Abandoned for a reason on the caller's or this daemon's side. */
@@ -105,6 +107,7 @@
     load.lastUsedAt = now
     const recordBytes = (at: number) => {
       load.lastByteAt = at
+      load.health.recordBytes()
       if (!hasReceivedBytes) load.attemptsWithoutBytes--
       hasReceivedBytes = true
     }
@@ -127,7 +130,7 @@
         load.workMilliseconds = Math.max(0, load.workMilliseconds - remainingMilliseconds)
         load.inFlight--
         if (!hasReceivedBytes) load.attemptsWithoutBytes--
-        recordEnd(load.health, end, at)
+        recordEnd(load, end, at)
         if (runsModels && end === AttemptEnd.Answered && respondedAt !== undefined) this.#recordDuration(at - respondedAt)
       }
     }
@@ -172,6 +175,11 @@
     return load === undefined || load.health.mayTry(now, load.inFlight)
   }
 
+  /** Whether an endpoint is excluded because it has fallen silent. */
+  isSilent (endpoint: RoutedEndpoint, now: number): boolean {
+    return this.#loads.get(instanceKey(endpoint))?.health.isSilent(now) ?? false
+  }
+
   /** Whether an endpoint has just refused a request for lack of capacity. */
   isFull (endpoint: RoutedEndpoint, now: number): boolean {
     return this.#loads.get(instanceKey(endpoint))?.health.isFull(now) ?? false
@@ -222,9 +230,10 @@
   }
 }
 
-function recordEnd (health: EndpointHealth, end: AttemptEnd, now: number): void {
+function recordEnd ({ health, inFlight }: EndpointLoad, end: AttemptEnd, now: number): void {
   if (end === AttemptEnd.Answered) health.recordResponse(false)
   if (end === AttemptEnd.Failed) health.recordResponse(true)
   if (end === AttemptEnd.Lost) health.recordLoss(now)
+  if (end === AttemptEnd.Silent) health.recordSilence(now, inFlight)
   if (end === AttemptEnd.Full) health.recordFull(now)
 }
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -86,6 +86,30 @@
   expect(health.mayTry(1_200, 5)).toBe(true)
 })
 
+test('a silent endpoint is excluded for a short time, however often, and probed by one request beside those that are as silent', () => {
+  const health = new EndpointHealth()
+  for (let silence = 0; silence < 10; silence++) {
+    health.recordSilence(silence * 10_000, 3)
+    expect(health.mayTry(silence * 10_000 + 500, 3)).toBe(false)
+    expect(health.mayTry(silence * 10_000 + 2_000, 3)).toBe(true)
+    expect(health.mayTry(silence * 10_000 + 2_000, 4)).toBe(false)
+  }
+})
+
+test('ten pauses of a sound endpoint, each with a run given up, leave it in service as soon as it sends again', () => {
+  const target = endpoint('sound')
+  const loads = new EndpointLoads()
+  for (let now = 0; now < 20_000; now += 2_000) {
+    const [givenUp, kept] = [loads.track(target, request.work, now), loads.track(target, request.work, now)]
+    givenUp.close(AttemptEnd.Silent, now + 900)
+    expect(loads.mayTry(target, now + 950)).toBe(false)
+    kept.recordBytes(now + 1_000)
+    kept.close(AttemptEnd.Answered, now + 1_100)
+    expect(loads.mayTry(target, now + 1_000)).toBe(true)
+    expect(loads.costFactorOf(target)).toBe(1)
+  }
+})
+
 test('when all endpoints are excluded for lost attempts, one is still tried; when all are full, none is', () => {
   const endpoints = ['a', 'b'].map(name => endpoint(name))
   const loads = new EndpointLoads()
