Send nothing more on connections that were open when one fell silent

Middleboxes drop the state of many connections at once. A run that was given up for silence left the other open connections to its endpoint in use, and the run that took its place went to a pooled connection of the next endpoint, which was as silent: the caller got 504 while both endpoints took new connections.

A run given up for silence now retires the open connections to its endpoint, and so does one that ends at its deadline if no run has received anything from that endpoint meanwhile. The run that takes a silent one's place gets a connection of its own, whose opening shows that the endpoint accepts it.

--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -188,7 +188,7 @@
   #plannedHandover (attempt: OpenAttempt): PlannedHandover {
     return {
       present: attempt,
-      next: this.#attemptOptions,
+      next: { ...this.#attemptOptions, usesOwnConnection: true },
       isResumed: false,
       endsWithOutput: true,
       closePresent: nextEndpoint => this.#request.attempts.giveUpSilent(attempt, silentReason, nextEndpoint)
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -131,18 +131,29 @@
     if (wasSent) this.#dependencies.metrics.brokenRuns.inc({ service, end, progress: begunAt === undefined ? RunProgress.Waiting : RunProgress.Begun })
     this.#hasBrokenOff ||= wasSent
     if (wasSent && end === AttemptEnd.Failed) this.#recordBreak(attempt)
+    if (wasSent && end === AttemptEnd.Silent && this.#hasEndpointBeenSilent(attempt)) this.#dependencies.connections.retire(attempt.endpoint.address)
     if (!wasSent && end === AttemptEnd.Lost) attempt.run.recordRefusal(now)
     const begun = begunAt === undefined ? '' : `, begun ${Math.round(now - begunAt)}ms before`
     this.finish(attempt, end, `${wasSent ? 'broke off' : 'unsent'}${begun}: ${reason}`)
   }
 
-  /** Gives up a run that was silent for too long, in the event-loop turn that writes another one. */
+  /**
+   * Gives up a run that was silent for too long, in the event-loop turn that writes another one. All connections to its
+   * endpoint that are open may have fallen silent for good, while new ones work.
+   */
   giveUpSilent (attempt: OpenAttempt, description: string, nextEndpoint: RoutedEndpoint): void {
     recordGivenUp(this.#request, attempt, GiveUpReason.Silence, nextEndpoint)
+    this.#dependencies.connections.retire(attempt.endpoint.address)
     attempt.exchange.abort('silent')
     this.finishBroken(attempt, this.endWithoutResponse(attempt, true), description)
   }
 
+  /** Whether no run has received anything from the endpoint since this one last did, or was sent. */
+  #hasEndpointBeenSilent ({ exchange, tracker }: OpenAttempt): boolean {
+    const { now } = this.#request
+    return tracker.silentMilliseconds(now) >= now - exchange.lastActivityAt
+  }
+
   #recordHeldBack ({ endpoint }: OpenAttempt): void {
     this.#dependencies.metrics.heldBack.inc({ service: this.#request.service, at: HeldBackAt.Send })
     this.#request.selection.allowRetryAt(endpoint)
--- a/src/gateway/runHandover.ts
+++ b/src/gateway/runHandover.ts
@@ -3,8 +3,9 @@
  * retry budget, an endpoint that need not be queued for and its place under a rate limit, and opens the connection, all
  * in one event-loop turn; the present run is read on meanwhile. In the turn that writes the other run the present one
  * is closed, so that two runs of a request are never at work beside each other. If the present run has sent something
- * by then, or the other can't be written, what was reserved is given back and the present run goes on. Requests that
- * may run only once are never given up.
+ * by then, or the other can't be written, what was reserved is given back and the present run goes on. A run that takes
+ * the place of a silent one is sent on a connection of its own, whose opening shows that the endpoint accepts it. Requests
+ * that may run only once are never given up.
  */
 import type { ExchangeEvent } from '../endpoint/index.ts'
 import { AttemptEnd } from '../placement/index.ts'
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -266,7 +266,7 @@
   #plannedHandover (attempt: OpenAttempt): PlannedHandover {
     return {
       present: attempt,
-      next: this.#attemptOptions(this.#choice.modelInTime),
+      next: { ...this.#attemptOptions(this.#choice.modelInTime), usesOwnConnection: true },
       isResumed: this.#hasResponseStarted,
       endsWithOutput: true,
       closePresent: nextEndpoint => this.#request.attempts.giveUpSilent(attempt, this.#describe(silentReason), nextEndpoint)
--- a/test/silentEndpoints.test.ts
+++ b/test/silentEndpoints.test.ts
@@ -1,7 +1,9 @@
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
+import { endpointDocument } from '../platform/standin/index.ts'
 import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
 import { type GatewayFleetOptions, GatewayFleet } from './fakes/gatewayFleet.ts'
 import { block, pause } from './fakes/rawCaller.ts'
+import { SilencingFront } from './fakes/silencingFront.ts'
 
 /** Beyond the silence after which runs are given up, and well within the deadline. */
 const pauseMilliseconds = 1_000
@@ -20,7 +22,30 @@
 describe('endpoints on sockets', () => {
   let harness: ForwarderHarness
   beforeEach(async () => { harness = await ForwarderHarness.start() })
-  afterEach(async () => await harness.close())
+  afterEach(async () => {
+    await Promise.all(fronts.splice(0).map(front => front.close()))
+    await harness.close()
+  })
+
+  const fronts: SilencingFront[] = []
+
+  /** Starts an endpoint of the plain service whose open connections a test can silence. */
+  async function startEndpointBehindFront (): Promise<void> {
+    const ledger = await harness.startEndpoint('ledger')
+    ledger.handleWith(async (_request, response) => {
+      await pause(50)
+      response.end('done')
+    })
+    const front = await SilencingFront.start(ledger.address)
+    fronts.push(front)
+    harness.store.put('servers', ledger.identity, endpointDocument('ledger', front.address))
+  }
+
+  /** Leaves several open connections to each endpoint. */
+  async function openConnections (host: string): Promise<void> {
+    const responses = await Promise.all(Array.from({ length: 12 }, () => harness.call(host, '/balance/0')))
+    for (const { status } of responses) expect(status).toBe(200)
+  }
 
   async function startReadyForwarder (bounds: Record<string, number>): Promise<string> {
     harness.putConfiguration(1)
@@ -74,6 +99,26 @@
     expect(response).toMatchObject({ status: 200, body: formatEvent(1) + formatEvent(2), isComplete: true })
   })
 
+  test('an idempotent call is answered although all open connections fall silent for good, while new ones work', async () => {
+    for (let index = 0; index < 2; index++) await startEndpointBehindFront()
+    const host = await startReadyForwarder({ retry_ratio: 6 })
+    await openConnections(host)
+    for (const front of fronts) front.silenceOpenConnections()
+    for (let call = 0; call < 3; call++) {
+      expect(await harness.call(host, '/balance/1', { headers: { 'deadline-ms': '1900' } })).toMatchObject({ status: 200, body: 'done' })
+    }
+  })
+
+  test('after a call that ended at its deadline at a silent connection, the next ones are sent on new connections', async () => {
+    await startEndpointBehindFront()
+    const host = await startReadyForwarder(noRetries)
+    await openConnections(host)
+    fronts[0]!.silenceOpenConnections()
+    expect((await harness.call(host, '/balance/1', { headers: { 'deadline-ms': '500' } })).status).toBe(504)
+    const next = await Promise.all(Array.from({ length: 4 }, () => harness.call(host, '/balance/2', { headers: { 'deadline-ms': '500' } })))
+    for (const response of next) expect(response).toMatchObject({ status: 200, body: 'done' })
+  })
+
   test('of streams that fall silent together, none is closed for the one retry that is left', async () => {
     const engines = await Promise.all([1, 2, 3].map(() => harness.startEndpoint('engines')))
     let begun = 0
