Answer pipelined requests behind an answer that has no length

Callers that send requests ahead: where an endpoint answers without a length, the gateway ended the connection with that answer, although further whole requests had been read on it and passed on to endpoints. They got nothing.

Cause: a short answer without a frame is delimited to the caller by the close of its connection as well; only requests that are read after it were kept from endpoints, not those that had been read before.

Evidence: two requests in one packet, the first answered without a length: 'connection: close' and no second answer, though its endpoint had run it.

Fix: such an answer has a length if the next request of its connection has been read. Longer answers and streams without a frame are framed in the same way already, once their endpoint has outlived the end of the answer.

The test failed before and passes now: npx vitest run test/callerCloses.test.ts

--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -8,7 +8,7 @@
 import type { LogFields } from '../observe/index.ts'
 import type { ForwardingDependencies } from './forwarding.ts'
 import type { Ineligibility } from '../placement/index.ts'
-import { CloseCause } from '../server/index.ts'
+import { CloseCause, isFollowed } from '../server/index.ts'
 import { type ForwardRefusal, ForwardRefusals, contentBlocked, endpointsLimited, endpointsOverloaded, sendRefusal, unreachable } from './forwardRefusal.ts'
 
 const answeredOutcome = 'answered'
@@ -118,10 +118,13 @@
     this.refuse(isFull ? ForwardRefusals.endpointsFull : ForwardRefusals.noEndpoint)
   }
 
-  /** Sends a buffered response. Of a short one without a frame no more is claimed than its endpoint did. */
+  /**
+   * Sends a buffered response. Of a short one without a frame no more is claimed than its endpoint did, unless
+   * the close of the connection would cut requests that were read after it.
+   */
   deliver ({ status, headers, body }: CompleteResponse): void {
     const callerHeaders = this.toCallerHeaders(headers)
-    const isDelimited = isSelfDelimited(headers) || body.length > maximumSingleWriteBytes
+    const isDelimited = isSelfDelimited(headers) || body.length > maximumSingleWriteBytes || isFollowed(this.response)
     this.recordFrames(headers, isDelimited ? ResponseFrame.Length : ResponseFrame.Close)
     this.recordBytes(body.length)
     if (isDelimited) this.response.writeHead(status, { ...callerHeaders, 'content-length': body.length }).end(body)
--- a/src/gateway/responseFraming.ts
+++ b/src/gateway/responseFraming.ts
@@ -3,7 +3,8 @@
  * order. What leaves this process bit by bit is therefore never delimited by the close of its connection:
  * it has a length or is chunked, or is held for an HTTP/1.0 caller, which can read no chunks. A short response
  * that its endpoint delimited by the close leaves in one write, which no kill can cut, and is delimited the
- * same way, since a frame would claim a completeness that is not known.
+ * same way, since a frame would claim a completeness that is not known. It has a length all the same where
+ * further requests of its connection were read, which the close would cut.
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -1,6 +1,7 @@
 /** One connection of a caller: what was read of it, and which of its responses are still open. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { markFollowed } from './followedResponse.ts'
 
 /** Requests of one connection that are served at a time; answers leave in order, so more of them only wait. */
 const maximumServed = 16
@@ -184,6 +185,7 @@
 
   /** A response that is not the last any more must not end the connection. */
   #moveEnd (response: ServerResponse): void {
+    if (this.#last !== undefined) markFollowed(this.#last.response)
     if (this.#isRetiring && this.#last !== undefined && !this.#last.response.headersSent) this.#last.response.shouldKeepAlive = this.#last.mayKeepAlive
     this.#last = { response, mayKeepAlive: response.shouldKeepAlive }
     if (this.#isRetiring) announceEnd(response)
--- a/test/callerCloses.test.ts
+++ b/test/callerCloses.test.ts
@@ -47,3 +47,21 @@
   await Promise.race([caller.until(21), pause(5_000)])
   expect(caller.statuses).toEqual([...requests.map(() => 200), 400])
 })
+
+test('a request that was passed on behind another one is answered although the answer before it has no length', async () => {
+  ledger.handleWith(({ path }, response) => {
+    if (path === '/balance/2') {
+      response.end('done')
+      return
+    }
+    response.removeHeader('connection')
+    response.shouldKeepAlive = false
+    response.useChunkedEncodingByDefault = false
+    response.writeHead(200)
+    setTimeout(() => response.end('unframed'), answerMilliseconds)
+  })
+  caller.write(requestHead('/balance/1', { id: 'unframed', method: 'GET' }) + requestHead('/balance/2', { id: 'behind', method: 'GET' }))
+  await Promise.race([caller.until(2), pause(3_000)])
+  expect(caller.text).toContain('unframed')
+  expect(caller.text).toContain('done')
+})
