--- a/test/fakes/floodServer.ts
+++ b/test/fakes/floodServer.ts
@@ -1,10 +1,12 @@
-/** A TCP server that answers each request with bytes that never end, until the caller closes the connection. */
+/** A TCP server that answers each request with bytes that never end, or stop, until the caller closes the connection. */
 import { type AddressInfo, createServer, type Socket } from 'node:net'
 
-/** The head of a response and the block that follows it without end. */
+/** The head of a response and the block that follows it again and again. */
 export interface Flood {
   readonly begin: (request: string) => string
   readonly block: string
+  /** Bytes after which nothing more is sent, although the response is not whole; without end by default. */
+  readonly maximumBytes?: number
 }
 
 const blockBytes = 16 * 1024
@@ -49,15 +51,15 @@
       isFlooding = true
       this.requests++
       this.openConnections++
-      this.#write(socket, this.#flood.begin(request))
+      this.#write(socket, this.#flood.begin(request), this.#flood.maximumBytes ?? Number.POSITIVE_INFINITY)
     })
   }
 
-  #write (socket: Socket, text: string): void {
+  #write (socket: Socket, text: string, bytesLeft: number): void {
     const block = this.#flood.block.repeat(Math.ceil(blockBytes / this.#flood.block.length))
-    if (socket.destroyed) return
+    if (socket.destroyed || text.length > bytesLeft) return
     this.sentBytes += text.length
-    socket.write(text, () => setImmediate(() => this.#write(socket, block)))
+    socket.write(text, () => setImmediate(() => this.#write(socket, block, bytesLeft - text.length)))
   }
 }
 
--- a/test/fakes/gatewayProcess.ts
+++ b/test/fakes/gatewayProcess.ts
@@ -1,6 +1,6 @@
 /** Runs the built gateway program as a process of its own, so that its memory can be measured. */
 import { type ChildProcess, spawn, spawnSync } from 'node:child_process'
-import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { parse } from 'smol-toml'
@@ -11,9 +11,8 @@
 /** Builds the program into a directory of its own. */
 export function buildProgram (): string {
   const directory = mkdtempSync(join(tmpdir(), 'lavenderdoor-process-'))
-  const { status } = spawnSync(process.execPath, ['scripts/buildForwarder.mjs'])
+  const { status } = spawnSync(process.execPath, ['scripts/buildForwarder.mjs', directory])
   if (status !== 0) throw new Error('the program was not built')
-  for (const name of ['forwarder.cjs', 'launch.cjs', 'forwarder.cjs.cache']) copyFileSync(join('target', name), join(directory, name))
   return directory
 }
 
