Count a run that is silent until its deadline as silent, also when the event loop was busy then

What callers saw: after a call that had ended with 504 at a silent connection, the next calls to the same endpoint waited on connections as silent and ended with 504 as well; and the endpoint was counted as having broken the run off, which is what crashes are inferred from.

Cause: the exchange's inactivity timeout was the time left until the deadline, so that it and the deadline were due at the same moment. When the event loop was busy then, the timeout could come first, and its failure was taken for that of the endpoint.

Fix: the exchange's timeout leaves the deadline a second's lead. The deadline ends every read of an attempt.

--- a/src/gateway/attemptOpener.ts
+++ b/src/gateway/attemptOpener.ts
@@ -10,6 +10,9 @@
 import type { AttemptOptions, OpenAttempt } from './openAttempt.ts'
 import type { RequestSends } from './requestSends.ts'
 
+/** Added to the time that is left: the request's deadline ends a silent attempt, and only then the exchange's own timeout. */
+const inactivityMarginMilliseconds = 1_000
+
 interface ExchangeStart {
   /** Milliseconds of the process's clock. */
   readonly startedAt: number
@@ -101,7 +104,7 @@
       }),
       body: body.length === 0 ? undefined : body,
       responseMark: head.attemptId,
-      inactivityTimeoutMilliseconds: Math.max(1, deadline - startedAt),
+      inactivityTimeoutMilliseconds: Math.max(0, deadline - startedAt) + inactivityMarginMilliseconds,
       mayStillSend
     }
   }
--- a/test/gatewayStall.test.ts
+++ b/test/gatewayStall.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { ForwarderHarness, formatEvent } from './fakes/forwarderWorld.ts'
+import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
 import { RawCaller, block, pause, requestHead } from './fakes/rawCaller.ts'
 
 const idleMilliseconds = 600
@@ -8,6 +8,8 @@
 const keepAliveBufferMilliseconds = 1_000
 /** Beyond the silence after which a run is abandoned, and within the deadline. */
 const stallMilliseconds = 800
+const silentDeadlineMilliseconds = 500
+const silentCalls = 20
 
 let harness: ForwarderHarness
 let host: string
@@ -56,6 +58,19 @@
   expect(engines.flatMap(({ received }) => received)).toHaveLength(1)
 })
 
+test('runs that are silent until their deadline do not count as broken off by their endpoint after a stall of the event loop', async () => {
+  const ledger = await harness.startEndpoint('ledger')
+  ledger.handleWith(() => undefined)
+  await harness.waitUntilReady(host)
+  const calls = Array.from({ length: silentCalls }, () => harness.call(host, '/balance/1', { headers: { 'deadline-ms': String(silentDeadlineMilliseconds) } }))
+  await waitUntil(() => ledger.received.length === silentCalls)
+  await pause(silentDeadlineMilliseconds - 100)
+  block(200)
+  for (const response of await Promise.all(calls)) expect(response.status).toBe(504)
+  const metrics = await (await fetch(`http://${host}:8220/metrics`)).text()
+  expect(metrics).toContain(`lavenderdoor_forward_broken_runs_total{service="ledger",end="silent",progress="waiting"} ${silentCalls}\n`)
+})
+
 test('a head that has arrived within its limit is not refused as late after a stall of the event loop', async () => {
   await harness.startEndpoint('ledger')
   await harness.waitUntilReady(host)
