Give news of the store one budget of time over all its hops

The store held a call for 3.0 s, the reply was awaited for 0.9 s, a retry came 0.05 to 0.15 s later; a relay's waits and those of a follower added up; and where 2.5 s are allowed, as the default is, 3.0 s alone are too long.

divideNewsTime derives all waits from the allowed time. A held call that is overdue is followed at once by a call that the store does not hold, over a new connection; the same after any time without calls. A follower whose tables reach the maximum age asks the store itself in that way, whatever holds up its relay, so the waits of the hops no longer add up. A relay that has answered so far is asked once more, over a new connection, before it is left.

--- a/src/forwarder/followingComposition.ts
+++ b/src/forwarder/followingComposition.ts
@@ -1,6 +1,6 @@
 /** Composes how a gateway follows the store: itself, through a relay, or through its peers. */
 import { Table } from '../../platform/index.ts'
-import { ConfirmationMonitor, PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay, defaultFeedWaitMilliseconds } from '../replica/index.ts'
+import { ConfirmationMonitor, type NewsTimeBudget, PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay, divideNewsTime } from '../replica/index.ts'
 import type { ForwarderDependencies } from './composition.ts'
 
 /** Tables that every forwarder follows. */
@@ -8,17 +8,12 @@
 
 /** Fleet size from which most gateways follow the store through a few relays. */
 const minimumRelayFleetSize = 16
-/** A relay's tables must have been confirmed by the store within this share of the time allowed for applying new settings. */
-const relayFreshnessShare = 0.7
-/** The store's confirmation of the tables counts as stale from this share of that time. */
+/** The store's confirmation of the tables counts as stale from this share of the time allowed for applying new settings. */
 const staleConfirmationShare = 0.85
 /** On a slower link a gateway that starts waits longer for a relay, which sends tables deflated, before it reads the store. */
 const fastLinkMegabits = 500
 const startUpReplyMilliseconds = 120
 const startUpReplyOnSlowLinkMilliseconds = 900
-/** Part of that time reserved for a call to the store beyond its wait. */
-const relayFeedGraceMilliseconds = 600
-const minimumRelayFeedWaitMilliseconds = 300
 
 export function makeFollower (parts: ForwarderDependencies): ReplicaFollower {
   const { store, clock, randomness, log } = parts
@@ -27,9 +22,8 @@
     tables: followedTables,
     rewrittenTables: [Table.Orders],
     isNeeded: table => table !== Table.Status || parts.rollOuts.hasActiveRollOut || parts.follower.isOfEarlierEpoch(table),
-    feedWaitMilliseconds: () => mayServeAsRelay(parts)
-      ? Math.min(defaultFeedWaitMilliseconds, Math.max(minimumRelayFeedWaitMilliseconds, relayMaximumAgeMilliseconds(parts) - relayFeedGraceMilliseconds))
-      : defaultFeedWaitMilliseconds,
+    budget: () => newsTimeBudget(parts),
+    mayBeRelay: () => mayServeAsRelay(parts),
     clock,
     randomness,
     log,
@@ -63,7 +57,7 @@
     startUpReplyMilliseconds: boot.current.linkMegabits < fastLinkMegabits ? startUpReplyOnSlowLinkMilliseconds : startUpReplyMilliseconds,
     gatewayCount: () => peers.knownGatewayCount,
     minimumFleetSize: minimumRelayFleetSize,
-    maximumAgeMilliseconds: relayMaximumAgeMilliseconds(parts),
+    budget: () => newsTimeBudget(parts),
     clock,
     log
   })
@@ -79,8 +73,8 @@
   })
 }
 
-function relayMaximumAgeMilliseconds ({ boot }: ForwarderDependencies): number {
-  return boot.current.settingsApplyTimeoutMilliseconds * relayFreshnessShare
+function newsTimeBudget ({ boot }: ForwarderDependencies): NewsTimeBudget {
+  return divideNewsTime(boot.current.settingsApplyTimeoutMilliseconds)
 }
 
 export function makePeers ({ link, follower, clock, randomness, log, boot, registry }: ForwarderDependencies): PeerReplicaExchange {
--- a/src/replica/contract.ts
+++ b/src/replica/contract.ts
@@ -53,4 +53,6 @@
    * const changes = await feed.changes('orders', replica.version, 2_000)
    */
   changes (table: string, after: number, waitMilliseconds: number, signal?: AbortSignal): Promise<Result<TableChanges, FeedFailure>>
+  /** Lets further calls go over connections that are opened after this call; running calls may end. */
+  renewConnections? (): void
 }
--- a/src/replica/relayFollower.ts
+++ b/src/replica/relayFollower.ts
@@ -14,6 +14,7 @@
 import type { Link, Peer } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
 import { type Confirmation, ConfirmationHop } from './confirmation.ts'
+import { type NewsTimeBudget, relayReplyMilliseconds } from './newsTimeBudget.ts'
 import { type RelayReply, relayRequest, encodePositions } from './relayMessages.ts'
 import type { ReplicaFollower } from './replicaFollower.ts'
 import type { ReplicaRelay } from './replicaRelay.ts'
@@ -21,10 +22,6 @@
 
 /** Relays that the gateways are distributed over; the remaining ones are fallbacks. */
 const primaryRelayCount = 2
-/** How long a relay holds a request while nothing changes. */
-const maximumWaitMilliseconds = 1_000
-/** Allowance beyond the wait for the round trip between regions and a busy relay. */
-const replyGraceMilliseconds = 400
 /** A relay that did not answer is not asked again for this time. */
 const unresponsiveRelayBackoffMilliseconds = 5_000
 /** The same for a relay without a recent store confirmation, whose feeds may just have switched to shorter waits. */
@@ -51,8 +48,8 @@
   readonly gatewayCount: () => number
   /** Fleet size from which gateways follow relays. */
   readonly minimumFleetSize: number
-  /** The store must have confirmed a relay's tables within this time. */
-  readonly maximumAgeMilliseconds: number
+  /** The waits that apply now. */
+  readonly budget: () => NewsTimeBudget
   readonly clock: Clock
   readonly log: Log
 }
@@ -62,6 +59,8 @@
   readonly reason: string
   /** For how long it is not asked again. */
   readonly backoffMilliseconds: number
+  /** Whether no reply came. */
+  readonly isUnanswered?: boolean
 }
 
 const smallFleet: RelayFailure = { reason: 'the fleet is too small for relays', backoffMilliseconds: staleRelayBackoffMilliseconds }
@@ -134,7 +133,10 @@
 
   /** Asks a relay that is to be followed; one that should not be is left alone for a while. */
   async #followOnce (address: string): Promise<boolean> {
-    const failure = await this.#requestFrom(address)
+    const isFollowed = this.#currentRelay === address
+    const firstFailure = await this.#requestFrom(address, isFollowed ? this.#waitMilliseconds : 0)
+    // The connection to a relay that has answered so far may be silent; the second request opens a new one.
+    const failure = isFollowed && firstFailure?.isUnanswered === true ? await this.#requestFrom(address) : firstFailure
     if (failure === undefined) return true
     this.#backoffUntil.set(address, this.#options.clock.now() + failure.backoffMilliseconds)
     this.#options.log.info('relay_left', { relay: address, reason: failure.reason })
@@ -167,16 +169,22 @@
     return [...relays.slice(firstIndex), ...relays.slice(0, firstIndex)]
   }
 
+  /** How long the relay that is followed may hold a request. */
+  get #waitMilliseconds (): number {
+    const { budget, follower } = this.#options
+    const { maximumAgeMilliseconds, relayWaitMilliseconds } = budget()
+    return Math.max(0, Math.min(relayWaitMilliseconds, maximumAgeMilliseconds - follower.ageMilliseconds))
+  }
+
   /** Asks a relay and follows it; returns why it should not be followed, if so. */
-  async #requestFrom (address: string | undefined): Promise<RelayFailure | undefined> {
+  async #requestFrom (address: string | undefined, waitMilliseconds = 0): Promise<RelayFailure | undefined> {
     if (address === undefined) return { reason: 'no relay is known', backoffMilliseconds: 0 }
-    const { follower, maximumAgeMilliseconds, link, tables } = this.#options
+    const { follower, link, tables } = this.#options
     const versions = encodePositions(new Map(tables.map(table => [table, follower.replica(table)])))
-    const relayWaitMilliseconds = this.#currentRelay === address ? Math.max(0, Math.min(maximumWaitMilliseconds, maximumAgeMilliseconds - follower.ageMilliseconds)) : 0
     const peer: Peer = { name: '', address }
-    const reply = await link.request(peer, relayRequest, { versions, waitMilliseconds: relayWaitMilliseconds }, relayWaitMilliseconds + replyGraceMilliseconds)
+    const reply = await link.request(peer, relayRequest, { versions, waitMilliseconds }, waitMilliseconds + relayReplyMilliseconds)
     if (reply.ok) this.#relayedGatewayCount = reply.val.gatewayCount ?? 0
-    if (reply.err) return { reason: reply.val.reason, backoffMilliseconds: unresponsiveRelayBackoffMilliseconds }
+    if (reply.err) return { reason: reply.val.reason, backoffMilliseconds: unresponsiveRelayBackoffMilliseconds, isUnanswered: true }
     const reason = this.#reasonToLeave(reply.val)
     if (reason !== undefined) return { reason, backoffMilliseconds: staleRelayBackoffMilliseconds }
     if (!this.#isFleetLarge && follower.isComplete) return smallFleet
@@ -190,8 +198,8 @@
 
   /** Why a relay should not be followed; undefined if it may be. */
   #reasonToLeave ({ tables, ageMilliseconds }: RelayReply): string | undefined {
-    const { follower, maximumAgeMilliseconds } = this.#options
-    if (ageMilliseconds > maximumAgeMilliseconds) return `the store last confirmed the relay's tables ${Math.round(ageMilliseconds)} ms ago`
+    const { budget, follower } = this.#options
+    if (ageMilliseconds > budget().maximumAgeMilliseconds) return `the store last confirmed the relay's tables ${Math.round(ageMilliseconds)} ms ago`
     // A relay has not read a table that it does not need.
     const isOfEarlierEpoch = tables.some(({ table, version, epoch = 0 }) => version >= 0 && epoch < follower.replica(table).epoch)
     return isOfEarlierEpoch ? 'the relay has not read the store since it came back from an older copy' : undefined
--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -1,7 +1,8 @@
 /**
  * Maintains replicas of a few tables. Each table has one task, which reads the whole table and then waits
- * for changes. After a gap the table is read again; after a failure the task retries from the last known
- * version. While any table's feed fails, peers are asked for newer copies, since a store may reject one VM
+ * for changes. After a gap the table is read again; after a failure, and after a time in which it asked nothing, the task
+ * asks for the changes since the last known version over a new connection, and the store holds that call for no time.
+ * While a relay delivers the changes, the task asks only once the store has not confirmed the table for too long. While any table's feed fails, peers are asked for newer copies, since a store may reject one VM
  * and still serve the others.
  */
 import { type Clock, type Randomness, type Result, Err, Ok, Wakeup, withDeadline } from '../contract/index.ts'
@@ -9,14 +10,11 @@
 import { type Confirmation, ConfirmationHop } from './confirmation.ts'
 import { FeedFailure, type TableChanges, type TableFeed, type TableSnapshot } from './contract.ts'
 import { FeedState } from './feedState.ts'
+import { type NewsTimeBudget, feedCallTimeoutMilliseconds } from './newsTimeBudget.ts'
 import { type PositionedRows, TableReplica } from './tableReplica.ts'
 
-/** How long the store may hold a call; bounds how long a silent connection goes unnoticed. */
-export const defaultFeedWaitMilliseconds = 3_000
 /** The first wait is shorter, so that others can soon follow the store through this gateway. */
 const firstFeedWaitMilliseconds = 1_000
-/** Allowance beyond the wait for the round trip and for a store that answers fifty times as slowly as usual. */
-const feedGraceMilliseconds = 900
 const snapshotTimeoutMilliseconds = 2_500
 /** Delay before a table is read again after a gap, so that a store that keeps no history is not called in a tight loop. */
 const gapDelayMilliseconds = 50
@@ -39,8 +37,10 @@
   readonly rewrittenTables?: readonly string[]
   /** Whether a table should be followed now; all are by default. */
   readonly isNeeded?: (table: string) => boolean
-  /** How long the store may hold a call now. */
-  readonly feedWaitMilliseconds?: () => number
+  /** The waits that apply now. */
+  readonly budget: () => NewsTimeBudget
+  /** Whether others may follow the store through this gateway now; false by default. */
+  readonly mayBeRelay?: () => boolean
   readonly clock: Clock
   readonly randomness: Randomness
   readonly log: Log
@@ -190,13 +190,12 @@
     let retryDelayMilliseconds = minimumRetryDelayMilliseconds
     let mustReadAgain = false
     let isFirstWait = true
+    /** Whether connections that were open before may be silent. */
+    let mustProbe = false
     while (!this.#stopping.signal.aborted) {
-      if (this.#isPaused || !this.#isFollowed(table)) {
-        // An earlier failure of the feed means nothing while the feed is paused.
-        this.#state.forgetFailure(table)
-        // A table that is not needed misses nothing; its age counts from when it is needed again.
-        if (!this.#isFollowed(table)) this.#state.recordConfirmation(table, this.#confirmationNow())
-        await this.#feedWakeup.sleep(this.#options.clock, pausedCheckIntervalMilliseconds)
+      if (this.#isIdle(table)) {
+        mustProbe = true
+        await this.#sleepIdle(table)
         continue
       }
       if (this.#areFeedsHeld && this.replica(table).isKnown) {
@@ -204,8 +203,10 @@
         continue
       }
       const mustReadWhole: boolean = mustReadAgain || !this.replica(table).isKnown
-      const step: Result<TableChanges, FeedFailure> = mustReadWhole ? await this.#readWhole(table) : await this.#readChanges(table, isFirstWait)
-      isFirstWait &&= mustReadWhole
+      const isHeld: boolean = !mustReadWhole && !mustProbe
+      const step: Result<TableChanges, FeedFailure> = mustReadWhole ? await this.#readWhole(table) : isHeld ? await this.#awaitChanges(table, isFirstWait) : await this.#probe(table)
+      isFirstWait &&= !isHeld
+      mustProbe = step.err
       if (step.ok) {
         mustReadAgain = step.val.hasGap
         retryDelayMilliseconds = minimumRetryDelayMilliseconds
@@ -214,14 +215,35 @@
         if (mustReadAgain || step.val.rows.length > 0) await this.#options.clock.sleep(delayMilliseconds, this.#stopping.signal)
         continue
       }
-      // A call that the pause ended is no failure of the feed.
-      if (this.#isPaused) continue
-      if (this.#state.recordFailure(table, step.val, this.replica(table).version)) this.failureWakeup.wake()
+      // A held call may have been sent over a silent connection, or ended by a pause; only the next one tells whether the feed fails.
+      if (isHeld) continue
+      if (!this.#isPaused && this.#state.recordFailure(table, step.val, this.replica(table).version)) this.failureWakeup.wake()
       await this.#options.clock.sleep(retryDelayMilliseconds * (0.5 + this.#options.randomness.fraction()), this.#stopping.signal)
       retryDelayMilliseconds = Math.min(maximumRetryDelayMilliseconds, retryDelayMilliseconds * 2)
     }
   }
 
+  /** Whether nothing is to be asked for a table now. */
+  #isIdle (table: string): boolean {
+    if (!this.#isFollowed(table)) return true
+    return this.#isPaused && !(this.replica(table).isKnown && this.#remainingMilliseconds(table) <= 0)
+  }
+
+  async #sleepIdle (table: string): Promise<void> {
+    // An earlier failure of the feed means nothing while the feed is paused.
+    this.#state.forgetFailure(table)
+    // A table that is not needed misses nothing; its age counts from when it is needed again.
+    if (!this.#isFollowed(table)) this.#state.recordConfirmation(table, this.#confirmationNow())
+    const remainingMilliseconds = this.#remainingMilliseconds(table)
+    const isShort = remainingMilliseconds > 0 && remainingMilliseconds < pausedCheckIntervalMilliseconds
+    await this.#feedWakeup.sleep(this.#options.clock, isShort ? remainingMilliseconds : pausedCheckIntervalMilliseconds)
+  }
+
+  /** Time until the table reaches the maximum age. */
+  #remainingMilliseconds (table: string): number {
+    return this.#options.budget().maximumAgeMilliseconds - (this.#options.clock.now() - this.#state.confirmedAt([table]))
+  }
+
   #isFollowed (table: string): boolean {
     return this.#options.isNeeded?.(table) !== false
   }
@@ -234,11 +256,24 @@
     return snapshot.map(value => ({ ...value, hasGap: false }))
   }
 
-  async #readChanges (table: string, isFirst: boolean): Promise<Result<TableChanges, FeedFailure>> {
+  /** Waits for changes with a call that the store may hold. */
+  async #awaitChanges (table: string, isFirst: boolean): Promise<Result<TableChanges, FeedFailure>> {
+    const { budget, mayBeRelay } = this.#options
+    const { relayStoreWaitMilliseconds, storeWaitMilliseconds } = budget()
+    const waitMilliseconds = mayBeRelay?.() === true ? relayStoreWaitMilliseconds : storeWaitMilliseconds
+    return await this.#readChanges(table, isFirst ? Math.min(waitMilliseconds, firstFeedWaitMilliseconds) : waitMilliseconds, this.#heldCalls.signal)
+  }
+
+  /** Asks for changes over a new connection. */
+  async #probe (table: string): Promise<Result<TableChanges, FeedFailure>> {
+    this.#options.feed.renewConnections?.()
+    // A relay that takes over ends the call; one that is behind does not.
+    return await this.#readChanges(table, 0, this.#isPaused ? undefined : this.#heldCalls.signal)
+  }
+
+  async #readChanges (table: string, waitMilliseconds: number, signal?: AbortSignal): Promise<Result<TableChanges, FeedFailure>> {
     const previous = this.replica(table)
-    const configuredWaitMilliseconds = this.#options.feedWaitMilliseconds?.() ?? defaultFeedWaitMilliseconds
-    const waitMilliseconds = isFirst ? Math.min(configuredWaitMilliseconds, firstFeedWaitMilliseconds) : configuredWaitMilliseconds
-    const changes = await this.#withTimeout(this.#options.feed.changes(table, previous.version, waitMilliseconds, this.#heldCalls.signal), waitMilliseconds + feedGraceMilliseconds)
+    const changes = await this.#withTimeout(this.#options.feed.changes(table, previous.version, waitMilliseconds, signal), feedCallTimeoutMilliseconds(waitMilliseconds))
     if (changes.err) return changes
     if (changes.val.hasGap) {
       this.#options.log.warn('replica_gap', { table, version: previous.version })
--- a/test/confirmationAge.test.ts
+++ b/test/confirmationAge.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { Err, Ok, SeededRandomness } from '../src/contract/index.ts'
 import { Log } from '../src/observe/index.ts'
-import { ConfirmationHop, ConfirmationMonitor, FeedFailure, ReplicaFollower, type TableFeed } from '../src/replica/index.ts'
+import { ConfirmationHop, ConfirmationMonitor, FeedFailure, ReplicaFollower, type TableFeed, divideNewsTime } from '../src/replica/index.ts'
 import { ManualClock } from './fakes/manualClock.ts'
 
 /** A follower of a store that can be told to fail, with the lines that are logged. */
@@ -18,7 +18,7 @@
       return Ok({ rows: [], epoch: 0, version: 1, storeTime: 0, hasGap: false })
     }
   }
-  const follower = new ReplicaFollower({ feed, tables: ['orders'], clock, randomness: new SeededRandomness(1), log, onChange: () => undefined })
+  const follower = new ReplicaFollower({ feed, tables: ['orders'], budget: () => divideNewsTime(4_000), clock, randomness: new SeededRandomness(1), log, onChange: () => undefined })
   const monitor = new ConfirmationMonitor({ follower, configurationVersion: () => 7, staleAfterMilliseconds: () => 2_000, clock, log })
   follower.start()
   monitor.start()
--- a/test/fakes/fakeLink.ts
+++ b/test/fakes/fakeLink.ts
@@ -1,6 +1,6 @@
 /**
  * An in-process network between daemons. Tests control message delay and loss, partitions between
- * data centres, frozen members and removed members. Bodies are copied and validated in transit, as
+ * data centres, frozen members, removed members and connections that fall silent. Bodies are copied and validated in transit, as
  * over a real link.
  */
 import { type Clock, Err, Ok, type Randomness, type Result } from '../../src/contract/index.ts'
@@ -87,6 +87,11 @@
     for (const link of this.#links.values()) link.forgetConnections()
   }
 
+  /** Makes all open connections carry nothing more; each is replaced after a request over it timed out. */
+  silenceConnections (): void {
+    for (const link of this.#links.values()) link.silenceConnections()
+  }
+
   /** Removes a daemon from the network at once. */
   remove (address: string): void {
     this.#links.delete(address)
@@ -139,7 +144,7 @@
   readonly #network: FakeLinkNetwork
   readonly #clock: Clock
   readonly #handlers = new Map<string, MessageHandler>()
-  readonly #connected = new Set<string>()
+  readonly #connections = new Map<string, { isSilent: boolean }>()
 
   constructor (self: LinkIdentity, network: FakeLinkNetwork, clock: Clock) {
     this.self = self
@@ -148,13 +153,17 @@
   }
 
   forgetConnections (): void {
-    this.#connected.clear()
+    this.#connections.clear()
+  }
+
+  silenceConnections (): void {
+    for (const connection of this.#connections.values()) connection.isSilent = true
   }
 
   async connect ({ address }: Peer): Promise<void> {
     const { connectMilliseconds } = this.#network.conditions
-    if (connectMilliseconds > 0 && !this.#connected.has(address)) await this.#clock.sleep(connectMilliseconds)
-    this.#connected.add(address)
+    if (connectMilliseconds > 0 && !this.#connections.has(address)) await this.#clock.sleep(connectMilliseconds)
+    if (!this.#connections.has(address)) this.#connections.set(address, { isSilent: false })
   }
 
   async request<Body, Reply> (peer: Peer, type: MessageType<Body, Reply>, body: Body, timeoutMilliseconds: number): Promise<Result<Reply, LinkFailure>> {
@@ -164,6 +173,7 @@
     const timeout = this.#clock.sleep(timeoutMilliseconds, settled.signal).then(() => Err(new LinkFailure('no reply in time', true)))
     const outcome = await Promise.race([this.#exchange(peer, type, body), timeout])
     settled.abort()
+    if (outcome.err && this.#connections.get(peer.address)?.isSilent) this.#connections.delete(peer.address)
     return outcome
   }
 
@@ -180,11 +190,13 @@
     if (target === undefined) return Err(new LinkFailure('no daemon listens at the address', false))
     const copy = structuredClone(body)
     await this.connect(peer)
+    const connection = this.#connections.get(peer.address)
+    if (connection?.isSilent) return neverSettles()
     if (!await this.#network.deliver(this.self, target.self)) return neverSettles()
     const handler = target.#handlers.get(type.name)
     if (handler === undefined) return Err(new LinkFailure(`unknown message type ${type.name}`, false))
     const reply = await handler(copy, this.self)
-    if (!await this.#network.deliver(target.self, this.self)) return neverSettles()
+    if (!await this.#network.deliver(target.self, this.self) || connection?.isSilent) return neverSettles()
     if (reply.err) return reply
     this.#network.countBytes(type.name, reply.val)
     const parsed = type.reply.safeParse(structuredClone(reply.val))
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { type Clock, Err, Ok, type Result, SeededRandomness } from '../src/contract/index.ts'
 import { Log } from '../src/observe/index.ts'
-import { FeedFailure, RelayFollower, ReplicaFollower, ReplicaRelay, type TableChanges, type TableFeed, TableReplica, type TableSnapshot } from '../src/replica/index.ts'
+import { FeedFailure, RelayFollower, ReplicaFollower, ReplicaRelay, type TableChanges, type TableFeed, TableReplica, type TableSnapshot, divideNewsTime } from '../src/replica/index.ts'
 import { FakeLinkNetwork } from './fakes/fakeLink.ts'
 import { ManualClock } from './fakes/manualClock.ts'
 
@@ -10,7 +10,7 @@
 const tables = ['orders', 'endpoints']
 /** New settings must be in force at all gateways within this time. */
 const settingsDeadlineMilliseconds = 4_000
-const maximumAgeMilliseconds = 2_800
+const budget = () => divideNewsTime(settingsDeadlineMilliseconds)
 
 /** A store that serves the same rows for each table; each gateway has a feed of its own, which can go silent. */
 class SharedStore {
@@ -95,14 +95,15 @@
     const follower: ReplicaFollower = new ReplicaFollower({
       feed: store.feedFor(name),
       tables,
-      feedWaitMilliseconds: () => relay.isInUse ? 2_200 : 3_000,
+      budget,
+      mayBeRelay: () => relay.isInUse,
       clock: gatewayClock,
       randomness: new SeededRandomness(index),
       log,
       onChange: () => relay.notifyChange()
     })
     const relay = new ReplicaRelay({ link, follower, tables, gatewayCount: () => size, clock: gatewayClock })
-    const relayFollower = new RelayFollower({ link, follower, relay, tables, relayAddresses: () => relayAddresses, regionOf, startUpReplyMilliseconds, gatewayCount: () => size, minimumFleetSize, maximumAgeMilliseconds, clock: gatewayClock, log })
+    const relayFollower = new RelayFollower({ link, follower, relay, tables, relayAddresses: () => relayAddresses, regionOf, startUpReplyMilliseconds, gatewayCount: () => size, minimumFleetSize, budget, clock: gatewayClock, log })
     relayFollower.start()
     follower.start()
     return { name, follower, isRelay: () => relay.isInUse, stop: () => { follower.stop(); relayFollower.stop() } }
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { Err, Ok, SeededRandomness } from '../src/contract/index.ts'
 import { Log } from '../src/observe/index.ts'
-import { FeedFailure, ReplicaFollower, type TableChanges, type TableFeed, type TableSnapshot, TableReplica } from '../src/replica/index.ts'
+import { FeedFailure, ReplicaFollower, type TableChanges, type TableFeed, type TableSnapshot, TableReplica, divideNewsTime } from '../src/replica/index.ts'
 import { ManualClock } from './fakes/manualClock.ts'
 
 const rowOf = (key: string, version: number, text = 'x') => ({ key, version, bytes: Buffer.from(text) })
@@ -63,6 +63,7 @@
   const follower = new ReplicaFollower({
     feed,
     tables: ['orders'],
+    budget: () => divideNewsTime(4_000),
     clock,
     randomness: new SeededRandomness(1),
     log: new Log('error', {}, () => undefined),
