Close a caller's connection in two steps after an answer that announced its end

Callers that send requests ahead while their gateway stops (or that send on after 'connection: close'): whole requests that the gateway had run and answered got neither an answer nor a refusal, their connection was reset.

Cause: after the answer that announces the end, Node.js closes the connection at once. If the caller is still sending, the kernel answers what arrives with a reset, and the caller loses the answers that it has not read yet.

Fix: the connection is half closed; what arrives is read and discarded, and not passed on, until the caller closes its side, for at most 1 s and 1 MiB. A planned stop waits for that.

The test failed before and passes now: npx vitest run test/callerCloses.test.ts

--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -110,7 +110,7 @@
 
   get #isAllAnswered (): boolean {
     const { listener, requestsInFlight } = this.#options
-    return requestsInFlight() === 0 && listener.openResponseCount === 0
+    return requestsInFlight() === 0 && listener.openResponseCount === 0 && !listener.connections.some(({ isClosing }) => isClosing)
   }
 
   /** Ends what is still at work; returns how many requests were in flight. */
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { markFollowed } from './followedResponse.ts'
+import { LingeringClose } from './lingeringClose.ts'
 
 /** Requests of one connection that are served at a time; answers leave in order, so more of them only wait. */
 const maximumServed = 16
@@ -41,6 +42,7 @@
  */
 export class CallerConnection {
   readonly socket: Socket
+  readonly #lingeringClose: LingeringClose
   readonly #openResponses = new Set<ServerResponse>()
   #last: LastResponse | undefined
   #isRetiring = false
@@ -55,6 +57,9 @@
 
   constructor (socket: Socket) {
     this.socket = socket
+    this.#lingeringClose = new LingeringClose(socket)
+    // Node.js calls it after an answer that announced the end of its connection.
+    socket.destroySoon = () => this.#lingeringClose.begin()
   }
 
   /** Responses of which the kernel has not taken all bytes yet. Node.js counts a response as ended before. */
@@ -113,6 +118,11 @@
     return [...this.#openResponses].filter(({ req }) => req.complete)
   }
 
+  /** Whether its end was announced, and its caller has yet to close its side. */
+  get isClosing (): boolean {
+    return this.#lingeringClose.isPending
+  }
+
   /** Bytes that the kernel has not taken yet. */
   get unsentBytes (): number {
     return this.socket.destroyed ? 0 : this.socket.writableLength
--- a/test/callerCloses.test.ts
+++ b/test/callerCloses.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import type { EndpointStandIn } from '../platform/standin/index.ts'
 import { ForwarderHarness, waitUntil } from './fakes/forwarderWorld.ts'
-import { RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
+import { ConnectionState, RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
 
 const answerMilliseconds = 200
 const longIdleMilliseconds = 15_000
@@ -65,3 +65,14 @@
   expect(caller.text).toContain('unframed')
   expect(caller.text).toContain('done')
 })
+
+test('answers reach a caller that is still sending when the last of them has announced the end of the connection', async () => {
+  caller.write(requestHead('/balance/1', { id: 'last', method: 'GET', headers: 'connection: close\r\n' }))
+  await waitUntil(() => ledger.received.length === 1)
+  for (let index = 0; index < 40; index++) {
+    caller.write(requestHead('/balance/2', { id: `crossing-${index}`, method: 'GET' }))
+    await pause(10)
+  }
+  expect(caller.statuses).toEqual([200])
+  expect(caller.state).toBe(ConnectionState.Ended)
+})
