Let a request that may have run wait for an endpoint instead of ending it when its second one is full

What callers saw: a stream or an idempotent call whose endpoint fell silent was given up for another endpoint; that one answered 503 (not executed) or broke off, and the request ended at once, with 502 or a cut stream, although the first endpoint went on a second later, seconds of the deadline and attempts were left, and no retry was refused by the budget. The same where an endpoint broke off and the only other one was full for 150 ms.

Cause: each endpoint that was tried stays excluded for the rest of the request, whether it answered, broke the run off, was silent or full. With all excluded or full, no endpoint is chosen and the request ends.

Change: an endpoint that was silent or full is asked again once no other is left, and a repeatable request that may have run looks again each 200 ms while one is full and may have room before the deadline. Requests that may run only once, and those that have not run, are refused at once as before. Both paths start their runs in one place now.

--- a/src/gateway/endpointSelection.ts
+++ b/src/gateway/endpointSelection.ts
@@ -17,6 +17,8 @@
   readonly #request: ForwardedRequest
   readonly #eligibilityRequest: EligibilityRequest
   readonly #triedInstances = new Set<string>()
+  /** Those of the tried ones that may be tried again once no other is left. */
+  readonly #retriableInstances = new Set<string>()
   #isEndedByStop = false
   #placeMilliseconds: number | undefined
 
@@ -41,6 +43,11 @@
     return this.#placeMilliseconds
   }
 
+  /** Whether a wait for a place has ended without one. */
+  get hasWaitedInVain (): boolean {
+    return this.#isEndedByStop || this.#placeMilliseconds !== undefined
+  }
+
   /** Why no endpoint may be reached now; undefined if one may. */
   get ineligibility (): Ineligibility | undefined {
     return this.#dependencies.eligibility.ineligibilityOf(this.#eligibilityRequest, this.#request.now)
@@ -108,6 +115,25 @@
     this.#triedInstances.delete(instanceKey(endpoint))
   }
 
+  /** Makes an endpoint eligible again once no other is left: it was silent or full, and neither answered nor broke the request off. */
+  allowRetryLaterAt (endpoint: RoutedEndpoint): void {
+    this.#retriableInstances.add(instanceKey(endpoint))
+  }
+
+  /** Makes the endpoints eligible again that may be tried again; returns whether there are any. */
+  allowRetries (): boolean {
+    const hasAny = this.#retriableInstances.size > 0
+    for (const instance of this.#retriableInstances) this.#triedInstances.delete(instance)
+    this.#retriableInstances.clear()
+    return hasAny
+  }
+
+  /** Whether an endpoint that has not been tried yet is full now, and may have room before the deadline. */
+  awaitsRoom (model: string | undefined): boolean {
+    const { deadline, now } = this.#request
+    return this.#dependencies.placement.awaitsRoom(model, this.#untriedEndpoints(), now, deadline)
+  }
+
   get #dependencies () {
     return this.#request.dependencies
   }
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -15,6 +15,7 @@
 import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
+import { startRun } from './runStart.ts'
 
 /** Responses larger than this are relayed as they arrive. */
 const maximumBufferedBytes = 256 * 1024
@@ -49,7 +50,7 @@
     const request = this.#request
     let isFull = false
     let lastFailure: CompleteResponse | undefined
-    for (let attempt = await this.#start(); attempt !== undefined; attempt = this.#handover.takeNext() ?? await this.#start()) {
+    for (let attempt = await this.#start(true); attempt !== undefined; attempt = this.#handover.takeNext() ?? await this.#start(lastFailure === undefined)) {
       const outcome = await this.#attempt(attempt)
       if (outcome.type === 'relayed') return
       if (outcome.type === 'answer') {
@@ -69,11 +70,8 @@
   }
 
   /** Starts an attempt at an endpoint; undefined if none is possible. */
-  async #start (): Promise<OpenAttempt | undefined> {
-    const { attempts, selection } = this.#request
-    if (!attempts.tryStart()) return undefined
-    const endpoint = await selection.awaitEndpoint(undefined)
-    return endpoint === undefined ? undefined : attempts.send(endpoint, this.#attemptOptions)
+  async #start (mayWait: boolean): Promise<OpenAttempt | undefined> {
+    return await startRun(this.#request, { options: () => this.#attemptOptions, isResumed: false, mayWait })
   }
 
   get #attemptOptions () {
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -15,6 +15,8 @@
 import { isSelfDelimited } from './responseFraming.ts'
 
 const misdirectedStatus = 421
+/** After such an end, its endpoint is not asked again for the same request. */
+const finalEnds: ReadonlySet<AttemptEnd> = new Set([AttemptEnd.Answered, AttemptEnd.Failed, AttemptEnd.Cancelled])
 /** Endpoints that may reject a request for what its caller sent before it is given up; one of them may just not be at its address. */
 const maximumRequestRejections = 2
 
@@ -103,6 +105,7 @@
     const { now, service } = this.#request
     attempt.unfollowCaller()
     if (countsAsRun) this.#runCount++
+    if (attempt.exchange.mayHaveSent && !finalEnds.has(end)) this.#request.selection.allowRetryLaterAt(attempt.endpoint)
     this.#countLimited(attempt)
     attempt.forgetStop()
     attempt.run.close()
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -17,6 +17,7 @@
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
+import { startRun } from './runStart.ts'
 import { waitForDrain } from './plainForwarding.ts'
 
 const successStatus = 200
@@ -85,11 +86,11 @@
 
   /** Starts a run at an endpoint; undefined if none is possible. */
   async #start (): Promise<OpenAttempt | undefined> {
-    const { attempts, selection } = this.#request
-    if (!attempts.tryStart()) return undefined
-    const model = this.#choice.modelInTime
-    const endpoint = await selection.awaitEndpoint(model, this.#hasResponseStarted)
-    return endpoint === undefined ? undefined : attempts.send(endpoint, this.#attemptOptions(model))
+    return await startRun(this.#request, {
+      options: () => this.#attemptOptions(this.#choice.modelInTime),
+      isResumed: this.#hasResponseStarted,
+      mayWait: this.#hasResponseStarted || this.#failedResponse === undefined
+    })
   }
 
   #attemptOptions (model: string | undefined) {
--- a/src/placement/endpointPlacement.ts
+++ b/src/placement/endpointPlacement.ts
@@ -116,6 +116,11 @@
     return { millisecondsToPlace: this.#limits.millisecondsToPlace(eligible, now), placesPerSecond: this.#limits.requestsPerSecondAt(eligible, now) }
   }
 
+  /** Whether a candidate is full now, but may have room before a deadline. */
+  awaitsRoom (model: string | undefined, candidates: readonly RoutedEndpoint[], now: number, deadline: number): boolean {
+    return candidates.some(endpoint => runsModel(endpoint, model) && this.#loads.isFull(endpoint, now) && now + this.#loads.overloadMilliseconds([endpoint], now) < deadline)
+  }
+
   /**
    * A limit counts requests and not their work, so its places relieve the other endpoints most when large
    * requests use them. These go there first; smaller ones leave the last place free.
