Bound what a gateway holds of answers that it can't pass on yet, over all requests

What callers saw: endpoints that sent most of a long event, or of a body of 250 KB, and then nothing, filled the gateway. With 300 such streams at once a gateway of the smallest VM ended by itself, and the requests of all its other callers with it.

Cause: each stream may hold one unfinished event of up to 1 MiB and each plain answer 256 KiB before it is passed on; only the single request was bounded. Events were in no account. Bodies were added to the callers' account, whether there was room or not, so that an endpoint took the room of callers' heads and bodies.

Without room a plain answer is passed on as it arrives, earlier than otherwise; a run whose event or error body can't be held is given up without blame for its endpoint, and goes on elsewhere where it may. lavenderdoor_held_answer_bytes has the account. Events held for an HTTP/1.0 caller are in it as well.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -30,6 +30,8 @@
 /** Of a VM that states none. */
 const assumedMemoryBytes = 512_000_000
 const minimumHeldBytes = 16_000_000
+/** Share of the VM's memory that may hold answers which can't be passed on yet. */
+const heldAnswerShare = 0.1
 /** Share of that memory, in addition to it, for heads that are arriving. */
 const headMemoryShare = 0.5
 const callerDescriptorShare = 0.5
@@ -92,6 +94,7 @@
   readonly connections: Connections
   readonly plannedStop: PlannedStop
   readonly heldBytes: HeldBytes
+  readonly heldAnswers: HeldBytes
   readonly forwarding: Forwarding
   readonly gateway: GatewayServer
   readonly operations: OperationsServer
@@ -149,6 +152,7 @@
     news: single(makeNews),
     plannedStop: single(({ clock }) => new PlannedStop(clock)),
     heldBytes: single(makeHeldBytes),
+    heldAnswers: single(makeHeldAnswers),
     loadNews: single(() => new WorkNews()),
     loadReports: single(makeLoadReports),
     connections: single(() => new Connections({ connectTimeoutMilliseconds: endpointConnectTimeoutMilliseconds })),
@@ -226,6 +230,7 @@
     connections: parts.connections,
     plannedStop: parts.plannedStop,
     heldBytes: parts.heldBytes,
+    heldAnswers: parts.heldAnswers,
     codec: new PlatformHeaders(),
     placement: new EndpointPlacement(boot.current.place, loads, randomness, parts.limits, parts.loadNews),
     limits: parts.limits,
@@ -251,8 +256,15 @@
 
 /** The rest of the memory is for the program, its tables and what the garbage collector has yet to free. */
 function makeHeldBytes ({ boot, clock, metrics }: ForwarderDependencies): HeldBytes {
-  const maximumBytes = Math.max(minimumHeldBytes, (boot.current.memoryBytes ?? assumedMemoryBytes) * heldMemoryShare)
-  return new HeldBytes({ maximumBytes, clock, onEviction: () => metrics.evictedHoldings.inc() })
+  return new HeldBytes({ maximumBytes: shareOfMemory(boot, heldMemoryShare), clock, onEviction: () => metrics.evictedHoldings.inc() })
+}
+
+function makeHeldAnswers ({ boot, clock }: ForwarderDependencies): HeldBytes {
+  return new HeldBytes({ maximumBytes: shareOfMemory(boot, heldAnswerShare), clock })
+}
+
+function shareOfMemory (boot: BootFileHolder, share: number): number {
+  return Math.max(minimumHeldBytes, (boot.current.memoryBytes ?? assumedMemoryBytes) * share)
 }
 
 function makeAnnouncements ({ announcedLimits, clock, loads, log, misdirected, news, randomness, registry, warmUps }: ForwarderDependencies): EndpointAnnouncements {
@@ -286,13 +298,14 @@
   })
 }
 
-function makeOperations ({ clock, tableLoader, gateway, heldBytes, loadNews, metrics, logLines, follower }: ForwarderDependencies): OperationsServer {
+function makeOperations ({ clock, tableLoader, gateway, heldAnswers, heldBytes, loadNews, metrics, logLines, follower }: ForwarderDependencies): OperationsServer {
   return new OperationsServer({
     readyPath,
     isReady: () => tableLoader.isComplete && !gateway.isDraining,
     metrics: {
       text: () => {
         metrics.droppedLogLines.set(logLines.droppedCount)
+        metrics.heldAnswerBytes.set(heldAnswers.totalBytes)
         metrics.heldBytes.set(heldBytes.totalBytes)
         metrics.storeLost.set(follower.hasFailingFeed ? 1 : 0)
         metrics.loadNewsAge.set(loadNews.ageMilliseconds(clock.now()) / 1_000)
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -52,6 +52,7 @@
   readonly plannedStop: PlannedStop
   readonly runDurations: RunDurations
   readonly heldBytes: HeldBytes
+  readonly heldAnswers: HeldBytes
   /** Resolves when the settings and endpoints are known, or when a process that has just started should wait no longer for them. */
   readonly untilTablesAreRead: () => Promise<void>
 }
@@ -95,7 +96,7 @@
   async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#inFlight++
     this.#dependencies.metrics.inFlight.set(this.#inFlight)
-    const holding = new RequestHolding(this.#dependencies.heldBytes, response)
+    const holding = new RequestHolding(this.#dependencies, response)
     try {
       await this.#forward(request, response, holding)
     } finally {
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -24,6 +24,7 @@
   readonly settingsVersion = new Gauge({ name: 'lavenderdoor_routing_version', help: 'The version of the routing settings in force.', registers: [this.registry] })
   readonly storeLost = new Gauge({ name: 'lavenderdoor_store_lost', help: '1 while some table of the store can not be followed.', registers: [this.registry] })
   readonly loadNewsAge = new Gauge({ name: 'lavenderdoor_load_news_age_seconds', help: 'Age of the news of the work of other gateways; infinite before the first.', registers: [this.registry] })
+  readonly heldAnswerBytes = new Gauge({ name: 'lavenderdoor_held_answer_bytes', help: 'Bytes of answers that can not be passed on to callers yet.', registers: [this.registry] })
   readonly heldBytes = new Gauge({ name: 'lavenderdoor_held_bytes', help: 'Bytes held for callers: heads, bodies and answers that they have not read.', registers: [this.registry] })
   readonly evictedHoldings = new Counter({ name: 'lavenderdoor_evicted_holdings_total', help: 'Requests that were refused or cut because what they held was needed for others.', registers: [this.registry] })
   readonly closedConnections = new Counter({ name: 'lavenderdoor_caller_connections_closed_total', help: 'Connections of callers that were closed for others, by cause.', labelNames: ['cause'], registers: [this.registry] })
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -100,9 +100,9 @@
       if (event.type !== 'data') continue
       chunks.push(event.bytes)
       bytes += event.bytes.length
-      request.holding.add(event.bytes.length)
-      if (bytes > maximumBufferedBytes && this.#canRelay(headers)) return this.#relay(attempt, status, headers, chunks)
-      if (bytes > maximumHeldBytes) return this.#failAttempt(attempt, 'response too large to be held for an HTTP/1.0 caller')
+      const hasRoom = request.holding.trySetAnswer(bytes)
+      if ((bytes > maximumBufferedBytes || !hasRoom) && this.#canRelay(headers)) return this.#relay(attempt, status, headers, chunks)
+      if (!hasRoom || bytes > maximumHeldBytes) return this.#failAttempt(attempt, 'response too large to be held for an HTTP/1.0 caller')
     }
     if (!(await request.attempts.isWhole(attempt, headers))) return this.#failAttempt(attempt, endpointEndedReason)
     const isFailed = isServerError(status)
@@ -130,6 +130,7 @@
       request.callerResponse.recordBytes(chunk.length)
       response.write(chunk)
     }
+    request.holding.trySetAnswer(0)
     for (;;) {
       const event = await withDeadline(request.dependencies.clock, request.deadline, attempt.exchange.next())
       if (event?.type === 'data') {
--- a/src/gateway/requestHolding.ts
+++ b/src/gateway/requestHolding.ts
@@ -1,4 +1,7 @@
-/** What one request holds for its caller, from its head to the last byte of its response. */
+/**
+ * What one request holds, from its head to the last byte of its response. What is read of an answer before it is passed
+ * on has an account of its own: an endpoint that sends much and ends nothing must not take the room of callers.
+ */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { HeldBytes, Holding } from '../server/index.ts'
 import { cutResponse } from './responseFraming.ts'
@@ -6,6 +9,14 @@
 /** Memory that a field of a head takes beyond its text, by the time it has been read and copied for an attempt. */
 const fieldBytes = 200
 
+/** The accounts of a process. */
+export interface HeldBytesAccounts {
+  /** Of heads, bodies and answers that callers have not read. */
+  readonly heldBytes: HeldBytes
+  /** Of answers that are not passed on yet. */
+  readonly heldAnswers: HeldBytes
+}
+
 /** The size of a request's head. */
 export interface HeadSize {
   readonly bytes: number
@@ -14,20 +25,21 @@
 
 /**
  * @example
- * const holding = new RequestHolding(heldBytes, response)
+ * const holding = new RequestHolding({ heldBytes, heldAnswers }, response)
  * if (!holding.tryAddHead(headSizeOf(request))) refuse()
  */
 export class RequestHolding {
-  readonly #heldBytes: HeldBytes
+  readonly #accounts: HeldBytesAccounts
   readonly #holding: Holding
   readonly #response: ServerResponse
   readonly #eviction = new AbortController()
+  #answer: Holding | undefined
   #hasBegunWork = false
 
-  constructor (heldBytes: HeldBytes, response: ServerResponse) {
-    this.#heldBytes = heldBytes
+  constructor (accounts: HeldBytesAccounts, response: ServerResponse) {
+    this.#accounts = accounts
     this.#response = response
-    this.#holding = heldBytes.open(() => this.#evict())
+    this.#holding = accounts.heldBytes.open(() => this.#evict())
   }
 
   /** Aborted when the request is to be refused because what it holds is needed for others. */
@@ -45,9 +57,16 @@
     return this.#holding.tryAdd(bytes)
   }
 
-  /** Adds a part of the answer, which has been made and is wanted. */
-  add (bytes: number): void {
-    this.#holding.add(bytes)
+  /**
+   * Sets the bytes that are held of the answer until they can be passed on.
+   *
+   * @returns false if there is no room for more than before
+   */
+  trySetAnswer (bytes: number): boolean {
+    if (bytes < (this.#answer?.bytes ?? 0)) this.#releaseAnswer()
+    if (bytes === 0) return true
+    this.#answer ??= this.#openAnswer()
+    return this.#answer.tryAdd(bytes - this.#answer.bytes)
   }
 
   /** The request has been read; it is worked on from now on. */
@@ -68,11 +87,23 @@
     const { writableFinished, writableLength, destroyed } = this.#response
     const isOver = writableFinished || destroyed
     this.#holding.release()
+    this.#releaseAnswer()
     if (!isOver && writableLength > 0) this.#holdUnread(writableLength)
   }
 
+  #openAnswer (): Holding {
+    const answer = this.#accounts.heldAnswers.open(() => undefined)
+    answer.protect()
+    return answer
+  }
+
+  #releaseAnswer (): void {
+    this.#answer?.release()
+    this.#answer = undefined
+  }
+
   #holdUnread (bytes: number): void {
-    const unread = this.#heldBytes.open(() => cutResponse(this.#response))
+    const unread = this.#accounts.heldBytes.open(() => cutResponse(this.#response))
     unread.setUnread(bytes)
     this.#response.once('close', () => unread.release())
   }
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -23,6 +23,8 @@
 /** Largest error body that is relayed to the caller. */
 const maximumFailureBodyBytes = 64 * 1024
 const silentReason = 'silent'
+/** Says nothing of the endpoint, since others may hold the memory. */
+const noMemoryReason = 'no memory is left to hold what has arrived'
 /** A run that could be abandoned, but could not resume elsewhere when last checked, is checked again after this time. */
 const silenceCheckIntervalMilliseconds = 200
 /** Share of the route's maximum event gap within which an endpoint is to show that it is alive. */
@@ -138,6 +140,7 @@
       if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
       if (splitter.pendingBytes > maximumEventBytes) return this.#failRun(attempt, 'event too large')
+      if (!request.holding.trySetAnswer(splitter.pendingBytes + this.#events.heldBytes)) return this.#failRun(attempt, noMemoryReason, AttemptEnd.Cancelled)
       if (events === undefined) continue
       const now = request.now
       if (hasRunStarted) this.#recordEvents(attempt, events.count, now - waitedSince)
@@ -197,6 +200,7 @@
       if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       bytes += event.bytes.length
       if (bytes > maximumFailureBodyBytes) return this.#failRun(attempt, 'error body too large')
+      if (!request.holding.trySetAnswer(bytes)) return this.#failRun(attempt, noMemoryReason, AttemptEnd.Cancelled)
       chunks.push(event.bytes)
     }
     if (!(await request.attempts.isWhole(attempt, headers))) return this.#failRun(attempt, endpointEndedReason)
--- a/test/fakes/floods.ts
+++ b/test/fakes/floods.ts
@@ -30,6 +30,12 @@
   'a refusal without a frame': { begin: request => refusalHead(request, '503 Service Unavailable', 'not-executed: 1\r\n', 'connection: close'), block: letters }
 }
 export const streamFloods: Record<string, Flood> = { ...floods, 'an event that never ends': endlessEvent }
+/** Responses that stop within what a gateway accepts of an event or a body, and are never whole. */
+export const stoppedFloods: Record<string, Flood> = {
+  'an event that stops': { ...endlessEvent, maximumBytes: 1_000_000 },
+  'a body that stops': { begin: request => `HTTP/1.1 200 OK\r\n${ownHeaders(request)}content-length: 1000000\r\n\r\n`, block: letters, maximumBytes: 250_000 }
+}
+
 function refusalHead (request: string, status: string, headers = '', frame = 'transfer-encoding: chunked'): string {
   return `HTTP/1.1 ${status}\r\n${ownHeaders(request)}${headers}${frame}\r\n\r\n`
 }
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -156,6 +156,7 @@
       liveness: new EndpointLiveness({ probe: async () => ConnectionOutcome.Accepted, checkMilliseconds: connectTimeoutMilliseconds, loads, registry, clock }),
       plannedStop: new PlannedStop(clock),
       heldBytes: new HeldBytes({ maximumBytes: 100_000_000, clock }),
+      heldAnswers: new HeldBytes({ maximumBytes: 100_000_000, clock }),
       modelCascade: new ModelCascade(),
       retryBudget: this.#retryBudget(),
       runDurations: new RunDurations(),
--- a/test/untrustedEndpoints.test.ts
+++ b/test/untrustedEndpoints.test.ts
@@ -1,7 +1,7 @@
 import { afterAll, afterEach, beforeAll, beforeEach, expect, test } from 'vitest'
 import { configurationDocument, endpointDocument } from '../platform/standin/index.ts'
 import { type Flood, FloodServer } from './fakes/floodServer.ts'
-import { bytesAfterBody, discardedFloods, floods, streamFloods } from './fakes/floods.ts'
+import { bytesAfterBody, discardedFloods, floods, stoppedFloods, streamFloods } from './fakes/floods.ts'
 import { ForwarderHarness, waitUntil } from './fakes/forwarderWorld.ts'
 import { GatewayProcess, buildProgram, removeProgram } from './fakes/gatewayProcess.ts'
 
@@ -11,6 +11,8 @@
 const endpointsPerFlood = 2
 const pressMilliseconds = 4_000
 const soundIntervalMilliseconds = 25
+/** The endpoints and callers of a test share a process, which is busy at times. */
+const soundTimeoutMilliseconds = 5_000
 const deadlineMilliseconds = 1_500
 const streamHeaders = { model: 'small', 'token-usage': '600,100', 'prefix-hash': 'a1:500,b1:100' }
 
@@ -29,7 +31,7 @@
   const [soundRoute] = routes.filter(({ prefix }) => prefix === '/balance/')
   harness.putConfiguration(1, {
     backends: [...backends, { name: 'sound', health_path: '/healthz', max_conns: 100 }],
-    routes: [...routes, { ...soundRoute, name: 'sound', prefix: '/sound/', backend: 'sound' }]
+    routes: [...routes, { ...soundRoute, name: 'sound', prefix: '/sound/', backend: 'sound', timeout_ms: soundTimeoutMilliseconds, target_latency_ms: soundTimeoutMilliseconds }]
   })
   const sound = await harness.startEndpoint('ledger')
   harness.store.put('servers', sound.identity, endpointDocument('sound', sound.address))
@@ -58,7 +60,7 @@
   const endsAt = performance.now() + pressMilliseconds
   const calls: Promise<number>[] = []
   while (performance.now() < endsAt) {
-    calls.push(harness.call(gateway.host, `/sound/${calls.length}`).then(({ status }) => status, () => 0))
+    calls.push(harness.call(gateway.host, `/sound/${calls.length}`, { headers: { 'deadline-ms': String(soundTimeoutMilliseconds) } }).then(({ status }) => status, () => 0))
     await new Promise(resolve => setTimeout(resolve, soundIntervalMilliseconds))
   }
   return await Promise.all(calls)
@@ -77,7 +79,7 @@
     while (performance.now() < endsAt) await Promise.all(callsAt(path, count, headers))
   }
   const [statuses] = await Promise.all([callSoundEndpoint(), ...pressures.map(press)])
-  if (process.env.LAVENDERDOOR_SHOW_TIMES !== undefined) console.log(JSON.stringify({ peakBytes: gateway.peakMemoryBytes, requests: servers.reduce((sum, { requests }) => sum + requests, 0), sentBytes: servers.reduce((sum, { sentBytes }) => sum + sentBytes, 0), sound: statuses.length, served: statuses.filter(status => status === 200).length }))
+  if (process.env.LAVENDERDOOR_SHOW_TIMES !== undefined) console.log(JSON.stringify({ peakBytes: gateway.peakMemoryBytes, requests: servers.reduce((sum, { requests }) => sum + requests, 0), sentBytes: servers.reduce((sum, { sentBytes }) => sum + sentBytes, 0), sound: statuses.length, notServed: statuses.filter(status => status !== 200) }))
   expect(gateway.isRunning).toBe(true)
   expect(gateway.peakMemoryBytes).toBeLessThan(memoryBytes)
   expect(statuses.filter(status => status !== 200).length).toBe(0)
@@ -94,3 +96,13 @@
   await startFloods('engines', [streamFloods['an event that never ends']!])
   await expectToHold({ path: '/query/', count: 100, headers: streamHeaders })
 }, 30_000)
+
+test('many streams that stop in the middle of a long event end no process', async () => {
+  await startFloods('engines', [stoppedFloods['an event that stops']!])
+  await expectToHold({ path: '/query/', count: 300, headers: streamHeaders })
+}, 30_000)
+
+test('many answers that stop before they are long enough to be passed on hold up no other endpoint', async () => {
+  await startFloods('ledger', [stoppedFloods['a body that stops']!])
+  await expectToHold({ path: '/release/', count: 300 })
+}, 30_000)
