--- a/test/fakes/rawCaller.ts
+++ b/test/fakes/rawCaller.ts
@@ -114,9 +114,21 @@
     if (headEnd < 0) return responses
     const head = rest.subarray(0, headEnd).toString('latin1')
     const body = rest.subarray(headEnd + 4)
-    const bodyLength = Number(/^content-length: (\d+)/im.exec(head)?.[1] ?? NaN)
+    const bodyLength = bodyLengthOf(head, body)
     if (!(body.length >= bodyLength)) return responses
     responses.push({ status: Number(head.slice(9, 12)), head, bodyLength })
     rest = body.subarray(bodyLength)
   }
 }
+
+/** The length of a whole body with its framing; NaN while it can't be told. */
+function bodyLengthOf (head: string, body: Buffer): number {
+  if (!/^transfer-encoding: chunked/im.test(head)) return Number(/^content-length: (\d+)/im.exec(head)?.[1] ?? NaN)
+  for (let position = 0; ;) {
+    const lineEnd = body.indexOf('\r\n', position)
+    if (lineEnd < 0) return NaN
+    const chunkLength = parseInt(body.subarray(position, lineEnd).toString('latin1'), 16)
+    position = lineEnd + chunkLength + 4
+    if (chunkLength === 0) return position
+  }
+}
