Let a relay reply before its followers ask the store themselves

A relay held a follower's call up to the moment at which the follower would have asked the store itself, so with a store that answers slowly both could happen at once. The call now ends a hop earlier. The new test bounds the calls at the store, while all connections work and it answers in 250 ms, by those of the relays; it passes without the change as well (run once: the early asking does not occur in the model), so the change is by reading.

--- a/src/replica/newsTimeBudget.ts
+++ b/src/replica/newsTimeBudget.ts
@@ -33,6 +33,8 @@
   readonly relayStoreWaitMilliseconds: number
   /** How long a relay may hold the call of a follower. */
   readonly relayWaitMilliseconds: number
+  /** A relay holds the call of a follower no longer than until the follower's tables reach this age, so that its reply comes before the maximum age. */
+  readonly relayedAgeMilliseconds: number
   /** The store is asked directly when it last confirmed a follower's tables this long ago. */
   readonly maximumAgeMilliseconds: number
 }
@@ -46,12 +48,13 @@
  */
 export function divideNewsTime (allowedMilliseconds: number): NewsTimeBudget {
   const maximumAgeMilliseconds = Math.max(2 * minimumWaitMilliseconds, allowedMilliseconds - storeReplyMilliseconds - processingMilliseconds)
-  const relayedWaits = maximumAgeMilliseconds - relayHopMilliseconds
+  const relayedAgeMilliseconds = maximumAgeMilliseconds - relayHopMilliseconds
   const storeWaitMilliseconds = boundWait(maximumAgeMilliseconds - storeReplyMilliseconds)
   return {
     storeWaitMilliseconds,
-    relayStoreWaitMilliseconds: Math.min(storeWaitMilliseconds, boundWait(relayedWaits * relayStoreShare)),
-    relayWaitMilliseconds: boundWait(relayedWaits * (1 - relayStoreShare)),
+    relayStoreWaitMilliseconds: Math.min(storeWaitMilliseconds, boundWait(relayedAgeMilliseconds * relayStoreShare)),
+    relayWaitMilliseconds: boundWait(relayedAgeMilliseconds * (1 - relayStoreShare)),
+    relayedAgeMilliseconds,
     maximumAgeMilliseconds
   }
 }
--- a/src/replica/relayFollower.ts
+++ b/src/replica/relayFollower.ts
@@ -172,8 +172,8 @@
   /** How long the relay that is followed may hold a request. */
   get #waitMilliseconds (): number {
     const { budget, follower } = this.#options
-    const { maximumAgeMilliseconds, relayWaitMilliseconds } = budget()
-    return Math.max(0, Math.min(relayWaitMilliseconds, maximumAgeMilliseconds - follower.ageMilliseconds))
+    const { relayWaitMilliseconds, relayedAgeMilliseconds } = budget()
+    return Math.max(0, Math.min(relayWaitMilliseconds, relayedAgeMilliseconds - follower.ageMilliseconds))
   }
 
   /** Asks a relay and follows it; returns why it should not be followed, if so. */
--- a/test/newsTimeBudget.test.ts
+++ b/test/newsTimeBudget.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
+import { divideNewsTime } from '../src/replica/index.ts'
 import { type FollowingFleet, startFollowingFleet } from './fakes/followingFleet.ts'
 
 /** The platform allows this many calls for the smallest fleets; larger ones may make more. */
@@ -89,3 +90,15 @@
     expect([moment, fleet.oldestVersion()]).toEqual([moment, fleet.store.version])
   }
 }, 60_000)
+
+test.each([2_500, 4_000])('while all connections work, only the relays ask the store, though it answers slowly (%i ms allowed)', async allowedMilliseconds => {
+  const fleet = startFollowingFleet({ size: 20, hasRelays: true, allowedMilliseconds, seed: 1 })
+  await fleet.clock.advance(8_000)
+  fleet.store.replyMilliseconds = 250
+  await fleet.clock.advance(5_000)
+  const callsBefore = fleet.store.callTimes.length
+  await fleet.clock.advance(60_000)
+  fleet.stop()
+  const callsOfRelay = 2 * Math.ceil(60_000 / divideNewsTime(allowedMilliseconds).relayStoreWaitMilliseconds)
+  expect(fleet.store.callTimes.length - callsBefore).toBeLessThanOrEqual(3 * callsOfRelay)
+})
