Take a run that is silent until its deadline for silent, also after a stall

The exchange has a timeout of its own that ends with the deadline of the request. Where a stall of the event loop let it fire before the reader's, the run counted as failed by its endpoint instead of silent: the endpoint's failure rate rose, the content was blamed as for a crash, and the connections that had fallen silent with it stayed in use.

Evidence: in a whole run of the tests beside other work such a call's attempt ended with 'connection received no data within the inactivity timeout', and the next three calls were sent on connections as silent: 504. Seen again once in a run of the file with 1.9 s for these calls. The failure event says that it timed out; it is taken for silence now.

The test failed before for streams (for plain calls it passed, the order of the timers being left to the event loop) and passes now: npx vitest run test/silentEndpoints.test.ts -t 'taken for one that failed' A second test shows that what may run only once is not given up for silence; it passed before as well.

--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -92,7 +92,7 @@
   async #readResponse (attempt: OpenAttempt, reader: DeadlineReader): Promise<PlainOutcome> {
     const request = this.#request
     const head = await this.#nextEvent(attempt, reader)
-    if (head === undefined || head.type === 'failure') return this.#failAttempt(attempt, head?.reason)
+    if (head === undefined || head.type === 'failure') return this.#failAttempt(attempt, failureReasonOf(head))
     if (head.type !== 'head') return this.#failAttempt(attempt, 'body data before the response headers')
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
     if (!request.isOwnResponse(responseHead)) return this.#rejectForeignResponse(attempt, responseHead.attemptId)
@@ -112,7 +112,7 @@
     let bytes = 0
     for (;;) {
       const event = await this.#nextEvent(attempt, reader)
-      if (event === undefined || event.type === 'failure') return this.#failAttempt(attempt, event?.reason)
+      if (event === undefined || event.type === 'failure') return this.#failAttempt(attempt, failureReasonOf(event))
       if (event.type === 'end') break
       if (event.type !== 'data') continue
       chunks.push(event.bytes)
@@ -214,6 +214,11 @@
   }
 }
 
+/** Why a run broke off; undefined if it was silent until its deadline, which the exchange may notice first. */
+function failureReasonOf (event: Extract<ExchangeEvent, { type: 'failure' }> | undefined): string | undefined {
+  return event === undefined || event.timedOut ? undefined : event.reason
+}
+
 /** Resolves when the response can accept more data or the caller has disconnected. */
 export function waitForDrain (response: NodeJS.WritableStream, left: AbortSignal): Promise<void> {
   if (left.aborted) return Promise.resolve()
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -304,6 +304,7 @@
 
 function reasonOf (event: ExchangeEvent | undefined): string {
   if (event === undefined) return silentReason
-  if (event.type === 'failure') return event.reason
+  // The exchange may notice first that the run was silent until its deadline.
+  if (event.type === 'failure') return event.timedOut ? silentReason : event.reason
   return event.type === 'end' ? 'stream ended in the middle of an event' : `unexpected ${event.type}`
 }
--- a/test/silentEndpoints.test.ts
+++ b/test/silentEndpoints.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, test } from 'vitest'
-import { endpointDocument } from '../platform/standin/index.ts'
+import { configurationDocument, endpointDocument } from '../platform/standin/index.ts'
 import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
 import { type GatewayFleetOptions, GatewayFleet } from './fakes/gatewayFleet.ts'
 import { block, pause } from './fakes/rawCaller.ts'
@@ -47,8 +47,8 @@
     for (const { status } of responses) expect(status).toBe(200)
   }
 
-  async function startReadyForwarder (bounds: Record<string, number>): Promise<string> {
-    harness.putConfiguration(1)
+  async function startReadyForwarder (bounds: Record<string, number>, configuration: Record<string, unknown> = {}): Promise<string> {
+    harness.putConfiguration(1, configuration)
     const host = await harness.startForwarder({ bounds })
     await harness.waitUntilReady(host)
     return host
@@ -82,6 +82,22 @@
     expect(runs).toBe(2)
   })
 
+  test('a call and a stream that may run only once are not given up for silence, whatever the budget allows', async () => {
+    const endpoints = await Promise.all((['ledger', 'ledger', 'engines', 'engines'] as const).map(service => harness.startEndpoint(service)))
+    for (const endpoint of endpoints) {
+      endpoint.handleWith((_request, response) => {
+        endpoint.pauseFor(pauseMilliseconds)
+        response.end(formatEvent(1))
+      })
+    }
+    const routes = configurationDocument(1).routes.map(route => ({ ...route, max_attempts: 3, resumable: false }))
+    const host = await startReadyForwarder({ retry_ratio: 6 }, { routes })
+    const paths = ['/release/1', '/query/1']
+    const responses = await Promise.all(paths.map(path => harness.call(host, path, { headers: { 'deadline-ms': '1900', model: 'small', 'token-usage': '10,10' } })))
+    for (const response of responses) expect(response).toMatchObject({ status: 200, body: formatEvent(1) })
+    expect(endpoints.flatMap(({ received }) => received)).toHaveLength(paths.length)
+  })
+
   test('a stream whose endpoint is silent for a second goes on there while the retry budget is used up', async () => {
     const engines = [await harness.startEndpoint('engines'), await harness.startEndpoint('engines')]
     for (const engine of engines) {
@@ -119,6 +135,18 @@
     for (const response of next) expect(response).toMatchObject({ status: 200, body: 'done' })
   })
 
+  test.each(['/balance/1', '/query/1'])('an endpoint of %s that is silent until the deadline is not taken for one that failed after a stall of the event loop', async path => {
+    for (const service of ['ledger', 'engines'] as const) (await harness.startEndpoint(service)).handleWith(() => undefined)
+    const host = await startReadyForwarder(noRetries)
+    const call = harness.call(host, path, { headers: { 'deadline-ms': '500', model: 'small', 'token-usage': '10,10' } })
+    await pause(400)
+    block(400)
+    expect((await call).status).toBe(504)
+    const metrics = await (await fetch(`http://${host}:8220/metrics`)).text()
+    expect(metrics).toMatch(/broken_runs_total\{[^}]*end="silent"[^}]*\} 1/)
+    expect(metrics).not.toMatch(/broken_runs_total\{[^}]*end="failed"/)
+  })
+
   test('of streams that fall silent together, none is closed for the one retry that is left', async () => {
     const engines = await Promise.all([1, 2, 3].map(() => harness.startEndpoint('engines')))
     let begun = 0
