Take no endpoint that is silent until the deadline for one that broke the request off

What callers saw: 504 as before, but the endpoint was recorded as having failed the request and its run as one that broke off: its cost rose with each, and its run was examined as a possible crash, which counts against the prompt of the caller.

Cause: two timers watch the deadline of a run, that of its reader and that of its exchange, whose inactivity time is the same span. On a kept connection they are due at the same moment, and which one fires first is chance. Where the exchange's did, its failure looked like that of a connection that broke.

--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -13,7 +13,7 @@
 import type { CompleteResponse } from './callerResponse.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
-import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
+import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError, unlessTimedOut } from './openAttempt.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
 import { startRun } from './runStart.ts'
 
@@ -175,10 +175,10 @@
       const event = await reader.next(Math.min(deadline, lookAt))
       if (event !== undefined || request.now >= deadline) {
         this.#handover.cancel()
-        return event
+        return unlessTimedOut(event)
       }
       const arrived = await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt))
-      if (arrived !== undefined) return arrived
+      if (arrived !== undefined) return unlessTimedOut(arrived)
       lookAt = request.now + silenceCheckIntervalMilliseconds
     }
   }
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -14,7 +14,7 @@
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { ModelChoice } from './modelChoice.ts'
-import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
+import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError, unlessTimedOut } from './openAttempt.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
 import { startRun } from './runStart.ts'
@@ -252,14 +252,14 @@
     for (let now = waitingSince; ; now = request.now) {
       const millisecondsLeft = millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, waitingSince, now))
       const arrived = millisecondsLeft <= 0 ? await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt)) : undefined
-      if (arrived !== undefined) return arrived
+      if (arrived !== undefined) return unlessTimedOut(arrived)
       const millisecondsToCheck = millisecondsLeft - livenessMilliseconds
       if (hasRunStarted && millisecondsToCheck <= 0 && this.#handover.mayBegin(this.#plannedHandover(attempt))) liveness.check(attempt.endpoint)
       const nextLookMilliseconds = [millisecondsToCheck, millisecondsLeft].find(milliseconds => milliseconds > 0) ?? silenceCheckIntervalMilliseconds
       const event = await reader.next(Math.min(request.deadline, now + Math.ceil(nextLookMilliseconds)))
       if (event !== undefined || request.now >= request.deadline || request.hasCallerLeft) {
         this.#handover.cancel()
-        return event
+        return unlessTimedOut(event)
       }
     }
   }
