Exclude no endpoint because a request may no longer be written to it

What callers saw: a request whose deadline passed while its connection was being opened left the endpoint excluded for a second at its gateway, as if it could not be reached; later requests went to fewer endpoints and were refused as full.

Cause: an attempt that was never written counted as one that found its endpoint unreachable, also where the connection was open and this gateway decided not to write: past the deadline, late in a planned stop, for an endpoint that is leaving.

Change: an attempt that this gateway withheld ends as cancelled. A connection that is refused or not accepted counts as before.

Evidence: test/withheldAttempt.test.ts: one of two concurrent requests was refused with 503 before, though two endpoints were idle.

--- a/src/gateway/attemptOpener.ts
+++ b/src/gateway/attemptOpener.ts
@@ -44,8 +44,10 @@
     const blocked = new AbortController()
     const run = this.#openRun(endpoint, blocked)
     const evidence = rollOuts.openRun(request.service, endpoint.version, { kind: request.route.name, requestClass: `${request.route.name}/${model ?? ''}`, sentAt: startedAt })
+    let wasWithheld = false
     const mayStillSend = () => {
-      if (replacement?.isStillWanted() === false || !this.#mayWrite(endpoint, permit)) return false
+      wasWithheld = replacement?.isStillWanted() === false || !this.#mayWrite(endpoint, permit)
+      if (wasWithheld) return false
       this.#recordSent(endpoint, run)
       replacement?.onWrite()
       return true
@@ -54,7 +56,7 @@
     blocked.signal.addEventListener('abort', () => exchange.abort('its prompt is blocked'), { once: true })
     const unfollowCaller = this.#abortWithCaller(exchange)
     const forgetStop = this.#abortWithStop(exchange)
-    return { endpoint, model, exchange, startedAt, forgetStop, unfollowCaller, promptMilliseconds: work.prefillMilliseconds, tracker, duration, run, permit, evidence, isBlocked: () => blocked.signal.aborted }
+    return { endpoint, model, exchange, startedAt, forgetStop, unfollowCaller, promptMilliseconds: work.prefillMilliseconds, tracker, duration, run, permit, evidence, isBlocked: () => blocked.signal.aborted, wasWithheld: () => wasWithheld }
   }
 
   #openRun (endpoint: RoutedEndpoint, blocked: AbortController): EndpointRun {
--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -24,6 +24,8 @@
   readonly evidence: EvidenceRun | undefined
   /** Whether it was cancelled because its prompt was blocked. */
   readonly isBlocked: () => boolean
+  /** Whether it had a connection, and this gateway decided not to write the request. */
+  readonly wasWithheld: () => boolean
   /** Once it is over, it need not end with its caller's connection. */
   readonly unfollowCaller: () => void
 }
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -163,7 +163,7 @@
    * accepting it is reachable; one that refused the connection or stayed silent may not be.
    */
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
-    if (this.#request.hasCallerLeft || attempt.isBlocked() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
+    if (this.#request.hasCallerLeft || attempt.isBlocked() || attempt.wasWithheld() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
     const wasLeftAlone = !attempt.exchange.mayHaveSent && this.#isLeftAlone(attempt.endpoint)
     if (wasLeftAlone || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
     return isSilent || !attempt.exchange.mayHaveSent ? AttemptEnd.Lost : AttemptEnd.Failed
