--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -1,6 +1,6 @@
 /** One attempt of a forwarded request at an endpoint, and how it may end. */
 import type { EndpointRun } from '../breaker/index.ts'
-import type { Exchange } from '../endpoint/index.ts'
+import type { Exchange, ExchangeEvent } from '../endpoint/index.ts'
 import type { SendPermit } from '../rateLimit/index.ts'
 import type { AttemptTracker, EvidenceRun, RunDuration } from '../placement/index.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
@@ -24,6 +24,8 @@
   readonly evidence: EvidenceRun | undefined
   /** Whether it was cancelled because its prompt was blocked. */
   readonly isBlocked: () => boolean
+  /** Whether it had a connection, and this gateway decided not to write the request. */
+  readonly wasWithheld: () => boolean
   /** Once it is over, it need not end with its caller's connection. */
   readonly unfollowCaller: () => void
 }
@@ -93,3 +95,13 @@
 export function isServerError (status: number): boolean {
   return status >= firstServerErrorStatus
 }
+
+/**
+ * The next event of a run; undefined if the deadline came first, whether the event's reader or its exchange noticed that.
+ *
+ * @example
+ * const event = unlessTimedOut(await reader.next(deadline))
+ */
+export function unlessTimedOut (event: ExchangeEvent | undefined): ExchangeEvent | undefined {
+  return event?.type === 'failure' && event.timedOut ? undefined : event
+}
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -174,7 +174,7 @@
    * accepting it is reachable, and so may one be that stayed silent; one that refused the connection is not.
    */
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
-    if (this.#request.hasCallerLeft || attempt.isBlocked() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
+    if (this.#request.hasCallerLeft || attempt.isBlocked() || attempt.wasWithheld() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
     const wasLeftAlone = !attempt.exchange.mayHaveSent && this.#isLeftAlone(attempt.endpoint)
     if (wasLeftAlone || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
     if (!attempt.exchange.mayHaveSent) return AttemptEnd.Lost
