--- a/src/gateway/openAttempt.ts
+++ b/src/gateway/openAttempt.ts
@@ -1,6 +1,6 @@
 /** One attempt of a forwarded request at an endpoint, and how it may end. */
 import type { EndpointRun } from '../breaker/index.ts'
-import type { Exchange, ExchangeEvent } from '../endpoint/index.ts'
+import type { Exchange } from '../endpoint/index.ts'
 import type { SendPermit } from '../rateLimit/index.ts'
 import type { AttemptTracker, EvidenceRun, RunDuration } from '../placement/index.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
@@ -95,13 +95,3 @@
 export function isServerError (status: number): boolean {
   return status >= firstServerErrorStatus
 }
-
-/**
- * The next event of a run; undefined if the deadline came first, whether the event's reader or its exchange noticed that.
- *
- * @example
- * const event = unlessTimedOut(await reader.next(deadline))
- */
-export function unlessTimedOut (event: ExchangeEvent | undefined): ExchangeEvent | undefined {
-  return event?.type === 'failure' && event.timedOut ? undefined : event
-}
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -13,7 +13,7 @@
 import type { CompleteResponse } from './callerResponse.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
-import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError, unlessTimedOut } from './openAttempt.ts'
+import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
 import { startRun } from './runStart.ts'
 
@@ -90,7 +90,7 @@
   async #readResponse (attempt: OpenAttempt, reader: DeadlineReader): Promise<PlainOutcome> {
     const request = this.#request
     const head = await this.#nextEvent(attempt, reader)
-    if (head === undefined || head.type === 'failure') return this.#failAttempt(attempt, failureReasonOf(head))
+    if (head === undefined || head.type === 'failure') return this.#failAttempt(attempt, head?.reason)
     if (head.type !== 'head') return this.#failAttempt(attempt, 'body data before the response headers')
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
     if (!request.isOwnResponse(responseHead)) return this.#rejectForeignResponse(attempt, responseHead.attemptId)
@@ -110,7 +110,7 @@
     let bytes = 0
     for (;;) {
       const event = await this.#nextEvent(attempt, reader)
-      if (event === undefined || event.type === 'failure') return this.#failAttempt(attempt, failureReasonOf(event))
+      if (event === undefined || event.type === 'failure') return this.#failAttempt(attempt, event?.reason)
       if (event.type === 'end') break
       if (event.type !== 'data') continue
       chunks.push(event.bytes)
@@ -176,10 +176,10 @@
       const event = await reader.next(Math.min(deadline, lookAt))
       if (event !== undefined || request.now >= deadline) {
         this.#handover.cancel()
-        return unlessTimedOut(event)
+        return event
       }
       const arrived = await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt))
-      if (arrived !== undefined) return unlessTimedOut(arrived)
+      if (arrived !== undefined) return arrived
       lookAt = request.now + silenceCheckIntervalMilliseconds
     }
   }
@@ -213,11 +213,6 @@
   }
 }
 
-/** Why a run broke off; undefined if it was silent until its deadline, which the exchange may notice first. */
-function failureReasonOf (event: Extract<ExchangeEvent, { type: 'failure' }> | undefined): string | undefined {
-  return event === undefined || event.timedOut ? undefined : event.reason
-}
-
 /** Resolves when the response can accept more data or the caller has disconnected. */
 export function waitForDrain (response: NodeJS.WritableStream, left: AbortSignal): Promise<void> {
   if (left.aborted) return Promise.resolve()
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -14,7 +14,7 @@
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { ModelChoice } from './modelChoice.ts'
-import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError, unlessTimedOut } from './openAttempt.ts'
+import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
 import { startRun } from './runStart.ts'
@@ -256,14 +256,14 @@
     for (let now = waitingSince; ; now = request.now) {
       const millisecondsLeft = millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, waitingSince, now))
       const arrived = millisecondsLeft <= 0 ? await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt)) : undefined
-      if (arrived !== undefined) return unlessTimedOut(arrived)
+      if (arrived !== undefined) return arrived
       const millisecondsToCheck = millisecondsLeft - livenessMilliseconds
       if (hasRunStarted && millisecondsToCheck <= 0 && this.#handover.mayBegin(this.#plannedHandover(attempt))) liveness.check(attempt.endpoint)
       const nextLookMilliseconds = [millisecondsToCheck, millisecondsLeft].find(milliseconds => milliseconds > 0) ?? silenceCheckIntervalMilliseconds
       const event = await reader.next(Math.min(request.deadline, now + Math.ceil(nextLookMilliseconds)))
       if (event !== undefined || request.now >= request.deadline || request.hasCallerLeft) {
         this.#handover.cancel()
-        return unlessTimedOut(event)
+        return event
       }
     }
   }
@@ -309,7 +309,6 @@
 
 function reasonOf (event: ExchangeEvent | undefined): string {
   if (event === undefined) return silentReason
-  // The exchange may notice first that the run was silent until its deadline.
-  if (event.type === 'failure') return event.timedOut ? silentReason : event.reason
+  if (event.type === 'failure') return event.reason
   return event.type === 'end' ? 'stream ended in the middle of an event' : `unexpected ${event.type}`
 }
