--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -73,6 +73,7 @@
   readonly #secondHead: SecondHeadScanner | undefined
   #bytesBehind: Buffer = noBytes
   #bufferedBytes = 0
+  #eventCount = 0
   #lastActivityAt: number
   #controller: Dispatcher.DispatchController | undefined
   #mayHaveSent = false
@@ -118,6 +119,16 @@
     return this.#mayHaveSent
   }
 
+  /** When something of the response was last received, or the request was sent, in milliseconds of the process's clock. */
+  get lastActivityAt (): number {
+    return this.#lastActivityAt
+  }
+
+  /** Number of events so far, read or not. */
+  get eventCount (): number {
+    return this.#eventCount
+  }
+
   /** Bytes received and not yet read. */
   get bufferedBytes (): number {
     return this.#bufferedBytes
@@ -224,12 +235,14 @@
   #push (event: ExchangeEvent): void {
     if (this.#finalEvent !== undefined) return
     this.#events.push(event)
+    this.#eventCount++
     this.#wake()
   }
 
   #finish (event: ExchangeEvent): void {
     if (this.#finalEvent !== undefined) return
     this.#finalEvent = event
+    this.#eventCount++
     this.#timeoutWatch.abort()
     this.#cancelDiscardLimit()
     this.#wake()
--- a/src/gateway/attemptOpener.ts
+++ b/src/gateway/attemptOpener.ts
@@ -10,6 +10,9 @@
 import type { AttemptOptions, OpenAttempt } from './openAttempt.ts'
 import type { RequestSends } from './requestSends.ts'
 
+/** Added to the time that is left: the request's deadline ends a silent attempt, and only then the exchange's own timeout. */
+const inactivityMarginMilliseconds = 1_000
+
 interface ExchangeStart {
   /** Milliseconds of the process's clock. */
   readonly startedAt: number
@@ -34,7 +37,7 @@
   open (endpoint: RoutedEndpoint, options: AttemptOptions): OpenAttempt {
     const request = this.#request
     const { limits, loads, rollOuts, runDurations } = request.dependencies
-    const { model } = options
+    const { model, replacement } = options
     const startedAt = request.now
     const permit = limits.open(ratedEndpoint(endpoint), startedAt)
     request.selection.markTried(endpoint)
@@ -45,9 +48,10 @@
     const run = this.#openRun(endpoint, blocked)
     const evidence = rollOuts.openRun(request.service, endpoint.version, { kind: request.route.name, requestClass: `${request.route.name}/${model ?? ''}`, sentAt: startedAt })
     const mayStillSend = () => {
-      const isSending = this.#mayWrite(endpoint, permit)
-      if (isSending) this.#recordSent(endpoint, run)
-      return isSending
+      if (replacement?.isStillWanted() === false || !this.#mayWrite(endpoint, permit)) return false
+      this.#recordSent(endpoint, run)
+      replacement?.onWrite()
+      return true
     }
     const exchange = this.#startExchange(endpoint, options, { startedAt, mayStillSend })
     blocked.signal.addEventListener('abort', () => exchange.abort('its prompt is blocked'), { once: true })
@@ -100,7 +104,7 @@
       }),
       body: body.length === 0 ? undefined : body,
       responseMark: head.attemptId,
-      inactivityTimeoutMilliseconds: Math.max(1, deadline - startedAt),
+      inactivityTimeoutMilliseconds: Math.max(0, deadline - startedAt) + inactivityMarginMilliseconds,
       mayStillSend
     }
   }
--- a/src/gateway/endpointSelection.ts
+++ b/src/gateway/endpointSelection.ts
@@ -17,6 +17,8 @@
   readonly #request: ForwardedRequest
   readonly #eligibilityRequest: EligibilityRequest
   readonly #triedInstances = new Set<string>()
+  /** Those of the tried ones that may be tried again once no other is left. */
+  readonly #retriableInstances = new Set<string>()
   #isEndedByStop = false
   #placeMilliseconds: number | undefined
 
@@ -41,11 +43,27 @@
     return this.#placeMilliseconds
   }
 
+  /** Whether a wait for a place has ended without one. */
+  get hasWaitedInVain (): boolean {
+    return this.#isEndedByStop || this.#placeMilliseconds !== undefined
+  }
+
   /** Why no endpoint may be reached now; undefined if one may. */
   get ineligibility (): Ineligibility | undefined {
     return this.#dependencies.eligibility.ineligibilityOf(this.#eligibilityRequest, this.#request.now)
   }
 
+  /** Number of endpoints that the request may reach and has not tried. */
+  get untriedCount (): number {
+    return this.#reachableUntried().length
+  }
+
+  /** Number of those whose rate limit has a place. */
+  get untriedWithPlaceCount (): number {
+    const { limits } = this.#dependencies
+    return this.#reachableUntried().filter(endpoint => limits.hasPlace(ratedEndpoint(endpoint), this.#request.now)).length
+  }
+
   /** How long it takes until an endpoint of the service wants requests again, in milliseconds; 0 if one does now. */
   get overloadMilliseconds (): number {
     const { eligibility, loads } = this.#dependencies
@@ -63,12 +81,11 @@
     return this.#dependencies.placement.choose(this.#placementRequest(model, isResumed), this.#untriedEndpoints(), this.#request.now)
   }
 
-  /** Whether an endpoint is eligible now for another run, counting the one of the present run. */
-  hasEndpointBeside (present: RoutedEndpoint, model: string | undefined): boolean {
-    this.allowRetryAt(present)
-    const isEligible = this.choose(model) !== undefined
-    this.markTried(present)
-    return isEligible
+  /** Chooses an endpoint that has not just fallen silent and need not be queued for; undefined if there is none. */
+  chooseAtOnce (model: string | undefined, isResumed: boolean): RoutedEndpoint | undefined {
+    const endpoint = this.choose(model, isResumed)
+    if (endpoint === undefined || this.#hasToQueueFor(endpoint)) return undefined
+    return this.#dependencies.loads.isSilent(endpoint, this.#request.now) ? undefined : endpoint
   }
 
   /** Chooses an endpoint; while the rate limits of all are used up, waits for a place. Undefined if none is eligible in time. */
@@ -99,6 +116,25 @@
     this.#triedInstances.delete(instanceKey(endpoint))
   }
 
+  /** Makes an endpoint eligible again once no other is left: it was silent or full, and neither answered nor broke the request off. */
+  allowRetryLaterAt (endpoint: RoutedEndpoint): void {
+    this.#retriableInstances.add(instanceKey(endpoint))
+  }
+
+  /** Makes the endpoints eligible again that may be tried again; returns whether there are any. */
+  allowRetries (): boolean {
+    const hasAny = this.#retriableInstances.size > 0
+    for (const instance of this.#retriableInstances) this.#triedInstances.delete(instance)
+    this.#retriableInstances.clear()
+    return hasAny
+  }
+
+  /** Whether an endpoint that has not been tried yet is full now, and may have room before the deadline. */
+  awaitsRoom (model: string | undefined): boolean {
+    const { deadline, now } = this.#request
+    return this.#dependencies.placement.awaitsRoom(model, this.#untriedEndpoints(), now, deadline)
+  }
+
   get #dependencies () {
     return this.#request.dependencies
   }
@@ -134,6 +170,11 @@
     return candidates.filter(endpoint => !this.#triedInstances.has(instanceKey(endpoint)))
   }
 
+  #reachableUntried (): readonly RoutedEndpoint[] {
+    const serving = this.#dependencies.eligibility.endpointsFor(this.#eligibilityRequest, this.#request.now)
+    return serving.filter(endpoint => !this.#triedInstances.has(instanceKey(endpoint)))
+  }
+
   #placementRequest (model: string | undefined, isResumed: boolean): PlacementRequest {
     const { head, route } = this.#request
     return {
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -8,12 +8,15 @@
 import type { ResponseHead, RoutedEndpoint } from '../routing/index.ts'
 import { AttemptOpener } from './attemptOpener.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
+import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
 import { isRequestAtFault } from './rejectedRequest.ts'
 import { RequestSends } from './requestSends.ts'
 import { isSelfDelimited } from './responseFraming.ts'
 
 const misdirectedStatus = 421
+/** After such an end, its endpoint is not asked again for the same request. */
+const finalEnds: ReadonlySet<AttemptEnd> = new Set([AttemptEnd.Answered, AttemptEnd.Failed, AttemptEnd.Cancelled])
 /** Endpoints that may reject a request for what its caller sent before it is given up; one of them may just not be at its address. */
 const maximumRequestRejections = 2
 
@@ -102,6 +105,7 @@
     const { now, service } = this.#request
     attempt.unfollowCaller()
     if (countsAsRun) this.#runCount++
+    if (attempt.exchange.mayHaveSent && !finalEnds.has(end)) this.#request.selection.allowRetryLaterAt(attempt.endpoint)
     this.#countLimited(attempt)
     attempt.forgetStop()
     attempt.run.close()
@@ -130,11 +134,29 @@
     if (wasSent) this.#dependencies.metrics.brokenRuns.inc({ service, end, progress: begunAt === undefined ? RunProgress.Waiting : RunProgress.Begun })
     this.#hasBrokenOff ||= wasSent
     if (wasSent && end === AttemptEnd.Failed) this.#recordBreak(attempt)
+    if (wasSent && end === AttemptEnd.Silent && this.#hasEndpointBeenSilent(attempt)) this.#dependencies.connections.retire(attempt.endpoint.address)
     if (!wasSent && end === AttemptEnd.Lost) attempt.run.recordRefusal(now)
     const begun = begunAt === undefined ? '' : `, begun ${Math.round(now - begunAt)}ms before`
     this.finish(attempt, end, `${wasSent ? 'broke off' : 'unsent'}${begun}: ${reason}`)
   }
 
+  /**
+   * Gives up a run that was silent for too long, in the event-loop turn that writes another one. All connections to its
+   * endpoint that are open may have fallen silent for good, while new ones work.
+   */
+  giveUpSilent (attempt: OpenAttempt, description: string, nextEndpoint: RoutedEndpoint): void {
+    recordGivenUp(this.#request, attempt, GiveUpReason.Silence, nextEndpoint)
+    this.#dependencies.connections.retire(attempt.endpoint.address)
+    attempt.exchange.abort('silent')
+    this.finishBroken(attempt, this.endWithoutResponse(attempt, true), description)
+  }
+
+  /** Whether no run has received anything from the endpoint since this one last did, or was sent. */
+  #hasEndpointBeenSilent ({ exchange, tracker }: OpenAttempt): boolean {
+    const { now } = this.#request
+    return tracker.silentMilliseconds(now) >= now - exchange.lastActivityAt
+  }
+
   #recordHeldBack ({ endpoint }: OpenAttempt): void {
     this.#dependencies.metrics.heldBack.inc({ service: this.#request.service, at: HeldBackAt.Send })
     this.#request.selection.allowRetryAt(endpoint)
@@ -149,13 +171,14 @@
 
   /**
    * Classifies an attempt that ended without a response. An endpoint that broke off a request after
-   * accepting it is reachable; one that refused the connection or stayed silent may not be.
+   * accepting it is reachable, and so may one be that stayed silent; one that refused the connection is not.
    */
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
     if (this.#request.hasCallerLeft || attempt.isBlocked() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
     const wasLeftAlone = !attempt.exchange.mayHaveSent && this.#isLeftAlone(attempt.endpoint)
     if (wasLeftAlone || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
-    return isSilent || !attempt.exchange.mayHaveSent ? AttemptEnd.Lost : AttemptEnd.Failed
+    if (!attempt.exchange.mayHaveSent) return AttemptEnd.Lost
+    return isSilent ? AttemptEnd.Silent : AttemptEnd.Failed
   }
 
   /** Whether the request may not be sent to an endpoint now. That says nothing of whether the endpoint can be reached. */
--- a/src/gateway/requestHolding.ts
+++ b/src/gateway/requestHolding.ts
@@ -3,7 +3,7 @@
  * on has an account of its own: an endpoint that sends much and ends nothing must not take the room of callers.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { HeldBytes, Holding } from '../server/index.ts'
+import { CloseCause, type HeldBytes, type Holding } from '../server/index.ts'
 import { cutResponse } from './responseFraming.ts'
 
 /** Memory that a field of a head takes beyond its text, by the time it has been read and copied for an attempt. */
@@ -103,13 +103,13 @@
   }
 
   #holdUnread (bytes: number): void {
-    const unread = this.#accounts.heldBytes.open(() => cutResponse(this.#response))
+    const unread = this.#accounts.heldBytes.open(() => cutResponse(this.#response, CloseCause.Evicted))
     unread.setUnread(bytes)
     this.#response.once('close', () => unread.release())
   }
 
   #evict (): void {
-    if (this.#hasBegunWork) cutResponse(this.#response)
+    if (this.#hasBegunWork) cutResponse(this.#response, CloseCause.Evicted)
     else this.#eviction.abort()
   }
 }
--- a/src/gateway/responseFraming.ts
+++ b/src/gateway/responseFraming.ts
@@ -3,10 +3,12 @@
  * order. What leaves this process bit by bit is therefore never delimited by the close of its connection:
  * it has a length or is chunked, or is held for an HTTP/1.0 caller, which can read no chunks. A short response
  * that its endpoint delimited by the close leaves in one write, which no kill can cut, and is delimited the
- * same way, since a frame would claim a completeness that is not known.
+ * same way, since a frame would claim a completeness that is not known. It has a length all the same where
+ * further requests of its connection were read, which the close would cut.
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { type CloseCause, recordCloseCause } from '../server/index.ts'
 
 /** Connections whose orderly close would end a response that is not complete. */
 const delimitingConnections = new WeakSet<Socket>()
@@ -76,9 +78,10 @@
  * Closes a connection at once; an unfinished response on it does not look complete.
  *
  * @example
- * for (const socket of listener.sockets) cutConnection(socket)
+ * for (const socket of listener.sockets) cutConnection(socket, CloseCause.Stop)
  */
-export function cutConnection (socket: Socket): void {
+export function cutConnection (socket: Socket, cause: CloseCause): void {
+  recordCloseCause(socket, cause)
   // A connection whose end was sent already can't be reset.
   if (delimitingConnections.has(socket) && !socket.destroyed && !socket.writableEnded) socket.resetAndDestroy()
   else socket.destroy()
@@ -88,9 +91,10 @@
  * Ends a response that will not be completed by closing its connection, once it is its turn on it.
  *
  * @example
- * cutResponse(response)
+ * cutResponse(response, CloseCause.AnswerBroken)
  */
-export function cutResponse (response: ServerResponse): void {
-  if (response.socket !== null) cutConnection(response.socket)
+export function cutResponse (response: ServerResponse, cause: CloseCause): void {
+  if (response.socket === null) recordCloseCause(response.req.socket, cause)
+  else cutConnection(response.socket, cause)
   response.destroy()
 }
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -1,12 +1,24 @@
 /** One connection of a caller: what was read of it, and which of its responses are still open. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { markFollowed } from './followedResponse.ts'
+import { LingeringClose } from './lingeringClose.ts'
 
 /** Requests of one connection that are served at a time; answers leave in order, so more of them only wait. */
 const maximumServed = 16
 /** Requests that a caller may send ahead of their answers. */
 const maximumOpenResponses = 64
 
+/** Numbers of requests that have no complete answer. */
+export interface UnfinishedRequests {
+  /** Those whose body is arriving. */
+  readonly arriving: number
+  /** Those that were read to their end. */
+  readonly unanswered: number
+  /** Those whose answer has been sent in part. */
+  readonly begun: number
+}
+
 /** The response to the latest request. */
 interface LastResponse {
   readonly response: ServerResponse
@@ -30,9 +42,11 @@
  */
 export class CallerConnection {
   readonly socket: Socket
+  readonly #lingeringClose: LingeringClose
   readonly #openResponses = new Set<ServerResponse>()
   #last: LastResponse | undefined
   #isRetiring = false
+  #takesRequests = true
   /** Bytes received up to the end of the latest whole request. */
   #wholeRequestBytes = 0
   #headCount = 0
@@ -43,6 +57,9 @@
 
   constructor (socket: Socket) {
     this.socket = socket
+    this.#lingeringClose = new LingeringClose(socket)
+    // Node.js calls it after an answer that announced the end of its connection.
+    socket.destroySoon = () => this.#lingeringClose.begin()
   }
 
   /** Responses of which the kernel has not taken all bytes yet. Node.js counts a response as ended before. */
@@ -85,6 +102,13 @@
     return [...this.#openResponses].some(({ headersSent }) => headersSent)
   }
 
+  /** The requests that have no complete answer, by their state. */
+  get unfinishedRequests (): UnfinishedRequests {
+    const begun = [...this.#openResponses].filter(({ headersSent }) => headersSent).length
+    const arriving = [...this.#openResponses].filter(({ headersSent, req }) => !headersSent && !req.complete).length
+    return { arriving, unanswered: this.#openResponses.size - begun - arriving, begun }
+  }
+
   /** Resolves when the requests that were read to their end so far are answered. */
   async untilAnswered (): Promise<void> {
     await Promise.all(this.#answering.map(response => new Promise(resolve => response.once('close', resolve))))
@@ -94,6 +118,11 @@
     return [...this.#openResponses].filter(({ req }) => req.complete)
   }
 
+  /** Whether its end was announced, and its caller has yet to close its side. */
+  get isClosing (): boolean {
+    return this.#lingeringClose.isPending
+  }
+
   /** Bytes that the kernel has not taken yet. */
   get unsentBytes (): number {
     return this.socket.destroyed ? 0 : this.socket.writableLength
@@ -113,10 +142,10 @@
   /**
    * Adds a request that has arrived on the connection.
    *
-   * @returns false if it can't be answered, since an earlier response has announced the end of the connection
+   * @returns false if it can't be answered, since an earlier response has announced the end of the connection or a head was refused
    */
   add (request: IncomingMessage, response: ServerResponse): boolean {
-    if (this.#hasAnnouncedEnd || this.socket.destroyed) return false
+    if (!this.#takesRequests || this.#hasAnnouncedEnd || this.socket.destroyed) return false
     this.#headCount++
     this.#lastActiveAt = performance.now()
     this.#openResponses.add(response)
@@ -148,6 +177,11 @@
     serve()
   }
 
+  /** Takes no further requests; those that were added are served. */
+  stopRequests (): void {
+    this.#takesRequests = false
+  }
+
   /** Announces the end of the connection in its last response, unless the head of that has been sent. */
   retire (): void {
     this.#isRetiring = true
@@ -161,6 +195,7 @@
 
   /** A response that is not the last any more must not end the connection. */
   #moveEnd (response: ServerResponse): void {
+    if (this.#last !== undefined) markFollowed(this.#last.response)
     if (this.#isRetiring && this.#last !== undefined && !this.#last.response.headersSent) this.#last.response.shouldKeepAlive = this.#last.mayKeepAlive
     this.#last = { response, mayKeepAlive: response.shouldKeepAlive }
     if (this.#isRetiring) announceEnd(response)
