Give back what was held of an answer as soon as its run has failed

Between two runs of a request, while the next one waited for an endpoint, up to 1 MiB of the failed run's unfinished event stayed in the account of answers, although nothing held it any more, and others were refused room for it. Found by reading; no caller was seen to suffer. The run's failure gives it back now.

test/requestHolding.test.ts checks the account itself: apart from the callers', shrinking, empty at the end. It does not play two runs; it passed before this change as well.

--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -196,6 +196,7 @@
 
   /** @param reason undefined if the deadline has passed */
   #failAttempt (attempt: OpenAttempt, reason: string | undefined): PlainOutcome {
+    this.#request.holding.trySetAnswer(0)
     if (this.#handover.hasReplaced(attempt)) return { type: 'lost' }
     const request = this.#request
     if (reason === undefined) recordGivenUp(request, attempt, GiveUpReason.Deadline)
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -294,6 +294,7 @@
   }
 
   #failRun (attempt: OpenAttempt, reason: string, end: AttemptEnd = this.#request.attempts.endWithoutResponse(attempt, reason === silentReason)): RunOutcome {
+    this.#request.holding.trySetAnswer(this.#events.heldBytes)
     if (this.#handover.hasReplaced(attempt)) return RunOutcome.Broken
     const { attempts } = this.#request
     if (reason === silentReason) recordGivenUp(this.#request, attempt, GiveUpReason.Deadline)
