Wait between calls to a store that ends the held ones at once

With a store, or something before it, that ends held calls at once and answers others, a gateway would have asked without a pause: the call that follows a held one that failed came at once. It does so now only after a held call that lasted a second; otherwise the usual delay applies, and it grows until a held call succeeds.

npx vitest run test/replica.test.ts failed before (10,001 calls in 10 s where fewer than 50 are allowed); now it passes, with test/relay.test.ts, test/newsTimeBudget.test.ts and test/confirmationAge.test.ts, 44 tests.

--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -204,20 +204,23 @@
       }
       const mustReadWhole: boolean = mustReadAgain || !this.replica(table).isKnown
       const isHeld: boolean = !mustReadWhole && !mustProbe
+      const askedAt = this.#options.clock.now()
       const step: Result<TableChanges, FeedFailure> = mustReadWhole ? await this.#readWhole(table) : isHeld ? await this.#awaitChanges(table, isFirstWait) : await this.#probe(table)
       isFirstWait &&= !isHeld
       mustProbe = step.err
       if (step.ok) {
         mustReadAgain = step.val.hasGap
-        retryDelayMilliseconds = minimumRetryDelayMilliseconds
+        // A store that answers only calls that it need not hold still has failed.
+        if (isHeld || mustReadWhole) retryDelayMilliseconds = minimumRetryDelayMilliseconds
         this.#state.recordRecovery(table)
         const delayMilliseconds = mustReadAgain ? gapDelayMilliseconds : batchDelayMilliseconds
         if (mustReadAgain || step.val.rows.length > 0) await this.#options.clock.sleep(delayMilliseconds, this.#stopping.signal)
         continue
       }
       // A held call may have been sent over a silent connection, or ended by a pause; only the next one tells whether the feed fails.
-      if (isHeld) continue
-      if (!this.#isPaused && this.#state.recordFailure(table, step.val, this.replica(table).version)) this.failureWakeup.wake()
+      const wasLong = this.#options.clock.now() - askedAt >= maximumRetryDelayMilliseconds
+      if (isHeld && (this.#isPaused || wasLong)) continue
+      if (!isHeld && !this.#isPaused && this.#state.recordFailure(table, step.val, this.replica(table).version)) this.failureWakeup.wake()
       await this.#options.clock.sleep(retryDelayMilliseconds * (0.5 + this.#options.randomness.fraction()), this.#stopping.signal)
       retryDelayMilliseconds = Math.min(maximumRetryDelayMilliseconds, retryDelayMilliseconds * 2)
     }
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -99,6 +99,23 @@
   follower.stop()
 })
 
+test('a store that ends held calls at once and answers all others is not asked in a tight loop', async () => {
+  const clock = new ManualClock()
+  let calls = 0
+  const feed: TableFeed = {
+    snapshot: async () => Ok({ rows: [], epoch: 0, version: 1, storeTime: 0 }),
+    changes: async (_table, _after, waitMilliseconds) => {
+      calls++
+      await clock.sleep(1)
+      return waitMilliseconds > 0 ? Err(new FeedFailure('the connection was reset')) : Ok({ rows: [], epoch: 0, version: 1, storeTime: 0, hasGap: false })
+    }
+  }
+  const follower = startFollower(feed, clock)
+  await clock.advance(10_000)
+  expect(calls).toBeLessThan(50)
+  follower.stop()
+})
+
 test('a call that the store holds ends when a relay takes over, and counts as no failure', async () => {
   const clock = new ManualClock()
   const held: AbortSignal[] = []
