Follow the store closely enough for endpoints that leave, where that is the shorter bound

The budget takes the shorter of the two now; a boot file that names no bound for drains changes nothing.

npx vitest run test/bootFile.test.ts: the case of 4,000 and 2,500 ms failed before (the field had 4,000).

--- a/src/forwarder/followingComposition.ts
+++ b/src/forwarder/followingComposition.ts
@@ -67,14 +67,14 @@
   return new ConfirmationMonitor({
     follower,
     configurationVersion: () => routing.snapshot?.settings.version,
-    staleAfterMilliseconds: () => boot.current.settingsApplyTimeoutMilliseconds * staleConfirmationShare,
+    staleAfterMilliseconds: () => boot.current.changeApplyTimeoutMilliseconds * staleConfirmationShare,
     clock,
     log
   })
 }
 
 function newsTimeBudget ({ boot }: ForwarderDependencies): NewsTimeBudget {
-  return divideNewsTime(boot.current.settingsApplyTimeoutMilliseconds)
+  return divideNewsTime(boot.current.changeApplyTimeoutMilliseconds)
 }
 
 export function makePeers ({ link, follower, clock, randomness, log, boot, registry }: ForwarderDependencies): PeerReplicaExchange {
--- a/src/replica/newsTimeBudget.ts
+++ b/src/replica/newsTimeBudget.ts
@@ -44,7 +44,7 @@
  *
  * @param allowedMilliseconds from the store's acknowledgement of a change until it must be in force
  * @example
- * const budget = divideNewsTime(boot.settingsApplyTimeoutMilliseconds)
+ * const budget = divideNewsTime(boot.changeApplyTimeoutMilliseconds)
  */
 export function divideNewsTime (allowedMilliseconds: number): NewsTimeBudget {
   const maximumAgeMilliseconds = Math.max(2 * minimumWaitMilliseconds, allowedMilliseconds - storeReplyMilliseconds - processingMilliseconds)
--- a/test/bootFile.test.ts
+++ b/test/bootFile.test.ts
@@ -29,3 +29,11 @@
   const result = await readWith({ [name]: value })
   expect(result.err && result.val).toContain(`bounds.${name}`)
 })
+
+test.each([
+  [{ config_apply_ms: 4_000, drain_ms: 2_500 }, 2_500],
+  [{ config_apply_ms: 2_500, drain_ms: 4_000 }, 2_500],
+  [{ config_apply_ms: 4_000 }, 4_000]
+])('news of the store is followed so closely that neither new settings nor an endpoint that leaves is noticed too late (%o)', async (bounds, milliseconds) => {
+  expect((await readWith(bounds)).unwrap().changeApplyTimeoutMilliseconds).toBe(milliseconds)
+})
