--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -15,6 +15,7 @@
 import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
+import { waitForDrain } from './responseDrain.ts'
 import { startRun } from './runStart.ts'
 
 /** Responses larger than this are relayed as they arrive. */
@@ -213,17 +214,3 @@
     return { type: 'lost' }
   }
 }
-
-/** Resolves when the response can accept more data or the caller has disconnected. */
-export function waitForDrain (response: NodeJS.WritableStream, left: AbortSignal): Promise<void> {
-  if (left.aborted) return Promise.resolve()
-  return new Promise(resolve => {
-    const done = () => {
-      response.removeListener('drain', done)
-      left.removeEventListener('abort', done)
-      resolve()
-    }
-    response.once('drain', done)
-    left.addEventListener('abort', done, { once: true })
-  })
-}
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -17,8 +17,8 @@
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
+import { waitForDrain } from './responseDrain.ts'
 import { startRun } from './runStart.ts'
-import { waitForDrain } from './plainForwarding.ts'
 
 const successStatus = 200
 /** A longer event is taken for bytes without end. */
