--- a/src/placement/endpointHealth.ts
+++ b/src/placement/endpointHealth.ts
@@ -1,9 +1,9 @@
 /**
  * Passive health checking of one endpoint, based on the outcomes of this daemon's own attempts. An
  * endpoint that is unreachable or silent is excluded at once, because every attempt at it uses up part
- * of a caller's timeout. A sound endpoint may be silent for a moment, so that the exclusion of a silent one is
- * short and ends with the first byte that is received from it. An endpoint that fails some of its responses stays eligible at a higher cost,
- * since the requests themselves may cause the failures.
+ * of a caller's timeout. A sound endpoint may be silent for a moment, so that the exclusion of a silent
+ * one is short and ends with the first byte that is received from it. An endpoint that fails some of its
+ * responses stays eligible at a higher cost, since the requests themselves may cause the failures.
  */
 
 const initialExclusionMilliseconds = 1_000
--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -1,9 +1,10 @@
 /**
  * Maintains replicas of a few tables. Each table has one task, which reads the whole table and then waits
- * for changes. After a gap the table is read again; after a failure, and after a time in which it asked nothing, the task
- * asks for the changes since the last known version over a new connection, and the store holds that call for no time.
- * While a relay delivers the changes, the task asks only once the store has not confirmed the table for too long. While any table's feed fails, peers are asked for newer copies, since a store may reject one VM
- * and still serve the others.
+ * for changes. After a gap the table is read again. After a failure, and after a time in which it asked
+ * nothing, the task asks for the changes since the last known version over a new connection, with a call
+ * that the store does not hold. While a relay delivers the changes, the task asks only once the store has
+ * not confirmed the table for too long. While any table's feed fails, peers are asked for newer copies,
+ * since a store may reject one VM and still serve the others.
  */
 import { type Clock, type Randomness, type Result, Err, Ok, Wakeup, withDeadline } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
