Let a daemon that stops read on behind an answer that announced the end of its connection

What callers saw: at a daemon that stops, a caller that sent on behind such an answer was reset, and could lose the answer that it had not read.

Cause: a connection that is half closed counted as idle, and only the gateway's own loop asked whether it was closing. It counts as idle no longer, so that both ask the same. Found by the review, by reading.

--- a/src/gateway/callerConnections.ts
+++ b/src/gateway/callerConnections.ts
@@ -30,7 +30,7 @@
   /** Closes connections on which nothing is to be answered or sent, including those on which nothing was ever received. */
   closeIdle (): void {
     for (const connection of this.#listener.connections) {
-      if (connection.isIdle && !connection.isClosing) connection.socket.destroy()
+      if (connection.isIdle) connection.socket.destroy()
     }
   }
 
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -130,7 +130,7 @@
 
   /** Whether nothing is to be answered or sent, and no part of a further request has been read. */
   get isIdle (): boolean {
-    return this.openResponseCount === 0 && this.unsentBytes === 0 && this.socket.bytesRead === this.#wholeRequestBytes && !this.#hasBegunHead
+    return !this.isClosing && this.openResponseCount === 0 && this.unsentBytes === 0 && this.socket.bytesRead === this.#wholeRequestBytes && !this.#hasBegunHead
   }
 
   /** Bytes alone don't show a head whose first part came in one packet with the request before. */
