--- a/test/silentEndpoints.test.ts
+++ b/test/silentEndpoints.test.ts
@@ -3,7 +3,7 @@
 import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
 import { type GatewayFleetOptions, GatewayFleet } from './fakes/gatewayFleet.ts'
 import { block, pause } from './fakes/rawCaller.ts'
-import { SilencingFront } from './fakes/silencingFront.ts'
+import { SilencingProxy } from './fakes/silencingProxy.ts'
 
 /** Beyond the silence after which runs are given up, and well within the deadline. */
 const pauseMilliseconds = 1_000
@@ -23,22 +23,22 @@
   let harness: ForwarderHarness
   beforeEach(async () => { harness = await ForwarderHarness.start() })
   afterEach(async () => {
-    await Promise.all(fronts.splice(0).map(front => front.close()))
+    await Promise.all(proxies.splice(0).map(proxy => proxy.close()))
     await harness.close()
   })
 
-  const fronts: SilencingFront[] = []
+  const proxies: SilencingProxy[] = []
 
   /** Starts an endpoint of the plain service whose open connections a test can silence. */
-  async function startEndpointBehindFront (): Promise<void> {
+  async function startEndpointBehindProxy (): Promise<void> {
     const ledger = await harness.startEndpoint('ledger')
     ledger.handleWith(async (_request, response) => {
       await pause(50)
       response.end('done')
     })
-    const front = await SilencingFront.start(ledger.address)
-    fronts.push(front)
-    harness.store.put('servers', ledger.identity, endpointDocument('ledger', front.address))
+    const proxy = await SilencingProxy.start('127.0.0.1', ledger.address)
+    proxies.push(proxy)
+    harness.store.put('servers', ledger.identity, endpointDocument('ledger', proxy.address))
   }
 
   /** Leaves several open connections to each endpoint. */
@@ -116,20 +116,20 @@
   })
 
   test('an idempotent call is answered although all open connections fall silent for good, while new ones work', async () => {
-    for (let index = 0; index < 2; index++) await startEndpointBehindFront()
+    for (let index = 0; index < 2; index++) await startEndpointBehindProxy()
     const host = await startReadyForwarder({ retry_ratio: 6 })
     await openConnections(host)
-    for (const front of fronts) front.silenceOpenConnections()
+    for (const proxy of proxies) proxy.silence()
     for (let call = 0; call < 3; call++) {
       expect(await harness.call(host, '/balance/1', { headers: { 'deadline-ms': '1900' } })).toMatchObject({ status: 200, body: 'done' })
     }
   })
 
   test('after a call that ended at its deadline at a silent connection, the next ones are sent on new connections', async () => {
-    await startEndpointBehindFront()
+    await startEndpointBehindProxy()
     const host = await startReadyForwarder(noRetries)
     await openConnections(host)
-    fronts[0]!.silenceOpenConnections()
+    proxies[0]!.silence()
     expect((await harness.call(host, '/balance/1', { headers: { 'deadline-ms': '500' } })).status).toBe(504)
     const next = await Promise.all(Array.from({ length: 4 }, () => harness.call(host, '/balance/2', { headers: { 'deadline-ms': '1900' } })))
     for (const response of next) expect(response).toMatchObject({ status: 200, body: 'done' })
