Let a wait with a deadline read what has arrived before it ends

Callers saw: nothing by itself. A process whose event loop was held up over the moment of a deadline took a reply that had arrived for missing: claims, bill entries, tables of the replica follower and look-ups of runs wait in this way.

Cause: Node.js runs due timers before it reads input, and withDeadline ended by a plain timer.

--- a/src/contract/clock.ts
+++ b/src/contract/clock.ts
@@ -3,6 +3,8 @@
  * A clock never goes back within a process, because leases and deadlines are compared on it.
  */
 import { performance } from 'node:perf_hooks'
+import { EventLoopMonitor, type HoldUpListener } from './eventLoopMonitor.ts'
+import { untilInputIsRead } from './inputPoll.ts'
 
 /** A source of time. */
 export interface Clock {
@@ -25,6 +27,23 @@
    * const cancel = clock.schedule(250, () => attempt.abort())
    */
   schedule (milliseconds: number, callback: () => void): () => void
+  /**
+   * Calls a function once after a duration, and after what this process had received by then was read. Timers run before
+   * input is read, so after a stall of the event loop a plain timer would take a reply that has arrived for missing.
+   *
+   * @returns cancels the call; without effect once it was made
+   * @example
+   * const cancel = clock.scheduleAfterInput(250, () => attempt.abort())
+   */
+  scheduleAfterInput (milliseconds: number, callback: () => void): () => void
+  /**
+   * For how many milliseconds the event loop has been held up so far, counted from some moment before. A difference of two
+   * values tells how long this process could neither send nor receive in between.
+   *
+   * @example
+   * const heldUpMilliseconds = clock.heldUpMilliseconds() - heldUpBefore
+   */
+  heldUpMilliseconds (): number
 }
 
 /** Node.js fires a timer with a longer delay at once. */
@@ -36,6 +55,19 @@
 
 /** The system clock, derived from the monotonic timer so that a step of the wall clock can't move it back. */
 export class SystemClock implements Clock {
+  readonly #monitor = new EventLoopMonitor(this)
+
+  /**
+   * Starts to measure for how long the event loop is held up; before that, `heldUpMilliseconds` is 0.
+   *
+   * @param onHoldUp is told of each time for which it was
+   * @example
+   * clock.startMonitor(milliseconds => log.warn('event_loop_stalled', { milliseconds }))
+   */
+  startMonitor (onHoldUp: HoldUpListener): void {
+    this.#monitor.start(onHoldUp)
+  }
+
   now (): number {
     return performance.timeOrigin + performance.now()
   }
@@ -57,6 +89,22 @@
     const timer = setTimeout(callback, timerMilliseconds(milliseconds))
     return () => clearTimeout(timer)
   }
+
+  scheduleAfterInput (milliseconds: number, callback: () => void): () => void {
+    let isCancelled = false
+    const cancelTimer = this.schedule(milliseconds, async () => {
+      await untilInputIsRead(this)
+      if (!isCancelled) callback()
+    })
+    return () => {
+      isCancelled = true
+      cancelTimer()
+    }
+  }
+
+  heldUpMilliseconds (): number {
+    return this.#monitor.heldUpMilliseconds
+  }
 }
 
 /**
--- a/src/contract/inputPoll.ts
+++ b/src/contract/inputPoll.ts
@@ -1,5 +1,5 @@
 /** Waits until the process has read what the kernel had received for it. */
-import type { Clock } from '../contract/index.ts'
+import type { Clock } from './clock.ts'
 
 /** A longer round of the event loop may have left further input behind. */
 const shortRoundMilliseconds = 5
--- a/src/contract/withDeadline.ts
+++ b/src/contract/withDeadline.ts
@@ -2,7 +2,7 @@
 import type { Clock } from './clock.ts'
 
 /**
- * Waits for a promise until a deadline.
+ * Waits for a promise until a deadline. What has arrived by then counts, however late the process reads it.
  *
  * @param deadline milliseconds since the epoch
  * @returns the value, or undefined if the deadline came first; the work itself is not cancelled
@@ -11,7 +11,7 @@
  */
 export function withDeadline<Value> (clock: Clock, deadline: number, promise: Promise<Value>): Promise<Value | undefined> {
   return new Promise((resolve, reject) => {
-    const cancel = clock.schedule(deadline - clock.now(), () => resolve(undefined))
+    const cancel = clock.scheduleAfterInput(deadline - clock.now(), () => resolve(undefined))
     const settle = (finish: () => void) => {
       cancel()
       finish()
--- a/src/gateway/drain.ts
+++ b/src/gateway/drain.ts
@@ -4,9 +4,9 @@
  * has been handed to the kernel, or when its time is over.
  */
 import { monitorEventLoopDelay } from 'node:perf_hooks'
-import type { Clock } from '../contract/index.ts'
+import { type Clock, untilInputIsRead } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
-import { type CallerListener, untilInputIsRead } from '../server/index.ts'
+import type { CallerListener } from '../server/index.ts'
 import { CallerConnections } from './callerConnections.ts'
 import { type PlannedStop, signalDelayMilliseconds } from './plannedStop.ts'
 import { type CutRequest, cutFields } from './requestTimes.ts'
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -1,7 +1,8 @@
 /** HTTP server for callers. During a planned stop it drains. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { untilInputIsRead } from '../contract/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
-import { CloseCause, HeadTimeLimits, untilInputIsRead } from '../server/index.ts'
+import { CloseCause, HeadTimeLimits } from '../server/index.ts'
 import { Drain, type DrainOptions } from './drain.ts'
 import { HeadRefusals } from './headRefusals.ts'
 import { cutResponse } from './responseFraming.ts'
--- a/src/gateway/headRefusals.ts
+++ b/src/gateway/headRefusals.ts
@@ -4,8 +4,9 @@
  * on it is not served.
  */
 import type { Socket } from 'node:net'
+import { untilInputIsRead } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
-import { type CallerConnection, type CallerListener, CloseCause, type HeadTimeLimits, recordCloseCause, untilInputIsRead } from '../server/index.ts'
+import { type CallerConnection, type CallerListener, CloseCause, type HeadTimeLimits, recordCloseCause } from '../server/index.ts'
 
 /** After the refusal the caller has this time to read it and to close its side. */
 const maximumCloseMilliseconds = 3_000
--- a/src/gateway/runHandover.ts
+++ b/src/gateway/runHandover.ts
@@ -7,10 +7,10 @@
  * the place of a silent one is sent on a connection of its own, whose opening shows that the endpoint accepts it. Requests
  * that may run only once are never given up.
  */
+import { untilInputIsRead } from '../contract/index.ts'
 import type { ExchangeEvent } from '../endpoint/index.ts'
 import { AttemptEnd } from '../placement/index.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
-import { untilInputIsRead } from '../server/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 import type { AttemptOptions, OpenAttempt } from './openAttempt.ts'
 
--- a/src/server/headTimeLimits.ts
+++ b/src/server/headTimeLimits.ts
@@ -8,7 +8,7 @@
 import type { Socket } from 'node:net'
 import type { CallerConnection } from './callerConnection.ts'
 import { CloseCause, recordCloseCause } from './closeCause.ts'
-import { untilInputIsRead } from './inputPoll.ts'
+import { untilInputIsRead } from '../contract/index.ts'
 
 /** A head that is late is noticed this much later at most. */
 const noticeMilliseconds = 1_500
--- a/test/fakes/fakeLink.ts
+++ b/test/fakes/fakeLink.ts
@@ -47,24 +47,27 @@
 
   /** The clock of a member: its sleeps don't end while the member is frozen. */
   clockFor (name: string): Clock {
+    const schedule: Clock['schedule'] = (milliseconds, callback) => {
+      let isCancelled = false
+      const callOnceThawed = async () => {
+        await this.#frozenMembers.get(name)?.thawed
+        if (!isCancelled) callback()
+      }
+      const cancel = this.#clock.schedule(milliseconds, () => { callOnceThawed().catch(() => undefined) })
+      return () => {
+        isCancelled = true
+        cancel()
+      }
+    }
     return {
       now: () => this.#clock.now(),
       sleep: async (milliseconds, signal) => {
         await this.#clock.sleep(milliseconds, signal)
         if (!signal?.aborted) await this.#frozenMembers.get(name)?.thawed
       },
-      schedule: (milliseconds, callback) => {
-        let isCancelled = false
-        const callOnceThawed = async () => {
-          await this.#frozenMembers.get(name)?.thawed
-          if (!isCancelled) callback()
-        }
-        const cancel = this.#clock.schedule(milliseconds, () => { callOnceThawed().catch(() => undefined) })
-        return () => {
-          isCancelled = true
-          cancel()
-        }
-      }
+      schedule,
+      scheduleAfterInput: schedule,
+      heldUpMilliseconds: () => this.#clock.heldUpMilliseconds()
     }
   }
 
--- a/test/fakes/manualClock.ts
+++ b/test/fakes/manualClock.ts
@@ -16,6 +16,7 @@
 export class ManualClock implements Clock {
   #now: number
   #order = 0
+  #heldUpMilliseconds = 0
   readonly #sleepers = new Set<Sleeper>()
 
   constructor (startMilliseconds = 1_000_000) {
@@ -50,6 +51,22 @@
     return () => { this.#sleepers.delete(sleeper) }
   }
 
+  /** Timers of a simulated time never run before what has arrived. */
+  scheduleAfterInput (milliseconds: number, callback: () => void): () => void {
+    return this.schedule(milliseconds, callback)
+  }
+
+  heldUpMilliseconds (): number {
+    return this.#heldUpMilliseconds
+  }
+
+  /** Lets the time pass in which the process runs nothing: whoever was to wake meanwhile wakes late. */
+  async stall (milliseconds: number): Promise<void> {
+    this.#now += milliseconds
+    this.#heldUpMilliseconds += milliseconds
+    await this.advance(0)
+  }
+
   /** Advances the time and wakes each sleeper at its time. */
   async advance (milliseconds: number): Promise<void> {
     const end = this.#now + milliseconds
--- a/trial/prove/processGate.ts
+++ b/trial/prove/processGate.ts
@@ -82,6 +82,14 @@
       cancel()
     }
   }
+
+  scheduleAfterInput (milliseconds: number, callback: () => void): () => void {
+    return this.schedule(milliseconds, callback)
+  }
+
+  heldUpMilliseconds (): number {
+    return this.#clock.heldUpMilliseconds()
+  }
 }
 
 /** The store connection of a process. */
--- a/trial/prove/virtualClock.ts
+++ b/trial/prove/virtualClock.ts
@@ -41,6 +41,15 @@
     return () => { sleeper.wake = undefined }
   }
 
+  /** Timers of a simulated time never run before what has arrived. */
+  scheduleAfterInput (milliseconds: number, callback: () => void): () => void {
+    return this.schedule(milliseconds, callback)
+  }
+
+  heldUpMilliseconds (): number {
+    return 0
+  }
+
   /** Advances the time and wakes each sleeper when it is due. */
   async advance (milliseconds: number): Promise<void> {
     const end = this.#now + milliseconds
