Read a link's replies that have arrived before a request over it is given up

Callers saw: after a stall of the event loop a gateway lost the news, leases and probes that it was waiting for, and opened a new connection to each peer that it was waiting for.

Cause: Node.js runs due timers before it reads input. A request over a link ended by a plain timer although its reply lay in the kernel, and since no frame had been received meanwhile the connection took no further requests.

Evidence: test/linkStall.test.ts, "replies that arrive in a stall of the event loop count, and the stall renews no connection", 20 peers in a thread of their own: 0 of 20 replies counted before, 20 of 20 now, over the same 20 connections.

Why it works: the timer first looks whether the request is still pending, which costs nothing more where the reply has come. Only then it waits until the input is read, and for the time in addition in which the process was held up, at most the request's own timeout, since a large reply takes several reads.

--- a/src/link/connection.ts
+++ b/src/link/connection.ts
@@ -124,12 +124,20 @@
     this.close('the link is closing')
   }
 
-  /** A reply does not cancel the timeout's timer: cancelling would cost more than letting it run. */
+  /**
+   * A reply does not cancel the timeout's timer: cancelling would cost more than letting it run. Only a request that is
+   * still pending then waits until the input is read, and for the time in addition in which this process was held up.
+   */
   #awaitReply (id: number, timeoutMilliseconds: number): Promise<Result<unknown, LinkFailure>> {
     const receivedBefore = this.#receivedFrames
-    this.#clock.sleep(timeoutMilliseconds).then(() => {
-      if (this.#pending.has(id) && this.#receivedFrames === receivedBefore) this.#isSuspect = true
-      this.#fail(id, `no reply within ${timeoutMilliseconds} ms`)
+    const heldUpBefore = this.#clock.heldUpMilliseconds()
+    this.#clock.schedule(timeoutMilliseconds, () => {
+      if (!this.#pending.has(id)) return
+      const heldUpMilliseconds = Math.min(timeoutMilliseconds, this.#clock.heldUpMilliseconds() - heldUpBefore)
+      this.#clock.scheduleAfterInput(heldUpMilliseconds, () => {
+        if (this.#pending.has(id) && this.#receivedFrames === receivedBefore) this.#isSuspect = true
+        this.#fail(id, `no reply within ${timeoutMilliseconds} ms`)
+      })
     })
     return new Promise(resolve => this.#pending.set(id, resolve))
   }
