Add a wait that ends after what has arrived was read

sleepAfterInput is sleep over scheduleAfterInput: for loops that judge peers by what they have heard, such as the ticks of a link, rounds of probes and the monitor of the confirmation's age. Nothing uses it yet.

--- a/src/contract/clock.ts
+++ b/src/contract/clock.ts
@@ -117,3 +117,23 @@
 export function sleepUntil (clock: Clock, time: number, signal?: AbortSignal): Promise<void> {
   return clock.sleep(time - clock.now(), signal)
 }
+
+/**
+ * Waits for a duration, and until what this process had received by then was read.
+ *
+ * @param signal ends the wait early; the promise then resolves and does not reject
+ * @example
+ * await sleepAfterInput(clock, 500, stopping)
+ */
+export function sleepAfterInput (clock: Pick<Clock, 'scheduleAfterInput'>, milliseconds: number, signal?: AbortSignal): Promise<void> {
+  if (signal?.aborted) return Promise.resolve()
+  return new Promise(resolve => {
+    const finish = () => {
+      cancel()
+      signal?.removeEventListener('abort', finish)
+      resolve()
+    }
+    const cancel = clock.scheduleAfterInput(milliseconds, finish)
+    signal?.addEventListener('abort', finish, { once: true })
+  })
+}
--- a/src/contract/index.ts
+++ b/src/contract/index.ts
@@ -4,7 +4,7 @@
  * checks.
  */
 export { Ok, Err, Result } from 'ts-results'
-export { type Clock, SystemClock, sleepUntil } from './clock.ts'
+export { type Clock, SystemClock, sleepAfterInput, sleepUntil } from './clock.ts'
 export { type HoldUpListener } from './eventLoopMonitor.ts'
 export { untilInputIsRead } from './inputPoll.ts'
 export { withDeadline } from './withDeadline.ts'
