Count a link's peer as silent only for time in which it could be heard

Callers saw: after a stall of more than 1.5 s, a gateway closed every connection to a peer from which it awaited a reply; the requests failed as possibly delivered.

Cause: the tick that closes silent connections compared the time of the last frame with the clock, before the input was read, and counted time in which this process could neither ping nor read.

Why it works: the tick comes after the input is read, and a late tick moves the moment from which silence counts by the time that it is late. A connection that has really fallen silent is closed after as many ticks as before; the same file's last test has it closed between stalls.

--- a/src/link/connection.ts
+++ b/src/link/connection.ts
@@ -99,8 +99,13 @@
     return Ok(checked.data)
   }
 
-  /** Sends a ping if one is due, or closes the connection if it has been silent for too long. */
-  tick (now: number): void {
+  /**
+   * Sends a ping if one is due, or closes the connection if it has been silent for too long.
+   *
+   * @param lateMilliseconds by how much this call is late: in that time this process could neither ping nor hear
+   */
+  tick (now: number, lateMilliseconds: number): void {
+    this.#lastReceivedAt = Math.min(now, this.#lastReceivedAt + lateMilliseconds)
     const isBusy = this.#pending.size > 0
     if (now - this.#lastReceivedAt > (isBusy ? busySilenceTimeoutMilliseconds : idleSilenceTimeoutMilliseconds)) return this.close('the connection went silent')
     const quietMilliseconds = now - Math.max(this.#lastReceivedAt, this.#lastPingAt)
--- a/src/link/tcpLink.ts
+++ b/src/link/tcpLink.ts
@@ -6,7 +6,7 @@
  */
 import { connect as connectPlain, createServer, isIP, type Server, type Socket } from 'node:net'
 import { connect as connectSecure, createServer as createSecureServer, type Server as SecureServer } from 'node:tls'
-import { type Clock, Err, InvariantViolation, Ok, type Result } from '../contract/index.ts'
+import { type Clock, Err, InvariantViolation, Ok, type Result, sleepAfterInput } from '../contract/index.ts'
 import { type LinkCertificateFiles, type LinkCertificates, readCertificates, readCertificatesIfChanged } from './certificates.ts'
 import { Connection } from './connection.ts'
 import { type Link, LinkFailure, type LinkIdentity, type MessageType, type Peer } from './contract.ts'
@@ -237,12 +237,13 @@
     }
   }
 
-  /** Runs the timer shared by all connections. */
+  /** Runs the timer shared by all connections. What has arrived is read before a connection is judged. */
   async #runTicks (): Promise<void> {
     while (!this.#stopping.signal.aborted) {
-      await this.#clock.sleep(tickIntervalMilliseconds, this.#stopping.signal)
+      const dueAt = this.#clock.now() + tickIntervalMilliseconds
+      await sleepAfterInput(this.#clock, tickIntervalMilliseconds, this.#stopping.signal)
       const now = this.#clock.now()
-      for (const connection of this.#connections) connection.tick(now)
+      for (const connection of this.#connections) connection.tick(now, Math.max(0, now - dueAt))
     }
   }
 
--- a/test/linkStall.test.ts
+++ b/test/linkStall.test.ts
@@ -52,6 +52,14 @@
   expect(opened.count).toBe(peerCount)
 })
 
+test('a peer does not count as silent for the time of a stall in which nothing was read', async () => {
+  expect(await areAnswered(0, 2_000)).toBe(peerCount)
+  const answers = areAnswered(2_500, 10_000)
+  await stall(2_000)
+  expect(await answers).toBe(peerCount)
+  expect(opened.count).toBe(peerCount)
+})
+
 test('a connection that fell silent is found in spite of stalls, and replaced', async () => {
   const proxy = await SilencingProxy.start('127.0.0.1', peers[0]!.address)
   closers.push(() => proxy.close())
