Don't give up opening a link for a stall of this process

Callers saw: after a stall of the event loop, requests to peers to which a connection was being opened failed, all at once (probes and news have timeouts of 0.2 to 1 s); the handshake of a connection could be given up likewise.

Cause: opening a connection takes several steps of this process, and a plain timer ended it after a stall before any input was read. Once open, the request had only what was left of its timeout, which may be nothing; without a reply in that time the new connection took no further requests and was replaced in turn.

Why it works: withReplyTimeout reads the input first and allows the time in addition in which the process was held up, at most the timeout's own length. The request then waits for its reply for at least half its timeout, so the whole may take one and a half times as long where opening takes almost all of it.

--- a/src/link/tcpLink.ts
+++ b/src/link/tcpLink.ts
@@ -6,7 +6,7 @@
  */
 import { connect as connectPlain, createServer, isIP, type Server, type Socket } from 'node:net'
 import { connect as connectSecure, createServer as createSecureServer, type Server as SecureServer } from 'node:tls'
-import { type Clock, Err, InvariantViolation, Ok, type Result, sleepAfterInput } from '../contract/index.ts'
+import { type Clock, Err, InvariantViolation, Ok, type Result, sleepAfterInput, withReplyTimeout } from '../contract/index.ts'
 import { type LinkCertificateFiles, type LinkCertificates, readCertificates, readCertificatesIfChanged } from './certificates.ts'
 import { Connection } from './connection.ts'
 import { type Link, LinkFailure, type LinkIdentity, type MessageType, type Peer } from './contract.ts'
@@ -15,6 +15,8 @@
 
 const tickIntervalMilliseconds = 500
 const handshakeTimeoutMilliseconds = 2_000
+/** A request over a connection that was opened for it waits for its reply for at least this share of its timeout. */
+const minimumReplyShare = 0.5
 const certificateCheckIntervalMilliseconds = 5_000
 const maximumPort = 65_535
 const drainTimeoutMilliseconds = 5_000
@@ -128,7 +130,7 @@
     const connection = await this.#openTo(peer, timeoutMilliseconds)
     if (connection.err) return connection
     const remaining = timeoutMilliseconds - (this.#clock.now() - startedAt)
-    return connection.val.request(type, body, remaining)
+    return connection.val.request(type, body, Math.max(remaining, timeoutMilliseconds * minimumReplyShare))
   }
 
   #readyConnectionTo (peer: Peer): Connection | undefined {
@@ -262,11 +264,7 @@
   }
 
   async #withTimeout<Value> (work: Promise<Result<Value, LinkFailure>>, timeoutMilliseconds: number): Promise<Result<Value, LinkFailure>> {
-    const abortController = new AbortController()
-    const timeout = this.#clock.sleep(timeoutMilliseconds, abortController.signal)
-    const outcome = await Promise.race([work, timeout])
-    // Passing a reason avoids creating an exception that is never read.
-    abortController.abort('done')
+    const outcome = await withReplyTimeout(this.#clock, timeoutMilliseconds, work)
     return outcome ?? Err(new LinkFailure(`no connection within ${timeoutMilliseconds} ms`, false))
   }
 }
--- a/test/linkStall.test.ts
+++ b/test/linkStall.test.ts
@@ -60,6 +60,14 @@
   expect(opened.count).toBe(peerCount)
 })
 
+test.each([0, 20])('connections that are opened are not given up for a stall that begins %i ms after the start', async milliseconds => {
+  const answers = areAnswered(0)
+  if (milliseconds > 0) await pause(milliseconds)
+  await stall(3 * timeoutMilliseconds)
+  expect(await answers).toBe(peerCount)
+  expect(opened.count).toBe(peerCount)
+})
+
 test('a connection that fell silent is found in spite of stalls, and replaced', async () => {
   const proxy = await SilencingProxy.start('127.0.0.1', peers[0]!.address)
   closers.push(() => proxy.close())
