Give a suspect the whole time to refute, without the time in which this process was held up

Callers saw: nothing by itself. A daemon whose event loop was held up declared members dead that had been suspect before, although their refutations lay in its kernel, and spread that. They came back as soon as it read them, so polls of endpoints and bills changed hands twice.

Cause: suspects expired by the clock, in a timer that runs before the input is read. Only a pause of 2.5 s and more was noticed, and for one round only.

The fake network now runs the due timers of a thawed member before what has arrived, as Node.js does, and its clocks measure the time for which a member was frozen.

Why it works: a round begins after the input was read, and the time for which the process was held up since a member became suspect is subtracted.

--- a/src/membership/memberTable.ts
+++ b/src/membership/memberTable.ts
@@ -17,6 +17,8 @@
 interface Entry {
   readonly record: MemberRecord
   readonly changedAt: number
+  /** For how long this process had been held up by then, in milliseconds. */
+  readonly heldUpBefore: number
 }
 
 export class MemberTable {
@@ -91,11 +93,14 @@
     this.updateStatus(this.selfRecord, MemberStatus.Dead)
   }
 
-  /** Declares dead all local suspects that have not refuted within the given milliseconds; other data centres do this for their own daemons. */
+  /**
+   * Declares dead all local suspects that have not refuted within the given milliseconds; other data centres do this for
+   * their own daemons. Time for which this process was held up does not count, since it could not hear them.
+   */
   expireSuspects (timeoutMilliseconds: number): void {
-    const cutoff = this.#clock.now() - timeoutMilliseconds
-    for (const { record, changedAt } of [...this.#entries.values()]) {
-      if (record.status !== MemberStatus.Suspect || changedAt > cutoff || !this.#isLocal(record.identity)) continue
+    for (const entry of [...this.#entries.values()]) {
+      const { record } = entry
+      if (record.status !== MemberStatus.Suspect || this.#audibleMilliseconds(entry) < timeoutMilliseconds || !this.#isLocal(record.identity)) continue
       this.updateStatus(record, MemberStatus.Dead)
     }
   }
@@ -126,6 +131,10 @@
     }
   }
 
+  #audibleMilliseconds ({ changedAt, heldUpBefore }: Entry): number {
+    return this.#clock.now() - changedAt - (this.#clock.heldUpMilliseconds() - heldUpBefore)
+  }
+
   #refute (incoming: MemberRecord): void {
     if (this.#isStopped || incoming.status === MemberStatus.Alive || incoming.identity.incarnation > this.#self.incarnation) return
     this.#set({ ...incoming, refutation: incoming.refutation + 1, status: MemberStatus.Alive })
@@ -142,7 +151,7 @@
   }
 
   #set (record: MemberRecord): void {
-    this.#entries.set(record.identity.name, { record, changedAt: this.#clock.now() })
+    this.#entries.set(record.identity.name, { record, changedAt: this.#clock.now(), heldUpBefore: this.#clock.heldUpMilliseconds() })
     this.#sendCounts.set(record.identity.name, 0)
     this.#views = undefined
     if (this.#isLocal(record.identity) && this.#changesRing(record)) this.#ring = undefined
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -4,7 +4,7 @@
  * their number. An unreachable daemon becomes suspect and has some time to refute that before it is
  * declared dead, so that a daemon that was frozen briefly recovers without consequences.
  */
-import { type Clock, type Randomness, sleepUntil } from '../contract/index.ts'
+import { type Clock, type Randomness, sleepAfterInput } from '../contract/index.ts'
 import type { Link, LinkIdentity, Peer } from '../link/index.ts'
 import { aliveRecord, type MemberRow, decodeMemberRow, encodeMemberRow, MemberStatus } from './memberRecord.ts'
 import type { MemberTable } from './memberTable.ts'
@@ -53,7 +53,7 @@
       lastRoundAt = startedAt
       this.#members.evictDead()
       await this.#probeNext()
-      await sleepUntil(this.#clock, startedAt + probeIntervalMilliseconds, stopping)
+      await sleepAfterInput(this.#clock, startedAt + probeIntervalMilliseconds - this.#clock.now(), stopping)
     }
   }
 
--- a/test/fakes/fakeLink.ts
+++ b/test/fakes/fakeLink.ts
@@ -3,7 +3,7 @@
  * data centres, frozen members, removed members and connections that fall silent. Bodies are copied and validated in transit, as
  * over a real link.
  */
-import { type Clock, Err, Ok, type Randomness, type Result } from '../../src/contract/index.ts'
+import { type Clock, Err, Ok, type Randomness, type Result, withReplyTimeout } from '../../src/contract/index.ts'
 import { FrameKind, encodeFrame } from '../../src/link/frames.ts'
 import { type Link, LinkFailure, type LinkIdentity, type MessageType, type Peer } from '../../src/link/index.ts'
 
@@ -31,7 +31,9 @@
   readonly #randomness: Randomness
   readonly #links = new Map<string, FakeLink>()
   readonly #partitions = new Set<string>()
-  readonly #frozenMembers = new Map<string, { readonly thawed: Promise<void>, readonly thaw: () => void }>()
+  readonly #frozenMembers = new Map<string, { readonly thawed: Promise<void>, readonly thaw: () => void, readonly since: number }>()
+  /** Milliseconds for which members were frozen before. */
+  readonly #endedFreezes = new Map<string, number>()
 
   constructor (clock: Clock, randomness: Randomness) {
     this.#clock = clock
@@ -45,12 +47,12 @@
     return link
   }
 
-  /** The clock of a member: its sleeps don't end while the member is frozen. */
+  /** The clock of a member: its sleeps don't end while the member is frozen, which counts as time in which it was held up. */
   clockFor (name: string): Clock {
-    const schedule: Clock['schedule'] = (milliseconds, callback) => {
+    const scheduleAfter = (untilCalled: () => Promise<unknown>): Clock['schedule'] => (milliseconds, callback) => {
       let isCancelled = false
       const callOnceThawed = async () => {
-        await this.#frozenMembers.get(name)?.thawed
+        if (this.#frozenMembers.has(name)) await untilCalled()
         if (!isCancelled) callback()
       }
       const cancel = this.#clock.schedule(milliseconds, () => { callOnceThawed().catch(() => undefined) })
@@ -59,15 +61,17 @@
         cancel()
       }
     }
+    const untilThawed = async () => await this.#frozenMembers.get(name)?.thawed
+    const untilInputIsRead = async () => await this.#untilRead(name).then(nextTurn)
     return {
       now: () => this.#clock.now(),
       sleep: async (milliseconds, signal) => {
         await this.#clock.sleep(milliseconds, signal)
-        if (!signal?.aborted) await this.#frozenMembers.get(name)?.thawed
+        if (!signal?.aborted) await untilThawed()
       },
-      schedule,
-      scheduleAfterInput: schedule,
-      heldUpMilliseconds: () => this.#clock.heldUpMilliseconds()
+      schedule: scheduleAfter(untilThawed),
+      scheduleAfterInput: scheduleAfter(untilInputIsRead),
+      heldUpMilliseconds: () => this.#clock.heldUpMilliseconds() + this.#frozenMilliseconds(name)
     }
   }
 
@@ -76,11 +80,12 @@
     if (this.#frozenMembers.has(name)) return
     let thaw: () => void = () => undefined
     const thawed = new Promise<void>(resolve => { thaw = resolve })
-    this.#frozenMembers.set(name, { thawed, thaw })
+    this.#frozenMembers.set(name, { thawed, thaw, since: this.#clock.now() })
   }
 
   thaw (name: string): void {
     const frozen = this.#frozenMembers.get(name)
+    this.#endedFreezes.set(name, this.#frozenMilliseconds(name))
     this.#frozenMembers.delete(name)
     frozen?.thaw()
   }
@@ -118,7 +123,7 @@
     await this.#frozenMembers.get(from.name)?.thawed
     if (this.#isLost(from, to)) return false
     await this.#clock.sleep(this.conditions.delayMilliseconds(from, to))
-    await this.#frozenMembers.get(to.name)?.thawed
+    await this.#untilRead(to.name)
     return !this.#partitions.has(pairKey(from.place.dataCentre, to.place.dataCentre))
   }
 
@@ -136,6 +141,17 @@
     this.frameBytes.set(type, (this.frameBytes.get(type) ?? 0) + frame.unwrap().length)
   }
 
+  /** A member that is thawed runs the timers that are due before it reads what has arrived. */
+  async #untilRead (name: string): Promise<void> {
+    const frozen = this.#frozenMembers.get(name)
+    if (frozen !== undefined) await frozen.thawed.then(nextTurn)
+  }
+
+  #frozenMilliseconds (name: string): number {
+    const now = this.#clock.now()
+    return (this.#endedFreezes.get(name) ?? 0) + now - (this.#frozenMembers.get(name)?.since ?? now)
+  }
+
   #isLost (from: LinkIdentity, to: LinkIdentity): boolean {
     if (this.#partitions.has(pairKey(from.place.dataCentre, to.place.dataCentre))) return true
     return this.#randomness.fraction() < this.conditions.lossRate(from, to)
@@ -172,10 +188,8 @@
   async request<Body, Reply> (peer: Peer, type: MessageType<Body, Reply>, body: Body, timeoutMilliseconds: number): Promise<Result<Reply, LinkFailure>> {
     this.#network.countRequest(type.name)
     this.#network.countBytes(type.name, body)
-    const settled = new AbortController()
-    const timeout = this.#clock.sleep(timeoutMilliseconds, settled.signal).then(() => Err(new LinkFailure('no reply in time', true)))
-    const outcome = await Promise.race([this.#exchange(peer, type, body), timeout])
-    settled.abort()
+    const reply = await withReplyTimeout(this.#clock, timeoutMilliseconds, this.#exchange(peer, type, body))
+    const outcome = reply ?? Err(new LinkFailure('no reply in time', true))
     if (outcome.err && this.#connections.get(peer.address)?.isSilent) this.#connections.delete(peer.address)
     return outcome
   }
@@ -212,6 +226,10 @@
   return new Promise(() => undefined)
 }
 
+function nextTurn (): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve))
+}
+
 function pairKey (left: string, right: string): string {
   return [left, right].sort().join(' | ')
 }
