Add a question that is asked again if it went unanswered while the process was held up

askAgainIfHeldUp is for probes, polls and reports whose failure counts against the other: what fails in a stall of this process is asked once more. Nothing uses it yet.

--- a/src/contract/index.ts
+++ b/src/contract/index.ts
@@ -8,7 +8,7 @@
 export { type HoldUpListener } from './eventLoopMonitor.ts'
 export { untilInputIsRead } from './inputPoll.ts'
 export { withDeadline } from './withDeadline.ts'
-export { replyTimeoutSignal, scheduleReplyTimeout, withReplyTimeout } from './replyTimeout.ts'
+export { askAgainIfHeldUp, replyTimeoutSignal, scheduleReplyTimeout, withReplyTimeout } from './replyTimeout.ts'
 export { Wakeup } from './wakeup.ts'
 export { type Randomness, SeededRandomness, SystemRandomness, hashFraction, randomSample, rendezvousOrder } from './randomness.ts'
 export { type Place, Proximity, proximityOf } from './place.ts'
--- a/src/contract/replyTimeout.ts
+++ b/src/contract/replyTimeout.ts
@@ -49,3 +49,17 @@
   const cancel = scheduleReplyTimeout(clock, timeoutMilliseconds, () => controller.abort(new Error(`no reply within ${timeoutMilliseconds} ms`)))
   return { signal: controller.signal, cancel }
 }
+
+/**
+ * Asks, and asks once more if no answer came while the event loop was held up, so that a stall of this process is not taken
+ * for the other's silence.
+ *
+ * @param isAnswer whether what came counts as an answer
+ * @example
+ * const isReached = await askAgainIfHeldUp(clock, () => probe(peer), isReached => isReached)
+ */
+export async function askAgainIfHeldUp<Answer> (clock: Pick<Clock, 'heldUpMilliseconds'>, ask: () => Promise<Answer>, isAnswer: (answer: Answer) => boolean): Promise<Answer> {
+  const heldUpBefore = clock.heldUpMilliseconds()
+  const answer = await ask()
+  return isAnswer(answer) || clock.heldUpMilliseconds() <= heldUpBefore ? answer : ask()
+}
