Read a connection's outcome before a probe of it counts as unanswered

Callers saw: a gateway whose event loop was held up during a probe of a busy endpoint took the endpoint for gone although its kernel had accepted the connection, and gave up runs at it as silent.

Cause: the probe ended by the socket's own timeout, a timer that runs before the outcome is read.

The probe and connectionCheck take the clock for it, so three tests pass one, and expect what they expected before.

--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -150,7 +150,7 @@
   runs: dependencies => new EndpointRuns({
     name: dependencies.local.name,
     breaker: dependencies.breaker,
-    hasCrashed: connectionCheck(connectTimeoutMilliseconds),
+    hasCrashed: connectionCheck(connectTimeoutMilliseconds, dependencies.clock),
     onNews: () => dependencies.news.publish(),
     clock: dependencies.clock,
     log: dependencies.log
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -205,7 +205,7 @@
   return new EndpointRuns({
     name: boot.current.name,
     breaker,
-    hasCrashed: connectionCheck(endpointConnectTimeoutMilliseconds),
+    hasCrashed: connectionCheck(endpointConnectTimeoutMilliseconds, clock),
     onNews: () => news.publish(),
     clock,
     log
@@ -213,7 +213,7 @@
 }
 
 function makeLiveness ({ clock, loads, registry }: ForwarderDependencies): EndpointLiveness {
-  return new EndpointLiveness({ probe: connectionProbe(endpointConnectTimeoutMilliseconds), checkMilliseconds: endpointConnectTimeoutMilliseconds, loads, registry, clock })
+  return new EndpointLiveness({ probe: connectionProbe(endpointConnectTimeoutMilliseconds, clock), checkMilliseconds: endpointConnectTimeoutMilliseconds, loads, registry, clock })
 }
 
 function makeForwarding (parts: ForwarderDependencies): Forwarding {
--- a/test/endpointRuns.test.ts
+++ b/test/endpointRuns.test.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:net'
 import { expect, test } from 'vitest'
 import { EndpointRuns, PromptBreaker, type RunDescription, connectionCheck } from '../src/breaker/index.ts'
+import { SystemClock } from '../src/contract/index.ts'
 import { Log } from '../src/observe/index.ts'
 import { listenOn } from '../src/server/index.ts'
 import { ManualClock } from './fakes/manualClock.ts'
@@ -76,7 +77,7 @@
 test('only an address at which nothing listens counts as crashed', async () => {
   const server = createServer()
   const address = await listenOn(server as never, '127.0.0.1:0')
-  const hasCrashed = connectionCheck(1_000)
+  const hasCrashed = connectionCheck(1_000, new SystemClock())
   expect(await hasCrashed(address)).toBe(false)
   await new Promise(resolve => server.close(resolve))
   expect(await hasCrashed(address)).toBe(true)
--- a/test/fakes/entryWorld.ts
+++ b/test/fakes/entryWorld.ts
@@ -173,7 +173,7 @@
     const log = new Log('error')
     const retries = new RatioAttemptBudget()
     const breaker: PromptBreaker = new PromptBreaker({ name: 'entry-1', onChange: ({ type }) => { if (type === 'blocked') runs.cancelBlocked(clock.now()) } })
-    const hasCrashed = engines === undefined ? connectionCheck(500) : async () => true
+    const hasCrashed = engines === undefined ? connectionCheck(500, clock) : async () => true
     const announcedLimits = new AnnouncedLimits()
     const limits = limitsOf(announcedLimits, fixedFleet({ address: '127.0.0.1:1', region: here.region }))
     const places = new EndpointPlaces({ clock, announcedLimits, limits, placeQueues: new PlaceQueues(clock), onNews: () => undefined, log })
--- a/test/oddRows.test.ts
+++ b/test/oddRows.test.ts
@@ -98,7 +98,7 @@
     expect((await exchange.next()).type).toBe('failure')
     expect(exchange.mayHaveSent).toBe(false)
   }
-  expect(await connectionProbe(100)(address)).toBe(ConnectionOutcome.Unanswered)
+  expect(await connectionProbe(100, new SystemClock())(address)).toBe(ConnectionOutcome.Unanswered)
   await connections.close()
 })
 
