Count the age of a fleet list from the question, however late it is read

Callers saw: nothing yet. A gateway that was held up while it awaited its seed's list took the list for new when it read it, up to a stall's length late, and would divide rates among the fleet for that much longer than its seeds list it.

Cause: the time of the list was that of its reading.

Why it works: the contact with a seed counts from the question; the members it lists, and since when the contact holds, still count from the reading, which is the later and safer of the two.

--- a/src/fleet/fleetDirectory.ts
+++ b/src/fleet/fleetDirectory.ts
@@ -87,12 +87,16 @@
     return this.#listsBySeed.get(seed) ?? []
   }
 
-  /** Records the list of a seed; an unchanged list confirms its members. */
-  recordList (seed: string, members: readonly FleetMember[], now: number): void {
+  /**
+   * Records the list of a seed; an unchanged list confirms its members.
+   *
+   * @param askedAt when the seed was asked: the list may have been written then, however late it is read
+   */
+  recordList (seed: string, members: readonly FleetMember[], now: number, askedAt: number): void {
     this.#listsBySeed.set(seed, members)
     for (const member of members) this.#list(member, now)
     this.#lastListAt = now
-    this.contact.record(seed, now)
+    this.contact.record(seed, now, askedAt)
     this.#forgetUnlisted(now)
     this.#updateMembers()
   }
--- a/src/fleet/fleetReports.ts
+++ b/src/fleet/fleetReports.ts
@@ -74,10 +74,11 @@
     const { clock, directory, link } = this.#options
     const known = directory.listOf(seed)
     const digest = known.length === 0 ? '' : membersDigest(known)
+    const askedAt = clock.now()
     const reply = await link.request({ name: '', address: seed }, fleetReport, { digest }, replyTimeoutMilliseconds)
     if (reply.err) return false
     const members = reply.val.members?.map(({ address, region }) => ({ address, region }))
-    directory.recordList(seed, members ?? known, clock.now())
+    directory.recordList(seed, members ?? known, clock.now(), askedAt)
     return true
   }
 }
--- a/src/fleet/seedContact.ts
+++ b/src/fleet/seedContact.ts
@@ -15,7 +15,7 @@
 
 /**
  * @example
- * contact.record('10.1.0.4:8229', now)
+ * contact.record('10.1.0.4:8229', now, askedAt)
  * if (contact.isCurrent) divide()
  */
 export class SeedContact {
@@ -39,10 +39,10 @@
     return this.#since
   }
 
-  /** Records that a seed took this gateway's report and sent its list. */
-  record (seed: string, now: number): void {
+  /** Records that a seed took this gateway's report and sent its list, which is as old as the question. */
+  record (seed: string, now: number, askedAt: number): void {
     const wasCurrent = this.isCurrent
-    this.#heardAt.set(seed, now)
+    this.#heardAt.set(seed, askedAt)
     if (!wasCurrent) this.#since = now
   }
 
