--- a/test/proberStall.test.ts
+++ b/test/proberStall.test.ts
@@ -1,42 +1,18 @@
 import { expect, test } from 'vitest'
-import { Err, Ok, type Result, SeededRandomness } from '../src/contract/index.ts'
-import { type Link, LinkFailure, type LinkIdentity, type MessageType, type Peer } from '../src/link/index.ts'
+import { SeededRandomness } from '../src/contract/index.ts'
 import { aliveRecord, MemberStatus } from '../src/membership/memberRecord.ts'
 import { MemberTable } from '../src/membership/memberTable.ts'
 import { Prober } from '../src/membership/prober.ts'
+import { ClosedLink } from './fakes/closedLink.ts'
 import { linkIdentityOf } from './fakes/delayedEcho.ts'
 import { ManualClock } from './fakes/manualClock.ts'
 
 const probeIntervalMilliseconds = 1_000
 
-/** A link whose connections were closed by the peers while this process was held up. */
-class ClosedLink implements Link {
-  readonly self: LinkIdentity = linkIdentityOf('stalling')
-  requestCount = 0
-  readonly #beforeReply: (requestCount: number) => Promise<unknown>
-  readonly #closedRequests: number
-
-  constructor (closedRequests: number, beforeReply: (requestCount: number) => Promise<unknown>) {
-    this.#closedRequests = closedRequests
-    this.#beforeReply = beforeReply
-  }
-
-  async connect (): Promise<void> {}
-
-  handle (): void {}
-
-  async request<Body, Reply> (_peer: Peer, type: MessageType<Body, Reply>): Promise<Result<Reply, LinkFailure>> {
-    this.requestCount++
-    const isClosed = this.requestCount <= this.#closedRequests
-    await this.#beforeReply(this.requestCount)
-    return isClosed ? Err(new LinkFailure('the connection ended', true)) : Ok(type.reply.parse({ members: [] }))
-  }
-}
-
 /** The status of the only other member after one round of probes. */
 async function statusAfterRound (closedRequests: number, stallMilliseconds: number): Promise<MemberStatus | undefined> {
   const clock = new ManualClock()
-  const link = new ClosedLink(closedRequests, async count => { if (count === 1) await clock.stall(stallMilliseconds) })
+  const link = new ClosedLink({ closedRequests, beforeReply: async count => { if (count === 1) await clock.stall(stallMilliseconds) }, reply: { members: [] } })
   const members = new MemberTable(link.self, clock)
   members.merge(aliveRecord(linkIdentityOf('other')))
   const stopping = new AbortController()
