Read the first news that has arrived before callers are let in

Callers saw: after a start during which the event loop was held up, the first requests were placed without the blocks and limits that the other gateways had told already.

Cause: the wait for the first answers, 0.3 s, ended by a plain timer, which runs before the input is read.

Why it works: scheduleReplyTimeout reads the input first, and allows the time in addition in which the process was held up.

--- a/src/news/newsExchange.ts
+++ b/src/news/newsExchange.ts
@@ -7,7 +7,7 @@
  * (anti-entropy). With nothing to tell, nothing is sent.
  */
 import { type BreakerNews, type PromptBreaker, decodeBreakerNews, encodeBreakerNews, factHashes, newsBeyond, summaryOf } from '../breaker/index.ts'
-import { type Clock, type Randomness, Wakeup, randomSample } from '../contract/index.ts'
+import { type Clock, type Randomness, Wakeup, randomSample, scheduleReplyTimeout } from '../contract/index.ts'
 import type { Link, Peer } from '../link/index.ts'
 import { type MisdirectedEndpoints, encodeMisdirectionFacts } from '../misdirection/index.ts'
 import type { Log } from '../observe/index.ts'
@@ -130,7 +130,7 @@
 
   async #askAfterStart (): Promise<void> {
     const { clock } = this.#options
-    clock.schedule(firstAnswerMilliseconds, this.#endAsking)
+    scheduleReplyTimeout(clock, firstAnswerMilliseconds, this.#endAsking)
     for (let attempt = 0; attempt < startAttempts && !this.#stopping.signal.aborted; attempt++) {
       const question = () => ({ ...this.#allNews(false), isStarting: true })
       const answers = await Promise.all(this.#pickPeers(broadcastPeerCount).map(peer => this.#sendTo(peer, question)))
--- a/test/fakes/rawCaller.ts
+++ b/test/fakes/rawCaller.ts
@@ -107,6 +107,13 @@
   while (performance.now() < until);
 }
 
+/** Holds the event loop up where timers come due before input is read. What then follows stands for what the kernel has received. */
+export async function stallOneTurn (milliseconds: number): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve))
+  block(milliseconds)
+  await new Promise(resolve => setImmediate(resolve))
+}
+
 function parseResponses (bytes: Buffer): readonly RawResponse[] {
   const responses: RawResponse[] = []
   for (let rest = bytes; ;) {
