Read confirmations that have arrived before their age is judged

Callers saw: nothing. The log told of a stale confirmation after each stall, and of its recovery at once.

Cause: the age was looked at in a timer that runs before the input is read.

Evidence: test/confirmationStall.test.ts fails before (one line confirmation_stale) and passes now.

Why it works: the look comes after the input was read. A confirmation that is old even then is logged as before.

--- a/src/replica/confirmationMonitor.ts
+++ b/src/replica/confirmationMonitor.ts
@@ -1,8 +1,9 @@
 /**
  * Logs when the store's last confirmation of the tables becomes old compared with the time in which changes must be in
  * force, and when it is recent again, so that a change that comes late can be traced to the hop that held it up.
+ * Confirmations that arrived in a stall of the event loop are read before the age is judged.
  */
-import type { Clock } from '../contract/index.ts'
+import { type Clock, sleepAfterInput } from '../contract/index.ts'
 import type { Log, LogFields } from '../observe/index.ts'
 import type { ReplicaFollower } from './replicaFollower.ts'
 
@@ -39,7 +40,7 @@
 
   async #run (): Promise<void> {
     while (!this.#stopping.signal.aborted) {
-      await this.#options.clock.sleep(checkIntervalMilliseconds, this.#stopping.signal)
+      await sleepAfterInput(this.#options.clock, checkIntervalMilliseconds, this.#stopping.signal)
       this.#check()
     }
   }
