Take no reply of the store for missing because this process was held up

Callers saw: after a stall of the gateway's event loop the configuration, claims and evidence were known later than they could be. Each reply that came due in the stall was lost though it had arrived, counted as silent connections, and opened new ones.

Cause: the store's and the platform's clients ended their calls by timers of their own, as the HTTP library did for connecting, and Node.js runs due timers before it reads input.

Why it works: all timeouts of these clients are the clock's, which call back only after what had arrived was read, and are prolonged by the time for which the process was held up. RenewablePool now sends, reads and blames in one place, which stood in both clients before.

--- a/src/command/platformAccess.ts
+++ b/src/command/platformAccess.ts
@@ -1,6 +1,6 @@
 /** Access of the operators' commands to the platform's table service. */
 import { readFile } from 'node:fs/promises'
-import { Err, Ok, type Result } from '../contract/index.ts'
+import { Err, Ok, type Result, SystemClock } from '../contract/index.ts'
 import { HttpTableService, type TableService } from '../store/index.ts'
 import { checkText, localSchema, type LocalSettings } from '../settings/index.ts'
 import { CommandFailure, ExitCode, faultsFailure } from './commandFailure.ts'
@@ -35,7 +35,7 @@
 export async function tableServiceOf (options: PlatformOptions): Promise<Result<TableService, CommandFailure>> {
   const address = await addressOf(options)
   if (address.err) return address
-  return Ok(new HttpTableService({ address: address.val, timeoutMilliseconds: requestTimeoutMilliseconds }))
+  return Ok(new HttpTableService({ clock: new SystemClock(), address: address.val, timeoutMilliseconds: requestTimeoutMilliseconds }))
 }
 
 async function addressOf (options: PlatformOptions): Promise<Result<string, CommandFailure>> {
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -120,7 +120,8 @@
     logLines: single(() => new LineQueue(descriptorSink(standardOutputDescriptor))),
     log: single(({ boot, logLines }) => new Log('info', { virtualMachine: boot.current.name }, line => logLines.push(line))),
     metrics: single(() => new GatewayMetrics()),
-    store: single(({ boot, log }) => new RowStore({
+    store: single(({ boot, clock, log }) => new RowStore({
+      clock,
       address: boot.current.storeAddress,
       onInvalidEpoch: text => log.warn('store_epoch_invalid', { text })
     })),
--- a/src/httpClient/progressClient.ts
+++ b/src/httpClient/progressClient.ts
@@ -5,7 +5,9 @@
  * request's deadline. Response heads that are two read as one are rejected here as well, for all users of connections.
  */
 import type { Socket } from 'node:net'
-import { Client, type Dispatcher, Pool, buildConnector } from 'undici'
+import { Client, type Dispatcher, Pool, type buildConnector } from 'undici'
+import type { Clock } from '../contract/index.ts'
+import { createConnector } from './connector.ts'
 import { assertSingleHead } from './responseHead.ts'
 
 /** More than the parser may have before it when it reports nothing: the longest head and what the socket buffers. */
@@ -15,6 +17,12 @@
 /** The options of a client whose connector is a function. */
 export type ProgressClientOptions = Omit<Client.Options, 'connect'> & { readonly connect: buildConnector.connector }
 
+/** The options of a pool of such clients. */
+export type PoolOptions = Omit<Pool.Options, 'factory' | 'connect'> & {
+  readonly clock: Clock
+  readonly connectTimeoutMilliseconds: number
+}
+
 export class ProgressClient extends Client {
   readonly #progress: ConnectionProgress
 
@@ -40,10 +48,11 @@
  * Creates a pool of such clients.
  *
  * @example
- * const pool = createPool('http://10.0.0.1:80', { connect: { timeout: 500 }, pipelining: 1 })
+ * const pool = createPool('http://10.0.0.1:80', { clock, connectTimeoutMilliseconds: 500, pipelining: 1 })
  */
-export function createPool (origin: string, { connect, ...options }: Omit<Pool.Options, 'factory' | 'connect'> & { readonly connect?: buildConnector.BuildOptions }): Pool {
-  return new Pool(origin, { ...options, factory: target => new ProgressClient(target, { ...options, connect: buildConnector({ ...connect }) }) })
+export function createPool (origin: string, { clock, connectTimeoutMilliseconds, ...options }: PoolOptions): Pool {
+  const connect = createConnector(clock, connectTimeoutMilliseconds)
+  return new Pool(origin, { ...options, factory: target => new ProgressClient(target, { ...options, connect }) })
 }
 
 /** Compares what a connection has received with what the parser has reported. */
--- a/src/httpClient/renewablePool.ts
+++ b/src/httpClient/renewablePool.ts
@@ -3,30 +3,57 @@
  * otherwise than by being unable to connect, the connections that were open at that time may be silent too: calls after it
  * go over connections that are opened after it, while calls that are running over the earlier ones may end.
  */
-import type { Dispatcher, Pool } from 'undici'
-import { createPool } from './progressClient.ts'
+import type { IncomingHttpHeaders } from 'node:http'
+import type { Pool } from 'undici'
+import { Err, type Result } from '../contract/index.ts'
+import { readBoundedResponse } from './boundedResponse.ts'
+import { type PoolOptions, createPool } from './progressClient.ts'
 
-type PoolOptions = Parameters<typeof createPool>[1]
+/** Longer than any reply of the platform. */
+const maximumReplyBytes = 16 * 1024 * 1024
 
 const connectErrorCodes: ReadonlySet<string> = new Set([
   'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'
 ])
 
-/** A failure before a connection was open: nothing of the request was sent. */
-export function isConnectError (error: unknown): boolean {
-  const code = error instanceof Error && 'code' in error ? error.code : undefined
-  return typeof code === 'string' && connectErrorCodes.has(code)
+export interface PoolRequest<Value> {
+  readonly method: 'GET' | 'PUT' | 'POST'
+  readonly path: string
+  readonly headers?: Record<string, string>
+  readonly body?: string | Uint8Array
+  /** Aborts when the reply is overdue, by the tools of the clock, never by a timer of its own. */
+  readonly overdue: AbortSignal
+  /** Aborts when nobody waits for the reply any more, which tells nothing of the connection. */
+  readonly ended?: AbortSignal
+  /** Takes what is wanted from a reply, or returns why it can't be trusted. */
+  readonly read: (reply: PoolReply) => Result<Value, string>
 }
 
-/** The connections that one call uses; a failure of the call is told to the pool with it. */
-export type ConnectionGeneration = Pick<Dispatcher, 'request'>
+/** A reply that was read whole. */
+export interface PoolReply {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: Buffer
+}
+
+/** Why no reply was read. */
+export class PoolFailure {
+  readonly reason: string
+  /** False if no connection was open, so that nothing of the request was sent. */
+  readonly mayHaveBeenSent: boolean
+
+  constructor (reason: string, mayHaveBeenSent = true) {
+    this.reason = reason
+    this.mayHaveBeenSent = mayHaveBeenSent
+  }
+}
 
 /**
- * Hands out connections and replaces all of them after a failure.
+ * Sends requests over a pool of connections, and replaces all of them after a failure.
  *
  * @example
- * const connections = pool.current
- * const response = await connections.request({ method: 'GET', path: '/' }).catch(error => pool.reportFailure(connections, error))
+ * const pool = new RenewablePool('http://10.0.0.1:80', { clock, connectTimeoutMilliseconds: 1_000 })
+ * const reply = await pool.request({ method: 'GET', path: '/', overdue: timeout.signal, read: reply => Ok(reply.status) })
  */
 export class RenewablePool {
   readonly #origin: string
@@ -40,14 +67,14 @@
     this.#current = createPool(origin, options)
   }
 
-  /** The connections for the next call. */
-  get current (): ConnectionGeneration {
-    return this.#current
-  }
-
-  /** Replaces the connections that a failed call used, unless they were replaced already or the call could not connect. */
-  reportFailure (used: ConnectionGeneration, error?: unknown): void {
-    if (used === this.#current && !isConnectError(error)) this.renew()
+  /** Sends a request once and reads its reply. */
+  async request<Value> (request: PoolRequest<Value>): Promise<Result<Value, PoolFailure>> {
+    const used = this.#current
+    const reply = await sendOver(used, request)
+    const isBlamed = reply.err && reply.val.mayHaveBeenSent && request.ended?.aborted !== true
+    // The connections that the call used may have been replaced already.
+    if (isBlamed && used === this.#current) this.renew()
+    return reply
   }
 
   /** The connections that are open now get no new calls; their running calls may end. */
@@ -63,3 +90,25 @@
     await Promise.all([this.#current, ...this.#retired].map(pool => pool.destroy()))
   }
 }
+
+async function sendOver<Value> (pool: Pool, { method, path, headers, body, overdue, ended, read }: PoolRequest<Value>): Promise<Result<Value, PoolFailure>> {
+  const signal = ended === undefined ? overdue : AbortSignal.any([overdue, ended])
+  try {
+    const response = await pool.request({ method, path, headers, body: body ?? null, signal })
+    const bytes = await readBoundedResponse(response.body, maximumReplyBytes)
+    const value = bytes.andThen(wholeBody => read({ status: response.statusCode, headers: response.headers, body: wholeBody }))
+    return value.mapErr(reason => new PoolFailure(reason))
+  } catch (error) {
+    return Err(new PoolFailure(reasonOf(error), !isConnectError(error)))
+  }
+}
+
+/** Whether a failure came before a connection was open. */
+function isConnectError (error: unknown): boolean {
+  const code = error instanceof Error && 'code' in error ? error.code : undefined
+  return typeof code === 'string' && connectErrorCodes.has(code)
+}
+
+function reasonOf (error: unknown): string {
+  return error instanceof Error ? error.message || error.name : String(error)
+}
--- a/src/standin/platform.ts
+++ b/src/standin/platform.ts
@@ -50,7 +50,7 @@
  *
  * @example
  * const platform = await startPlatform({ listen: '127.0.0.1:0' })
- * const table = new HttpTableService({ address: platform.address, timeoutMilliseconds: 2_000 })
+ * const table = new HttpTableService({ clock, address: platform.address, timeoutMilliseconds: 2_000 })
  */
 export async function startPlatform (options: PlatformOptions): Promise<StandIn> {
   const platform = new Platform(options)
--- a/src/store/httpServices.ts
+++ b/src/store/httpServices.ts
@@ -21,7 +21,7 @@
  * The platform's object store.
  *
  * @example
- * const objects = new HttpObjectStore({ address: '127.0.0.1:7100', timeoutMilliseconds: 5_000 })
+ * const objects = new HttpObjectStore({ clock, address: '127.0.0.1:7100', timeoutMilliseconds: 5_000 })
  */
 export class HttpObjectStore implements ObjectStore {
   readonly #client: PlatformClient
@@ -58,7 +58,7 @@
  * The platform's list of VMs.
  *
  * @example
- * const list = new HttpVirtualMachineList({ address: '127.0.0.1:7100', timeoutMilliseconds: 2_000 })
+ * const list = new HttpVirtualMachineList({ clock, address: '127.0.0.1:7100', timeoutMilliseconds: 2_000 })
  */
 export class HttpVirtualMachineList implements VirtualMachineList {
   readonly #client: PlatformClient
@@ -82,7 +82,7 @@
  * The platform's rating service.
  *
  * @example
- * const ratings = new HttpRatingService({ address: '127.0.0.1:7100', timeoutMilliseconds: 1_000 })
+ * const ratings = new HttpRatingService({ clock, address: '127.0.0.1:7100', timeoutMilliseconds: 1_000 })
  */
 export class HttpRatingService implements RatingService {
   readonly #client: PlatformClient
--- a/src/store/httpTableService.ts
+++ b/src/store/httpTableService.ts
@@ -16,7 +16,7 @@
  * The platform's table service.
  *
  * @example
- * const table = new HttpTableService({ address: '127.0.0.1:7100', timeoutMilliseconds: 2_000 })
+ * const table = new HttpTableService({ clock, address: '127.0.0.1:7100', timeoutMilliseconds: 2_000 })
  */
 export class HttpTableService implements TableService {
   readonly #client: PlatformClient
--- a/src/store/platformClient.ts
+++ b/src/store/platformClient.ts
@@ -12,14 +12,14 @@
  * answer the next request.
  */
 import { randomUUID } from 'node:crypto'
-import type { IncomingHttpHeaders } from 'node:http'
-import { Err, Ok, type Result } from '../contract/index.ts'
+import { type Clock, Err, Ok, type Result, replyTimeoutSignal } from '../contract/index.ts'
 import { PlatformUnavailable } from './platformServices.ts'
-import { RenewablePool, isConnectError, readBoundedResponse } from '../httpClient/index.ts'
+import { type PoolReply, RenewablePool } from '../httpClient/index.ts'
 
 export interface PlatformClientOptions {
   /** `IP:port`. */
   readonly address: string
+  readonly clock: Clock
   /** Timeout of a whole call including connecting, in milliseconds. */
   readonly timeoutMilliseconds: number
   /** Maximum number of connections; 8 by default. */
@@ -41,7 +41,6 @@
 }
 
 const defaultMaximumConnections = 8
-const maximumResponseBytes = 16 * 1024 * 1024
 /** An idle connection is closed after this time, before a middlebox can drop its state. */
 const keepAliveTimeoutMilliseconds = 4_000
 const jsonType = 'application/json'
@@ -64,32 +63,19 @@
 
   /** Sends a request once. A 404 response is returned; any other failure is `PlatformUnavailable`. */
   async request (request: PlatformRequest): Promise<Result<PlatformResponse, PlatformUnavailable>> {
-    const connections = this.#pool.current
     const requestId = `${this.#clientId}-${this.#requestCount++}`
-    try {
-      const response = await connections.request({
-        method: request.method,
-        path: request.path,
-        body: request.body ?? null,
-        headers: { 'x-request-id': requestId, 'content-type': typeof request.body === 'string' ? jsonType : binaryType },
-        signal: AbortSignal.timeout(this.#options.timeoutMilliseconds)
-      })
-      const read = await readBoundedResponse(response.body, maximumResponseBytes)
-      if (read.err) {
-        this.#pool.reportFailure(connections)
-        return Err(new PlatformUnavailable(read.val, request.isWrite))
-      }
-      const body = new Uint8Array(read.val)
-      const fault = responseFault(response.headers, requestId)
-      if (fault !== undefined) {
-        this.#pool.reportFailure(connections)
-        return Err(new PlatformUnavailable(fault, request.isWrite))
-      }
-      return checkStatus({ status: response.statusCode, body }, request.isWrite)
-    } catch (error) {
-      this.#pool.reportFailure(connections, error)
-      return Err(new PlatformUnavailable(reasonOf(error), request.isWrite && !isConnectError(error)))
-    }
+    const timeout = replyTimeoutSignal(this.#options.clock, this.#options.timeoutMilliseconds)
+    const reply = await this.#pool.request({
+      method: request.method,
+      path: request.path,
+      body: request.body,
+      headers: { 'x-request-id': requestId, 'content-type': typeof request.body === 'string' ? jsonType : binaryType },
+      overdue: timeout.signal,
+      read: received => checkTrust(received, requestId)
+    })
+    timeout.cancel()
+    if (reply.err) return Err(new PlatformUnavailable(reply.val.reason, request.isWrite && reply.val.mayHaveBeenSent))
+    return checkStatus({ status: reply.val.status, body: new Uint8Array(reply.val.body) }, request.isWrite)
   }
 
   /** Sends a request and parses the JSON response; undefined if the response is 404. */
@@ -114,7 +100,8 @@
     pipelining: 1,
     keepAliveTimeout: keepAliveTimeoutMilliseconds,
     keepAliveMaxTimeout: keepAliveTimeoutMilliseconds,
-    connect: { timeout: options.timeoutMilliseconds },
+    clock: options.clock,
+    connectTimeoutMilliseconds: options.timeoutMilliseconds,
     headersTimeout: 0,
     bodyTimeout: 0
   })
@@ -129,12 +116,12 @@
   }
 }
 
-/** Returns why a reply can't be trusted, if so. A body that ends only when the connection closes may be truncated. */
-function responseFault (headers: IncomingHttpHeaders, requestId: string): string | undefined {
-  const named = headers['x-request-id']
-  if (named !== undefined && named !== requestId) return 'the reply has the id of another request'
-  const isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-  return isFramed ? undefined : 'the reply has neither a content length nor a transfer encoding'
+/** Returns the reply, or why it can't be trusted. A body that ends only when the connection closes may be truncated. */
+function checkTrust (reply: PoolReply, requestId: string): Result<PoolReply, string> {
+  const named = reply.headers['x-request-id']
+  if (named !== undefined && named !== requestId) return Err('the reply has the id of another request')
+  const isFramed = reply.headers['content-length'] !== undefined || reply.headers['transfer-encoding'] !== undefined
+  return isFramed ? Ok(reply) : Err('the reply has neither a content length nor a transfer encoding')
 }
 
 function checkStatus (reply: PlatformResponse, isWrite: boolean): Result<PlatformResponse, PlatformUnavailable> {
@@ -149,7 +136,3 @@
   const value = parseJson(reply.body)
   return typeof value === 'object' && value !== null && 'applied' in value && value.applied === false
 }
-
-function reasonOf (error: unknown): string {
-  return error instanceof Error ? `${error.name}: ${error.message}` : String(error)
-}
--- a/test/endlessBytes.test.ts
+++ b/test/endlessBytes.test.ts
@@ -192,7 +192,7 @@
 const storeFloods: Record<string, Flood> = { ...floods, 'a body without end': endlessEvent }
 
 test.each(Object.keys(storeFloods))('a gateway gives up a read of the store that sends %s', async name => {
-  const store = new RowStore({ address: await startFlood(storeFloods[name]!) })
+  const store = new RowStore({ clock, address: await startFlood(storeFloods[name]!) })
   await expectBounded(async () => {
     expect((await store.changes('op', 1, 300)).err).toBe(true)
     expect(await store.put('status', 'key', new Uint8Array())).toBe('unknown')
@@ -201,7 +201,7 @@
 }, 20_000)
 
 test.each(Object.keys(storeFloods))('a daemon gives up a call of the platform that sends %s', async name => {
-  const table = new HttpTableService({ address: await startFlood(storeFloods[name]!), timeoutMilliseconds: 1_000 })
+  const table = new HttpTableService({ clock, address: await startFlood(storeFloods[name]!), timeoutMilliseconds: 1_000 })
   await expectBounded(async () => {
     expect((await table.read('claims', 'key')).err).toBe(true)
   }, maximumAnswerBytes + maximumFloodBytes)
--- a/test/fakes/daemonWorld.ts
+++ b/test/fakes/daemonWorld.ts
@@ -55,7 +55,7 @@
 
   /** Creates a client of the platform's table service, as the operators' commands use. */
   createTableClient (): HttpTableService {
-    return new HttpTableService({ address: this.#platformAddress, timeoutMilliseconds: 2_000 })
+    return new HttpTableService({ clock: new SystemClock(), address: this.#platformAddress, timeoutMilliseconds: 2_000 })
   }
 
   /**
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,9 +1,11 @@
 /** Tests the platform's clients against its stand-in, without and with each of its faults. */
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import { SystemClock } from '../src/contract/index.ts'
 import { TransactionOutcome, HttpObjectStore, HttpTableService, HttpVirtualMachineList, type Transaction } from '../src/store/index.ts'
 import { startPlatform, type StandIn } from '../src/standin/index.ts'
 import { httpReply, startScriptedServer } from './fakes/scriptedServer.ts'
 
+const clock = new SystemClock()
 let platform: StandIn
 let table: HttpTableService
 let objects: HttpObjectStore
@@ -11,7 +13,7 @@
 
 beforeEach(async () => {
   platform = await startPlatform({ listen: '127.0.0.1:0', listLagMilliseconds: 0 })
-  const options = { address: platform.address, timeoutMilliseconds: 10_000 }
+  const options = { clock, address: platform.address, timeoutMilliseconds: 10_000 }
   table = new HttpTableService(options)
   objects = new HttpObjectStore(options)
   virtualMachines = new HttpVirtualMachineList(options)
@@ -68,7 +70,7 @@
 })
 
 test('a write that times out is reported as possibly applied; a read is not', async () => {
-  const impatientTable = new HttpTableService({ address: platform.address, timeoutMilliseconds: 200 })
+  const impatientTable = new HttpTableService({ clock, address: platform.address, timeoutMilliseconds: 200 })
   await injectFault('tables', 'hang')
   expect((await impatientTable.transact(insertClaim)).val).toMatchObject({ mayHaveApplied: true })
   expect((await impatientTable.read('claims', 'harbour/1')).val).toMatchObject({ mayHaveApplied: false })
@@ -98,7 +100,7 @@
 
 test('a write whose connection breaks is reported as possibly applied and is not retried', async () => {
   const closingServer = await startScriptedServer(socket => socket.destroy())
-  const client = new HttpTableService({ address: closingServer.address, timeoutMilliseconds: 10_000 })
+  const client = new HttpTableService({ clock, address: closingServer.address, timeoutMilliseconds: 10_000 })
   expect((await client.transact(insertClaim)).val).toMatchObject({ mayHaveApplied: true })
   expect(closingServer.received.filter(text => text !== '')).toHaveLength(1)
   await client.close()
@@ -108,7 +110,7 @@
 test('an unexpected reply to a write is reported as possibly applied', async () => {
   for (const reply of [httpReply('{"commit":"perhaps"}'), httpReply('no JSON'), httpReply('{}', '503 Service Unavailable')]) {
     const malformedServer = await startScriptedServer(socket => socket.write(reply))
-    const client = new HttpTableService({ address: malformedServer.address, timeoutMilliseconds: 10_000 })
+    const client = new HttpTableService({ clock, address: malformedServer.address, timeoutMilliseconds: 10_000 })
     expect((await client.transact(insertClaim)).val).toMatchObject({ mayHaveApplied: true })
     await client.close()
     await malformedServer.close()
@@ -118,7 +120,7 @@
 test('a truncated object is not accepted as complete', async () => {
   for (const head of ['HTTP/1.1 200 OK\r\n\r\n', 'HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n']) {
     const truncatingServer = await startScriptedServer(socket => socket.end(`${head}half of it`))
-    const client = new HttpObjectStore({ address: truncatingServer.address, timeoutMilliseconds: 10_000 })
+    const client = new HttpObjectStore({ clock, address: truncatingServer.address, timeoutMilliseconds: 10_000 })
     expect((await client.get('bills/1')).err).toBe(true)
     await client.close()
     await truncatingServer.close()
@@ -134,7 +136,7 @@
     socket.write(reply)
     setTimeout(() => socket.write(reply), 10)
   })
-  const client = new HttpTableService({ address: server.address, timeoutMilliseconds: 10_000 })
+  const client = new HttpTableService({ clock, address: server.address, timeoutMilliseconds: 10_000 })
   for (let number = 0; number < 8; number++) {
     const read = await client.read('t', String(number))
     if (read.ok) expect(read.val?.key).toBe(String(number))
@@ -149,7 +151,7 @@
   const server = await startScriptedServer((socket, connection) => {
     if (!isSilent || connection > 1) setTimeout(() => socket.write(httpReply('{"row":null}')), 20)
   })
-  const client = new HttpTableService({ address: server.address, timeoutMilliseconds: 300 })
+  const client = new HttpTableService({ clock, address: server.address, timeoutMilliseconds: 300 })
   await Promise.all([client.read('t', 'a'), client.read('t', 'b')])
   isSilent = true
   await new Promise(resolve => setTimeout(resolve, 20))
@@ -161,7 +163,7 @@
 
 test('no more connections are opened than the maximum', async () => {
   const server = await startScriptedServer(socket => socket.write(httpReply('{"row":null}')))
-  const client = new HttpTableService({ address: server.address, timeoutMilliseconds: 10_000, maximumConnections: 2 })
+  const client = new HttpTableService({ clock, address: server.address, timeoutMilliseconds: 10_000, maximumConnections: 2 })
   const reads = await Promise.all(Array.from({ length: 20 }, (_, number) => client.read('t', String(number))))
   expect(reads.every(read => read.ok)).toBe(true)
   expect(server.received).toHaveLength(2)
--- a/test/responseHead.test.ts
+++ b/test/responseHead.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from 'vitest'
+import { SystemClock } from '../src/contract/index.ts'
 import { PlatformHeaders } from '../platform/headers.ts'
 import { createPool } from '../src/httpClient/index.ts'
 import { startScriptedServer } from './fakes/scriptedServer.ts'
@@ -27,7 +28,7 @@
   ['the reason phrase', 'HTTP/1.1 200 OHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok']
 ])('the store and peers are not believed whose head contains that of another answer in %s', async (_name, reply) => {
   const server = await startScriptedServer(socket => socket.write(reply))
-  const pool = createPool(`http://${server.address}`, {})
+  const pool = createPool(`http://${server.address}`, { clock: new SystemClock(), connectTimeoutMilliseconds: 1_000 })
   await expect(pool.request({ method: 'GET', path: '/' })).rejects.toThrow('contains that of another')
   await pool.destroy()
   await server.close()
--- a/test/silentConnections.test.ts
+++ b/test/silentConnections.test.ts
@@ -1,9 +1,11 @@
 import { afterEach, expect, test } from 'vitest'
 import { RowStore, RowWriteOutcome } from '../platform/index.ts'
 import { StoreStandIn } from '../platform/standin/index.ts'
+import { SystemClock } from '../src/contract/index.ts'
 import { PlatformClient } from '../src/store/platformClient.ts'
 import { SilencingProxy } from './fakes/silencingProxy.ts'
 
+const clock = new SystemClock()
 const closers: (() => Promise<void>)[] = []
 
 afterEach(async () => {
@@ -25,7 +27,7 @@
 
 async function startRowStore () {
   const { store, proxy } = await startProxiedStore()
-  const rows = new RowStore({ address: proxy.address })
+  const rows = new RowStore({ clock, address: proxy.address })
   closers.push(() => rows.close())
   await openConnections(proxy, () => rows.snapshot('op'))
   return { store, proxy, rows }
@@ -73,7 +75,7 @@
 
 test('the client of the platform keeps the same rule', async () => {
   const { proxy } = await startProxiedStore()
-  const client = new PlatformClient({ address: proxy.address, timeoutMilliseconds: 300 })
+  const client = new PlatformClient({ clock, address: proxy.address, timeoutMilliseconds: 300 })
   closers.push(() => client.close())
   const read = () => client.request({ method: 'GET', path: '/v1/rows-get?table=op', isWrite: false })
   await openConnections(proxy, read)
--- a/test/standin.test.ts
+++ b/test/standin.test.ts
@@ -99,7 +99,7 @@
 test('a bad version scores lower, and a rating returns the score with noise', async () => {
   const engine = await closeAfterTest(startEngine({ listen: '127.0.0.1:0', name: 'e', versions: ['small@1'] }))
   const platform = await closeAfterTest(startPlatform({ listen: '127.0.0.1:0', randomness: new SeededRandomness(3), medianRatingMilliseconds: 1, ratingNoise: 1 }))
-  const ratings = new HttpRatingService({ address: platform.address, timeoutMilliseconds: 5_000 })
+  const ratings = new HttpRatingService({ clock, address: platform.address, timeoutMilliseconds: 5_000 })
   const prompt = callFor('r').messages[0]?.content ?? ''
   const good = await collect(engineClient.generate(endpointAt(engine), callFor('good'), neverAborted))
   await post(engine, '/faults', { fault: 'bad_version', version: 'small@1', points: 20 })
--- a/test/standinFaults.test.ts
+++ b/test/standinFaults.test.ts
@@ -113,7 +113,7 @@
 
 test('the list of VMs shows changes with a delay', async () => {
   const platform = await closeAfterTest(startPlatform({ listen: '127.0.0.1:0', listLagMilliseconds: 300 }))
-  const list = new HttpVirtualMachineList({ address: platform.address, timeoutMilliseconds: 5_000 })
+  const list = new HttpVirtualMachineList({ clock, address: platform.address, timeoutMilliseconds: 5_000 })
   const setAt = clock.now()
   await fetch(`http://${platform.address}/virtual-machines/entry-1`, { method: 'PUT', body: JSON.stringify({ address: '127.0.0.1:1', region: 'r', dataCentre: 'd' }) })
   let machines = (await list.read()).unwrap()
--- a/trial/demo.ts
+++ b/trial/demo.ts
@@ -8,7 +8,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { readBillRecords } from '../src/billing/index.ts'
-import { SeededRandomness } from '../src/contract/index.ts'
+import { SeededRandomness, SystemClock } from '../src/contract/index.ts'
 import { HttpTableService } from '../src/store/index.ts'
 import type { EngineRun, ServiceRun } from '../src/standin/index.ts'
 import { TrialCallers, type RequestObservation, type PlannedRequest } from './demo/callers.ts'
@@ -176,7 +176,7 @@
   }
 
   async #report (callers: TrialCallers): Promise<number> {
-    const table = new HttpTableService({ address: this.#layout.platform, timeoutMilliseconds: 5_000 })
+    const table = new HttpTableService({ clock: new SystemClock(), address: this.#layout.platform, timeoutMilliseconds: 5_000 })
     const verification = await runCommand(['bill', 'verify', '--platform', this.#layout.platform])
     const engines = this.#layout.endpoints.filter(endpoint => endpoint.service === undefined)
     const services = this.#layout.endpoints.filter(endpoint => endpoint.service !== undefined)
