--- a/src/replica/contract.ts
+++ b/src/replica/contract.ts
@@ -40,7 +40,10 @@
   }
 }
 
-/** Reads tables and waits for their changes. */
+/**
+ * Reads tables and waits for their changes. Each call ends by itself, with a failure when its reply is overdue. Calls after a
+ * failed one go over connections that were opened after it.
+ */
 export interface TableFeed {
   /** Reads a whole table. */
   snapshot (table: string): Promise<Result<TableSnapshot, FeedFailure>>
--- a/src/replica/index.ts
+++ b/src/replica/index.ts
@@ -3,7 +3,7 @@
 export { TableReplica, type PositionedRows, type ReplicaChanges, comparePositions } from './tableReplica.ts'
 export { type Confirmation, ConfirmationHop } from './confirmation.ts'
 export { ConfirmationMonitor, type ConfirmationMonitorOptions } from './confirmationMonitor.ts'
-export { type NewsTimeBudget, divideNewsTime, feedCallTimeoutMilliseconds } from './newsTimeBudget.ts'
+export { type NewsTimeBudget, divideNewsTime, feedCallTimeout, feedCallTimeoutMilliseconds } from './newsTimeBudget.ts'
 export { ReplicaFollower, type ReplicaFollowerOptions } from './replicaFollower.ts'
 export { ReplicaRelay, type ReplicaRelayOptions } from './replicaRelay.ts'
 export { RelayFollower, type RelayFollowerOptions } from './relayFollower.ts'
--- a/src/replica/newsTimeBudget.ts
+++ b/src/replica/newsTimeBudget.ts
@@ -8,6 +8,7 @@
  * - A gateway that follows a relay asks the store in the same way as soon as what it knows reaches the maximum age,
  *   whatever holds up the relay or the link to it. While all connections work, its age stays below that.
  */
+import { type CancellableSignal, type Clock, deadlineSignal, replyTimeoutSignal } from '../contract/index.ts'
 
 /** Allowance for a reply of a store that answers fifty times as slowly as usual, and for the round trip between regions. */
 const storeReplyMilliseconds = 500
@@ -70,6 +71,19 @@
   return waitMilliseconds + (waitMilliseconds > 0 ? storeReplyMilliseconds : lastStoreReplyMilliseconds)
 }
 
+/**
+ * A signal that aborts when the reply to a feed call is overdue. The end of a call that the store holds does not move when
+ * this process is held up: the store answers at its own time, and the sum of the waits stays within the time.
+ *
+ * @param waitMilliseconds how long the store may hold the call
+ * @example
+ * const timeout = feedCallTimeout(clock, 2_000)
+ */
+export function feedCallTimeout (clock: Clock, waitMilliseconds: number): CancellableSignal {
+  const timeoutMilliseconds = feedCallTimeoutMilliseconds(waitMilliseconds)
+  return waitMilliseconds > 0 ? deadlineSignal(clock, clock.now() + timeoutMilliseconds) : replyTimeoutSignal(clock, timeoutMilliseconds)
+}
+
 function boundWait (milliseconds: number): number {
   return Math.round(Math.min(maximumStoreWaitMilliseconds, Math.max(minimumWaitMilliseconds, milliseconds)))
 }
--- a/test/fakes/followingFleet.ts
+++ b/test/fakes/followingFleet.ts
@@ -2,9 +2,9 @@
  * A fleet on virtual time that follows one store, directly and through relays. The connections to the store and those
  * between gateways can fall silent, each kind at a moment of its own; connections opened after it work.
  */
-import { type Clock, Ok, type Result, SeededRandomness } from '../../src/contract/index.ts'
+import { type Clock, Err, Ok, type Result, SeededRandomness } from '../../src/contract/index.ts'
 import { Log } from '../../src/observe/index.ts'
-import { type FeedFailure, RelayFollower, ReplicaFollower, ReplicaRelay, type TableChanges, type TableFeed, type TableSnapshot, divideNewsTime } from '../../src/replica/index.ts'
+import { FeedFailure, RelayFollower, ReplicaFollower, ReplicaRelay, type TableChanges, type TableFeed, type TableSnapshot, divideNewsTime, feedCallTimeout } from '../../src/replica/index.ts'
 import { FakeLinkNetwork } from './fakeLink.ts'
 import { ManualClock } from './manualClock.ts'
 
@@ -18,6 +18,8 @@
 
 /** The connections of one gateway to the store. An idle one is used again, whether it is silent or not, until it is renewed. */
 class FakeStoreConnections {
+  /** How often they were renewed. */
+  renewals = 0
   readonly #open = new Set<FakeConnection>()
   #idle: FakeConnection[] = []
   #retired = new Set<FakeConnection>()
@@ -33,6 +35,7 @@
   }
 
   renew (): void {
+    this.renewals++
     this.#retired = new Set(this.#open)
     this.#idle = []
   }
@@ -70,8 +73,8 @@
     const connections = new FakeStoreConnections()
     this.#connections.push(connections)
     return {
-      snapshot: async (): Promise<Result<TableSnapshot, FeedFailure>> => await this.#call(connections, async () => this.#rowsAfter(0)),
-      changes: async (_table, after, waitMilliseconds): Promise<Result<TableChanges, FeedFailure>> => await this.#call(connections, async () => {
+      snapshot: async (): Promise<Result<TableSnapshot, FeedFailure>> => await this.#call(connections, 0, async () => this.#rowsAfter(0)),
+      changes: async (_table, after, waitMilliseconds): Promise<Result<TableChanges, FeedFailure>> => await this.#call(connections, waitMilliseconds, async () => {
         await this.#waitForChange(after, waitMilliseconds)
         return { ...this.#rowsAfter(after), hasGap: false }
       }),
@@ -79,7 +82,22 @@
     }
   }
 
-  async #call<Reply> (connections: FakeStoreConnections, reply: () => Promise<Reply>): Promise<Result<Reply, FeedFailure>> {
+  /** Ends a call whose reply is overdue, and renews the connections that it used. */
+  async #call<Reply> (connections: FakeStoreConnections, waitMilliseconds: number, reply: () => Promise<Reply>): Promise<Result<Reply, FeedFailure>> {
+    const { renewals } = connections
+    const timeout = feedCallTimeout(this.#clock, waitMilliseconds)
+    const overdue = new Promise<Result<Reply, FeedFailure>>(resolve => {
+      timeout.signal.addEventListener('abort', () => {
+        if (connections.renewals === renewals) connections.renew()
+        resolve(Err(new FeedFailure('overdue')))
+      })
+    })
+    const outcome = await Promise.race([this.#answer(connections, reply), overdue])
+    timeout.cancel()
+    return outcome
+  }
+
+  async #answer<Reply> (connections: FakeStoreConnections, reply: () => Promise<Reply>): Promise<Result<Reply, FeedFailure>> {
     this.callTimes.push(this.#clock.now())
     const connection = connections.take()
     if (connection.isSilent) return await neverSettles()
--- a/test/newsTimeBudget.test.ts
+++ b/test/newsTimeBudget.test.ts
@@ -8,6 +8,8 @@
 /** Beyond the time that any connection is waited for. */
 const spreadMilliseconds = 4_500
 
+const stallMilliseconds = 700
+
 interface Play {
   readonly storeSilentAt: number
   readonly linksSilentAt: number
@@ -91,6 +93,20 @@
   }
 }, 60_000)
 
+test.each([2_500, 4_000])('at no moment of the cycle of calls does a stall of the event loop after a silence make a change come later than %i ms', async allowedMilliseconds => {
+  for (let moment = 0; moment < spreadMilliseconds; moment += 15) {
+    const fleet = startFollowingFleet({ size: 1, hasRelays: false, allowedMilliseconds, seed: moment + 1 })
+    await fleet.clock.advance(8_000 + moment)
+    fleet.store.replyMilliseconds = 250
+    fleet.store.silenceConnections()
+    fleet.store.change()
+    await fleet.clock.stall(stallMilliseconds)
+    await fleet.clock.advance(allowedMilliseconds - stallMilliseconds)
+    fleet.stop()
+    expect([moment, fleet.oldestVersion()]).toEqual([moment, fleet.store.version])
+  }
+}, 60_000)
+
 test.each([2_500, 4_000])('while all connections work, only the relays ask the store, though it answers slowly (%i ms allowed)', async allowedMilliseconds => {
   const fleet = startFollowingFleet({ size: 20, hasRelays: true, allowedMilliseconds, seed: 1 })
   await fleet.clock.advance(8_000)
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -59,10 +59,10 @@
   }
 }
 
-function startFollower (feed: TableFeed, clock: ManualClock) {
+function startFollower (feed: TableFeed, clock: ManualClock, tables = ['orders']) {
   const follower = new ReplicaFollower({
     feed,
-    tables: ['orders'],
+    tables,
     budget: () => divideNewsTime(4_000),
     clock,
     randomness: new SeededRandomness(1),
@@ -138,3 +138,43 @@
   expect(held.map(({ aborted }) => aborted)).toEqual([true, false])
   follower.stop()
 })
+
+/** A store whose held calls fail when told to, and the number of times that a follower renewed the connections to it. */
+function countRenewals (clock: ManualClock) {
+  const counted = { renewals: 0, calls: 0, isFailing: false }
+  const feed: TableFeed = {
+    snapshot: async () => Ok({ rows: [], epoch: 0, version: 1, storeTime: 0 }),
+    changes: async (_table, _after, waitMilliseconds) => {
+      counted.calls++
+      await clock.sleep(waitMilliseconds)
+      return counted.isFailing && waitMilliseconds > 0 ? Err(new FeedFailure('overdue')) : Ok({ rows: [], epoch: 0, version: 1, storeTime: 0, hasGap: false })
+    },
+    renewConnections: () => { counted.renewals++ }
+  }
+  return { counted, feed }
+}
+
+test('connections that a failed call has renewed are not renewed again for each table', async () => {
+  const clock = new ManualClock()
+  const { counted, feed } = countRenewals(clock)
+  const follower = startFollower(feed, clock, ['orders', 'endpoints', 'routes'])
+  await clock.advance(3_000)
+  counted.isFailing = true
+  await clock.advance(10_000)
+  expect(counted).toMatchObject({ renewals: 0 })
+  follower.stop()
+})
+
+test('tables that ask again after an idle time renew the connections once', async () => {
+  const clock = new ManualClock()
+  const { counted, feed } = countRenewals(clock)
+  const follower = startFollower(feed, clock, ['orders', 'endpoints', 'routes'])
+  await clock.advance(500)
+  follower.pause()
+  await clock.advance(2_000)
+  const callsBefore = counted.calls
+  follower.resume()
+  await clock.advance(10)
+  expect(counted).toMatchObject({ renewals: 1, calls: callsBefore + 6 })
+  follower.stop()
+})
