Tell for how long the event loop of a process was held up

Callers saw: nothing by itself. An operator could not tell a call that was lost to a stall of the gateway from one that was lost to a silent connection or endpoint.

The forwarder and the daemon start the clock's monitor and end it with the process.

--- a/src/contract/clock.ts
+++ b/src/contract/clock.ts
@@ -68,6 +68,11 @@
     this.#monitor.start(onHoldUp)
   }
 
+  /** Ends what `startMonitor` began. */
+  stopMonitor (): void {
+    this.#monitor.stop()
+  }
+
   now (): number {
     return performance.timeOrigin + performance.now()
   }
--- a/src/contract/eventLoopMonitor.ts
+++ b/src/contract/eventLoopMonitor.ts
@@ -16,6 +16,7 @@
   /** When the next check is due; undefined before the start. */
   #dueAt: number | undefined
   #endedMilliseconds = 0
+  #timer: NodeJS.Timeout | undefined
 
   constructor (clock: Pick<Clock, 'now'>) {
     this.#clock = clock
@@ -35,6 +36,13 @@
     this.#scheduleCheck(onHoldUp)
   }
 
+  /** Ends the measurement; what was measured is kept. */
+  stop (): void {
+    clearTimeout(this.#timer)
+    this.#endedMilliseconds = this.heldUpMilliseconds
+    this.#dueAt = undefined
+  }
+
   get #overdueMilliseconds (): number {
     const milliseconds = this.#dueAt === undefined ? 0 : this.#clock.now() - this.#dueAt
     return milliseconds < minimumHoldUpMilliseconds ? 0 : milliseconds
@@ -42,11 +50,12 @@
 
   #scheduleCheck (onHoldUp: HoldUpListener): void {
     this.#dueAt = this.#clock.now() + checkIntervalMilliseconds
-    setTimeout(() => {
+    this.#timer = setTimeout(() => {
       const milliseconds = this.#overdueMilliseconds
       this.#endedMilliseconds += milliseconds
       this.#scheduleCheck(onHoldUp)
       if (milliseconds > 0) onHoldUp(milliseconds)
-    }, checkIntervalMilliseconds).unref()
+    }, checkIntervalMilliseconds)
+    this.#timer.unref()
   }
 }
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -17,7 +17,7 @@
 import { type Link, TcpLink } from '../link/index.ts'
 import { GossipMembership, MemberState } from '../membership/index.ts'
 import { NewsExchange, logLimitChange } from '../news/index.ts'
-import { Log, Metrics, createOpenTelemetryTracer, NoopTracer, type Tracer } from '../observe/index.ts'
+import { EventLoopStalls, Log, Metrics, createOpenTelemetryTracer, NoopTracer, type Tracer } from '../observe/index.ts'
 import {
   HttpRatingService, HttpTableService, HttpVirtualMachineList, type RatingService, type TableService, type VirtualMachineList
 } from '../store/index.ts'
@@ -39,7 +39,9 @@
   readonly local: LocalSettings
   readonly tls: TlsCredentials | undefined
   readonly here: Place
+  readonly systemClock: SystemClock
   readonly clock: Clock
+  readonly eventLoopStalls: EventLoopStalls
   readonly randomness: Randomness
   readonly log: Log
   readonly metrics: Metrics
@@ -93,7 +95,9 @@
 /** Creates each component from the others. */
 const dependencyFactories = {
   here: ({ local }) => ({ region: local.region, dataCentre: local.data_centre }),
-  clock: () => new SystemClock(),
+  systemClock: () => new SystemClock(),
+  clock: ({ systemClock }) => systemClock,
+  eventLoopStalls: ({ log, metrics, systemClock }) => new EventLoopStalls({ clock: systemClock, log, metrics: metrics.eventLoopStalls }),
   randomness: () => new SystemRandomness(),
   log: ({ local }) => new Log(local.telemetry.level, { virtual_machine: local.name }),
   metrics: () => new Metrics(true),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -66,7 +66,8 @@
    * @returns a message with the reason if an address can't be listened on
    */
   async start (): Promise<Result<void, string>> {
-    const { callerServer, follower, ledger, link, log, membership, news, ratingExchange, steward } = this.#dependencies
+    const { callerServer, eventLoopStalls, follower, ledger, link, log, membership, news, ratingExchange, steward } = this.#dependencies
+    eventLoopStalls.start()
     try {
       await this.#operatorServer.listen(this.#local.listen.operators)
       const linked = await link.listen(this.#local.listen.link)
@@ -88,7 +89,7 @@
 
   /** Drains running requests for up to `drain_seconds`, flushes durable data, and stops. */
   async stop (): Promise<void> {
-    const { callerServer, claims, clock, drain, follower, ledger, link, log, membership, news, ratingExchange, steward, tracer } = this.#dependencies
+    const { callerServer, claims, clock, drain, eventLoopStalls, follower, ledger, link, log, membership, news, ratingExchange, steward, tracer } = this.#dependencies
     log.info('daemon_stopping', { requests: drain.requestsInFlight })
     this.#isReady = false
     drain.begin()
@@ -106,6 +107,7 @@
     await link.close()
     await tracer.close()
     await this.#operatorServer.close()
+    eventLoopStalls.stop()
     log.info('daemon_stopped', {})
   }
 
--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -75,6 +75,7 @@
   #bufferedBytes = 0
   #eventCount = 0
   #lastActivityAt: number
+  #heldUpBeforeActivityMilliseconds: number
   #controller: Dispatcher.DispatchController | undefined
   #mayHaveSent = false
   #finalEvent: ExchangeEvent | undefined
@@ -87,6 +88,7 @@
     this.#options = options
     this.#secondHead = options.responseMark === undefined ? undefined : new SecondHeadScanner(options.responseMark)
     this.#lastActivityAt = options.clock.now()
+    this.#heldUpBeforeActivityMilliseconds = options.clock.heldUpMilliseconds()
   }
 
   /**
@@ -124,6 +126,11 @@
     return this.#lastActivityAt
   }
 
+  /** For how long the event loop was held up since then, in milliseconds. */
+  get heldUpMilliseconds (): number {
+    return this.#options.clock.heldUpMilliseconds() - this.#heldUpBeforeActivityMilliseconds
+  }
+
   /** Number of events so far, read or not. */
   get eventCount (): number {
     return this.#eventCount
@@ -188,17 +195,17 @@
       return
     }
     this.#mayHaveSent = true
-    this.#lastActivityAt = this.#options.clock.now()
+    this.#recordActivity()
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
-    this.#lastActivityAt = this.#options.clock.now()
+    this.#recordActivity()
     this.#push({ type: 'head', status, headers })
   }
 
   onResponseData (controller: Dispatcher.DispatchController, bytes: Buffer): void {
     if (this.#isDiscarding) return this.#discard(bytes)
-    this.#lastActivityAt = this.#options.clock.now()
+    this.#recordActivity()
     if (this.#secondHead?.push(bytes) === true) return this.abort(secondHeadReason)
     if (this.#secondHead?.isUndecided === true) this.#bytesBehind = this.#options.bytesBehind?.(bytes) ?? noBytes
     this.#bufferedBytes += bytes.length
@@ -226,12 +233,17 @@
     this.#bufferedBytes -= event.bytes.length
     invariant(this.#bufferedBytes >= 0, 'buffered bytes are counted', () => ({ bufferedBytes: this.#bufferedBytes }))
     if (this.#controller?.paused === true && this.#bufferedBytes <= maximumBufferedBytes / 2) {
-      this.#lastActivityAt = this.#options.clock.now()
+      this.#recordActivity()
       this.#controller.resume()
     }
     return event
   }
 
+  #recordActivity (): void {
+    this.#lastActivityAt = this.#options.clock.now()
+    this.#heldUpBeforeActivityMilliseconds = this.#options.clock.heldUpMilliseconds()
+  }
+
   #push (event: ExchangeEvent): void {
     if (this.#finalEvent !== undefined) return
     this.#events.push(event)
@@ -258,7 +270,7 @@
     const { clock, inactivityTimeoutMilliseconds } = this.#options
     while (this.#finalEvent === undefined) {
       await sleepUntil(clock, this.#lastActivityAt + inactivityTimeoutMilliseconds, this.#timeoutWatch.signal)
-      if (this.#controller?.paused === true) this.#lastActivityAt = clock.now()
+      if (this.#controller?.paused === true) this.#recordActivity()
       const hasTimedOut = clock.now() - this.#lastActivityAt >= inactivityTimeoutMilliseconds
       if (hasTimedOut) this.abort('connection received no data within the inactivity timeout', true)
     }
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -2,7 +2,7 @@
 import { asFunction, asValue, type AwilixContainer, createContainer, InjectionMode } from 'awilix/browser'
 import { PlatformHeaders, RowStore, readyPath, type BootFile } from '../../platform/index.ts'
 import { EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
-import { type Clock, type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
+import { type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { Connections } from '../endpoint/index.ts'
 import { EndpointAnnouncements, EndpointLiveness, Forwarding, GatewayMetrics, GatewayServer, OperationsServer, PlannedStop, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
 import { type FleetDirectory, type FleetReports, FleetShare } from '../fleet/index.ts'
@@ -11,7 +11,7 @@
 import { TcpLink } from '../link/index.ts'
 import type { MisdirectedEndpoints } from '../misdirection/index.ts'
 import type { NewsExchange } from '../news/index.ts'
-import { LineQueue, Log, descriptorSink } from '../observe/index.ts'
+import { EventLoopStalls, LineQueue, Log, descriptorSink } from '../observe/index.ts'
 import { EndpointEligibility, EndpointLoads, EndpointPlacement, EndpointRegistry, Evacuations, ModelCascade, RetryBudget, RunDurations, VersionSelector } from '../placement/index.ts'
 import { type AnnouncedLimits, type EndpointLimits, PlaceQueues, type WarmUps } from '../rateLimit/index.ts'
 import type { ConfirmationMonitor, PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay } from '../replica/index.ts'
@@ -56,7 +56,8 @@
   readonly boot: BootFileHolder
   readonly secret: string
   readonly listener: CallerListener
-  readonly clock: Clock
+  readonly clock: SystemClock
+  readonly eventLoopStalls: EventLoopStalls
   readonly randomness: Randomness
   readonly logLines: LineQueue
   readonly log: Log
@@ -116,6 +117,7 @@
     secret: asValue(secret),
     listener: asValue(listener),
     clock: single(() => new SystemClock()),
+    eventLoopStalls: single(({ clock, log, metrics }) => new EventLoopStalls({ clock, log, metrics: metrics.eventLoopStalls })),
     randomness: single(() => new SystemRandomness()),
     logLines: single(() => new LineQueue(descriptorSink(standardOutputDescriptor))),
     log: single(({ boot, logLines }) => new Log('info', { virtualMachine: boot.current.name }, line => logLines.push(line))),
--- a/src/forwarder/forwarder.ts
+++ b/src/forwarder/forwarder.ts
@@ -30,9 +30,10 @@
 
   /** Starts serving. The gateway becomes ready once its tables have been read. */
   async start (): Promise<Result<void, string>> {
-    const { boot, confirmationMonitor, fleetReports, follower, loadReports, news, peers, relayFollower, rollOutCoordinator, gateway, link, log, operations } = this.#container.cradle
+    const { boot, confirmationMonitor, eventLoopStalls, fleetReports, follower, loadReports, news, peers, relayFollower, rollOutCoordinator, gateway, link, log, operations } = this.#container.cradle
     const { callerAddress, readyAddress, peerAddress, name } = boot.current
     log.info('started', { process: process.pid, callers: callerAddress, peers: peerAddress, node: process.version })
+    eventLoopStalls.start()
     // It asks a relay first, which may make the store's reads needless.
     relayFollower.start()
     follower.start()
@@ -75,7 +76,7 @@
   }
 
   async #stop (): Promise<void> {
-    const { boot, clock, confirmationMonitor, fleetReports, loadReports, news, rollOutCoordinator, follower, gateway, logLines, link, log, operations, peers, relayFollower, store, connections, forwarding } = this.#container.cradle
+    const { boot, clock, confirmationMonitor, eventLoopStalls, fleetReports, loadReports, news, rollOutCoordinator, follower, gateway, logLines, link, log, operations, peers, relayFollower, store, connections, forwarding } = this.#container.cradle
     log.info('stopping', { inFlight: forwarding.inFlight, graceMilliseconds: boot.current.graceMilliseconds })
     this.#stopping.abort('stopping')
     const drainMilliseconds = Math.max(0, boot.current.graceMilliseconds - graceReserveMilliseconds)
@@ -91,6 +92,7 @@
     follower.stop()
     confirmationMonitor.stop()
     operations.close()
+    eventLoopStalls.stop()
     log.info('stopped', {})
     await withDeadline(clock, clock.now() + closeTimeoutMilliseconds, Promise.all([logLines.flush(closeTimeoutMilliseconds), link.close(), store.close(), connections.close()]))
   }
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -1,5 +1,6 @@
 /** Prometheus metrics of the gateway. Label values come from settings and fixed sets, never from caller input. */
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+import { createStallMetrics } from '../observe/index.ts'
 
 const latencyBuckets = [0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 30]
 
@@ -31,6 +32,7 @@
   readonly evictedHoldings = new Counter({ name: 'lavenderdoor_evicted_holdings_total', help: 'Requests that were refused or cut because what they held was needed for others.', registers: [this.registry] })
   readonly closedConnections = new Counter({ name: 'lavenderdoor_caller_connections_closed_total', help: 'Connections of callers that were closed for others, by cause.', labelNames: ['cause'], registers: [this.registry] })
   readonly cutRequests = new Counter({ name: 'lavenderdoor_caller_requests_cut_total', help: 'Requests without a complete answer whose connection this gateway closed, by cause and state: arriving, unanswered, begun.', labelNames: ['cause', 'state'], registers: [this.registry] })
+  readonly eventLoopStalls = createStallMetrics(this.registry)
   readonly droppedLogLines = new Gauge({ name: 'lavenderdoor_log_lines_dropped', help: 'Log lines that were dropped because their reader was too slow.', registers: [this.registry] })
 
   constructor () {
--- a/src/gateway/givenUpRun.ts
+++ b/src/gateway/givenUpRun.ts
@@ -22,6 +22,8 @@
 interface EndpointSigns {
   /** Time since anything of the run's response was received, or since it was sent. */
   readonly runSilentMilliseconds: number
+  /** Of this time, that in which this process could not read. */
+  readonly heldUpMilliseconds: number
   /** Time since anything was received from the endpoint, by any run; undefined if nothing ever was. */
   readonly endpointSilentMilliseconds: number | undefined
   /** Time since a liveness check saw the endpoint accept a connection; undefined if none did. */
@@ -65,6 +67,7 @@
 function signsOf ({ exchange, tracker }: OpenAttempt, now: number): EndpointSigns {
   return {
     runSilentMilliseconds: Math.round(now - exchange.lastActivityAt),
+    heldUpMilliseconds: Math.round(exchange.heldUpMilliseconds),
     endpointSilentMilliseconds: finiteOrUndefined(tracker.silentMilliseconds(now)),
     acceptedMillisecondsAgo: finiteOrUndefined(tracker.unacceptedMilliseconds(now))
   }
--- a/src/observe/metrics.ts
+++ b/src/observe/metrics.ts
@@ -3,6 +3,7 @@
  * outcomes) and never from caller input, so that the number of time series stays bounded.
  */
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
+import { createStallMetrics } from './eventLoopStalls.ts'
 
 const latencyBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.2, 2, 5, 10, 30, 60, 120]
 const betweenTokensBuckets = [0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.256]
@@ -33,6 +34,7 @@
   readonly billBacklog = this.#gauge('bill_backlog_entries', 'Bill entries that are not in the store yet.', [])
   readonly billsCopied = this.#gauge('bill_entries_copied', 'Answers released on copies with other VMs while the store was out.', [])
   readonly billsUnsafe = this.#gauge('bill_entries_unsafe', 'Bill entries that were neither in the store nor copied when their answer waited.', [])
+  readonly eventLoopStalls = createStallMetrics(this.registry)
   readonly billsLost = this.#gauge('bill_entries_lost', 'Bill entries known to be lost.', [])
 
   /** @param includesProcessMetrics whether to export CPU time and memory of the process as well */
--- a/src/replica/feedState.ts
+++ b/src/replica/feedState.ts
@@ -74,11 +74,16 @@
     this.#failingSince.delete(table)
   }
 
-  /** Records a failed call; returns whether the feed had not been failing before. */
-  recordFailure (table: string, failure: FeedFailure, version: number): boolean {
+  /**
+   * Records a failed call.
+   *
+   * @param heldUpMilliseconds for how long the event loop was held up during the call
+   * @returns whether the feed had not been failing before
+   */
+  recordFailure (table: string, failure: FeedFailure, version: number, heldUpMilliseconds: number): boolean {
     if (this.#failingSince.has(table)) return false
     this.#failingSince.set(table, this.#clock.now())
-    this.#log.warn('dependency_lost', { dependency: `store/${table}`, reason: failure.reason, version })
+    this.#log.warn('dependency_lost', { dependency: `store/${table}`, reason: failure.reason, version, heldUpMilliseconds: Math.round(heldUpMilliseconds) })
     return true
   }
 
--- a/src/replica/relayFollower.ts
+++ b/src/replica/relayFollower.ts
@@ -133,13 +133,15 @@
 
   /** Asks a relay that is to be followed; one that should not be is left alone for a while. */
   async #followOnce (address: string): Promise<boolean> {
+    const { clock, log } = this.#options
+    const heldUpBefore = clock.heldUpMilliseconds()
     const isFollowed = this.#currentRelay === address
     const firstFailure = await this.#requestFrom(address, isFollowed ? this.#waitMilliseconds : 0)
     // The connection to a relay that has answered so far may be silent; the second request opens a new one.
     const failure = isFollowed && firstFailure?.isUnanswered === true ? await this.#requestFrom(address) : firstFailure
     if (failure === undefined) return true
-    this.#backoffUntil.set(address, this.#options.clock.now() + failure.backoffMilliseconds)
-    this.#options.log.info('relay_left', { relay: address, reason: failure.reason })
+    this.#backoffUntil.set(address, clock.now() + failure.backoffMilliseconds)
+    log.info('relay_left', { relay: address, reason: failure.reason, heldUpMilliseconds: Math.round(clock.heldUpMilliseconds() - heldUpBefore) })
     return false
   }
 
--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -206,6 +206,7 @@
       const mustReadWhole: boolean = mustReadAgain || !this.replica(table).isKnown
       const isHeld: boolean = !mustReadWhole && !mustProbe
       const askedAt = this.#options.clock.now()
+      const heldUpBefore = this.#options.clock.heldUpMilliseconds()
       const step: Result<TableChanges, FeedFailure> = mustReadWhole ? await this.#readWhole(table) : isHeld ? await this.#awaitChanges(table, isFirstWait) : await this.#probe(table)
       isFirstWait &&= !isHeld
       mustProbe = step.err
@@ -221,7 +222,7 @@
       // A held call may have been sent over a silent connection, or ended by a pause; only the next one tells whether the feed fails.
       const wasLong = this.#options.clock.now() - askedAt >= maximumRetryDelayMilliseconds
       if (isHeld && (this.#isPaused || wasLong)) continue
-      if (!isHeld && !this.#isPaused && this.#state.recordFailure(table, step.val, this.replica(table).version)) this.failureWakeup.wake()
+      if (!isHeld && !this.#isPaused && this.#state.recordFailure(table, step.val, this.replica(table).version, this.#options.clock.heldUpMilliseconds() - heldUpBefore)) this.failureWakeup.wake()
       await this.#options.clock.sleep(retryDelayMilliseconds * (0.5 + this.#options.randomness.fraction()), this.#stopping.signal)
       retryDelayMilliseconds = Math.min(maximumRetryDelayMilliseconds, retryDelayMilliseconds * 2)
     }
