End a long answer without end at its deadline again

Callers saw: an answer over 256 KB that never ends was passed on beyond the caller's deadline, until the gateway stopped.

Cause: the relay waits for each piece with withDeadline. Since that reads what has arrived before it gives up, there always was a next piece.

Why it works: one timer for the whole answer aborts the exchange once what had arrived by the deadline was read.

--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -5,7 +5,6 @@
  * if it was certainly not executed.
  */
 import type { IncomingHttpHeaders } from 'node:http'
-import { withDeadline } from '../contract/index.ts'
 import { DeadlineReader, type ExchangeEvent } from '../endpoint/index.ts'
 import { AttemptEnd } from '../placement/index.ts'
 import { RouteType } from '../routing/index.ts'
@@ -23,6 +22,7 @@
 /** Share of the latency target for which an idempotent attempt may be silent before another endpoint is tried. */
 const silenceTargetShare = 0.9
 const silentReason = 'silent'
+const overdueReason = 'the deadline of the request has passed'
 
 /** Outcome of one attempt. */
 type PlainOutcome =
@@ -147,14 +147,16 @@
       response.write(chunk)
     }
     request.holding.trySetAnswer(0)
+    const cancelDeadline = request.dependencies.clock.scheduleAfterInput(request.deadline - request.now, () => attempt.exchange.abort(overdueReason))
     for (;;) {
-      const event = await withDeadline(request.dependencies.clock, request.deadline, attempt.exchange.next())
-      if (event?.type === 'data') {
+      const event = await attempt.exchange.next()
+      if (event.type === 'data') {
         request.callerResponse.recordBytes(event.bytes.length)
         if (!response.write(event.bytes)) await request.holding.whileUnread(waitForDrain(response, request.callerAbort.signal))
         continue
       }
-      if (event?.type === 'end' && await request.attempts.isWhole(attempt, headers)) {
+      cancelDeadline()
+      if (event.type === 'end' && await request.attempts.isWhole(attempt, headers)) {
         request.attempts.recordAnswer(attempt, headers)
         request.attempts.finish(attempt, AttemptEnd.Answered, String(status))
         response.end()
