Count an endpoint's silence only while the event loop runs, and read what has arrived before judging it

Callers saw: a call to an endpoint that had answered failed as silent when this process was held up over the moment of a timeout; a daemon's chat answer was resumed over a new connection, and the pool of its endpoint was retired.

Cause: the inactivity timeout of an exchange, its limit for discarding a rest and the deadline of a reader used plain timers, which run before input is read, and counted the time of a stall as silence.

Why it works: the timers end only after input was read, and the inactivity is counted without the time held up. An endpoint that is gone is found when the timeout is over in time in which the loop ran.

--- a/src/contract/index.ts
+++ b/src/contract/index.ts
@@ -6,6 +6,7 @@
 export { Ok, Err, Result } from 'ts-results'
 export { type Clock, SystemClock, sleepUntil } from './clock.ts'
 export { type HoldUpListener } from './eventLoopMonitor.ts'
+export { heardMilliseconds } from './heardTime.ts'
 export { untilInputIsRead } from './inputPoll.ts'
 export { withDeadline } from './withDeadline.ts'
 export { replyTimeoutSignal, scheduleReplyTimeout, withReplyTimeout } from './replyTimeout.ts'
--- a/src/endpoint/deadlineReader.ts
+++ b/src/endpoint/deadlineReader.ts
@@ -61,7 +61,7 @@
   #setTimer (): void {
     this.#cancelTimer()
     this.#timerAt = this.#deadline
-    this.#cancelTimer = this.#clock.schedule(this.#deadline - this.#clock.now(), () => this.#checkDeadline())
+    this.#cancelTimer = this.#clock.scheduleAfterInput(this.#deadline - this.#clock.now(), () => this.#checkDeadline())
   }
 
   /** The wait for which the timer was set may have ended long ago. */
--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -14,14 +14,14 @@
  * endpoint may send behind a response that stopped in the middle of its body.
  *
  * Inactivity: the exchange fails if nothing arrives within the timeout. Time during which the reader
- * keeps the socket paused does not count.
+ * keeps the socket paused does not count, nor does time for which the event loop was held up.
  *
  * Discarding: what nobody needs of a response is read within a bound of bytes and of time, so that its connection
  * can be used again, and the connection is closed at the bound.
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
-import { type Clock, invariant, sleepUntil } from '../contract/index.ts'
+import { type Clock, heardMilliseconds, invariant, scheduleReplyTimeout } from '../contract/index.ts'
 import { SecondHeadScanner } from './secondHeadScanner.ts'
 
 /** Events of an exchange: a head, any number of data events, then an end; or a failure at any point. */
@@ -68,7 +68,6 @@
 /** A request and its response, read event by event. */
 export class Exchange implements Dispatcher.DispatchHandler {
   readonly #options: ExchangeOptions
-  readonly #timeoutWatch = new AbortController()
   readonly #events: ExchangeEvent[] = []
   readonly #secondHead: SecondHeadScanner | undefined
   #bytesBehind: Buffer = noBytes
@@ -83,6 +82,7 @@
   #isDiscarding = false
   #discardedBytes = 0
   #cancelDiscardLimit: () => void = () => undefined
+  #cancelInactivityWatch: () => void = () => undefined
 
   constructor (options: ExchangeOptions) {
     this.#options = options
@@ -107,7 +107,7 @@
     } catch (error) {
       exchange.#finish({ type: 'failure', reason: `request can't be sent: ${error instanceof Error ? error.message : String(error)}`, timedOut: false })
     }
-    exchange.#watchInactivity().catch(() => undefined)
+    exchange.#watchInactivity(options.inactivityTimeoutMilliseconds)
     return exchange
   }
 
@@ -180,7 +180,7 @@
     this.#bufferedBytes = 0
     if (this.#finalEvent !== undefined || this.#isDiscarding) return
     this.#isDiscarding = true
-    this.#cancelDiscardLimit = this.#options.clock.schedule(maximumDiscardMilliseconds, () => this.abort('the response did not end in time when it was discarded'))
+    this.#cancelDiscardLimit = scheduleReplyTimeout(this.#options.clock, maximumDiscardMilliseconds, () => this.abort('the response did not end in time when it was discarded'))
     if (this.#controller?.paused === true) this.#controller.resume()
   }
 
@@ -255,7 +255,7 @@
     if (this.#finalEvent !== undefined) return
     this.#finalEvent = event
     this.#eventCount++
-    this.#timeoutWatch.abort()
+    this.#cancelInactivityWatch()
     this.#cancelDiscardLimit()
     this.#wake()
   }
@@ -266,13 +266,16 @@
     wake?.()
   }
 
-  async #watchInactivity (): Promise<void> {
+  /** The timer is set again only when it fires, since setting it for each event costs more than the event. */
+  #watchInactivity (milliseconds: number): void {
+    if (this.#finalEvent === undefined) this.#cancelInactivityWatch = this.#options.clock.scheduleAfterInput(milliseconds, () => this.#checkInactivity())
+  }
+
+  #checkInactivity (): void {
     const { clock, inactivityTimeoutMilliseconds } = this.#options
-    while (this.#finalEvent === undefined) {
-      await sleepUntil(clock, this.#lastActivityAt + inactivityTimeoutMilliseconds, this.#timeoutWatch.signal)
-      if (this.#controller?.paused === true) this.#recordActivity()
-      const hasTimedOut = clock.now() - this.#lastActivityAt >= inactivityTimeoutMilliseconds
-      if (hasTimedOut) this.abort('connection received no data within the inactivity timeout', true)
-    }
+    if (this.#controller?.paused === true) this.#recordActivity()
+    const inactiveMilliseconds = heardMilliseconds(clock.now() - this.#lastActivityAt, this.heldUpMilliseconds)
+    if (inactiveMilliseconds >= inactivityTimeoutMilliseconds) return this.abort('connection received no data within the inactivity timeout', true)
+    this.#watchInactivity(Math.ceil(inactivityTimeoutMilliseconds - inactiveMilliseconds))
   }
 }
