Blame no endpoint for a stall of this gateway

Callers saw: after the event loop of a gateway, or its VM, was held up, a request that its endpoint would have answered was given up for another endpoint, and the endpoint got no requests for a second.

Cause: the silence of a run and of its endpoint, the silence that ended at a run's deadline, and the time that requests wait at an endpoint were counted by the clock, with the time in which this process could hear nothing. A long answer that was not whole at its deadline made its endpoint count as unreachable.

Why it works: waits are measured with `Wait`, which leaves the time held up out. A silence that ended at a deadline and contains a stall is told to the endpoint's health only if the rest of it would be enough to give a run up.

--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -21,7 +21,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
-import { type Clock, heardMilliseconds, invariant, scheduleReplyTimeout } from '../contract/index.ts'
+import { type Clock, Wait, invariant, scheduleReplyTimeout } from '../contract/index.ts'
 import { SecondHeadScanner } from './secondHeadScanner.ts'
 
 /** Events of an exchange: a head, any number of data events, then an end; or a failure at any point. */
@@ -73,8 +73,8 @@
   #bytesBehind: Buffer = noBytes
   #bufferedBytes = 0
   #eventCount = 0
-  #lastActivityAt: number
-  #heldUpBeforeActivityMilliseconds: number
+  /** Since something of the response was last received, or the request was sent. */
+  readonly #silence: Wait
   #controller: Dispatcher.DispatchController | undefined
   #mayHaveSent = false
   #finalEvent: ExchangeEvent | undefined
@@ -87,8 +87,7 @@
   constructor (options: ExchangeOptions) {
     this.#options = options
     this.#secondHead = options.responseMark === undefined ? undefined : new SecondHeadScanner(options.responseMark)
-    this.#lastActivityAt = options.clock.now()
-    this.#heldUpBeforeActivityMilliseconds = options.clock.heldUpMilliseconds()
+    this.#silence = new Wait(options.clock)
   }
 
   /**
@@ -123,12 +122,17 @@
 
   /** When something of the response was last received, or the request was sent, in milliseconds of the process's clock. */
   get lastActivityAt (): number {
-    return this.#lastActivityAt
+    return this.#silence.since
   }
 
   /** For how long the event loop was held up since then, in milliseconds. */
   get heldUpMilliseconds (): number {
-    return this.#options.clock.heldUpMilliseconds() - this.#heldUpBeforeActivityMilliseconds
+    return this.#silence.heldUpMilliseconds
+  }
+
+  /** For how long since then more could have been heard, in milliseconds. */
+  get heardSilenceMilliseconds (): number {
+    return this.#silence.heardMilliseconds
   }
 
   /** Number of events so far, read or not. */
@@ -195,17 +199,17 @@
       return
     }
     this.#mayHaveSent = true
-    this.#recordActivity()
+    this.#silence.restart()
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
-    this.#recordActivity()
+    this.#silence.restart()
     this.#push({ type: 'head', status, headers })
   }
 
   onResponseData (controller: Dispatcher.DispatchController, bytes: Buffer): void {
     if (this.#isDiscarding) return this.#discard(bytes)
-    this.#recordActivity()
+    this.#silence.restart()
     if (this.#secondHead?.push(bytes) === true) return this.abort(secondHeadReason)
     if (this.#secondHead?.isUndecided === true) this.#bytesBehind = this.#options.bytesBehind?.(bytes) ?? noBytes
     this.#bufferedBytes += bytes.length
@@ -233,17 +237,12 @@
     this.#bufferedBytes -= event.bytes.length
     invariant(this.#bufferedBytes >= 0, 'buffered bytes are counted', () => ({ bufferedBytes: this.#bufferedBytes }))
     if (this.#controller?.paused === true && this.#bufferedBytes <= maximumBufferedBytes / 2) {
-      this.#recordActivity()
+      this.#silence.restart()
       this.#controller.resume()
     }
     return event
   }
 
-  #recordActivity (): void {
-    this.#lastActivityAt = this.#options.clock.now()
-    this.#heldUpBeforeActivityMilliseconds = this.#options.clock.heldUpMilliseconds()
-  }
-
   #push (event: ExchangeEvent): void {
     if (this.#finalEvent !== undefined) return
     this.#events.push(event)
@@ -272,9 +271,9 @@
   }
 
   #checkInactivity (): void {
-    const { clock, inactivityTimeoutMilliseconds } = this.#options
-    if (this.#controller?.paused === true) this.#recordActivity()
-    const inactiveMilliseconds = heardMilliseconds(clock.now() - this.#lastActivityAt, this.heldUpMilliseconds)
+    const { inactivityTimeoutMilliseconds } = this.#options
+    if (this.#controller?.paused === true) this.#silence.restart()
+    const inactiveMilliseconds = this.heardSilenceMilliseconds
     if (inactiveMilliseconds >= inactivityTimeoutMilliseconds) return this.abort('connection received no data within the inactivity timeout', true)
     this.#watchInactivity(Math.ceil(inactivityTimeoutMilliseconds - inactiveMilliseconds))
   }
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -137,7 +137,7 @@
     evacuations: single(() => new Evacuations()),
     misdirected: single(makeMisdirected),
     eligibility: single(({ registry, evacuations, misdirected }) => new EndpointEligibility(registry, evacuations, misdirected)),
-    loads: single(parts => new EndpointLoads(now => parts.loadReports.notifyWork(now))),
+    loads: single(parts => new EndpointLoads(now => parts.loadReports.notifyWork(now), () => parts.clock.heldUpMilliseconds())),
     liveness: single(makeLiveness),
     rollOuts: single(parts => new RollOutView(parts.boot.current.name, parts.boot.current.maximumExposedShare, () => parts.follower.storeTime)),
     versionSelector: single(({ boot }) => new VersionSelector(boot.current.sessionTimeoutMilliseconds)),
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -5,6 +5,7 @@
  * if it was certainly not executed.
  */
 import type { IncomingHttpHeaders } from 'node:http'
+import { Wait } from '../contract/index.ts'
 import { DeadlineReader, type ExchangeEvent } from '../endpoint/index.ts'
 import { AttemptEnd } from '../placement/index.ts'
 import { RouteType } from '../routing/index.ts'
@@ -162,8 +163,9 @@
         response.end()
         request.callerResponse.recordDelivery(status)
       } else {
+        const isOverdue = event.type === 'failure' && event.reason === overdueReason
         attempt.exchange.abort('response broke off')
-        request.attempts.finish(attempt, AttemptEnd.Lost, 'broke off')
+        request.attempts.finish(attempt, isOverdue ? AttemptEnd.Silent : AttemptEnd.Lost, 'broke off')
         request.callerResponse.abort('answer_broke_off')
       }
       return { type: 'relayed' }
@@ -173,17 +175,19 @@
   /** Returns the next event; undefined if the deadline has passed. A silent idempotent run may be given up meanwhile. */
   async #nextEvent (attempt: OpenAttempt, reader: DeadlineReader): Promise<ExchangeEvent | undefined> {
     const request = this.#request
-    const { deadline, route } = request
-    let lookAt = this.#isIdempotent ? request.now + route.latencyTargetMilliseconds * silenceTargetShare : deadline
-    for (;;) {
-      const event = await reader.next(Math.min(deadline, lookAt))
+    const { deadline, dependencies: { clock }, route } = request
+    const allowedMilliseconds = this.#isIdempotent ? route.latencyTargetMilliseconds * silenceTargetShare : Number.POSITIVE_INFINITY
+    const wait = new Wait(clock)
+    for (let lookMilliseconds = allowedMilliseconds; ;) {
+      const event = await reader.next(Math.min(deadline, request.now + Math.ceil(lookMilliseconds)))
       if (event !== undefined || request.now >= deadline) {
         this.#handover.cancel()
         return event
       }
-      const arrived = await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt))
+      const millisecondsLeft = allowedMilliseconds - wait.heardMilliseconds
+      const arrived = millisecondsLeft > 0 ? undefined : await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt))
       if (arrived !== undefined) return arrived
-      lookAt = request.now + silenceCheckIntervalMilliseconds
+      lookMilliseconds = millisecondsLeft > 0 ? millisecondsLeft : silenceCheckIntervalMilliseconds
     }
   }
 
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { promisesNotRun, statesNotRun } from '../contract/index.ts'
-import { AttemptEnd } from '../placement/index.ts'
+import { AttemptEnd, isSilenceHeard } from '../placement/index.ts'
 import type { ResponseHead, RoutedEndpoint } from '../routing/index.ts'
 import { AttemptOpener } from './attemptOpener.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
@@ -111,13 +111,22 @@
     attempt.run.close()
     attempt.permit.close()
     attempt.evidence?.abandon(now)
-    attempt.tracker.close(end, now)
+    attempt.tracker.close(this.#endAtEndpoint(attempt, end), now)
     attempt.duration.close(end === AttemptEnd.Answered, now)
     this.#dependencies.metrics.attempts.inc({ service, end })
     const { identity, version } = attempt.endpoint
     this.#summaries.push(`${identity} ${version} ${attempt.model ?? '-'} ${Math.round(now - attempt.startedAt)}ms ${outcome}`)
   }
 
+  /** How an attempt ended as far as its endpoint is concerned. */
+  #endAtEndpoint ({ exchange }: OpenAttempt, end: AttemptEnd): AttemptEnd {
+    if (end !== AttemptEnd.Silent) return end
+    const { heldUpMilliseconds, heardSilenceMilliseconds } = exchange
+    const { latencyTargetMilliseconds, maximumEventGapMilliseconds } = this.#request.route
+    const isHeard = isSilenceHeard({ heldUpMilliseconds, heardMilliseconds: heardSilenceMilliseconds, latencyTargetMilliseconds, maximumEventGapMilliseconds })
+    return isHeard ? end : AttemptEnd.Cancelled
+  }
+
   #countLimited ({ permit }: OpenAttempt): void {
     const { limitedAttempts, warmUpAttempts } = this.#dependencies.metrics
     if (!permit.wasLimited) return
@@ -134,7 +143,7 @@
     if (wasSent) this.#dependencies.metrics.brokenRuns.inc({ service, end, progress: begunAt === undefined ? RunProgress.Waiting : RunProgress.Begun })
     this.#hasBrokenOff ||= wasSent
     if (wasSent && end === AttemptEnd.Failed) this.#recordBreak(attempt)
-    if (wasSent && end === AttemptEnd.Silent && this.#hasEndpointBeenSilent(attempt)) this.#dependencies.connections.retire(attempt.endpoint.address)
+    if (wasSent && this.#endAtEndpoint(attempt, end) === AttemptEnd.Silent && this.#hasEndpointBeenSilent(attempt)) this.#dependencies.connections.retire(attempt.endpoint.address)
     if (!wasSent && end === AttemptEnd.Lost) attempt.run.recordRefusal(now)
     const begun = begunAt === undefined ? '' : `, begun ${Math.round(now - begunAt)}ms before`
     this.finish(attempt, end, `${wasSent ? 'broke off' : 'unsent'}${begun}: ${reason}`)
@@ -154,7 +163,7 @@
   /** Whether no run has received anything from the endpoint since this one last did, or was sent. */
   #hasEndpointBeenSilent ({ exchange, tracker }: OpenAttempt): boolean {
     const { now } = this.#request
-    return tracker.silentMilliseconds(now) >= now - exchange.lastActivityAt
+    return tracker.silentMilliseconds(now) >= exchange.heardSilenceMilliseconds
   }
 
   #recordHeldBack ({ endpoint }: OpenAttempt): void {
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -5,6 +5,7 @@
  * response in which its model has low confidence is discarded in favour of a larger model's.
  */
 import type { IncomingHttpHeaders } from 'node:http'
+import { Wait } from '../contract/index.ts'
 import { DeadlineReader, type ExchangeEvent } from '../endpoint/index.ts'
 import { type RunSilence, AttemptEnd, millisecondsToAbandonment } from '../placement/index.ts'
 import { ResponseFrame, maximumHeldBytes, takesChunks } from './responseFraming.ts'
@@ -162,17 +163,17 @@
     const splitter = new EventSplitter()
     request.callerResponse.recordFrames(headers, takesChunks(request.callerResponse.response) ? ResponseFrame.Chunks : ResponseFrame.Length)
     let hasRunStarted = false
-    for (let waitedSince = request.now; ;) {
+    for (const wait = new Wait(request.dependencies.clock); ;) {
       const event = await this.#nextEvent(attempt, reader, hasRunStarted)
       if (event?.type === 'end' && splitter.pendingBytes === 0) return await this.#finishResponse(attempt, headers)
-      if (hasRunStarted && (event === undefined || this.#handover.hasReplaced(attempt))) this.#choice.recordEvents(0, request.now - waitedSince)
+      if (hasRunStarted && (event === undefined || this.#handover.hasReplaced(attempt))) this.#choice.recordEvents(0, wait.heardMilliseconds)
       if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
       if (splitter.pendingBytes > maximumEventBytes) return this.#failRun(attempt, 'event too large')
       if (!request.holding.trySetAnswer(splitter.pendingBytes + this.#events.heldBytes)) return this.#failRun(attempt, noMemoryReason, AttemptEnd.Cancelled)
       if (events === undefined) continue
       const now = request.now
-      if (hasRunStarted) this.#recordEvents(attempt, events.count, now - waitedSince)
+      if (hasRunStarted) this.#recordEvents(attempt, events.count, wait.heardMilliseconds)
       else this.#recordResponseStart(attempt, events.count)
       hasRunStarted = true
       attempt.tracker.recordBytes(now)
@@ -185,7 +186,7 @@
       const isTaken = this.#events.write(events.text)
       if (this.#events.heldBytes > maximumHeldBytes) return this.#failRun(attempt, 'stream too large to be held for an HTTP/1.0 caller')
       if (!isTaken) await request.holding.whileUnread(waitForDrain(request.callerResponse.response, request.callerAbort.signal))
-      waitedSince = request.now
+      wait.restart()
     }
   }
 
@@ -252,9 +253,9 @@
     const request = this.#request
     const { liveness } = request.dependencies
     const livenessMilliseconds = Math.min(liveness.checkMilliseconds, request.route.maximumEventGapMilliseconds * livenessGapShare)
-    const waitingSince = request.now
-    for (let now = waitingSince; ; now = request.now) {
-      const millisecondsLeft = millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, waitingSince, now))
+    const wait = new Wait(request.dependencies.clock)
+    for (let { now } = request; ; now = request.now) {
+      const millisecondsLeft = millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, wait, now))
       const arrived = millisecondsLeft <= 0 ? await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt)) : undefined
       if (arrived !== undefined) return arrived
       const millisecondsToCheck = millisecondsLeft - livenessMilliseconds
@@ -278,11 +279,11 @@
     }
   }
 
-  #silenceOf ({ promptMilliseconds, tracker }: OpenAttempt, hasStarted: boolean, waitingSince: number, now: number): RunSilence {
+  #silenceOf ({ promptMilliseconds, tracker }: OpenAttempt, hasStarted: boolean, wait: Wait, now: number): RunSilence {
     const { latencyTargetMilliseconds, maximumEventGapMilliseconds } = this.#request.route
     const unacceptedMilliseconds = hasStarted ? tracker.unacceptedMilliseconds(now) : Number.POSITIVE_INFINITY
     return {
-      waitedMilliseconds: now - waitingSince,
+      waitedMilliseconds: wait.heardMilliseconds,
       endpointSilentMilliseconds: Math.min(tracker.silentMilliseconds(now), unacceptedMilliseconds),
       endpointWaitMilliseconds: tracker.waitMilliseconds(now),
       promptMilliseconds,
--- a/src/placement/endpointLoads.ts
+++ b/src/placement/endpointLoads.ts
@@ -31,7 +31,7 @@
   recordBytes (now: number): void
   /** Records the first event or the complete response; prefill is done from then on. */
   recordResponseStart (now: number): void
-  /** Milliseconds since the last byte was received from the endpoint, by any attempt; infinite if none was. */
+  /** Milliseconds since the last byte was received from the endpoint, by any attempt, without those in which none could be; infinite if none was. */
   silentMilliseconds (now: number): number
   /** Milliseconds since the endpoint was last seen to accept a connection; infinite if it never was. */
   unacceptedMilliseconds (now: number): number
@@ -59,6 +59,7 @@
   /** Attempts in progress that have received no bytes yet. */
   attemptsWithoutBytes = 0
   lastByteAt = Number.NEGATIVE_INFINITY
+  heldUpBeforeLastByte = 0
   lastAcceptedAt = Number.NEGATIVE_INFINITY
   lastUsedAt = Number.NEGATIVE_INFINITY
   #waitMilliseconds = 0
@@ -84,11 +85,16 @@
 export class EndpointLoads {
   readonly #loads = new Map<string, EndpointLoad>()
   readonly #onModelWork: (now: number) => void
+  readonly #heldUpMilliseconds: () => number
   #meanResponseMilliseconds = initialDurationMilliseconds
 
-  /** @param onModelWork called when an attempt at an endpoint with models begins */
-  constructor (onModelWork: (now: number) => void = () => undefined) {
+  /**
+   * @param onModelWork called when an attempt at an endpoint with models begins
+   * @param heldUpMilliseconds for how long the event loop was held up so far; that time says nothing of an endpoint
+   */
+  constructor (onModelWork: (now: number) => void = () => undefined, heldUpMilliseconds: () => number = () => 0) {
     this.#onModelWork = onModelWork
+    this.#heldUpMilliseconds = heldUpMilliseconds
   }
 
   /** Adds an attempt to the endpoint's load. */
@@ -105,8 +111,10 @@
     load.inFlight++
     load.attemptsWithoutBytes++
     load.lastUsedAt = now
+    const heldUpBefore = this.#heldUpMilliseconds()
     const recordBytes = (at: number) => {
       load.lastByteAt = at
+      load.heldUpBeforeLastByte = this.#heldUpMilliseconds()
       load.health.recordBytes()
       if (!hasReceivedBytes) load.attemptsWithoutBytes--
       hasReceivedBytes = true
@@ -117,11 +125,11 @@
         recordBytes(at)
         load.health.recordResponseStart()
         respondedAt = at
-        load.recordWait(Math.max(0, at - now - work.prefillMilliseconds), at)
+        load.recordWait(Math.max(0, at - now - (this.#heldUpMilliseconds() - heldUpBefore) - work.prefillMilliseconds), at)
         load.workMilliseconds -= work.prefillMilliseconds
         remainingMilliseconds -= work.prefillMilliseconds
       },
-      silentMilliseconds: at => at - load.lastByteAt,
+      silentMilliseconds: at => Math.max(0, at - load.lastByteAt - (this.#heldUpMilliseconds() - load.heldUpBeforeLastByte)),
       unacceptedMilliseconds: at => at - load.lastAcceptedAt,
       waitMilliseconds: at => load.waitMillisecondsAt(at),
       close: (end, at) => {
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -16,4 +16,4 @@
 export { VersionSuspicion, shouldRepublish } from './versionSuspicion.ts'
 export { chooseService } from './serviceChoice.ts'
 export { estimateWork, type RequestWork } from './requestWork.ts'
-export { millisecondsToAbandonment, type RunSilence } from './runSilence.ts'
+export { isSilenceHeard, millisecondsToAbandonment, type RunSilence } from './runSilence.ts'
--- a/src/placement/runSilence.ts
+++ b/src/placement/runSilence.ts
@@ -25,9 +25,31 @@
 /** A started run is abandoned after this many maximum event gaps, even if its endpoint is sending. */
 const eventGapWaitRatio = 1.5
 
+/** A run that ended at its request's deadline without having received anything for a while. */
+export interface EndedSilence {
+  /** Time of the silence for which this process was held up. */
+  readonly heldUpMilliseconds: number
+  /** The rest of it. */
+  readonly heardMilliseconds: number
+  readonly latencyTargetMilliseconds: number
+  readonly maximumEventGapMilliseconds: number
+}
+
+/**
+ * Whether a silence says something of the endpoint. One that contains a stall of this process does so only where the
+ * rest of it would be enough to abandon a run.
+ *
+ * @example
+ * const isCounted = isSilenceHeard({ heldUpMilliseconds: 0, heardMilliseconds: 1_900, latencyTargetMilliseconds: 2_000, maximumEventGapMilliseconds: 1_200 })
+ */
+export function isSilenceHeard ({ heldUpMilliseconds, heardMilliseconds, latencyTargetMilliseconds, maximumEventGapMilliseconds }: EndedSilence): boolean {
+  if (heldUpMilliseconds <= 0) return true
+  return heardMilliseconds >= Math.min(latencyTargetMilliseconds * startSilenceTargetShare, maximumEventGapMilliseconds * eventGapSilenceShare)
+}
+
 /** A silent run. */
 export interface RunSilence {
-  /** Time since it was sent, or since the last part of its response (the head or bytes of the body) was received. */
+  /** Time since it was sent, or since the last part of its response (the head or bytes of the body) was received. Like the endpoint's silence, without time in which nothing could be heard. */
   readonly waitedMilliseconds: number
   /** Time since anything was received from its endpoint, by any run; infinite if nothing ever was. */
   readonly endpointSilentMilliseconds: number
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -43,10 +43,13 @@
 /** A less urgent route with long prompts. */
 export const summaryRoute: Route = { ...queryRoute, name: 'summary', prefix: '/summary/', latencyTargetMilliseconds: 3_000, priority: 1 }
 
+/** A route of plain calls that may be repeated. */
+export const balanceRoute: Route = { ...queryRoute, name: 'balance', prefix: '/balance/', type: RouteType.Idempotent, isResumable: false, modelSizes: [] }
+
 function settingsWith (timeoutMilliseconds: number): RoutingSettings {
   return {
     version: 1,
-    routes: [queryRoute, summaryRoute].map(route => ({ ...route, timeoutMilliseconds })),
+    routes: [queryRoute, summaryRoute, balanceRoute].map(route => ({ ...route, timeoutMilliseconds })),
     services: new Map([[engineService, { name: engineService, models: [{ name: 'small', cost: 0.015 }, { name: 'medium', cost: 0.11 }, { name: 'large', cost: 0.22 }], warmUp: undefined }]]),
     requiresApiKey: false,
     organisationsByApiKey: new Map(),
@@ -134,7 +137,7 @@
     const { clock } = this
     const randomness = new SeededRandomness(seed)
     const log = new Log('info', {}, line => this.lines.push(JSON.parse(line)))
-    const [routing, registry, loads, announcedLimits, misdirected] = [new RoutingView(), new EndpointRegistry(), new EndpointLoads(), new AnnouncedLimits(), noMisdirected()]
+    const [routing, registry, loads, announcedLimits, misdirected] = [new RoutingView(), new EndpointRegistry(), new EndpointLoads(() => undefined, () => clock.heldUpMilliseconds()), new AnnouncedLimits(), noMisdirected()]
     const limits = limitsOf(announcedLimits)
     const breaker = new PromptBreaker({ name: `gateway-${seed}`, onChange: () => undefined })
     routing.install(settingsWith(timeoutMilliseconds))
@@ -201,10 +204,11 @@
     return { status: this.#status, retryAfterMilliseconds, events: this.#events, isComplete: this.writableEnded }
   }
 
-  writeHead (status: number, headers: Readonly<Record<string, unknown>>): void {
+  writeHead (status: number, headers: Readonly<Record<string, unknown>>): this {
     this.headersSent = true
     this.#status = status
     this.#headers = headers
+    return this
   }
 
   override _write (bytes: Buffer, _encoding: string, done: () => void): void {
--- a/test/gatewayStall.test.ts
+++ b/test/gatewayStall.test.ts
@@ -10,6 +10,8 @@
 const stallMilliseconds = 800
 const silentDeadlineMilliseconds = 500
 const silentCalls = 20
+/** Longer than what is held of an answer before it is passed on. */
+const longAnswerBytes = 300_000
 
 let harness: ForwarderHarness
 let host: string
@@ -71,6 +73,15 @@
   expect(metrics).toContain(`lavenderdoor_forward_broken_runs_total{service="ledger",end="silent",progress="waiting"} ${silentCalls}\n`)
 })
 
+test('an endpoint whose long answer is not whole at the deadline of its call does not count as unreachable', async () => {
+  const ledger = await harness.startEndpoint('ledger')
+  ledger.handleWith((_request, response) => { response.write('x'.repeat(longAnswerBytes)) })
+  await harness.waitUntilReady(host)
+  await harness.call(host, '/balance/1', { headers: { 'deadline-ms': String(silentDeadlineMilliseconds) } }).catch(() => undefined)
+  const metrics = await (await fetch(`http://${host}:8220/metrics`)).text()
+  expect(metrics).toContain('lavenderdoor_forward_attempts_total{service="ledger",end="silent"} 1\n')
+})
+
 test('a head that has arrived within its limit is not refused as late after a stall of the event loop', async () => {
   await harness.startEndpoint('ledger')
   await harness.waitUntilReady(host)
