Count a stall of this process against no version and no model

Callers saw: after a stall a sound new version could count as slow, or be reverted on this gateway's evidence alone, and answers of smaller models were accepted since the larger ones looked late.

Cause: the times of runs, the time for which a suspicion has to persist so that others' evidence can be read, and the waits for models' events contained the time for which the event loop was held up. So did the time to the first token in a daemon.

For the first token of a daemon there is no test.

Why it works: these times leave the time held up out; what is usual for the old version is learned from runs without a stall, since the rest of a wait can be shorter than the answer took.

--- a/src/choice/runTimings.ts
+++ b/src/choice/runTimings.ts
@@ -2,7 +2,8 @@
  * Judges runs by how long they take, against the runs of a reference version of the same kind. Two times
  * are compared: until a response begins, and between its events. A run is slow as soon as it has waited
  * several times as long as usual, not only once it has ended; one that is given up because it is slow
- * would otherwise never count, and a version would look better the slower it is.
+ * would otherwise never count, and a version would look better the slower it is. Time for which the event loop of this
+ * process was held up makes no run slow, and what is usual is learned from runs without such time.
  */
 import { getOrCreate } from '../contract/index.ts'
 
@@ -55,12 +56,17 @@
   readonly #options: TimedRunOptions
   readonly #usual: UsualTimes
   readonly #forget: (run: TimedRun) => void
+  readonly #heldUpMilliseconds: () => number
+  readonly #heldUpBeforeSend: number
+  #heldUpBeforeBegin = 0
   #begunAt: number | undefined
   #laterEvents = 0
   #isSlow = false
 
-  constructor (options: TimedRunOptions, usual: UsualTimes, forget: (run: TimedRun) => void) {
+  constructor (options: TimedRunOptions, usual: UsualTimes, heldUpMilliseconds: () => number, forget: (run: TimedRun) => void) {
     this.#options = options
+    this.#heldUpMilliseconds = heldUpMilliseconds
+    this.#heldUpBeforeSend = heldUpMilliseconds()
     this.#usual = usual
     this.#forget = forget
   }
@@ -78,7 +84,8 @@
     if (this.hasBegun) return
     this.check(now)
     this.#begunAt = now
-    if (this.#options.isReference) this.#usual.begin.add(now - this.#options.sentAt)
+    this.#heldUpBeforeBegin = this.#heldUpMilliseconds()
+    if (this.#options.isReference && this.#heldUpBeforeBegin === this.#heldUpBeforeSend) this.#usual.begin.add(now - this.#options.sentAt)
   }
 
   /** Records events after the first. */
@@ -90,7 +97,8 @@
   /** Records that the response is whole. */
   finish (now: number): void {
     this.check(now)
-    if (this.#options.isReference && this.#begunAt !== undefined && this.#laterEvents > 0) this.#usual.event.add((now - this.#begunAt) / this.#laterEvents)
+    const wasHeldUp = this.#heldUpMilliseconds() > this.#heldUpBeforeBegin
+    if (this.#options.isReference && !wasHeldUp && this.#begunAt !== undefined && this.#laterEvents > 0) this.#usual.event.add((now - this.#begunAt) / this.#laterEvents)
     if (!this.#isSlow) this.#options.onUsual?.()
     this.#forget(this)
   }
@@ -104,9 +112,10 @@
   /** Judges the run by the time that it has taken so far. */
   check (now: number): void {
     if (this.#isSlow) return
+    const heldUpMilliseconds = this.#heldUpMilliseconds() - (this.#begunAt === undefined ? this.#heldUpBeforeSend : this.#heldUpBeforeBegin)
     this.#isSlow = this.#begunAt === undefined
-      ? this.#usual.begin.isFarExceededBy(now - this.#options.sentAt, 1, minimumSlowStartMilliseconds)
-      : this.#usual.event.isFarExceededBy(now - this.#begunAt, this.#laterEvents + 1, minimumSlowWritingMilliseconds)
+      ? this.#usual.begin.isFarExceededBy(now - this.#options.sentAt - heldUpMilliseconds, 1, minimumSlowStartMilliseconds)
+      : this.#usual.event.isFarExceededBy(now - this.#begunAt - heldUpMilliseconds, this.#laterEvents + 1, minimumSlowWritingMilliseconds)
     if (this.#isSlow) this.#options.onSlow()
   }
 }
@@ -119,11 +128,17 @@
 export class RunTimings {
   readonly #usual = new Map<string, UsualTimes>()
   readonly #open = new Set<TimedRun>()
+  readonly #heldUpMilliseconds: () => number
+
+  /** @param heldUpMilliseconds for how long the event loop was held up so far */
+  constructor (heldUpMilliseconds: () => number = () => 0) {
+    this.#heldUpMilliseconds = heldUpMilliseconds
+  }
 
   /** Adds a run that has just been sent. */
   open (options: TimedRunOptions): TimedRun {
     const usual = getOrCreate(this.#usual, options.kind, () => new UsualTimes())
-    const run = new TimedRun(options, usual, ended => this.#open.delete(ended))
+    const run = new TimedRun(options, usual, this.#heldUpMilliseconds, ended => this.#open.delete(ended))
     this.#open.add(run)
     return run
   }
--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -185,7 +185,7 @@
   }),
   admission: () => new PoolAdmission(() => new ShareAdmissionPolicy()),
   retries: () => new RatioAttemptBudget(),
-  rollOuts: ({ follower }) => new RollOutMonitor(follower, (from, to) => new SequentialRollOutGuard({ from, to })),
+  rollOuts: ({ clock, follower }) => new RollOutMonitor(follower, (from, to) => new SequentialRollOutGuard({ from, to }), () => clock.heldUpMilliseconds()),
   chat: dependencies => new ChatRouter({ ...chatRoutingDependencies(dependencies), versions: dependencies.versions, admission: dependencies.admission, ledger: dependencies.ledger, sessions: dependencies.sessions, ratings: dependencies.ratings, log: dependencies.log }),
   serviceRouter: ({ breaker, claims, clock, directory, here, ledger, places, randomness, retries, runs, services, tracer }) => new ServiceRouter({ breaker, claims, clock, directory, here, ledger, places, randomness, retries, runs, services, tracer }),
   drain: () => new Drain(),
--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -5,7 +5,7 @@
  * may have changed since the version was chosen.
  */
 import {
-  type ChatRequest, type Clock, invariant, type Randomness, Refusal, RefusalCode, RunState, type VersionName
+  type ChatRequest, type Clock, invariant, type Randomness, Refusal, RefusalCode, RunState, type VersionName, Wait
 } from '../contract/index.ts'
 import { AttemptEnd, type AttemptBudget, type EndpointChoice, type EndpointPolicy, type EndpointRequest, type EndpointView } from '../choice/index.ts'
 import type { EndpointRun, EndpointRuns, PromptBreaker } from '../breaker/index.ts'
@@ -114,7 +114,8 @@
     span.setAttribute('version', endpointRequest.version)
     invariant(settings.view.allows(request.organisation, endpointRequest.version), 'an attempt runs an allowed version',
       () => ({ organisation: request.organisation, version: endpointRequest.version, revision: settings.view.revision }))
-    const sentAt = clock.now()
+    const wait = new Wait(clock)
+    const sentAt = wait.since
     const timedRuns = this.#dependencies.rollOuts.openRuns(endpointRequest.version, request.kind, sentAt)
     const openAttempt = this.#dependencies.endpoints.open(endpointRequest, choice, sentAt)
     let firstTokenMilliseconds: number | undefined
@@ -137,7 +138,7 @@
           return undefined
         }
         if (firstTokenMilliseconds === undefined) {
-          firstTokenMilliseconds = clock.now() - sentAt
+          firstTokenMilliseconds = wait.heardMilliseconds
           openAttempt.recordFirstToken(clock.now())
           for (const timed of timedRuns) timed.recordBegin(clock.now())
         } else {
--- a/src/entry/rollOutMonitor.ts
+++ b/src/entry/rollOutMonitor.ts
@@ -28,10 +28,13 @@
 export class RollOutMonitor {
   readonly #settings: SettingsSource
   readonly #createGuard: GuardFactory
+  readonly #heldUpMilliseconds: () => number
   readonly #guarded = new Map<string, GuardedRollOut>()
 
-  constructor (settings: SettingsSource, createGuard: GuardFactory) {
+  /** @param heldUpMilliseconds for how long the event loop was held up so far; that time says nothing of a version */
+  constructor (settings: SettingsSource, createGuard: GuardFactory, heldUpMilliseconds: () => number = () => 0) {
     this.#settings = settings
+    this.#heldUpMilliseconds = heldUpMilliseconds
     this.#createGuard = createGuard
   }
 
@@ -89,7 +92,7 @@
     const key = `${rollOut.from} ${rollOut.to}`
     const existing = this.#guarded.get(key)
     const guarded = existing === undefined
-      ? { rollOut, guard: this.#createGuard(rollOut.from, rollOut.to), timings: new RunTimings(), isHalted: false }
+      ? { rollOut, guard: this.#createGuard(rollOut.from, rollOut.to), timings: new RunTimings(this.#heldUpMilliseconds), isHalted: false }
       : { ...existing, rollOut }
     this.#guarded.set(key, guarded)
     return guarded
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -139,7 +139,7 @@
     eligibility: single(({ registry, evacuations, misdirected }) => new EndpointEligibility(registry, evacuations, misdirected)),
     loads: single(parts => new EndpointLoads(now => parts.loadReports.notifyWork(now), () => parts.clock.heldUpMilliseconds())),
     liveness: single(makeLiveness),
-    rollOuts: single(parts => new RollOutView(parts.boot.current.name, parts.boot.current.maximumExposedShare, () => parts.follower.storeTime)),
+    rollOuts: single(parts => new RollOutView(parts.boot.current.name, parts.boot.current.maximumExposedShare, () => parts.follower.storeTime, () => parts.clock.heldUpMilliseconds())),
     versionSelector: single(({ boot }) => new VersionSelector(boot.current.sessionTimeoutMilliseconds)),
     rollOutStore: single(({ store, follower }) => new RowRollOutStore(store, follower)),
     rollOutCoordinator: single(makeRollOutCoordinator),
--- a/src/gateway/modelChoice.ts
+++ b/src/gateway/modelChoice.ts
@@ -2,6 +2,7 @@
  * Which model the next run of a streamed request asks, and whether a smaller model's answer is good enough.
  * It also tells the model cascade how the runs went.
  */
+import { Wait } from '../contract/index.ts'
 import type { CascadePlan } from '../placement/index.ts'
 import type { ForwardedRequest } from './forwardedRequest.ts'
 
@@ -10,14 +11,15 @@
 
 export class ModelChoice {
   readonly #request: ForwardedRequest
+  readonly #run: Wait
   #plan: CascadePlan | undefined
   #model: string | undefined
   #relayedEvents = 0
-  #runStartedAt = 0
   #endLargestModelWait: (hasBegun: boolean, at: number) => void = () => undefined
 
   constructor (request: ForwardedRequest) {
     this.#request = request
+    this.#run = new Wait(request.dependencies.clock)
     this.#model = request.head.model
     if (request.head.acceptsAnyModel) this.#planCascade()
   }
@@ -44,25 +46,25 @@
   }
 
   recordRunStart (model: string | undefined): void {
-    const { dependencies, route, now } = this.#request
+    const { dependencies, route } = this.#request
     this.#model = model
-    this.#runStartedAt = now
+    this.#run.restart()
     const isLargest = this.#model !== undefined && this.#model === route.modelSizes.at(-1)
-    if (isLargest) this.#endLargestModelWait = dependencies.modelCascade.trackLargestModelWait(now, route.latencyTargetMilliseconds)
+    if (isLargest) this.#endLargestModelWait = dependencies.modelCascade.trackLargestModelWait(this.#heardTime, route.latencyTargetMilliseconds)
   }
 
   /** Records that a response began, whether or not it is released; also that one was given up before it began. */
   recordWaitEnd (): void {
     const { dependencies, route, now } = this.#request
-    if (this.#plan !== undefined) dependencies.modelCascade.answerTimes.recordWait(route.name, this.#model ?? '', now - this.#runStartedAt, now)
+    if (this.#plan !== undefined) dependencies.modelCascade.answerTimes.recordWait(route.name, this.#model ?? '', this.#run.heardMilliseconds, now)
   }
 
   recordFirstEvents (count: number): void {
     this.#relayedEvents += count
-    this.#endLargestModelWait(true, this.#request.now)
+    this.#endLargestModelWait(true, this.#heardTime)
   }
 
-  /** Records further events of a run and how long they were waited for; none, if the run fell silent. */
+  /** Records further events of a run and for how long they were waited for and could be heard; none, if the run fell silent. */
   recordEvents (count: number, milliseconds: number): void {
     const { dependencies, route, now } = this.#request
     this.#relayedEvents += count
@@ -70,7 +72,7 @@
   }
 
   recordRunEnd (): void {
-    this.#endLargestModelWait(false, this.#request.now)
+    this.#endLargestModelWait(false, this.#heardTime)
   }
 
   /** Records the length of the answer when nothing more is relayed. The whole length of one that its caller resumed is unknown. */
@@ -84,9 +86,9 @@
   isTrusted (confidence: number | undefined, hasResponseStarted: boolean): boolean {
     const { larger } = this
     if (larger === undefined || this.#model === larger || hasResponseStarted) return true
-    const { attempts, dependencies, route, now } = this.#request
+    const { attempts, dependencies, route } = this.#request
     if (attempts.left < Math.min(attemptsOfCascade, route.maximumAttempts) || !attempts.allowsRetry) return true
-    return dependencies.modelCascade.accepts(confidence, now, this.#timeShareOf(larger, now - this.#runStartedAt))
+    return dependencies.modelCascade.accepts(confidence, this.#heardTime, this.#timeShareOf(larger, this.#run.heardMilliseconds))
   }
 
   /** Asks the smaller model again if no endpoint takes the request for the larger one. */
@@ -94,6 +96,12 @@
     if (this.#plan !== undefined && this.#model === this.larger && this.#relayedEvents === 0) this.#model = this.#plan.first
   }
 
+  /** The clock without the time for which the event loop was held up, which makes no model late. */
+  get #heardTime (): number {
+    const { clock } = this.#request.dependencies
+    return clock.now() - clock.heldUpMilliseconds()
+  }
+
   /** The largest model, up to one, whose answer would be whole in time. */
   #largestInTime (largest: string | undefined): string | undefined {
     const { dependencies, route } = this.#request
--- a/src/gateway/rollOutView.ts
+++ b/src/gateway/rollOutView.ts
@@ -37,6 +37,7 @@
   readonly #observer: string
   readonly #exposureLimit: number
   readonly #storeTime: () => number | undefined
+  readonly #heldUpMilliseconds: () => number
   #orders: ReadonlyMap<string, RollOutOrder> = new Map()
   #statuses: ReadonlyMap<string, VersionedStatus> = new Map()
   /**
@@ -57,8 +58,10 @@
    * @param observer this daemon's name
    * @param exposureLimit share of a roll-out's requests that a bad version may get
    * @param storeTime the store's steady clock
+   * @param heldUpMilliseconds for how long the event loop was held up so far; that time says nothing of a version
    */
-  constructor (observer: string, exposureLimit: number, storeTime: () => number | undefined) {
+  constructor (observer: string, exposureLimit: number, storeTime: () => number | undefined, heldUpMilliseconds: () => number = () => 0) {
+    this.#heldUpMilliseconds = heldUpMilliseconds
     this.#observer = observer
     this.#exposureLimit = exposureLimit
     this.#storeTime = storeTime
@@ -183,8 +186,8 @@
    */
   reviewEvidence (order: RollOutOrder, now: number): void {
     this.#collectorOf(order).checkOpenRuns(now)
-    const storeTime = this.#storeTime()
-    if (storeTime !== undefined) this.#suspicionOf(order).update(this.#verdictOn(order), storeTime)
+    const heardTime = this.#heardTime
+    if (heardTime !== undefined) this.#suspicionOf(order).update(this.#verdictOn(order), heardTime)
   }
 
   /** Whether a version may be bad, so that it is not to get all traffic. */
@@ -199,8 +202,14 @@
 
   /** Whether the evidence of all daemons confirms that an order's version is bad. */
   shouldRevert (order: RollOutOrder): boolean {
-    const now = this.#storeTime()
-    return now !== undefined && this.#suspicionOf(order).isConfirmed(now)
+    const heardTime = this.#heardTime
+    return heardTime !== undefined && this.#suspicionOf(order).isConfirmed(heardTime)
+  }
+
+  /** The store's steady clock without the time in which the evidence of others could not be read. */
+  get #heardTime (): number | undefined {
+    const storeTime = this.#storeTime()
+    return storeTime === undefined ? undefined : storeTime - this.#heldUpMilliseconds()
   }
 
   #verdictOn (order: RollOutOrder): KindVerdict {
@@ -221,7 +230,7 @@
   }
 
   #collectorOf (order: RollOutOrder): EvidenceCollector {
-    return getOrCreate(this.#collectors, rollOutKey(order), () => new EvidenceCollector())
+    return getOrCreate(this.#collectors, rollOutKey(order), () => new EvidenceCollector(this.#heldUpMilliseconds))
   }
 
   #suspicionOf (order: RollOutOrder): VersionSuspicion {
--- a/src/placement/rollOutEvidence.ts
+++ b/src/placement/rollOutEvidence.ts
@@ -120,10 +120,15 @@
  * run.recordBegin(now + 180)
  */
 export class EvidenceCollector {
-  readonly #timings = new RunTimings()
+  readonly #timings: RunTimings
   readonly #oldVersion = new ResponseCounts()
   readonly #newVersion = new ResponseCounts()
 
+  /** @param heldUpMilliseconds for how long the event loop was held up so far; that time says nothing of a version */
+  constructor (heldUpMilliseconds: () => number = () => 0) {
+    this.#timings = new RunTimings(heldUpMilliseconds)
+  }
+
   /** Adds a run that has just been sent. */
   open ({ kind, requestClass, isNew, sentAt }: EvidenceRunOptions): EvidenceRun {
     const timing = this.#timings.open({ kind: requestClass, isReference: !isNew, sentAt, onSlow: () => run.recordSlowness() })
--- a/src/placement/versionSuspicion.ts
+++ b/src/placement/versionSuspicion.ts
@@ -3,7 +3,8 @@
  * few responses each and none of them bad, so published evidence comes mostly from the gateways that
  * saw bad responses and is biased. Evidence therefore first raises a suspicion, under which all
  * gateways publish their counts; the suspicion is confirmed only if it persists after that. A mere doubt
- * is no reason to act, but one to publish, and not to complete the roll-out.
+ * is no reason to act, but one to publish, and not to complete the roll-out. Times are without those in which this
+ * gateway's event loop was held up, so that it could neither publish nor read.
  */
 import { KindVerdict } from './kindFailures.ts'
 
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -166,7 +166,7 @@
       runs: new EndpointRuns({ name: `gateway-${seed}`, breaker, hasCrashed: async () => false, onNews: () => undefined, clock, log }),
       announcements: new EndpointAnnouncements({ registry, loads, announcedLimits, misdirected, warmUps: noWarmUps(), onNews: () => undefined, clock, randomness, log }),
       versionSelector: new VersionSelector(sessionTimeoutMilliseconds),
-      rollOuts: new RollOutView(`gateway-${seed}`, 0.15, () => clock.now()),
+      rollOuts: new RollOutView(`gateway-${seed}`, 0.15, () => clock.now(), () => clock.heldUpMilliseconds()),
       connections: connectionsTo(this.engines),
       untilTablesAreRead: async () => undefined
     })
--- a/test/modelChoice.test.ts
+++ b/test/modelChoice.test.ts
@@ -30,3 +30,19 @@
   expect(await modelsAskedFor(fleet, { 'attempt-id': 'first', 'last-event-id': '1', 'deadline-ms': '20000' })).toEqual(['large'])
   expect(await modelsAskedFor(fleet, { 'attempt-id': 'second', 'last-event-id': '1', 'deadline-ms': '20000' })).toEqual(['small'])
 })
+
+test('a stall of the gateway makes no model look late', async () => {
+  const modelsAfterWait = async (isHeldUp: boolean) => {
+    const fleet = fleetWith()
+    const waiting = Array.from({ length: 8 }, (_, index) => fleet.call(0, `/query/${answerEvents}`, { ...attemptHeaders, 'attempt-id': `waiting${index}`, 'deadline-ms': '20000', model: 'large' }))
+    const unplanned = Array.from({ length: 8 }, (_, index) => fleet.call(0, `/query/${answerEvents}`, { ...attemptHeaders, 'attempt-id': `any${index}`, 'deadline-ms': '20000' }))
+    await fleet.clock.advance(10)
+    if (isHeldUp) await fleet.clock.stall(4_000)
+    await fleet.clock.advance(12_000)
+    await Promise.all([...waiting, ...unplanned])
+    const asked = []
+    for (let index = 0; index < 12; index++) asked.push(await modelsAskedFor(fleet, { 'attempt-id': `later${index}`, 'deadline-ms': '8000' }))
+    return asked
+  }
+  expect(await modelsAfterWait(true)).toEqual(await modelsAfterWait(false))
+})
