--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -1,10 +1,10 @@
 /** Composition root of the forwarder: registers each component with its dependencies. */
 import { asFunction, asValue, type AwilixContainer, createContainer, InjectionMode } from 'awilix/browser'
-import { PlatformHeaders, RowStore, readyPath, type BootFile } from '../../platform/index.ts'
+import { PlatformHeaders, RowStore, type BootFile } from '../../platform/index.ts'
 import { EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
 import { type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
 import { Connections } from '../endpoint/index.ts'
-import { EndpointAnnouncements, EndpointLiveness, Forwarding, GatewayMetrics, GatewayServer, OperationsServer, PlannedStop, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
+import { EndpointAnnouncements, EndpointLiveness, Forwarding, GatewayMetrics, type GatewayServer, type OperationsServer, PlannedStop, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
 import { type FleetDirectory, type FleetReports, FleetShare } from '../fleet/index.ts'
 import { type LoadReports, WorkNews } from '../fleetLoad/index.ts'
 import { connectionProbe } from '../httpClient/index.ts'
@@ -15,27 +15,17 @@
 import { EndpointEligibility, EndpointLoads, EndpointPlacement, EndpointRegistry, Evacuations, ModelCascade, RetryBudget, RunDurations, VersionSelector } from '../placement/index.ts'
 import { type AnnouncedLimits, type EndpointLimits, PlaceQueues, type WarmUps } from '../rateLimit/index.ts'
 import type { ConfirmationMonitor, PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay } from '../replica/index.ts'
-import { type CallerListener, HeldBytes, watchCutRequests } from '../server/index.ts'
+import type { CallerListener, HeldBytes } from '../server/index.ts'
 import { makeAnnouncedLimits, makeFleet, makeFleetReports, makeLimits, makeLoadReports, makeMisdirected, makeNews, makeWarmUps } from './exchangeComposition.ts'
 import { makeConfirmationMonitor, makeFollower, makePeers, makeRelay, makeRelayFollower } from './followingComposition.ts'
 import { EvacuationLoader } from './evacuationLoader.ts'
 import { RowRollOutStore } from './rollOutStore.ts'
+import { makeGateway, makeHeldAnswers, makeHeldBytes, makeOperations } from './servingComposition.ts'
 import { TableLoader } from './tableLoader.ts'
 
 /** Time limit for connecting to an endpoint; after it the endpoint counts as unreachable. */
 const endpointConnectTimeoutMilliseconds = 450
 const standardOutputDescriptor = 1
-/** Share of the VM's memory that may be held for callers. */
-const heldMemoryShare = 0.15
-/** Of a VM that states none. */
-const assumedMemoryBytes = 512_000_000
-const minimumHeldBytes = 16_000_000
-/** Share of the VM's memory that may hold answers which can't be passed on yet. */
-const heldAnswerShare = 0.1
-/** Share of that memory, in addition to it, for heads that are arriving. */
-const headMemoryShare = 0.5
-const callerDescriptorShare = 0.5
-const assumedDescriptors = 4_096
 
 /** Holds the boot file in force; a reload replaces it. */
 export interface BootFileHolder {
@@ -258,73 +248,6 @@
   return new RetryBudget(retryLimits, now => share.at(now))
 }
 
-/** The rest of the memory is for the program, its tables and what the garbage collector has yet to free. */
-function makeHeldBytes ({ boot, clock, metrics }: ForwarderDependencies): HeldBytes {
-  return new HeldBytes({ maximumBytes: shareOfMemory(boot, heldMemoryShare), clock, onEviction: () => metrics.evictedHoldings.inc() })
-}
-
-function makeHeldAnswers ({ boot, clock }: ForwarderDependencies): HeldBytes {
-  return new HeldBytes({ maximumBytes: shareOfMemory(boot, heldAnswerShare), clock })
-}
-
-function shareOfMemory (boot: BootFileHolder, share: number): number {
-  return Math.max(minimumHeldBytes, (boot.current.memoryBytes ?? assumedMemoryBytes) * share)
-}
-
 function makeAnnouncements ({ announcedLimits, clock, loads, log, misdirected, news, randomness, registry, warmUps }: ForwarderDependencies): EndpointAnnouncements {
   return new EndpointAnnouncements({ registry, loads, announcedLimits, misdirected, warmUps, onNews: () => news.publish(), clock, randomness, log })
 }
-
-function makeGateway (parts: ForwarderDependencies): GatewayServer {
-  const { clock, log, forwarding, listener, plannedStop } = parts
-  guardConnections(parts)
-  reportCutRequests(parts)
-  return new GatewayServer({
-    listener,
-    plannedStop,
-    clock,
-    log,
-    handle: (request, response) => forwarding.handle(request, response),
-    refuseLate: (request, response) => forwarding.refuseStopping(request, response),
-    requestsInFlight: () => forwarding.inFlight,
-    readRequests: () => forwarding.readRequests
-  })
-}
-
-/** The other descriptors are for endpoints, peers and the store. */
-function guardConnections ({ boot, heldBytes, listener, log, metrics }: ForwarderDependencies): void {
-  listener.guardConnections({
-    maximumConnections: Math.floor((boot.current.maximumDescriptors ?? assumedDescriptors) * callerDescriptorShare),
-    maximumHeadBytes: heldBytes.maximumBytes * headMemoryShare,
-    onClose: cause => {
-      metrics.closedConnections.inc({ cause })
-      log.info('caller_connection_closed', { cause })
-    }
-  })
-}
-
-function reportCutRequests ({ listener, log, metrics, plannedStop, routing }: ForwarderDependencies): void {
-  watchCutRequests(listener, (cause, requests) => {
-    for (const [state, count] of Object.entries(requests)) metrics.cutRequests.inc({ cause, state }, count)
-    log.warn('requests_cut', { cause, ...requests, settings: routing.snapshot?.settings.version, isStopping: plannedStop.hasBegun })
-  })
-}
-
-function makeOperations ({ clock, tableLoader, gateway, heldAnswers, heldBytes, loadNews, metrics, logLines, follower }: ForwarderDependencies): OperationsServer {
-  return new OperationsServer({
-    readyPath,
-    isReady: () => tableLoader.isComplete && !gateway.isDraining,
-    metrics: {
-      text: () => {
-        metrics.droppedLogLines.set(logLines.droppedCount)
-        metrics.heldAnswerBytes.set(heldAnswers.totalBytes)
-        metrics.heldBytes.set(heldBytes.totalBytes)
-        metrics.storeLost.set(follower.hasFailingFeed ? 1 : 0)
-        metrics.confirmationAge.reset()
-        metrics.confirmationAge.set({ hop: follower.stalestConfirmation?.hop ?? 'none' }, follower.ageMilliseconds / 1_000)
-        metrics.loadNewsAge.set(loadNews.ageMilliseconds(clock.now()) / 1_000)
-        return metrics.text()
-      }
-    }
-  })
-}
