--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -7,7 +7,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { Wait } from '../contract/index.ts'
 import { DeadlineReader, type ExchangeEvent } from '../endpoint/index.ts'
-import { type RunSilence, AttemptEnd, millisecondsToAbandonment } from '../placement/index.ts'
+import { AttemptEnd, millisecondsToAbandonment } from '../placement/index.ts'
 import { ResponseFrame, maximumHeldBytes, takesChunks } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
 import { EventSplitter } from './eventSplitter.ts'
@@ -19,7 +19,9 @@
 import type { RoutedEndpoint } from '../routing/index.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
 import { waitForDrain } from './responseDrain.ts'
+import { RunOutcome } from './runOutcome.ts'
 import { startRun } from './runStart.ts'
+import { silenceOf } from './streamSilence.ts'
 
 const successStatus = 200
 /** A longer event is taken for bytes without end. */
@@ -32,23 +34,6 @@
 /** Share of the route's maximum event gap within which an endpoint is to show that it is alive. */
 const livenessGapShare = 0.3
 
-/** Outcome of one run, as far as it affects the next. */
-const RunOutcome = {
-  /** The complete response was delivered, or no further run is needed. */
-  Done: 'done',
-  /** The endpoint did not execute the request. */
-  NotExecuted: 'not_run',
-  /** The request was never sent. */
-  Unsent: 'unsent',
-  /** The run may have executed and broke off. */
-  Broken: 'broken',
-  /** The endpoint responded with an error. */
-  Failed: 'failed',
-  /** The response was discarded because of its low confidence. */
-  Discarded: 'dropped'
-} as const
-type RunOutcome = typeof RunOutcome[keyof typeof RunOutcome]
-
 export class StreamForwarding {
   readonly #request: ForwardedRequest
   readonly #events: EventStreamResponse
@@ -255,7 +240,7 @@
     const livenessMilliseconds = Math.min(liveness.checkMilliseconds, request.route.maximumEventGapMilliseconds * livenessGapShare)
     const wait = new Wait(request.dependencies.clock)
     for (let { now } = request; ; now = request.now) {
-      const millisecondsLeft = millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, wait, now))
+      const millisecondsLeft = millisecondsToAbandonment(silenceOf(request, attempt, { hasStarted: hasRunStarted, wait, now }))
       const arrived = millisecondsLeft <= 0 ? await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt)) : undefined
       if (arrived !== undefined) return arrived
       const millisecondsToCheck = millisecondsLeft - livenessMilliseconds
@@ -279,21 +264,6 @@
     }
   }
 
-  #silenceOf ({ promptMilliseconds, tracker }: OpenAttempt, hasStarted: boolean, wait: Wait, now: number): RunSilence {
-    const { latencyTargetMilliseconds, maximumEventGapMilliseconds } = this.#request.route
-    const unacceptedMilliseconds = hasStarted ? tracker.unacceptedMilliseconds(now) : Number.POSITIVE_INFINITY
-    return {
-      waitedMilliseconds: wait.heardMilliseconds,
-      endpointSilentMilliseconds: Math.min(tracker.silentMilliseconds(now), unacceptedMilliseconds),
-      endpointWaitMilliseconds: tracker.waitMilliseconds(now),
-      promptMilliseconds,
-      isStopping: this.#request.dependencies.plannedStop.hasBegun,
-      hasStarted,
-      latencyTargetMilliseconds,
-      maximumEventGapMilliseconds
-    }
-  }
-
   #failRun (attempt: OpenAttempt, reason: string, end: AttemptEnd = this.#request.attempts.endWithoutResponse(attempt, reason === silentReason)): RunOutcome {
     this.#request.holding.trySetAnswer(this.#events.heldBytes)
     if (this.#handover.hasReplaced(attempt)) return RunOutcome.Broken
