Let attempts, selections and hand-overs ask for the part of a request that they need

Twelve modules of src/gateway imported each other in a circle, because all knew ForwardedRequest, and the response and the request knew the entry point for its list of dependencies. Each now names the part of a request that it uses, and the dependencies of forwarding have a module of their own. No module of src/gateway is part of a circle of imports, type imports included.

--- a/src/gateway/attemptOpener.ts
+++ b/src/gateway/attemptOpener.ts
@@ -2,17 +2,42 @@
  * Opens the attempts of one forwarded request: prepares what follows an attempt, and decides in the event-loop turn
  * that writes the request whether it may still be written.
  */
-import type { EndpointRun } from '../breaker/index.ts'
+import type { IncomingMessage } from 'node:http'
+import type { EndpointRun, SharedPrompt } from '../breaker/index.ts'
 import type { Exchange, ExchangeOptions } from '../endpoint/index.ts'
+import type { RequestWork } from '../placement/index.ts'
 import type { SendPermit } from '../rateLimit/index.ts'
-import { RouteType, type RoutedEndpoint, instanceKey, ratedEndpoint } from '../routing/index.ts'
-import type { ForwardedRequest } from './forwardedRequest.ts'
+import { RouteType, type RequestHead, type Route, type RoutedEndpoint, type RoutedOrganisation, instanceKey, ratedEndpoint } from '../routing/index.ts'
+import type { EndpointSelection } from './endpointSelection.ts'
+import type { ForwardingDependencies } from './forwardingDependencies.ts'
 import type { AttemptOptions, OpenAttempt } from './openAttempt.ts'
 import type { RequestSends } from './requestSends.ts'
+import type { SendWindow } from './sendWindow.ts'
 
 /** Added to the time that is left: the request's deadline ends a silent attempt, and only then the exchange's own timeout. */
 const inactivityMarginMilliseconds = 1_000
 
+/** The request whose attempts are opened. All times are milliseconds of the process's clock. */
+export interface OpeningRequest {
+  readonly incoming: IncomingMessage
+  readonly head: RequestHead
+  readonly body: Buffer
+  readonly prompt: SharedPrompt
+  readonly route: Route
+  readonly organisation: RoutedOrganisation | undefined
+  readonly service: string
+  readonly priority: number
+  readonly deadline: number
+  readonly now: number
+  readonly sendWindow: SendWindow
+  /** Aborted when the caller disconnects. */
+  readonly callerAbort: AbortController
+  readonly hasCallerLeft: boolean
+  readonly selection: EndpointSelection
+  readonly dependencies: Pick<ForwardingDependencies, 'clock' | 'codec' | 'connections' | 'limits' | 'loads' | 'misdirected' | 'plannedStop' | 'rollOuts' | 'runDurations' | 'runs'>
+  estimateWork (model: string | undefined): RequestWork
+}
+
 interface ExchangeStart {
   /** Milliseconds of the process's clock. */
   readonly startedAt: number
@@ -25,10 +50,10 @@
  * const head = await attempt.exchange.next()
  */
 export class AttemptOpener {
-  readonly #request: ForwardedRequest
+  readonly #request: OpeningRequest
   readonly #sends: RequestSends
 
-  constructor (request: ForwardedRequest, sends: RequestSends) {
+  constructor (request: OpeningRequest, sends: RequestSends) {
     this.#request = request
     this.#sends = sends
   }
--- a/src/gateway/endpointSelection.ts
+++ b/src/gateway/endpointSelection.ts
@@ -2,11 +2,31 @@
  * Chooses the endpoints of one forwarded request: those that it may reach and has not tried yet. While the rate
  * limits of all are used up, the request waits here for its turn.
  */
-import { type EligibilityRequest, type Ineligibility, type PlacementRequest, allowedByBoth } from '../placement/index.ts'
+import { type EligibilityRequest, type Ineligibility, type PlacementRequest, type RequestWork, allowedByBoth } from '../placement/index.ts'
 import { latestTurn, type WaitingRequest } from '../rateLimit/index.ts'
-import { RouteType, type AllowedRegions, type RoutedEndpoint, instanceKey, ratedEndpoint } from '../routing/index.ts'
-import type { ForwardedRequest } from './forwardedRequest.ts'
+import { RouteType, type AllowedRegions, type RequestHead, type Route, type RoutedEndpoint, type RoutedOrganisation, instanceKey, ratedEndpoint } from '../routing/index.ts'
+import type { ForwardingDependencies } from './forwardingDependencies.ts'
 import { HeldBackAt } from './openAttempt.ts'
+import type { SendWindow } from './sendWindow.ts'
+
+/** The request for which endpoints are chosen. All times are milliseconds of the process's clock. */
+export interface SelectingRequest {
+  readonly head: RequestHead
+  readonly route: Route
+  readonly organisation: RoutedOrganisation | undefined
+  readonly service: string
+  readonly priority: number
+  readonly arrivedAt: number
+  readonly deadline: number
+  readonly now: number
+  readonly sendWindow: SendWindow
+  /** Aborted when the caller disconnects. */
+  readonly callerAbort: AbortController
+  readonly hasCallerLeft: boolean
+  readonly dependencies: Pick<ForwardingDependencies, 'eligibility' | 'limits' | 'loads' | 'metrics' | 'placeQueues' | 'placement' | 'rollOuts' | 'versionSelector'>
+  wasBlockedMeanwhile (): boolean
+  estimateWork (model: string | undefined): RequestWork
+}
 
 /**
  * @example
@@ -14,7 +34,7 @@
  * if (endpoint === undefined) refuse()
  */
 export class EndpointSelection {
-  readonly #request: ForwardedRequest
+  readonly #request: SelectingRequest
   readonly #eligibilityRequest: EligibilityRequest
   readonly #triedInstances = new Set<string>()
   /** Those of the tried ones that may be tried again once no other is left. */
@@ -22,7 +42,7 @@
   #isEndedByStop = false
   #placeMilliseconds: number | undefined
 
-  constructor (request: ForwardedRequest) {
+  constructor (request: SelectingRequest) {
     this.#request = request
     const { organisation, route, service } = request
     this.#eligibilityRequest = { service, allowedRegions: allowedByBoth(route.allowedRegions, organisation?.allowedRegions) }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -4,59 +4,19 @@
  * logs one line with everything that determined its outcome.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { type Clock, type Refusal, RefusalCode } from '../contract/index.ts'
-import type { EndpointRuns, PromptBreaker } from '../breaker/index.ts'
-import type { Connections } from '../endpoint/index.ts'
-import type { MisdirectedEndpoints } from '../misdirection/index.ts'
-import type { Log } from '../observe/index.ts'
-import type { EndpointEligibility, EndpointRegistry, EndpointLoads, EndpointPlacement, ModelCascade, RetryBudget, RunDurations, VersionSelector } from '../placement/index.ts'
+import { type Refusal, RefusalCode } from '../contract/index.ts'
 import { chooseService } from '../placement/index.ts'
-import type { EndpointLimits, PlaceQueues } from '../rateLimit/index.ts'
-import { CloseCause, type HeldBytes, readBoundedBody, recordCloseCause } from '../server/index.ts'
-import { type RequestHead, type HeaderCodec, RouteType, type Route, type RoutedOrganisation } from '../routing/index.ts'
+import { CloseCause, readBoundedBody, recordCloseCause } from '../server/index.ts'
+import { type RequestHead, RouteType, type Route, type RoutedOrganisation } from '../routing/index.ts'
 import { type ForwardRefusal, ForwardRefusals, sendRefusal } from './forwardRefusal.ts'
-import type { EndpointAnnouncements } from './endpointAnnouncements.ts'
 import { ForwardedRequest } from './forwardedRequest.ts'
+import type { ForwardingDependencies } from './forwardingDependencies.ts'
 import { type HeadSize, RequestHolding, headSizeOf } from './requestHolding.ts'
-import type { EndpointLiveness } from './endpointLiveness.ts'
-import type { GatewayMetrics } from './gatewayMetrics.ts'
 import { PlainForwarding } from './plainForwarding.ts'
-import type { PlannedStop } from './plannedStop.ts'
-import type { RollOutView } from './rollOutView.ts'
-import type { RoutingSnapshot, RoutingView } from './routingView.ts'
+import type { RoutingSnapshot } from './routingView.ts'
 import { SendWindow } from './sendWindow.ts'
 import { StreamForwarding } from './streamForwarding.ts'
 
-export interface ForwardingDependencies {
-  readonly clock: Clock
-  readonly log: Log
-  readonly metrics: GatewayMetrics
-  readonly codec: HeaderCodec
-  readonly routing: RoutingView
-  readonly registry: EndpointRegistry
-  readonly eligibility: EndpointEligibility
-  readonly misdirected: MisdirectedEndpoints
-  readonly loads: EndpointLoads
-  readonly liveness: EndpointLiveness
-  readonly placement: EndpointPlacement
-  readonly limits: EndpointLimits
-  readonly placeQueues: PlaceQueues
-  readonly modelCascade: ModelCascade
-  readonly retryBudget: RetryBudget
-  readonly breaker: PromptBreaker
-  readonly runs: EndpointRuns
-  readonly announcements: EndpointAnnouncements
-  readonly versionSelector: VersionSelector
-  readonly rollOuts: RollOutView
-  readonly connections: Connections
-  readonly plannedStop: PlannedStop
-  readonly runDurations: RunDurations
-  readonly heldBytes: HeldBytes
-  readonly heldAnswers: HeldBytes
-  /** Resolves when the settings and endpoints are known, or when a process that has just started should wait no longer for them. */
-  readonly untilTablesAreRead: () => Promise<void>
-}
-
 /** Equal to the HTTP server's own timeout for a complete request, in milliseconds. */
 const bodyTimeoutMilliseconds = 300_000
 
--- a/src/gateway/givenUpRun.ts
+++ b/src/gateway/givenUpRun.ts
@@ -3,8 +3,8 @@
  * attempt that may follow. A run that breaks off by itself is not given up.
  */
 import type { LogFields } from '../observe/index.ts'
-import type { RoutedEndpoint } from '../routing/index.ts'
-import type { ForwardedRequest } from './forwardedRequest.ts'
+import type { RequestHead, RoutedEndpoint } from '../routing/index.ts'
+import type { ForwardingDependencies } from './forwardingDependencies.ts'
 import type { OpenAttempt } from './openAttempt.ts'
 
 /** Why a run is given up. */
@@ -18,6 +18,17 @@
 } as const
 export type GiveUpReason = typeof GiveUpReason[keyof typeof GiveUpReason]
 
+/** The request whose run is given up. */
+export interface GivenUpRequest {
+  readonly head: Pick<RequestHead, 'attemptId'>
+  readonly service: string
+  /** Milliseconds of the process's clock. */
+  readonly now: number
+  readonly dependencies: Pick<ForwardingDependencies, 'log' | 'metrics'>
+  readonly attempts: { readonly left: number, readonly allowsRetry: boolean }
+  readonly selection: { readonly untriedCount: number, readonly untriedWithPlaceCount: number }
+}
+
 /** Signs of life of a run's endpoint. */
 interface EndpointSigns {
   /** Time since anything of the run's response was received, or since it was sent. */
@@ -50,7 +61,7 @@
  * @example
  * recordGivenUp(request, attempt, GiveUpReason.Silence)
  */
-export function recordGivenUp (request: ForwardedRequest, attempt: OpenAttempt, reason: GiveUpReason, nextEndpoint?: RoutedEndpoint): void {
+export function recordGivenUp (request: GivenUpRequest, attempt: OpenAttempt, reason: GiveUpReason, nextEndpoint?: RoutedEndpoint): void {
   const { dependencies: { log, metrics }, head, service } = request
   metrics.givenUpRuns.inc({ service, reason })
   log.info('run_given_up', {
@@ -73,7 +84,7 @@
   }
 }
 
-function nextAttemptOf ({ attempts, selection }: ForwardedRequest, nextEndpoint: RoutedEndpoint | undefined): NextAttempt {
+function nextAttemptOf ({ attempts, selection }: GivenUpRequest, nextEndpoint: RoutedEndpoint | undefined): NextAttempt {
   return {
     attemptsLeft: attempts.left - 1,
     isAllowedByBudget: attempts.allowsRetry,
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,6 +1,7 @@
 /** Request forwarding: the server for callers, attempts at endpoints, and roll-out coordination. */
 export { GatewayServer, type GatewayServerOptions } from './gatewayServer.ts'
-export { Forwarding, type ForwardingDependencies } from './forwarding.ts'
+export { Forwarding } from './forwarding.ts'
+export { type ForwardingDependencies } from './forwardingDependencies.ts'
 export { EndpointAnnouncements, type EndpointAnnouncementsOptions } from './endpointAnnouncements.ts'
 export { EndpointLiveness, type EndpointLivenessOptions } from './endpointLiveness.ts'
 export { isRequestAtFault, type RejectedRequest } from './rejectedRequest.ts'
--- a/src/gateway/modelChoice.ts
+++ b/src/gateway/modelChoice.ts
@@ -4,20 +4,34 @@
  */
 import { Wait } from '../contract/index.ts'
 import type { CascadePlan } from '../placement/index.ts'
-import type { ForwardedRequest } from './forwardedRequest.ts'
+import type { RequestHead, Route } from '../routing/index.ts'
+import type { ForwardingDependencies } from './forwardingDependencies.ts'
+import type { RequestAttempts } from './requestAttempts.ts'
 
 /** The smaller model, the larger one, and a further run if that breaks off. */
 const attemptsOfCascade = 3
 
+/** The request for which models are chosen. All times are milliseconds of the process's clock. */
+export interface ModelRequest {
+  readonly head: RequestHead
+  readonly route: Route
+  readonly deadline: number
+  readonly now: number
+  /** Remaining share of the latency target, 0 to 1. */
+  readonly latencyTargetShareLeft: number
+  readonly attempts: Pick<RequestAttempts, 'left' | 'allowsRetry'>
+  readonly dependencies: Pick<ForwardingDependencies, 'clock' | 'modelCascade'>
+}
+
 export class ModelChoice {
-  readonly #request: ForwardedRequest
+  readonly #request: ModelRequest
   readonly #run: Wait
   #plan: CascadePlan | undefined
   #model: string | undefined
   #relayedEvents = 0
   #endLargestModelWait: (hasBegun: boolean, at: number) => void = () => undefined
 
-  constructor (request: ForwardedRequest) {
+  constructor (request: ModelRequest) {
     this.#request = request
     this.#run = new Wait(request.dependencies.clock)
     this.#model = request.head.model
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -6,9 +6,9 @@
 import { promisesNotRun, statesNotRun } from '../contract/index.ts'
 import { AttemptEnd, isSilenceHeard } from '../placement/index.ts'
 import type { ResponseHead, RoutedEndpoint } from '../routing/index.ts'
-import { AttemptOpener } from './attemptOpener.ts'
-import type { ForwardedRequest } from './forwardedRequest.ts'
-import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
+import { type OpeningRequest, AttemptOpener } from './attemptOpener.ts'
+import type { ForwardingDependencies } from './forwardingDependencies.ts'
+import { type GivenUpRequest, GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
 import { isRequestAtFault } from './rejectedRequest.ts'
 import { RequestSends } from './requestSends.ts'
@@ -20,6 +20,13 @@
 /** Endpoints that may reject a request for what its caller sent before it is given up; one of them may just not be at its address. */
 const maximumRequestRejections = 2
 
+/** The request that attempts are to answer. */
+export interface AttemptingRequest extends Omit<OpeningRequest, 'dependencies'>, Omit<GivenUpRequest, 'dependencies' | 'head' | 'selection'> {
+  readonly dependencies: OpeningRequest['dependencies'] & GivenUpRequest['dependencies'] & Pick<ForwardingDependencies, 'announcements' | 'liveness' | 'registry' | 'retryBudget'>
+  /** Whether the prompt may be sent, after a number of runs at endpoints that have crashed. */
+  isAdmitted (crashedRuns: number): boolean
+}
+
 /**
  * @example
  * if (attempts.tryStart()) {
@@ -27,7 +34,7 @@
  * }
  */
 export class RequestAttempts {
-  readonly #request: ForwardedRequest
+  readonly #request: AttemptingRequest
   readonly #sends: RequestSends
   readonly #opener: AttemptOpener
   readonly #summaries: string[] = []
@@ -36,7 +43,7 @@
   #crashedRuns = 0
   #requestRejections = 0
 
-  constructor (request: ForwardedRequest) {
+  constructor (request: AttemptingRequest) {
     this.#request = request
     this.#sends = new RequestSends({ service: request.service, ...request.dependencies })
     this.#opener = new AttemptOpener(request, this.#sends)
--- a/src/gateway/runHandover.ts
+++ b/src/gateway/runHandover.ts
@@ -11,12 +11,23 @@
 import type { ExchangeEvent } from '../endpoint/index.ts'
 import { AttemptEnd } from '../placement/index.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
-import type { ForwardedRequest } from './forwardedRequest.ts'
+import type { EndpointSelection } from './endpointSelection.ts'
+import type { ForwardingDependencies } from './forwardingDependencies.ts'
 import type { AttemptOptions, OpenAttempt } from './openAttempt.ts'
+import type { RequestAttempts } from './requestAttempts.ts'
 
 /** A run that may be silent for long is looked at again after this time. */
 export const silenceCheckIntervalMilliseconds = 200
 
+/** The request whose run may be given up for another one. */
+export interface HandedOverRequest {
+  /** Whether it may be sent again once it may have run. */
+  readonly isRepeatable: boolean
+  readonly attempts: RequestAttempts
+  readonly selection: EndpointSelection
+  readonly dependencies: Pick<ForwardingDependencies, 'clock'>
+}
+
 /** A run that is to be given up for another one. */
 export interface PlannedHandover {
   readonly present: OpenAttempt
@@ -36,14 +47,14 @@
  * if (handover.hasReplaced(planned.present)) read(handover.takeNext())
  */
 export class RunHandover {
-  readonly #request: ForwardedRequest
+  readonly #request: HandedOverRequest
   #replaced: OpenAttempt | undefined
   #next: OpenAttempt | undefined
   #isWritten = false
   #isCancelled = false
   #wakeWaiting: () => void = () => undefined
 
-  constructor (request: ForwardedRequest) {
+  constructor (request: HandedOverRequest) {
     this.#request = request
   }
 
--- a/src/gateway/runStart.ts
+++ b/src/gateway/runStart.ts
@@ -4,12 +4,18 @@
  * that has begun would be cut, so such a request waits for an endpoint while its deadline, its attempts and the
  * retry budget allow it.
  */
-import type { ForwardedRequest } from './forwardedRequest.ts'
 import type { AttemptOptions, OpenAttempt } from './openAttempt.ts'
+import type { HandedOverRequest } from './runHandover.ts'
 
 /** Between two looks for an endpoint. */
 const endpointCheckIntervalMilliseconds = 200
 
+/** The request for which a run is started. */
+export interface StartingRequest extends HandedOverRequest {
+  /** Aborted when the caller disconnects. */
+  readonly callerAbort: AbortController
+}
+
 export interface RunStart {
   /** What the run asks for; read again after a wait. */
   readonly options: () => AttemptOptions
@@ -26,7 +32,7 @@
  * @example
  * const attempt = await startRun(request, { options: () => attemptOptions, isResumed: false, mayWait: true })
  */
-export async function startRun (request: ForwardedRequest, { options, isResumed, mayWait }: RunStart): Promise<OpenAttempt | undefined> {
+export async function startRun (request: StartingRequest, { options, isResumed, mayWait }: RunStart): Promise<OpenAttempt | undefined> {
   const { attempts, callerAbort, dependencies: { clock }, selection } = request
   while (attempts.tryStart()) {
     const attemptOptions = options()
