--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -14,14 +14,14 @@
  * endpoint may send behind a response that stopped in the middle of its body.
  *
  * Inactivity: the exchange fails if nothing arrives within the timeout. Time during which the reader
- * keeps the socket paused does not count.
+ * keeps the socket paused does not count, nor does time for which the event loop was held up.
  *
  * Discarding: what nobody needs of a response is read within a bound of bytes and of time, so that its connection
  * can be used again, and the connection is closed at the bound.
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
-import { type Clock, invariant, sleepUntil } from '../contract/index.ts'
+import { type Clock, Wait, invariant, scheduleReplyTimeout } from '../contract/index.ts'
 import { SecondHeadScanner } from './secondHeadScanner.ts'
 
 /** Events of an exchange: a head, any number of data events, then an end; or a failure at any point. */
@@ -68,13 +68,13 @@
 /** A request and its response, read event by event. */
 export class Exchange implements Dispatcher.DispatchHandler {
   readonly #options: ExchangeOptions
-  readonly #timeoutWatch = new AbortController()
   readonly #events: ExchangeEvent[] = []
   readonly #secondHead: SecondHeadScanner | undefined
   #bytesBehind: Buffer = noBytes
   #bufferedBytes = 0
   #eventCount = 0
-  #lastActivityAt: number
+  /** Since something of the response was last received, or the request was sent. */
+  readonly #silence: Wait
   #controller: Dispatcher.DispatchController | undefined
   #mayHaveSent = false
   #finalEvent: ExchangeEvent | undefined
@@ -82,11 +82,12 @@
   #isDiscarding = false
   #discardedBytes = 0
   #cancelDiscardLimit: () => void = () => undefined
+  #cancelInactivityWatch: () => void = () => undefined
 
   constructor (options: ExchangeOptions) {
     this.#options = options
     this.#secondHead = options.responseMark === undefined ? undefined : new SecondHeadScanner(options.responseMark)
-    this.#lastActivityAt = options.clock.now()
+    this.#silence = new Wait(options.clock)
   }
 
   /**
@@ -105,7 +106,7 @@
     } catch (error) {
       exchange.#finish({ type: 'failure', reason: `request can't be sent: ${error instanceof Error ? error.message : String(error)}`, timedOut: false })
     }
-    exchange.#watchInactivity().catch(() => undefined)
+    exchange.#watchInactivity(options.inactivityTimeoutMilliseconds)
     return exchange
   }
 
@@ -121,7 +122,17 @@
 
   /** When something of the response was last received, or the request was sent, in milliseconds of the process's clock. */
   get lastActivityAt (): number {
-    return this.#lastActivityAt
+    return this.#silence.since
+  }
+
+  /** For how long the event loop was held up since then, in milliseconds. */
+  get heldUpMilliseconds (): number {
+    return this.#silence.heldUpMilliseconds
+  }
+
+  /** For how long since then more could have been heard, in milliseconds. */
+  get heardSilenceMilliseconds (): number {
+    return this.#silence.heardMilliseconds
   }
 
   /** Number of events so far, read or not. */
@@ -173,7 +184,7 @@
     this.#bufferedBytes = 0
     if (this.#finalEvent !== undefined || this.#isDiscarding) return
     this.#isDiscarding = true
-    this.#cancelDiscardLimit = this.#options.clock.schedule(maximumDiscardMilliseconds, () => this.abort('the response did not end in time when it was discarded'))
+    this.#cancelDiscardLimit = scheduleReplyTimeout(this.#options.clock, maximumDiscardMilliseconds, () => this.abort('the response did not end in time when it was discarded'))
     if (this.#controller?.paused === true) this.#controller.resume()
   }
 
@@ -188,17 +199,17 @@
       return
     }
     this.#mayHaveSent = true
-    this.#lastActivityAt = this.#options.clock.now()
+    this.#silence.restart()
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
-    this.#lastActivityAt = this.#options.clock.now()
+    this.#silence.restart()
     this.#push({ type: 'head', status, headers })
   }
 
   onResponseData (controller: Dispatcher.DispatchController, bytes: Buffer): void {
     if (this.#isDiscarding) return this.#discard(bytes)
-    this.#lastActivityAt = this.#options.clock.now()
+    this.#silence.restart()
     if (this.#secondHead?.push(bytes) === true) return this.abort(secondHeadReason)
     if (this.#secondHead?.isUndecided === true) this.#bytesBehind = this.#options.bytesBehind?.(bytes) ?? noBytes
     this.#bufferedBytes += bytes.length
@@ -226,7 +237,7 @@
     this.#bufferedBytes -= event.bytes.length
     invariant(this.#bufferedBytes >= 0, 'buffered bytes are counted', () => ({ bufferedBytes: this.#bufferedBytes }))
     if (this.#controller?.paused === true && this.#bufferedBytes <= maximumBufferedBytes / 2) {
-      this.#lastActivityAt = this.#options.clock.now()
+      this.#silence.restart()
       this.#controller.resume()
     }
     return event
@@ -243,7 +254,7 @@
     if (this.#finalEvent !== undefined) return
     this.#finalEvent = event
     this.#eventCount++
-    this.#timeoutWatch.abort()
+    this.#cancelInactivityWatch()
     this.#cancelDiscardLimit()
     this.#wake()
   }
@@ -254,13 +265,16 @@
     wake?.()
   }
 
-  async #watchInactivity (): Promise<void> {
-    const { clock, inactivityTimeoutMilliseconds } = this.#options
-    while (this.#finalEvent === undefined) {
-      await sleepUntil(clock, this.#lastActivityAt + inactivityTimeoutMilliseconds, this.#timeoutWatch.signal)
-      if (this.#controller?.paused === true) this.#lastActivityAt = clock.now()
-      const hasTimedOut = clock.now() - this.#lastActivityAt >= inactivityTimeoutMilliseconds
-      if (hasTimedOut) this.abort('connection received no data within the inactivity timeout', true)
-    }
+  /** The timer is set again only when it fires, since setting it for each event costs more than the event. */
+  #watchInactivity (milliseconds: number): void {
+    if (this.#finalEvent === undefined) this.#cancelInactivityWatch = this.#options.clock.scheduleAfterInput(milliseconds, () => this.#checkInactivity())
+  }
+
+  #checkInactivity (): void {
+    const { inactivityTimeoutMilliseconds } = this.#options
+    if (this.#controller?.paused === true) this.#silence.restart()
+    const inactiveMilliseconds = this.heardSilenceMilliseconds
+    if (inactiveMilliseconds >= inactivityTimeoutMilliseconds) return this.abort('connection received no data within the inactivity timeout', true)
+    this.#watchInactivity(Math.ceil(inactivityTimeoutMilliseconds - inactiveMilliseconds))
   }
 }
--- a/src/gateway/givenUpRun.ts
+++ b/src/gateway/givenUpRun.ts
@@ -3,8 +3,8 @@
  * attempt that may follow. A run that breaks off by itself is not given up.
  */
 import type { LogFields } from '../observe/index.ts'
-import type { RoutedEndpoint } from '../routing/index.ts'
-import type { ForwardedRequest } from './forwardedRequest.ts'
+import type { RequestHead, RoutedEndpoint } from '../routing/index.ts'
+import type { ForwardingDependencies } from './forwardingDependencies.ts'
 import type { OpenAttempt } from './openAttempt.ts'
 
 /** Why a run is given up. */
@@ -18,10 +18,23 @@
 } as const
 export type GiveUpReason = typeof GiveUpReason[keyof typeof GiveUpReason]
 
+/** The request whose run is given up. */
+export interface GivenUpRequest {
+  readonly head: Pick<RequestHead, 'attemptId'>
+  readonly service: string
+  /** Milliseconds of the process's clock. */
+  readonly now: number
+  readonly dependencies: Pick<ForwardingDependencies, 'log' | 'metrics'>
+  readonly attempts: { readonly left: number, readonly allowsRetry: boolean }
+  readonly selection: { readonly untriedCount: number, readonly untriedWithPlaceCount: number }
+}
+
 /** Signs of life of a run's endpoint. */
 interface EndpointSigns {
   /** Time since anything of the run's response was received, or since it was sent. */
   readonly runSilentMilliseconds: number
+  /** Of this time, that in which this process could not read. */
+  readonly heldUpMilliseconds: number
   /** Time since anything was received from the endpoint, by any run; undefined if nothing ever was. */
   readonly endpointSilentMilliseconds: number | undefined
   /** Time since a liveness check saw the endpoint accept a connection; undefined if none did. */
@@ -48,7 +61,7 @@
  * @example
  * recordGivenUp(request, attempt, GiveUpReason.Silence)
  */
-export function recordGivenUp (request: ForwardedRequest, attempt: OpenAttempt, reason: GiveUpReason, nextEndpoint?: RoutedEndpoint): void {
+export function recordGivenUp (request: GivenUpRequest, attempt: OpenAttempt, reason: GiveUpReason, nextEndpoint?: RoutedEndpoint): void {
   const { dependencies: { log, metrics }, head, service } = request
   metrics.givenUpRuns.inc({ service, reason })
   log.info('run_given_up', {
@@ -65,12 +78,13 @@
 function signsOf ({ exchange, tracker }: OpenAttempt, now: number): EndpointSigns {
   return {
     runSilentMilliseconds: Math.round(now - exchange.lastActivityAt),
+    heldUpMilliseconds: Math.round(exchange.heldUpMilliseconds),
     endpointSilentMilliseconds: finiteOrUndefined(tracker.silentMilliseconds(now)),
     acceptedMillisecondsAgo: finiteOrUndefined(tracker.unacceptedMilliseconds(now))
   }
 }
 
-function nextAttemptOf ({ attempts, selection }: ForwardedRequest, nextEndpoint: RoutedEndpoint | undefined): NextAttempt {
+function nextAttemptOf ({ attempts, selection }: GivenUpRequest, nextEndpoint: RoutedEndpoint | undefined): NextAttempt {
   return {
     attemptsLeft: attempts.left - 1,
     isAllowedByBudget: attempts.allowsRetry,
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -4,11 +4,11 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { promisesNotRun, statesNotRun } from '../contract/index.ts'
-import { AttemptEnd } from '../placement/index.ts'
+import { AttemptEnd, isSilenceHeard } from '../placement/index.ts'
 import type { ResponseHead, RoutedEndpoint } from '../routing/index.ts'
-import { AttemptOpener } from './attemptOpener.ts'
-import type { ForwardedRequest } from './forwardedRequest.ts'
-import { GiveUpReason, recordGivenUp } from './givenUpRun.ts'
+import { type OpeningRequest, AttemptOpener } from './attemptOpener.ts'
+import type { ForwardingDependencies } from './forwardingDependencies.ts'
+import { type GivenUpRequest, GiveUpReason, recordGivenUp } from './givenUpRun.ts'
 import { type AttemptOptions, type OpenAttempt, HeldBackAt, NotExecutedReason, RunProgress } from './openAttempt.ts'
 import { isRequestAtFault } from './rejectedRequest.ts'
 import { RequestSends } from './requestSends.ts'
@@ -20,6 +20,13 @@
 /** Endpoints that may reject a request for what its caller sent before it is given up; one of them may just not be at its address. */
 const maximumRequestRejections = 2
 
+/** The request that attempts are to answer. */
+export interface AttemptingRequest extends Omit<OpeningRequest, 'dependencies'>, Omit<GivenUpRequest, 'dependencies' | 'head' | 'selection'> {
+  readonly dependencies: OpeningRequest['dependencies'] & GivenUpRequest['dependencies'] & Pick<ForwardingDependencies, 'announcements' | 'liveness' | 'registry' | 'retryBudget'>
+  /** Whether the prompt may be sent, after a number of runs at endpoints that have crashed. */
+  isAdmitted (crashedRuns: number): boolean
+}
+
 /**
  * @example
  * if (attempts.tryStart()) {
@@ -27,7 +34,7 @@
  * }
  */
 export class RequestAttempts {
-  readonly #request: ForwardedRequest
+  readonly #request: AttemptingRequest
   readonly #sends: RequestSends
   readonly #opener: AttemptOpener
   readonly #summaries: string[] = []
@@ -36,7 +43,7 @@
   #crashedRuns = 0
   #requestRejections = 0
 
-  constructor (request: ForwardedRequest) {
+  constructor (request: AttemptingRequest) {
     this.#request = request
     this.#sends = new RequestSends({ service: request.service, ...request.dependencies })
     this.#opener = new AttemptOpener(request, this.#sends)
@@ -111,13 +118,22 @@
     attempt.run.close()
     attempt.permit.close()
     attempt.evidence?.abandon(now)
-    attempt.tracker.close(end, now)
+    attempt.tracker.close(this.#endAtEndpoint(attempt, end), now)
     attempt.duration.close(end === AttemptEnd.Answered, now)
     this.#dependencies.metrics.attempts.inc({ service, end })
     const { identity, version } = attempt.endpoint
     this.#summaries.push(`${identity} ${version} ${attempt.model ?? '-'} ${Math.round(now - attempt.startedAt)}ms ${outcome}`)
   }
 
+  /** How an attempt ended as far as its endpoint is concerned. */
+  #endAtEndpoint ({ exchange }: OpenAttempt, end: AttemptEnd): AttemptEnd {
+    if (end !== AttemptEnd.Silent) return end
+    const { heldUpMilliseconds, heardSilenceMilliseconds } = exchange
+    const { latencyTargetMilliseconds, maximumEventGapMilliseconds } = this.#request.route
+    const isHeard = isSilenceHeard({ heldUpMilliseconds, heardMilliseconds: heardSilenceMilliseconds, latencyTargetMilliseconds, maximumEventGapMilliseconds })
+    return isHeard ? end : AttemptEnd.Cancelled
+  }
+
   #countLimited ({ permit }: OpenAttempt): void {
     const { limitedAttempts, warmUpAttempts } = this.#dependencies.metrics
     if (!permit.wasLimited) return
@@ -134,7 +150,7 @@
     if (wasSent) this.#dependencies.metrics.brokenRuns.inc({ service, end, progress: begunAt === undefined ? RunProgress.Waiting : RunProgress.Begun })
     this.#hasBrokenOff ||= wasSent
     if (wasSent && end === AttemptEnd.Failed) this.#recordBreak(attempt)
-    if (wasSent && end === AttemptEnd.Silent && this.#hasEndpointBeenSilent(attempt)) this.#dependencies.connections.retire(attempt.endpoint.address)
+    if (wasSent && this.#endAtEndpoint(attempt, end) === AttemptEnd.Silent && this.#hasEndpointBeenSilent(attempt)) this.#dependencies.connections.retire(attempt.endpoint.address)
     if (!wasSent && end === AttemptEnd.Lost) attempt.run.recordRefusal(now)
     const begun = begunAt === undefined ? '' : `, begun ${Math.round(now - begunAt)}ms before`
     this.finish(attempt, end, `${wasSent ? 'broke off' : 'unsent'}${begun}: ${reason}`)
@@ -154,7 +170,7 @@
   /** Whether no run has received anything from the endpoint since this one last did, or was sent. */
   #hasEndpointBeenSilent ({ exchange, tracker }: OpenAttempt): boolean {
     const { now } = this.#request
-    return tracker.silentMilliseconds(now) >= now - exchange.lastActivityAt
+    return tracker.silentMilliseconds(now) >= exchange.heardSilenceMilliseconds
   }
 
   #recordHeldBack ({ endpoint }: OpenAttempt): void {
--- a/src/placement/endpointLoads.ts
+++ b/src/placement/endpointLoads.ts
@@ -31,9 +31,9 @@
   recordBytes (now: number): void
   /** Records the first event or the complete response; prefill is done from then on. */
   recordResponseStart (now: number): void
-  /** Milliseconds since the last byte was received from the endpoint, by any attempt; infinite if none was. */
+  /** Milliseconds since the last byte was received from the endpoint, by any attempt, without those in which none could be; infinite if none was. */
   silentMilliseconds (now: number): number
-  /** Milliseconds since the endpoint was last seen to accept a connection; infinite if it never was. */
+  /** Milliseconds since the endpoint was last seen to accept a connection, without those in which it could not be; infinite if it never was. */
   unacceptedMilliseconds (now: number): number
   /** Time that requests wait at the endpoint before their turn, in milliseconds. */
   waitMilliseconds (now: number): number
@@ -59,7 +59,9 @@
   /** Attempts in progress that have received no bytes yet. */
   attemptsWithoutBytes = 0
   lastByteAt = Number.NEGATIVE_INFINITY
+  heldUpBeforeLastByte = 0
   lastAcceptedAt = Number.NEGATIVE_INFINITY
+  heldUpBeforeLastAcceptance = 0
   lastUsedAt = Number.NEGATIVE_INFINITY
   #waitMilliseconds = 0
   #waitSeenAt = Number.NEGATIVE_INFINITY
@@ -84,11 +86,16 @@
 export class EndpointLoads {
   readonly #loads = new Map<string, EndpointLoad>()
   readonly #onModelWork: (now: number) => void
+  readonly #heldUpMilliseconds: () => number
   #meanResponseMilliseconds = initialDurationMilliseconds
 
-  /** @param onModelWork called when an attempt at an endpoint with models begins */
-  constructor (onModelWork: (now: number) => void = () => undefined) {
+  /**
+   * @param onModelWork called when an attempt at an endpoint with models begins
+   * @param heldUpMilliseconds for how long the event loop was held up so far; that time says nothing of an endpoint
+   */
+  constructor (onModelWork: (now: number) => void = () => undefined, heldUpMilliseconds: () => number = () => 0) {
     this.#onModelWork = onModelWork
+    this.#heldUpMilliseconds = heldUpMilliseconds
   }
 
   /** Adds an attempt to the endpoint's load. */
@@ -105,8 +112,10 @@
     load.inFlight++
     load.attemptsWithoutBytes++
     load.lastUsedAt = now
+    const heldUpBefore = this.#heldUpMilliseconds()
     const recordBytes = (at: number) => {
       load.lastByteAt = at
+      load.heldUpBeforeLastByte = this.#heldUpMilliseconds()
       load.health.recordBytes()
       if (!hasReceivedBytes) load.attemptsWithoutBytes--
       hasReceivedBytes = true
@@ -117,12 +126,12 @@
         recordBytes(at)
         load.health.recordResponseStart()
         respondedAt = at
-        load.recordWait(Math.max(0, at - now - work.prefillMilliseconds), at)
+        load.recordWait(Math.max(0, at - now - (this.#heldUpMilliseconds() - heldUpBefore) - work.prefillMilliseconds), at)
         load.workMilliseconds -= work.prefillMilliseconds
         remainingMilliseconds -= work.prefillMilliseconds
       },
-      silentMilliseconds: at => at - load.lastByteAt,
-      unacceptedMilliseconds: at => at - load.lastAcceptedAt,
+      silentMilliseconds: at => this.#heardMilliseconds(at - load.lastByteAt, load.heldUpBeforeLastByte),
+      unacceptedMilliseconds: at => this.#heardMilliseconds(at - load.lastAcceptedAt, load.heldUpBeforeLastAcceptance),
       waitMilliseconds: at => load.waitMillisecondsAt(at),
       close: (end, at) => {
         if (!isOpen) return
@@ -211,7 +220,9 @@
   /** Records that an endpoint has accepted a connection, so it is alive although none of its runs receives anything. */
   recordAcceptance (endpoint: RoutedEndpoint, now: number): void {
     const load = this.#loads.get(instanceKey(endpoint))
-    if (load !== undefined) load.lastAcceptedAt = now
+    if (load === undefined) return
+    load.lastAcceptedAt = now
+    load.heldUpBeforeLastAcceptance = this.#heldUpMilliseconds()
   }
 
   /** Removes incarnations that have not been used within the retention period. */
@@ -221,6 +232,11 @@
     }
   }
 
+  /** Part of a time in which the endpoint could be heard. */
+  #heardMilliseconds (milliseconds: number, heldUpBefore: number): number {
+    return Math.max(0, milliseconds - (this.#heldUpMilliseconds() - heldUpBefore))
+  }
+
   #recordDuration (milliseconds: number): void {
     this.#meanResponseMilliseconds += durationSmoothing * (milliseconds - this.#meanResponseMilliseconds)
   }
--- a/src/replica/tableFollower.ts
+++ b/src/replica/tableFollower.ts
@@ -4,7 +4,7 @@
  * connection, with a call that the store does not hold. While a relay delivers the changes, it asks only once the store has
  * not confirmed the table for too long.
  */
-import { type Clock, Ok, type Randomness, type Result } from '../contract/index.ts'
+import { type Clock, Ok, type Randomness, type Result, Wait } from '../contract/index.ts'
 import type { Log } from '../observe/index.ts'
 import { ConfirmationHop } from './confirmation.ts'
 import type { FeedFailure, TableChanges, TableFeed, TableSnapshot } from './contract.ts'
@@ -75,7 +75,7 @@
     if (this.#isIdle) return await this.#sleepIdle()
     if (control.areFeedsHeld && this.#replica.isKnown) return await control.sleepIdle()
     const step = this.#nextStep
-    const askedAt = clock.now()
+    const wait = new Wait(clock)
     const heldCalls = control.heldCalls
     const outcome = await this.#take(step)
     this.#hasAwaitedChanges ||= step === FeedStep.AwaitChanges
@@ -83,7 +83,7 @@
     // A call that a pause ended tells nothing of the connections, and renewed none.
     this.#mustRenew = heldCalls.aborted
     if (outcome.ok) await this.#handleChanges(step, outcome.val)
-    else await this.#handleFailure(step, outcome.val, clock.now() - askedAt)
+    else await this.#handleFailure(step, outcome.val, wait)
   }
 
   get #replica (): TableReplica {
@@ -113,21 +113,21 @@
     if (rows.length > 0) await clock.sleep(batchDelayMilliseconds, control.stopping)
   }
 
-  async #handleFailure (step: FeedStep, failure: FeedFailure, milliseconds: number): Promise<void> {
+  async #handleFailure (step: FeedStep, failure: FeedFailure, wait: Wait): Promise<void> {
     const { clock, control, randomness } = this.#options
     // A held call may have been sent over a silent connection, or ended by a pause; only the next one tells whether the feed fails.
     const isHeld = step === FeedStep.AwaitChanges
-    const wasLong = milliseconds >= maximumRetryDelayMilliseconds
+    const wasLong = clock.now() - wait.since >= maximumRetryDelayMilliseconds
     if (isHeld && (control.isPaused || wasLong)) return
-    if (!isHeld && !control.isPaused) this.#recordFailure(failure)
+    if (!isHeld && !control.isPaused) this.#recordFailure(failure, wait.heldUpMilliseconds)
     const delayMilliseconds = this.#retryDelayMilliseconds
     this.#retryDelayMilliseconds = Math.min(maximumRetryDelayMilliseconds, delayMilliseconds * 2)
     await clock.sleep(delayMilliseconds * (0.5 + randomness.fraction()), control.stopping)
   }
 
-  #recordFailure (failure: FeedFailure): void {
+  #recordFailure (failure: FeedFailure, heldUpMilliseconds: number): void {
     const { onFailing, state, table } = this.#options
-    if (state.recordFailure(table, failure, this.#replica.version)) onFailing()
+    if (state.recordFailure(table, failure, this.#replica.version, heldUpMilliseconds)) onFailing()
   }
 
   /** Whether nothing is to be asked now. */
