Count a crash once for a request that several gateways had sent to its endpoint

Callers saw: a sound, popular request that was at work at an endpoint when it crashed was answered 502, or 503 with request_blocked, although it had crashed nothing.

Cause: the sequence of crashes under a request took one crash once for each gateway that had sent the request there, if one gateway dates the crash before another sent its request. Two reports end the repeats of a request, three block it.

Evidence: test/requestBreaker.test.ts, "a crash counts once for a request that several gateways had sent ...", failed before: three reports of one crash refused the repeat.

Why it works: a crash that is in the sequence already is passed over, so that the sequence holds distinct crashes.

--- a/src/breaker/blame.ts
+++ b/src/breaker/blame.ts
@@ -173,6 +173,8 @@
   const byEnd = [...intervals].sort((left, right) => left.crash.crashedAt - right.crash.crashedAt)
   const sequence: ObservedCrash[] = []
   for (const interval of byEnd) {
+    // Several gateways may have sent a request to the endpoint that crashed.
+    if (sequence.includes(interval.crash)) continue
     const earlier = sequence.at(-1)
     const follows = earlier === undefined || interval.startedAt >= earlier.crashedAt || (depth === requestDepth && repeatMayFollow(interval, earlier))
     if (follows) sequence.push(interval.crash)
--- a/test/requestBreaker.test.ts
+++ b/test/requestBreaker.test.ts
@@ -120,6 +120,14 @@
   expect(blocked).toEqual(['poison'])
 })
 
+test('a crash counts once for a request that several gateways had sent, although one of them dates it before another sent its own', () => {
+  const { breaker } = createBreaker()
+  const report = (reporter: string, instance: string, at: number) => breaker.recordCrash({ instance, reporter, crashedAt: at, runs: [], requests: [suspect(sound, at - 60)] }, at)
+  for (const [index, reporter] of ['gateway-1', 'gateway-2', 'gateway-3'].entries()) report(reporter, 'endpoint-1', 1_000 + index * 70)
+  expect(breaker.mayRepeat(sound)).toBe(true)
+  expect(breaker.admit(sound, 1_140 + settled).ok).toBe(true)
+})
+
 test('an endpoint without incarnations counts once for each time that it crashes, whoever reports it', () => {
   const { breaker } = createBreaker()
   const report = (reporter: string, at: number, recurrence: number) => breaker.recordCrash({ instance: 'ledger@0', reporter, crashedAt: at, runs: [], requests: [suspect(kill, at - 50)], recurrence }, at)
