Count what other runs of an endpoint sent during a stall before a silent run is given up

Callers' streams were taken from a busy engine after a stall of this gateway's event loop: their run was given up for one at another engine, which read the prompt again, although the first engine had sent events for other streams meanwhile.

Cause: the gateway looked again at what had arrived only for the silent run itself. What other runs of its endpoint had received tells that the endpoint is not gone, and lay unread; their runs had taken it only after the decision, since all wait for the same input.

Change: after the input is read the runs take what is theirs, and the silence of run and endpoint is measured again before another run is begun.

Evidence: before, the test failed in 3 of 3 runs of a form with shorter times and in 1 of 1 of its present form (the log says run_given_up with endpointSilentMilliseconds 2); after, 3 of 3 of each passed. 8 files of tests on streams, silence and stalls pass (151 tests).

--- a/src/gateway/runHandover.ts
+++ b/src/gateway/runHandover.ts
@@ -63,15 +63,21 @@
 
   /**
    * Begins another run, if one is possible. After a stall of the event loop a run looks silent although its next event
-   * has arrived.
+   * has arrived, or one of another run of its endpoint, which shows that the endpoint is not gone.
    *
+   * @param isStillSilent whether the present run is to be given up once all that has arrived was read
    * @returns the event of the present run that had arrived; undefined if there was none
    */
-  async beginUnlessReceived (planned: PlannedHandover): Promise<ExchangeEvent | undefined> {
+  async beginUnlessReceived (planned: PlannedHandover, isStillSilent: () => boolean = () => true): Promise<ExchangeEvent | undefined> {
     if (!this.mayBegin(planned)) return undefined
+    const { exchange } = planned.present
     await untilInputIsRead(this.#request.dependencies.clock)
-    const event = planned.present.exchange.poll()
-    if (event === undefined) this.tryBegin(planned)
+    const arrived = exchange.poll()
+    if (arrived !== undefined) return arrived
+    // Other runs that have waited for the same input take theirs in this turn.
+    await new Promise(resolve => setImmediate(resolve))
+    const event = exchange.poll()
+    if (event === undefined && isStillSilent()) this.tryBegin(planned)
     return event
   }
 
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -253,10 +253,13 @@
     const { liveness } = request.dependencies
     const livenessMilliseconds = Math.min(liveness.checkMilliseconds, request.route.maximumEventGapMilliseconds * livenessGapShare)
     const waitingSince = request.now
-    for (let now = waitingSince; ; now = request.now) {
-      const millisecondsLeft = millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, waitingSince, now))
-      const arrived = millisecondsLeft <= 0 ? await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt)) : undefined
+    const millisecondsToGiveUp = () => millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, waitingSince, request.now))
+    for (;;) {
+      const isSilent = millisecondsToGiveUp() <= 0
+      const arrived = isSilent ? await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt), () => millisecondsToGiveUp() <= 0) : undefined
       if (arrived !== undefined) return arrived
+      const { now } = request
+      const millisecondsLeft = millisecondsToGiveUp()
       const millisecondsToCheck = millisecondsLeft - livenessMilliseconds
       if (hasRunStarted && millisecondsToCheck <= 0 && this.#handover.mayBegin(this.#plannedHandover(attempt))) liveness.check(attempt.endpoint)
       const nextLookMilliseconds = [millisecondsToCheck, millisecondsLeft].find(milliseconds => milliseconds > 0) ?? silenceCheckIntervalMilliseconds
--- a/test/fakes/manualClock.ts
+++ b/test/fakes/manualClock.ts
@@ -10,8 +10,8 @@
   readonly wake: () => void
 }
 
-/** Turns of the event loop after each step, enough for chains of promises to settle. */
-const settlingTurns = 3
+/** Turns of the event loop after each step, enough for chains of promises to settle; a look at what has arrived takes three. */
+const settlingTurns = 4
 
 export class ManualClock implements Clock {
   #now: number
--- a/test/gatewayStall.test.ts
+++ b/test/gatewayStall.test.ts
@@ -1,4 +1,7 @@
-import { afterEach, beforeEach, expect, test } from 'vitest'
+import type { ServerResponse } from 'node:http'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { Log } from '../src/observe/index.ts'
+import { configurationDocument } from '../platform/standin/index.ts'
 import { ForwarderHarness, formatEvent, waitUntil } from './fakes/forwarderWorld.ts'
 import { RawCaller, block, pause, requestHead } from './fakes/rawCaller.ts'
 
@@ -8,6 +11,9 @@
 const keepAliveBufferMilliseconds = 1_000
 /** Beyond the silence after which a run is abandoned, and within the deadline. */
 const stallMilliseconds = 800
+const longGapMilliseconds = 2_000
+/** Beyond the silence after which an endpoint is taken for gone under that gap, and within that of a run whose endpoint is not. */
+const longStallMilliseconds = 1_600
 const silentDeadlineMilliseconds = 500
 const silentCalls = 20
 
@@ -18,7 +24,10 @@
   harness.putConfiguration(1, { limits })
   host = await harness.startForwarder()
 })
-afterEach(async () => await harness.close())
+afterEach(async () => {
+  vi.restoreAllMocks()
+  await harness.close()
+})
 
 test.each([0, 300])('a request that has arrived on a kept connection is answered although its idle time ends in a stall of %i ms', async milliseconds => {
   await harness.startEndpoint('ledger')
@@ -58,6 +67,43 @@
   expect(engines.flatMap(({ received }) => received)).toHaveLength(1)
 })
 
+test('a silent run is not abandoned after a stall of the event loop while another run of its endpoint has sent something', async () => {
+  const lines = vi.spyOn(Log.prototype, 'info')
+  const hasLogged = (name: string, key: string, value: unknown) => lines.mock.calls.some(([event, fields]) => event === name && fields?.[key] === value)
+  const { routes } = configurationDocument(2)
+  harness.putConfiguration(2, { limits, routes: routes.map(route => ({ ...route, timeout_ms: 20_000, target_gap_ms: longGapMilliseconds })) })
+  await waitUntil(() => hasLogged('settings_installed', 'version', 2))
+  const responses: ServerResponse[] = []
+  const engine = await harness.startEndpoint('engines')
+  engine.handleWith((_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90 })
+    response.write(formatEvent(1))
+    responses.push(response)
+  })
+  await harness.waitUntilReady(host)
+  const callers = [await RawCaller.connect(host), await RawCaller.connect(host)]
+  for (const [index, caller] of callers.entries()) {
+    caller.write(requestHead('/query/1', { id: `run-${index}`, headers: 'token-usage: 10,10\r\nprefix-hash: a:10\r\n' }))
+    await waitUntil(() => caller.text.includes(formatEvent(1)))
+  }
+  const other = await harness.startEndpoint('engines')
+  const keepAlive = setInterval(() => { for (const response of responses) response.write(formatEvent(2)) }, 50)
+  await waitUntil(() => hasLogged('endpoint_known', 'endpoint', other.identity))
+  clearInterval(keepAlive)
+  for (const response of responses) response.write(formatEvent(3))
+  await waitUntil(() => callers.every(({ text }) => text.includes(formatEvent(3))))
+  await new Promise(resolve => setImmediate(resolve))
+  responses[1]!.end(formatEvent(4))
+  await new Promise<void>(resolve => process.nextTick(resolve))
+  block(longStallMilliseconds)
+  await pause(50)
+  responses[0]!.end(formatEvent(4))
+  await Promise.all(callers.map(caller => caller.until(1)))
+  expect(callers.map(({ statuses }) => statuses)).toEqual([[200], [200]])
+  expect(other.received).toEqual([])
+  for (const caller of callers) caller.close()
+})
+
 test('runs that are silent until their deadline do not count as broken off by their endpoint after a stall of the event loop', async () => {
   const ledger = await harness.startEndpoint('ledger')
   ledger.handleWith(() => undefined)
