Measure an endpoint's retry time between the requests that it received

The test failed on a busy machine: it looked for 1.2 s, in rounds of ten calls, and a round that began before 1.2 s ended after the retry time of 1.5 s, when the endpoint rightly gets requests again.

The test now calls until the endpoint gets its next request, and compares the times at which the endpoint received the two. That holds however long a round takes, and is stricter: the whole retry time is checked, now 3 s, and that every request ran once but for the refused run.

--- a/test/endpointAnnouncements.test.ts
+++ b/test/endpointAnnouncements.test.ts
@@ -97,24 +97,26 @@
 }, 30_000)
 
 test('an endpoint that refuses with a retry time gets no request until then, and its work goes to another', async () => {
+  const retryMilliseconds = 3_000
   const overloaded = await harness.startEndpoint('ledger')
   const other = await harness.startEndpoint('ledger')
-  overloaded.handleWith(overloadedFor('1.5'))
+  overloaded.handleWith(overloadedFor(String(retryMilliseconds / 1_000)))
   const host = await startReadyForwarder()
-  await callUntilReached(host, overloaded, '/balance/1')
-  const refusedAt = performance.now()
-  const received = overloaded.received.length
-  while (performance.now() - refusedAt < 1_200) {
-    const calls = await Promise.all(Array.from({ length: 10 }, () => harness.call(host, '/balance/2')))
-    expect(calls.map(call => call.status)).toEqual(Array.from({ length: 10 }, () => 200))
+  let sent = 0
+  const callUntil = async (received: number, callsAtOnce: number) => {
+    for (; overloaded.received.length < received; sent += callsAtOnce) {
+      const calls = await Promise.all(Array.from({ length: callsAtOnce }, () => harness.call(host, '/balance/1')))
+      expect(calls.map(call => call.status)).toEqual(calls.map(() => 200))
+    }
   }
-  expect(overloaded.received.length).toBe(received)
-  expect(other.received.length).toBeGreaterThan(10)
+  await callUntil(1, 1)
   overloaded.handleWith((_request, response) => { response.end('done') })
-  await waitUntil(async () => {
-    await harness.call(host, '/balance/3')
-    return overloaded.received.length > received
-  })
+  await callUntil(2, 10)
+  const [refused, next] = overloaded.received
+  expect(next!.at - refused!.at).toBeGreaterThanOrEqual(retryMilliseconds)
+  expect(other.received.length).toBeGreaterThan(10)
+  // Only the refused run was repeated.
+  expect(other.received.length + overloaded.received.length).toBe(sent + 1)
 }, 30_000)
 
 test('when every endpoint wants no requests, callers are refused at once and told when the first wants some again', async () => {
