Wait until both gateways have blocked a request, in place of 0.6 s

The test waited 0.6 s after the third crash and then expected both gateways to refuse. A crash is judged 0.3 s after it was seen, and its news takes its way; on a busy machine the second gateway had not judged it, sent the request on, and its caller got 502 in place of 503.

The test now waits until each gateway has logged its block, 500 looks of 20 ms at most, and checks what it checked.

--- a/test/killingRequestKinds.test.ts
+++ b/test/killingRequestKinds.test.ts
@@ -1,17 +1,22 @@
-import { afterEach, beforeEach, expect, test } from 'vitest'
-import { CrashingEndpoints, sleep } from './fakes/crashingEndpoints.ts'
+import { type MockInstance, afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { Log } from '../src/observe/index.ts'
+import { CrashingEndpoints } from './fakes/crashingEndpoints.ts'
 import { type CallOptions, type ClientResponse, ForwarderHarness, waitUntil } from './fakes/forwarderWorld.ts'
 
 let harness: ForwarderHarness
 let endpoints: CrashingEndpoints
 let hosts: string[]
-beforeEach(async () => { harness = await ForwarderHarness.start() })
+let warnings: MockInstance<Log['warn']>
+beforeEach(async () => {
+  warnings = vi.spyOn(Log.prototype, 'warn')
+  harness = await ForwarderHarness.start()
+})
 afterEach(async () => {
   endpoints.end()
   await harness.close()
+  vi.restoreAllMocks()
 })
 
-const judgedMilliseconds = 600
 const streamHeaders = { model: 'small', 'token-usage': '600,100', 'prefix-hash': 'a1:400,f1:50', 'deadline-ms': '2000' }
 
 async function startGateways (service: 'ledger' | 'engines', holds: (path: string) => boolean = () => false): Promise<void> {
@@ -23,11 +28,14 @@
   for (const host of hosts) await harness.waitUntilReady(host)
 }
 
-/** Sends a request to one gateway after the other until three endpoints have crashed and that is judged; the responses. */
+/** The gateways that have blocked a request, each of which has a log of its own. */
+const blockingGateways = () => new Set(warnings.mock.contexts.filter((_log, call) => warnings.mock.calls[call]![0] === 'request_blocked')).size
+
+/** Sends a request to one gateway after the other until three endpoints have crashed and all gateways have judged that; the responses. */
 async function crashThree (path: string, options: (index: number) => CallOptions): Promise<readonly ClientResponse[]> {
   const responses: ClientResponse[] = []
   while (endpoints.crashTimes.length < 3) responses.push(await harness.call(hosts[responses.length % 2]!, path, options(responses.length)))
-  await sleep(judgedMilliseconds)
+  await waitUntil(() => blockingGateways() === hosts.length)
   return responses
 }
 
