Let the silence before a stall begin with the stall in the test of a run whose next event has arrived

The test's engine waited 200 ms before its second event and the stall. On a busy machine that pause may take longer than the silence after which a run is rightly abandoned, and the event then finds its connection closed (wasHandedOver false).

The engine now sends its second event once the caller has the first, so that the run's silence is the stall, which takes 1 s in place of 0.8 s after a pause of 0.2 s. The caller's answer is checked whole.

--- a/test/gatewayStall.test.ts
+++ b/test/gatewayStall.test.ts
@@ -10,7 +10,7 @@
 /** Node.js keeps a connection for so much longer than it announces. */
 const keepAliveBufferMilliseconds = 1_000
 /** Beyond the silence after which a run is abandoned, and within the deadline. */
-const stallMilliseconds = 800
+const stallMilliseconds = 1_000
 const longGapMilliseconds = 2_000
 /** Beyond the silence after which an endpoint is taken for gone under that gap, and within that of a run whose endpoint is not. */
 const longStallMilliseconds = 1_600
@@ -46,12 +46,14 @@
 
 test('a run whose next event has arrived is not abandoned as silent after a stall of the event loop', async () => {
   const engines = [await harness.startEndpoint('engines'), await harness.startEndpoint('engines')]
+  const caller = await RawCaller.connect(host)
   let wasHandedOver: boolean | undefined
   for (const engine of engines) {
     engine.handleWith(async (_request, response) => {
       response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90 })
       response.write(formatEvent(1))
-      await pause(200)
+      // The run's silence begins with the stall.
+      await waitUntil(() => caller.text.includes(formatEvent(1)))
       await new Promise(resolve => setImmediate(resolve))
       response.end(formatEvent(2))
       // Node.js hands the event to the kernel in the next tick.
@@ -61,10 +63,13 @@
     })
   }
   await harness.waitUntilReady(host)
-  const response = await harness.call(host, '/query/1', { headers: { 'deadline-ms': '15000', 'token-usage': '10,10', 'prefix-hash': 'a:10' } })
+  caller.write(requestHead('/query/1', { id: 'stalled', headers: 'token-usage: 10,10\r\nprefix-hash: a:10\r\n' }))
+  await caller.until(1)
   expect(wasHandedOver).toBe(true)
-  expect(response.isComplete).toBe(true)
+  expect(caller.text).toContain(formatEvent(2))
+  expect(caller.statuses).toEqual([200])
   expect(engines.flatMap(({ received }) => received)).toHaveLength(1)
+  caller.close()
 })
 
 test('a silent run is not abandoned after a stall of the event loop while another run of its endpoint has sent something', async () => {
