Let the test end its streams in the test of a silent run during a planned stop

The test's streams took 30 pauses of 50 ms and 1.2 s of silence, 2.7 s of the 3.1 s before a stop of 4 s cuts what runs. On a busy machine the pauses grow, and the stop rightly cut the streams.

The streams now last until the test has seen three times the largest gap pass in the stop, and the grace is 15 s; both must be whole, and no third run may begin. While a stopping gateway gives such runs up (a trial) it fails: "expected 3 to be 2".

--- a/test/gatewayStopTimes.test.ts
+++ b/test/gatewayStopTimes.test.ts
@@ -12,6 +12,9 @@
 /** Longer than a test waits for a state, so that the end of the stop is not taken for it. */
 const longGraceSeconds = 15
 
+/** Of a stream that is whole. */
+const lastEventId = 9_999
+
 let harness: ForwarderHarness
 let callers: RawCaller[]
 beforeEach(async () => {
@@ -103,7 +106,9 @@
 
 test('a planned stop does not give up a stream\'s silent run before another endpoint has taken it over', async () => {
   const engines = [await harness.startEndpoint('engines'), await harness.startEndpoint('engines')]
-  const [silentMilliseconds, eventMilliseconds] = [1_200, 50]
+  const gapMilliseconds = 800
+  const silentMilliseconds = 3 * gapMilliseconds
+  const silence = { isOver: false }
   let streams = 0
   let busy: string | undefined
   for (const engine of engines) {
@@ -113,15 +118,14 @@
       if (engine.identity !== busy) return response.writeHead(503, { 'not-executed': '1' }).end() as never
       const isPreempted = streams++ === 0
       response.writeHead(200, { 'content-type': 'text/event-stream', confidence: 90 })
-      for (let id = 1; id <= 30; id++) {
-        response.write(formatEvent(id))
-        await pause(isPreempted && id === 2 ? silentMilliseconds : eventMilliseconds)
-      }
-      response.end()
+      let id = 1
+      response.write(formatEvent(id++))
+      for (; !silence.isOver; await pause(20)) if (!isPreempted) response.write(formatEvent(id++))
+      response.end(formatEvent(id) + formatEvent(lastEventId))
     })
   }
-  harness.putConfiguration(1, { routes: [{ name: 'query', hostname: 'desk.example', prefix: '/query/', route_type: 'streaming', timeout_ms: 9_000, target_latency_ms: 400, target_gap_ms: 400, priority: 1, max_attempts: 3, resumable: true, public: false, backend: 'engines' }] })
-  const host = await harness.startForwarder({ graceSeconds })
+  harness.putConfiguration(1, { routes: [{ name: 'query', hostname: 'desk.example', prefix: '/query/', route_type: 'streaming', timeout_ms: 9_000, target_latency_ms: 400, target_gap_ms: gapMilliseconds, priority: 1, max_attempts: 3, resumable: true, public: false, backend: 'engines' }] })
+  const host = await harness.startForwarder({ graceSeconds: longGraceSeconds })
   await harness.waitUntilReady(host)
   const ask = () => harness.call(host, '/query/1', { headers: { 'token-usage': '10,10', 'prefix-hash': 'a1:10', 'deadline-ms': '8000' } })
   const answers = [ask()]
@@ -129,7 +133,10 @@
   answers.push(ask())
   await waitUntil(() => streams === 2)
   const stopped = harness.stopForwarder(host)
+  await pause(silentMilliseconds)
+  silence.isOver = true
   const ends = await Promise.all(answers)
-  expect(ends.map(({ isComplete, body }) => ({ isComplete, events: body.match(/^id: /gm)?.length }))).toEqual(ends.map(() => ({ isComplete: true, events: 30 })))
+  expect(ends.map(({ isComplete, body }) => ({ isComplete, isWhole: body.endsWith(formatEvent(lastEventId)) }))).toEqual(ends.map(() => ({ isComplete: true, isWhole: true })))
+  expect(streams).toBe(2)
   await stopped
 })
