Let no connection of an endpoint take more than its part of a turn

Cause: Node.js reads a connection up to 32 times in a row before it turns to another one, and each chunk of some bytes costs a call of the parser, a promise and a write to the caller. Pausing made it worse: the HTTP client takes all that a socket holds, puts back what it does not parse, and Node.js then reads more, so that what is copied at each pause grows without bound.

Fix: an exchange pauses its connection after 128 pieces or 256 KiB until the event loop has polled once more. Pieces that have arrived are read as one, so that the caller gets one write for them. A socket is read in parts of 8 KiB, so that little is put back.

--- a/src/endpoint/connections.ts
+++ b/src/endpoint/connections.ts
@@ -47,6 +47,10 @@
 }
 
 const noBytes: Buffer = Buffer.alloc(0)
+/** What is read of a connection before its exchange may pause it. What then is left is put back, which must not be much. */
+const readBytes = 8 * 1024
+/** What follows the end of a response is looked at no further. */
+const maximumBytesBehind = 16 * 1024
 const defaultKeepAliveTimeoutMilliseconds = 4_000
 
 /** Connections of one client to its endpoints. */
@@ -109,6 +113,7 @@
   #isFailing = false
   /** The HTTP client parses what it has read before it reads again, so one read is kept for all connections. */
   #lastRead: Buffer = noBytes
+  #peek: () => Buffer = () => noBytes
 
   constructor (options: ConnectionOptions) {
     this.#options = options
@@ -121,7 +126,8 @@
   bytesBehind (bytes: Buffer): Buffer {
     const read = this.#lastRead
     if (bytes.buffer !== read.buffer) return noBytes
-    return read.subarray(bytes.byteOffset + bytes.length - read.byteOffset)
+    const behind = read.subarray(bytes.byteOffset + bytes.length - read.byteOffset)
+    return Buffer.concat([behind, this.#peek()])
   }
 
   createPool (address: string): ConnectionPool {
@@ -146,10 +152,28 @@
     socket.on('error', () => this.#markFailing())
     // A reset that arrives together with data is reported as an orderly end, but a connection that was reset has no peer.
     socket.on('end', () => { if (socket.remoteAddress === undefined) this.#markFailing() })
+    this.#readInParts(socket)
+  }
+
+  /**
+   * Makes the HTTP client read a connection in small parts. It would otherwise take all that has arrived, put back what
+   * it does not parse when it is paused, and let Node.js read more each time, as if nothing were waiting.
+   */
+  #readInParts (socket: Socket): void {
     const read = socket.read.bind(socket)
+    const readAtMost = (size: number): unknown => read(socket.readableLength > size ? size : undefined)
+    const peek = () => {
+      const bytes = readAtMost(maximumBytesBehind)
+      if (!Buffer.isBuffer(bytes)) return noBytes
+      socket.unshift(bytes)
+      return bytes
+    }
     socket.read = size => {
-      const bytes: unknown = read(size)
-      if (Buffer.isBuffer(bytes)) this.#lastRead = bytes
+      // Node.js itself reads nothing, to have more read.
+      const bytes = size === undefined ? readAtMost(readBytes) : read(size)
+      if (!Buffer.isBuffer(bytes)) return bytes
+      this.#lastRead = bytes
+      this.#peek = peek
       return bytes
     }
   }
--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -10,6 +10,9 @@
  *
  * Backpressure: unread bytes are bounded; the socket is paused above the bound.
  *
+ * Fairness: after a bounded number of bytes and of pieces of a response, the socket is paused until the event loop has
+ * read other input. Node.js would otherwise read and parse up to 2 MB of one connection before that of any other one.
+ *
  * One response: the exchange fails before it hands on the head of another response of the same attempt, which an
  * endpoint may send behind a response that stopped in the middle of its body.
  *
@@ -60,6 +63,11 @@
 /** Unread bytes above which the socket is paused. */
 export const maximumBufferedBytes = 64 * 1024
 
+/** Bytes of a response after which other input is read. */
+export const maximumTurnBytes = 256 * 1024
+/** Pieces of a response after which other input is read: each costs some microseconds, however small it is. */
+export const maximumTurnPieces = 128
+
 /** A connection is closed once more than this was read of a response that is discarded. */
 export const maximumDiscardedBytes = 64 * 1024
 /** A connection is closed if a response that is discarded has not ended within this time. */
@@ -81,6 +89,9 @@
   #wakeReader: (() => void) | undefined
   #isDiscarding = false
   #discardedBytes = 0
+  #turnBytes = 0
+  #turnPieces = 0
+  #isYielding = false
   #cancelDiscardLimit: () => void = () => undefined
 
   constructor (options: ExchangeOptions) {
@@ -145,9 +156,9 @@
     })
   }
 
-  /** Returns the next event like `next`; undefined if there is none yet. */
+  /** Returns the next event like `next`; undefined if there is none yet. Pieces of data that have arrived are one event. */
   poll (): ExchangeEvent | undefined {
-    const event = this.#events.shift() ?? this.#finalEvent
+    const event = this.#takeEvent() ?? this.#finalEvent
     return event === undefined ? undefined : this.#consume(event)
   }
 
@@ -174,7 +185,7 @@
     if (this.#finalEvent !== undefined || this.#isDiscarding) return
     this.#isDiscarding = true
     this.#cancelDiscardLimit = this.#options.clock.schedule(maximumDiscardMilliseconds, () => this.abort('the response did not end in time when it was discarded'))
-    if (this.#controller?.paused === true) this.#controller.resume()
+    this.#resume()
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
@@ -197,6 +208,7 @@
   }
 
   onResponseData (controller: Dispatcher.DispatchController, bytes: Buffer): void {
+    this.#yieldAfter(controller, bytes.length)
     if (this.#isDiscarding) return this.#discard(bytes)
     this.#lastActivityAt = this.#options.clock.now()
     if (this.#secondHead?.push(bytes) === true) return this.abort(secondHeadReason)
@@ -221,14 +233,46 @@
     if (this.#discardedBytes > maximumDiscardedBytes) this.abort('the response is too long to be discarded')
   }
 
+  /** Pauses the connection once it has had its part of a turn of the event loop, and resumes it after the next poll for input. */
+  #yieldAfter (controller: Dispatcher.DispatchController, byteCount: number): void {
+    this.#turnBytes += byteCount
+    this.#turnPieces++
+    if (this.#isYielding || (this.#turnBytes < maximumTurnBytes && this.#turnPieces < maximumTurnPieces)) return
+    this.#isYielding = true
+    controller.pause()
+    setImmediate(() => this.#endYield())
+  }
+
+  #endYield (): void {
+    this.#isYielding = false
+    this.#turnBytes = 0
+    this.#turnPieces = 0
+    this.#resume()
+  }
+
+  /** Resumes a paused connection, unless other input is to be read first or what has arrived of it is to be consumed. */
+  #resume (): void {
+    if (this.#finalEvent !== undefined || this.#isYielding || this.#controller?.paused !== true || this.#bufferedBytes > maximumBufferedBytes / 2) return
+    this.#lastActivityAt = this.#options.clock.now()
+    this.#controller.resume()
+  }
+
+  #takeEvent (): ExchangeEvent | undefined {
+    const first = this.#events.shift()
+    if (first?.type !== 'data' || this.#events[0]?.type !== 'data') return first
+    const pieces = [first.bytes]
+    for (let next = this.#events[0]; next?.type === 'data'; next = this.#events[0]) {
+      pieces.push(next.bytes)
+      this.#events.shift()
+    }
+    return { type: 'data', bytes: Buffer.concat(pieces) }
+  }
+
   #consume (event: ExchangeEvent): ExchangeEvent {
     if (event.type !== 'data') return event
     this.#bufferedBytes -= event.bytes.length
     invariant(this.#bufferedBytes >= 0, 'buffered bytes are counted', () => ({ bufferedBytes: this.#bufferedBytes }))
-    if (this.#controller?.paused === true && this.#bufferedBytes <= maximumBufferedBytes / 2) {
-      this.#lastActivityAt = this.#options.clock.now()
-      this.#controller.resume()
-    }
+    this.#resume()
     return event
   }
 
