End a stream whose events can be no answer

Cause: nothing compared what a run sends with what its request asked for.

Fix: a run fails as its endpoint's fault if an event id does not rise above the one before (numbers; of other ids only the same again), or if it sends more than 1,000 + 4 events a token, or 1 MiB + 16 KiB a token, of what the request names with its model. The log line stream_is_no_answer says why; the caller's response breaks off or another run goes on.

test/eventSplitter.test.ts asserts all ids in the place of the last one.

--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -7,7 +7,7 @@
  */
 
 const blankLinePattern = /\n\r?\n/g
-const idField = 'id:'
+const idPattern = /(?<![^\n])id:([^\n]*)/g
 /** One less than the longest blank line with the line break before it. */
 const maximumTailLength = 2
 
@@ -16,8 +16,8 @@
   /** Their bytes as latin1 text. */
   readonly text: string
   readonly count: number
-  /** The ID of the last event that has one. */
-  readonly lastEventId: string | undefined
+  /** The IDs of the events that have one. */
+  readonly ids: readonly string[]
 }
 
 /**
@@ -53,7 +53,7 @@
     this.#pendingBytes = 0
     this.#tail = ''
     this.#keep(received.slice(end))
-    return { text, count: countEvents(text), lastEventId: lastEventIdIn(text) }
+    return { text, count: countEvents(text), ids: idsIn(text) }
   }
 
   #keep (piece: string): void {
@@ -79,9 +79,7 @@
   return text.match(blankLinePattern)?.length ?? 0
 }
 
-function lastEventIdIn (text: string): string | undefined {
-  const lineBreak = text.lastIndexOf(`\n${idField}`)
-  if (lineBreak < 0 && !text.startsWith(idField)) return undefined
-  const start = lineBreak + 1 + idField.length
-  return text.slice(start, text.indexOf('\n', start)).trim()
+/** An empty ID is none. */
+function idsIn (text: string): readonly string[] {
+  return Array.from(text.matchAll(idPattern), ([, id = '']) => id.trim()).filter(id => id !== '')
 }
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -16,6 +16,7 @@
 import { ModelChoice } from './modelChoice.ts'
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
+import { RunBounds } from './runBounds.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
 import { waitForDrain } from './responseDrain.ts'
 import { startRun } from './runStart.ts'
@@ -53,7 +54,8 @@
   readonly #events: EventStreamResponse
   readonly #choice: ModelChoice
   readonly #handover: RunHandover
-  #lastEventId: string | undefined
+  /** ID of the last event that was passed on; undefined before. */
+  #lastRelayedId: string | undefined
   #hasResponseStarted = false
   #mayHaveRun = false
   #failedResponse: CompleteResponse | undefined
@@ -61,7 +63,6 @@
   constructor (request: ForwardedRequest) {
     this.#request = request
     this.#events = new EventStreamResponse(request.callerResponse.response)
-    this.#lastEventId = request.head.lastEventId
     this.#choice = new ModelChoice(request)
     this.#handover = new RunHandover(request)
   }
@@ -86,6 +87,11 @@
     this.#endUnanswered(isFull)
   }
 
+  /** ID of the last event that the caller has received. */
+  get #lastEventId (): string | undefined {
+    return this.#lastRelayedId ?? this.#request.head.lastEventId
+  }
+
   /** Starts a run at an endpoint; undefined if none is possible. */
   async #start (): Promise<OpenAttempt | undefined> {
     return await startRun(this.#request, {
@@ -160,6 +166,8 @@
   async #relay (attempt: OpenAttempt, reader: DeadlineReader, headers: IncomingHttpHeaders): Promise<RunOutcome> {
     const request = this.#request
     const splitter = new EventSplitter()
+    // After which event a caller resumes is its own statement, and nothing against an endpoint.
+    const bounds = new RunBounds(request.head, this.#lastRelayedId)
     request.callerResponse.recordFrames(headers, takesChunks(request.callerResponse.response) ? ResponseFrame.Chunks : ResponseFrame.Length)
     let hasRunStarted = false
     for (let waitedSince = request.now; ;) {
@@ -171,6 +179,8 @@
       if (splitter.pendingBytes > maximumEventBytes) return this.#failRun(attempt, 'event too large')
       if (!request.holding.trySetAnswer(splitter.pendingBytes + this.#events.heldBytes)) return this.#failRun(attempt, noMemoryReason, AttemptEnd.Cancelled)
       if (events === undefined) continue
+      const fault = bounds.faultOf(events)
+      if (fault !== undefined) return this.#rejectRun(attempt, fault)
       const now = request.now
       if (hasRunStarted) this.#recordEvents(attempt, events.count, now - waitedSince)
       else this.#recordResponseStart(attempt, events.count)
@@ -179,7 +189,7 @@
       attempt.run.recordOutput(now)
       request.sendWindow.recordStreamStart(attempt.startedAt)
       this.#startResponse(headers)
-      this.#lastEventId = events.lastEventId ?? this.#lastEventId
+      this.#lastRelayedId = events.ids.at(-1) ?? this.#lastRelayedId
       request.callerResponse.recordEvents(events.count)
       request.callerResponse.recordBytes(events.text.length)
       const isTaken = this.#events.write(events.text)
@@ -303,6 +313,13 @@
     return attempt.exchange.mayHaveSent ? RunOutcome.Broken : RunOutcome.Unsent
   }
 
+  #rejectRun (attempt: OpenAttempt, reason: string): RunOutcome {
+    const { dependencies, head, service } = this.#request
+    const { address, identity } = attempt.endpoint
+    dependencies.log.warn('stream_is_no_answer', { endpoint: identity, address, service, request: head.attemptId, reason, after: this.#lastEventId })
+    return this.#failRun(attempt, reason)
+  }
+
   #describe (reason: string): string {
     return `${reason}, after ${this.#lastEventId ?? 'nothing'}`
   }
--- a/test/eventSplitter.test.ts
+++ b/test/eventSplitter.test.ts
@@ -10,19 +10,19 @@
   const splitter = new EventSplitter()
   expect(push(splitter, 'id: 1\ndata: a\n')).toBeUndefined()
   expect(splitter.pendingBytes).toBe(14)
-  expect(push(splitter, '\nid: 2\nda')).toEqual({ text: 'id: 1\ndata: a\n\n', count: 1, lastEventId: '1' })
-  expect(push(splitter, 'ta: b\n\ndata: c\n\n: rest')).toEqual({ text: 'id: 2\ndata: b\n\ndata: c\n\n', count: 2, lastEventId: '2' })
+  expect(push(splitter, '\nid: 2\nda')).toEqual({ text: 'id: 1\ndata: a\n\n', count: 1, ids: ['1'] })
+  expect(push(splitter, 'ta: b\n\ndata: c\n\n: rest')).toEqual({ text: 'id: 2\ndata: b\n\ndata: c\n\n', count: 2, ids: ['2'] })
   expect(splitter.pendingBytes).toBe(6)
 })
 
 test('events whose lines end with carriage return and line feed are split, and their ids have neither', () => {
   const splitter = new EventSplitter()
   expect(push(splitter, 'id: 7\r\ndata: a\r\n\r')).toBeUndefined()
-  expect(push(splitter, '\ndata: b\r\n\r\n')).toEqual({ text: 'id: 7\r\ndata: a\r\n\r\ndata: b\r\n\r\n', count: 2, lastEventId: '7' })
+  expect(push(splitter, '\ndata: b\r\n\r\n')).toEqual({ text: 'id: 7\r\ndata: a\r\n\r\ndata: b\r\n\r\n', count: 2, ids: ['7'] })
 })
 
 test('an id counts only at the start of a line', () => {
-  expect(push(new EventSplitter(), 'data: id: 3\nvoid: 4\n\n')?.lastEventId).toBeUndefined()
+  expect(push(new EventSplitter(), 'data: id: 3\nvoid: 4\n\n')?.ids).toEqual([])
 })
 
 test('bytes that are split within a character leave as they came', () => {
