End a response that arrives without end at its deadline

Cause: since a wait with a deadline reads what has arrived before it ends, more of such a body is always there, so that its deadline never comes. A stream whose next event was there did not look at its deadline either.

Fix: once the deadline has passed, only an end that was received is taken.

--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -145,6 +145,11 @@
     return this.#bufferedBytes
   }
 
+  /** The end or failure of the exchange, once nothing is left to be read before it. */
+  get finalEvent (): ExchangeEvent | undefined {
+    return this.#events.length === 0 ? this.#finalEvent : undefined
+  }
+
   /** Returns the next event. After an end or a failure it keeps returning that event. */
   next (): Promise<ExchangeEvent> {
     const event = this.poll()
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -148,7 +148,8 @@
     }
     request.holding.trySetAnswer(0)
     for (;;) {
-      const event = await withDeadline(request.dependencies.clock, request.deadline, attempt.exchange.next())
+      // What arrives without end would otherwise always be there when the deadline has come.
+      const event = request.now >= request.deadline ? attempt.exchange.finalEvent : await withDeadline(request.dependencies.clock, request.deadline, attempt.exchange.next())
       if (event?.type === 'data') {
         request.callerResponse.recordBytes(event.bytes.length)
         if (!response.write(event.bytes)) await request.holding.whileUnread(waitForDrain(response, request.callerAbort.signal))
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -263,6 +263,8 @@
     const { liveness } = request.dependencies
     const livenessMilliseconds = Math.min(liveness.checkMilliseconds, request.route.maximumEventGapMilliseconds * livenessGapShare)
     const waitingSince = request.now
+    // What arrives without end would otherwise always be there when the deadline has come.
+    if (hasRunStarted && waitingSince >= request.deadline) return attempt.exchange.finalEvent
     for (let now = waitingSince; ; now = request.now) {
       const millisecondsLeft = millisecondsToAbandonment(this.#silenceOf(attempt, hasRunStarted, waitingSince, now))
       const arrived = millisecondsLeft <= 0 ? await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt)) : undefined
