Blame no endpoint for an attempt that had no time to connect

What callers saw: an endpoint counted as unreachable, and got no requests for 1 s, because requests with a short deadline (10 ms) or a planned stop ended attempts whose connections were still being opened.

Cause: an attempt that ended before it was written counted as an endpoint that refuses connections, whatever had ended it.

Fix: an attempt that was never written and ends once the deadline has passed, or the time for sending in a stop, counts as cancelled.

--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -171,12 +171,14 @@
 
   /**
    * Classifies an attempt that ended without a response. An endpoint that broke off a request after
-   * accepting it is reachable, and so may one be that stayed silent; one that refused the connection is not.
+   * accepting it is reachable, and so may one be that stayed silent; one that refused the connection is not. An
+   * attempt that was still connecting when the time for it was over tells nothing.
    */
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
     if (this.#request.hasCallerLeft || attempt.isBlocked() || attempt.wasWithheld() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
     const wasLeftAlone = !attempt.exchange.mayHaveSent && this.#isLeftAlone(attempt.endpoint)
-    if (wasLeftAlone || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
+    const hadNoTime = !attempt.exchange.mayHaveSent && (this.#request.isPastDeadline || this.#request.sendWindow.isClosed)
+    if (wasLeftAlone || hadNoTime || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
     if (!attempt.exchange.mayHaveSent) return AttemptEnd.Lost
     return isSilent ? AttemptEnd.Silent : AttemptEnd.Failed
   }
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -88,6 +88,8 @@
   readonly clock = new ManualClock()
   readonly engines: readonly StreamEngine[]
   readonly lines: EndedLine[] = []
+  /** The planned stop of each gateway. */
+  readonly stops: PlannedStop[] = []
   readonly #gateways: readonly Forwarding[]
   readonly #registries: EndpointRegistry[] = []
   readonly #leaving = new Set<StreamEngine>()
@@ -134,6 +136,7 @@
     const { clock } = this
     const randomness = new SeededRandomness(seed)
     const log = new Log('info', {}, line => this.lines.push(JSON.parse(line)))
+    this.stops.push(new PlannedStop(clock))
     const [routing, registry, loads, announcedLimits, misdirected] = [new RoutingView(), new EndpointRegistry(), new EndpointLoads(), new AnnouncedLimits(), noMisdirected()]
     const limits = limitsOf(announcedLimits)
     const breaker = new PromptBreaker({ name: `gateway-${seed}`, onChange: () => undefined })
@@ -153,7 +156,7 @@
       limits,
       placeQueues: new PlaceQueues(clock),
       liveness: new EndpointLiveness({ probe: async () => ConnectionOutcome.Accepted, checkMilliseconds: connectTimeoutMilliseconds, loads, registry, clock }),
-      plannedStop: new PlannedStop(clock),
+      plannedStop: this.stops.at(-1)!,
       heldBytes: new HeldBytes({ maximumBytes: 100_000_000, clock }),
       heldAnswers: new HeldBytes({ maximumBytes: 100_000_000, clock }),
       modelCascade: new ModelCascade(),
