Open no connection for a request that is over

The HTTP client keeps a request that is aborted in its queue when it closes the connection, opens another one for it, and only then drops the request. The new connection lies idle until it is 4 s old.

Fix: a client opens no connection while all its requests have ended or failed.

--- a/src/httpClient/progressClient.ts
+++ b/src/httpClient/progressClient.ts
@@ -3,6 +3,7 @@
  * answer: an endless first line, chunk size or chunk extension, or preliminary answers one after the other. The
  * HTTP parser reads such bytes without keeping or reporting them, so they would keep the process busy until the
  * request's deadline. Response heads that are two read as one are rejected here as well, for all users of connections.
+ * No connection is opened for requests that are over: the library would open one for a request that was aborted.
  */
 import type { Socket } from 'node:net'
 import { Client, type Dispatcher, Pool, buildConnector } from 'undici'
@@ -22,16 +23,20 @@
     const progress = new ConnectionProgress()
     super(origin, {
       ...options,
-      connect: (target, callback) => connect(target, (...opened) => {
-        const [, socket] = opened
-        if (socket) progress.watch(socket)
-        callback(...opened)
-      })
+      connect: (target, callback) => {
+        if (progress.openRequests === 0) return callback(new Error('no request needs a connection'), null)
+        connect(target, (...opened) => {
+          const [, socket] = opened
+          if (socket) progress.watch(socket)
+          callback(...opened)
+        })
+      }
     })
     this.#progress = progress
   }
 
   override dispatch (options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+    this.#progress.openRequests++
     return super.dispatch(options, withProgress(handler, this.#progress))
   }
 }
@@ -48,6 +53,8 @@
 
 /** Compares what a connection has received with what the parser has reported. */
 class ConnectionProgress {
+  /** Requests that have neither ended nor failed. */
+  openRequests = 0
   #socket: Socket | undefined
   #reportedBytes = 0
 
@@ -71,7 +78,28 @@
  * throws. A pool hands over handlers of the library's older interface, a client those of the newer one.
  */
 function withProgress (handler: Dispatcher.DispatchHandler, progress: ConnectionProgress): Dispatcher.DispatchHandler {
+  let isOver = false
+  const recordEnd = () => {
+    if (!isOver) progress.openRequests--
+    isOver = true
+  }
   const replacements: Dispatcher.DispatchHandler = {
+    onComplete: trailers => {
+      recordEnd()
+      handler.onComplete?.(trailers)
+    },
+    onResponseEnd: (controller, trailers) => {
+      recordEnd()
+      handler.onResponseEnd?.(controller, trailers)
+    },
+    onError: error => {
+      recordEnd()
+      handler.onError?.(error)
+    },
+    onResponseError: (controller, error) => {
+      recordEnd()
+      handler.onResponseError?.(controller, error)
+    },
     onHeaders: (status, headers, resume, statusText) => {
       if (status < firstFinalStatus) return true
       progress.record()
