End a daemon's idempotent service call at its caller's deadline

What callers saw: a call of a daemon to a plain service had no answer as long as the service sent bytes, or for the inactivity timeout of its connection, however short its deadline was.

Cause: the call ended by the connection's inactivity alone.

Evidence: on the code before, the test "a call that may run again ends at its caller's deadline, although its service never does" does not end in 30 s.

--- a/src/entry/serviceRouter.ts
+++ b/src/entry/serviceRouter.ts
@@ -89,13 +89,14 @@
       const refusal = guard.refusal()
       if (refusal !== undefined) return Err(refusalAfter(delivery, refusal))
       const opened = this.#open(request, guard, endpoint.val)
-      const answer = await this.#send(request, endpoint.val, opened, always, signal)
+      const answer = await this.#sendUntilDeadline(request, endpoint.val, opened, signal)
       if (opened.gate.wasHeldBack) continue
       if (answer.ok) return await this.#bill(request, storedAnswerOf(answer.val))
       delivery = furtherDelivery(delivery, answer.val.delivery)
       excluded.add(endpoint.val.endpoint.name)
       const mayRetry = guard.mayRepeat && !signal.aborted && clock.now() < request.deadline && retries.tryTake(clock.now())
       if (mayRetry) continue
+      if (clock.now() >= request.deadline) return Err(refusalAfter(delivery, new Refusal(RefusalCode.DeadlineExceeded, RunState.NotRun, 'the deadline of the request has passed')))
       return Err(new Refusal(RefusalCode.EndpointFailed, runStateAfter(delivery), answer.val.reason, retryAfterSeconds))
     }
   }
@@ -211,6 +212,16 @@
     gate.close()
   }
 
+  /** A service may send bytes for longer than its caller waits. */
+  async #sendUntilDeadline (request: ServiceRequest, target: EndpointView, opened: OpenedCall, signal: AbortSignal) {
+    const { clock } = this.#dependencies
+    const overdue = new AbortController()
+    const cancel = clock.scheduleAfterInput(request.deadline - clock.now(), () => overdue.abort())
+    const answer = await this.#send(request, target, opened, always, AbortSignal.any([signal, overdue.signal]))
+    cancel()
+    return answer
+  }
+
   async #send (request: ServiceRequest, target: EndpointView, opened: OpenedCall, mayStillSend: () => boolean, signal: AbortSignal) {
     const span = this.#dependencies.tracer.startSpan('attempt', 'client', request.parent)
     span.setAttribute('endpoint', target.endpoint.name)
--- a/test/entry.test.ts
+++ b/test/entry.test.ts
@@ -1,8 +1,9 @@
 import { connect } from 'node:net'
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { Ok, Refusal, RefusalCode, RunState } from '../src/contract/index.ts'
+import { Ok, Refusal, RefusalCode, RunState, SystemClock } from '../src/contract/index.ts'
 import { TableFault } from './fakes/faultyTableService.ts'
 import { EntryHarness, guidesKey } from './fakes/entryWorld.ts'
+import { FakeServiceClient, ServiceFault } from './fakes/fakeServiceClient.ts'
 
 let harness: EntryHarness
 
@@ -182,3 +183,13 @@
   for (const run of [RunState.Ran, RunState.Unknown]) expect([408, 421, 429, 503]).not.toContain(new Refusal(code, run, 'refused').status)
   expect(new Refusal(code, RunState.NotRun, 'refused').status).toBe(code.status)
 })
+
+test('a call that may run again ends at its caller\'s deadline, although its service never does', async () => {
+  const services = new FakeServiceClient(new SystemClock())
+  services.script = () => ({ fault: ServiceFault.Hang })
+  const own = await EntryHarness.start(undefined, undefined, undefined, services)
+  const answer = await own.call('/v1/services/ledger/balances/deposit-7', { headers: { 'x-lavenderdoor-timeout-seconds': '0.3' } })
+  expect(await errorOf(answer)).toMatchObject({ code: 'deadline_exceeded', run: 'unknown' })
+  expect(services.runs).toHaveLength(1)
+  await own.close()
+})
