Test that blocks reach all gateways though all open links fall silent

What it guards: news of a third crash is sent over links that have just fallen silent without being closed. The comparison of digests with random peers each second brings it to all of 7 and of 91 gateways within the 4 s that the other tests of this file allow (virtual time, simulated links). The test passes on the code as it was: nothing had to be mended.

--- a/test/requestFleet.test.ts
+++ b/test/requestFleet.test.ts
@@ -49,6 +49,16 @@
   await fleet.stop()
 })
 
+test.each([7, 91])('a request that crashed three endpoints is known at all %i gateways in time, although all open links fell silent during the crashes', async size => {
+  const fleet = await startFleet(size)
+  await crashThrice(fleet, [0, Math.floor(size / 3)])
+  fleet.network.silenceConnections()
+  await crashThrice(fleet, [Math.floor(2 * size / 3)])
+  await fleet.clock.advance(knownEverywhereMilliseconds)
+  expect(unaware(fleet)).toEqual([])
+  await fleet.stop()
+}, 60_000)
+
 test('a gateway that starts after the crashes knows of the request at once', async () => {
   const fleet = await startFleet(7)
   await crashThrice(fleet, [0, 1, 2])
