--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -23,6 +23,8 @@
 /** The request that attempts are to answer. */
 export interface AttemptingRequest extends Omit<OpeningRequest, 'dependencies'>, Omit<GivenUpRequest, 'dependencies' | 'head' | 'selection'> {
   readonly dependencies: OpeningRequest['dependencies'] & GivenUpRequest['dependencies'] & Pick<ForwardingDependencies, 'announcements' | 'liveness' | 'registry' | 'retryBudget'>
+  /** Whether the time that the caller allows is over. */
+  readonly isPastDeadline: boolean
   /** Whether the prompt may be sent, after a number of runs at endpoints that have crashed. */
   isAdmitted (crashedRuns: number): boolean
 }
@@ -187,12 +189,14 @@
 
   /**
    * Classifies an attempt that ended without a response. An endpoint that broke off a request after
-   * accepting it is reachable, and so may one be that stayed silent; one that refused the connection is not.
+   * accepting it is reachable, and so may one be that stayed silent; one that refused the connection is not. An
+   * attempt that was still connecting when the time for it was over tells nothing.
    */
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
     if (this.#request.hasCallerLeft || attempt.isBlocked() || attempt.wasWithheld() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
     const wasLeftAlone = !attempt.exchange.mayHaveSent && this.#isLeftAlone(attempt.endpoint)
-    if (wasLeftAlone || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
+    const hadNoTime = !attempt.exchange.mayHaveSent && (this.#request.isPastDeadline || this.#request.sendWindow.isClosed)
+    if (wasLeftAlone || hadNoTime || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
     if (!attempt.exchange.mayHaveSent) return AttemptEnd.Lost
     return isSilent ? AttemptEnd.Silent : AttemptEnd.Failed
   }
