Count a stall as no time since an endpoint accepted a connection

Callers saw: a run at a busy endpoint that had just accepted a connection could be given up after a stall of the gateway.

Cause: the time since the acceptance was counted by the clock, while the silence it is compared with leaves stalls out.

Evidence: the lines that test/stallBlame.test.ts has in addition fail without the change (2,050 ms instead of 50).

Why it works: both times leave the time held up out.

--- a/src/placement/endpointLoads.ts
+++ b/src/placement/endpointLoads.ts
@@ -33,7 +33,7 @@
   recordResponseStart (now: number): void
   /** Milliseconds since the last byte was received from the endpoint, by any attempt, without those in which none could be; infinite if none was. */
   silentMilliseconds (now: number): number
-  /** Milliseconds since the endpoint was last seen to accept a connection; infinite if it never was. */
+  /** Milliseconds since the endpoint was last seen to accept a connection, without those in which it could not be; infinite if it never was. */
   unacceptedMilliseconds (now: number): number
   /** Time that requests wait at the endpoint before their turn, in milliseconds. */
   waitMilliseconds (now: number): number
@@ -61,6 +61,7 @@
   lastByteAt = Number.NEGATIVE_INFINITY
   heldUpBeforeLastByte = 0
   lastAcceptedAt = Number.NEGATIVE_INFINITY
+  heldUpBeforeLastAcceptance = 0
   lastUsedAt = Number.NEGATIVE_INFINITY
   #waitMilliseconds = 0
   #waitSeenAt = Number.NEGATIVE_INFINITY
@@ -129,8 +130,8 @@
         load.workMilliseconds -= work.prefillMilliseconds
         remainingMilliseconds -= work.prefillMilliseconds
       },
-      silentMilliseconds: at => Math.max(0, at - load.lastByteAt - (this.#heldUpMilliseconds() - load.heldUpBeforeLastByte)),
-      unacceptedMilliseconds: at => at - load.lastAcceptedAt,
+      silentMilliseconds: at => this.#heardMilliseconds(at - load.lastByteAt, load.heldUpBeforeLastByte),
+      unacceptedMilliseconds: at => this.#heardMilliseconds(at - load.lastAcceptedAt, load.heldUpBeforeLastAcceptance),
       waitMilliseconds: at => load.waitMillisecondsAt(at),
       close: (end, at) => {
         if (!isOpen) return
@@ -219,7 +220,9 @@
   /** Records that an endpoint has accepted a connection, so it is alive although none of its runs receives anything. */
   recordAcceptance (endpoint: RoutedEndpoint, now: number): void {
     const load = this.#loads.get(instanceKey(endpoint))
-    if (load !== undefined) load.lastAcceptedAt = now
+    if (load === undefined) return
+    load.lastAcceptedAt = now
+    load.heldUpBeforeLastAcceptance = this.#heldUpMilliseconds()
   }
 
   /** Removes incarnations that have not been used within the retention period. */
@@ -229,6 +232,11 @@
     }
   }
 
+  /** Part of a time in which the endpoint could be heard. */
+  #heardMilliseconds (milliseconds: number, heldUpBefore: number): number {
+    return Math.max(0, milliseconds - (this.#heldUpMilliseconds() - heldUpBefore))
+  }
+
   #recordDuration (milliseconds: number): void {
     this.#meanResponseMilliseconds += durationSmoothing * (milliseconds - this.#meanResponseMilliseconds)
   }
--- a/test/stallBlame.test.ts
+++ b/test/stallBlame.test.ts
@@ -82,4 +82,7 @@
   expect(tracker.waitMilliseconds(1_000)).toBeLessThanOrEqual(100)
   heldUpMilliseconds = 2_900
   expect(tracker.silentMilliseconds(3_100)).toBe(100)
+  loads.recordAcceptance(endpoint, 3_100)
+  heldUpMilliseconds = 4_900
+  expect(tracker.unacceptedMilliseconds(5_150)).toBe(50)
 })
