Blame no endpoint for a caller that leaves a long answer or reads it too late

Callers saw: after one caller had left in the middle of an answer over 256 KB, or had read it too slowly, its endpoint got no requests for a second or more.

Cause: whatever ended the passing on of a long answer counted as an unreachable endpoint.

Why it works: such ends are told apart in the same way as those of other attempts, and at the deadline it counts whether the caller had yet to read.

--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -148,7 +148,11 @@
       response.write(chunk)
     }
     request.holding.trySetAnswer(0)
-    const cancelDeadline = request.dependencies.clock.scheduleAfterInput(request.deadline - request.now, () => attempt.exchange.abort(overdueReason))
+    let isCallerLate = false
+    const cancelDeadline = request.dependencies.clock.scheduleAfterInput(request.deadline - request.now, () => {
+      isCallerLate = response.writableNeedDrain
+      attempt.exchange.abort(overdueReason)
+    })
     for (;;) {
       const event = await attempt.exchange.next()
       if (event.type === 'data') {
@@ -163,15 +167,20 @@
         response.end()
         request.callerResponse.recordDelivery(status)
       } else {
-        const isOverdue = event.type === 'failure' && event.reason === overdueReason
         attempt.exchange.abort('response broke off')
-        request.attempts.finish(attempt, isOverdue ? AttemptEnd.Silent : AttemptEnd.Lost, 'broke off')
+        request.attempts.finish(attempt, isCallerLate ? AttemptEnd.Cancelled : this.#endOfBrokenRelay(attempt, event), 'broke off')
         request.callerResponse.abort('answer_broke_off')
       }
       return { type: 'relayed' }
     }
   }
 
+  #endOfBrokenRelay (attempt: OpenAttempt, event: ExchangeEvent): AttemptEnd {
+    const isOverdue = event.type === 'failure' && event.reason === overdueReason
+    const end = this.#request.attempts.endWithoutResponse(attempt, isOverdue)
+    return end === AttemptEnd.Failed ? AttemptEnd.Lost : end
+  }
+
   /** Returns the next event; undefined if the deadline has passed. A silent idempotent run may be given up meanwhile. */
   async #nextEvent (attempt: OpenAttempt, reader: DeadlineReader): Promise<ExchangeEvent | undefined> {
     const request = this.#request
--- a/test/gatewayStall.test.ts
+++ b/test/gatewayStall.test.ts
@@ -12,6 +12,8 @@
 const silentCalls = 20
 /** Longer than what is held of an answer before it is passed on. */
 const longAnswerBytes = 300_000
+/** More than gateway and kernel take for a caller that does not read. */
+const unreadAnswerBytes = 40_000_000
 
 let harness: ForwarderHarness
 let host: string
@@ -82,6 +84,24 @@
   expect(metrics).toContain('lavenderdoor_forward_attempts_total{service="ledger",end="silent"} 1\n')
 })
 
+test.each([
+  ['leaves', 20_000, (caller: RawCaller) => caller.close()],
+  ['reads it too late', silentDeadlineMilliseconds, (caller: RawCaller) => caller.resume()]
+])('an endpoint does not count as unreachable or silent since the caller of its long answer %s', async (_name, deadlineMilliseconds, act) => {
+  const ledger = await harness.startEndpoint('ledger')
+  ledger.handleWith((_request, response) => { response.end('x'.repeat(unreadAnswerBytes)) })
+  await harness.waitUntilReady(host)
+  const caller = await RawCaller.connect(host)
+  caller.pause()
+  caller.write(requestHead('/balance/1', { id: 'unread', timeoutMilliseconds: deadlineMilliseconds }))
+  await pause(silentDeadlineMilliseconds + 200)
+  act(caller)
+  const attempts = async () => (await (await fetch(`http://${host}:8220/metrics`)).text()).split('\n').filter(line => line.startsWith('lavenderdoor_forward_attempts_total{'))
+  while ((await attempts()).length === 0) await pause(20)
+  expect(await attempts()).toEqual(['lavenderdoor_forward_attempts_total{service="ledger",end="cancelled"} 1'])
+  caller.close()
+})
+
 test('a head that has arrived within its limit is not refused as late after a stall of the event loop', async () => {
   await harness.startEndpoint('ledger')
   await harness.waitUntilReady(host)
