Let relays and their followers read what has arrived before a wait ends

Callers saw: nothing by itself. A gateway that starts read whole tables from the store although its relay had replied, when its event loop was held up for longer than it waits for the relay; a relay whose wait ended in such a stall replied without the change that had arrived, which then came one request later.

Cause: plain timers, which run before input is read.

Evidence: both tests of test/relayStall.test.ts fail on the code before.

Why it works: the wait for the first reply of a relay is a reply timeout, and a relay waits for a change with a deadline that reads first.

--- a/src/replica/relayFollower.ts
+++ b/src/replica/relayFollower.ts
@@ -10,7 +10,7 @@
  *
  * Relays of the own region go first, so that what is told to all crosses the lines between regions once.
  */
-import { type Clock, Ok, type Result, hashFraction } from '../contract/index.ts'
+import { type Clock, Ok, type Result, hashFraction, scheduleReplyTimeout } from '../contract/index.ts'
 import type { Link, Peer } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
 import { type Confirmation, ConfirmationHop } from './confirmation.ts'
@@ -110,7 +110,7 @@
     follower.holdFeeds()
     const deadline = clock.now() + startUpProbeMilliseconds
     const readStore = () => { if (this.#currentRelay === undefined) follower.resume() }
-    const cancelRead = clock.schedule(startUpReplyMilliseconds, readStore)
+    const cancelRead = scheduleReplyTimeout(clock, startUpReplyMilliseconds, readStore)
     let failure = this.#requestFrom(this.#orderedRelays()[0])
     follower.pause()
     for (let probe = 1; await failure !== undefined && !follower.isComplete && clock.now() < deadline && !this.#stopping.signal.aborted; probe++) {
--- a/src/replica/replicaRelay.ts
+++ b/src/replica/replicaRelay.ts
@@ -2,7 +2,7 @@
  * Relays the store's changes to other gateways. A gateway that receives requests follows the store itself,
  * so a reply is never older than the age it states.
  */
-import type { Clock } from '../contract/index.ts'
+import { type Clock, withDeadline } from '../contract/index.ts'
 import type { Link } from '../link/index.ts'
 import { type RelayReply, type RelayRequest, acceptsDeflated, decodePosition, relayRequest } from './relayMessages.ts'
 import type { ReplicaFollower } from './replicaFollower.ts'
@@ -24,7 +24,7 @@
 /** Replies to gateways that follow the store through this one. */
 export class ReplicaRelay {
   readonly #options: ReplicaRelayOptions
-  readonly #waiters = new Set<AbortController>()
+  readonly #waiters = new Set<() => void>()
   #lastRequestAt = Number.NEGATIVE_INFINITY
 
   constructor (options: ReplicaRelayOptions) {
@@ -39,7 +39,7 @@
 
   /** To be called after each change of a table; answers the waiting requests. */
   notifyChange (): void {
-    for (const waiter of this.#waiters) waiter.abort()
+    for (const wake of this.#waiters) wake()
     this.#waiters.clear()
   }
 
@@ -51,10 +51,12 @@
   }
 
   async #waitForChange (waitMilliseconds: number): Promise<void> {
-    const waiter = new AbortController()
-    this.#waiters.add(waiter)
-    await this.#options.clock.sleep(waitMilliseconds, waiter.signal)
-    this.#waiters.delete(waiter)
+    const { clock } = this.#options
+    let wake: () => void = () => undefined
+    const changed = new Promise<void>(resolve => { wake = resolve })
+    this.#waiters.add(wake)
+    await withDeadline(clock, clock.now() + waitMilliseconds, changed)
+    this.#waiters.delete(wake)
   }
 
   #hasChanges (versions: RelayRequest['versions']): boolean {
