Count the reply to an order that arrived while the steward was held up

Callers saw: nothing by itself. An order to an engine whose reply arrived during a stall of the steward's event loop was logged as failed and its connection was closed.

Cause: the steward raced the reply against a sleep, and timers run before input is read. The claim module's stop did the same with its queue.

Evidence: the new case of test/steward.test.ts fails on the code before. ManualClock.stall now runs the timers that came due before it delivers what arrived, as Node.js does, and those after input last, so that such faults show on virtual time.

Why it works: both wait with a deadline that reads first. A stop still ends an order at once, now by cancelling it. test/claim.test.ts names the one wait of the claim module that is no step by its line; the line has changed, and is compared as exactly as before.

--- a/src/claim/claimChangeQueue.ts
+++ b/src/claim/claimChangeQueue.ts
@@ -5,7 +5,7 @@
  * change that is dropped or lost with the process is harmless: its row stays as it is, and a repeat is told
  * that the outcome is unknown.
  */
-import type { Clock } from '../contract/index.ts'
+import { type Clock, withDeadline } from '../contract/index.ts'
 import { ClaimPoint, type ClaimSteps } from './claimPoint.ts'
 import type { ChangeOutcome, ClaimChange, ClaimTable } from './claimTable.ts'
 
@@ -54,11 +54,8 @@
 
   /** Keeps trying queued changes until the given time, then stops. */
   async stop (until: number): Promise<void> {
-    const running = this.#running
-    if (running === undefined) return
-    const over = new AbortController()
-    await Promise.race([running, this.#clock.sleep(until - this.#clock.now(), over.signal)])
-    over.abort()
+    if (this.#running === undefined) return
+    await withDeadline(this.#clock, until, this.#running)
     this.#stopping.abort()
   }
 
--- a/src/steward/steward.ts
+++ b/src/steward/steward.ts
@@ -4,7 +4,7 @@
  * while the remaining lease time exceeds the order time-out, and a new steward first waits for one order
  * time-out.
  */
-import { type Clock, type Randomness, rendezvousOrder } from '../contract/index.ts'
+import { type Clock, type Randomness, rendezvousOrder, withDeadline } from '../contract/index.ts'
 import { RollOutVerdict } from '../choice/index.ts'
 import { SettingsLease, type SettingsRepository, type SettingsSource } from '../distribution/index.ts'
 import type { EngineClient } from '../endpoint/index.ts'
@@ -102,8 +102,8 @@
     const held = lease.held
     if (held?.fencing !== order.fencing || held.expiresAt - clock.now() <= orderTimeoutMilliseconds) return
     const cancellation = new AbortController()
-    const request = engines.order(endpoint, order, cancellation.signal)
-    const outcome = await Promise.race([request, clock.sleep(orderTimeoutMilliseconds, this.#stopping.signal)])
+    const request = engines.order(endpoint, order, AbortSignal.any([cancellation.signal, this.#stopping.signal]))
+    const outcome = await withDeadline(clock, clock.now() + orderTimeoutMilliseconds, request)
     cancellation.abort()
     const failure = outcome === undefined ? 'timeout' : outcome.err ? outcome.val.reason : undefined
     if (failure === undefined) log.info('engine_order_given', { endpoint: endpoint.name, action: order.action, version: order.version, fencing: order.fencing })
--- a/test/claim.test.ts
+++ b/test/claim.test.ts
@@ -301,6 +301,6 @@
   const waits = files.flatMap(name => readFileSync(new URL(name, folder), 'utf8').split('\n').filter(line => /\bawait\b/.test(line) && !/^\s*\*/.test(line)).map(line => ({ name, line: line.trim() })))
   // A wait is either a step that names its point or a call within the module whose own waits are such steps.
   const unnamedWaits = waits.filter(({ line }) => !/await (this\.#?steps\.wait\(ClaimPoint\.|this\.#steps\.wait\(change\.point|this\.#?\w+(\.\w+)?\()/.test(line))
-  expect(unnamedWaits.map(({ line }) => line)).toEqual(['await Promise.race([running, this.#clock.sleep(until - this.#clock.now(), over.signal)])'])
+  expect(unnamedWaits.map(({ line }) => line)).toEqual(['await withDeadline(this.#clock, until, this.#running)'])
   expect(waits.filter(({ line }) => /await this\.#(options|clock)\b/.test(line))).toEqual([])
 })
--- a/test/fakes/manualClock.ts
+++ b/test/fakes/manualClock.ts
@@ -7,6 +7,8 @@
 interface Sleeper {
   readonly wakeAt: number
   readonly order: number
+  /** Whether it wakes only after what has arrived was read. */
+  readonly isAfterInput: boolean
   readonly wake: () => void
 }
 
@@ -35,35 +37,37 @@
         signal?.removeEventListener('abort', wake)
         resolve()
       }
-      const sleeper: Sleeper = { wakeAt: this.#now + Math.max(0, milliseconds), order: this.#order++, wake }
+      const sleeper: Sleeper = { wakeAt: this.#now + Math.max(0, milliseconds), order: this.#order++, isAfterInput: false, wake }
       this.#sleepers.add(sleeper)
       signal?.addEventListener('abort', wake, { once: true })
     })
   }
 
   schedule (milliseconds: number, callback: () => void): () => void {
-    const wake = () => {
-      this.#sleepers.delete(sleeper)
-      callback()
-    }
-    const sleeper: Sleeper = { wakeAt: this.#now + Math.max(0, milliseconds), order: this.#order++, wake }
-    this.#sleepers.add(sleeper)
-    return () => { this.#sleepers.delete(sleeper) }
+    return this.#add(milliseconds, callback, false)
   }
 
-  /** Timers of a simulated time never run before what has arrived. */
   scheduleAfterInput (milliseconds: number, callback: () => void): () => void {
-    return this.schedule(milliseconds, callback)
+    return this.#add(milliseconds, callback, true)
   }
 
   heldUpMilliseconds (): number {
     return this.#heldUpMilliseconds
   }
 
-  /** Lets the time pass in which the process runs nothing: whoever was to wake meanwhile wakes late. */
-  async stall (milliseconds: number): Promise<void> {
+  /**
+   * Lets the time pass in which the process runs nothing: whoever was to wake meanwhile wakes late, and timers run before
+   * what has arrived is read.
+   *
+   * @param arrive delivers what arrives meanwhile
+   */
+  async stall (milliseconds: number, arrive: () => void = () => undefined): Promise<void> {
     this.#now += milliseconds
     this.#heldUpMilliseconds += milliseconds
+    const due = [...this.#sleepers].filter(({ isAfterInput, wakeAt }) => !isAfterInput && wakeAt <= this.#now)
+    for (const { wake } of due.sort((left, right) => left.wakeAt - right.wakeAt || left.order - right.order)) wake()
+    await this.settle()
+    arrive()
     await this.advance(0)
   }
 
@@ -84,6 +88,16 @@
     for (let turn = 0; turn < settlingTurns; turn++) await new Promise(resolve => setImmediate(resolve))
   }
 
+  #add (milliseconds: number, callback: () => void, isAfterInput: boolean): () => void {
+    const wake = () => {
+      this.#sleepers.delete(sleeper)
+      callback()
+    }
+    const sleeper: Sleeper = { wakeAt: this.#now + Math.max(0, milliseconds), order: this.#order++, isAfterInput, wake }
+    this.#sleepers.add(sleeper)
+    return () => { this.#sleepers.delete(sleeper) }
+  }
+
   #earliest (): Sleeper | undefined {
     let earliest: Sleeper | undefined
     for (const sleeper of this.#sleepers) {
--- a/test/steward.test.ts
+++ b/test/steward.test.ts
@@ -34,6 +34,9 @@
   readonly loadedVersions = new Set(['small@1'])
   readonly repository = new TableSettingsRepository({ table: this.table, clock: this.clock, randomness: new SeededRandomness(1) })
   verdict: RollOutVerdict = RollOutVerdict.Continue
+  /** Settles before the reply to an order. */
+  orderReply = Promise.resolve()
+  readonly logged: string[] = []
   members: MemberView[] = []
 
   createSteward (holder: string): { readonly steward: Steward, readonly settings: MutableSettingsSource, readonly lease: StewardLease } {
@@ -50,7 +53,7 @@
       engines: this.#engines(),
       rollOuts: new RollOutMonitor(settings, () => guard),
       metrics: new Metrics(),
-      log: new Log('error', {}, () => {}),
+      log: new Log('info', {}, line => this.logged.push((JSON.parse(line) as { event: string }).event)),
       name: holder,
       dataCentre: 'lower-mainland-a'
     })
@@ -85,6 +88,7 @@
       order: async (endpoint, order) => {
         expect(endpoint.kind).toBe(EndpointKind.Engine)
         this.orders.push({ ...order, at: this.clock.now() })
+        await this.orderReply
         this.loadedVersions.add(order.version)
         return Ok(undefined)
       }
@@ -155,6 +159,22 @@
   await stopped
 })
 
+test('an order whose reply arrived during a stall of the event loop does not count as failed', async () => {
+  const harness = new StewardHarness()
+  let arrive: () => void = () => undefined
+  harness.orderReply = new Promise(resolve => { arrive = resolve })
+  const { steward, settings } = harness.createSteward('entry-1')
+  settings.view = SettingsView.of(1, new Map([['fleet', fleetSettings()]])).unwrap()
+  steward.start()
+  while (harness.orders.length === 0) await harness.clock.advance(100)
+  await harness.clock.stall(2_500, arrive)
+  await harness.clock.advance(3_000)
+  expect(harness.logged.filter(event => event.startsWith('engine_order'))).toEqual(['engine_order_given'])
+  const stopped = steward.stop()
+  await harness.clock.advance(2_000)
+  await stopped
+})
+
 test('a steward whose lease expired while the store was unavailable gives no more orders', async () => {
   const harness = new StewardHarness()
   const { steward, settings } = harness.createSteward('entry-1')
