Give bill commits the time for which the process was held up

Callers saw: an answer could be refused as not billed, or wait for another writer, after a stall of the event loop of more than a second: the lane's writer took the store for unavailable although it had replied.

Cause: a commit reads its watermark and then writes, both within one second of the clock; after a stall in the first wait the write was given up the moment it was sent.

Evidence: the new case of test/billing.test.ts fails on the code before.

Why it works: ReplyDeadline allows a series of replies the time for which this process was held up, at most its own length again.

--- a/src/billing/laneWriter.ts
+++ b/src/billing/laneWriter.ts
@@ -5,7 +5,7 @@
  * the watermark is read, and entries whose numbers it contains are skipped. While the store does not answer,
  * only probes are sent; other calls fail at once, so that answers need not wait.
  */
-import { type Clock, invariant, withDeadline } from '../contract/index.ts'
+import { type Clock, ReplyDeadline, invariant } from '../contract/index.ts'
 import { TransactionOutcome, type TableService } from '../store/index.ts'
 import { Batcher } from './batcher.ts'
 import { batchKeyOf, batchTableName, type Watermark, parseWatermark, watermarkTableName, toWatermarkValue } from './lane.ts'
@@ -61,8 +61,8 @@
   }
 
   async #commit (items: readonly NumberedEntry[]): Promise<boolean> {
-    const deadline = this.#clock.now() + commitTimeoutMilliseconds
-    while (this.#clock.now() < deadline) {
+    const deadline = new ReplyDeadline(this.#clock, commitTimeoutMilliseconds)
+    while (!deadline.isOver) {
       const watermark = this.#cachedWatermark ?? await this.#read(deadline)
       if (watermark === undefined) break
       const uncommitted = uncommittedIn(watermark, items)
@@ -76,8 +76,8 @@
     return false
   }
 
-  async #read (deadline: number): Promise<Watermark | undefined> {
-    const read = await withDeadline(this.#clock, deadline, this.#table.read(watermarkTableName, this.#lane))
+  async #read (deadline: ReplyDeadline): Promise<Watermark | undefined> {
+    const read = await deadline.wait(this.#table.read(watermarkTableName, this.#lane))
     if (read === undefined || read.err) return undefined
     const watermark = read.val === undefined ? { version: 0, origins: new Map() } : parseWatermark(read.val.version, read.val.value)
     if (watermark === undefined) return undefined
@@ -86,14 +86,14 @@
     return watermark
   }
 
-  async #transact (watermark: Watermark, uncommitted: readonly NumberedEntry[], deadline: number): Promise<boolean> {
+  async #transact (watermark: Watermark, uncommitted: readonly NumberedEntry[], deadline: ReplyDeadline): Promise<boolean> {
     const origins = addSequences(watermark, uncommitted)
     const rowKey = { table: watermarkTableName, key: this.#lane }
     const batch = { table: batchTableName, key: batchKeyOf(this.#lane, watermark.version), value: { entries: packEntries(uncommitted) } }
     const transaction = { conditions: [{ ...rowKey, version: watermark.version }], writes: [{ ...rowKey, value: toWatermarkValue(origins) }, batch] }
     this.#transactions += 1
     this.#cachedWatermark = undefined
-    const commit = await withDeadline(this.#clock, deadline, this.#table.transact(transaction))
+    const commit = await deadline.wait(this.#table.transact(transaction))
     if (commit === undefined || commit.err || commit.val !== TransactionOutcome.Committed) return false
     this.#cachedWatermark = { version: watermark.version + 1, origins }
     this.#latestWatermark = this.#cachedWatermark
--- a/test/billing.test.ts
+++ b/test/billing.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest'
 import { EntryNotSafe, deduplicateBills, EntryDurability, verifyBills, watermarkTableName, type BillReport } from '../src/billing/index.ts'
+import { LaneWriter } from '../src/billing/laneWriter.ts'
 import { billEntryFor, LedgerGroup, type LedgerDaemon } from '../trial/prove/ledgerGroup.ts'
 import { MessageFault } from '../trial/prove/scriptedLinks.ts'
 import { FaultyTableService, TableFault, type TableCall } from './fakes/faultyTableService.ts'
@@ -224,3 +225,15 @@
   table.memoryTable.apply({ conditions: [], writes: [{ table: 'bill_batches', key: 'lower-mainland-a/0/999', value: page.rows[0]?.value }] })
   expect((await verifyBills(table.memoryTable)).unwrap().doubled.length).toBeGreaterThan(0)
 })
+
+test('a lane whose writer is held up while it reads its watermark is written, and its store does not count as unavailable', async () => {
+  const clock = new ManualClock()
+  const table = new FaultyTableService(clock)
+  table.script = () => ({ fault: TableFault.None, replyDelayMilliseconds: 20 })
+  const writer = new LaneWriter('lane', table, clock, () => 0)
+  const durable = writer.append([{ origin: 'entry-1', sequence: 1, entry: billEntryFor('a', clock.now()) }], false)
+  await clock.advance(10)
+  await clock.stall(1_300)
+  await clock.advance(1_000)
+  expect(await durable).toBe(true)
+})
