--- a/src/entry/serviceRouter.ts
+++ b/src/entry/serviceRouter.ts
@@ -4,7 +4,7 @@
  * once, and a repeat of it is answered from its claim.
  */
 import { createHash } from 'node:crypto'
-import { type Clock, Err, invariant, Proximity, promisesNotRun, proximityOf, Ok, type Place, Priority, type Randomness, Refusal, RefusalCode, type Result, RunState, withDeadline } from '../contract/index.ts'
+import { type Clock, Err, invariant, promisesNotRun, Ok, type Place, type Randomness, Refusal, RefusalCode, type Result, RunState, withDeadline } from '../contract/index.ts'
 import type { Ledger } from '../billing/index.ts'
 import type { EndpointRun, EndpointRuns, PromptBreaker } from '../breaker/index.ts'
 import type { AttemptBudget, EndpointView } from '../choice/index.ts'
@@ -14,9 +14,10 @@
 import type { OrganisationView } from '../settings/index.ts'
 import { CrashGuard } from './crashGuard.ts'
 import { furtherDelivery, refusalAfter, runStateAfter } from './deliveryOfAttempts.ts'
-import { type EndpointDirectory, acceptsRequests } from './endpointDirectory.ts'
-import { type AttemptGate, type EndpointPlaces, placeRetrySeconds } from './endpointPlaces.ts'
+import type { EndpointDirectory } from './endpointDirectory.ts'
+import type { AttemptGate, EndpointPlaces } from './endpointPlaces.ts'
 import { RequestRetries } from './requestRetries.ts'
+import { ServiceEndpoints } from './serviceEndpoints.ts'
 import { sharedCallOf } from './sharedPrompt.ts'
 
 /** An authenticated call to a plain service, with a deadline. */
@@ -59,9 +60,11 @@
 /** Answers calls to plain services. */
 export class ServiceRouter {
   readonly #dependencies: ServiceRouterDependencies
+  readonly #endpoints: ServiceEndpoints
 
   constructor (dependencies: ServiceRouterDependencies) {
     this.#dependencies = dependencies
+    this.#endpoints = new ServiceEndpoints(dependencies)
   }
 
   /**
@@ -84,7 +87,7 @@
     const retries = new RequestRetries(this.#dependencies.retries, clock.now())
     const arrivedAt = clock.now()
     for (;;) {
-      const endpoint = await this.#chooseWithPlace(request, excluded, arrivedAt, signal)
+      const endpoint = await this.#endpoints.choose(request, excluded, arrivedAt, signal)
       if (endpoint.err) return Err(refusalAfter(delivery, endpoint.val))
       const refusal = guard.refusal()
       if (refusal !== undefined) return Err(refusalAfter(delivery, refusal))
@@ -149,7 +152,7 @@
 
   async #runClaimed (request: ServiceRequest, claim: Claim): Promise<Result<StoredAnswer, Refusal>> {
     const { claims, clock } = this.#dependencies
-    const endpoint = await this.#chooseWithPlace(request, new Set(), clock.now(), new AbortController().signal)
+    const endpoint = await this.#endpoints.choose(request, new Set(), clock.now(), new AbortController().signal)
     if (endpoint.err) return await this.#release(claim, endpoint.val)
     const guard = new CrashGuard(this.#dependencies, sharedCallOf(request))
     const refusal = guard.refusal()
@@ -237,32 +240,6 @@
     if (answer.val.status >= firstServerErrorStatus) run.recordOver()
     else run.recordAnswer(this.#dependencies.clock.now())
   }
-
-  /** Chooses an endpoint; while the rate limits of all are used up, waits for a place. */
-  async #chooseWithPlace (request: ServiceRequest, excluded: ReadonlySet<string>, arrivedAt: number, signal: AbortSignal): Promise<Result<EndpointView, Refusal>> {
-    const { places } = this.#dependencies
-    for (;;) {
-      const usable = this.#usable(request, excluded)
-      const usedUp = places.withoutPlace(request.service, usable)
-      if (usable.length === 0 || usedUp.length < usable.length) return this.#choose(request, usable.filter(({ endpoint }) => !usedUp.includes(endpoint.name)))
-      const turn = await places.wait(request.service, () => this.#usable(request, excluded), { organisation: request.organisation.name, priority: Priority.Normal, arrivedAt, deadline: request.deadline, signal })
-      if (turn.err) return Err(new Refusal(RefusalCode.Overloaded, RunState.NotRun, `the rate limits of all endpoints of service ${request.service} are used up`, placeRetrySeconds(turn.val)))
-    }
-  }
-
-  #usable (request: ServiceRequest, excluded: ReadonlySet<string>): readonly EndpointView[] {
-    return this.#dependencies.directory.services(request.service).filter(view => acceptsRequests(view) && !excluded.has(view.endpoint.name))
-  }
-
-  /** Chooses at random among the nearest endpoints. */
-  #choose (request: ServiceRequest, usable: readonly EndpointView[]): Result<EndpointView, Refusal> {
-    for (const nearness of Object.values(Proximity)) {
-      const near = usable.filter(view => proximityOf(this.#dependencies.here, view.endpoint.place) === nearness)
-      const chosen = near[this.#dependencies.randomness.integerBelow(near.length)]
-      if (chosen !== undefined) return Ok(chosen)
-    }
-    return Err(new Refusal(RefusalCode.NoEndpoint, RunState.NotRun, `no endpoint of service ${request.service} is available`, retryAfterSeconds))
-  }
 }
 
 /** What tracks a call while it runs. */
