Confirm settings by a reply that arrived while the daemon was held up

Callers saw: nothing by itself. A daemon whose event loop was held up over its read of the store asked the other daemons in place of using the reply, and its lease on the settings grew older.

Cause: the read was raced against a sleep.

Evidence: the new case of test/distributionFollower.test.ts fails on the code before.

Why it works: the read has a reply timeout. A confirmation counts from the start of its read, so a late one can't prolong a lease.

--- a/src/distribution/settingsFollower.ts
+++ b/src/distribution/settingsFollower.ts
@@ -6,7 +6,7 @@
  * can't renew a lease. Only a store read creates a confirmation, and its age grows with every hop, so
  * daemons can't keep each other's leases alive in a cycle.
  */
-import { type Clock, type Place, type Randomness, rendezvousOrder } from '../contract/index.ts'
+import { type Clock, type Place, type Randomness, rendezvousOrder, withReplyTimeout } from '../contract/index.ts'
 import type { Link, Peer } from '../link/index.ts'
 import type { SettingsView } from '../settings/index.ts'
 import { ConfirmationTracker, type PropagationReport, reportPropagation } from './confirmationTracker.ts'
@@ -119,7 +119,7 @@
    */
   async refresh (): Promise<boolean> {
     const startedAt = this.#clock.now()
-    const isCaughtUp = await this.#completesWithin(this.#catchUp(), storeTimeoutMilliseconds)
+    const isCaughtUp = await withReplyTimeout(this.#clock, storeTimeoutMilliseconds, this.#catchUp()) ?? false
     if (isCaughtUp) this.#recordConfirmation(startedAt)
     return isCaughtUp
   }
@@ -269,15 +269,6 @@
     const keyed = items.map(item => ({ item, key: this.#randomness.fraction() }))
     return keyed.sort((left, right) => left.key - right.key).map(({ item }) => item)
   }
-
-  async #completesWithin (work: Promise<boolean>, timeoutMilliseconds: number): Promise<boolean> {
-    const settled = new AbortController()
-    const timeout = this.#clock.sleep(timeoutMilliseconds, settled.signal)
-    const outcome = await Promise.race([work, timeout])
-    // Passing a reason avoids constructing an exception that is never read.
-    settled.abort('done')
-    return outcome ?? false
-  }
 }
 
 function groupByDataCentre (peers: readonly SettingsPeer[]): Map<string, SettingsPeer[]> {
--- a/test/distributionFollower.test.ts
+++ b/test/distributionFollower.test.ts
@@ -183,3 +183,12 @@
     expect(new Set(activeFleet.revisions())).toEqual(new Set([revision]))
   }
 })
+
+test('a read of the store that is replied to during a stall of the event loop confirms the settings', async () => {
+  const fleet = await startFleet(11, { a: 1 })
+  fleet.table.script = () => ({ fault: 'none', replyDelayMilliseconds: 100 })
+  const refreshed = fleet.follower('a-0').refresh()
+  await fleet.clock.stall(1_200)
+  await fleet.clock.advance(1_000)
+  expect(await refreshed).toBe(true)
+})
