Forbid timers of one's own around replies by a lint rule

Callers saw: nothing.

Cause: each place that waited for a reply had a timer of its own, and a new one could have come at any time.

Why it works: the rule covers src and platform but for the files that it lists: the clock, batches of log lines, limits for callers, stand-ins. src/endpoint/connections.ts (buildConnector) and src/link/tcpLink.ts (a race against a timeout) are exceptions until they use the shared tools. The status command and the daemon's wait for its requests at a stop use them now.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -16,6 +16,43 @@
   ['command']
 ]
 
+/**
+ * Timers run before input is read, so after a stall of the event loop a timer of one's own takes a reply that has arrived for
+ * missing. Replies are waited for with withDeadline, deadlineSignal, ReplyDeadline and the reply timeouts of contract.
+ */
+const ownTimers = [
+  { selector: 'CallExpression[callee.name=/^set(Timeout|Interval)$/]', message: 'Use a Clock: withDeadline or a reply timeout for what is to arrive, schedule for the rest.' },
+  { selector: 'ImportDeclaration[source.value=/^(node:)?timers/]', message: 'Use a Clock.' },
+  { selector: "CallExpression[callee.object.name='AbortSignal'][callee.property.name='timeout']", message: 'Use deadlineSignal or replyTimeoutSignal.' },
+  { selector: "CallExpression[callee.object.name='Promise'][callee.property.name='race'] > ArrayExpression > :matches(CallExpression[callee.property.name='sleep'][callee.object.name='clock'], CallExpression[callee.property.name='sleep'][callee.object.property.name='clock'], Identifier[name=/time(out|r)/i])", message: 'Use withDeadline or withReplyTimeout.' },
+  { selector: "CallExpression[callee.name='buildConnector']", message: 'Use createConnector, whose connect timeout counts only while the process runs.' },
+  { selector: "Property[key.name='bodyTimeout']:not([value.value=0])", message: 'Turn the timeouts of the HTTP library off (0) and use a reply timeout.' }
+]
+
+/** Files whose timers wait for no reply, or make the time of all others. */
+const timerFiles = [
+  'src/contract/clock.ts',
+  'src/contract/eventLoopMonitor.ts',
+  // Batches of log lines.
+  'src/observe/lineQueue.ts',
+  // Limits for callers: what they send and read. Those of heads read what has arrived first.
+  'src/entry/eventStreamWriter.ts',
+  'src/gateway/headRefusals.ts',
+  'src/server/boundedBody.ts',
+  'src/server/connectionGuard.ts',
+  'src/server/endAfterRequest.ts',
+  'src/server/incomingBody.ts',
+  'src/server/lingeringClose.ts',
+  'src/standin/**',
+  'platform/standin/**'
+]
+
+/** Files that wait for replies with timers of their own until they use the shared tools. */
+const temporaryTimerFiles = [
+  'src/endpoint/connections.ts',
+  'src/link/tcpLink.ts'
+]
+
 function importRules (layer, depth) {
   const lower = layers.slice(0, depth).flat()
   return layer.map(name => ({
@@ -64,6 +101,11 @@
       }]
     }
   },
+  {
+    files: ['src/**/*.ts', 'platform/**/*.ts'],
+    ignores: [...timerFiles, ...temporaryTimerFiles],
+    rules: { 'no-restricted-syntax': ['error', ...ownTimers] }
+  },
   ...layers.flatMap((layer, depth) => importRules(layer, depth)),
   {
     // The launcher is bundled apart from the program, and must not load the modules behind the index files.
--- a/src/command/statusCommand.ts
+++ b/src/command/statusCommand.ts
@@ -1,6 +1,6 @@
 /** `lavenderdoor status`: shows the status of a daemon. */
 import { request } from 'undici'
-import { Err, Ok, type Result } from '../contract/index.ts'
+import { Err, Ok, type Result, SystemClock, replyTimeoutSignal } from '../contract/index.ts'
 import { CommandFailure } from './commandFailure.ts'
 import type { DaemonStatus } from '../daemon/index.ts'
 import { printJson, printLine, printTable } from './output.ts'
@@ -9,11 +9,14 @@
 
 /** Fetches the status of a daemon from its operators' server. */
 export async function fetchDaemonStatus (address: string): Promise<Result<DaemonStatus, CommandFailure>> {
+  const timeout = replyTimeoutSignal(new SystemClock(), requestTimeoutMilliseconds)
   try {
-    const response = await request(`http://${address}/status`, { headersTimeout: requestTimeoutMilliseconds, bodyTimeout: requestTimeoutMilliseconds, signal: AbortSignal.timeout(requestTimeoutMilliseconds) })
+    const response = await request(`http://${address}/status`, { headersTimeout: 0, bodyTimeout: 0, signal: timeout.signal })
     return Ok(await response.body.json() as DaemonStatus)
   } catch (error) {
     return Err(new CommandFailure(`no status from the daemon at ${address}: ${error instanceof Error ? error.message : String(error)}`))
+  } finally {
+    timeout.cancel()
   }
 }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,7 +2,7 @@
  * Life cycle of a daemon. Shutdown proceeds from the outside in: first callers, then background tasks,
  * and last the data that must reach the store before the VM may go.
  */
-import { Err, Ok, type Result } from '../contract/index.ts'
+import { Err, Ok, type Result, withDeadline } from '../contract/index.ts'
 import { SettingsLease } from '../distribution/index.ts'
 import { type CallerServer, OperatorServer } from '../entry/index.ts'
 import type { Log } from '../observe/index.ts'
@@ -93,7 +93,7 @@
     this.#isReady = false
     drain.begin()
     await membership.leave()
-    await Promise.race([drain.waitUntilEmpty(), clock.sleep(this.#local.drain_seconds * 1_000)])
+    await withDeadline(clock, clock.now() + this.#local.drain_seconds * 1_000, drain.waitUntilEmpty())
     if (drain.requestsInFlight > 0) log.error('daemon_stopped_with_requests', { requests: drain.requestsInFlight })
     await callerServer.close()
     await claims.stop()
