Keep leases on the settings while all open connections are silent

Callers saw: sessions could be refused to versions under roll-out for up to a second: a daemon's lease on the settings lapsed when all open connections fell silent, though connections opened after it worked.

Cause: the sum of waits exceeded the lease. The platform's client gave a silent read up after 2 s only, so that the reads until then went over silent connections too; a daemon asked the pollers in turn, each over a silent connection; and a first poller that did not answer ended the round if the last confirmation was still young.

Evidence: the new case of test/distributionFollower.test.ts, 50 moments of the cycle, fails on the code before (at the first moment).

Why it works: the follower reads over connections of its own, whose client gives up after 700 ms, and reads again at once over new ones; after one poller did not answer, all are asked at once, and those that were lost once more. In normal operation a daemon makes as many calls as before.

--- a/src/daemon/composition.ts
+++ b/src/daemon/composition.ts
@@ -11,7 +11,7 @@
 import { EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
 import { type Claims, TableClaims } from '../claim/index.ts'
 import { type Clock, type Place, type Randomness, type Result, SystemClock, SystemRandomness } from '../contract/index.ts'
-import { SettingsFollower, type SettingsRepository, TableSettingsRepository } from '../distribution/index.ts'
+import { SettingsFollower, type SettingsRepository, TableSettingsRepository, settingsReadTimeoutMilliseconds } from '../distribution/index.ts'
 import { type EngineClient, HttpEngineClient, HttpServiceClient, type ServiceClient } from '../endpoint/index.ts'
 import { type DigestingPolicy, CallerServer, ChatRouter, CompletionLengthEstimator, Drain, EndpointDirectory, EndpointPlaces, PoolAdmission, RatingExchange, RollOutMonitor, ServiceRouter } from '../entry/index.ts'
 import { type Link, TcpLink } from '../link/index.ts'
@@ -52,6 +52,8 @@
   readonly link: DaemonLink
   readonly membership: GossipMembership
   readonly repository: SettingsRepository
+  /** Reads the settings for the follower, over connections of its own. */
+  readonly settingsReader: SettingsRepository
   readonly follower: SettingsFollower
   readonly sessions: SessionTokens
   readonly claims: Claims
@@ -118,8 +120,12 @@
     endpoints: () => [...dependencies.follower.view.endpoints.values()]
   }),
   repository: ({ clock, randomness, table }) => new TableSettingsRepository({ table, clock, randomness }),
+  settingsReader: ({ clock, local, randomness }) => {
+    const table = new HttpTableService({ clock, address: local.platform.table_service, timeoutMilliseconds: settingsReadTimeoutMilliseconds })
+    return new TableSettingsRepository({ table, clock, randomness })
+  },
   follower: dependencies => new SettingsFollower({
-    repository: dependencies.repository,
+    repository: dependencies.settingsReader,
     link: dependencies.link,
     clock: dependencies.clock,
     randomness: dependencies.randomness,
--- a/src/distribution/settingsFollower.ts
+++ b/src/distribution/settingsFollower.ts
@@ -21,6 +21,9 @@
 const pollIntervalMilliseconds = 500
 const requestIntervalMilliseconds = 1_000
 const requestTimeoutMilliseconds = 400
+/** Timeout of the client that reads the store for a follower. After it the next read goes over new connections. */
+export const settingsReadTimeoutMilliseconds = 700
+/** Timeout of all reads of one look at the store. */
 const storeTimeoutMilliseconds = 1_000
 /** How often a daemon that no other daemon could confirm polls the store itself. */
 const fallbackPollIntervalMilliseconds = 3_000
@@ -153,16 +156,23 @@
     else await this.#requestFromPollers()
   }
 
-  /** If the store does not answer a poller, it asks daemons of every data centre instead. */
+  /** If the store does not answer a poller, it reads the store over new connections and asks daemons of every data centre as well. */
   async #pollStore (): Promise<void> {
     if (await this.refresh()) return
-    await this.#requestFromAllDataCentres()
+    await Promise.all([this.refresh(), this.#requestFromAllDataCentres()])
   }
 
-  /** Asks the pollers in turn until one replies with a fresh confirmation. */
+  /**
+   * Asks one poller, then all of them at once until a confirmation is fresh. The connections to all of them may be silent: a
+   * request that is lost renews its connection, so each round asks those that did not answer again.
+   */
   async #requestFromPollers (): Promise<void> {
-    for (const peer of this.#shuffled(this.#pollingRole().otherPollers)) {
-      if (await this.#requestFrom(peer) && this.#confirmationAge() < maximumFreshAgeMilliseconds) return
+    const pollers = this.#shuffled(this.#pollingRole().otherPollers)
+    const answered = new Set<SettingsPeer>()
+    const ask = async (peer: SettingsPeer) => { if (await this.#requestFrom(peer)) answered.add(peer) }
+    for (const round of [pollers.slice(0, 1), pollers, pollers]) {
+      await Promise.all(round.filter(peer => !answered.has(peer)).map(ask))
+      if (answered.size > 0 && this.#confirmationAge() < maximumFreshAgeMilliseconds) return
     }
     if (this.#clock.now() < this.#nextFallbackPollAt) return
     this.#nextFallbackPollAt = this.#clock.now() + fallbackPollIntervalMilliseconds * (0.5 + this.#randomness.fraction())
--- a/test/distributionFollower.test.ts
+++ b/test/distributionFollower.test.ts
@@ -192,3 +192,17 @@
   await fleet.clock.advance(1_000)
   expect(await refreshed).toBe(true)
 })
+
+test('leases on the settings outlast the silence of all open connections, whenever it begins', async () => {
+  for (let moment = 0; moment < 2_000; moment += 40) {
+    const fleet = await startFleet(moment + 1, { a: 6, b: 2 })
+    await fleet.clock.advance(2_000 + moment)
+    fleet.silenceConnections()
+    for (let elapsed = 0; elapsed < 6_000; elapsed += 100) {
+      await fleet.clock.advance(100)
+      const lapsed = [...fleet.followers].filter(([, { lease }]) => lease !== SettingsLease.Held).map(([name]) => name)
+      expect([moment, elapsed, lapsed]).toEqual([moment, elapsed, []])
+    }
+    await fleet.stopAll()
+  }
+}, 60_000)
--- a/test/fakes/fakeLinkFollowers.ts
+++ b/test/fakes/fakeLinkFollowers.ts
@@ -1,9 +1,9 @@
 /** A fleet of settings followers in several data centres on a fake network. */
 import { SeededRandomness } from '../../src/contract/index.ts'
-import { SettingsFollower, TableSettingsRepository } from '../../src/distribution/index.ts'
+import { SettingsFollower, TableSettingsRepository, settingsReadTimeoutMilliseconds } from '../../src/distribution/index.ts'
 import type { LinkIdentity } from '../../src/link/index.ts'
 import { FakeLinkNetwork } from './fakeLink.ts'
-import { FaultyTableService } from './faultyTableService.ts'
+import { FaultyTableService, type ScriptedTableFault } from './faultyTableService.ts'
 import { ManualClock } from './manualClock.ts'
 
 export class FollowerFleet {
@@ -54,6 +54,15 @@
     return [...this.followers.values()].map(follower => follower.view.revision)
   }
 
+  /** Makes all connections that are open now, to the store and between daemons, carry nothing more. */
+  silenceConnections (): void {
+    this.network.silenceConnections()
+    for (const { name } of this.identities) this.#silentStoreConnections.add(name)
+  }
+
+  /** Daemons whose open connections to the store carry nothing more. */
+  readonly #silentStoreConnections = new Set<string>()
+
   /** Data centres, or single daemons, that can't reach the store. */
   readonly withoutStoreAccess = new Set<string>()
 
@@ -63,10 +72,20 @@
     await stopped
   }
 
+  /** The client gives a call over a silent connection up and opens new ones. */
+  #timeOut (name: string): ScriptedTableFault {
+    this.clock.schedule(settingsReadTimeoutMilliseconds, () => this.#silentStoreConnections.delete(name))
+    return { fault: 'request_lost', requestDelayMilliseconds: settingsReadTimeoutMilliseconds }
+  }
+
   /** The settings repository of one daemon; it fails while the daemon can't reach the store. */
   #createRepository (identity: LinkIdentity): TableSettingsRepository {
     const table = new FaultyTableService(this.clock, this.table.memoryTable)
-    table.script = call => this.withoutStoreAccess.has(identity.place.dataCentre) || this.withoutStoreAccess.has(identity.name) ? { fault: 'down' } : this.table.script(call)
+    table.script = call => {
+      if (this.withoutStoreAccess.has(identity.place.dataCentre) || this.withoutStoreAccess.has(identity.name)) return { fault: 'down' }
+      if (this.#silentStoreConnections.has(identity.name)) return this.#timeOut(identity.name)
+      return this.table.script(call)
+    }
     return new TableSettingsRepository({ table, clock: this.clock, randomness: new SeededRandomness(this.#seed) })
   }
 }
--- a/trial/prove/fleet.ts
+++ b/trial/prove/fleet.ts
@@ -175,6 +175,7 @@
       table,
       link,
       repository,
+      settingsReader: repository,
       log: new Log('error', { virtual_machine: name }),
       metrics: new Metrics(false),
       machines: { read: async () => this.#isStoreUnreachable(place) ? Err(new PlatformUnavailable('cut off', false)) : Ok(this.#listedMachines()) },
