Log no confirmation as stale that arrived while the process was held up

Operators saw: confirmation_stale and confirmation_recovered one after the other, with the hop, after a stall of the gateway's own event loop.

Cause: the monitor's timer ran before the store's reply was read.

Evidence: the new case of test/confirmationAge.test.ts fails on the code before.

Why it works: the monitor checks after what has arrived was read.

--- a/src/replica/confirmationMonitor.ts
+++ b/src/replica/confirmationMonitor.ts
@@ -21,7 +21,7 @@
 /** Watches the age of the confirmation until it is stopped. */
 export class ConfirmationMonitor {
   readonly #options: ConfirmationMonitorOptions
-  readonly #stopping = new AbortController()
+  #cancel: () => void = () => undefined
   #staleSince: number | undefined
 
   constructor (options: ConfirmationMonitorOptions) {
@@ -30,18 +30,19 @@
 
   /** Starts watching; returns at once. */
   start (): void {
-    this.#run().catch(error => this.#options.log.error('confirmation_monitor_failed', { reason: String(error) }))
+    const { clock, log } = this.#options
+    this.#cancel = clock.scheduleAfterInput(checkIntervalMilliseconds, () => {
+      try {
+        this.#check()
+        this.start()
+      } catch (error) {
+        log.error('confirmation_monitor_failed', { reason: String(error) })
+      }
+    })
   }
 
   stop (): void {
-    this.#stopping.abort()
-  }
-
-  async #run (): Promise<void> {
-    while (!this.#stopping.signal.aborted) {
-      await this.#options.clock.sleep(checkIntervalMilliseconds, this.#stopping.signal)
-      this.#check()
-    }
+    this.#cancel()
   }
 
   #check (): void {
--- a/test/confirmationAge.test.ts
+++ b/test/confirmationAge.test.ts
@@ -49,3 +49,12 @@
   expect(follower.stalestConfirmation).toEqual(confirmation)
   stop()
 })
+
+test('a confirmation that arrived during a stall of the event loop is not logged as late', async () => {
+  const { clock, linesOf, stop } = startFollower()
+  await clock.advance(5_000)
+  await clock.stall(2_500)
+  await clock.advance(2_000)
+  expect(linesOf('confirmation_stale')).toEqual([])
+  stop()
+})
