--- a/test/distributionFollower.test.ts
+++ b/test/distributionFollower.test.ts
@@ -183,3 +183,26 @@
     expect(new Set(activeFleet.revisions())).toEqual(new Set([revision]))
   }
 })
+
+test('a read of the store that is replied to during a stall of the event loop confirms the settings', async () => {
+  const fleet = await startFleet(11, { a: 1 })
+  fleet.table.script = () => ({ fault: 'none', replyDelayMilliseconds: 100 })
+  const refreshed = fleet.follower('a-0').refresh()
+  await fleet.clock.stall(1_200)
+  await fleet.clock.advance(1_000)
+  expect(await refreshed).toBe(true)
+})
+
+test('leases on the settings outlast the silence of all open connections, whenever it begins', async () => {
+  for (let moment = 0; moment < 2_000; moment += 40) {
+    const fleet = await startFleet(moment + 1, { a: 6, b: 2 })
+    await fleet.clock.advance(2_000 + moment)
+    fleet.silenceConnections()
+    for (let elapsed = 0; elapsed < 6_000; elapsed += 100) {
+      await fleet.clock.advance(100)
+      const lapsed = [...fleet.followers].filter(([, { lease }]) => lease !== SettingsLease.Held).map(([name]) => name)
+      expect([moment, elapsed, lapsed]).toEqual([moment, elapsed, []])
+    }
+    await fleet.stopAll()
+  }
+}, 60_000)
