Test links, peers and a real process under stalls of any length and in series

heldUpProcess: a built gateway held up by SIGSTOP and SIGCONT in series loses no call, answers within a second of the last, and opens one connection to its seed.

--- a/test/fakes/delayedEcho.ts
+++ b/test/fakes/delayedEcho.ts
@@ -7,6 +7,12 @@
   readonly secret: string
 }
 
+/** When a peer replied to a request. */
+export interface SentReply {
+  readonly text: string
+  readonly repliedAt: number
+}
+
 export const delayedEcho: MessageType<{ text: string, delayMilliseconds: number }, { text: string }> = {
   name: 'test.delayed_echo',
   body: z.strictObject({ text: z.string(), delayMilliseconds: z.number() }),
--- a/test/fakes/gatewayProcess.ts
+++ b/test/fakes/gatewayProcess.ts
@@ -21,11 +21,14 @@
   readonly #child: ChildProcess
   readonly #exit: Promise<void>
 
-  /** @param limits of the VM, as its boot file states them */
-  constructor (directory: string, host: string, storeAddress: string, limits: Readonly<Record<string, number>>) {
+  /**
+   * @param limits of the VM, as its boot file states them
+   * @param seeds addresses of the links of other gateways
+   */
+  constructor (directory: string, host: string, storeAddress: string, limits: Readonly<Record<string, number>>, seeds: readonly string[] = []) {
     this.host = host
     const path = join(directory, `${host}.json`)
-    writeFileSync(path, JSON.stringify({ ...bootDocument(`edge-${host}`, host, storeAddress, [], 2), limits }))
+    writeFileSync(path, JSON.stringify({ ...bootDocument(`edge-${host}`, host, storeAddress, seeds, 2), limits }))
     const { roles } = parse(readFileSync('deploy/system.toml', 'utf8')) as unknown as { roles: { gateway: { run: string } } }
     const flags = roles.gateway.run.split(' ').filter(word => word.startsWith('--'))
     this.#child = spawn(process.execPath, [...flags, join(directory, 'launch.cjs')], {
@@ -45,6 +48,13 @@
     return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]) * bytesPerKilobyte
   }
 
+  /** Holds the process up for some milliseconds: it runs nothing meanwhile, while its kernel goes on receiving for it. */
+  async holdUp (milliseconds: number): Promise<void> {
+    this.#child.kill('SIGSTOP')
+    await new Promise(resolve => setTimeout(resolve, milliseconds))
+    this.#child.kill('SIGCONT')
+  }
+
   /** Stops the process as planned, and kills it if it does not end. */
   async stop (timeoutMilliseconds: number): Promise<boolean> {
     this.#child.kill('SIGTERM')
--- a/test/fakes/linkPeerWorker.ts
+++ b/test/fakes/linkPeerWorker.ts
@@ -2,7 +2,7 @@
 import { parentPort, workerData } from 'node:worker_threads'
 import { SystemClock } from '../../src/contract/index.ts'
 import { TcpLink } from '../../src/link/index.ts'
-import { type LinkPeerOptions, delayedEcho, linkIdentityOf } from './delayedEcho.ts'
+import { type LinkPeerOptions, type SentReply, delayedEcho, linkIdentityOf } from './delayedEcho.ts'
 
 const { count, secret } = workerData as LinkPeerOptions
 const clock = new SystemClock()
@@ -11,6 +11,7 @@
   const link = new TcpLink({ identity: linkIdentityOf(`peer-${index}`), secret, clock })
   link.handle(delayedEcho, async body => {
     await clock.sleep(body.delayMilliseconds)
+    parentPort?.postMessage({ text: body.text, repliedAt: clock.now() } satisfies SentReply)
     return { text: body.text }
   })
   return (await link.listen('127.0.0.1:0')).unwrap()
