Count the time to connect to an endpoint as all other waits for a reply

Callers saw: nothing by itself. The clients of endpoints kept the HTTP library's connect timeout while those of the store have the clock's.

Change: createConnector for both. The lint rule has no exceptions left for files that wait for replies.

Evidence: test/exchangeStall.test.ts, "an endpoint is connected to although the time for it ends in a stall of the event loop", passes before and after; 50 tests of 8 files around endpoints pass.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -47,12 +47,6 @@
   'platform/standin/**'
 ]
 
-/** Files that wait for replies with timers of their own until they use the shared tools. */
-const temporaryTimerFiles = [
-  'src/endpoint/connections.ts',
-  'src/link/tcpLink.ts'
-]
-
 function importRules (layer, depth) {
   const lower = layers.slice(0, depth).flat()
   return layer.map(name => ({
@@ -103,7 +97,7 @@
   },
   {
     files: ['src/**/*.ts', 'platform/**/*.ts'],
-    ignores: [...timerFiles, ...temporaryTimerFiles],
+    ignores: timerFiles,
     rules: { 'no-restricted-syntax': ['error', ...ownTimers] }
   },
   ...layers.flatMap((layer, depth) => importRules(layer, depth)),
--- a/src/endpoint/connections.ts
+++ b/src/endpoint/connections.ts
@@ -9,11 +9,13 @@
  * uses its connections. Idle connections are closed after a few seconds for the same reason.
  */
 import type { Socket } from 'node:net'
-import { type Dispatcher, Pool, buildConnector } from 'undici'
-import { ProgressClient } from '../httpClient/index.ts'
+import { type Dispatcher, Pool, type buildConnector } from 'undici'
+import type { Clock } from '../contract/index.ts'
+import { ProgressClient, createConnector } from '../httpClient/index.ts'
 import { Exchange, type ExchangeOptions } from './exchange.ts'
 
 export interface ConnectionOptions {
+  readonly clock: Clock
   /** Milliseconds after which establishing a connection fails. */
   readonly connectTimeoutMilliseconds: number
   /** Idle connections are closed after this many milliseconds; 4,000 by default. */
@@ -140,7 +142,7 @@
 
   /** Registers its error listener first, so that a failure is recorded before the HTTP client handles it. */
   #connector (): buildConnector.connector {
-    const connect = buildConnector({ timeout: this.#options.connectTimeoutMilliseconds })
+    const connect = createConnector(this.#options.clock, this.#options.connectTimeoutMilliseconds)
     return (options, callback) => connect(options, (...opened) => {
       const [, socket] = opened
       if (socket) this.#follow(socket)
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -150,7 +150,7 @@
     heldAnswers: single(makeHeldAnswers),
     loadNews: single(() => new WorkNews()),
     loadReports: single(makeLoadReports),
-    connections: single(() => new Connections({ connectTimeoutMilliseconds: endpointConnectTimeoutMilliseconds })),
+    connections: single(({ clock }) => new Connections({ clock, connectTimeoutMilliseconds: endpointConnectTimeoutMilliseconds })),
     forwarding: single(makeForwarding),
     gateway: single(makeGateway),
     operations: single(makeOperations)
--- a/test/connectionParts.test.ts
+++ b/test/connectionParts.test.ts
@@ -4,8 +4,8 @@
 import { Connections } from '../src/endpoint/connections.ts'
 import { startScriptedServer } from './fakes/scriptedServer.ts'
 
-const connections = new Connections({ connectTimeoutMilliseconds: 1_000 })
 const clock = new SystemClock()
+const connections = new Connections({ clock, connectTimeoutMilliseconds: 1_000 })
 const mark = 'a-17'
 const readBytes = 8 * 1024
 
--- a/test/endpointUnframed.test.ts
+++ b/test/endpointUnframed.test.ts
@@ -19,7 +19,7 @@
     })
   })
   const address = await listenOn(server as never, '127.0.0.1:0')
-  const connections = new Connections({ connectTimeoutMilliseconds: 1_000 })
+  const connections = new Connections({ clock: new SystemClock(), connectTimeoutMilliseconds: 1_000 })
   const exchange = connections.startDedicated(address, {
     clock: new SystemClock(), method: 'GET', path: '/', headers: {}, body: undefined, inactivityTimeoutMilliseconds: 5_000, mayStillSend: () => true
   })
--- a/test/exchangeStall.test.ts
+++ b/test/exchangeStall.test.ts
@@ -9,7 +9,7 @@
 
 const timeoutMilliseconds = 300
 const clock = new SystemClock()
-const connections = new Connections({ connectTimeoutMilliseconds: 450 })
+const connections = new Connections({ clock, connectTimeoutMilliseconds: 450 })
 const exchangeOptions: ExchangeOptions = { clock, method: 'GET', path: '/', headers: {}, body: undefined, inactivityTimeoutMilliseconds: timeoutMilliseconds, mayStillSend: () => true }
 const servers: ScriptedServer[] = []
 
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -3,7 +3,7 @@
 import { Readable, Writable } from 'node:stream'
 import { PlatformHeaders } from '../../platform/index.ts'
 import { EndpointRuns, PromptBreaker } from '../../src/breaker/index.ts'
-import { type RetryLimits, SeededRandomness } from '../../src/contract/index.ts'
+import { type Clock, type RetryLimits, SeededRandomness } from '../../src/contract/index.ts'
 import { type ConnectionPool, Connections } from '../../src/endpoint/index.ts'
 import { EndpointAnnouncements, EndpointLiveness, Forwarding, GatewayMetrics, PlannedStop, RollOutView, RoutingView } from '../../src/gateway/index.ts'
 import { ConnectionOutcome } from '../../src/httpClient/index.ts'
@@ -170,7 +170,7 @@
       announcements: new EndpointAnnouncements({ registry, loads, announcedLimits, misdirected, warmUps: noWarmUps(), onNews: () => undefined, clock, randomness, log }),
       versionSelector: new VersionSelector(sessionTimeoutMilliseconds),
       rollOuts: new RollOutView(`gateway-${seed}`, 0.15, () => clock.now(), () => clock.heldUpMilliseconds()),
-      connections: connectionsTo(this.engines),
+      connections: connectionsTo(clock, this.engines),
       untilTablesAreRead: async () => undefined
     })
   }
@@ -181,7 +181,7 @@
 }
 
 /** Leads the exchanges of a gateway to the simulated engines. */
-function connectionsTo (engines: readonly StreamEngine[]): Connections {
+function connectionsTo (clock: Clock, engines: readonly StreamEngine[]): Connections {
   const engineAt = (address: string) => engines.find(engine => engine.options.endpoint.address === address)!
   const createPool = (address: string): ConnectionPool => ({
     activeCount: 1,
@@ -189,7 +189,7 @@
     close: async () => undefined,
     destroy: async () => undefined
   })
-  return new Connections({ connectTimeoutMilliseconds, connectionFactory: { createPool, createSingleUse: createPool } })
+  return new Connections({ clock, connectTimeoutMilliseconds, connectionFactory: { createPool, createSingleUse: createPool } })
 }
 
 /** The caller's side of a response. */
--- a/test/oddRows.test.ts
+++ b/test/oddRows.test.ts
@@ -92,7 +92,7 @@
 })
 
 test.each(['10.0.0.300:8080', '127.0.0.1:99999', 'no address'])('an attempt at %s, which the HTTP client rejects, fails as not sent', async address => {
-  const connections = new Connections({ connectTimeoutMilliseconds: 1_000 })
+  const connections = new Connections({ clock: new SystemClock(), connectTimeoutMilliseconds: 1_000 })
   const options = { clock: new SystemClock(), method: 'GET', path: '/', headers: {}, body: undefined, inactivityTimeoutMilliseconds: 5_000, mayStillSend: () => true }
   for (const exchange of [connections.startDedicated(address, options), connections.startPooled(address, options)]) {
     expect((await exchange.next()).type).toBe('failure')
--- a/test/turnShare.test.ts
+++ b/test/turnShare.test.ts
@@ -96,7 +96,7 @@
 })
 
 test('streams of small events without end take a bounded part of each turn of the event loop', async () => {
-  const connections = new Connections({ connectTimeoutMilliseconds: 1_000 })
+  const connections = new Connections({ clock: new SystemClock(), connectTimeoutMilliseconds: 1_000 })
   const address = await startFlood(true)
   const received = vi.spyOn(Exchange.prototype, 'onResponseData')
   const exchanges = Array.from({ length: streamCount }, () => connections.startDedicated(address, exchangeOptions))
@@ -116,7 +116,7 @@
 })
 
 test('streams whose connections are paused time and again arrive without a gap', async () => {
-  const connections = new Connections({ connectTimeoutMilliseconds: 1_000 })
+  const connections = new Connections({ clock: new SystemClock(), connectTimeoutMilliseconds: 1_000 })
   const address = await startFlood(true)
   for (let round = 0; round < 60; round++) {
     const exchanges = Array.from({ length: streamCount }, () => connections.startDedicated(address, exchangeOptions))
--- a/test/unusedConnections.test.ts
+++ b/test/unusedConnections.test.ts
@@ -5,7 +5,7 @@
 import { waitUntil } from './fakes/forwarderWorld.ts'
 import { httpChunk } from './fakes/scriptedServer.ts'
 
-const connections = new Connections({ connectTimeoutMilliseconds: 1_000, keepAliveTimeoutMilliseconds: 60_000 })
+const connections = new Connections({ clock: new SystemClock(), connectTimeoutMilliseconds: 1_000, keepAliveTimeoutMilliseconds: 60_000 })
 const options = { clock: new SystemClock(), method: 'GET', path: '/', headers: {}, body: undefined, inactivityTimeoutMilliseconds: 60_000, mayStillSend: () => true }
 const chunk = httpChunk('a'.repeat(16 * 1024))
 
