Date a confirmation that was read after a stall no later than it can have arrived

Callers saw: nothing by itself. After a stall of the event loop a gateway took its tables for as fresh as the reading of the reply, although the reply may have lain in its kernel for the length of the stall. It asked the store as much later, and told its followers an age that was too small, so that a change behind a connection that fell silent then came late by up to the stall, in addition to the time allowed.

Cause: confirmations were dated when the reply was read.

Evidence: test/replica.test.ts, "a reply of the store that arrived while the process was held up confirms the table no later than it can have arrived", failed before (1,900 ms in place of 1,000 at most). test/newsTimeBudget.test.ts holds.

Why it works: the time for which the process was held up since it asked is subtracted, for the store's replies and a relay's. The next call that the store holds is shorter by the age that the table has then, so that its reply comes before the maximum age. confirmation_stale is judged at the next check after a stall, when that reply is there; the existing test of it holds.

--- a/src/replica/confirmationMonitor.ts
+++ b/src/replica/confirmationMonitor.ts
@@ -3,7 +3,7 @@
  * force, and when it is recent again, so that a change that comes late can be traced to the hop that held it up.
  * Confirmations that arrived in a stall of the event loop are read before the age is judged.
  */
-import { type Clock, sleepAfterInput } from '../contract/index.ts'
+import { type Clock, Wait, sleepAfterInput } from '../contract/index.ts'
 import type { Log, LogFields } from '../observe/index.ts'
 import type { ReplicaFollower } from './replicaFollower.ts'
 
@@ -40,8 +40,10 @@
 
   async #run (): Promise<void> {
     while (!this.#stopping.signal.aborted) {
+      const wait = new Wait(this.#options.clock)
       await sleepAfterInput(this.#options.clock, checkIntervalMilliseconds, this.#stopping.signal)
-      this.#check()
+      // After a stall the next confirmation is under way.
+      if (wait.heldUpMilliseconds === 0) this.#check()
     }
   }
 
--- a/src/replica/relayFollower.ts
+++ b/src/replica/relayFollower.ts
@@ -10,7 +10,7 @@
  *
  * Relays of the own region go first, so that what is told to all crosses the lines between regions once.
  */
-import { type Clock, Ok, type Result, hashFraction, scheduleReplyTimeout } from '../contract/index.ts'
+import { type Clock, Ok, type Result, Wait, hashFraction, scheduleReplyTimeout } from '../contract/index.ts'
 import type { Link, Peer } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
 import { type Confirmation, ConfirmationHop } from './confirmation.ts'
@@ -181,16 +181,17 @@
   /** Asks a relay and follows it; returns why it should not be followed, if so. */
   async #requestFrom (address: string | undefined, waitMilliseconds = 0): Promise<RelayFailure | undefined> {
     if (address === undefined) return { reason: 'no relay is known', backoffMilliseconds: 0 }
-    const { follower, link, tables } = this.#options
+    const { clock, follower, link, tables } = this.#options
     const versions = encodePositions(new Map(tables.map(table => [table, follower.replica(table)])))
     const peer: Peer = { name: '', address }
+    const wait = new Wait(clock)
     const reply = await link.request(peer, relayRequest, { versions, waitMilliseconds }, waitMilliseconds + relayReplyMilliseconds)
     if (reply.ok) this.#relayedGatewayCount = reply.val.gatewayCount ?? 0
     if (reply.err) return { reason: reply.val.reason, backoffMilliseconds: unresponsiveRelayBackoffMilliseconds, isUnanswered: true }
     const reason = this.#reasonToLeave(reply.val)
     if (reason !== undefined) return { reason, backoffMilliseconds: staleRelayBackoffMilliseconds }
     if (!this.#isFleetLarge && follower.isComplete) return smallFleet
-    const applied = this.#applyReply(reply.val, address)
+    const applied = this.#applyReply(reply.val, address, wait.heldUpMilliseconds)
     if (applied.err) return { reason: applied.val.reason, backoffMilliseconds: unresponsiveRelayBackoffMilliseconds }
     // A gateway that starts takes its first tables from a relay whatever the size of the fleet, which it does not know yet.
     if (!this.#isFleetLarge) return smallFleet
@@ -207,9 +208,10 @@
     return isOfEarlierEpoch ? 'the relay has not read the store since it came back from an older copy' : undefined
   }
 
-  #applyReply ({ tables, ageMilliseconds, storeTime }: RelayReply, relay: string): Result<void, RowFault> {
+  /** @param heldUpMilliseconds for how long this process was held up since it asked; the reply may have arrived by then */
+  #applyReply ({ tables, ageMilliseconds, storeTime }: RelayReply, relay: string, heldUpMilliseconds: number): Result<void, RowFault> {
     const { clock, follower } = this.#options
-    const confirmation: Confirmation = { confirmedAt: clock.now() - ageMilliseconds, hop: ConfirmationHop.Relay, relay }
+    const confirmation: Confirmation = { confirmedAt: clock.now() - heldUpMilliseconds - ageMilliseconds, hop: ConfirmationHop.Relay, relay }
     for (const { table, version, epoch = 0, isWhole, rows } of tables) {
       const decoded = decodeRows(rows)
       if (decoded.err) return decoded
--- a/src/replica/tableFollower.ts
+++ b/src/replica/tableFollower.ts
@@ -16,6 +16,8 @@
 
 /** The first wait is shorter, so that others can soon follow the store through this gateway. */
 const firstFeedWaitMilliseconds = 1_000
+/** Shorter waits would be a tight loop. */
+const minimumFeedWaitMilliseconds = 100
 /** Delay before a table is read again after a gap, so that a store that keeps no history is not called in a tight loop. */
 const gapDelayMilliseconds = 50
 const minimumRetryDelayMilliseconds = 100
@@ -58,11 +60,14 @@
   #mustReadAgain = false
   #hasAwaitedChanges = false
   #mustProbe = false
+  /** The wait for the present reply. */
+  #wait: Wait
   /** Whether the connections were not renewed since this table last asked. */
   #mustRenew = false
 
   constructor (options: TableFollowerOptions) {
     this.#options = options
+    this.#wait = new Wait(options.clock)
   }
 
   /** Follows the table until the feeds are stopped. */
@@ -75,7 +80,7 @@
     if (this.#isIdle) return await this.#sleepIdle()
     if (control.areFeedsHeld && this.#replica.isKnown) return await control.sleepIdle()
     const step = this.#nextStep
-    const wait = new Wait(clock)
+    const wait = this.#wait = new Wait(clock)
     const heldCalls = control.heldCalls
     const outcome = await this.#take(step)
     this.#hasAwaitedChanges ||= step === FeedStep.AwaitChanges
@@ -138,20 +143,25 @@
   }
 
   async #sleepIdle (): Promise<void> {
-    const { control, isNeeded, state, table } = this.#options
+    const { clock, control, isNeeded, state, table } = this.#options
     this.#mustProbe = true
     this.#mustRenew = true
     // An earlier failure of the feed means nothing while the feed is paused.
     state.forgetFailure(table)
     // A table that is not needed misses nothing; its age counts from when it is needed again.
-    if (!isNeeded()) this.#confirm()
+    if (!isNeeded()) this.#confirm(clock.now())
     await control.sleepIdle(this.#remainingMilliseconds > 0 ? this.#remainingMilliseconds : undefined)
   }
 
   /** Time until the table reaches the maximum age. */
   get #remainingMilliseconds (): number {
-    const { budget, clock, state, table } = this.#options
-    return budget().maximumAgeMilliseconds - (clock.now() - state.confirmedAt([table]))
+    return this.#options.budget().maximumAgeMilliseconds - this.#ageMilliseconds
+  }
+
+  /** Time since the store last confirmed the table. */
+  get #ageMilliseconds (): number {
+    const { clock, state, table } = this.#options
+    return clock.now() - state.confirmedAt([table])
   }
 
   async #readWhole (): Promise<Result<TableChanges, FeedFailure>> {
@@ -166,7 +176,9 @@
   async #awaitChanges (): Promise<Result<TableChanges, FeedFailure>> {
     const { budget, control, mayBeRelay } = this.#options
     const { relayStoreWaitMilliseconds, storeWaitMilliseconds } = budget()
-    const waitMilliseconds = mayBeRelay() ? relayStoreWaitMilliseconds : storeWaitMilliseconds
+    const allowedMilliseconds = mayBeRelay() ? relayStoreWaitMilliseconds : storeWaitMilliseconds
+    // After a stall the table has an age already, and the next reply must come before it reaches the maximum.
+    const waitMilliseconds = Math.max(minimumFeedWaitMilliseconds, allowedMilliseconds - this.#ageMilliseconds)
     return await this.#readChanges(this.#hasAwaitedChanges ? waitMilliseconds : Math.min(waitMilliseconds, firstFeedWaitMilliseconds), control.heldCalls)
   }
 
@@ -195,13 +207,14 @@
     return changes
   }
 
+  /** A reply that arrived while this process was held up tells how the table was then. */
   #recordReply ({ storeTime }: TableSnapshot): void {
-    this.#confirm()
+    this.#confirm(this.#options.clock.now() - this.#wait.heldUpMilliseconds)
     this.#options.state.setStoreTime(storeTime)
   }
 
-  #confirm (): void {
-    const { clock, state, table } = this.#options
-    state.recordConfirmation(table, { confirmedAt: clock.now(), hop: ConfirmationHop.Store })
+  #confirm (confirmedAt: number): void {
+    const { state, table } = this.#options
+    state.recordConfirmation(table, { confirmedAt, hop: ConfirmationHop.Store })
   }
 }
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -178,3 +178,16 @@
   expect(counted).toMatchObject({ renewals: 1, calls: callsBefore + 6 })
   follower.stop()
 })
+
+test('a reply of the store that arrived while the process was held up confirms the table no later than it can have arrived', async () => {
+  const clock = new ManualClock()
+  const follower = new ReplicaFollower({ feed: new ScriptedFeed(clock), tables: ['op'], budget: () => divideNewsTime(4_000), clock, randomness: new SeededRandomness(1), log: new Log('error', {}, () => undefined), onChange: () => undefined })
+  const startedAt = clock.now()
+  follower.start()
+  await clock.advance(900)
+  // The reply to the first held call comes after 1,000 ms.
+  await clock.stall(1_000)
+  expect(follower.confirmedAt - startedAt).toBeLessThanOrEqual(1_000)
+  expect(follower.confirmedAt).toBeGreaterThan(startedAt)
+  follower.stop()
+})
