Let no wait for a deadline end before it

Callers saw: a call of a daemon to a service that never ends was answered no_endpoint in place of deadline_exceeded, in one of four runs of its test.

Cause: Node.js counts timers in whole milliseconds, so that they fire up to 1 ms early. The router then found the deadline not passed, excluded the endpoint and looked for another one.

Why it works: scheduleAfterInput sets its timer for the next whole millisecond and one more.

--- a/src/contract/clock.ts
+++ b/src/contract/clock.ts
@@ -29,7 +29,8 @@
   schedule (milliseconds: number, callback: () => void): () => void
   /**
    * Calls a function once after a duration, and after what this process had received by then was read. Timers run before
-   * input is read, so after a stall of the event loop a plain timer would take a reply that has arrived for missing.
+   * input is read, so after a stall of the event loop a plain timer would take a reply that has arrived for missing. Never
+   * early, so that a deadline has passed when its callback compares the time with it.
    *
    * @returns cancels the call; without effect once it was made
    * @example
@@ -46,6 +47,8 @@
   heldUpMilliseconds (): number
 }
 
+/** Node.js counts in whole milliseconds, so that a timer may fire before its time by less than this. */
+const timerEarlinessMilliseconds = 1
 /** Node.js fires a timer with a longer delay at once. */
 const longestTimerMilliseconds = 2 ** 31 - 1
 
@@ -97,7 +100,7 @@
 
   scheduleAfterInput (milliseconds: number, callback: () => void): () => void {
     let isCancelled = false
-    const cancelTimer = this.schedule(milliseconds, async () => {
+    const cancelTimer = this.schedule(Math.ceil(milliseconds) + timerEarlinessMilliseconds, async () => {
       await untilInputIsRead(this)
       if (!isCancelled) callback()
     })
--- a/test/clock.test.ts
+++ b/test/clock.test.ts
@@ -24,3 +24,15 @@
   expect(clock.now() - before).toBeGreaterThan(10)
   expect(clock.now() - before).toBeLessThan(5_000)
 })
+
+test('a wait for input that ends at a deadline never ends before it', async () => {
+  const clock = new SystemClock()
+  const early: number[] = []
+  await Promise.all(Array.from({ length: 500 }, async (_, index) => {
+    await clock.sleep(index / 7)
+    const deadline = clock.now() + 5 + index / 500
+    await new Promise<void>(resolve => clock.scheduleAfterInput(deadline - clock.now(), resolve))
+    if (clock.now() < deadline) early.push(deadline - clock.now())
+  }))
+  expect(early).toEqual([])
+})
