--- a/test/silentConnections.test.ts
+++ b/test/silentConnections.test.ts
@@ -51,6 +51,11 @@
   expect(store.read('status', 'second')).toEqual({})
 })
 
+test('a call that waits for a part of a millisecond is held like any other, though the store takes whole ones only', async () => {
+  const { rows } = await startRowStore()
+  expect((await rows.changes('op', 0, 20.5)).ok).toBe(true)
+})
+
 test('a feed call that runs goes on when another call times out', async () => {
   const { store, proxy, rows } = await startRowStore()
   proxy.silence()
