Name the request that is sent once more by what it does, and keep one measure of a member's silence

retryIfHeldUp in place of askAgainIfHeldUp. The table of members measures the time since a change with Wait, as all other places do, in place of a computation of its own.

--- a/src/contract/replyTimeout.ts
+++ b/src/contract/replyTimeout.ts
@@ -51,15 +51,15 @@
 }
 
 /**
- * Asks, and asks once more if no answer came while the event loop was held up, so that a stall of this process is not taken
- * for the other's silence.
+ * Sends a request, and sends it once more if no answer came while the event loop was held up, so that a stall of this process
+ * is not taken for the peer's silence.
  *
  * @param isAnswer whether what came counts as an answer
  * @example
- * const isReached = await askAgainIfHeldUp(clock, () => probe(peer), isReached => isReached)
+ * const isReached = await retryIfHeldUp(clock, () => probe(peer), isReached => isReached)
  */
-export async function askAgainIfHeldUp<Answer> (clock: Pick<Clock, 'heldUpMilliseconds'>, ask: () => Promise<Answer>, isAnswer: (answer: Answer) => boolean): Promise<Answer> {
+export async function retryIfHeldUp<Answer> (clock: Pick<Clock, 'heldUpMilliseconds'>, send: () => Promise<Answer>, isAnswer: (answer: Answer) => boolean): Promise<Answer> {
   const heldUpBefore = clock.heldUpMilliseconds()
-  const answer = await ask()
-  return isAnswer(answer) || clock.heldUpMilliseconds() <= heldUpBefore ? answer : ask()
+  const answer = await send()
+  return isAnswer(answer) || clock.heldUpMilliseconds() <= heldUpBefore ? answer : send()
 }
--- a/src/fleetLoad/loadReports.ts
+++ b/src/fleetLoad/loadReports.ts
@@ -5,7 +5,7 @@
  * state: what is lost is told again, and what is not told again lapses.
  */
 import * as z from 'zod'
-import { type Clock, type Randomness, Wakeup, askAgainIfHeldUp, rendezvousOrder } from '../contract/index.ts'
+import { type Clock, type Randomness, Wakeup, retryIfHeldUp, rendezvousOrder } from '../contract/index.ts'
 import type { Link, MessageType } from '../link/index.ts'
 import type { Log } from '../observe/index.ts'
 import type { WorkByEndpoint } from './contract.ts'
@@ -143,7 +143,7 @@
       this.#recordSource(seed)
       return true
     }
-    const reply = await askAgainIfHeldUp(clock, () => link.request(peerAt(seed), loadReport, { work: encodeWork(ownWork()) }, replyTimeoutMilliseconds), ({ ok }) => ok)
+    const reply = await retryIfHeldUp(clock, () => link.request(peerAt(seed), loadReport, { work: encodeWork(ownWork()) }, replyTimeoutMilliseconds), ({ ok }) => ok)
     if (reply.err) this.#recordSilence(seed)
     if (reply.err) return false
     if (reply.val.isSettling === true) return true
--- a/src/link/tcpLink.ts
+++ b/src/link/tcpLink.ts
@@ -6,7 +6,7 @@
  */
 import { connect as connectPlain, createServer, isIP, type Server, type Socket } from 'node:net'
 import { connect as connectSecure, createServer as createSecureServer, type Server as SecureServer } from 'node:tls'
-import { type Clock, Err, InvariantViolation, Ok, type Result, askAgainIfHeldUp, sleepAfterInput, withReplyTimeout } from '../contract/index.ts'
+import { type Clock, Err, InvariantViolation, Ok, type Result, retryIfHeldUp, sleepAfterInput, withReplyTimeout } from '../contract/index.ts'
 import { type LinkCertificateFiles, type LinkCertificates, readCertificates, readCertificatesIfChanged } from './certificates.ts'
 import { Connection } from './connection.ts'
 import { type Link, LinkFailure, type LinkIdentity, type MessageType, type Peer } from './contract.ts'
@@ -140,7 +140,7 @@
 
   async #openTo (peer: Peer, timeoutMilliseconds: number): Promise<Result<Connection, LinkFailure>> {
     // A peer ends a handshake in which this process was held up for long.
-    const connection = await askAgainIfHeldUp(this.#clock, () => this.#withTimeout(this.#connectionTo(peer), timeoutMilliseconds), ({ ok }) => ok)
+    const connection = await retryIfHeldUp(this.#clock, () => this.#withTimeout(this.#connectionTo(peer), timeoutMilliseconds), ({ ok }) => ok)
     if (connection.ok) this.#readyConnections.set(peer.address, connection.val)
     return connection
   }
--- a/src/membership/endpointPoller.ts
+++ b/src/membership/endpointPoller.ts
@@ -3,7 +3,7 @@
  * all through rendezvous hashing, so that its polling load does not grow with the daemons and one frozen
  * daemon does not hide it. Together they produce about one report per second.
  */
-import { type Clock, type EndpointDescription, EndpointKind, type LoadReport, type Randomness, type Result, askAgainIfHeldUp, replyTimeoutSignal } from '../contract/index.ts'
+import { type Clock, type EndpointDescription, EndpointKind, type LoadReport, type Randomness, type Result, retryIfHeldUp, replyTimeoutSignal } from '../contract/index.ts'
 import type { LinkIdentity } from '../link/index.ts'
 import { endpointRecordFromReport } from './endpointRecord.ts'
 import type { EndpointTable } from './endpointTable.ts'
@@ -86,7 +86,7 @@
       const timeout = replyTimeoutSignal(clock, reportTimeoutMilliseconds)
       return await engines.report(endpoint, timeout.signal).finally(timeout.cancel)
     }
-    const report = await askAgainIfHeldUp(clock, ask, ({ ok }) => ok)
+    const report = await retryIfHeldUp(clock, ask, ({ ok }) => ok)
     return report.ok ? { ...report.val, at: Math.round(report.val.at) } : undefined
   }
 
--- a/src/membership/memberTable.ts
+++ b/src/membership/memberTable.ts
@@ -3,7 +3,7 @@
  * bring them back. Changes are queued for gossip: each is piggybacked on a bounded number of messages,
  * those sent least often first.
  */
-import type { Clock } from '../contract/index.ts'
+import { type Clock, Wait } from '../contract/index.ts'
 import type { LinkIdentity } from '../link/index.ts'
 import { MemberState, type MemberView } from './contract.ts'
 import { aliveRecord, mergeMemberRecords, type MemberRecord, type MemberRow, encodeMemberRow, MemberStatus } from './memberRecord.ts'
@@ -16,9 +16,8 @@
 
 interface Entry {
   readonly record: MemberRecord
-  readonly changedAt: number
-  /** For how long this process had been held up by then, in milliseconds. */
-  readonly heldUpBefore: number
+  /** Begins with the last change. */
+  readonly unchanged: Wait
 }
 
 export class MemberTable {
@@ -100,7 +99,7 @@
   expireSuspects (timeoutMilliseconds: number): void {
     for (const entry of [...this.#entries.values()]) {
       const { record } = entry
-      if (record.status !== MemberStatus.Suspect || this.#audibleMilliseconds(entry) < timeoutMilliseconds || !this.#isLocal(record.identity)) continue
+      if (record.status !== MemberStatus.Suspect || entry.unchanged.heardMilliseconds < timeoutMilliseconds || !this.#isLocal(record.identity)) continue
       this.updateStatus(record, MemberStatus.Dead)
     }
   }
@@ -108,7 +107,7 @@
   /** The records of daemons that are leaving, or have been dead for less than the given milliseconds. */
   leavingOrRecentlyDead (maximumDeadMilliseconds: number): MemberRecord[] {
     const cutoff = this.#clock.now() - maximumDeadMilliseconds
-    const entries = [...this.#entries.values()].filter(({ record, changedAt }) => record.status === MemberStatus.Dead ? changedAt > cutoff : record.leaving)
+    const entries = [...this.#entries.values()].filter(({ record, unchanged }) => record.status === MemberStatus.Dead ? unchanged.since > cutoff : record.leaving)
     return entries.map(entry => entry.record)
   }
 
@@ -126,15 +125,11 @@
   /** Removes daemons whose retention period as dead has passed. */
   evictDead (): void {
     const cutoff = this.#clock.now() - deadRetentionMilliseconds
-    for (const [name, { record, changedAt }] of this.#entries) {
-      if (record.status === MemberStatus.Dead && changedAt < cutoff) this.#entries.delete(name)
+    for (const [name, { record, unchanged }] of this.#entries) {
+      if (record.status === MemberStatus.Dead && unchanged.since < cutoff) this.#entries.delete(name)
     }
   }
 
-  #audibleMilliseconds ({ changedAt, heldUpBefore }: Entry): number {
-    return this.#clock.now() - changedAt - (this.#clock.heldUpMilliseconds() - heldUpBefore)
-  }
-
   #refute (incoming: MemberRecord): void {
     if (this.#isStopped || incoming.status === MemberStatus.Alive || incoming.identity.incarnation > this.#self.incarnation) return
     this.#set({ ...incoming, refutation: incoming.refutation + 1, status: MemberStatus.Alive })
@@ -151,7 +146,7 @@
   }
 
   #set (record: MemberRecord): void {
-    this.#entries.set(record.identity.name, { record, changedAt: this.#clock.now(), heldUpBefore: this.#clock.heldUpMilliseconds() })
+    this.#entries.set(record.identity.name, { record, unchanged: new Wait(this.#clock) })
     this.#sendCounts.set(record.identity.name, 0)
     this.#views = undefined
     if (this.#isLocal(record.identity) && this.#changesRing(record)) this.#ring = undefined
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -4,7 +4,7 @@
  * their number. An unreachable daemon becomes suspect and has some time to refute that before it is
  * declared dead, so that a daemon that was frozen briefly recovers without consequences.
  */
-import { type Clock, type Randomness, askAgainIfHeldUp, sleepAfterInput } from '../contract/index.ts'
+import { type Clock, type Randomness, retryIfHeldUp, sleepAfterInput } from '../contract/index.ts'
 import type { Link, LinkIdentity, Peer } from '../link/index.ts'
 import { aliveRecord, type MemberRow, decodeMemberRow, encodeMemberRow, MemberStatus } from './memberRecord.ts'
 import type { MemberTable } from './memberTable.ts'
@@ -42,7 +42,7 @@
     this.#randomness = randomness
     this.#members = members
     link.handle(probe, async (news, from) => this.#handleProbe(news, from))
-    link.handle(indirectProbe, async peer => ({ reached: await this.#askAgainIfHeldUp(() => this.#probe(peer)) }))
+    link.handle(indirectProbe, async peer => ({ reached: await this.#retryIfHeldUp(() => this.#probe(peer)) }))
   }
 
   async run (stopping: AbortSignal): Promise<void> {
@@ -68,7 +68,7 @@
     if (target === undefined) return
     const observed = this.#members.record(target.name)
     if (observed === undefined || observed.status === MemberStatus.Dead) return
-    if (await this.#askAgainIfHeldUp(async () => await this.#probe(target) || await this.#isReachedIndirectly(target))) return
+    if (await this.#retryIfHeldUp(async () => await this.#probe(target) || await this.#isReachedIndirectly(target))) return
     if (observed.status === MemberStatus.Alive) this.#members.updateStatus(observed, MemberStatus.Suspect)
   }
 
@@ -79,8 +79,8 @@
   }
 
   /** Asks again if there was no answer while this process was held up. */
-  #askAgainIfHeldUp (ask: () => Promise<boolean>): Promise<boolean> {
-    return askAgainIfHeldUp(this.#clock, ask, isReached => isReached)
+  #retryIfHeldUp (ask: () => Promise<boolean>): Promise<boolean> {
+    return retryIfHeldUp(this.#clock, ask, isReached => isReached)
   }
 
   async #probe (peer: Peer): Promise<boolean> {
