Tell the end of an endpoint's connection only to a reader that is not paused

What callers saw: a response over 64 KB that was read slowly, and whose connection ended just as it was paused with nothing left to read, was not whole: the HTTP library threw an uncaught "assert(!this.paused)" for one framed by the end of its connection, whose exchange then waited for its inactivity timeout, and for one with a length and connection: close; one with a length alone failed with "other side closed" although all its bytes were there. The uncaught error reaches the process, which has no handler for it.

Cause: Node.js tells the end of a socket as soon as its buffer is empty. The HTTP library can't take an end while it is paused.

Why it works: the last bytes are read with a size, with which Node.js does not tell the end yet, and while the library is paused with nothing left, Node.js reads nothing on its own. The library's next read, once it is resumed, brings the end.

--- a/src/endpoint/connections.ts
+++ b/src/endpoint/connections.ts
@@ -158,18 +158,30 @@
   /**
    * Makes the HTTP client read a connection in small parts. It would otherwise take all that has arrived, put back what
    * it does not parse when it is paused, and let Node.js read more each time, as if nothing were waiting.
+   *
+   * The end of a connection is told only once the client is resumed: it can't take it while it is paused.
    */
   #readInParts (socket: Socket): void {
     const read = socket.read.bind(socket)
-    const readAtMost = (size: number): unknown => read(socket.readableLength > size ? size : undefined)
+    const unshift = socket.unshift.bind(socket)
+    let isPausedAtEnd = false
+    // With a size, Node.js does not tell the end together with the last bytes.
+    const readAtMost = (size: number): unknown => read(Math.min(size, socket.readableLength) || undefined)
     const peek = () => {
+      if (socket.readableLength === 0) return noBytes
       const bytes = readAtMost(maximumBytesBehind)
       if (!Buffer.isBuffer(bytes)) return noBytes
-      socket.unshift(bytes)
+      unshift(bytes)
       return bytes
     }
+    socket.unshift = bytes => {
+      isPausedAtEnd = bytes.length === 0 && socket.readableLength === 0
+      unshift(bytes)
+    }
     socket.read = size => {
-      // Node.js itself reads nothing, to have more read.
+      // Node.js itself reads nothing, to have more read or to tell the end.
+      if (size === 0 && isPausedAtEnd) return null
+      isPausedAtEnd = false
       const bytes = size === undefined ? readAtMost(readBytes) : read(size)
       if (!Buffer.isBuffer(bytes)) return bytes
       this.#lastRead = bytes
