--- a/test/endBehindPause.test.ts
+++ b/test/endBehindPause.test.ts
@@ -21,7 +21,7 @@
     await pause(100)
     socket.end()
   })
-  const connections = new Connections({ connectTimeoutMilliseconds: 1_000 })
+  const connections = new Connections({ clock, connectTimeoutMilliseconds: 1_000 })
   const exchange = connections.startDedicated(server.address, { clock, method: 'GET', path: '/', headers: {}, body: undefined, inactivityTimeoutMilliseconds: 1_000, mayStillSend: () => true })
   await exchange.next()
   await pause(300)
