--- a/src/replica/feedState.ts
+++ b/src/replica/feedState.ts
@@ -53,9 +53,14 @@
     return known.sort((left, right) => left.confirmedAt - right.confirmedAt)[0]
   }
 
-  /** Sets the store's monotonic clock. */
-  setStoreTime (storeTime: number): void {
-    this.#storeClock = { storeTime, receivedAt: this.#clock.now() }
+  /**
+   * Sets the store's monotonic clock.
+   *
+   * @param heldUpMilliseconds for how long this process was held up since it asked; the reply may have arrived so much earlier
+   */
+  setStoreTime (storeTime: number, heldUpMilliseconds: number): void {
+    const expected = Math.max(storeTime, this.storeTime ?? storeTime)
+    this.#storeClock = { storeTime: storeTime, receivedAt: this.#clock.now() }
   }
 
   /** Records that the store confirmed a table; an earlier time than the known one has no effect. */
--- a/src/replica/relayFollower.ts
+++ b/src/replica/relayFollower.ts
@@ -217,7 +217,7 @@
       if (decoded.err) return decoded
       follower.applyRelayed(table, { version, epoch, isWhole, rows: decoded.val }, confirmation)
     }
-    if (storeTime !== undefined) follower.setStoreTime(storeTime)
+    if (storeTime !== undefined) follower.setStoreTime(storeTime, heldUpMilliseconds)
     return Ok(undefined)
   }
 
--- a/src/replica/replicaFollower.ts
+++ b/src/replica/replicaFollower.ts
@@ -168,8 +168,8 @@
   }
 
   /** Sets the store's monotonic clock from a relay's reply. */
-  setStoreTime (storeTime: number): void {
-    this.#state.setStoreTime(storeTime)
+  setStoreTime (storeTime: number, heldUpMilliseconds: number): void {
+    this.#state.setStoreTime(storeTime, heldUpMilliseconds)
   }
 
   #createTableFollower (table: string): TableFollower {
--- a/src/replica/tableFollower.ts
+++ b/src/replica/tableFollower.ts
@@ -210,7 +210,7 @@
   /** A reply that arrived while this process was held up tells how the table was then. */
   #recordReply ({ storeTime }: TableSnapshot): void {
     this.#confirm(this.#options.clock.now() - this.#wait.heldUpMilliseconds)
-    this.#options.state.setStoreTime(storeTime)
+    this.#options.state.setStoreTime(storeTime, this.#wait.heldUpMilliseconds)
   }
 
   #confirm (confirmedAt: number): void {
--- a/test/replica.test.ts
+++ b/test/replica.test.ts
@@ -191,3 +191,22 @@
   expect(follower.confirmedAt).toBeGreaterThan(startedAt)
   follower.stop()
 })
+
+test('the clock of the store does not fall back by a stall in which its reply waited to be read', async () => {
+  const clock = new ManualClock()
+  const snapshot = (storeTime: number): TableSnapshot => ({ rows: [], epoch: 0, version: 1, storeTime })
+  const feed: TableFeed = {
+    snapshot: async () => Ok(snapshot(clock.now())),
+    changes: async (_table, _after, waitMilliseconds) => {
+      const repliedAt = clock.now() + waitMilliseconds
+      await clock.sleep(waitMilliseconds)
+      return Ok({ ...snapshot(repliedAt), hasGap: false })
+    }
+  }
+  const follower = new ReplicaFollower({ feed, tables: ['op'], budget: () => divideNewsTime(4_000), clock, randomness: new SeededRandomness(1), log: new Log('error', {}, () => undefined), onChange: () => undefined })
+  follower.start()
+  await clock.advance(900)
+  await clock.stall(2_000)
+  expect(follower.storeTime).toBe(clock.now())
+  follower.stop()
+})
