--- a/src/replica/feedState.ts
+++ b/src/replica/feedState.ts
@@ -60,7 +60,7 @@
    */
   setStoreTime (storeTime: number, heldUpMilliseconds: number): void {
     const expected = Math.max(storeTime, this.storeTime ?? storeTime)
-    this.#storeClock = { storeTime: storeTime, receivedAt: this.#clock.now() }
+    this.#storeClock = { storeTime: Math.min(expected, storeTime + heldUpMilliseconds), receivedAt: this.#clock.now() }
   }
 
   /** Records that the store confirmed a table; an earlier time than the known one has no effect. */
