--- /dev/null
+++ b/trial/soak/records.ts
@@ -0,0 +1,80 @@
+/** What endpoints and callers of a soak record: one JSON line each, on the standard output of their processes. */
+
+/** How a run at an endpoint ended. */
+export const RunEnd = {
+  /** Its whole answer was written. */
+  Answered: 'answered',
+  /** Rejected before it ran: the answer promises so. */
+  NotRun: 'not_run',
+  /** The gateway closed the connection before the answer was whole. */
+  Abandoned: 'abandoned',
+  /** A fault of the endpoint, ordered by the soak, broke the answer off. */
+  Faulty: 'faulty'
+} as const
+export type RunEnd = typeof RunEnd[keyof typeof RunEnd]
+
+/** One run of a request at an endpoint. Times are milliseconds since the Unix epoch, as all processes of a soak share a machine. */
+export interface RunRecord {
+  readonly type: 'run'
+  readonly request: string
+  readonly endpoint: string
+  readonly path: string
+  readonly startedAt: number
+  readonly endedAt: number
+  readonly end: RunEnd
+  /** Version of the configuration whose effect the run shows; undefined if none does. */
+  readonly settingsVersion?: number | undefined
+  /** The event after which a stream was resumed. */
+  readonly resumedAfter?: string | undefined
+}
+
+/** How a request ended for its caller. */
+export const CallerEnd = {
+  /** A whole answer with a status. */
+  Answered: 'answered',
+  /** Its connection ended in order before a whole answer. */
+  Closed: 'closed',
+  /** Its connection was reset before a whole answer. */
+  Reset: 'reset',
+  /** Nothing whole came within the time that the soak allows. */
+  Unanswered: 'unanswered',
+  /** The caller left on purpose. */
+  Left: 'left'
+} as const
+export type CallerEnd = typeof CallerEnd[keyof typeof CallerEnd]
+
+/** One request as its caller saw it. */
+export interface RequestRecord {
+  readonly type: 'request'
+  readonly request: string
+  readonly gateway: string
+  /** Number of the connection within the caller, and of the request on it. */
+  readonly connection: number
+  readonly position: number
+  readonly path: string
+  readonly sentAt: number
+  readonly wholeAt: number | undefined
+  readonly endedAt: number
+  readonly deadlineAt: number
+  readonly end: CallerEnd
+  readonly status: number | undefined
+  /** Identity in the answer; that of another request is a finding. */
+  readonly answeredRequest: string | undefined
+  /** The endpoint named by the seal of the answer. */
+  readonly answeredBy: string | undefined
+  /** Ids of a stream's events in order, and whether its last one came. */
+  readonly events: readonly string[]
+  /** What the caller did besides sending: `half_close`, `reset`, `read_late`, `slow_body`. */
+  readonly habit: string | undefined
+}
+
+/** What the soak did to a process, and when. */
+export interface FaultRecord {
+  readonly type: 'fault'
+  readonly at: number
+  readonly until: number
+  readonly target: string
+  readonly fault: string
+}
+
+export type SoakRecord = RunRecord | RequestRecord | FaultRecord
