Give the components of a forwarder and the calls to services files of their own

composition.ts and the three files that it composes from imported each other, and so did serviceRouter.ts and sharedPrompt.ts, for the sake of one type each. Nothing else changes.

--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -1,7 +1,8 @@
 /** Request handling of a daemon, from the caller's connection to the endpoint and back. */
 export { ChatRouter, type ChatCall, type ChatRouterDependencies, SessionRequest } from './chatRouter.ts'
 export { type AnswerEvent } from './answer.ts'
-export { ServiceRouter, type ServiceRequest, type ServiceRouterDependencies } from './serviceRouter.ts'
+export { ServiceRouter, type ServiceRouterDependencies } from './serviceRouter.ts'
+export { type ServiceRequest } from './serviceRequest.ts'
 export { EndpointPlaces, type EndpointPlacesDependencies } from './endpointPlaces.ts'
 export { EndpointDirectory } from './endpointDirectory.ts'
 export { CompletionLengthEstimator } from './completionLengthEstimator.ts'
--- a/src/entry/serviceRouter.ts
+++ b/src/entry/serviceRouter.ts
@@ -10,32 +10,16 @@
 import type { AttemptBudget, EndpointView } from '../choice/index.ts'
 import { type Claim, type ClaimOpenOutcome, type ClaimRequest, type Claims, type StoredAnswer, ClaimPoint } from '../claim/index.ts'
 import { type AttemptFailure, DeliveryState, type ServiceResponse, type ServiceCall, type ServiceClient } from '../endpoint/index.ts'
-import { formatTraceParent, type TraceContext, type Tracer } from '../observe/index.ts'
-import type { OrganisationView } from '../settings/index.ts'
+import { formatTraceParent, type Tracer } from '../observe/index.ts'
 import { CrashGuard } from './crashGuard.ts'
 import { furtherDelivery, refusalAfter, runStateAfter } from './deliveryOfAttempts.ts'
 import type { EndpointDirectory } from './endpointDirectory.ts'
 import type { AttemptGate, EndpointPlaces } from './endpointPlaces.ts'
 import { RequestRetries } from './requestRetries.ts'
 import { ServiceEndpoints } from './serviceEndpoints.ts'
+import type { ServiceRequest } from './serviceRequest.ts'
 import { sharedCallOf } from './sharedPrompt.ts'
 
-/** An authenticated call to a plain service, with a deadline. */
-export interface ServiceRequest {
-  readonly id: string
-  readonly organisation: OrganisationView
-  readonly service: string
-  readonly method: string
-  readonly path: string
-  readonly idempotent: boolean
-  readonly contentType: string | undefined
-  readonly body: Uint8Array | undefined
-  readonly idempotencyKey: string | undefined
-  /** Milliseconds since the epoch. */
-  readonly deadline: number
-  readonly parent: TraceContext | undefined
-}
-
 export interface ServiceRouterDependencies {
   readonly here: Place
   readonly clock: Clock
--- a/src/entry/sharedPrompt.ts
+++ b/src/entry/sharedPrompt.ts
@@ -2,7 +2,7 @@
 import { createHash } from 'node:crypto'
 import { type SharedPrompt, requestDigest } from '../breaker/index.ts'
 import type { ChatMessage, ChatRequest } from '../contract/index.ts'
-import type { ServiceRequest } from './serviceRouter.ts'
+import type { ServiceRequest } from './serviceRequest.ts'
 
 const hashCharacters = 16
 
--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -2,23 +2,21 @@
 import { asFunction, asValue, type AwilixContainer, createContainer, InjectionMode } from 'awilix/browser'
 import { PlatformHeaders, RowStore, type BootFile } from '../../platform/index.ts'
 import { EndpointRuns, PromptBreaker, connectionCheck, logBreakerChange } from '../breaker/index.ts'
-import { type Randomness, SystemClock, SystemRandomness } from '../contract/index.ts'
+import { SystemClock, SystemRandomness } from '../contract/index.ts'
 import { Connections } from '../endpoint/index.ts'
-import { EndpointAnnouncements, EndpointLiveness, Forwarding, GatewayMetrics, type GatewayServer, type OperationsServer, PlannedStop, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
-import { type FleetDirectory, type FleetReports, FleetShare } from '../fleet/index.ts'
-import { type LoadReports, WorkNews } from '../fleetLoad/index.ts'
+import { EndpointAnnouncements, EndpointLiveness, Forwarding, GatewayMetrics, PlannedStop, RollOutCoordinator, RollOutView, RoutingView } from '../gateway/index.ts'
+import { FleetShare } from '../fleet/index.ts'
+import { WorkNews } from '../fleetLoad/index.ts'
 import { connectionProbe } from '../httpClient/index.ts'
 import { TcpLink } from '../link/index.ts'
-import type { MisdirectedEndpoints } from '../misdirection/index.ts'
-import type { NewsExchange } from '../news/index.ts'
 import { EventLoopStalls, LineQueue, Log, descriptorSink } from '../observe/index.ts'
 import { EndpointEligibility, EndpointLoads, EndpointPlacement, EndpointRegistry, Evacuations, ModelCascade, RetryBudget, RunDurations, VersionSelector } from '../placement/index.ts'
-import { type AnnouncedLimits, type EndpointLimits, PlaceQueues, type WarmUps } from '../rateLimit/index.ts'
-import type { ConfirmationMonitor, PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay } from '../replica/index.ts'
-import type { CallerListener, HeldBytes } from '../server/index.ts'
+import { PlaceQueues } from '../rateLimit/index.ts'
+import type { CallerListener } from '../server/index.ts'
 import { makeAnnouncedLimits, makeFleet, makeFleetReports, makeLimits, makeLoadReports, makeMisdirected, makeNews, makeWarmUps } from './exchangeComposition.ts'
 import { makeConfirmationMonitor, makeFollower, makePeers, makeRelay, makeRelayFollower } from './followingComposition.ts'
 import { EvacuationLoader } from './evacuationLoader.ts'
+import type { ForwarderDependencies } from './forwarderDependencies.ts'
 import { RowRollOutStore } from './rollOutStore.ts'
 import { makeGateway, makeHeldAnswers, makeHeldBytes, makeOperations } from './servingComposition.ts'
 import { TableLoader } from './tableLoader.ts'
@@ -27,11 +25,6 @@
 const endpointConnectTimeoutMilliseconds = 450
 const standardOutputDescriptor = 1
 
-/** Holds the boot file in force; a reload replaces it. */
-export interface BootFileHolder {
-  current: BootFile
-}
-
 /** What a forwarder is composed of. */
 export interface ForwarderOptions {
   readonly boot: BootFile
@@ -41,57 +34,6 @@
   readonly listener: CallerListener
 }
 
-/** All components of a forwarder. */
-export interface ForwarderDependencies {
-  readonly boot: BootFileHolder
-  readonly secret: string
-  readonly listener: CallerListener
-  readonly clock: SystemClock
-  readonly eventLoopStalls: EventLoopStalls
-  readonly randomness: Randomness
-  readonly logLines: LineQueue
-  readonly log: Log
-  readonly metrics: GatewayMetrics
-  readonly store: RowStore
-  readonly link: TcpLink
-  readonly follower: ReplicaFollower
-  readonly peers: PeerReplicaExchange
-  readonly relay: ReplicaRelay
-  readonly relayFollower: RelayFollower
-  readonly confirmationMonitor: ConfirmationMonitor
-  readonly routing: RoutingView
-  readonly registry: EndpointRegistry
-  readonly evacuations: Evacuations
-  readonly misdirected: MisdirectedEndpoints
-  readonly eligibility: EndpointEligibility
-  readonly loads: EndpointLoads
-  readonly liveness: EndpointLiveness
-  readonly rollOuts: RollOutView
-  readonly versionSelector: VersionSelector
-  readonly rollOutStore: RowRollOutStore
-  readonly rollOutCoordinator: RollOutCoordinator
-  readonly evacuationLoader: EvacuationLoader
-  readonly tableLoader: TableLoader
-  readonly breaker: PromptBreaker
-  readonly runs: EndpointRuns
-  readonly announcedLimits: AnnouncedLimits
-  readonly warmUps: WarmUps
-  readonly limits: EndpointLimits
-  readonly placeQueues: PlaceQueues
-  readonly fleet: FleetDirectory
-  readonly fleetReports: FleetReports
-  readonly news: NewsExchange
-  readonly loadNews: WorkNews
-  readonly loadReports: LoadReports
-  readonly connections: Connections
-  readonly plannedStop: PlannedStop
-  readonly heldBytes: HeldBytes
-  readonly heldAnswers: HeldBytes
-  readonly forwarding: Forwarding
-  readonly gateway: GatewayServer
-  readonly operations: OperationsServer
-}
-
 /**
  * Creates the container with all components of a forwarder.
  *
--- a/src/forwarder/exchangeComposition.ts
+++ b/src/forwarder/exchangeComposition.ts
@@ -5,7 +5,7 @@
 import { NewsExchange, logLimitChange, logMisdirection } from '../news/index.ts'
 import { AnnouncedLimits, EndpointLimits, WarmUps } from '../rateLimit/index.ts'
 import type { ReplicaFollower } from '../replica/index.ts'
-import type { ForwarderDependencies } from './composition.ts'
+import type { ForwarderDependencies } from './forwarderDependencies.ts'
 import { registrationExpiryMilliseconds } from './tableLoader.ts'
 
 export function makeAnnouncedLimits (parts: ForwarderDependencies): AnnouncedLimits {
--- a/src/forwarder/followingComposition.ts
+++ b/src/forwarder/followingComposition.ts
@@ -1,7 +1,7 @@
 /** Composes how a gateway follows the store: itself, through a relay, or through its peers. */
 import { Table } from '../../platform/index.ts'
 import { ConfirmationMonitor, type NewsTimeBudget, PeerReplicaExchange, RelayFollower, ReplicaFollower, ReplicaRelay, divideNewsTime } from '../replica/index.ts'
-import type { ForwarderDependencies } from './composition.ts'
+import type { ForwarderDependencies } from './forwarderDependencies.ts'
 
 /** Tables that every forwarder follows. */
 export const followedTables = [Table.Orders, Table.Endpoints, Table.Status] as const
--- a/src/forwarder/forwarder.ts
+++ b/src/forwarder/forwarder.ts
@@ -3,7 +3,8 @@
 import { type BootFile, readBootFile } from '../../platform/index.ts'
 import { Err, Ok, type Result, withDeadline } from '../contract/index.ts'
 import { signalDelayMilliseconds } from '../gateway/index.ts'
-import { type ForwarderDependencies, type ForwarderOptions, composeForwarder } from './composition.ts'
+import { type ForwarderOptions, composeForwarder } from './composition.ts'
+import type { ForwarderDependencies } from './forwarderDependencies.ts'
 
 /** Where metrics are served on every VM; `deploy/system.toml` names the same port. */
 const metricsPort = 9464
--- a/src/forwarder/servingComposition.ts
+++ b/src/forwarder/servingComposition.ts
@@ -2,7 +2,7 @@
 import { readyPath } from '../../platform/index.ts'
 import { GatewayServer, OperationsServer } from '../gateway/index.ts'
 import { HeldBytes, watchCutRequests } from '../server/index.ts'
-import type { BootFileHolder, ForwarderDependencies } from './composition.ts'
+import type { BootFileHolder, ForwarderDependencies } from './forwarderDependencies.ts'
 
 /** Share of the VM's memory that may be held for callers. */
 const heldMemoryShare = 0.15
