Log each request that was passed on and whose answer did not leave whole

What callers saw: a connection closed without an answer. The log said `answered` for the request.

Cause: `request_ended` is written when an answer is complete in the gateway. `answer_unsent` was written only for answers that had ended and whose response Node.js told of the close. Node.js tells only the response whose turn it is; those queued behind it get no `close`. So neither a queued answer that never left nor a stream that was cut had a line, and a queued request noticed nothing of its caller's leaving.

Change: a caller's connection tells its queued responses itself when it closes. `answer_unsent` covers every request that was passed on, with the cause of the close, whether the answer had begun and whether it was complete here. A caller that closed the connection is a cause of its own (`caller_left`); a cause of this process goes before it.

Tests, both failed before: no line within 10 s for a stream cut at its deadline; of three responses of a closed connection only the first was told.

--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -8,7 +8,7 @@
 import type { LogFields } from '../observe/index.ts'
 import type { ForwardingDependencies } from './forwardingDependencies.ts'
 import type { Ineligibility } from '../placement/index.ts'
-import { CloseCause, isFollowed } from '../server/index.ts'
+import { CloseCause, closeCauseOf, isFollowed } from '../server/index.ts'
 import { type ForwardRefusal, ForwardRefusals, contentBlocked, endpointsLimited, endpointsOverloaded, sendRefusal, unreachable } from './forwardRefusal.ts'
 
 const answeredOutcome = 'answered'
@@ -31,6 +31,8 @@
   readonly now: number
   readonly hasCallerLeft: boolean
   readonly isPastDeadline: boolean
+  /** Whether it was written to an endpoint. */
+  readonly wasPassedOn: boolean
   /** Fields of the request's log line other than its outcome. */
   logFields (): LogFields
 }
@@ -153,11 +155,14 @@
     return this.#state.now - this.#state.arrivedAt
   }
 
-  /** An answer that had ended was not sent to its end: the caller left, or its connection was closed too early. */
+  /** The kernel has not taken all of an answer that had ended, or that an endpoint was at work on. Whose caller left before is logged as such. */
   #recordClose (): void {
-    if (!this.response.writableEnded || this.response.writableFinished) return
+    const { writableEnded, writableFinished, headersSent, req } = this.response
+    const cause = closeCauseOf(req.socket)
+    const wasCut = this.#state.wasPassedOn && cause !== CloseCause.CallerLeft
+    if (writableFinished || !(writableEnded || wasCut)) return
     const { request, route } = this.#state.logFields()
-    this.#dependencies.log.warn('answer_unsent', { request, route, milliseconds: Math.round(this.#elapsedMilliseconds) })
+    this.#dependencies.log.warn('answer_unsent', { request, route, cause, hasBegun: headersSent, hasEnded: writableEnded, milliseconds: Math.round(this.#elapsedMilliseconds) })
   }
 
   /** What tells a body apart that has another length than its endpoint's. */
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -107,6 +107,10 @@
     return { bodyReadAt: this.#bodyReadAt, firstSentAt, lastSentAt }
   }
 
+  get wasPassedOn (): boolean {
+    return this.attempts.firstSentAt !== undefined
+  }
+
   /** Whether it may be sent again once it may have run. */
   get isRepeatable (): boolean {
     return isRepeatable(this.route)
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -1,6 +1,7 @@
 /** One connection of a caller: what was read of it, and which of its responses are still open. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { recordCallerLeft } from './closeCause.ts'
 import { markFollowed } from './followedResponse.ts'
 import { LingeringClose } from './lingeringClose.ts'
 
@@ -60,6 +61,9 @@
     this.#lingeringClose = new LingeringClose(socket)
     // Node.js calls it after an answer that announced the end of its connection.
     socket.destroySoon = () => this.#lingeringClose.begin()
+    socket.once('end', () => recordCallerLeft(socket))
+    socket.once('error', () => recordCallerLeft(socket))
+    socket.once('close', () => this.#closeQueuedResponses())
   }
 
   /** Responses of which the kernel has not taken all bytes yet. Node.js counts a response as ended before. */
@@ -188,6 +192,15 @@
     if (this.#last !== undefined) announceEnd(this.#last.response)
   }
 
+  /** Node.js tells only the response whose turn it is that its connection has closed. */
+  #closeQueuedResponses (): void {
+    for (const response of this.#openResponses) {
+      if (response.socket !== null) continue
+      response.destroy()
+      response.emit('close')
+    }
+  }
+
   get #hasAnnouncedEnd (): boolean {
     const response = this.#last?.response
     return response !== undefined && response.headersSent && !response.shouldKeepAlive
--- a/src/server/closeCause.ts
+++ b/src/server/closeCause.ts
@@ -26,6 +26,8 @@
   Failure: 'failure',
   /** The planned stop ended. */
   Stop: 'stop',
+  /** Its caller closed it or broke it off. */
+  CallerLeft: 'caller_left',
   /** None was recorded: an answer had announced the end of its connection. */
   Announced: 'announced'
 } as const
@@ -33,7 +35,8 @@
 
 /** Kept at the socket itself: the launcher and the program that it loads each have a copy of this module. */
 const causeKey = Symbol.for('lavenderdoor.closeCause')
-type SocketWithCause = Socket & { [causeKey]?: CloseCause }
+const callerLeftKey = Symbol.for('lavenderdoor.callerLeft')
+type SocketWithCause = Socket & { [causeKey]?: CloseCause, [callerLeftKey]?: true }
 
 /**
  * Records why a connection is about to be closed; the first cause counts.
@@ -46,6 +49,16 @@
   socket[causeKey] ??= cause
 }
 
+/**
+ * Records that the caller of a connection has ended its side or broken it off. A cause of this process goes before that.
+ *
+ * @example
+ * socket.once('error', () => recordCallerLeft(socket))
+ */
+export function recordCallerLeft (socket: SocketWithCause): void {
+  socket[callerLeftKey] = true
+}
+
 /**
  * The recorded cause.
  *
@@ -53,5 +66,6 @@
  * socket.once('close', () => log.info('requests_cut', { cause: closeCauseOf(socket) }))
  */
 export function closeCauseOf (socket: SocketWithCause): CloseCause {
-  return socket[causeKey] ?? CloseCause.Announced
+  if (socket[causeKey] !== undefined) return socket[causeKey]
+  return socket[callerLeftKey] === true ? CloseCause.CallerLeft : CloseCause.Announced
 }
