Pass a request on only when all answers ahead of it on its connection have left

What callers saw: requests behind a stream on one connection, closed without an answer when the stream was cut at its deadline, broke off at all its engines or fell silent.

Cause: up to 16 requests of a connection were passed on side by side. Answers leave in order, and HTTP/1.1 can break one off only by closing the connection, which loses all behind it.

Change: requests are admitted when they arrive (route, key, size, body, bytes held, refusals), and passed on one at a time, in order, each when the kernel has taken all bytes of the answers ahead. The wait ends with a refusal that is true (503 `not_sent_in_time`, `stopping`, `memory_full`), or without one when the connection closes (`request_not_passed_on`).

Why it works: at any moment only the request whose answer is first on its connection can be at an endpoint, so closing the connection for an answer loses no other run.

--- a/src/forwarder/servingComposition.ts
+++ b/src/forwarder/servingComposition.ts
@@ -38,7 +38,7 @@
     plannedStop,
     clock,
     log,
-    handle: (request, response) => forwarding.handle(request, response),
+    handle: (request, response, turn) => forwarding.handle(request, response, turn),
     refuseLate: (request, response) => forwarding.refuseStopping(request, response),
     requestsInFlight: () => forwarding.inFlight,
     readRequests: () => forwarding.readRequests
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -35,6 +35,8 @@
   /** The earlier of the caller's and the route's timeout, in milliseconds of the process's clock. */
   readonly deadline: number
   readonly sendWindow: SendWindow
+  /** How long it waited for the answers ahead of it; undefined if there were none. */
+  readonly waitedMilliseconds: number | undefined
   readonly snapshot: RoutingSnapshot
   readonly dependencies: ForwardingDependencies
 }
@@ -60,6 +62,7 @@
   readonly prompt: SharedPrompt
   readonly selection: EndpointSelection
   readonly attempts: RequestAttempts
+  readonly #waitedMilliseconds: number | undefined
   readonly #snapshot: RoutingSnapshot
   readonly #bodyReadAt: number
   #block: BlockedPrompt | undefined
@@ -78,6 +81,7 @@
     this.sendWindow = sendWindow
     this.dependencies = dependencies
     this.prompt = sharedPromptOf(options)
+    this.#waitedMilliseconds = options.waitedMilliseconds
     this.#snapshot = snapshot
     this.#bodyReadAt = dependencies.clock.now()
     response.once('close', () => {
@@ -176,6 +180,7 @@
       route: this.route.name,
       organisation: this.organisation?.name,
       limit: Math.round(this.deadline - this.arrivedAt),
+      waitedMilliseconds: this.#waitedMilliseconds,
       allowedRegions: this.#allowedRegionsField(),
       ...this.#sizeFields(),
       settings: this.#snapshot.settings.version,
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { type Refusal, RefusalCode } from '../contract/index.ts'
 import { chooseService } from '../placement/index.ts'
-import { CloseCause, readBoundedBody, recordCloseCause } from '../server/index.ts'
+import { CloseCause, type ResponseTurn, closeCauseOf, immediateTurn, readBoundedBody, recordCloseCause } from '../server/index.ts'
 import { type RequestHead, RouteType, type Route, type RoutedOrganisation } from '../routing/index.ts'
 import { type ForwardRefusal, ForwardRefusals, sendRefusal } from './forwardRefusal.ts'
 import { ForwardedRequest } from './forwardedRequest.ts'
@@ -16,6 +16,7 @@
 import type { RoutingSnapshot } from './routingView.ts'
 import { SendWindow } from './sendWindow.ts'
 import { StreamForwarding } from './streamForwarding.ts'
+import { TurnWait, TurnWaitEnd } from './turnWait.ts'
 
 /** Equal to the HTTP server's own timeout for a complete request, in milliseconds. */
 const bodyTimeoutMilliseconds = 300_000
@@ -32,6 +33,21 @@
   readonly service: string
 }
 
+/** A request whose turn did not come. */
+interface EndedWait {
+  readonly end: Exclude<TurnWaitEnd, typeof TurnWaitEnd.Come>
+  readonly route: Route
+  readonly waitedMilliseconds: number | undefined
+}
+
+/** How a request is refused whose turn did not come; undefined if nobody is left to be told. */
+const refusalsAfterWait: Readonly<Record<EndedWait['end'], ForwardRefusal | undefined>> = {
+  [TurnWaitEnd.Overdue]: ForwardRefusals.notSentInTime,
+  [TurnWaitEnd.Stopping]: ForwardRefusals.stopping,
+  [TurnWaitEnd.Evicted]: ForwardRefusals.memoryFull,
+  [TurnWaitEnd.Closed]: undefined
+}
+
 export class Forwarding {
   readonly #dependencies: ForwardingDependencies
   readonly #readRequests = new Set<ForwardedRequest>()
@@ -52,13 +68,13 @@
     return [...this.#readRequests]
   }
 
-  /** Forwards one request; resolves when the response has ended or its connection is closed. */
-  async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  /** Forwards one request when its turn comes; resolves when the response has ended or its connection is closed. */
+  async handle (request: IncomingMessage, response: ServerResponse, turn: ResponseTurn = immediateTurn): Promise<void> {
     this.#inFlight++
     this.#dependencies.metrics.inFlight.set(this.#inFlight)
     const holding = new RequestHolding(this.#dependencies, response)
     try {
-      await this.#forward(request, response, holding)
+      await this.#forward(request, response, holding, turn)
     } finally {
       holding.endWork()
       this.#inFlight--
@@ -71,7 +87,7 @@
     this.#refuse(request, response, ForwardRefusals.stopping, this.#dependencies.codec.readRequestHead(request.headers))
   }
 
-  async #forward (request: IncomingMessage, response: ServerResponse, holding: RequestHolding): Promise<void> {
+  async #forward (request: IncomingMessage, response: ServerResponse, holding: RequestHolding, turn: ResponseTurn): Promise<void> {
     const { clock, codec, plannedStop, routing, runDurations, untilTablesAreRead } = this.#dependencies
     const arrivedAt = clock.now()
     const headSize = headSizeOf(request)
@@ -89,8 +105,11 @@
     const body = await plannedStop.orEnd(readBoundedBody(request, { maximumBytes: snapshot.settings.limits.maximumBodyBytes, timeoutMilliseconds: bodyTimeoutMilliseconds, holding, evicted: holding.evicted }), sendWindow)
     if (body === undefined) return this.#refuse(request, response, ForwardRefusals.stopping, head)
     if (body.err) return this.#refuseBody(request, response, body.val, head)
+    const wait = new TurnWait(turn, clock)
+    const waitEnd = await wait.run({ plannedStop, deadline, sendWindow, evicted: holding.evicted })
+    if (waitEnd !== TurnWaitEnd.Come) return this.#endWaiting(request, response, head, { end: waitEnd, route: admitted.route, waitedMilliseconds: wait.milliseconds })
     holding.beginWork()
-    const forwardedRequest = new ForwardedRequest({ ...admitted, holding, request, response, head, body: body.val, arrivedAt, deadline, sendWindow, snapshot, dependencies: this.#dependencies })
+    const forwardedRequest = new ForwardedRequest({ ...admitted, holding, waitedMilliseconds: wait.milliseconds, request, response, head, body: body.val, arrivedAt, deadline, sendWindow, snapshot, dependencies: this.#dependencies })
     await this.#run(forwardedRequest)
   }
 
@@ -133,6 +152,14 @@
     }
   }
 
+  /** A request whose turn did not come is refused, unless its connection has closed. It was not passed on. */
+  #endWaiting (request: IncomingMessage, response: ServerResponse, head: RequestHead, { end, route, waitedMilliseconds }: EndedWait): void {
+    const refusal = refusalsAfterWait[end]
+    if (refusal !== undefined) return this.#refuse(request, response, refusal, head, waitedMilliseconds)
+    this.#dependencies.log.info('request_not_passed_on', { request: head.attemptId, route: route.name, cause: closeCauseOf(request.socket), waitedMilliseconds })
+    this.#dependencies.metrics.requests.inc({ service: 'none', outcome: 'not_passed_on' })
+  }
+
   #refuseBody (request: IncomingMessage, response: ServerResponse, { code }: Refusal, head: RequestHead): void {
     if (code === RefusalCode.BodyTooLarge) return this.#refuse(request, response, ForwardRefusals.bodyTooLarge, head)
     if (code === RefusalCode.Overloaded) return this.#refuse(request, response, ForwardRefusals.memoryFull, head)
@@ -141,7 +168,7 @@
     response.destroy()
   }
 
-  #refuse (request: IncomingMessage, response: ServerResponse, refusal: ForwardRefusal, head?: RequestHead): void {
+  #refuse (request: IncomingMessage, response: ServerResponse, refusal: ForwardRefusal, head?: RequestHead, waitedMilliseconds?: number): void {
     const { codec, log, metrics, routing } = this.#dependencies
     log.info('request_refused', {
       request: head?.attemptId,
@@ -152,6 +179,7 @@
       status: refusal.status,
       detail: head?.error,
       isBodyUnread: !request.complete,
+      waitedMilliseconds,
       settings: routing.snapshot?.settings.version
     })
     metrics.requests.inc({ service: 'none', outcome: refusal.code })
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -31,7 +31,7 @@
   readonly heldBytes = new Gauge({ name: 'lavenderdoor_held_bytes', help: 'Bytes held for callers: heads, bodies and answers that they have not read.', registers: [this.registry] })
   readonly evictedHoldings = new Counter({ name: 'lavenderdoor_evicted_holdings_total', help: 'Requests that were refused or cut because what they held was needed for others.', registers: [this.registry] })
   readonly closedConnections = new Counter({ name: 'lavenderdoor_caller_connections_closed_total', help: 'Connections of callers that were closed for others, by cause.', labelNames: ['cause'], registers: [this.registry] })
-  readonly cutRequests = new Counter({ name: 'lavenderdoor_caller_requests_cut_total', help: 'Requests without a complete answer whose connection this gateway closed, by cause and state: arriving, unanswered, begun.', labelNames: ['cause', 'state'], registers: [this.registry] })
+  readonly cutRequests = new Counter({ name: 'lavenderdoor_caller_requests_cut_total', help: 'Requests without a complete answer whose connection this gateway closed, by cause and state: arriving, unanswered, begun, waiting (not passed on).', labelNames: ['cause', 'state'], registers: [this.registry] })
   readonly eventLoopStalls = createStallMetrics(this.registry)
   readonly droppedLogLines = new Gauge({ name: 'lavenderdoor_log_lines_dropped', help: 'Log lines that were dropped because their reader was too slow.', registers: [this.registry] })
 
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -2,13 +2,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { untilInputIsRead } from '../contract/index.ts'
 import type { CallerLimits } from '../routing/index.ts'
-import { CloseCause, HeadTimeLimits } from '../server/index.ts'
+import { CloseCause, HeadTimeLimits, type ResponseTurn, immediateTurn } from '../server/index.ts'
 import { Drain, type DrainOptions } from './drain.ts'
 import { HeadRefusals } from './headRefusals.ts'
 import { cutResponse } from './responseFraming.ts'
 
 export interface GatewayServerOptions extends DrainOptions {
-  readonly handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>
+  /** Forwards a request; it is passed on when its turn comes. */
+  readonly handle: (request: IncomingMessage, response: ServerResponse, turn: ResponseTurn) => Promise<void>
   /** Refuses a request that arrives too late in a planned stop. */
   readonly refuseLate: (request: IncomingMessage, response: ServerResponse) => void
 }
@@ -59,8 +60,9 @@
 
   /** A busy process may read a request long after its caller has left; what ended the connection is read first. */
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    await untilInputIsRead(this.#options.clock)
-    if (this.#drain.isTooLate) return this.#options.refuseLate(request, response)
-    await this.#options.handle(request, response)
+    const { clock, handle, listener, refuseLate } = this.#options
+    await untilInputIsRead(clock)
+    if (this.#drain.isTooLate) return refuseLate(request, response)
+    await handle(request, response, listener.connectionOf(request.socket)?.turnOf(response) ?? immediateTurn)
   }
 }
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -4,9 +4,9 @@
 import { recordCallerLeft } from './closeCause.ts'
 import { markFollowed } from './followedResponse.ts'
 import { LingeringClose } from './lingeringClose.ts'
+import { ResponseQueue } from './responseQueue.ts'
+import type { ResponseTurn } from './responseTurn.ts'
 
-/** Requests of one connection that are served at a time; answers leave in order, so more of them only wait. */
-const maximumServed = 16
 /** Requests that a caller may send ahead of their answers. */
 const maximumOpenResponses = 64
 
@@ -14,10 +14,12 @@
 export interface UnfinishedRequests {
   /** Those whose body is arriving. */
   readonly arriving: number
-  /** Those that were read to their end. */
+  /** Those that were read to their end and whose turn had come. */
   readonly unanswered: number
   /** Those whose answer has been sent in part. */
   readonly begun: number
+  /** Those that waited for the answers ahead of them, and were not passed on. */
+  readonly waiting: number
 }
 
 /** The response to the latest request. */
@@ -44,7 +46,7 @@
 export class CallerConnection {
   readonly socket: Socket
   readonly #lingeringClose: LingeringClose
-  readonly #openResponses = new Set<ServerResponse>()
+  readonly #openResponses = new ResponseQueue()
   #last: LastResponse | undefined
   #isRetiring = false
   #takesRequests = true
@@ -52,9 +54,6 @@
   #wholeRequestBytes = 0
   #headCount = 0
   #lastActiveAt = performance.now()
-  #servedCount = 0
-  /** Starts the requests that were read while others of this connection are served. */
-  readonly #backlog: (() => void)[] = []
 
   constructor (socket: Socket) {
     this.socket = socket
@@ -63,7 +62,7 @@
     socket.destroySoon = () => this.#lingeringClose.begin()
     socket.once('end', () => recordCallerLeft(socket))
     socket.once('error', () => recordCallerLeft(socket))
-    socket.once('close', () => this.#closeQueuedResponses())
+    socket.once('close', () => this.#closeQueued())
   }
 
   /** Responses of which the kernel has not taken all bytes yet. Node.js counts a response as ended before. */
@@ -103,14 +102,17 @@
 
   /** Whether a response has been sent in part. */
   get hasBegunResponse (): boolean {
-    return [...this.#openResponses].some(({ headersSent }) => headersSent)
+    return this.#openResponses.all.some(({ headersSent }) => headersSent)
   }
 
   /** The requests that have no complete answer, by their state. */
   get unfinishedRequests (): UnfinishedRequests {
-    const begun = [...this.#openResponses].filter(({ headersSent }) => headersSent).length
-    const arriving = [...this.#openResponses].filter(({ headersSent, req }) => !headersSent && !req.complete).length
-    return { arriving, unanswered: this.#openResponses.size - begun - arriving, begun }
+    const { all } = this.#openResponses
+    const [first] = all
+    const begun = first?.headersSent === true ? 1 : 0
+    const arriving = all.filter(({ req }, index) => !req.complete && index >= begun).length
+    const unanswered = begun === 0 && first?.req.complete === true ? 1 : 0
+    return { arriving, unanswered, begun, waiting: all.length - arriving - unanswered - begun }
   }
 
   /** Resolves when the requests that were read to their end so far are answered. */
@@ -119,7 +121,7 @@
   }
 
   get #answering (): readonly ServerResponse[] {
-    return [...this.#openResponses].filter(({ req }) => req.complete)
+    return this.#openResponses.all.filter(({ req }) => req.complete)
   }
 
   /** Whether its end was announced, and its caller has yet to close its side. */
@@ -154,8 +156,9 @@
     this.#lastActiveAt = performance.now()
     this.#openResponses.add(response)
     const close = () => {
-      this.#openResponses.delete(response)
+      this.#openResponses.remove(response)
       this.#lastActiveAt = performance.now()
+      if (this.isClosing) this.#openResponses.close()
     }
     response.once('finish', close)
     response.once('close', close)
@@ -164,21 +167,9 @@
     return true
   }
 
-  /** Serves a request once few others of this connection are being served. */
-  serveInTurn (response: ServerResponse, serve: () => void): void {
-    if (this.#servedCount >= maximumServed) this.#backlog.push(() => this.#serve(response, serve))
-    else this.#serve(response, serve)
-  }
-
-  /** The next one begins in a later round of the event loop, so that other connections are served in between. */
-  #serve (response: ServerResponse, serve: () => void): void {
-    this.#servedCount++
-    response.once('close', () => {
-      this.#servedCount--
-      if (this.socket.destroyed) this.#backlog.length = 0
-      else if (this.#backlog.length > 0) setImmediate(() => this.#backlog.shift()?.())
-    })
-    serve()
+  /** The turn of a request that was added. */
+  turnOf (response: ServerResponse): ResponseTurn {
+    return this.#openResponses.turnOf(response)
   }
 
   /** Takes no further requests; those that were added are served. */
@@ -193,8 +184,9 @@
   }
 
   /** Node.js tells only the response whose turn it is that its connection has closed. */
-  #closeQueuedResponses (): void {
-    for (const response of this.#openResponses) {
+  #closeQueued (): void {
+    this.#openResponses.close()
+    for (const response of this.#openResponses.all) {
       if (response.socket !== null) continue
       response.destroy()
       response.emit('close')
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -86,7 +86,7 @@
   /** Serves the requests that are waiting and all further ones. */
   serveWith (serve: RequestListener): void {
     this.#serve = serve
-    for (const { request, response } of this.#waiting.splice(0)) this.#serveInTurn(request, response, serve)
+    for (const { request, response } of this.#waiting.splice(0)) serve(request, response)
   }
 
   /** Accepts no further connections; open ones stay. */
@@ -115,12 +115,6 @@
       return
     }
     if (this.#serve === undefined) this.#waiting.push({ request, response })
-    else this.#serveInTurn(request, response, this.#serve)
-  }
-
-  #serveInTurn (request: IncomingMessage, response: ServerResponse, serve: RequestListener): void {
-    const connection = this.#connections.of(request.socket)
-    if (connection === undefined) serve(request, response)
-    else connection.serveInTurn(response, () => serve(request, response))
+    else this.#serve(request, response)
   }
 }
--- a/test/callerCloses.test.ts
+++ b/test/callerCloses.test.ts
@@ -4,6 +4,8 @@
 import { ConnectionState, RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
 
 const answerMilliseconds = 200
+/** Twenty in turn fit into the time of their route. */
+const shortAnswerMilliseconds = 20
 const longIdleMilliseconds = 15_000
 const shortIdleMilliseconds = 500
 
@@ -42,6 +44,7 @@
 })
 
 test('requests that wait behind others of their connection are answered although a malformed one comes after them', async () => {
+  ledger.handleWith((_request, response) => { setTimeout(() => response.end('done'), shortAnswerMilliseconds) })
   const requests = Array.from({ length: 20 }, (_, index) => requestHead(`/balance/${index}`, { id: `ahead-${index}`, method: 'GET' }))
   caller.write(`${requests.join('')}malformed\r\n\r\n`)
   await Promise.race([caller.until(21), pause(5_000)])
