Pass a request on only in its turn at a daemon's server for callers, too

What callers saw: the same as at a gateway. All requests of a connection ran beside each other, without bound, and were lost with it.

Cause: `CallerServer` handed every request on at once.

Change: it waits for the request's turn before it asks a router, by the code of the gateways (`ResponseQueue`, `awaitTurn`). The refusal of malformed requests moved to a file of its own.

Tests (callerServerConnections.test.ts), red before: three requests ran for a caller that left after 100 ms, now one. A request with a short deadline behind a longer one was refused 429 by the estimate of its time at once; it now waits its turn and is refused 504, `not_run`.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -17,7 +17,8 @@
 import { respondChat } from './chatResponse.ts'
 import { type ChatCall, type ChatRouter, SessionRequest } from './chatRouter.ts'
 import type { Drain } from './drain.ts'
-import { type CallerConnection, TrackedConnections, listenOn, readBoundedBody } from '../server/index.ts'
+import { TrackedConnections, TurnOutcome, awaitTurn, immediateTurn, listenOn, readBoundedBody } from '../server/index.ts'
+import { refuseMalformed } from './malformedRefusal.ts'
 import { errorBody, modelList } from './openAiFormat.ts'
 import type { ServiceRequest, ServiceRouter } from './serviceRouter.ts'
 import { isIdempotent } from './serviceOperation.ts'
@@ -170,6 +171,7 @@
   async #respondChat (context: Koa.Context, caller: AuthenticatedRequest): Promise<void> {
     const call = await this.#readChatCall(context, caller)
     if (call.err) return this.#refuse(context, call.val)
+    if (!(await this.#isPassedOn(context, caller))) return
     const { clock, log, metrics } = this.#options
     const startedAt = clock.now()
     const labels = { organisation: caller.organisation.name, kind: call.val.call.request.kind }
@@ -190,6 +192,15 @@
     log.info('request_ended', { request: caller.id, trace: context.state.trace?.traceId, ...labels, outcome: end.outcome, code: end.refusal?.code.name, run: end.refusal?.run, milliseconds: Math.round(clock.now() - startedAt) })
   }
 
+  /** Waits for the request's turn on its connection; false if the request is over before it, and refused where somebody is left to be told. */
+  async #isPassedOn (context: Koa.Context, { id, deadline }: AuthenticatedRequest): Promise<boolean> {
+    const turn = this.#connections.of(context.req.socket)?.turnOf(context.res) ?? immediateTurn
+    const outcome = await awaitTurn(turn, this.#options.clock, deadline)
+    if (outcome === TurnOutcome.Overdue) this.#refuse(context, new Refusal(RefusalCode.DeadlineExceeded, RunState.NotRun, 'the deadline passed while answers ahead on the connection were on their way'))
+    if (outcome === TurnOutcome.Closed) this.#options.log.info('request_not_passed_on', { request: id, trace: context.state.trace?.traceId })
+    return outcome === TurnOutcome.Come
+  }
+
   async #readChatCall (context: Koa.Context, caller: AuthenticatedRequest): Promise<Result<{ readonly call: ChatCall, readonly includeUsage: boolean }, Refusal>> {
     const text = await readBoundedBody(context.req, { maximumBytes: this.#options.maximumBodyBytes })
     if (text.err) return text
@@ -223,6 +234,7 @@
     }
     const request = await this.#readServiceRequest(context, caller, service, path, operations)
     if (request.err) return this.#refuse(context, request.val)
+    if (!(await this.#isPassedOn(context, caller))) return
     const answer = await this.#options.services.answer(request.val, caller.signal)
     const labels = { organisation: caller.organisation.name, kind: 'service' }
     if (answer.err) {
@@ -279,14 +291,3 @@
   })
   return controller.signal
 }
-
-/** Requests before the malformed one are answered first. */
-function refuseMalformed (socket: Socket, connection: CallerConnection | undefined): void {
-  const refuse = () => {
-    if (!socket.writable) return
-    const body = JSON.stringify(errorBody(new Refusal(RefusalCode.InvalidRequest, RunState.NotRun, 'the request is not well-formed HTTP')))
-    socket.end(`HTTP/1.1 400 Bad Request\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
-  }
-  if (connection?.isAnswering === true) connection.untilAnswered().then(refuse)
-  else refuse()
-}
--- a/test/callerServerConnections.test.ts
+++ b/test/callerServerConnections.test.ts
@@ -7,8 +7,8 @@
 beforeEach(async () => { harness = await EntryHarness.start() })
 afterEach(async () => await harness.close())
 
-function chat (request: string): string {
-  const body = JSON.stringify({ model: 'auto', messages: [{ role: 'user', content: `kind=lookup tokens=40 request=${request}` }] })
+function chat (request: string, tokens = 40): string {
+  const body = JSON.stringify({ model: 'auto', messages: [{ role: 'user', content: `kind=lookup tokens=${tokens} request=${request}` }] })
   return `POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${harbourKey}\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`
 }
 
@@ -34,3 +34,17 @@
   harness.drain.begin()
   expect((await answers).match(/HTTP\/1.1 200/g)).toHaveLength(2)
 })
+
+test('a daemon runs no request behind another one of its connection whose caller leaves before that is answered', async () => {
+  await receive(chat('first') + chat('second') + chat('third'), 100)
+  await pause(600)
+  expect(await harness.engineRuns()).toHaveLength(1)
+})
+
+test('a daemon refuses a request as not run whose deadline comes while the answer ahead is on its way', async () => {
+  const hurried = chat('second').replace('content-type', 'x-lavenderdoor-timeout-seconds: 0.6\r\ncontent-type')
+  const received = await receive(chat('first', 200) + hurried, 2_500)
+  expect(received.match(/HTTP\/1.1 \d+/g)).toEqual(['HTTP/1.1 200', 'HTTP/1.1 504'])
+  expect(received).toContain('not_run')
+  expect(await harness.engineRuns()).toHaveLength(1)
+})
