Start the processes of trials and tests in one way

TrialProcess of the demo and GatewayProcess of the tests each spawned, ended and measured a process.

--- a/measure/path.ts
+++ b/measure/path.ts
@@ -9,7 +9,8 @@
 import { build } from 'hdr-histogram-js'
 import { stringify } from 'smol-toml'
 import { Agent, request } from 'undici'
-import { waitUntilAnswering, sleep, runCommand, TrialProcess } from '../trial/demo/processes.ts'
+import { waitUntilAnswering, sleep, runCommand, startProgram } from '../trial/demo/processes.ts'
+import type { TrialProcess } from '../trial/trialProcess.ts'
 
 const platform = '127.0.0.1:22000'
 const callers = '127.0.0.1:22001'
@@ -24,13 +25,13 @@
   const folder = mkdtempSync(join(tmpdir(), 'lavenderdoor-measure-'))
   const processes: TrialProcess[] = []
   try {
-    processes.push(new TrialProcess('platform', ['stand-in', 'platform', '--listen', platform], folder))
+    processes.push(startProgram('platform', ['stand-in', 'platform', '--listen', platform], folder))
     engines.forEach((address, number) => {
-      processes.push(new TrialProcess(`engine-${number}`, ['stand-in', 'engine', '--listen', address, '--name', `engine-${number}`, '--versions', 'small@1', '--speed', '20', '--streams', '2000'], folder))
+      processes.push(startProgram(`engine-${number}`, ['stand-in', 'engine', '--listen', address, '--name', `engine-${number}`, '--versions', 'small@1', '--speed', '20', '--streams', '2000'], folder))
     })
     await waitUntilAnswering(`http://${platform}/virtual-machines`)
     await installSettings(folder)
-    const daemon = new TrialProcess('daemon', ['serve', '--config', writeDaemonConfiguration(folder)], folder)
+    const daemon = startProgram('daemon', ['serve', '--config', writeDaemonConfiguration(folder)], folder)
     processes.push(daemon)
     await waitUntilAnswering(`http://${operators}/health/ready`)
     await sleep(settleMilliseconds)
--- a/trial/demo.ts
+++ b/trial/demo.ts
@@ -14,7 +14,8 @@
 import { TrialCallers, type RequestObservation, type PlannedRequest } from './demo/callers.ts'
 import { findViolations, checkedGuarantees, settingsPropagationLimitMilliseconds, type Violation } from './demo/violations.ts'
 import { organisations, rolledOutModel, type TrialDaemon, TrialLayout } from './demo/layout.ts'
-import { waitUntilAnswering, sleep, runCommand, TrialProcess } from './demo/processes.ts'
+import { waitUntilAnswering, sleep, runCommand, startProgram } from './demo/processes.ts'
+import type { TrialProcess } from './trialProcess.ts'
 
 const requestCount = 340
 const arrivalsPerSecond = 20
@@ -75,7 +76,7 @@
   }
 
   #spawn (name: string, commandArguments: readonly string[]): void {
-    this.#processes.set(name, new TrialProcess(name, commandArguments, this.#folder))
+    this.#processes.set(name, startProgram(name, commandArguments, this.#folder))
   }
 
   async #startDaemon (daemon: TrialDaemon): Promise<void> {
--- a/trial/demo/processes.ts
+++ b/trial/demo/processes.ts
@@ -1,7 +1,7 @@
-/** Starts the processes of a trial from the bundled program, waits until they are ready and stops them. */
-import { type ChildProcess, spawn } from 'node:child_process'
-import { createWriteStream } from 'node:fs'
+/** Starts the processes of a trial from the bundled program and waits until they are ready. */
+import { spawn } from 'node:child_process'
 import { join } from 'node:path'
+import { TrialProcess } from '../trialProcess.ts'
 
 /** The bundled program, or the binary that LAVENDERDOOR_PROGRAM names. */
 const programFile = process.env.LAVENDERDOOR_PROGRAM ?? join('dist', 'lavenderdoor.cjs')
@@ -9,43 +9,9 @@
 const readyPollIntervalMilliseconds = 50
 const readyTimeoutMilliseconds = 15_000
 
-/** The exit code or signal of a process that has ended. */
-export interface ProcessEnd {
-  readonly code: number | null
-  readonly signal: NodeJS.Signals | null
-}
-
-export class TrialProcess {
-  readonly name: string
-  readonly ended: Promise<ProcessEnd>
-  readonly #child: ChildProcess
-
-  /** @param logFolder where the output is written, one file per process */
-  constructor (name: string, commandArguments: readonly string[], logFolder: string) {
-    this.name = name
-    this.#child = spawn(programCommand ?? programFile, [...programArguments, ...commandArguments], { stdio: ['ignore', 'pipe', 'pipe'] })
-    const log = createWriteStream(join(logFolder, `${name}.log`), { flags: 'a' })
-    this.#child.stdout?.pipe(log, { end: false })
-    this.#child.stderr?.pipe(log, { end: false })
-    this.ended = new Promise(resolve => this.#child.once('exit', (code, signal) => resolve({ code, signal })))
-  }
-
-  /** The process id; 0 if the process could not be started. */
-  get pid (): number {
-    return this.#child.pid ?? 0
-  }
-
-  /** Sends SIGTERM and waits for the end of the process. */
-  async stop (): Promise<ProcessEnd> {
-    this.#child.kill('SIGTERM')
-    return await this.ended
-  }
-
-  /** Sends SIGKILL and waits for the end of the process. */
-  async kill (): Promise<ProcessEnd> {
-    this.#child.kill('SIGKILL')
-    return await this.ended
-  }
+/** Starts the bundled program with the arguments that are given; its output goes to a log of its name in the folder. */
+export function startProgram (name: string, commandArguments: readonly string[], logFolder: string): TrialProcess {
+  return new TrialProcess({ name, command: [programCommand ?? programFile, ...programArguments, ...commandArguments], logFolder })
 }
 
 /** Runs a command of the program and collects its output. */
