--- a/trial/soak/records.ts
+++ b/trial/soak/records.ts
@@ -26,6 +26,21 @@
   readonly settingsVersion?: number | undefined
   /** The event after which a stream was resumed. */
   readonly resumedAfter?: string | undefined
+  readonly service?: string
+  /** Version of the endpoint's software, which a roll-out changes. */
+  readonly softwareVersion?: string
+  /** Of the answer; undefined if its head was not sent. */
+  readonly status?: number | undefined
+}
+
+/** The start of a run, so that runs at an endpoint that is killed are known; `SoakWorld` makes a faulty RunRecord of each that it does not end. */
+export interface RunStartRecord {
+  readonly type: 'run_started'
+  readonly request: string
+  readonly endpoint: string
+  readonly service: string
+  readonly path: string
+  readonly startedAt: number
 }
 
 /** How a request ended for its caller. */
@@ -77,4 +92,31 @@
   readonly fault: string
 }
 
-export type SoakRecord = RunRecord | RequestRecord | FaultRecord
+/** A route as a configuration has it. */
+export interface RouteRecord {
+  readonly prefix: string
+  readonly service: string
+  readonly timeoutMilliseconds: number
+}
+
+/** A configuration that the store has acknowledged. */
+export interface ConfigurationRecord {
+  readonly type: 'configuration'
+  readonly version: number
+  /** When it was sent to the store, and when the store had acknowledged it. */
+  readonly sentAt: number
+  readonly acknowledgedAt: number
+  readonly routes: readonly RouteRecord[]
+  readonly keys: readonly string[]
+}
+
+/** A process that ended although nobody ended it, or with a failure although it was asked to stop. */
+export interface EndRecord {
+  readonly type: 'end'
+  readonly process: string
+  readonly at: number
+  readonly code: number | null
+  readonly signal: NodeJS.Signals | null
+}
+
+export type SoakRecord = RunRecord | RunStartRecord | RequestRecord | FaultRecord | ConfigurationRecord | EndRecord
--- /dev/null
+++ b/trial/soak/soakGateway.ts
@@ -0,0 +1,138 @@
+/** One gateway of the soak: a VM whose process may end and start again, at one of two addresses, behind a proxy for its callers. */
+import { GatewayProcess, allocateProcessHost } from '../../test/fakes/gatewayProcess.ts'
+import { waitUntilAnswering } from '../demo/processes.ts'
+import { readyPath } from '../../platform/index.ts'
+import type { EndRecord } from './records.ts'
+
+/** Time from SIGTERM to SIGKILL. */
+export const graceSeconds = 6
+
+const limits = { memory_mb: 210, max_fds: 2_212, link_mbps: 1_000 }
+const callerPort = 8227
+const readyPort = 8220
+const linkPort = 8229
+
+export interface SoakGatewayOptions {
+  readonly name: string
+  readonly zone: string
+  /** What the boot files of all gateways share. */
+  readonly boot: Readonly<Record<string, unknown>>
+  readonly programDirectory: string
+  readonly logFolder: string
+  readonly commandPrefix: readonly string[]
+  readonly onUnexpectedEnd: (end: EndRecord) => void
+}
+
+export class SoakGateway {
+  readonly name: string
+  readonly zone: string
+  /** Of its proxy, for callers. */
+  callerAddress = ''
+  /** Of its proxy before the store. */
+  storeAddress = ''
+  seeds: readonly string[] = []
+  readonly #options: SoakGatewayOptions
+  readonly #hosts = [allocateProcessHost(), allocateProcessHost()] as const
+  #hostIndex: 0 | 1 = 0
+  #process: GatewayProcess | undefined
+  #isEndExpected = false
+  #frozenMilliseconds = 0
+
+  constructor (options: SoakGatewayOptions) {
+    this.name = options.name
+    this.zone = options.zone
+    this.#options = options
+  }
+
+  get host (): string {
+    return this.#hosts[this.#hostIndex]
+  }
+
+  /** Where it serves callers itself. */
+  get ownAddress (): string {
+    return `${this.host}:${callerPort}`
+  }
+
+  get linkAddress (): string {
+    return `${this.host}:${linkPort}`
+  }
+
+  get isRunning (): boolean {
+    return this.#process?.isRunning ?? false
+  }
+
+  /** 0 if the process does not run; 0 for one that has ended. */
+  get processId (): number {
+    return this.isRunning ? this.#process?.pid ?? 0 : 0
+  }
+
+  get memoryBytes (): number {
+    return this.#process?.memoryBytes ?? 0
+  }
+
+  get peakMemoryBytes (): number {
+    return this.#process?.peakMemoryBytes ?? 0
+  }
+
+  /** Starts a process, unless one runs, and waits until it is ready. */
+  async start (): Promise<void> {
+    if (this.isRunning) return
+    const { name, zone, boot, programDirectory, logFolder, commandPrefix, onUnexpectedEnd } = this.#options
+    const started = new GatewayProcess(programDirectory, this.host, this.storeAddress, limits, this.seeds, {
+      name, graceSeconds, logFolder, commandPrefix, boot: { ...boot, zone }
+    })
+    this.#process = started
+    this.#isEndExpected = false
+    started.ended.then(end => {
+      const isExpected = this.#isEndExpected && (end.code === 0 || end.signal === 'SIGKILL')
+      if (!isExpected) onUnexpectedEnd({ type: 'end', process: name, at: Date.now(), ...end })
+    })
+    await waitUntilAnswering(`http://${this.host}:${readyPort}${readyPath}`)
+  }
+
+  /** The next process is started at the other address. */
+  changeHost (): void {
+    this.#hostIndex = this.#hostIndex === 0 ? 1 : 0
+  }
+
+  reload (): void {
+    this.#process?.signal('SIGHUP')
+  }
+
+  /** Holds the process up. */
+  async freeze (milliseconds: number): Promise<void> {
+    this.#frozenMilliseconds += milliseconds
+    await this.#process?.holdUp(milliseconds)
+  }
+
+  /**
+   * Stops the process as planned.
+   *
+   * @returns whether it ended within its grace, without the time for which it was held up
+   */
+  async stop (): Promise<boolean> {
+    const stopped = this.#process
+    if (stopped === undefined || !stopped.isRunning) return true
+    this.#isEndExpected = true
+    const frozenBefore = this.#frozenMilliseconds
+    stopped.signal('SIGTERM')
+    const startedAt = performance.now()
+    const hasTimeLeft = () => performance.now() - startedAt < graceSeconds * 1_000 + this.#frozenMilliseconds - frozenBefore
+    while (stopped.isRunning && hasTimeLeft()) await Promise.race([stopped.ended, pause()])
+    const hasEnded = !stopped.isRunning
+    if (!hasEnded) await this.kill()
+    return hasEnded
+  }
+
+  async kill (): Promise<void> {
+    this.#isEndExpected = true
+    this.#process?.signal('SIGKILL')
+    await this.#process?.ended
+  }
+}
+
+const endPollMilliseconds = 50
+
+function pause (): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, endPollMilliseconds))
+}
