--- a/trial/soak/records.ts
+++ b/trial/soak/records.ts
@@ -88,8 +88,30 @@
   readonly type: 'fault'
   readonly at: number
   readonly until: number
+  /** A gateway, an endpoint, a service, `store`, `machine`, or a link: `callers/GATEWAY`, `store/GATEWAY`, `endpoint/ENDPOINT`. */
   readonly target: string
+  /** One of faults.ts. */
   readonly fault: string
+  /** How a roll-out ended. */
+  readonly outcome?: string | undefined
+}
+
+/** A planned stop of a gateway, and whether it ended within its grace. */
+export interface StopRecord {
+  readonly type: 'stop'
+  readonly gateway: string
+  readonly startedAt: number
+  readonly endedAt: number
+  readonly isInTime: boolean
+}
+
+/** Something that the soak could not do, such as a gateway that did not get ready after its start. */
+export interface FailureRecord {
+  readonly type: 'failure'
+  readonly at: number
+  readonly target: string
+  readonly fault: string
+  readonly reason: string
 }
 
 /** A route as a configuration has it. */
@@ -119,4 +141,4 @@
   readonly signal: NodeJS.Signals | null
 }
 
-export type SoakRecord = RunRecord | RunStartRecord | RequestRecord | FaultRecord | ConfigurationRecord | EndRecord
+export type SoakRecord = RunRecord | RunStartRecord | RequestRecord | FaultRecord | ConfigurationRecord | EndRecord | StopRecord | FailureRecord
