Draw faults evenly over the seeds, and wait for a gateway only while it runs

The first number of SeededRandomness is near 1 for small seeds, so seeds 1 to 3 harmed no gateway; the soak hashes its seed. Roll-outs that find another one under way are not recorded.

--- a/test/soakFaultPlan.test.ts
+++ b/test/soakFaultPlan.test.ts
@@ -45,6 +45,12 @@
   for (const place of Object.values(FaultPlace)) if (place !== FaultPlace.Gateway) expect(places.some(found => !found.has(place))).toBe(true)
 })
 
+test('three quarters of the seeds restart gateways, and small seeds draw as any others', () => {
+  const restarting = plans.filter(plan => plan.some(({ fault }) => fault === GatewayFault.Restart))
+  expect(restarting.length).toBeGreaterThan(seeds.length * 0.7)
+  expect(plans.slice(0, 5).some(plan => plan.some(({ fault }) => fault === GatewayFault.Restart))).toBe(true)
+})
+
 test('a freeze lasts from 0.3 to 1.8 s', () => {
   const freezes = plans.flat().filter(({ fault }) => fault === GatewayFault.Freeze).map(({ milliseconds }) => milliseconds)
   expect(Math.min(...freezes)).toBeGreaterThanOrEqual(300)
--- a/trial/soak/faultPlan.ts
+++ b/trial/soak/faultPlan.ts
@@ -3,7 +3,7 @@
  * Within a family faults come in series, on one target again and again, on one target after the other or on several at once; the
  * families run beside each other, so their series overlap.
  */
-import { type Randomness, SeededRandomness } from '../../src/contract/index.ts'
+import { type Randomness, SeededRandomness, hashFraction } from '../../src/contract/index.ts'
 import { EndpointFault, EndpointProcessFault, type Fault, GatewayFault, LinkFault, OperatorFault, PlatformFault } from './faults.ts'
 
 /** Where a fault is caused. */
@@ -42,6 +42,8 @@
   readonly share: number
   readonly durationMilliseconds: Range
   readonly pauseMilliseconds: Range
+  /** Faults of a series; as `seriesLength` unless given. */
+  readonly length?: Range
 }
 
 interface Range {
@@ -59,17 +61,18 @@
   { place: FaultPlace.Gateway, faults: [GatewayFault.Freeze], share: 0.6, durationMilliseconds: { from: 300, to: 1_800 }, pauseMilliseconds: shortPause },
   { place: FaultPlace.Gateway, faults: [GatewayFault.Kill], share: 0.3, durationMilliseconds: lasting, pauseMilliseconds: longPause },
   { place: FaultPlace.Operator, faults: [OperatorFault.Configure], share: 0.7, durationMilliseconds: lasting, pauseMilliseconds: shortPause },
-  { place: FaultPlace.Operator, faults: [OperatorFault.RollOutGood, OperatorFault.RollOutBad], share: 0.4, durationMilliseconds: lasting, pauseMilliseconds: longPause },
+  { place: FaultPlace.Operator, faults: [OperatorFault.RollOutGood, OperatorFault.RollOutBad], share: 0.4, durationMilliseconds: lasting, pauseMilliseconds: longPause, length: { from: 1, to: 2 } },
   { place: FaultPlace.Endpoint, faults: Object.values(EndpointFault), share: 0.5, durationMilliseconds: lasting, pauseMilliseconds: shortPause },
   { place: FaultPlace.EndpointProcess, faults: Object.values(EndpointProcessFault), share: 0.4, durationMilliseconds: { from: 300, to: 1_800 }, pauseMilliseconds: longPause },
   { place: FaultPlace.CallerLink, faults: Object.values(LinkFault), share: 0.3, durationMilliseconds: lasting, pauseMilliseconds: longPause },
   { place: FaultPlace.StoreLink, faults: Object.values(LinkFault), share: 0.4, durationMilliseconds: lasting, pauseMilliseconds: shortPause },
   { place: FaultPlace.EndpointLink, faults: Object.values(LinkFault), share: 0.3, durationMilliseconds: lasting, pauseMilliseconds: longPause },
-  { place: FaultPlace.Platform, faults: [PlatformFault.StoreBusy, PlatformFault.StoreSilent, PlatformFault.StoreLosesHistory], share: 0.3, durationMilliseconds: lasting, pauseMilliseconds: longPause },
+  { place: FaultPlace.Platform, faults: [PlatformFault.StoreBusy, PlatformFault.StoreSilent, PlatformFault.StoreLosesAnswers, PlatformFault.StoreLosesHistory], share: 0.3, durationMilliseconds: lasting, pauseMilliseconds: longPause },
   { place: FaultPlace.Platform, faults: [PlatformFault.Load], share: 0.4, durationMilliseconds: lasting, pauseMilliseconds: shortPause }
 ]
 
 const minimumFamilies = 2
+const seedCount = 2 ** 32
 const firstSeriesMilliseconds = { from: 300, to: 3_000 }
 const seriesLength = { from: 2, to: 7 }
 const stepMilliseconds = { from: 100, to: 1_500 }
@@ -92,7 +95,7 @@
  * const plan = planFaults({ seed: 7, seconds: 60 })
  */
 export function planFaults ({ seed, seconds }: FaultPlanOptions): readonly PlannedFault[] {
-  const randomness = new SeededRandomness(seed)
+  const randomness = randomnessOf(seed, 'faults')
   const endsAt = Math.max(0, seconds * 1_000 - calmMilliseconds)
   const faults = drawFamilies(randomness).flatMap(family => planFamily(family, endsAt, randomness))
   return faults.sort((left, right) => left.atMilliseconds - right.atMilliseconds)
@@ -114,12 +117,12 @@
   return planned
 }
 
-function planSeries ({ place, faults, durationMilliseconds }: FaultFamily, startsAt: number, randomness: Randomness): PlannedFault[] {
+function planSeries ({ place, faults, durationMilliseconds, length = seriesLength }: FaultFamily, startsAt: number, randomness: Randomness): PlannedFault[] {
   const fault = pick(faults, randomness)
   const targets = pick(Object.values(Targets), randomness)
   const first = draw(targetNumbers, randomness)
   const step = targets === Targets.AtOnce ? 0 : draw(stepMilliseconds, randomness)
-  return Array.from({ length: draw(seriesLength, randomness) }, (_, index) => ({
+  return Array.from({ length: draw(length, randomness) }, (_, index) => ({
     atMilliseconds: startsAt + index * step,
     milliseconds: draw(durationMilliseconds, randomness),
     place,
@@ -128,6 +131,11 @@
   }))
 }
 
+/** A generator for one use of a seed. The seed is hashed, because the first numbers of small seeds are alike. */
+export function randomnessOf (seed: number, use: string): Randomness {
+  return new SeededRandomness(Math.floor(hashFraction(`${use} ${seed}`) * seedCount))
+}
+
 /** A whole number of the range, its ends included. */
 function draw ({ from, to }: Range, randomness: Randomness): number {
   return from + randomness.integerBelow(to - from + 1)
--- a/trial/soak/faultRunner.ts
+++ b/trial/soak/faultRunner.ts
@@ -8,15 +8,19 @@
 import type { SoakGateway } from './soakGateway.ts'
 import type { SoakWorld } from './soakWorld.ts'
 
-/** What a fault was done to, and how it ended if there is more than one way. */
+/** What a fault is done to, and how it ended if there is more than one way. */
 interface CausedFault {
   readonly target: string
   readonly done: Promise<string | void>
 }
 
+/** The outcome of a fault for which there was no room. */
+const notDone = 'not_done'
+
 const storeFaults: Readonly<Partial<Record<string, StoreFault>>> = {
   [PlatformFault.StoreBusy]: 'busy',
-  [PlatformFault.StoreSilent]: 'silent'
+  [PlatformFault.StoreSilent]: 'silent',
+  [PlatformFault.StoreLosesAnswers]: 'answers_lost'
 }
 const storeName = 'store'
 const machineName = 'machine'
@@ -50,6 +54,7 @@
     const { target, done } = this.#cause(planned)
     try {
       const outcome = await done
+      if (outcome === notDone) return
       this.#world.record({ type: 'fault', at, until: Date.now(), target, fault, outcome: outcome ?? undefined })
     } catch (error) {
       this.#world.record({ type: 'fault', at, until: Date.now(), target, fault })
@@ -102,7 +107,11 @@
 
   #operate (fault: OperatorFault, service: string): CausedFault {
     if (fault === OperatorFault.Configure) return { target: storeName, done: this.#world.configure() }
-    return { target: service, done: this.#rollOuts.run(service, fault === OperatorFault.RollOutBad) }
+    return { target: service, done: this.#rollOut(service, fault === OperatorFault.RollOutBad) }
+  }
+
+  async #rollOut (service: string, isBad: boolean): Promise<string> {
+    return await this.#rollOuts.run(service, isBad) ?? notDone
   }
 
   #harmPlatform (fault: PlatformFault, milliseconds: number): CausedFault {
--- a/trial/soak/faults.ts
+++ b/trial/soak/faults.ts
@@ -72,6 +72,8 @@
 export const PlatformFault = {
   StoreBusy: 'store_busy',
   StoreSilent: 'store_silent',
+  /** Writes are made, and their connections closed without an answer. */
+  StoreLosesAnswers: 'store_loses_answers',
   StoreLosesHistory: 'store_loses_history',
   /** Other processes keep processors busy. */
   Load: 'load'
--- a/trial/soak/soakEndpoint.ts
+++ b/trial/soak/soakEndpoint.ts
@@ -68,8 +68,13 @@
       setTimeout(() => this.#endRuns(), lastLineMilliseconds)
       if (!this.#isEndExpected) onUnexpectedEnd({ type: 'end', process: this.name, at: Date.now(), ...end })
     })
-    const address = await openProxy(this.name, String(await started.ready))
-    await started.order({ order: 'register', address })
+    try {
+      const address = await openProxy(this.name, String(await started.ready))
+      await started.order({ order: 'register', address })
+    } catch (error) {
+      // Another fault may end it while it starts.
+      if (started.isRunning || !this.#isEndExpected) throw error
+    }
   }
 
   async cause (fault: EndpointFault, milliseconds: number): Promise<void> {
--- a/trial/soak/soakGateway.ts
+++ b/trial/soak/soakGateway.ts
@@ -1,6 +1,6 @@
 /** One gateway of the soak: a VM whose process may end and start again, at one of two addresses, behind a proxy for its callers. */
 import { GatewayProcess, allocateProcessHost } from '../../test/fakes/gatewayProcess.ts'
-import { sleep, waitUntilAnswering } from '../demo/processes.ts'
+import { sleep } from '../demo/processes.ts'
 import { readyPath } from '../../platform/index.ts'
 import type { ProcessEnd } from '../trialProcess.ts'
 import type { EndRecord } from './records.ts'
@@ -13,6 +13,8 @@
 const readyPort = 8220
 const linkPort = 8229
 const endPollMilliseconds = 50
+const readyPollMilliseconds = 50
+const readyTimeoutMilliseconds = 15_000
 
 export interface SoakGatewayOptions {
   readonly name: string
@@ -91,7 +93,7 @@
     started.ended.then(end => {
       if (!this.#isExpected(end)) onUnexpectedEnd({ type: 'end', process: name, at: Date.now(), ...end })
     })
-    await waitUntilAnswering(`http://${this.host}:${readyPort}${readyPath}`)
+    await waitUntilReady(started)
     this.#isReady = this.#process === started
   }
 
@@ -149,3 +151,18 @@
     return this.#isEndExpected && isByOrder
   }
 }
+
+/**
+ * Waits until a gateway answers that it is ready, or has been ended by another fault.
+ *
+ * @throws if neither comes within 15 s
+ */
+async function waitUntilReady (started: GatewayProcess): Promise<void> {
+  const endsAt = performance.now() + readyTimeoutMilliseconds
+  while (started.isRunning) {
+    const answer = await fetch(`http://${started.host}:${readyPort}${readyPath}`).catch(() => undefined)
+    if (answer?.ok) return
+    if (performance.now() > endsAt) throw new Error(`the gateway at ${started.host} was not ready within ${readyTimeoutMilliseconds} ms`)
+    await sleep(readyPollMilliseconds)
+  }
+}
--- a/trial/soak/soakWorld.ts
+++ b/trial/soak/soakWorld.ts
@@ -8,8 +8,8 @@
 import { join } from 'node:path'
 import { ConfigurationHistory, type StandInConfiguration, type StoreFault } from '../../platform/standin/index.ts'
 import { Table, configurationKey } from '../../platform/index.ts'
-import { SeededRandomness } from '../../src/contract/index.ts'
 import { buildProgram, removeProgram } from '../../test/fakes/gatewayProcess.ts'
+import { randomnessOf } from './faultPlan.ts'
 import type { LinkFault } from './faults.ts'
 import { type LoadOrder, OrderedProcess, type ProxyOrder, Role, type StoreOrder } from './orders.ts'
 import type { EndRecord, SoakRecord } from './records.ts'
@@ -75,7 +75,7 @@
     this.#directory = buildProgram()
     this.logFolder = mkdtempSync(join(tmpdir(), 'lavenderdoor-soak-'))
     this.#commandPrefix = processors === undefined ? [] : processorBinding(processors)
-    this.#history = new ConfigurationHistory(new SeededRandomness(seed))
+    this.#history = new ConfigurationHistory(randomnessOf(seed, 'configurations'))
     bundle('trial/soak/role.ts', this.roleProgram)
     process.once('exit', this.#endAll).once('SIGINT', this.#interrupt).once('SIGTERM', this.#interrupt)
     this.#store = this.#startRole<StoreOrder>('store', Role.Store, { host: loopback, expiryMilliseconds })
