Parse the responses of a raw connection once, in a reader of its own

RawCaller parsed all that it had received for each look at its responses. A soak's callers need the same parser on long connections, and what has begun of a cut response, so it moves into ResponseReader, which keeps its place. RawCaller can half-close and reset, and a connection closed here no longer counts as open.

--- a/test/fakes/keptCallers.ts
+++ b/test/fakes/keptCallers.ts
@@ -1,7 +1,8 @@
 /** Callers that use connections in every way: new and kept ones, whole requests and parts, alone and ahead of their answers. */
 import type { Randomness } from '../../src/contract/index.ts'
 import { type ChangingWorld, shortTimeoutMilliseconds } from './changingWorld.ts'
-import { ConnectionState, RawCaller, type RawResponse, pause, requestHead } from './rawCaller.ts'
+import { ConnectionState, RawCaller, pause, requestHead } from './rawCaller.ts'
+import type { RawResponse } from './responseReader.ts'
 
 const prefixes = ['/balance/', '/release/', '/open/', '/query/']
 const oncePrefix = '/release/'
--- a/test/fakes/rawCaller.ts
+++ b/test/fakes/rawCaller.ts
@@ -1,14 +1,8 @@
 /** A caller on a plain TCP connection, which can read late, send in parts and pipeline. */
 import { connect, type Socket } from 'node:net'
+import { type RawResponse, ResponseReader } from './responseReader.ts'
 
-const port = 8227
-
-/** A response as it was received. */
-export interface RawResponse {
-  readonly status: number
-  readonly head: string
-  readonly bodyLength: number
-}
+const callerPort = 8227
 
 /** How a connection stands. */
 export const ConnectionState = {
@@ -37,17 +31,23 @@
 export class RawCaller {
   readonly #socket: Socket
   readonly #chunks: Buffer[] = []
+  readonly #reader = new ResponseReader()
   #state: ConnectionState = ConnectionState.Open
 
   private constructor (socket: Socket) {
     this.#socket = socket
     socket.setNoDelay(true)
-    socket.on('data', bytes => { this.#chunks.push(bytes) })
-    socket.on('end', () => { if (this.#state === ConnectionState.Open) this.#state = ConnectionState.Ended })
+    socket.on('data', bytes => {
+      this.#chunks.push(bytes)
+      this.#reader.append(bytes)
+    })
+    const end = () => { if (this.#state === ConnectionState.Open) this.#state = ConnectionState.Ended }
+    socket.on('end', end)
+    socket.on('close', end)
     socket.on('error', () => { this.#state = ConnectionState.Broken })
   }
 
-  static connect (host: string): Promise<RawCaller> {
+  static connect (host: string, port = callerPort): Promise<RawCaller> {
     return new Promise((resolve, reject) => {
       const socket = connect({ port, host, allowHalfOpen: true }, () => resolve(new RawCaller(socket)))
       socket.once('error', reject)
@@ -65,7 +65,12 @@
 
   /** All complete responses so far. */
   get responses (): readonly RawResponse[] {
-    return parseResponses(Buffer.concat(this.#chunks))
+    return this.#reader.responses
+  }
+
+  /** The response that has begun and isn't complete. */
+  get begunResponse (): RawResponse | undefined {
+    return this.#reader.begun
   }
 
   /** Their statuses. */
@@ -91,6 +96,15 @@
     while (this.#state === ConnectionState.Open && this.responses.length < responseCount) await pause(10)
   }
 
+  /** Ends the own side, and goes on reading. */
+  halfClose (): void {
+    this.#socket.end()
+  }
+
+  reset (): void {
+    this.#socket.resetAndDestroy()
+  }
+
   close (): void {
     this.#socket.destroy()
   }
@@ -113,29 +127,3 @@
   block(milliseconds)
   await new Promise(resolve => setImmediate(resolve))
 }
-
-function parseResponses (bytes: Buffer): readonly RawResponse[] {
-  const responses: RawResponse[] = []
-  for (let rest = bytes; ;) {
-    const headEnd = rest.indexOf('\r\n\r\n')
-    if (headEnd < 0) return responses
-    const head = rest.subarray(0, headEnd).toString('latin1')
-    const body = rest.subarray(headEnd + 4)
-    const bodyLength = bodyLengthOf(head, body)
-    if (!(body.length >= bodyLength)) return responses
-    responses.push({ status: Number(head.slice(9, 12)), head, bodyLength })
-    rest = body.subarray(bodyLength)
-  }
-}
-
-/** The length of a whole body with its framing; NaN while it can't be told. */
-function bodyLengthOf (head: string, body: Buffer): number {
-  if (!/^transfer-encoding: chunked/im.test(head)) return Number(/^content-length: (\d+)/im.exec(head)?.[1] ?? NaN)
-  for (let position = 0; ;) {
-    const lineEnd = body.indexOf('\r\n', position)
-    if (lineEnd < 0) return NaN
-    const chunkLength = parseInt(body.subarray(position, lineEnd).toString('latin1'), 16)
-    position = lineEnd + chunkLength + 4
-    if (chunkLength === 0) return position
-  }
-}
