--- a/trial/soak/records.ts
+++ b/trial/soak/records.ts
@@ -66,8 +66,15 @@
   readonly events: readonly string[]
   /** What the caller did besides sending: `half_close`, `reset`, `read_late`, `slow_body`. */
   readonly habit: string | undefined
+  /** The event after which the caller asked for a stream to go on. */
+  readonly resumedAfter?: string | undefined
+  /** When a caller that reads late began to read. */
+  readonly readFrom?: number | undefined
 }
 
+/** Stands for the request of an answer on a connection that had none waiting. */
+export const unaskedRequest = 'unasked'
+
 /** What the soak did to a process, and when. */
 export interface FaultRecord {
   readonly type: 'fault'
