--- a/trial/soak/callerPlan.ts
+++ b/trial/soak/callerPlan.ts
@@ -53,7 +53,7 @@
 const shareOfHabits = 0.35
 const habits = Object.values(CallerHabit)
 const deadlinesMilliseconds = [400, 800, 1_500, 3_000, 6_000, 10_000]
-const plainRunMilliseconds = [5, 20, 60, 200, 500]
+const plainWorkMilliseconds = [5, 20, 60, 200, 500]
 const eventCounts = [2, 4, 8, 12]
 /** Below the largest gap of any route. */
 const eventGapsMilliseconds = [20, 60, 150, 250]
@@ -106,7 +106,7 @@
     const hasLongBody = isFirst && habit === CallerHabit.SlowBody
     return {
       route,
-      run: isStream ? this.#streamRun(route.prefix) : { prefix: route.prefix, eventCount: 0, milliseconds: this.pick(plainRunMilliseconds) },
+      run: isStream ? this.#streamRun(route.prefix) : { prefix: route.prefix, eventCount: 0, workMilliseconds: this.pick(plainWorkMilliseconds) },
       key: this.pick(this.#keys),
       deadlineMilliseconds: this.pick(deadlinesMilliseconds),
       bodyLength: hasLongBody ? longBodyBytes : this.#randomness.integerBelow(maximumBodyBytes)
@@ -114,7 +114,6 @@
   }
 
   #streamRun (prefix: string): AskedRun {
-    const eventCount = this.pick(eventCounts)
-    return { prefix, eventCount, milliseconds: eventCount * this.pick(eventGapsMilliseconds) }
+    return { prefix, eventCount: this.pick(eventCounts), workMilliseconds: this.pick(eventGapsMilliseconds) }
   }
 }
--- a/trial/soak/callerProcess.ts
+++ b/trial/soak/callerProcess.ts
@@ -1,8 +1,7 @@
 /**
- * A process of several callers. Its only argument is a `CallerProcessSettings` as JSON; each line of its standard input lists the
- * gateways that new connections may go to. It prints a record for each request, and ends by itself.
+ * A process of several callers. Its only argument is a `CallerProcessSettings` as JSON; each message that it gets lists the gateways
+ * that new connections may go to. It prints a record for each request, and ends by itself.
  */
-import { createInterface } from 'node:readline'
 import { SeededRandomness } from '../../src/contract/index.ts'
 import { CallerPlan, type SoakRoute } from './callerPlan.ts'
 import { type CalledGateway, SoakCaller } from './soakCaller.ts'
@@ -23,7 +22,8 @@
 
 async function call ({ name, seed, callerCount, routes, keys, endsAt }: CallerProcessSettings): Promise<void> {
   let gateways: readonly CalledGateway[] = []
-  createInterface({ input: process.stdin }).on('line', line => { gateways = JSON.parse(line) })
+  process.on('message', message => { gateways = message as readonly CalledGateway[] })
+  process.on('disconnect', () => process.exit(0))
   const callers = Array.from({ length: callerCount }, (_, number) => {
     const plan = new CallerPlan(new SeededRandomness(seed * seedStride + number), routes, keys)
     return new SoakCaller(`${name}-${number}`, plan, () => gateways, record => process.stdout.write(`${JSON.stringify(record)}\n`))
