--- /dev/null
+++ b/trial/soak.ts
@@ -0,0 +1,57 @@
+/**
+ * A soak of real processes: gateways, store, endpoints and callers on this machine, with faults drawn from a seed.
+ *   npm run soak -- --seed 7 --seconds 60 [--gateways 8] [--processors 2]
+ * It ends with exit code 1 if it has found anything, and then keeps the records and logs.
+ */
+import { writeFileSync } from 'node:fs'
+import { rm } from 'node:fs/promises'
+import { join } from 'node:path'
+import { Command, InvalidArgumentError } from 'commander'
+import { describeFinding } from './soak/finding.ts'
+import { describeFigures } from './soak/figures.ts'
+import { SoakRun } from './soak/soakRun.ts'
+
+interface SoakCommandOptions {
+  readonly seed: number
+  readonly seconds: number
+  readonly gateways: number
+  readonly processors?: number
+}
+
+function parseCount (text: string): number {
+  const count = Number(text)
+  if (!Number.isInteger(count) || count < 0) throw new InvalidArgumentError('expected a whole number')
+  return count
+}
+
+async function soak (options: SoakCommandOptions): Promise<number> {
+  const { seed, seconds, gateways } = options
+  console.log(`soak with seed ${seed}: ${gateways} gateways for ${seconds} s`)
+  const startedAt = Date.now()
+  const onFinding = (finding: Parameters<typeof describeFinding>[0]) => console.log(`${((Date.now() - startedAt) / 1_000).toFixed(1)} s finding: ${describeFinding(finding, seed)}`)
+  const { findings, records, logFolder } = await new SoakRun({ ...options, onFinding }).run()
+  for (const line of describeFigures(records)) console.log(line)
+  const counts = [...new Set(findings.map(({ check }) => check))].map(check => `${findings.filter(finding => finding.check === check).length} ${check}`)
+  console.log(`soak with seed ${seed}: ${findings.length} findings${counts.map(count => `; ${count}`).join('')}`)
+  if (findings.length === 0) {
+    await rm(logFolder, { recursive: true })
+    return 0
+  }
+  writeFileSync(join(logFolder, 'records.jsonl'), records.map(record => `${JSON.stringify(record)}\n`).join(''))
+  writeFileSync(join(logFolder, 'findings.txt'), findings.map(finding => `${describeFinding(finding, seed)}\n`).join(''))
+  console.log(`logs and records: ${logFolder}`)
+  return 1
+}
+
+const program = new Command('soak')
+  .description('Runs gateways, a store, endpoints and callers as processes under faults, and checks what callers and endpoints see.')
+  .option('--seed <number>', 'seed of the run', parseCount, 1)
+  .option('--seconds <number>', 'how long callers call', parseCount, 60)
+  .option('--gateways <number>', 'number of gateways', parseCount, 8)
+  .option('--processors <number>', 'binds all processes to as many processors', parseCount)
+  .action(async (options: SoakCommandOptions) => { process.exit(await soak(options)) })
+
+program.parseAsync().catch(error => {
+  console.error(error)
+  process.exit(1)
+})
--- a/trial/soak/callerPlan.ts
+++ b/trial/soak/callerPlan.ts
@@ -28,6 +28,13 @@
   readonly timeoutMilliseconds: number
 }
 
+/** What callers may ask for at the moment. */
+export interface CallerChoices {
+  readonly routes: readonly SoakRoute[]
+  /** API keys of several organisations. */
+  readonly keys: readonly string[]
+}
+
 /** One request that is to be sent. */
 export interface PlannedRequest {
   readonly route: SoakRoute
@@ -64,19 +71,15 @@
 
 /**
  * @example
- * const burst = new CallerPlan(new SeededRandomness(7), routes, ['good-key']).burst()
+ * const burst = new CallerPlan(new SeededRandomness(7), () => ({ routes, keys: ['good-key'] })).burst()
  */
 export class CallerPlan {
   readonly #randomness: Randomness
-  readonly #streams: readonly SoakRoute[]
-  readonly #calls: readonly SoakRoute[]
-  readonly #keys: readonly string[]
+  readonly #choices: () => CallerChoices
 
-  constructor (randomness: Randomness, routes: readonly SoakRoute[], keys: readonly string[]) {
+  constructor (randomness: Randomness, choices: () => CallerChoices) {
     this.#randomness = randomness
-    this.#streams = routes.filter(({ isStream }) => isStream)
-    this.#calls = routes.filter(({ isStream }) => !isStream)
-    this.#keys = keys
+    this.#choices = choices
   }
 
   /** One request, or a first one, mostly a stream, with up to five behind it. */
@@ -102,12 +105,13 @@
 
   #request (isFirst: boolean, habit: CallerHabit | undefined): PlannedRequest {
     const isStream = isFirst && this.#randomness.fraction() < shareOfStreams
-    const route = this.pick(isStream ? this.#streams : this.#calls)
+    const { routes, keys } = this.#choices()
+    const route = this.pick(routes.filter(each => each.isStream === isStream))
     const hasLongBody = isFirst && habit === CallerHabit.SlowBody
     return {
       route,
       run: isStream ? this.#streamRun(route.prefix) : { prefix: route.prefix, eventCount: 0, workMilliseconds: this.pick(plainWorkMilliseconds) },
-      key: this.pick(this.#keys),
+      key: this.pick(keys),
       deadlineMilliseconds: this.pick(deadlinesMilliseconds),
       bodyLength: hasLongBody ? longBodyBytes : this.#randomness.integerBelow(maximumBodyBytes)
     }
--- /dev/null
+++ b/trial/soak/checks.ts
@@ -0,0 +1,26 @@
+/** All checks of a soak: pure functions from what was recorded to findings. */
+import { findBrokenPromises, findLateAnswers, findLostRequests, findMixedAnswers, findStreamGaps, findUnansweredHalfCloses } from './answerChecks.ts'
+import type { Finding } from './finding.ts'
+import { findEndedProcesses, findLargeProcesses } from './processChecks.ts'
+import { findRepeatedRuns, findRunsSideBySide } from './runChecks.ts'
+import { findWrongSettings } from './settingsChecks.ts'
+import type { SoakView } from './soakView.ts'
+
+const checks: readonly ((view: SoakView) => readonly Finding[])[] = [
+  findLostRequests,
+  findLateAnswers,
+  findUnansweredHalfCloses,
+  findBrokenPromises,
+  findMixedAnswers,
+  findStreamGaps,
+  findRepeatedRuns,
+  findRunsSideBySide,
+  findWrongSettings,
+  findEndedProcesses,
+  findLargeProcesses
+]
+
+/** Runs all checks. */
+export function findAll (view: SoakView): readonly Finding[] {
+  return checks.flatMap(check => check(view))
+}
--- /dev/null
+++ b/trial/soak/excuses.ts
@@ -0,0 +1,89 @@
+/** What excuses a finding. Each is one condition of the rules of the platform, or the soak's own doing; nothing else excuses anything. */
+import { EndpointProcessFault, GatewayFault, LinkFault, PlatformFault } from './faults.ts'
+import { callerLink, endpointLink, storeLink } from './linkNames.ts'
+import { CallerEnd, type RequestRecord, RunEnd, type RunRecord } from './records.ts'
+import type { SoakView, Span } from './soakView.ts'
+
+/** For so long before a moment nothing may have harmed a machine that is in touch. */
+export const stableMilliseconds = 4_000
+/** A cut of this much before the deadline counts as the deadline: processes read their clocks apart. */
+const clockToleranceMilliseconds = 50
+/** A planned stop need not wait for what is at work in its last part, if it was sent late. */
+const lastPartOfGrace = 5 / 6
+const sentLateInStopMilliseconds = 3_000
+/** How long the death of a process takes to show at the other end. */
+const deathShowsMilliseconds = 500
+
+/** Ends the identity of an endpoint's process, after the endpoint's name. */
+const incarnation = /\.\d+$/
+const machine = 'machine'
+const harmfulLinkFaults = [LinkFault.Delay, LinkFault.Reset, LinkFault.CutTowardsClient, LinkFault.CutTowardsServer, LinkFault.Silence] as const
+
+/** The caller went away before its answer. */
+export function callerLeft ({ end }: RequestRecord): boolean {
+  return end === CallerEnd.Left
+}
+
+/** The gateway was killed while the request was open. */
+export function gatewayKilled (request: RequestRecord, view: SoakView): boolean {
+  return view.faultsAt(request.gateway, [GatewayFault.Kill], { from: request.sentAt - deathShowsMilliseconds, to: request.endedAt }).length > 0
+}
+
+/** The soak reset the caller's connection, or let it fall silent, since it was first used. */
+export function callerLinkBroken (request: RequestRecord, view: SoakView): boolean {
+  const span = { from: view.connectionUsedFrom(request), to: request.endedAt }
+  return view.faultsAt(callerLink(request.gateway), [LinkFault.Reset, LinkFault.Silence], span).length > 0
+}
+
+/** The request's own time was over: its deadline, or its route's timeout. */
+export function ownTimeWasOver (request: RequestRecord, view: SoakView): boolean {
+  return request.endedAt >= Math.min(...ownTimeEnds(request, view)) - clockToleranceMilliseconds
+}
+
+/** The endpoint was still at work late in a planned stop, on a request that was sent late. */
+export function wasAtWorkLateInStop (request: RequestRecord, view: SoakView): boolean {
+  const stops = view.faultsAt(request.gateway, [GatewayFault.Restart, GatewayFault.Move], { from: request.sentAt - sentLateInStopMilliseconds, to: request.endedAt })
+  const lastRunEndedAt = Math.max(...view.runsOf(request.request).map(({ endedAt }) => endedAt))
+  return stops.some(({ at }) => request.sentAt <= at + sentLateInStopMilliseconds && lastRunEndedAt >= at + view.bounds.graceMilliseconds * lastPartOfGrace)
+}
+
+/** The endpoint of a run was not sound, or its link was harmed while it ran. */
+export function endpointUnsound (run: RunRecord, view: SoakView): boolean {
+  if (run.end === RunEnd.Faulty) return true
+  const span = { from: run.startedAt - deathShowsMilliseconds, to: run.endedAt + deathShowsMilliseconds }
+  const endpoint = run.endpoint.replace(incarnation, '')
+  const isProcessHarmed = view.faultsAt(endpoint, [EndpointProcessFault.Crash, EndpointProcessFault.Freeze], span).length > 0
+  return isProcessHarmed || view.faultsAt(endpointLink(endpoint), harmfulLinkFaults, span).length > 0
+}
+
+/** A gateway was not in touch all the while: its process, its callers' connections or the machine were harmed. */
+export function gatewayOutOfTouch (gateway: string, { from, to }: Span, view: SoakView): boolean {
+  const span = { from: from - stableMilliseconds, to }
+  const processFaults = [GatewayFault.Kill, GatewayFault.Restart, GatewayFault.Move, GatewayFault.Freeze]
+  const isProcessHarmed = view.faultsAt(gateway, processFaults, span).length > 0
+  const isLinkHarmed = view.faultsAt(callerLink(gateway), [...harmfulLinkFaults, LinkFault.Pieces], span).length > 0
+  return isProcessHarmed || isLinkHarmed || view.faultsAt(machine, [PlatformFault.Load], span).length > 0
+}
+
+/** The store, or a gateway's way to it, was not stable all the while. */
+export function storeUnstable (gateway: string, { from, to }: Span, view: SoakView): boolean {
+  const span = { from: from - stableMilliseconds, to }
+  const isHarmed = view.faultsAt('store', [PlatformFault.StoreBusy, PlatformFault.StoreSilent, PlatformFault.StoreLosesHistory], span).length > 0
+  return isHarmed || view.faultsAt(storeLink(gateway), harmfulLinkFaults, span).length > 0
+}
+
+/** Only what may run once is promised not to have run by a refusal. */
+export function mayRunAgain (request: RequestRecord, view: SoakView): boolean {
+  return view.askedOf(request).route.isRepeatable
+}
+
+/** By when a caller is owed an answer: at the end of its time, once its request is whole, the answers before it have come and it reads. */
+export function answerOwedAt (request: RequestRecord, view: SoakView): number {
+  const endsAhead = view.requestsAhead(request).map(({ endedAt }) => endedAt)
+  return Math.max(...ownTimeEnds(request, view), request.wholeAt ?? Infinity, request.readFrom ?? 0, ...endsAhead)
+}
+
+/** The ends of the time that a request has for itself, by all timeouts that may be in force. */
+function ownTimeEnds (request: RequestRecord, view: SoakView): readonly number[] {
+  return view.timeoutsMilliseconds(request).map(timeout => Math.min(request.deadlineAt, request.sentAt + timeout))
+}
--- /dev/null
+++ b/trial/soak/linkNames.ts
@@ -0,0 +1,16 @@
+/** The names of proxied links, as fault records give them. */
+
+/** Between callers and a gateway. */
+export function callerLink (gateway: string): string {
+  return `callers/${gateway}`
+}
+
+/** Between gateways and an endpoint. */
+export function endpointLink (endpoint: string): string {
+  return `endpoint/${endpoint}`
+}
+
+/** Between a gateway and the store. */
+export function storeLink (gateway: string): string {
+  return `store/${gateway}`
+}
--- a/trial/soak/records.ts
+++ b/trial/soak/records.ts
@@ -85,6 +85,8 @@
   readonly resumedAfter?: string | undefined
   /** When a caller that reads late began to read. */
   readonly readFrom?: number | undefined
+  /** API key that it was sent with. */
+  readonly key?: string | undefined
 }
 
 /** Stands for the request of an answer on a connection that had none waiting. */
@@ -126,4 +128,12 @@
   readonly signal: NodeJS.Signals | null
 }
 
-export type SoakRecord = RunRecord | RunStartRecord | RequestRecord | FaultRecord | ConfigurationRecord | EndRecord
+/** The memory that a gateway took at a moment. */
+export interface MemoryRecord {
+  readonly type: 'memory'
+  readonly gateway: string
+  readonly at: number
+  readonly bytes: number
+}
+
+export type SoakRecord = RunRecord | RunStartRecord | RequestRecord | FaultRecord | ConfigurationRecord | EndRecord | MemoryRecord
--- a/trial/soak/soakCaller.ts
+++ b/trial/soak/soakCaller.ts
@@ -16,6 +16,7 @@
 const patienceMilliseconds = 4_000
 const reconnectMilliseconds = 50
 const maximumPieces = 12
+const streamHeaders = 'model: *\r\ntoken-usage: 10,10\r\nprefix-hash: a1:10\r\n'
 const sealPrefix = /^seal-of-/
 const wholeEvent = /^id: (\S+)\n(?:.+\n)*\n/gm
 
@@ -125,7 +126,7 @@
   async #write (caller: RawCaller, { habit, habitMilliseconds }: PlannedBurst, request: SentRequest): Promise<void> {
     const { planned, id, resumedAfter } = request
     const resumption = resumedAfter === undefined ? '' : `last-event-id: ${resumedAfter}\r\n`
-    const headers = `model: *\r\ntoken-usage: 10,10\r\nprefix-hash: a1:10\r\n${resumption}`
+    const headers = planned.route.isStream ? `${streamHeaders}${resumption}` : ''
     const head = requestHead(askedRunPath(planned.run), { id, key: planned.key, bodyLength: planned.bodyLength, timeoutMilliseconds: planned.deadlineMilliseconds, headers })
     const text = head + 'b'.repeat(planned.bodyLength)
     const isInPieces = habit === CallerHabit.SlowBody || habit === CallerHabit.SmallPieces
@@ -183,6 +184,7 @@
       habit,
       resumedAfter,
       readFrom: connection.readFrom,
+      key: planned.key,
       ...identityOf(begun)
     })
   }
--- /dev/null
+++ b/trial/soak/soakRun.ts
@@ -0,0 +1,108 @@
+/** One soak from its start to its findings. */
+import type { StandInConfiguration } from '../../platform/standin/index.ts'
+import { CallerProcesses, callerProgramIn } from './callerProcesses.ts'
+import type { SoakRoute } from './callerPlan.ts'
+import { findAll } from './checks.ts'
+import type { Finding } from './finding.ts'
+import type { SoakRecord } from './records.ts'
+import { SoakView } from './soakView.ts'
+import { SoakWorld, bundle, worldBounds } from './soakWorld.ts'
+
+export interface SoakOptions {
+  readonly seed: number
+  /** How long callers call. */
+  readonly seconds: number
+  readonly gateways: number
+  readonly processors?: number
+  /** Called with each finding while the soak runs. */
+  readonly onFinding?: (finding: Finding) => void
+}
+
+export interface SoakReport {
+  readonly findings: readonly Finding[]
+  readonly records: readonly SoakRecord[]
+  /** Where the logs of all processes are. */
+  readonly logFolder: string
+}
+
+const callerProcessCount = 3
+const callersPerProcess = 8
+const tellIntervalMilliseconds = 200
+const memoryIntervalMilliseconds = 1_000
+const checkIntervalMilliseconds = 5_000
+/** Faults are recorded when they are over, and runs when they have ended: what is younger isn't checked yet. */
+const settleMilliseconds = 10_000
+const bytesPerMegabyte = 1024 * 1024
+const memoryMegabytes = 210
+
+/**
+ * @example
+ * const { findings } = await new SoakRun({ seed: 7, seconds: 30, gateways: 8 }).run()
+ */
+export class SoakRun {
+  readonly #options: SoakOptions
+  readonly #routes = new Map<string, SoakRoute>()
+  readonly #findings = new Map<string, Finding>()
+
+  constructor (options: SoakOptions) {
+    this.#options = options
+  }
+
+  async run (): Promise<SoakReport> {
+    const { seed, gateways, seconds, processors } = this.#options
+    const world = await SoakWorld.start({ seed, gateways, ...(processors === undefined ? {} : { processors }) })
+    const program = callerProgramIn(world.logFolder)
+    bundle('trial/soak/callerProcess.ts', program)
+    const endsAt = Date.now() + seconds * 1_000
+    const callers = new CallerProcesses({
+      seed, endsAt, program, processCount: callerProcessCount, callersPerProcess, logFolder: world.logFolder, onRecord: record => world.record(record)
+    })
+    const timers = [
+      setInterval(() => this.#tell(world, callers), tellIntervalMilliseconds),
+      setInterval(() => recordMemory(world), memoryIntervalMilliseconds),
+      setInterval(() => this.#check(world.records, Date.now() - settleMilliseconds), checkIntervalMilliseconds)
+    ]
+    try {
+      await callers.ended
+    } finally {
+      timers.forEach(timer => clearInterval(timer))
+      await callers.kill()
+      await world.close()
+    }
+    this.#check(world.records, Infinity)
+    return { findings: [...this.#findings.values()], records: world.records, logFolder: world.logFolder }
+  }
+
+  #tell ({ gateways, configuration }: SoakWorld, callers: CallerProcesses): void {
+    const routes = routesOf(configuration)
+    for (const route of routes) if (!this.#routes.has(route.prefix)) this.#routes.set(route.prefix, route)
+    const running = gateways.filter(({ isRunning }) => isRunning)
+    callers.tell({ gateways: running.map(({ name, callerAddress }) => ({ name, address: callerAddress })), routes, keys: configuration.keys })
+  }
+
+  /** Checks what had ended by a time. */
+  #check (records: readonly SoakRecord[], endedBy: number): void {
+    const settled = records.filter(record => record.type !== 'request' || record.endedAt <= endedBy)
+    const bounds = { ...worldBounds, routes: [...this.#routes.values()], memoryBytes: memoryMegabytes * bytesPerMegabyte }
+    for (const finding of findAll(new SoakView(settled, bounds))) {
+      const key = `${finding.check} ${finding.subject} ${finding.from}`
+      if (!this.#findings.has(key)) this.#options.onFinding?.(finding)
+      this.#findings.set(key, finding)
+    }
+  }
+}
+
+function recordMemory (world: SoakWorld): void {
+  const at = Date.now()
+  for (const [gateway, bytes] of world.memoryBytes) world.record({ type: 'memory', gateway, at, bytes })
+}
+
+/** The routes of a configuration, as callers see them. */
+function routesOf ({ document }: StandInConfiguration): readonly SoakRoute[] {
+  return document.routes.map(route => {
+    const { prefix, timeout_ms: timeoutMilliseconds } = route
+    const isStream = route.route_type === 'streaming'
+    const isResumable = 'resumable' in route && route.resumable === true
+    return { prefix, isStream, isResumable, isRepeatable: route.route_type === 'idempotent' || isResumable, timeoutMilliseconds }
+  })
+}
