--- a/trial/soak/answerChecks.ts
+++ b/trial/soak/answerChecks.ts
@@ -1,4 +1,5 @@
 /** Checks of what callers got for their requests. */
+import { CallerHabit } from './callerPlan.ts'
 import { answerOwedAt, callerLeft, callerLinkBroken, endpointUnsound, gatewayKilled, gatewayOutOfTouch, mayRunAgain, ownTimeWasOver, wasAtWorkLateInStop } from './excuses.ts'
 import type { Finding } from './finding.ts'
 import { CallerEnd, type RequestRecord, type RunRecord } from './records.ts'
@@ -13,7 +14,7 @@
 export function findLostRequests (view: SoakView): readonly Finding[] {
   const isExcused = (request: RequestRecord) => callerLeft(request) || gatewayKilled(request, view) || callerLinkBroken(request, view) || ownTimeWasOver(request, view) || wasAtWorkLateInStop(request, view)
   return view.requests.flatMap(request => {
-    if (request.end === CallerEnd.Answered || request.end === CallerEnd.Unanswered) return []
+    if (request.end === CallerEnd.Answered || request.end === CallerEnd.Unanswered || request.habit === CallerHabit.HalfClose) return []
     const soundRuns = view.runsOf(request.request).filter(run => !endpointUnsound(run, view))
     if (soundRuns.length === 0 || isExcused(request)) return []
     return [findingOf('passed on and closed without a whole answer', request, `${describeRuns(soundRuns)}${describeAhead(request, view)}`)]
@@ -34,13 +35,17 @@
   })
 }
 
-/** Whole requests whose connection was closed in order, neither run nor refused, with nothing announced that they could have crossed. */
+/** Whole requests without a whole answer, whose callers had ended their own side and read on. */
 export function findUnansweredHalfCloses (view: SoakView): readonly Finding[] {
+  const isExcused = (request: RequestRecord) => gatewayKilled(request, view) || callerLinkBroken(request, view) || ownTimeWasOver(request, view) || wasAtWorkLateInStop(request, view)
   return view.requests.flatMap(request => {
-    const isClosedWhole = request.end === CallerEnd.Closed && request.habit === 'half_close' && request.wholeAt !== undefined
-    if (!isClosedWhole || callerLinkBroken(request, view) || gatewayOutOfTouch(request.gateway, { from: request.sentAt, to: request.endedAt }, view)) return []
-    if (view.requestsAhead(request).some(({ end }) => end !== CallerEnd.Answered) || ownTimeWasOver(request, view)) return []
-    return [findingOf('closed without an answer to a caller that ended its own side only', request, describeRuns(view.runsOf(request.request)))]
+    const { habit, wholeAt, end } = request
+    if (habit !== CallerHabit.HalfClose || wholeAt === undefined || end === CallerEnd.Answered || end === CallerEnd.Unanswered) return []
+    const runs = view.runsOf(request.request)
+    const isUnsound = runs.length > 0 && runs.every(run => endpointUnsound(run, view))
+    const mayCrossStop = runs.length === 0 && gatewayOutOfTouch(request.gateway, { from: request.sentAt, to: request.endedAt }, view)
+    if (isUnsound || mayCrossStop || isExcused(request)) return []
+    return [findingOf('closed without an answer to a caller that ended its own side only', request, `${describeRuns(runs)}${describeAhead(request, view)}`)]
   })
 }
 
--- a/trial/soak/checks.ts
+++ b/trial/soak/checks.ts
@@ -1,7 +1,7 @@
 /** All checks of a soak: pure functions from what was recorded to findings. */
 import { findBrokenPromises, findLateAnswers, findLostRequests, findMixedAnswers, findStreamGaps, findUnansweredHalfCloses } from './answerChecks.ts'
 import type { Finding } from './finding.ts'
-import { findEndedProcesses, findLargeProcesses } from './processChecks.ts'
+import { findEndedProcesses, findFailures, findLargeProcesses, findLateStops } from './processChecks.ts'
 import { findRepeatedRuns, findRunsSideBySide } from './runChecks.ts'
 import { findWrongSettings } from './settingsChecks.ts'
 import type { SoakView } from './soakView.ts'
@@ -17,6 +17,8 @@
   findRunsSideBySide,
   findWrongSettings,
   findEndedProcesses,
+  findLateStops,
+  findFailures,
   findLargeProcesses
 ]
 
--- a/trial/soak/excuses.ts
+++ b/trial/soak/excuses.ts
@@ -52,7 +52,7 @@
   if (run.end === RunEnd.Faulty) return true
   const span = { from: run.startedAt - deathShowsMilliseconds, to: run.endedAt + deathShowsMilliseconds }
   const endpoint = run.endpoint.replace(incarnation, '')
-  const isProcessHarmed = view.faultsAt(endpoint, [EndpointProcessFault.Crash, EndpointProcessFault.Freeze], span).length > 0
+  const isProcessHarmed = view.faultsAt(endpoint, Object.values(EndpointProcessFault), span).length > 0
   return isProcessHarmed || view.faultsAt(endpointLink(endpoint), harmfulLinkFaults, span).length > 0
 }
 
--- a/trial/soak/soakRun.ts
+++ b/trial/soak/soakRun.ts
@@ -3,6 +3,8 @@
 import { CallerProcesses, callerProgramIn } from './callerProcesses.ts'
 import type { SoakRoute } from './callerPlan.ts'
 import { findAll } from './checks.ts'
+import { planFaults } from './faultPlan.ts'
+import { FaultRunner } from './faultRunner.ts'
 import type { Finding } from './finding.ts'
 import type { SoakRecord } from './records.ts'
 import { SoakView } from './soakView.ts'
@@ -63,7 +65,7 @@
       setInterval(() => this.#check(world.records, Date.now() - settleMilliseconds), checkIntervalMilliseconds)
     ]
     try {
-      await callers.ended
+      await Promise.all([callers.ended, FaultRunner.run(planFaults({ seed, seconds }), world)])
     } finally {
       timers.forEach(timer => clearInterval(timer))
       await callers.kill()
--- a/trial/soak/soakView.ts
+++ b/trial/soak/soakView.ts
@@ -3,7 +3,7 @@
 import { type AskedRun, readAskedRun } from './askedRun.ts'
 import type { SoakRoute } from './callerPlan.ts'
 import type { Fault } from './faults.ts'
-import { type ConfigurationRecord, type EndRecord, type FaultRecord, type MemoryRecord, type RequestRecord, RunEnd, type RunRecord, type SoakRecord, unaskedRequest } from './records.ts'
+import { type ConfigurationRecord, type EndRecord, type FailureRecord, type FaultRecord, type MemoryRecord, type RequestRecord, RunEnd, type RunRecord, type SoakRecord, type StopRecord, unaskedRequest } from './records.ts'
 
 /** What the checks know of the world besides its records. */
 export interface SoakBounds {
@@ -38,6 +38,10 @@
   readonly configurations: readonly ConfigurationRecord[]
   /** Processes that ended by themselves. */
   readonly ends: readonly EndRecord[]
+  /** Planned stops of gateways. */
+  readonly stops: readonly StopRecord[]
+  /** What the soak could not do. */
+  readonly failures: readonly FailureRecord[]
   readonly memory: readonly MemoryRecord[]
   readonly bounds: SoakBounds
   readonly #routes: ReadonlyMap<string, SoakRoute>
@@ -52,6 +56,8 @@
     this.faults = records.filter(record => record.type === 'fault')
     this.configurations = records.filter(record => record.type === 'configuration').sort((left, right) => left.version - right.version)
     this.ends = records.filter(record => record.type === 'end')
+    this.stops = records.filter(record => record.type === 'stop')
+    this.failures = records.filter(record => record.type === 'failure')
     this.memory = records.filter(record => record.type === 'memory')
     this.bounds = bounds
     this.#routes = new Map(bounds.routes.map(route => [route.prefix, route]))
