--- a/trial/soak/endpointRole.ts
+++ b/trial/soak/endpointRole.ts
@@ -46,7 +46,14 @@
     this.#options = options
     this.#fault = fault
     writeLine({ type: 'run_started', request: this.#id, endpoint: options.identity, service: options.service, path: request.path, startedAt: this.#startedAt } satisfies RunStartRecord)
-    response.on('close', () => this.#record())
+    // A silent endpoint writes nothing, so its side of the connection stays open after the other has gone.
+    const end = () => {
+      response.off('close', end)
+      response.req.socket.off('end', end)
+      this.#record()
+    }
+    response.on('close', end)
+    response.req.socket.on('end', end)
   }
 
   async serve (): Promise<void> {
