--- a/test/fakes/gatewayProcess.ts
+++ b/test/fakes/gatewayProcess.ts
@@ -1,6 +1,6 @@
 /** Runs the built gateway program as a process of its own, so that its memory can be measured. */
 import { spawnSync } from 'node:child_process'
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { cpSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { parse } from 'smol-toml'
@@ -18,9 +18,13 @@
   return `127.${200 + process.pid % 50}.${1 + Math.floor(process.pid / 50) % 250}.${nextHost++}`
 }
 
-/** Builds the program into a directory of its own. */
-export function buildProgram (): string {
+/** Builds the program into a directory of its own, or copies one that has been built into a folder. */
+export function buildProgram (builtFolder?: string): string {
   const directory = mkdtempSync(join(tmpdir(), 'lavenderdoor-process-'))
+  if (builtFolder !== undefined) {
+    cpSync(builtFolder, directory, { recursive: true })
+    return directory
+  }
   const { status } = spawnSync(process.execPath, ['scripts/buildForwarder.mjs', directory])
   if (status !== 0) throw new Error('the program was not built')
   return directory
--- a/trial/soak/soakRun.ts
+++ b/trial/soak/soakRun.ts
@@ -8,14 +8,11 @@
 import type { Finding } from './finding.ts'
 import type { SoakRecord } from './records.ts'
 import { SoakView } from './soakView.ts'
-import { SoakWorld, bundle, worldBounds } from './soakWorld.ts'
+import { SoakWorld, type SoakWorldOptions, bundle, worldBounds } from './soakWorld.ts'
 
-export interface SoakOptions {
-  readonly seed: number
+export interface SoakOptions extends SoakWorldOptions {
   /** How long callers call. */
   readonly seconds: number
-  readonly gateways: number
-  readonly processors?: number
   /** Called with each finding while the soak runs. */
   readonly onFinding?: (finding: Finding) => void
 }
@@ -51,8 +48,8 @@
   }
 
   async run (): Promise<SoakReport> {
-    const { seed, gateways, seconds, processors } = this.#options
-    const world = await SoakWorld.start({ seed, gateways, ...(processors === undefined ? {} : { processors }) })
+    const { seed, seconds } = this.#options
+    const world = await SoakWorld.start(this.#options)
     const program = callerProgramIn(world.logFolder)
     bundle('trial/soak/callerProcess.ts', program)
     const endsAt = Date.now() + seconds * 1_000
--- a/trial/soak/soakWorld.ts
+++ b/trial/soak/soakWorld.ts
@@ -23,6 +23,8 @@
   readonly processors?: number
   /** Processes that keep a processor busy when a fault tells them to. */
   readonly busyProcesses?: number
+  /** A folder with the built gateway program, as of another landing; it is built here unless given. */
+  readonly programFolder?: string
 }
 
 const loopback = '127.0.0.1'
@@ -71,8 +73,8 @@
   #storeAddress = ''
   #isClosing = false
 
-  private constructor ({ seed, gateways, processors, busyProcesses = 2 }: SoakWorldOptions) {
-    this.#directory = buildProgram()
+  private constructor ({ seed, gateways, processors, busyProcesses = 2, programFolder }: SoakWorldOptions) {
+    this.#directory = buildProgram(programFolder)
     this.logFolder = mkdtempSync(join(tmpdir(), 'lavenderdoor-soak-'))
     this.#commandPrefix = processors === undefined ? [] : processorBinding(processors)
     this.#history = new ConfigurationHistory(new SeededRandomness(seed))
