--- a/trial/soak.ts
+++ b/trial/soak.ts
@@ -3,12 +3,10 @@
  *   npm run soak -- --seed 7 --seconds 60 [--gateways 8] [--processors 2] [--program-folder FOLDER]
  * It ends with exit code 1 if it has found anything, and then keeps the records and logs.
  */
-import { writeFileSync } from 'node:fs'
-import { rm } from 'node:fs/promises'
-import { join } from 'node:path'
 import { Command, InvalidArgumentError } from 'commander'
 import { type Finding, describeFinding } from './soak/finding.ts'
 import { describeFigures } from './soak/figures.ts'
+import { keepFindings } from './soak/soakReport.ts'
 import { SoakRun } from './soak/soakRun.ts'
 
 interface SoakCommandOptions {
@@ -38,17 +36,14 @@
     shown.set(finding.check, count)
     if (count <= maximumShownFindings) console.log(`${((finding.to - startedAt) / 1_000).toFixed(1)} s finding: ${describeFinding(finding, seed)}`)
   }
-  const { findings, records, logFolder } = await new SoakRun({ ...options, onFinding }).run()
-  for (const line of describeFigures(records)) console.log(line)
-  const counts = [...new Set(findings.map(({ check }) => check))].map(check => `${findings.filter(finding => finding.check === check).length} ${check}`)
-  console.log(`soak with seed ${seed}: ${findings.length} findings${counts.map(count => `; ${count}`).join('')}`)
-  if (findings.length === 0) {
-    await rm(logFolder, { recursive: true })
-    return 0
-  }
-  writeFileSync(join(logFolder, 'records.jsonl'), records.map(record => `${JSON.stringify(record)}\n`).join(''))
-  writeFileSync(join(logFolder, 'findings.txt'), findings.map(finding => `${describeFinding(finding, seed)}\n`).join(''))
-  console.log(`logs and records: ${logFolder}`)
+  const report = await new SoakRun({ ...options, onFinding }).run()
+  for (const line of describeFigures(report.records)) console.log(line)
+  const { findings } = report
+  const counts = [...new Set(findings.map(({ check }) => check))].map(check => `; ${findings.filter(finding => finding.check === check).length} ${check}`)
+  console.log(`soak with seed ${seed}: ${findings.length} findings${counts.join('')}`)
+  const folder = keepFindings(report, seed)
+  if (folder === undefined) return 0
+  console.log(`logs and records: ${folder}`)
   return 1
 }
 
--- a/trial/soak/soakRun.ts
+++ b/trial/soak/soakRun.ts
@@ -7,6 +7,7 @@
 import { FaultRunner } from './faultRunner.ts'
 import type { Finding } from './finding.ts'
 import type { SoakRecord } from './records.ts'
+import type { SoakReport } from './soakReport.ts'
 import { SoakView } from './soakView.ts'
 import { SoakWorld, type SoakWorldOptions, bundle, worldBounds } from './soakWorld.ts'
 
@@ -17,13 +18,6 @@
   readonly onFinding?: (finding: Finding) => void
 }
 
-export interface SoakReport {
-  readonly findings: readonly Finding[]
-  readonly records: readonly SoakRecord[]
-  /** Where the logs of all processes are. */
-  readonly logFolder: string
-}
-
 const callerProcessCount = 3
 const callersPerProcess = 8
 const tellIntervalMilliseconds = 200
