--- a/trial/soak/records.ts
+++ b/trial/soak/records.ts
@@ -81,8 +81,17 @@
   readonly events: readonly string[]
   /** What the caller did besides sending: `half_close`, `reset`, `read_late`, `slow_body`. */
   readonly habit: string | undefined
+  /** The event after which the caller asked for a stream to go on. */
+  readonly resumedAfter?: string | undefined
+  /** When a caller that reads late began to read. */
+  readonly readFrom?: number | undefined
+  /** API key that it was sent with. */
+  readonly key?: string | undefined
 }
 
+/** Stands for the request of an answer on a connection that had none waiting. */
+export const unaskedRequest = 'unasked'
+
 /** What the soak did to a process, and when. */
 export interface FaultRecord {
   readonly type: 'fault'
@@ -141,4 +150,12 @@
   readonly signal: NodeJS.Signals | null
 }
 
-export type SoakRecord = RunRecord | RunStartRecord | RequestRecord | FaultRecord | ConfigurationRecord | EndRecord | StopRecord | FailureRecord
+/** The memory that a gateway took at a moment. */
+export interface MemoryRecord {
+  readonly type: 'memory'
+  readonly gateway: string
+  readonly at: number
+  readonly bytes: number
+}
+
+export type SoakRecord = RunRecord | RunStartRecord | RequestRecord | FaultRecord | ConfigurationRecord | EndRecord | StopRecord | FailureRecord | MemoryRecord
