Tell in the log of a run given up at its deadline what had arrived of it

What was seen: streams that were whole at their endpoint before their deadline were cut after a stall of the gateway, and run_given_up told a deadline and silences of 0. Nothing told them from streams that were still on their way, and a long answer that was passed on as it arrived had no such line at all.

run_given_up has two more fields, hasEndArrived and unreadBytes, and is written for relayed answers too.

--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -156,6 +156,11 @@
     return this.#bufferedBytes
   }
 
+  /** Whether the end or the failure of the exchange has come, read or not. */
+  get isOver (): boolean {
+    return this.#finalEvent !== undefined
+  }
+
   /** The end or failure of the exchange, once nothing is left to be read before it. */
   get finalEvent (): ExchangeEvent | undefined {
     return this.#events.length === 0 ? this.#finalEvent : undefined
--- a/src/gateway/givenUpRun.ts
+++ b/src/gateway/givenUpRun.ts
@@ -41,6 +41,13 @@
   readonly acceptedMillisecondsAgo: number | undefined
 }
 
+/** What had arrived of a run's response and was not handled yet. */
+interface UnhandledResponse {
+  /** Whether the end or the failure of the response had come. */
+  readonly hasEndArrived: boolean
+  readonly unreadBytes: number
+}
+
 /** What is certain of the next attempt, or, where that is being written already, of the one after it. */
 interface NextAttempt {
   /** Further attempts that the route allows after the present one. */
@@ -71,6 +78,7 @@
     model: attempt.model,
     reason,
     ...fieldsOf(signsOf(attempt, request.now)),
+    ...fieldsOf(unhandledOf(attempt)),
     ...fieldsOf(nextAttemptOf(request, nextEndpoint))
   })
 }
@@ -84,6 +92,10 @@
   }
 }
 
+function unhandledOf ({ exchange }: OpenAttempt): UnhandledResponse {
+  return { hasEndArrived: exchange.isOver, unreadBytes: exchange.bufferedBytes }
+}
+
 function nextAttemptOf ({ attempts, selection }: GivenUpRequest, nextEndpoint: RoutedEndpoint | undefined): NextAttempt {
   return {
     attemptsLeft: attempts.left - 1,
@@ -98,6 +110,6 @@
   return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined
 }
 
-function fieldsOf (facts: EndpointSigns | NextAttempt): LogFields {
+function fieldsOf (facts: EndpointSigns | UnhandledResponse | NextAttempt): LogFields {
   return { ...facts }
 }
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -151,6 +151,7 @@
     let isCallerLate = false
     const cancelDeadline = request.dependencies.clock.scheduleAfterInput(request.deadline - request.now, () => {
       isCallerLate = response.writableNeedDrain
+      if (!attempt.exchange.isOver) recordGivenUp(request, attempt, GiveUpReason.Deadline)
       attempt.exchange.abort(overdueReason)
     })
     for (;;) {
