--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -11,7 +11,7 @@
  * Backpressure: unread bytes are bounded; the socket is paused above the bound.
  *
  * Fairness: after a bounded number of bytes and of pieces of a response, the socket is paused until the event loop has
- * read other input. Node.js would otherwise read and parse up to 2 MB of one connection before that of any other one.
+ * read other input.
  *
  * One response: the exchange fails before it hands on the head of another response of the same attempt, which an
  * endpoint may send behind a response that stopped in the middle of its body.
@@ -26,6 +26,7 @@
 import type { Dispatcher } from 'undici'
 import { type Clock, Wait, invariant, scheduleReplyTimeout } from '../contract/index.ts'
 import { SecondHeadScanner } from './secondHeadScanner.ts'
+import { TurnShare } from './turnShare.ts'
 
 /** Events of an exchange: a head, any number of data events, then an end; or a failure at any point. */
 export type ExchangeEvent =
@@ -63,11 +64,6 @@
 /** Unread bytes above which the socket is paused. */
 export const maximumBufferedBytes = 64 * 1024
 
-/** Bytes of a response after which other input is read. */
-export const maximumTurnBytes = 256 * 1024
-/** Pieces of a response after which other input is read: each costs some microseconds, however small it is. */
-export const maximumTurnPieces = 128
-
 /** A connection is closed once more than this was read of a response that is discarded. */
 export const maximumDiscardedBytes = 64 * 1024
 /** A connection is closed if a response that is discarded has not ended within this time. */
@@ -89,9 +85,7 @@
   #wakeReader: (() => void) | undefined
   #isDiscarding = false
   #discardedBytes = 0
-  #turnBytes = 0
-  #turnPieces = 0
-  #isYielding = false
+  readonly #turnShare = new TurnShare(() => this.#resume())
   #cancelDiscardLimit: () => void = () => undefined
   #cancelInactivityWatch: () => void = () => undefined
 
@@ -229,7 +223,7 @@
   }
 
   onResponseData (controller: Dispatcher.DispatchController, bytes: Buffer): void {
-    this.#yieldAfter(controller, bytes.length)
+    if (this.#turnShare.use(bytes.length)) controller.pause()
     if (this.#isDiscarding) return this.#discard(bytes)
     this.#silence.restart()
     if (this.#secondHead?.push(bytes) === true) return this.abort(secondHeadReason)
@@ -254,26 +248,9 @@
     if (this.#discardedBytes > maximumDiscardedBytes) this.abort('the response is too long to be discarded')
   }
 
-  /** Pauses the connection once it has had its part of a turn of the event loop, and resumes it after the next poll for input. */
-  #yieldAfter (controller: Dispatcher.DispatchController, byteCount: number): void {
-    this.#turnBytes += byteCount
-    this.#turnPieces++
-    if (this.#isYielding || (this.#turnBytes < maximumTurnBytes && this.#turnPieces < maximumTurnPieces)) return
-    this.#isYielding = true
-    controller.pause()
-    setImmediate(() => this.#endYield())
-  }
-
-  #endYield (): void {
-    this.#isYielding = false
-    this.#turnBytes = 0
-    this.#turnPieces = 0
-    this.#resume()
-  }
-
   /** Resumes a paused connection, unless other input is to be read first or what has arrived of it is to be consumed. */
   #resume (): void {
-    if (this.#finalEvent !== undefined || this.#isYielding || this.#controller?.paused !== true || this.#bufferedBytes > maximumBufferedBytes / 2) return
+    if (this.#finalEvent !== undefined || this.#turnShare.isUsedUp || this.#controller?.paused !== true || this.#bufferedBytes > maximumBufferedBytes / 2) return
     this.#silence.restart()
     this.#controller.resume()
   }
--- a/test/turnShare.test.ts
+++ b/test/turnShare.test.ts
@@ -3,7 +3,8 @@
 import { afterEach, expect, test, vi } from 'vitest'
 import { SystemClock } from '../src/contract/index.ts'
 import { Connections } from '../src/endpoint/connections.ts'
-import { Exchange, maximumTurnBytes, maximumTurnPieces } from '../src/endpoint/exchange.ts'
+import { Exchange } from '../src/endpoint/exchange.ts'
+import { maximumTurnBytes, maximumTurnPieces } from '../src/endpoint/turnShare.ts'
 
 const streamCount = 5
 const observedPieces = 50 * streamCount * maximumTurnPieces
