Deliver answers that had arrived before their deadline, however many steps their reading takes

What callers saw: in stalls of a gateway's process (SIGSTOP for 0.3 to 1.8 s) streams that were whole at their endpoint long before their deadline were cut, and with them the requests behind them on their connection.

Cause: the wait for a deadline reads the input first, but each path then compared the clock with the deadline between the steps in which it takes what was read. A stream took the first of the pieces that one read gave, looked at the clock, and took the rest, with its end, for missing. A long answer that is passed on, or one in many pieces, is read over several turns of the event loop, since a connection has a bounded part of each; its timer fired in between.

Fix: the deadline belongs to the exchange, and readers no longer look at the clock. Its reader takes what was read before that failure, as it takes all events. This is used for streams, short, relayed and error answers alike.

--- a/src/contract/index.ts
+++ b/src/contract/index.ts
@@ -6,7 +6,7 @@
 export { Ok, Err, Result } from 'ts-results'
 export { type Clock, SystemClock, sleepAfterInput, sleepUntil } from './clock.ts'
 export { type HoldUpListener } from './eventLoopMonitor.ts'
-export { untilInputIsRead } from './inputPoll.ts'
+export { maximumInputReadMilliseconds, untilInputIsRead } from './inputPoll.ts'
 export { withDeadline } from './withDeadline.ts'
 export { deadlineSignal, type CancellableSignal } from './deadlineSignal.ts'
 export { ReplyDeadline } from './replyDeadline.ts'
--- a/src/endpoint/collectResponse.ts
+++ b/src/endpoint/collectResponse.ts
@@ -5,7 +5,8 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { Err, Ok, type Result } from '../contract/index.ts'
 import { AttemptFailure, DeliveryState } from './contract.ts'
-import type { Exchange, ResponseHeadEvent } from './exchange.ts'
+import type { Exchange } from './exchange.ts'
+import type { ResponseHeadEvent } from './exchangeContract.ts'
 
 /** A complete response. */
 export interface CollectedResponse {
--- a/src/endpoint/connections.ts
+++ b/src/endpoint/connections.ts
@@ -12,7 +12,8 @@
 import { type Dispatcher, Pool, type buildConnector } from 'undici'
 import type { Clock } from '../contract/index.ts'
 import { ProgressClient, createConnector } from '../httpClient/index.ts'
-import { Exchange, type ExchangeOptions } from './exchange.ts'
+import { Exchange } from './exchange.ts'
+import type { ExchangeOptions } from './exchangeContract.ts'
 
 export interface ConnectionOptions {
   readonly clock: Clock
--- a/src/endpoint/deadlineReader.ts
+++ b/src/endpoint/deadlineReader.ts
@@ -4,7 +4,8 @@
  * the event.
  */
 import type { Clock } from '../contract/index.ts'
-import type { Exchange, ExchangeEvent } from './exchange.ts'
+import type { Exchange } from './exchange.ts'
+import type { ExchangeEvent } from './exchangeContract.ts'
 
 /**
  * @example
--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -19,45 +19,20 @@
  * Inactivity: the exchange fails if nothing arrives within the timeout. Time during which the reader
  * keeps the socket paused does not count, nor does time for which the event loop was held up.
  *
+ * Deadline: the exchange fails as overdue at its deadline, unless what had arrived by then completes the response. It is
+ * read first, however late this process comes to it and however many steps that takes.
+ *
  * Discarding: what nobody needs of a response is read within a bound of bytes and of time, so that its connection
  * can be used again, and the connection is closed at the bound.
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
-import { type Clock, Wait, invariant, scheduleReplyTimeout } from '../contract/index.ts'
+import { Wait, invariant, scheduleReplyTimeout } from '../contract/index.ts'
+import { untilArrivedIsRead } from './arrivedInput.ts'
+import { type ExchangeEvent, type ExchangeOptions, isOverdue, overdueReason } from './exchangeContract.ts'
 import { SecondHeadScanner } from './secondHeadScanner.ts'
 import { TurnShare } from './turnShare.ts'
 
-/** Events of an exchange: a head, any number of data events, then an end; or a failure at any point. */
-export type ExchangeEvent =
-  | { readonly type: 'head', readonly status: number, readonly headers: IncomingHttpHeaders }
-  | { readonly type: 'data', readonly bytes: Buffer }
-  | { readonly type: 'end' }
-  | { readonly type: 'failure', readonly reason: string, readonly timedOut: boolean }
-
-/** The head of a response. */
-export type ResponseHeadEvent = Extract<ExchangeEvent, { type: 'head' }>
-
-export interface ExchangeOptions {
-  readonly clock: Clock
-  readonly method: string
-  readonly path: string
-  readonly headers: Readonly<Record<string, string>> | ReadonlyMap<string, string>
-  readonly body: Uint8Array | string | undefined
-  /** The exchange fails after this many milliseconds without a received byte. */
-  readonly inactivityTimeoutMilliseconds: number
-  /** Checked in the event-loop turn that writes the request; false prevents the write. */
-  readonly mayStillSend: () => boolean
-  /** Closes the connection after the exchange; false by default. */
-  readonly closesConnection?: boolean
-  /** Whether a connection is failing in this event-loop turn; an end received then counts as a failure. */
-  readonly isConnectionFailing?: () => boolean
-  /** Value of a header that identifies the responses of this attempt; undefined if none does. */
-  readonly responseMark?: string | undefined
-  /** What was received in one read with the given bytes of a response, and follows them. */
-  readonly bytesBehind?: (bytes: Buffer) => Buffer
-}
-
 const noBytes: Buffer = Buffer.alloc(0)
 const secondHeadReason = 'the body of the response contains the head of another one'
 
@@ -76,6 +51,8 @@
   readonly #secondHead: SecondHeadScanner | undefined
   #bytesBehind: Buffer = noBytes
   #bufferedBytes = 0
+  #receivedBytes = 0
+  #bytesBeforeDeadline: number | undefined
   #eventCount = 0
   /** Since something of the response was last received, or the request was sent. */
   readonly #silence: Wait
@@ -88,6 +65,7 @@
   readonly #turnShare = new TurnShare(() => this.#resume())
   #cancelDiscardLimit: () => void = () => undefined
   #cancelInactivityWatch: () => void = () => undefined
+  #cancelDeadline: () => void = () => undefined
 
   constructor (options: ExchangeOptions) {
     this.#options = options
@@ -112,6 +90,7 @@
       exchange.#finish({ type: 'failure', reason: `request can't be sent: ${error instanceof Error ? error.message : String(error)}`, timedOut: false })
     }
     exchange.#watchInactivity(options.inactivityTimeoutMilliseconds)
+    exchange.#watchDeadline()
     return exchange
   }
 
@@ -150,16 +129,31 @@
     return this.#bufferedBytes
   }
 
+  /** Bytes of the response's body received so far, read or not. */
+  get receivedBytes (): number {
+    return this.#receivedBytes
+  }
+
+  /** Those of them that were received after the deadline. */
+  get lateBytes (): number {
+    return this.#receivedBytes - (this.#bytesBeforeDeadline ?? this.#receivedBytes)
+  }
+
+  /** Whether the connection is not read at the moment. */
+  get isPaused (): boolean {
+    return this.#controller?.paused === true
+  }
+
+  /** Whether its endpoint has ended the response, in order or by a failure; read or not. */
+  get hasEnded (): boolean {
+    return this.#finalEvent !== undefined && !isOverdue(this.#finalEvent)
+  }
+
   /** Whether the end or the failure of the exchange has come, read or not. */
   get isOver (): boolean {
     return this.#finalEvent !== undefined
   }
 
-  /** The end or failure of the exchange, once nothing is left to be read before it. */
-  get finalEvent (): ExchangeEvent | undefined {
-    return this.#events.length === 0 ? this.#finalEvent : undefined
-  }
-
   /** Returns the next event. After an end or a failure it keeps returning that event. */
   next (): Promise<ExchangeEvent> {
     const event = this.poll()
@@ -189,6 +183,12 @@
     this.#controller?.abort(new Error(reason))
   }
 
+  /** Aborts the exchange once what has arrived of the response is read, unless that completes it. */
+  async abortAfterInput (reason: string): Promise<void> {
+    await untilArrivedIsRead(this, this.#options.clock)
+    this.abort(reason)
+  }
+
   /**
    * Discards what has arrived of the response and the rest of it. The connection is reusable if the response ends
    * within `maximumDiscardedBytes` and `maximumDiscardMilliseconds`, and is closed otherwise. The next event is the
@@ -199,6 +199,7 @@
     this.#bufferedBytes = 0
     if (this.#finalEvent !== undefined || this.#isDiscarding) return
     this.#isDiscarding = true
+    this.#cancelDeadline()
     this.#cancelDiscardLimit = scheduleReplyTimeout(this.#options.clock, maximumDiscardMilliseconds, () => this.abort('the response did not end in time when it was discarded'))
     this.#resume()
   }
@@ -229,6 +230,7 @@
     if (this.#secondHead?.push(bytes) === true) return this.abort(secondHeadReason)
     if (this.#secondHead?.isUndecided === true) this.#bytesBehind = this.#options.bytesBehind?.(bytes) ?? noBytes
     this.#bufferedBytes += bytes.length
+    this.#receivedBytes += bytes.length
     this.#push({ type: 'data', bytes })
     if (this.#bufferedBytes > maximumBufferedBytes) controller.pause()
   }
@@ -250,9 +252,9 @@
 
   /** Resumes a paused connection, unless other input is to be read first or what has arrived of it is to be consumed. */
   #resume (): void {
-    if (this.#finalEvent !== undefined || this.#turnShare.isUsedUp || this.#controller?.paused !== true || this.#bufferedBytes > maximumBufferedBytes / 2) return
+    if (this.#finalEvent !== undefined || this.#turnShare.isUsedUp || !this.isPaused || this.#bufferedBytes > maximumBufferedBytes / 2) return
     this.#silence.restart()
-    this.#controller.resume()
+    this.#controller?.resume()
   }
 
   #takeEvent (): ExchangeEvent | undefined {
@@ -286,6 +288,7 @@
     this.#finalEvent = event
     this.#eventCount++
     this.#cancelInactivityWatch()
+    this.#cancelDeadline()
     this.#cancelDiscardLimit()
     this.#wake()
   }
@@ -301,9 +304,18 @@
     if (this.#finalEvent === undefined) this.#cancelInactivityWatch = this.#options.clock.scheduleAfterInput(milliseconds, () => this.#checkInactivity())
   }
 
+  #watchDeadline (): void {
+    const { clock, deadline } = this.#options
+    if (this.#finalEvent !== undefined || deadline === undefined) return
+    this.#cancelDeadline = clock.scheduleAfterInput(deadline - clock.now(), () => {
+      this.#bytesBeforeDeadline = this.#receivedBytes
+      this.abortAfterInput(overdueReason)
+    })
+  }
+
   #checkInactivity (): void {
     const { inactivityTimeoutMilliseconds } = this.#options
-    if (this.#controller?.paused === true) this.#silence.restart()
+    if (this.isPaused) this.#silence.restart()
     const inactiveMilliseconds = this.heardSilenceMilliseconds
     if (inactiveMilliseconds >= inactivityTimeoutMilliseconds) return this.abort('connection received no data within the inactivity timeout', true)
     this.#watchInactivity(Math.ceil(inactivityTimeoutMilliseconds - inactiveMilliseconds))
--- a/src/endpoint/serviceClient.ts
+++ b/src/endpoint/serviceClient.ts
@@ -11,7 +11,7 @@
 import { collectResponse, type CollectedResponse } from './collectResponse.ts'
 import { Connections, type ConnectionFactory } from './connections.ts'
 import { AttemptFailure, DeliveryState, type ServiceResponse, type ServiceCall, type ServiceClient } from './contract.ts'
-import type { ExchangeOptions } from './exchange.ts'
+import type { ExchangeOptions } from './exchangeContract.ts'
 import { parseJson } from './json.ts'
 import { announcementIn } from './rateHeader.ts'
 
--- a/src/endpoint/streamReader.ts
+++ b/src/endpoint/streamReader.ts
@@ -6,7 +6,8 @@
 import { isFramed } from './collectResponse.ts'
 import { AttemptFailure, DeliveryState } from './contract.ts'
 import { EventStreamDecoder } from './eventStreamDecoder.ts'
-import type { Exchange, ExchangeEvent, ResponseHeadEvent } from './exchange.ts'
+import type { Exchange } from './exchange.ts'
+import type { ExchangeEvent, ResponseHeadEvent } from './exchangeContract.ts'
 
 /** Events of one connection: any number of chunks, then how it ended. */
 export type StreamEvent =
--- a/src/gateway/attemptOpener.ts
+++ b/src/gateway/attemptOpener.ts
@@ -131,6 +131,7 @@
       }),
       body: body.length === 0 ? undefined : body,
       responseMark: head.attemptId,
+      deadline,
       inactivityTimeoutMilliseconds: Math.max(0, deadline - startedAt) + inactivityMarginMilliseconds,
       mayStillSend
     }
--- a/src/gateway/givenUpRun.ts
+++ b/src/gateway/givenUpRun.ts
@@ -41,11 +41,13 @@
   readonly acceptedMillisecondsAgo: number | undefined
 }
 
-/** What had arrived of a run's response and was not handled yet. */
-interface UnhandledResponse {
+/** What had arrived of a run's response, and was not handled when it was due. */
+interface LateResponse {
   /** Whether the end or the failure of the response had come. */
   readonly hasEndArrived: boolean
   readonly unreadBytes: number
+  /** What was read after the deadline, since it may have arrived before. */
+  readonly lateBytes: number
 }
 
 /** What is certain of the next attempt, or, where that is being written already, of the one after it. */
@@ -78,7 +80,7 @@
     model: attempt.model,
     reason,
     ...fieldsOf(signsOf(attempt, request.now)),
-    ...fieldsOf(unhandledOf(attempt)),
+    ...fieldsOf(lateResponseOf(attempt)),
     ...fieldsOf(nextAttemptOf(request, nextEndpoint))
   })
 }
@@ -92,8 +94,8 @@
   }
 }
 
-function unhandledOf ({ exchange }: OpenAttempt): UnhandledResponse {
-  return { hasEndArrived: exchange.isOver, unreadBytes: exchange.bufferedBytes }
+function lateResponseOf ({ exchange }: OpenAttempt): LateResponse {
+  return { hasEndArrived: exchange.hasEnded, unreadBytes: exchange.bufferedBytes, lateBytes: exchange.lateBytes }
 }
 
 function nextAttemptOf ({ attempts, selection }: GivenUpRequest, nextEndpoint: RoutedEndpoint | undefined): NextAttempt {
@@ -110,6 +112,6 @@
   return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined
 }
 
-function fieldsOf (facts: EndpointSigns | UnhandledResponse | NextAttempt): LogFields {
+function fieldsOf (facts: EndpointSigns | LateResponse | NextAttempt): LogFields {
   return { ...facts }
 }
--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { Wait } from '../contract/index.ts'
-import { DeadlineReader, type ExchangeEvent } from '../endpoint/index.ts'
+import { DeadlineReader, type ExchangeEvent, isOverdue } from '../endpoint/index.ts'
 import { AttemptEnd } from '../placement/index.ts'
 import { RouteType } from '../routing/index.ts'
 import { ResponseFrame, maximumHeldBytes, takesChunks } from './responseFraming.ts'
@@ -23,7 +23,6 @@
 /** Share of the latency target for which an idempotent attempt may be silent before another endpoint is tried. */
 const silenceTargetShare = 0.9
 const silentReason = 'silent'
-const overdueReason = 'the deadline of the request has passed'
 
 /** Outcome of one attempt. */
 type PlainOutcome =
@@ -92,7 +91,7 @@
   async #readResponse (attempt: OpenAttempt, reader: DeadlineReader): Promise<PlainOutcome> {
     const request = this.#request
     const head = await this.#nextEvent(attempt, reader)
-    if (head === undefined || head.type === 'failure') return this.#failAttempt(attempt, head?.reason)
+    if (head.type === 'failure') return this.#failAttempt(attempt, reasonOf(head))
     if (head.type !== 'head') return this.#failAttempt(attempt, 'body data before the response headers')
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
     if (!request.isOwnResponse(responseHead)) return this.#rejectForeignResponse(attempt, responseHead.attemptId)
@@ -112,7 +111,7 @@
     let bytes = 0
     for (;;) {
       const event = await this.#nextEvent(attempt, reader)
-      if (event === undefined || event.type === 'failure') return this.#failAttempt(attempt, event?.reason)
+      if (event.type === 'failure') return this.#failAttempt(attempt, reasonOf(event))
       if (event.type === 'end') break
       if (event.type !== 'data') continue
       chunks.push(event.bytes)
@@ -151,8 +150,6 @@
     let isCallerLate = false
     const cancelDeadline = request.dependencies.clock.scheduleAfterInput(request.deadline - request.now, () => {
       isCallerLate = response.writableNeedDrain
-      if (!attempt.exchange.isOver) recordGivenUp(request, attempt, GiveUpReason.Deadline)
-      attempt.exchange.abort(overdueReason)
     })
     for (;;) {
       const event = await attempt.exchange.next()
@@ -168,6 +165,7 @@
         response.end()
         request.callerResponse.recordDelivery(status)
       } else {
+        if (isOverdue(event)) recordGivenUp(request, attempt, GiveUpReason.Deadline)
         attempt.exchange.abort('response broke off')
         request.attempts.finish(attempt, isCallerLate ? AttemptEnd.Cancelled : this.#endOfBrokenRelay(attempt, event), 'broke off')
         request.callerResponse.abort('answer_broke_off')
@@ -177,20 +175,19 @@
   }
 
   #endOfBrokenRelay (attempt: OpenAttempt, event: ExchangeEvent): AttemptEnd {
-    const isOverdue = event.type === 'failure' && event.reason === overdueReason
-    const end = this.#request.attempts.endWithoutResponse(attempt, isOverdue)
+    const end = this.#request.attempts.endWithoutResponse(attempt, isOverdue(event))
     return end === AttemptEnd.Failed ? AttemptEnd.Lost : end
   }
 
-  /** Returns the next event; undefined if the deadline has passed. A silent idempotent run may be given up meanwhile. */
-  async #nextEvent (attempt: OpenAttempt, reader: DeadlineReader): Promise<ExchangeEvent | undefined> {
+  /** Returns the next event. A silent idempotent run may be given up meanwhile. */
+  async #nextEvent (attempt: OpenAttempt, reader: DeadlineReader): Promise<ExchangeEvent> {
     const request = this.#request
-    const { deadline, dependencies: { clock }, route } = request
+    const { dependencies: { clock }, route } = request
     const allowedMilliseconds = this.#isIdempotent ? route.latencyTargetMilliseconds * silenceTargetShare : Number.POSITIVE_INFINITY
     const wait = new Wait(clock)
     for (let lookMilliseconds = allowedMilliseconds; ;) {
-      const event = await reader.next(Math.min(deadline, request.now + Math.ceil(lookMilliseconds)))
-      if (event !== undefined || request.now >= deadline) {
+      const event = await reader.next(request.now + Math.ceil(lookMilliseconds))
+      if (event !== undefined) {
         this.#handover.cancel()
         return event
       }
@@ -211,15 +208,15 @@
     }
   }
 
-  /** @param reason undefined if the deadline has passed */
-  #failAttempt (attempt: OpenAttempt, reason: string | undefined): PlainOutcome {
+  #failAttempt (attempt: OpenAttempt, reason: string): PlainOutcome {
     this.#request.holding.trySetAnswer(0)
     if (this.#handover.hasReplaced(attempt)) return { type: 'lost' }
     const request = this.#request
-    if (reason === undefined) recordGivenUp(request, attempt, GiveUpReason.Deadline)
-    const end = request.attempts.endWithoutResponse(attempt, reason === undefined)
-    attempt.exchange.abort(reason ?? silentReason)
-    request.attempts.finishBroken(attempt, end, reason ?? silentReason)
+    const isSilent = reason === silentReason
+    if (isSilent) recordGivenUp(request, attempt, GiveUpReason.Deadline)
+    const end = request.attempts.endWithoutResponse(attempt, isSilent)
+    attempt.exchange.abort(reason)
+    request.attempts.finishBroken(attempt, end, reason)
     return { type: attempt.exchange.mayHaveSent ? 'lost' : 'unsent' }
   }
 
@@ -230,3 +227,7 @@
     return { type: 'lost' }
   }
 }
+
+function reasonOf (failure: Extract<ExchangeEvent, { type: 'failure' }>): string {
+  return isOverdue(failure) ? silentReason : failure.reason
+}
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { Wait } from '../contract/index.ts'
-import { DeadlineReader, type ExchangeEvent } from '../endpoint/index.ts'
+import { DeadlineReader, type ExchangeEvent, isOverdue } from '../endpoint/index.ts'
 import { AttemptEnd, millisecondsToAbandonment } from '../placement/index.ts'
 import { ResponseFrame, maximumHeldBytes, takesChunks } from './responseFraming.ts'
 import type { CompleteResponse } from './callerResponse.ts'
@@ -103,8 +103,8 @@
   async #readResponse (attempt: OpenAttempt, reader: DeadlineReader): Promise<RunOutcome> {
     const request = this.#request
     const head = await this.#nextEvent(attempt, reader, false)
-    if (head === undefined || this.#handover.hasReplaced(attempt)) this.#choice.recordWaitEnd()
-    if (head === undefined || head.type !== 'head') return this.#failRun(attempt, reasonOf(head))
+    if (isOverdue(head) || this.#handover.hasReplaced(attempt)) this.#choice.recordWaitEnd()
+    if (head.type !== 'head') return this.#failRun(attempt, reasonOf(head))
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
     if (!request.isOwnResponse(responseHead)) return this.#failRun(attempt, `response to another attempt: ${responseHead.attemptId ?? 'unnamed'}`, AttemptEnd.Cancelled)
     request.attempts.recordAnnouncements(attempt, head.status, responseHead)
@@ -158,9 +158,9 @@
     let hasRunStarted = false
     for (const wait = new Wait(request.dependencies.clock); ;) {
       const event = await this.#nextEvent(attempt, reader, hasRunStarted)
-      if (event?.type === 'end' && splitter.pendingBytes === 0) return await this.#finishResponse(attempt, headers)
-      if (hasRunStarted && (event === undefined || this.#handover.hasReplaced(attempt))) this.#choice.recordEvents(0, wait.heardMilliseconds)
-      if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
+      if (event.type === 'end' && splitter.pendingBytes === 0) return await this.#finishResponse(attempt, headers)
+      if (hasRunStarted && (isOverdue(event) || this.#handover.hasReplaced(attempt))) this.#choice.recordEvents(0, wait.heardMilliseconds)
+      if (event.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       const events = splitter.push(event.bytes)
       if (splitter.pendingBytes > maximumEventBytes) return this.#failRun(attempt, 'event too large')
       if (!request.holding.trySetAnswer(splitter.pendingBytes + this.#events.heldBytes)) return this.#failRun(attempt, noMemoryReason, AttemptEnd.Cancelled)
@@ -221,8 +221,8 @@
     let bytes = 0
     for (;;) {
       const event = await this.#nextEvent(attempt, reader, true)
-      if (event?.type === 'end') break
-      if (event?.type !== 'data') return this.#failRun(attempt, reasonOf(event))
+      if (event.type === 'end') break
+      if (event.type !== 'data') return this.#failRun(attempt, reasonOf(event))
       bytes += event.bytes.length
       if (bytes > maximumFailureBodyBytes) return this.#failRun(attempt, 'error body too large')
       if (!request.holding.trySetAnswer(bytes)) return this.#failRun(attempt, noMemoryReason, AttemptEnd.Cancelled)
@@ -243,29 +243,25 @@
     return RunOutcome.Failed
   }
 
-  /** Returns the next event; undefined if the deadline has passed. A silent run may be given up for another meanwhile. */
-  async #nextEvent (attempt: OpenAttempt, reader: DeadlineReader, hasRunStarted: boolean): Promise<ExchangeEvent | undefined> {
+  /** Returns the next event. A silent run may be given up for another meanwhile. */
+  async #nextEvent (attempt: OpenAttempt, reader: DeadlineReader, hasRunStarted: boolean): Promise<ExchangeEvent> {
     const request = this.#request
     const { liveness } = request.dependencies
     const livenessMilliseconds = Math.min(liveness.checkMilliseconds, request.route.maximumEventGapMilliseconds * livenessGapShare)
-    // What arrives without end would otherwise always be there when the deadline has come.
-    if (hasRunStarted && request.now >= request.deadline) return attempt.exchange.finalEvent
     const wait = new Wait(request.dependencies.clock)
     const millisecondsToGiveUp = () => millisecondsToAbandonment(silenceOf(request, attempt, { hasStarted: hasRunStarted, wait, now: request.now }))
     for (;;) {
       const isSilent = millisecondsToGiveUp() <= 0
       const arrived = isSilent ? await this.#handover.beginUnlessReceived(this.#plannedHandover(attempt), () => millisecondsToGiveUp() <= 0) : undefined
       if (arrived !== undefined) return arrived
-      const { now } = request
       const millisecondsLeft = millisecondsToGiveUp()
       const millisecondsToCheck = millisecondsLeft - livenessMilliseconds
       if (hasRunStarted && millisecondsToCheck <= 0 && this.#handover.mayBegin(this.#plannedHandover(attempt))) liveness.check(attempt.endpoint)
       const nextLookMilliseconds = [millisecondsToCheck, millisecondsLeft].find(milliseconds => milliseconds > 0) ?? silenceCheckIntervalMilliseconds
-      const event = await reader.next(Math.min(request.deadline, now + Math.ceil(nextLookMilliseconds)))
-      if (event !== undefined || request.now >= request.deadline || request.hasCallerLeft) {
-        this.#handover.cancel()
-        return event
-      }
+      const event = await reader.next(request.now + Math.ceil(nextLookMilliseconds))
+      if (event === undefined) continue
+      this.#handover.cancel()
+      return event
     }
   }
 
@@ -301,8 +297,8 @@
   }
 }
 
-function reasonOf (event: ExchangeEvent | undefined): string {
-  if (event === undefined) return silentReason
+function reasonOf (event: ExchangeEvent): string {
+  if (isOverdue(event)) return silentReason
   if (event.type === 'failure') return event.reason
   return event.type === 'end' ? 'stream ended in the middle of an event' : `unexpected ${event.type}`
 }
--- a/test/gatewayStall.test.ts
+++ b/test/gatewayStall.test.ts
@@ -76,6 +76,29 @@
   caller.close()
 })
 
+test.each([
+  ['a stream', 200],
+  ['the error body of a stream', 400]
+])('%s whose end has arrived before the deadline is delivered whole after a stall of the event loop over it', async (_name, status) => {
+  const engine = await harness.startEndpoint('engines')
+  let wasHandedOver: boolean | undefined
+  engine.handleWith(async (_request, response) => {
+    response.writeHead(status, { 'content-type': 'text/event-stream', confidence: 90 })
+    response.write(formatEvent(1))
+    await pause(silentDeadlineMilliseconds / 2)
+    await new Promise(resolve => setImmediate(resolve))
+    for (const id of [2, 3, 4]) response.write(formatEvent(id))
+    response.end()
+    await new Promise<void>(resolve => process.nextTick(resolve))
+    wasHandedOver = response.writableFinished
+    block(silentDeadlineMilliseconds)
+  })
+  await harness.waitUntilReady(host)
+  const answer = await harness.call(host, '/query/1', { headers: { 'deadline-ms': String(silentDeadlineMilliseconds) } }).catch(() => undefined)
+  expect(wasHandedOver).toBe(true)
+  expect(answer).toMatchObject({ status, isComplete: true, body: [1, 2, 3, 4].map(formatEvent).join('') })
+})
+
 test('a silent run is not abandoned after a stall of the event loop while another run of its endpoint has sent something', async () => {
   const lines = vi.spyOn(Log.prototype, 'info')
   const hasLogged = (name: string, key: string, value: unknown) => lines.mock.calls.some(([event, fields]) => event === name && fields?.[key] === value)
--- a/test/givenUpRun.test.ts
+++ b/test/givenUpRun.test.ts
@@ -32,7 +32,7 @@
   const host = await harness.startForwarder()
   await harness.waitUntilReady(host)
   await harness.call(host, path, { headers: { 'deadline-ms': '300' } })
-  expect(lines.mock.calls.filter(([event]) => event === 'run_given_up')).toEqual([['run_given_up', expect.objectContaining({ reason: 'deadline', hasEndArrived: false, unreadBytes: 0 })]])
+  expect(lines.mock.calls.filter(([event]) => event === 'run_given_up')).toEqual([['run_given_up', expect.objectContaining({ reason: 'deadline', hasEndArrived: false, unreadBytes: 0, lateBytes: 0 })]])
 })
 
 test('the log of a run that is given up tells what was known of its endpoint and what was certain of the next attempt', async () => {
