Give the answer of a daemon's service that was whole before its caller's deadline, after a stall over it

What callers saw: a call to a service through a daemon that was held up over the caller's deadline got 504 deadline_exceeded, although the whole answer lay in the kernel.

Cause: the deadline aborted the exchange as soon as the input had been polled twice, while an answer in many pieces is read over several turns of the event loop.

Fix: an overdue call ends its exchange in the way that gateways do, abortAfterInput, which reads what had arrived first.

--- a/src/endpoint/contract.ts
+++ b/src/endpoint/contract.ts
@@ -125,6 +125,7 @@
    *
    * @param mayStillSend checked in the event-loop turn that writes the first byte, so that a process
    *   that was paused past the claim's deadline does not send
+   * @param signal ends the call; with `overdueReason` only once what had arrived of its answer is read
    */
   call (endpoint: EndpointDescription, call: ServiceCall, mayStillSend: () => boolean, signal: AbortSignal): Promise<Result<ServiceResponse, AttemptFailure>>
   /** Asks the service whether the call with this key ran; undefined if the service can't tell. */
--- a/src/endpoint/serviceClient.ts
+++ b/src/endpoint/serviceClient.ts
@@ -11,7 +11,8 @@
 import { collectResponse, type CollectedResponse } from './collectResponse.ts'
 import { Connections, type ConnectionFactory } from './connections.ts'
 import { AttemptFailure, DeliveryState, type ServiceResponse, type ServiceCall, type ServiceClient } from './contract.ts'
-import type { ExchangeOptions } from './exchangeContract.ts'
+import type { Exchange } from './exchange.ts'
+import { type ExchangeOptions, overdueReason } from './exchangeContract.ts'
 import { parseJson } from './json.ts'
 import { announcementIn } from './rateHeader.ts'
 
@@ -79,7 +80,7 @@
       mayStillSend: () => !signal.aborted && mayStillSend() && (call.gate?.trySend() ?? true)
     }
     const exchange = this.#connections.startDedicated(endpoint.address, options)
-    const cancel = () => exchange.abort('cancelled')
+    const cancel = () => cancelExchange(exchange, signal)
     signal.addEventListener('abort', cancel)
     const response = await collectResponse(exchange)
     signal.removeEventListener('abort', cancel)
@@ -87,6 +88,12 @@
   }
 }
 
+/** A call that is overdue gets what had arrived of its answer before. */
+function cancelExchange (exchange: Exchange, signal: AbortSignal): void {
+  if (signal.reason === overdueReason) exchange.abortAfterInput(overdueReason)
+  else exchange.abort('cancelled')
+}
+
 function headersOf (call: ServiceCall): Record<string, string> {
   const headers: Record<string, string> = {}
   if (call.contentType !== undefined) headers['content-type'] = call.contentType
--- a/src/entry/serviceRouter.ts
+++ b/src/entry/serviceRouter.ts
@@ -9,7 +9,7 @@
 import type { EndpointRun, EndpointRuns, PromptBreaker } from '../breaker/index.ts'
 import type { AttemptBudget, EndpointView } from '../choice/index.ts'
 import { type Claim, type ClaimOpenOutcome, type ClaimRequest, type Claims, type StoredAnswer, ClaimPoint } from '../claim/index.ts'
-import { type AttemptFailure, DeliveryState, type ServiceResponse, type ServiceCall, type ServiceClient } from '../endpoint/index.ts'
+import { type AttemptFailure, DeliveryState, type ServiceResponse, type ServiceCall, type ServiceClient, overdueReason } from '../endpoint/index.ts'
 import { formatTraceParent, type TraceContext, type Tracer } from '../observe/index.ts'
 import type { OrganisationView } from '../settings/index.ts'
 import { CrashGuard } from './crashGuard.ts'
@@ -219,7 +219,7 @@
   async #sendUntilDeadline (request: ServiceRequest, target: EndpointView, opened: OpenedCall, signal: AbortSignal) {
     const { clock } = this.#dependencies
     const overdue = new AbortController()
-    const cancel = clock.scheduleAfterInput(request.deadline - clock.now(), () => overdue.abort())
+    const cancel = clock.scheduleAfterInput(request.deadline - clock.now(), () => overdue.abort(overdueReason))
     const answer = await this.#send(request, target, opened, always, AbortSignal.any([signal, overdue.signal]))
     cancel()
     return answer
--- a/test/daemonStall.test.ts
+++ b/test/daemonStall.test.ts
@@ -1,9 +1,11 @@
+import { once } from 'node:events'
+import { Worker } from 'node:worker_threads'
 import { afterEach, expect, test, vi } from 'vitest'
 import { AffinityEndpointPolicy, type AttemptOutcome } from '../src/choice/index.ts'
 import { SystemClock } from '../src/contract/index.ts'
 import { EntryHarness } from './fakes/entryWorld.ts'
 import { EngineFault, FakeEngineClient } from './fakes/fakeEngineClient.ts'
-import { block } from './fakes/rawCaller.ts'
+import { block, pause, stallOneTurn } from './fakes/rawCaller.ts'
 
 const stallMilliseconds = 1_000
 const firstChunkMilliseconds = 50
@@ -36,3 +38,18 @@
   harness.clock.stopMonitor()
   await harness.close()
 })
+
+test('a daemon gives the answer of a service that was whole before its caller\'s deadline, after a stall over it', async () => {
+  const [pieceCount, piece] = [1_000, 'a piece. ']
+  const worker = new Worker(new URL('./fakes/threadedService.mjs', import.meta.url), { workerData: { delayMilliseconds: 200, pieceCount, piece } })
+  const [address] = await once(worker, 'message')
+  const harness = await EntryHarness.start()
+  harness.settings.install(harness.settingsText().replace(/address = .*(?=\n.*\nservice = )/, `address = "${address}"`))
+  const answer = harness.call('/v1/services/ledger/balances/deposit-7', { headers: { 'x-lavenderdoor-timeout-seconds': '0.6' } })
+  await pause(100)
+  await stallOneTurn(stallMilliseconds)
+  const response = await answer
+  expect([response.status, (await response.text()).length]).toEqual([200, piece.length * pieceCount])
+  await harness.close()
+  await worker.terminate()
+})
