Keep the sums of others' work over a stall of the gateway that sums them

What gateways saw: a seed that was held up for over 3 s told the other seeds nothing of the work that was reported to it, as if its gateways were idle, until their next reports.

Cause: reports lapse after 3 s by the clock, also the 3 s in which the seed could read none.

Fix: a report lapses after 3 s in which another could have been heard. The age that is told stays that of the clock.

--- a/src/fleetLoad/loadReports.ts
+++ b/src/fleetLoad/loadReports.ts
@@ -55,7 +55,7 @@
 /** Reports on behalf of one gateway. */
 export class LoadReports {
   readonly #options: LoadReportsOptions
-  readonly #sums = new WorkSums()
+  readonly #sums: WorkSums
   readonly #stopping = new AbortController()
   readonly #wakeup = new Wakeup()
   readonly #silentUntil = new Map<string, number>()
@@ -67,6 +67,7 @@
     this.#options = options
     const { clock, link } = options
     this.#startedAt = clock.now()
+    this.#sums = new WorkSums(() => clock.heldUpMilliseconds())
     link.handle(loadReport, async ({ work }, from) => {
       const now = clock.now()
       this.#sums.recordReport(from.address, decodeWork(work), now)
--- a/src/fleetLoad/workSums.ts
+++ b/src/fleetLoad/workSums.ts
@@ -1,7 +1,8 @@
 /**
  * The sums that a gateway keeps for those that report to it. A report replaces the one before of the same gateway,
  * and lapses if no other follows. Gateways that are reported to exchange their sums, each without what the others
- * told it, so that nothing is counted twice. A gateway that turns to another seed counts twice until its last report
+ * told it, so that nothing is counted twice. Time for which this process was held up doesn't count, since what others
+ * report meanwhile is read only after it. A gateway that turns to another seed counts twice until its last report
  * at the first one has lapsed.
  */
 import { type EndpointWork, type WorkByEndpoint, noWork } from './contract.ts'
@@ -12,6 +13,8 @@
 interface DatedWork {
   readonly work: WorkByEndpoint
   readonly receivedAt: number
+  /** For how long the event loop had been held up by then. */
+  readonly heldUpBefore: number
 }
 
 /** The sums over other gateways, and how old their oldest part is. */
@@ -30,6 +33,12 @@
   readonly #sumsOfPeers = new Map<string, DatedWork>()
   /** The sum of the reports. */
   readonly #sum = new Map<number, EndpointWork>()
+  readonly #heldUpMilliseconds: () => number
+
+  /** @param heldUpMilliseconds for how long the event loop was held up so far */
+  constructor (heldUpMilliseconds: () => number = () => 0) {
+    this.#heldUpMilliseconds = heldUpMilliseconds
+  }
 
   /** Whether a gateway has reported lately. */
   hasReports (now: number): boolean {
@@ -39,13 +48,13 @@
 
   recordReport (gateway: string, work: WorkByEndpoint, now: number): void {
     this.#drop(gateway)
-    this.#reports.set(gateway, { work, receivedAt: now })
+    this.#reports.set(gateway, this.#dated(work, now))
     add(this.#sum, work)
   }
 
   /** Records the sum of the reports at another gateway. */
   recordPeerSum (peer: string, work: WorkByEndpoint, now: number): void {
-    this.#sumsOfPeers.set(peer, { work, receivedAt: now })
+    this.#sumsOfPeers.set(peer, this.#dated(work, now))
   }
 
   /** The sum of the reports to this gateway. */
@@ -69,8 +78,16 @@
   }
 
   #dropLapsed (now: number): void {
-    for (const [gateway, { receivedAt }] of this.#reports) if (now - receivedAt > lapseMilliseconds) this.#drop(gateway)
-    for (const [peer, { receivedAt }] of this.#sumsOfPeers) if (now - receivedAt > lapseMilliseconds) this.#sumsOfPeers.delete(peer)
+    for (const [gateway, report] of this.#reports) if (this.#hasLapsed(report, now)) this.#drop(gateway)
+    for (const [peer, sum] of this.#sumsOfPeers) if (this.#hasLapsed(sum, now)) this.#sumsOfPeers.delete(peer)
+  }
+
+  #dated (work: WorkByEndpoint, now: number): DatedWork {
+    return { work, receivedAt: now, heldUpBefore: this.#heldUpMilliseconds() }
+  }
+
+  #hasLapsed ({ receivedAt, heldUpBefore }: DatedWork, now: number): boolean {
+    return now - receivedAt - (this.#heldUpMilliseconds() - heldUpBefore) > lapseMilliseconds
   }
 
   #drop (gateway: string): void {
