Keep endpoints that wait for their registration over a stall of the gateway

What callers saw: after an outage of the store and a stall of over 2 s in the time that follows, a gateway had no endpoint to send to until it had read the registrations, which had arrived meanwhile.

Cause: the 2 s in which an endpoint has to register again ran on while the gateway could read nothing.

Evidence: the registry with one endpoint and a stall of 5 s: 1 endpoint serving before it, 0 after it (the test failed before), now 1, until 2 s in which the registration could have been read.

Fix: these 2 s are counted without the time held up.

--- a/src/forwarder/composition.ts
+++ b/src/forwarder/composition.ts
@@ -124,7 +124,7 @@
     relayFollower: single(makeRelayFollower),
     confirmationMonitor: single(makeConfirmationMonitor),
     routing: single(() => new RoutingView()),
-    registry: single(() => new EndpointRegistry()),
+    registry: single(parts => new EndpointRegistry(() => parts.clock.heldUpMilliseconds())),
     evacuations: single(() => new Evacuations()),
     misdirected: single(makeMisdirected),
     eligibility: single(({ registry, evacuations, misdirected }) => new EndpointEligibility(registry, evacuations, misdirected)),
--- a/src/placement/endpointRegistry.ts
+++ b/src/placement/endpointRegistry.ts
@@ -6,7 +6,8 @@
  * that reports the endpoint as ready is ignored.
  * A row that disappears while the store is available means that its endpoint has left. A row that
  * expired during a store outage says nothing about the endpoint, which is therefore kept until it has
- * had time to register again, and removed only then.
+ * had time to register again, and removed only then. Time for which this process was held up doesn't count, since the
+ * registration is read only after it.
  *
  * A store that comes back from an older copy of itself may bring rows back that had been removed. Such an
  * endpoint gets no work until a row that nobody renews would have expired.
@@ -38,7 +39,7 @@
 
 interface KnownEndpoint {
   readonly endpoint: RoutedEndpoint
-  /** When the endpoint is removed; undefined while it is registered. */
+  /** When the endpoint is removed, without the time held up; undefined while it is registered. */
   readonly expiresAt: number | undefined
   /** Until when the endpoint gets no work, because its registration may be a copy of one that was removed. */
   readonly heldUntil: number
@@ -56,6 +57,12 @@
   readonly #departedInstances = new Set<string>()
   /** Incarnations whose rows were removed while the store was available. */
   readonly #removedInstances = new Set<string>()
+  readonly #heldUpMilliseconds: () => number
+
+  /** @param heldUpMilliseconds for how long the event loop was held up so far */
+  constructor (heldUpMilliseconds: () => number = () => 0) {
+    this.#heldUpMilliseconds = heldUpMilliseconds
+  }
 
   /** Replaces the known registrations by the current ones. */
   update ({ endpoints, wasStoreUnavailable, copiedUntil, now }: RegistrationSnapshot): void {
@@ -63,8 +70,9 @@
     const kept: KnownEndpoint[] = endpoints.map(endpoint => ({ endpoint, expiresAt: undefined, heldUntil: this.#heldUntil(endpoint, copiedUntil) }))
     for (const known of this.#knownEndpoints()) {
       if (registered.has(known.endpoint.identity)) continue
-      const expiresAt = known.expiresAt ?? (wasStoreUnavailable ? now + reregistrationMilliseconds : now)
-      if (expiresAt > now) kept.push({ ...known, expiresAt })
+      const runningNow = this.#runningTime(now)
+      const expiresAt = known.expiresAt ?? (wasStoreUnavailable ? runningNow + reregistrationMilliseconds : runningNow)
+      if (expiresAt > runningNow) kept.push({ ...known, expiresAt })
       else this.#recordRemoval(known.endpoint)
     }
     for (const { endpoint } of kept) {
@@ -119,7 +127,12 @@
   }
 
   #mayReceiveWork ({ endpoint, expiresAt, heldUntil }: KnownEndpoint, now: number): boolean {
-    return !this.#departedInstances.has(instanceKey(endpoint)) && (expiresAt === undefined || expiresAt > now) && heldUntil <= now
+    return !this.#departedInstances.has(instanceKey(endpoint)) && (expiresAt === undefined || expiresAt > this.#runningTime(now)) && heldUntil <= now
+  }
+
+  /** A time that stands still while this process is held up. */
+  #runningTime (now: number): number {
+    return now - this.#heldUpMilliseconds()
   }
 
   #knownEndpoints (): KnownEndpoint[] {
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -140,7 +140,7 @@
     const randomness = new SeededRandomness(seed)
     const log = new Log('info', {}, line => this.lines.push(JSON.parse(line)))
     this.stops.push(new PlannedStop(clock))
-    const [routing, registry, loads, announcedLimits, misdirected] = [new RoutingView(), new EndpointRegistry(), new EndpointLoads(() => undefined, () => clock.heldUpMilliseconds()), new AnnouncedLimits(), noMisdirected()]
+    const [routing, registry, loads, announcedLimits, misdirected] = [new RoutingView(), new EndpointRegistry(() => clock.heldUpMilliseconds()), new EndpointLoads(() => undefined, () => clock.heldUpMilliseconds()), new AnnouncedLimits(), noMisdirected()]
     const limits = limitsOf(announcedLimits)
     const breaker = new PromptBreaker({ name: `gateway-${seed}`, onChange: () => undefined })
     routing.install(settingsWith(timeoutMilliseconds))
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -174,6 +174,20 @@
   expect(registry.servingEndpoints('engines', 2_100)).toHaveLength(0)
 })
 
+test('an endpoint that waits for its registration after an outage of the store does not expire in a stall before the registration is read', () => {
+  let heldUpMilliseconds = 0
+  const registry = new EndpointRegistry(() => heldUpMilliseconds)
+  registry.update({ endpoints: [endpoint('a')], wasStoreUnavailable: false, now: 0 })
+  registry.update({ endpoints: [], wasStoreUnavailable: true, now: 10 })
+  heldUpMilliseconds = 5_000
+  expect(registry.servingEndpoints('engines', 6_900)).toHaveLength(1)
+  registry.update({ endpoints: [], wasStoreUnavailable: true, now: 6_900 })
+  expect(registry.isServing(endpoint('a'), 6_900)).toBe(true)
+  expect(registry.servingEndpoints('engines', 7_100)).toHaveLength(0)
+  registry.update({ endpoints: [], wasStoreUnavailable: true, now: 7_100 })
+  expect(registry.servingEndpoints('engines', 7_100)).toHaveLength(0)
+})
+
 test('the confidence threshold is lower while the largest model answers late', () => {
   const calm = new ModelCascade()
   const busy = new ModelCascade()
