--- a/src/gateway/givenUpRun.ts
+++ b/src/gateway/givenUpRun.ts
@@ -41,6 +41,15 @@
   readonly acceptedMillisecondsAgo: number | undefined
 }
 
+/** What had arrived of a run's response, and was not handled when it was due. */
+interface LateResponse {
+  /** Whether the end or the failure of the response had come. */
+  readonly hasEndArrived: boolean
+  readonly unreadBytes: number
+  /** What was read after the deadline, since it may have arrived before. */
+  readonly lateBytes: number
+}
+
 /** What is certain of the next attempt, or, where that is being written already, of the one after it. */
 interface NextAttempt {
   /** Further attempts that the route allows after the present one. */
@@ -71,6 +80,7 @@
     model: attempt.model,
     reason,
     ...fieldsOf(signsOf(attempt, request.now)),
+    ...fieldsOf(lateResponseOf(attempt)),
     ...fieldsOf(nextAttemptOf(request, nextEndpoint))
   })
 }
@@ -84,6 +94,10 @@
   }
 }
 
+function lateResponseOf ({ exchange }: OpenAttempt): LateResponse {
+  return { hasEndArrived: exchange.hasEnded, unreadBytes: exchange.bufferedBytes, lateBytes: exchange.lateBytes }
+}
+
 function nextAttemptOf ({ attempts, selection }: GivenUpRequest, nextEndpoint: RoutedEndpoint | undefined): NextAttempt {
   return {
     attemptsLeft: attempts.left - 1,
@@ -98,6 +112,6 @@
   return Number.isFinite(milliseconds) ? Math.round(milliseconds) : undefined
 }
 
-function fieldsOf (facts: EndpointSigns | NextAttempt): LogFields {
+function fieldsOf (facts: EndpointSigns | LateResponse | NextAttempt): LogFields {
   return { ...facts }
 }
