Give up the requests behind another one when their connection closes

What callers saw: nothing; endpoints went on with runs of callers who had left. Two look-ups were sent at once on one connection and both ran; the connection was reset, and only the first run was given up. Cause: a request follows its response's 'close', which Node.js emits only for the response whose turn it is. Why it works: CallerLeaving follows the socket itself, once for each connection, and tells all of its requests.

--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -8,6 +8,7 @@
 import type { LogFields } from '../observe/index.ts'
 import { estimateWork } from '../placement/index.ts'
 import { type ResponseHead, type RequestHead, RouteType, type Route, type RoutedOrganisation, isRepeatable } from '../routing/index.ts'
+import { CallerDeparture } from './callerDeparture.ts'
 import { CallerResponse, type RequestState } from './callerResponse.ts'
 import { EndpointSelection } from './endpointSelection.ts'
 import type { ForwardingDependencies } from './forwardingDependencies.ts'
@@ -55,13 +56,12 @@
   readonly sendWindow: SendWindow
   readonly dependencies: ForwardingDependencies
   readonly callerResponse: CallerResponse
-  /** Aborted when the caller disconnects. */
-  readonly callerAbort = new AbortController()
   readonly prompt: SharedPrompt
   readonly selection: EndpointSelection
   readonly attempts: RequestAttempts
   readonly #snapshot: RoutingSnapshot
   readonly #bodyReadAt: number
+  readonly #departure: CallerDeparture
   #block: BlockedPrompt | undefined
 
   constructor (options: ForwardedRequestOptions) {
@@ -80,10 +80,7 @@
     this.prompt = sharedPromptOf(options)
     this.#snapshot = snapshot
     this.#bodyReadAt = dependencies.clock.now()
-    response.once('close', () => {
-      if (!response.writableFinished) this.callerAbort.abort('caller disconnected')
-    })
-    if (response.destroyed) this.callerAbort.abort('caller disconnected')
+    this.#departure = new CallerDeparture(response, () => false)
     this.callerResponse = new CallerResponse(response, this, dependencies)
     this.selection = new EndpointSelection(this)
     this.attempts = new RequestAttempts(this)
@@ -98,8 +95,14 @@
     return this.now >= this.deadline - timerToleranceMilliseconds
   }
 
+  /** Aborted when the work for a caller who leaves ends. */
+  get callerAbort (): AbortController {
+    return this.#departure.abort
+  }
+
+  /** Whether nothing more is sent to endpoints, since the caller has left. */
   get hasCallerLeft (): boolean {
-    return this.callerAbort.signal.aborted
+    return this.#departure.hasLeft
   }
 
   get times (): RequestTimes {
--- a/src/server/index.ts
+++ b/src/server/index.ts
@@ -1,6 +1,7 @@
 /** Helpers shared by the HTTP servers: listening on an IP address, limits on sizes and times, and ending responses. */
 export type { CallerConnection, UnfinishedRequests } from './callerConnection.ts'
 export { CallerListener, type ConnectionLimits, type RequestListener } from './callerListener.ts'
+export { CallerLeaving, type LeavingListener } from './callerLeaving.ts'
 export { CloseCause, recordCloseCause } from './closeCause.ts'
 export { ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
 export { watchCutRequests } from './cutRequests.ts'
--- a/test/fakes/rawCaller.ts
+++ b/test/fakes/rawCaller.ts
@@ -91,6 +91,16 @@
     while (this.#state === ConnectionState.Open && this.responses.length < responseCount) await pause(10)
   }
 
+  /** Sends nothing more, and goes on reading. */
+  endSending (): void {
+    this.#socket.end()
+  }
+
+  /** Closes the connection in a way that its other side is told of at once. */
+  reset (): void {
+    this.#socket.resetAndDestroy()
+  }
+
   close (): void {
     this.#socket.destroy()
   }
--- a/test/gatewayAbandoned.test.ts
+++ b/test/gatewayAbandoned.test.ts
@@ -1,7 +1,7 @@
 import { spawnSync } from 'node:child_process'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { ForwarderHarness, waitUntil } from './fakes/forwarderWorld.ts'
-import { pause, requestHead } from './fakes/rawCaller.ts'
+import { RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
 import type { EndpointStandIn } from '../platform/standin/index.ts'
 
 let harness: ForwarderHarness
@@ -29,3 +29,14 @@
   await harness.call(host, '/release/2')
   await waitUntil(() => ledger.received.length === 1)
 })
+
+test('requests that run behind another one of their connection are given up when it is reset', async () => {
+  ledger.handleWith((_request, response) => { setTimeout(() => response.end('done'), 1_000) })
+  const caller = await RawCaller.connect(host)
+  caller.write(requestHead('/balance/1', { id: 'first', method: 'GET' }) + requestHead('/balance/2', { id: 'second', method: 'GET' }))
+  await waitUntil(() => ledger.received.length > 0)
+  await pause(100)
+  caller.reset()
+  await pause(400)
+  expect(ledger.received.map(({ isAborted }) => isAborted)).not.toContain(false)
+})
