Answer the whole requests of callers that end their own side of the connection first

What callers saw: a caller that half-closed after its request got nothing, whether or not the request had run. Cause: the HTTP server has httpAllowHalfOpen off, so that it ends its side at the FIN with all requests unanswered. Why it works: a FIN still counts as the caller's leaving, since it can't be told from a close: nothing more is passed on, and runs that may be repeated and streams are given up. But each whole request is told so: 503 if it was not passed on, 502 if a run was given up before its answer began, the end of the connection if it had begun. A run that may run only once and is under way is kept, and its answer is delivered. The last answer announces the end of the connection.

The 400 for half a request behind a FIN now waits for the answers before it, as after other malformed heads. test/cutRequests.test.ts: the caller that leaves resets its connection, since a FIN alone does not close it any more. test/fakes/gatewayFleet.ts: the request of a recorded response has a stream as its socket, in place of an empty object.

--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -102,7 +102,7 @@
   /** Ends the request with a refusal. */
   refuse (refusal: ForwardRefusal): void {
     this.#recordEnd(refusal.code, refusal.status)
-    if (!this.#state.hasCallerLeft && !this.response.headersSent) sendRefusal(this.response, refusal, this.#dependencies.codec)
+    if (!this.response.headersSent && !this.#isClosed) sendRefusal(this.response, refusal, this.#dependencies.codec)
   }
 
   /** Refuses a request without a response from any endpoint; the refusal depends on whether it may have been executed. */
@@ -110,6 +110,7 @@
     const { isPastDeadline } = this.#state
     if (mayHaveRun) return this.refuse(isPastDeadline ? ForwardRefusals.timedOut : ForwardRefusals.attemptLost)
     if (block !== undefined) return this.refuse(contentBlocked(block))
+    if (this.#state.hasCallerLeft) return this.refuse(ForwardRefusals.callerLeft)
     if (isPastDeadline) return this.refuse(ForwardRefusals.notSentInTime)
     if (isStopping) return this.refuse(ForwardRefusals.stopping)
     if (ineligibility !== undefined) return this.refuse(unreachable(ineligibility))
@@ -149,6 +150,11 @@
     this.#recordEnd(unendedOutcome, undefined)
   }
 
+  /** Whether nothing can reach the caller any more. */
+  get #isClosed (): boolean {
+    return this.response.destroyed || this.response.req.socket.destroyed
+  }
+
   get #elapsedMilliseconds (): number {
     return this.#state.now - this.#state.arrivedAt
   }
--- a/src/gateway/forwardRefusal.ts
+++ b/src/gateway/forwardRefusal.ts
@@ -45,6 +45,8 @@
   noAllowedRegion: refusal('no_allowed_region', 503, noAllowedRegionRetryMilliseconds),
   evacuated: refusal('evacuated', 503, evacuatedRetryMilliseconds),
   endpointsFull: refusal('endpoints_full', 503, overloadRetryMilliseconds),
+  /** Of a caller that sends nothing more, and may still read. */
+  callerLeft: refusal('caller_left', 503),
   notSentInTime: refusal('not_sent_in_time', 503, overloadRetryMilliseconds),
   attemptLost: refusal('attempt_lost', 502),
   timedOut: refusal('timed_out', 504)
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -80,7 +80,7 @@
     this.prompt = sharedPromptOf(options)
     this.#snapshot = snapshot
     this.#bodyReadAt = dependencies.clock.now()
-    this.#departure = new CallerDeparture(response, () => false)
+    this.#departure = new CallerDeparture(response, () => this.#isKept)
     this.callerResponse = new CallerResponse(response, this, dependencies)
     this.selection = new EndpointSelection(this)
     this.attempts = new RequestAttempts(this)
@@ -95,6 +95,11 @@
     return this.now >= this.deadline - timerToleranceMilliseconds
   }
 
+  /** Whether a run is under way that can't be taken back. */
+  get #isKept (): boolean {
+    return this.route.type === RouteType.AtMostOnce && this.attempts.isUnderWay
+  }
+
   /** Aborted when the work for a caller who leaves ends. */
   get callerAbort (): AbortController {
     return this.#departure.abort
--- a/src/gateway/headRefusals.ts
+++ b/src/gateway/headRefusals.ts
@@ -88,20 +88,14 @@
     const connection = this.#listener.connectionOf(socket)
     if (connection === undefined) return
     connection.stopRequests()
-    if (error.code === endedCode) return this.#endForLeaving(connection, error)
     connection.untilAnswered().then(() => this.#end(connection, error))
   }
 
-  /** The caller does not wait for running requests. */
-  #endForLeaving (connection: CallerConnection, error: ParserError): void {
-    if (connection.isAnswering || connection.hasBegunResponse) connection.socket.end()
-    else this.#end(connection, error)
-  }
-
   #end ({ socket, hasBegunResponse }: CallerConnection, { code = '' }: ParserError): void {
     // The last answer has ended the connection already, which closes when all is sent.
     if (socket.destroyed || socket.writableEnded) return
-    // The refused request itself has its answer, which ends the connection in time.
+    // The refused request itself has its answer, which ends the connection once the rest has arrived.
+    if (hasBegunResponse && code === endedCode) socket.end()
     if (hasBegunResponse) return
     socket.end(`HTTP/1.1 ${statusLines[code] ?? malformedStatusLine}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`)
     const close = setTimeout(() => socket.destroy(), maximumCloseMilliseconds)
--- a/src/gateway/requestAttempts.ts
+++ b/src/gateway/requestAttempts.ts
@@ -40,6 +40,7 @@
   readonly #sends: RequestSends
   readonly #opener: AttemptOpener
   readonly #summaries: string[] = []
+  readonly #open = new Set<OpenAttempt>()
   #runCount = 0
   #hasBrokenOff = false
   #crashedRuns = 0
@@ -66,6 +67,11 @@
     return this.#sends.lastAt
   }
 
+  /** Whether an attempt was written to an endpoint and has not ended. */
+  get isUnderWay (): boolean {
+    return [...this.#open].some(({ exchange }) => exchange.mayHaveSent)
+  }
+
   /** Whether a run of the request broke off. */
   get hasBrokenOff (): boolean {
     return this.#hasBrokenOff
@@ -102,7 +108,9 @@
 
   /** Starts an attempt at an endpoint. */
   send (endpoint: RoutedEndpoint, options: AttemptOptions): OpenAttempt {
-    return this.#opener.open(endpoint, options)
+    const attempt = this.#opener.open(endpoint, options)
+    this.#open.add(attempt)
+    return attempt
   }
 
   /**
@@ -112,6 +120,7 @@
    */
   finish (attempt: OpenAttempt, end: AttemptEnd, outcome: string, countsAsRun = attempt.exchange.mayHaveSent): void {
     const { now, service } = this.#request
+    this.#open.delete(attempt)
     attempt.unfollowCaller()
     if (countsAsRun) this.#runCount++
     if (attempt.exchange.mayHaveSent && !finalEnds.has(end)) this.#request.selection.allowRetryLaterAt(attempt.endpoint)
@@ -193,7 +202,7 @@
    * attempt that was still connecting when the time for it was over tells nothing.
    */
   endWithoutResponse (attempt: OpenAttempt, isSilent: boolean): AttemptEnd {
-    if (this.#request.hasCallerLeft || attempt.isBlocked() || attempt.wasWithheld() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
+    if (this.#request.callerAbort.signal.aborted || attempt.isBlocked() || attempt.wasWithheld() || this.#dependencies.plannedStop.hasCut) return AttemptEnd.Cancelled
     const wasLeftAlone = !attempt.exchange.mayHaveSent && this.#isLeftAlone(attempt.endpoint)
     const hadNoTime = !attempt.exchange.mayHaveSent && (this.#request.isPastDeadline || this.#request.sendWindow.isClosed)
     if (wasLeftAlone || hadNoTime || attempt.permit.wasHeldBack) return AttemptEnd.Cancelled
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -60,6 +60,7 @@
     this.#lingeringClose = new LingeringClose(socket)
     // Node.js calls it after an answer that announced the end of its connection.
     socket.destroySoon = () => this.#lingeringClose.begin()
+    socket.once('end', () => this.retire())
   }
 
   /** Responses of which the kernel has not taken all bytes yet. Node.js counts a response as ended before. */
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { CallerConnection } from './callerConnection.ts'
+import { allowHalfOpen } from './halfClose.ts'
 import { CloseCause, recordCloseCause } from './closeCause.ts'
 import { ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
 import { IncomingBody } from './incomingBody.ts'
@@ -41,6 +42,7 @@
   constructor () {
     this.server = createServer({ maxHeaderSize: parserMaximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMilliseconds }, (request, response) => this.#receive(request, response))
     this.server.maxHeadersCount = unlimitedFields
+    allowHalfOpen(this.server)
     this.#connections = new TrackedConnections(this.server)
     this.server.on('connection', socket => {
       if (this.#isRetiring) this.#connections.of(socket)?.retire()
--- a/test/cutRequests.test.ts
+++ b/test/cutRequests.test.ts
@@ -13,7 +13,7 @@
   const leaving = connect(port, '127.0.0.1')
   leaving.write('GET /1 HTTP/1.1\r\nhost: a\r\n\r\n')
   await waitUntil(() => listener.openResponseCount === 1)
-  leaving.destroy()
+  leaving.resetAndDestroy()
   await waitUntil(() => listener.connections.length === 0)
   const cut = connect(port, '127.0.0.1').on('error', () => undefined)
   cut.write('GET /1 HTTP/1.1\r\nhost: a\r\n\r\nPOST /2 HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nab')
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -1,6 +1,6 @@
 /** Gateways on virtual time that share simulated engines; each knows only its own requests. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { Readable, Writable } from 'node:stream'
+import { PassThrough, Readable, Writable } from 'node:stream'
 import { PlatformHeaders } from '../../platform/index.ts'
 import { EndpointRuns, PromptBreaker } from '../../src/breaker/index.ts'
 import { type Clock, type RetryLimits, SeededRandomness } from '../../src/contract/index.ts'
@@ -195,7 +195,7 @@
 /** The caller's side of a response. */
 class RecordedResponse extends Writable {
   headersSent = false
-  readonly req = { complete: true, socket: {} }
+  readonly req = { complete: true, socket: new PassThrough() }
   readonly socket = null
   readonly chunkedEncoding = false
   #status: number | undefined
