Do not take a connection that breaks for a malformed head

What was seen: a caller's reset was logged as request_malformed (ECONNRESET, or EPIPE after a half-close), and the connection's close was put down to head_refused. Found while half-closed connections were tried. Cause: Node.js reports errors of the socket by the same event as those of its parser. Evidence: test/headRefusals.test.ts failed before (one log line). A socket that has broken is destroyed by then; one with a malformed head is not.

--- a/src/gateway/headRefusals.ts
+++ b/src/gateway/headRefusals.ts
@@ -53,8 +53,9 @@
     return this.#refusedAt.has(socket)
   }
 
-  /** Node.js reports each further read of a connection with a malformed head again. */
+  /** Node.js reports each further read of a connection with a malformed head again, and also connections that have broken. */
   #receive (error: ParserError, socket: Socket): void {
+    if (socket.destroyed) return
     if (this.#isRefused(socket)) return this.#boundDiscardedBytes(socket)
     if (error.code === lateCode) return this.#receiveLate(error, socket)
     this.#refuse(error, socket)
