Serve requests whose target is in absolute form

What callers saw: 404 for GET http://host/path, which RFC 9112 (3.2.2) asks a server to accept. Cause: the whole URL was matched as a path. Evidence: test/requestForms.test.ts, the three served forms failed before (404), and so did the two that name no host (404 in place of 400). Why it works: before the route is looked up, the host of the target takes the place of the Host field, and the path and query alone that of the URL; method and body stay as they are.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -13,6 +13,7 @@
 import type { ForwardingDependencies } from './forwardingDependencies.ts'
 import { type HeadSize, RequestHolding, headSizeOf } from './requestHolding.ts'
 import { PlainForwarding } from './plainForwarding.ts'
+import { tryNormaliseTarget } from './requestTarget.ts'
 import type { RoutingSnapshot } from './routingView.ts'
 import { SendWindow } from './sendWindow.ts'
 import { StreamForwarding } from './streamForwarding.ts'
@@ -97,6 +98,7 @@
     if (snapshot === undefined) return this.#refuse(request, response, ForwardRefusals.noSettings)
     if (headSize.bytes > snapshot.settings.limits.maximumHeaderBytes) return this.#refuse(request, response, ForwardRefusals.headTooLarge)
     const head = codec.readRequestHead(request.headers)
+    if (!tryNormaliseTarget(request)) return this.#refuse(request, response, ForwardRefusals.malformedHead, head)
     const admitted = this.#admit(request, head, snapshot)
     if ('code' in admitted) return this.#refuse(request, response, admitted, head)
     const deadline = arrivedAt + Math.min(admitted.route.timeoutMilliseconds, head.timeoutMilliseconds ?? Infinity)
--- /dev/null
+++ b/test/requestForms.test.ts
@@ -0,0 +1,48 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import type { EndpointStandIn } from '../platform/standin/index.ts'
+import { ForwarderHarness } from './fakes/forwarderWorld.ts'
+import { RawCaller, pause } from './fakes/rawCaller.ts'
+
+const fields = 'attempt-id: form\r\nauthorization: Bearer good-key\r\ndeadline-ms: 4000\r\n'
+const host = 'host: desk.example\r\n'
+
+let harness: ForwarderHarness
+let ledger: EndpointStandIn
+let address: string
+let caller: RawCaller
+beforeEach(async () => {
+  harness = await ForwarderHarness.start()
+  ledger = await harness.startEndpoint('ledger', { slots: 100 })
+  harness.putConfiguration(1)
+  address = await harness.startForwarder()
+  await harness.waitUntilReady(address)
+  caller = await RawCaller.connect(address)
+})
+afterEach(async () => {
+  caller.close()
+  await harness.close()
+})
+
+async function answersTo (text: string, count: number): Promise<readonly number[]> {
+  caller.write(text)
+  await Promise.race([caller.until(count), pause(2_000)])
+  return caller.statuses
+}
+
+test.each([
+  ['', 'http://desk.example/balance/1?as=of', '/balance/1?as=of'],
+  [' of another host than its Host field', 'http://desk.example/balance/2', '/balance/2', 'host: other.example\r\n'],
+  [' with a port and in capitals', 'HTTP://DESK.EXAMPLE:80/balance/3', '/balance/3']
+])('a request in absolute form%s is served, and its endpoint gets the path alone', async (_kind, target, path, hostField = host) => {
+  expect(await answersTo(`GET ${target} HTTP/1.1\r\n${hostField}${fields}\r\n`, 1)).toEqual([200])
+  expect(ledger.received.map(request => request.path)).toEqual([path])
+  expect(ledger.received[0]?.headers.host?.toLowerCase()).toMatch(/^desk\.example(:80)?$/)
+})
+
+test.each(['http://desk.example', 'http://desk.example?as=of', 'http://other.example/balance/1'])('a request for %s, which has no route, is refused as unknown', async target => {
+  expect(await answersTo(`GET ${target} HTTP/1.1\r\n${host}${fields}\r\n`, 1)).toEqual([404])
+})
+
+test.each(['http://caller@desk.example/balance/1', 'http:///balance/1'])('a request for %s, which names no host, is refused as malformed', async target => {
+  expect(await answersTo(`GET ${target} HTTP/1.1\r\n${host}${fields}\r\n`, 1)).toEqual([400])
+})
