Answer the requests behind one without a Host field, and refuse several Host fields

What callers saw: a request without a Host field got 400 and the end of the connection; a once-only request right behind it had been passed on, ran, and got no answer (LOST). Of two different Host fields the first one counted. Cause: Node.js refuses a missing Host field by itself, before the connection's own records learn of it, and takes the first of several. RFC 9112 (3.2) asks for 400 in both cases. Evidence: test/requestForms.test.ts, both tests failed before ([400] and [200, 200] in place of [400, 200]). Why it works: the check is the gateway's own, the refusal an answer as any other, and the connection is kept.

--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -5,9 +5,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { CallerConnection } from './callerConnection.ts'
-import { allowHalfOpen } from './halfClose.ts'
 import { CloseCause, recordCloseCause } from './closeCause.ts'
 import { ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
+import { allowHalfOpen } from './halfClose.ts'
 import { IncomingBody } from './incomingBody.ts'
 import { listenOn } from './listenOn.ts'
 import { TrackedConnections } from './trackedConnections.ts'
@@ -40,7 +40,7 @@
   #serve: RequestListener | undefined
 
   constructor () {
-    this.server = createServer({ maxHeaderSize: parserMaximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMilliseconds }, (request, response) => this.#receive(request, response))
+    this.server = createServer({ maxHeaderSize: parserMaximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMilliseconds, requireHostHeader: false }, (request, response) => this.#receive(request, response))
     this.server.maxHeadersCount = unlimitedFields
     allowHalfOpen(this.server)
     this.#connections = new TrackedConnections(this.server)
--- a/src/server/index.ts
+++ b/src/server/index.ts
@@ -7,6 +7,7 @@
 export { watchCutRequests } from './cutRequests.ts'
 export { endAfterRequest } from './endAfterRequest.ts'
 export { isFollowed } from './followedResponse.ts'
+export { hasValidHostField } from './hostField.ts'
 export { HeadTimeLimits } from './headTimeLimits.ts'
 export { listenOn } from './listenOn.ts'
 export { type ResponseTurn, TurnOutcome, awaitTurn, immediateTurn } from './responseTurn.ts'
--- a/test/requestForms.test.ts
+++ b/test/requestForms.test.ts
@@ -1,10 +1,11 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import type { EndpointStandIn } from '../platform/standin/index.ts'
 import { ForwarderHarness } from './fakes/forwarderWorld.ts'
-import { RawCaller, pause } from './fakes/rawCaller.ts'
+import { RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
 
 const fields = 'attempt-id: form\r\nauthorization: Bearer good-key\r\ndeadline-ms: 4000\r\n'
 const host = 'host: desk.example\r\n'
+const release = requestHead('/release/1', { id: 'release' })
 
 let harness: ForwarderHarness
 let ledger: EndpointStandIn
@@ -46,3 +47,8 @@
 test.each(['http://caller@desk.example/balance/1', 'http:///balance/1'])('a request for %s, which names no host, is refused as malformed', async target => {
   expect(await answersTo(`GET ${target} HTTP/1.1\r\n${host}${fields}\r\n`, 1)).toEqual([400])
 })
+
+test.each([['no Host field', ''], ['two Host fields', `${host}host: other.example\r\n`]])('a request with %s is refused, and the request behind it is answered', async (_kind, hostFields) => {
+  expect(await answersTo(`GET /balance/1 HTTP/1.1\r\n${hostFields}${fields}\r\n${release}`, 2)).toEqual([400, 200])
+  expect(ledger.received.map(({ path }) => path)).toEqual(['/release/1'])
+})
