Refuse CONNECT with 501, after the answers to the requests before it

What callers saw: the connection closed without an answer to CONNECT, and without those to the requests before it. Cause: Node.js hands the connection over with the event 'connect' and closes it at once if nobody listens. Why it works: the event is taken, the answers before it are awaited, then 501 is written and the connection ends with the usual lingering close.

--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -103,6 +103,11 @@
     return this.#answering.length < this.#openResponses.size
   }
 
+  /** The response whose turn it is to be sent. */
+  get leavingResponse (): ServerResponse | undefined {
+    return this.#openResponses.all.find(({ socket }) => socket !== null)
+  }
+
   /** Whether a response has been sent in part. */
   get hasBegunResponse (): boolean {
     return this.#openResponses.all.some(({ headersSent }) => headersSent)
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -7,6 +7,7 @@
 import type { CallerConnection } from './callerConnection.ts'
 import { CloseCause, recordCloseCause } from './closeCause.ts'
 import { ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
+import { refuseConnect } from './connectRefusal.ts'
 import { allowHalfOpen } from './halfClose.ts'
 import { IncomingBody } from './incomingBody.ts'
 import { listenOn } from './listenOn.ts'
@@ -44,6 +45,7 @@
     this.server.maxHeadersCount = unlimitedFields
     allowHalfOpen(this.server)
     this.#connections = new TrackedConnections(this.server)
+    refuseConnect(this.server, socket => this.connectionOf(socket))
     this.server.on('connection', socket => {
       if (this.#isRetiring) this.#connections.of(socket)?.retire()
       this.#guard?.admit()
--- a/test/requestForms.test.ts
+++ b/test/requestForms.test.ts
@@ -1,11 +1,13 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import type { EndpointStandIn } from '../platform/standin/index.ts'
-import { ForwarderHarness } from './fakes/forwarderWorld.ts'
-import { RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
+import { ForwarderHarness, waitUntil } from './fakes/forwarderWorld.ts'
+import { ConnectionState, RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
 
 const fields = 'attempt-id: form\r\nauthorization: Bearer good-key\r\ndeadline-ms: 4000\r\n'
 const host = 'host: desk.example\r\n'
 const release = requestHead('/release/1', { id: 'release' })
+const lookUp = requestHead('/balance/1', { id: 'look-up', method: 'GET' })
+const connectHead = `CONNECT desk.example:80 HTTP/1.1\r\n${host}${fields}\r\n`
 
 let harness: ForwarderHarness
 let ledger: EndpointStandIn
@@ -52,3 +54,21 @@
   expect(await answersTo(`GET /balance/1 HTTP/1.1\r\n${hostFields}${fields}\r\n${release}`, 2)).toEqual([400, 200])
   expect(ledger.received.map(({ path }) => path)).toEqual(['/release/1'])
 })
+
+test('CONNECT is refused, and the connection ends', async () => {
+  expect(await answersTo(connectHead, 1)).toEqual([501])
+  expect(caller.text).toMatch(/^connection: close\r$/im)
+  await waitUntil(() => caller.state === ConnectionState.Ended)
+})
+
+test('CONNECT behind other requests is refused after their answers, also if they are long', async () => {
+  const longAnswer = 'x'.repeat(4 * 1024 * 1024)
+  ledger.handleWith(({ path }, response) => { response.end(path === '/release/1' ? longAnswer : 'done') })
+  caller.pause()
+  caller.write(lookUp + release + connectHead + release)
+  await pause(300)
+  caller.resume()
+  await Promise.race([caller.until(3), pause(3_000)])
+  expect(caller.responses.map(({ status, bodyLength }) => [status, bodyLength])).toEqual([[200, 4], [200, longAnswer.length], [501, 0]])
+  expect(ledger.received).toHaveLength(2)
+})
