Serve requests with an expectation that is not known

What callers saw: 417 for a request that the configuration allows, with no log line of it. Cause: Node.js refuses it by itself, past the connection's own records. RFC 9110 (10.1.1) allows to ignore it. Evidence: test/requestForms.test.ts, this form failed before (417); upgrade, TRACE, OPTIONS *, folded fields, bare line feeds, unknown methods and HTTP/1.0 were answered before and are kept so by the same test.

--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -46,6 +46,8 @@
     allowHalfOpen(this.server)
     this.#connections = new TrackedConnections(this.server)
     refuseConnect(this.server, socket => this.connectionOf(socket))
+    // An expectation that is not known is ignored, as RFC 9110 (10.1.1) allows.
+    this.server.on('checkExpectation', (request, response) => this.#receive(request, response))
     this.server.on('connection', socket => {
       if (this.#isRetiring) this.#connections.of(socket)?.retire()
       this.#guard?.admit()
--- a/test/requestForms.test.ts
+++ b/test/requestForms.test.ts
@@ -72,3 +72,17 @@
   expect(caller.responses.map(({ status, bodyLength }) => [status, bodyLength])).toEqual([[200, 4], [200, longAnswer.length], [501, 0]])
   expect(ledger.received).toHaveLength(2)
 })
+
+test.each([
+  ['an upgrade', `GET /balance/1 HTTP/1.1\r\n${host}${fields}connection: upgrade, http2-settings\r\nupgrade: h2c\r\nhttp2-settings: AAM\r\n\r\n`, 200],
+  ['TRACE', `TRACE /balance/1 HTTP/1.1\r\n${host}${fields}\r\n`, 200],
+  ['OPTIONS *', `OPTIONS * HTTP/1.1\r\n${host}${fields}\r\n`, 404],
+  ['an unknown expectation', `POST /release/2 HTTP/1.1\r\n${host}${fields}expect: wonder\r\ncontent-length: 2\r\n\r\nab`, 200],
+  ['a folded field', `GET /balance/1 HTTP/1.1\r\n${host}${fields}x-note: one\r\n two\r\n\r\n`, 400],
+  ['bare line feeds', `GET /balance/1 HTTP/1.1\r\n${host}${fields}\r\n`.replaceAll('\r\n', '\n'), 400],
+  ['an unknown method', `WONDER /balance/1 HTTP/1.1\r\n${host}${fields}\r\n`, 400],
+  ['HTTP/1.0 without keep-alive', `GET /balance/1 HTTP/1.0\r\n${host}${fields}\r\n`, 200]
+])('a request with %s is answered behind another one', async (_kind, request, status) => {
+  expect(await answersTo(release + request, 2)).toEqual([200, status])
+  expect(ledger.received.flatMap(({ headers }) => Object.keys(headers))).not.toContain('upgrade')
+})
