Hold the same for half-closed connections, CONNECT and Host fields in the daemon's server

What callers saw: at a daemon a caller that half-closed got no answer, also to a once-only call that had run; CONNECT and the requests before it got none; a request behind one without a Host field got none. Cause: as at the gateway, the defaults of Node.js's HTTP server. Why it works: the shared parts of src/server. Chats and idempotent calls end when their caller ends its sending, and say so; calls that run once go on, as they did, and their answer is now delivered. Requests that were not passed on by then get 503 caller_left.

--- a/src/contract/refusal.ts
+++ b/src/contract/refusal.ts
@@ -35,6 +35,7 @@
   Overloaded: { name: 'overloaded', status: 503 },
   NoEndpoint: { name: 'no_endpoint', status: 503 },
   StoreUnavailable: { name: 'store_unavailable', status: 503 },
+  CallerLeft: { name: 'caller_left', status: 503 },
   Stopping: { name: 'stopping', status: 503 },
   EndpointFailed: { name: 'endpoint_failed', status: 502 },
   AnswerCutOff: { name: 'answer_cut_off', status: 502 },
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -6,19 +6,20 @@
 import { createHash } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
-import type { Socket } from 'node:net'
 import Koa from 'koa'
 import { type Clock, Err, modelOf, Ok, type Randomness, Refusal, RefusalCode, type Result, RunState, untilInputIsRead } from '../contract/index.ts'
 import type { SettingsSource } from '../distribution/index.ts'
 import { type Log, type Metrics, parseTraceParent, type Tracer } from '../observe/index.ts'
 import type { SessionTokens } from '../session/index.ts'
 import type { OperationSettings, OrganisationView } from '../settings/index.ts'
+import { abortWhenCallerLeaves, callerLeft } from './callerLeaves.ts'
 import { readChatBody } from './chatBody.ts'
 import { respondChat } from './chatResponse.ts'
 import { type ChatCall, type ChatRouter, SessionRequest } from './chatRouter.ts'
 import type { Drain } from './drain.ts'
-import { type CallerConnection, TrackedConnections, listenOn, readBoundedBody } from '../server/index.ts'
+import { TrackedConnections, allowHalfOpen, hasValidHostField, listenOn, readBoundedBody, refuseConnect } from '../server/index.ts'
 import { errorBody, modelList } from './openAiFormat.ts'
+import { refuseMalformed } from './malformedRequests.ts'
 import type { ServiceRequest, ServiceRouter } from './serviceRouter.ts'
 import { isIdempotent } from './serviceOperation.ts'
 import { automaticModel } from './versionSelection.ts'
@@ -69,15 +70,18 @@
     const application = new Koa()
     application.on('error', error => options.log.debug('caller_connection_failed', { reason: String(error) }))
     application.use(context => this.#serve(context))
-    const limits = { headersTimeout: headersTimeoutMilliseconds, keepAliveTimeout: keepAliveTimeoutMilliseconds, requestTimeout: 0 }
+    const limits = { headersTimeout: headersTimeoutMilliseconds, keepAliveTimeout: keepAliveTimeoutMilliseconds, requestTimeout: 0, requireHostHeader: false }
     const handle = application.callback()
     const handler = (request: IncomingMessage, response: ServerResponse) => {
       if (this.#connections.add(request, response)) handle(request, response).catch(error => options.log.error('request_failed', { reason: String(error) }))
       else request.resume()
     }
-    this.#server = options.tls === undefined ? createServer(limits, handler) : createSecureServer({ ...limits, ...options.tls }, handler)
+    this.#server = options.tls === undefined ? createServer(limits, handler) : createSecureServer({ ...limits, ...options.tls, allowHalfOpen: true }, handler)
     this.#connections = new TrackedConnections(this.#server, options.tls !== undefined)
-    this.#server.on('clientError', (_error, socket) => refuseMalformed(socket as Socket, this.#connections.of(socket as Socket)))
+    this.#server.on('checkExpectation', handler)
+    allowHalfOpen(this.#server)
+    refuseMalformed(this.#server, this.#connections)
+    refuseConnect(this.#server, socket => this.#connections.of(socket))
   }
 
   /**
@@ -135,6 +139,7 @@
   }
 
   async #route (context: Koa.Context): Promise<void> {
+    if (!hasValidHostField(context.req)) return this.#refuse(context, new Refusal(RefusalCode.InvalidRequest, RunState.NotRun, 'the request needs one Host field'))
     const caller = this.#authenticate(context)
     if (caller.err) return this.#refuse(context, caller.val)
     if (context.path === '/v1/models' && context.method === 'GET') return this.#respondModels(context, caller.val)
@@ -153,7 +158,7 @@
     if (deadline === undefined) return Err(new Refusal(RefusalCode.InvalidRequest, RunState.NotRun, 'x-lavenderdoor-timeout-seconds must be a positive number'))
     const id = this.#options.randomness.identifier()
     context.set('x-request-id', id)
-    return Ok({ id, organisation, deadline, signal: abortWhenCallerDisconnects(context) })
+    return Ok({ id, organisation, deadline, signal: abortWhenCallerLeaves(context) })
   }
 
   #deadline (header: string): number | undefined {
@@ -170,6 +175,7 @@
   async #respondChat (context: Koa.Context, caller: AuthenticatedRequest): Promise<void> {
     const call = await this.#readChatCall(context, caller)
     if (call.err) return this.#refuse(context, call.val)
+    if (caller.signal.aborted) return this.#refuse(context, callerLeft())
     const { clock, log, metrics } = this.#options
     const startedAt = clock.now()
     const labels = { organisation: caller.organisation.name, kind: call.val.call.request.kind }
@@ -223,6 +229,7 @@
     }
     const request = await this.#readServiceRequest(context, caller, service, path, operations)
     if (request.err) return this.#refuse(context, request.val)
+    if (caller.signal.aborted) return this.#refuse(context, callerLeft())
     const answer = await this.#options.services.answer(request.val, caller.signal)
     const labels = { organisation: caller.organisation.name, kind: 'service' }
     if (answer.err) {
@@ -271,22 +278,3 @@
   if (key.length <= maximumIdempotencyKeyCharacters) return Ok(key)
   return Err(new Refusal(RefusalCode.InvalidRequest, RunState.NotRun, `the Idempotency-Key header has more than ${maximumIdempotencyKeyCharacters} characters`))
 }
-
-function abortWhenCallerDisconnects (context: Koa.Context): AbortSignal {
-  const controller = new AbortController()
-  context.res.once('close', () => {
-    if (!context.res.writableFinished) controller.abort()
-  })
-  return controller.signal
-}
-
-/** Requests before the malformed one are answered first. */
-function refuseMalformed (socket: Socket, connection: CallerConnection | undefined): void {
-  const refuse = () => {
-    if (!socket.writable) return
-    const body = JSON.stringify(errorBody(new Refusal(RefusalCode.InvalidRequest, RunState.NotRun, 'the request is not well-formed HTTP')))
-    socket.end(`HTTP/1.1 400 Bad Request\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
-  }
-  if (connection?.isAnswering === true) connection.untilAnswered().then(refuse)
-  else refuse()
-}
