Answer the requests of a connection that sends more ahead than it may, and discard the rest

What callers saw: a caller that sent 65 requests or more ahead had its connection closed at once, under the request that ran (cause `requests_ahead`), and got no answer to any.

Cause: `CallerListener` destroyed the connection when its 65th response was open.

Change: the connection takes no request beyond 64. Those it has taken are answered, the last with `connection: close` unless its head is written already; then the connection ends. The rest is discarded without parsing it: a listener for data makes Node.js hand the bytes to the socket in place of its parser, so that no more requests are queued, and the socket still shows when its caller leaves.

Each request that was passed on is answered, 64 answers in all, and the connection ends in order.

--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { recordCallerLeft } from './closeCause.ts'
+import { discardInput, discardsInput } from './discardInput.ts'
 import { markFollowed } from './followedResponse.ts'
 import { LingeringClose } from './lingeringClose.ts'
 import { ResponseQueue } from './responseQueue.ts'
@@ -50,6 +51,7 @@
   #last: LastResponse | undefined
   #isRetiring = false
   #takesRequests = true
+  #endsAfterAnswers = false
   /** Bytes received up to the end of the latest whole request. */
   #wholeRequestBytes = 0
   #headCount = 0
@@ -82,12 +84,17 @@
 
   /** Bytes of a head that has not arrived completely. */
   get unfinishedHeadBytes (): number {
-    return this.isReadingBody ? 0 : this.socket.bytesRead - this.#wholeRequestBytes
+    return this.isReadingBody || discardsInput(this.socket) ? 0 : this.socket.bytesRead - this.#wholeRequestBytes
   }
 
-  /** Whether the caller has sent more requests ahead of their answers than it may. */
-  get hasTooManyRequests (): boolean {
-    return this.#openResponses.size > maximumOpenResponses
+  /** Whether the caller has sent as many requests ahead of their answers as it may. */
+  get hasManyRequests (): boolean {
+    return this.#openResponses.size >= maximumOpenResponses
+  }
+
+  /** Whether the connection ends when the requests that it has taken are answered. */
+  get endsAfterAnswers (): boolean {
+    return this.#endsAfterAnswers
   }
 
   /** Whether a request that was read to its end has not been answered. */
@@ -152,12 +159,17 @@
    */
   add (request: IncomingMessage, response: ServerResponse): boolean {
     if (!this.#takesRequests || this.#hasAnnouncedEnd || this.socket.destroyed) return false
+    if (this.hasManyRequests) {
+      this.endAfterAnswers()
+      return false
+    }
     this.#headCount++
     this.#lastActiveAt = performance.now()
     this.#openResponses.add(response)
     const close = () => {
       this.#openResponses.remove(response)
       this.#lastActiveAt = performance.now()
+      if (this.#endsAfterAnswers && this.openResponseCount === 0) this.#lingeringClose.begin()
       if (this.isClosing) this.#openResponses.close()
     }
     response.once('finish', close)
@@ -177,6 +189,15 @@
     this.#takesRequests = false
   }
 
+  /** Takes no further requests, discards what arrives, and ends the connection when those that were added are answered. */
+  endAfterAnswers (): void {
+    if (this.#endsAfterAnswers) return
+    this.#endsAfterAnswers = true
+    this.stopRequests()
+    this.retire()
+    discardInput(this.socket)
+  }
+
   /** Announces the end of the connection in its last response, unless the head of that has been sent. */
   retire (): void {
     this.#isRetiring = true
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { CallerConnection } from './callerConnection.ts'
-import { CloseCause, recordCloseCause } from './closeCause.ts'
+import { CloseCause } from './closeCause.ts'
 import { ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
 import { IncomingBody } from './incomingBody.ts'
 import { listenOn } from './listenOn.ts'
@@ -102,18 +102,14 @@
 
   /** A request that can't be answered is not served: HTTP lets a caller expect nothing after `connection: close`. */
   #receive (request: IncomingMessage, response: ServerResponse): void {
+    const connection = this.#connections.of(request.socket)
+    const wasEnding: boolean = connection?.endsAfterAnswers ?? true
     if (!this.#connections.add(request, response)) {
+      if (!wasEnding && connection?.endsAfterAnswers === true) this.#onClose(CloseCause.RequestsAhead)
       request.resume()
       return
     }
     IncomingBody.of(request)
-    const connection = this.#connections.of(request.socket)
-    if (connection?.hasTooManyRequests) {
-      recordCloseCause(connection.socket, CloseCause.RequestsAhead)
-      connection.socket.destroy()
-      this.#onClose(CloseCause.RequestsAhead)
-      return
-    }
     if (this.#serve === undefined) this.#waiting.push({ request, response })
     else this.#serve(request, response)
   }
--- a/src/server/closeCause.ts
+++ b/src/server/closeCause.ts
@@ -6,7 +6,7 @@
   Connections: 'connections',
   /** Heads that were arriving took too much memory. */
   Heads: 'heads',
-  /** Too many requests were sent ahead of their answers. */
+  /** Too many requests were sent ahead of their answers; the connection ends when those that it may send are answered. */
   RequestsAhead: 'requests_ahead',
   /** Nothing was requested within the idle time. */
   Idle: 'idle',
--- a/test/requestsAhead.test.ts
+++ b/test/requestsAhead.test.ts
@@ -6,6 +6,7 @@
 
 const streamHeaders = 'token-usage: 10,10\r\nprefix-hash: a1:10\r\n'
 const timeoutMilliseconds = 400
+const maximumAhead = 64
 const behind = ['/release/1', '/balance/2', '/release/3']
 
 let harness: ForwarderHarness
@@ -98,3 +99,14 @@
   expect(ledger.received).toHaveLength(1)
   expect(await (await fetch(`http://${host}:8220/metrics`)).text()).toMatch(/^lavenderdoor_held_bytes 0$/m)
 })
+
+test.each(['/release/', '/nowhere/'])('more requests to %s than a connection may send ahead cut none that was passed on, and the caller is told the end', async path => {
+  ledger.handleWith((_request, response) => { setTimeout(() => response.end('done'), response.req.url === '/release/first' ? 400 : 2) })
+  caller.write(requestHead('/release/first', { id: 'first' }) + Array.from({ length: 200 }, (_, index) => requestHead(`${path}${index}`, { id: `ahead-${index}` })).join(''))
+  await caller.until(200)
+  expect(caller.state).toBe(ConnectionState.Ended)
+  expect(caller.responses).toHaveLength(maximumAhead)
+  expect(caller.statuses[0]).toBe(200)
+  expect(ledger.received).toHaveLength(caller.statuses.filter(status => status === 200).length)
+  if (path === '/release/') expect(caller.responses.at(-1)?.head).toMatch(/^connection: close$/im)
+})
