--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -6,6 +6,7 @@
 import { createHash } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createSecureServer } from 'node:https'
+import type { Socket } from 'node:net'
 import Koa from 'koa'
 import { type Clock, Err, modelOf, Ok, type Randomness, Refusal, RefusalCode, type Result, RunState, untilInputIsRead } from '../contract/index.ts'
 import type { SettingsSource } from '../distribution/index.ts'
@@ -17,9 +18,9 @@
 import { respondChat } from './chatResponse.ts'
 import { type ChatCall, type ChatRouter, SessionRequest } from './chatRouter.ts'
 import type { Drain } from './drain.ts'
-import { TrackedConnections, allowHalfOpen, hasValidHostField, listenOn, readBoundedBody, refuseConnect } from '../server/index.ts'
+import { TrackedConnections, TurnOutcome, allowHalfOpen, awaitTurn, hasValidHostField, immediateTurn, listenOn, readBoundedBody, refuseConnect } from '../server/index.ts'
+import { refuseMalformed } from './malformedRefusal.ts'
 import { errorBody, modelList } from './openAiFormat.ts'
-import { refuseMalformed } from './malformedRequests.ts'
 import type { ServiceRequest, ServiceRouter } from './serviceRouter.ts'
 import { isIdempotent } from './serviceOperation.ts'
 import { automaticModel } from './versionSelection.ts'
@@ -80,7 +81,7 @@
     this.#connections = new TrackedConnections(this.#server, options.tls !== undefined)
     this.#server.on('checkExpectation', handler)
     allowHalfOpen(this.#server)
-    refuseMalformed(this.#server, this.#connections)
+    this.#server.on('clientError', (_error, socket) => refuseMalformed(socket as Socket, this.#connections.of(socket as Socket)))
     refuseConnect(this.#server, socket => this.#connections.of(socket))
   }
 
@@ -175,7 +176,7 @@
   async #respondChat (context: Koa.Context, caller: AuthenticatedRequest): Promise<void> {
     const call = await this.#readChatCall(context, caller)
     if (call.err) return this.#refuse(context, call.val)
-    if (caller.signal.aborted) return this.#refuse(context, callerLeft())
+    if (!(await this.#isPassedOn(context, caller))) return
     const { clock, log, metrics } = this.#options
     const startedAt = clock.now()
     const labels = { organisation: caller.organisation.name, kind: call.val.call.request.kind }
@@ -196,6 +197,17 @@
     log.info('request_ended', { request: caller.id, trace: context.state.trace?.traceId, ...labels, outcome: end.outcome, code: end.refusal?.code.name, run: end.refusal?.run, milliseconds: Math.round(clock.now() - startedAt) })
   }
 
+  /** Waits for the request's turn on its connection; false if the request is over before it, and refused where somebody is left to be told. */
+  async #isPassedOn (context: Koa.Context, { id, deadline, signal }: AuthenticatedRequest): Promise<boolean> {
+    const turn = this.#connections.of(context.req.socket)?.turnOf(context.res) ?? immediateTurn
+    const outcome = await awaitTurn(turn, this.#options.clock, deadline)
+    if (outcome === TurnOutcome.Overdue) this.#refuse(context, new Refusal(RefusalCode.DeadlineExceeded, RunState.NotRun, 'the deadline passed while answers ahead on the connection were on their way'))
+    if (outcome === TurnOutcome.Closed) this.#options.log.info('request_not_passed_on', { request: id, trace: context.state.trace?.traceId })
+    const isAbandoned = outcome === TurnOutcome.Come && signal.aborted
+    if (isAbandoned) this.#refuse(context, callerLeft())
+    return outcome === TurnOutcome.Come && !isAbandoned
+  }
+
   async #readChatCall (context: Koa.Context, caller: AuthenticatedRequest): Promise<Result<{ readonly call: ChatCall, readonly includeUsage: boolean }, Refusal>> {
     const text = await readBoundedBody(context.req, { maximumBytes: this.#options.maximumBodyBytes })
     if (text.err) return text
@@ -229,7 +241,7 @@
     }
     const request = await this.#readServiceRequest(context, caller, service, path, operations)
     if (request.err) return this.#refuse(context, request.val)
-    if (caller.signal.aborted) return this.#refuse(context, callerLeft())
+    if (!(await this.#isPassedOn(context, caller))) return
     const answer = await this.#options.services.answer(request.val, caller.signal)
     const labels = { organisation: caller.organisation.name, kind: 'service' }
     if (answer.err) {
