--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -13,11 +13,12 @@
 import { type Log, type Metrics, parseTraceParent, type Tracer } from '../observe/index.ts'
 import type { SessionTokens } from '../session/index.ts'
 import type { OperationSettings, OrganisationView } from '../settings/index.ts'
+import { abortWhenCallerLeaves, callerLeft } from './callerLeaves.ts'
 import { readChatBody } from './chatBody.ts'
 import { respondChat } from './chatResponse.ts'
 import { type ChatCall, type ChatRouter, SessionRequest } from './chatRouter.ts'
 import type { Drain } from './drain.ts'
-import { TrackedConnections, TurnOutcome, awaitTurn, immediateTurn, listenOn, readBoundedBody } from '../server/index.ts'
+import { TrackedConnections, TurnOutcome, allowHalfOpen, awaitTurn, hasValidHostField, immediateTurn, listenOn, readBoundedBody, refuseConnect } from '../server/index.ts'
 import { refuseMalformed } from './malformedRefusal.ts'
 import { errorBody, modelList } from './openAiFormat.ts'
 import type { ServiceRequest } from './serviceRequest.ts'
@@ -71,15 +72,18 @@
     const application = new Koa()
     application.on('error', error => options.log.debug('caller_connection_failed', { reason: String(error) }))
     application.use(context => this.#serve(context))
-    const limits = { headersTimeout: headersTimeoutMilliseconds, keepAliveTimeout: keepAliveTimeoutMilliseconds, requestTimeout: 0 }
+    const limits = { headersTimeout: headersTimeoutMilliseconds, keepAliveTimeout: keepAliveTimeoutMilliseconds, requestTimeout: 0, requireHostHeader: false }
     const handle = application.callback()
     const handler = (request: IncomingMessage, response: ServerResponse) => {
       if (this.#connections.add(request, response)) handle(request, response).catch(error => options.log.error('request_failed', { reason: String(error) }))
       else request.resume()
     }
-    this.#server = options.tls === undefined ? createServer(limits, handler) : createSecureServer({ ...limits, ...options.tls }, handler)
+    this.#server = options.tls === undefined ? createServer(limits, handler) : createSecureServer({ ...limits, ...options.tls, allowHalfOpen: true }, handler)
     this.#connections = new TrackedConnections(this.#server, options.tls !== undefined)
+    this.#server.on('checkExpectation', handler)
+    allowHalfOpen(this.#server)
     this.#server.on('clientError', (_error, socket) => refuseMalformed(socket as Socket, this.#connections.of(socket as Socket)))
+    refuseConnect(this.#server, socket => this.#connections.of(socket))
   }
 
   /**
@@ -137,6 +141,7 @@
   }
 
   async #route (context: Koa.Context): Promise<void> {
+    if (!hasValidHostField(context.req)) return this.#refuse(context, new Refusal(RefusalCode.InvalidRequest, RunState.NotRun, 'the request needs one Host field'))
     const caller = this.#authenticate(context)
     if (caller.err) return this.#refuse(context, caller.val)
     if (context.path === '/v1/models' && context.method === 'GET') return this.#respondModels(context, caller.val)
@@ -155,7 +160,7 @@
     if (deadline === undefined) return Err(new Refusal(RefusalCode.InvalidRequest, RunState.NotRun, 'x-lavenderdoor-timeout-seconds must be a positive number'))
     const id = this.#options.randomness.identifier()
     context.set('x-request-id', id)
-    return Ok({ id, organisation, deadline, signal: abortWhenCallerDisconnects(context) })
+    return Ok({ id, organisation, deadline, signal: abortWhenCallerLeaves(context) })
   }
 
   #deadline (header: string): number | undefined {
@@ -194,12 +199,14 @@
   }
 
   /** Waits for the request's turn on its connection; false if the request is over before it, and refused where somebody is left to be told. */
-  async #isPassedOn (context: Koa.Context, { id, deadline }: AuthenticatedRequest): Promise<boolean> {
+  async #isPassedOn (context: Koa.Context, { id, deadline, signal }: AuthenticatedRequest): Promise<boolean> {
     const turn = this.#connections.of(context.req.socket)?.turnOf(context.res) ?? immediateTurn
     const outcome = await awaitTurn(turn, this.#options.clock, deadline)
     if (outcome === TurnOutcome.Overdue) this.#refuse(context, new Refusal(RefusalCode.DeadlineExceeded, RunState.NotRun, 'the deadline passed while answers ahead on the connection were on their way'))
     if (outcome === TurnOutcome.Closed) this.#options.log.info('request_not_passed_on', { request: id, trace: context.state.trace?.traceId })
-    return outcome === TurnOutcome.Come
+    const isAbandoned = outcome === TurnOutcome.Come && signal.aborted
+    if (isAbandoned) this.#refuse(context, callerLeft())
+    return outcome === TurnOutcome.Come && !isAbandoned
   }
 
   async #readChatCall (context: Koa.Context, caller: AuthenticatedRequest): Promise<Result<{ readonly call: ChatCall, readonly includeUsage: boolean }, Refusal>> {
@@ -284,11 +291,3 @@
   if (key.length <= maximumIdempotencyKeyCharacters) return Ok(key)
   return Err(new Refusal(RefusalCode.InvalidRequest, RunState.NotRun, `the Idempotency-Key header has more than ${maximumIdempotencyKeyCharacters} characters`))
 }
-
-function abortWhenCallerDisconnects (context: Koa.Context): AbortSignal {
-  const controller = new AbortController()
-  context.res.once('close', () => {
-    if (!context.res.writableFinished) controller.abort()
-  })
-  return controller.signal
-}
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -5,8 +5,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { CallerConnection } from './callerConnection.ts'
-import { CloseCause, recordCloseCause } from './closeCause.ts'
+import { CloseCause } from './closeCause.ts'
 import { ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
+import { refuseConnect } from './connectRefusal.ts'
+import { allowHalfOpen } from './halfClose.ts'
 import { IncomingBody } from './incomingBody.ts'
 import { listenOn } from './listenOn.ts'
 import { TrackedConnections } from './trackedConnections.ts'
@@ -39,9 +41,13 @@
   #serve: RequestListener | undefined
 
   constructor () {
-    this.server = createServer({ maxHeaderSize: parserMaximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMilliseconds }, (request, response) => this.#receive(request, response))
+    this.server = createServer({ maxHeaderSize: parserMaximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMilliseconds, requireHostHeader: false }, (request, response) => this.#receive(request, response))
     this.server.maxHeadersCount = unlimitedFields
+    allowHalfOpen(this.server)
     this.#connections = new TrackedConnections(this.server)
+    refuseConnect(this.server, socket => this.connectionOf(socket))
+    // An expectation that is not known is ignored, as RFC 9110 (10.1.1) allows.
+    this.server.on('checkExpectation', (request, response) => this.#receive(request, response))
     this.server.on('connection', socket => {
       if (this.#isRetiring) this.#connections.of(socket)?.retire()
       this.#guard?.admit()
@@ -102,18 +108,14 @@
 
   /** A request that can't be answered is not served: HTTP lets a caller expect nothing after `connection: close`. */
   #receive (request: IncomingMessage, response: ServerResponse): void {
+    const connection = this.#connections.of(request.socket)
+    const wasEnding: boolean = connection?.endsAfterAnswers ?? true
     if (!this.#connections.add(request, response)) {
+      if (!wasEnding && connection?.endsAfterAnswers === true) this.#onClose(CloseCause.RequestsAhead)
       request.resume()
       return
     }
     IncomingBody.of(request)
-    const connection = this.#connections.of(request.socket)
-    if (connection?.hasTooManyRequests) {
-      recordCloseCause(connection.socket, CloseCause.RequestsAhead)
-      connection.socket.destroy()
-      this.#onClose(CloseCause.RequestsAhead)
-      return
-    }
     if (this.#serve === undefined) this.#waiting.push({ request, response })
     else this.#serve(request, response)
   }
