Forget the heads of requests that are discarded

Node.js keeps the requests of a connection until their turn. Those beyond 64 that came in the same read as the 64th never get one; their heads took memory until the connection ended.

--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -7,6 +7,7 @@
 import type { CallerConnection } from './callerConnection.ts'
 import { CloseCause } from './closeCause.ts'
 import { ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
+import { discardsInput } from './discardInput.ts'
 import { IncomingBody } from './incomingBody.ts'
 import { listenOn } from './listenOn.ts'
 import { TrackedConnections } from './trackedConnections.ts'
@@ -100,13 +101,19 @@
     for (const connection of this.connections) connection.retire()
   }
 
+  /** Node.js keeps a request that was read until its turn comes, which it never does; its head is not needed any more. */
+  #drop (request: IncomingMessage): void {
+    request.rawHeaders.length = 0
+    if (!discardsInput(request.socket)) request.resume()
+  }
+
   /** A request that can't be answered is not served: HTTP lets a caller expect nothing after `connection: close`. */
   #receive (request: IncomingMessage, response: ServerResponse): void {
     const connection = this.#connections.of(request.socket)
     const wasEnding: boolean = connection?.endsAfterAnswers ?? true
     if (!this.#connections.add(request, response)) {
       if (!wasEnding && connection?.endsAfterAnswers === true) this.#onClose(CloseCause.RequestsAhead)
-      request.resume()
+      this.#drop(request)
       return
     }
     IncomingBody.of(request)
