Answer the requests of a connection before it ends for the memory of a head behind them

What callers saw: a connection whose request was running was closed without its answer, since a further head was arriving on it and heads took too much memory (cause `heads`).

Cause: `ConnectionGuard.check` closed the connections with the largest heads, whatever ran on them.

Change: a connection with requests that were read takes no more, its input is discarded without parsing it, what the parser kept of the head is forgotten, and it ends when they are answered. Others are closed at once, as before.

--- a/src/server/connectionGuard.ts
+++ b/src/server/connectionGuard.ts
@@ -3,7 +3,7 @@
  * are arriving. A head of many short fields takes many times its bytes while it is parsed.
  *
  * A connection gives way to others when it has no request that was read to its end, the one that was idle longest
- * first; those that hold most go first where memory is short.
+ * first; those that hold most go first where memory is short. One with such a request has it answered before it ends.
  */
 import type { CallerConnection } from './callerConnection.ts'
 import { CloseCause, recordCloseCause } from './closeCause.ts'
@@ -52,7 +52,8 @@
     for (const connection of arriving) {
       if (memoryBytes <= this.#options.maximumHeadBytes) return
       memoryBytes -= connection.unfinishedHeadBytes * headMemoryFactor
-      this.#close(connection, CloseCause.Heads)
+      if (!connection.isAnswering) this.#close(connection, CloseCause.Heads)
+      else this.#endAfterAnswers(connection)
     }
   }
 
@@ -69,6 +70,12 @@
     if (closed !== undefined) this.#close(closed, CloseCause.Connections)
   }
 
+  /** What has arrived of the head is forgotten. */
+  #endAfterAnswers (connection: CallerConnection): void {
+    connection.endAfterAnswers()
+    this.#options.onClose(CloseCause.Heads)
+  }
+
   #close (connection: CallerConnection, cause: CloseCause): void {
     recordCloseCause(connection.socket, cause)
     connection.socket.destroy()
--- a/src/server/discardInput.ts
+++ b/src/server/discardInput.ts
@@ -11,6 +11,11 @@
 const discardsKey = Symbol.for('lavenderdoor.discardsInput')
 type DiscardingSocket = Socket & { [discardsKey]?: true }
 
+/** A socket that is read by Node.js's HTTP parser. What the parser keeps of a head that is arriving is not documented, so it may be missing. */
+interface ParsedSocket extends Socket {
+  readonly parser?: { readonly _headers?: string[] } | null
+}
+
 /**
  * Discards all further input of a connection; later calls have no effect.
  *
@@ -35,7 +40,8 @@
 }
 
 /** A listener for data makes Node.js hand the bytes to the socket in place of its parser. */
-function detachParser (socket: Socket): void {
+function detachParser (socket: ParsedSocket): void {
+  socket.parser?._headers?.splice(0)
   let discardedBytes = 0
   socket.removeAllListeners('data')
   socket.on('data', bytes => {
