Refuse a body in tiny pieces in its turn, and cut no run ahead of it

What callers saw: a connection whose request was running was closed without its answer, since the body of a request behind it came in over 1,024 tiny pieces while two such bodies were read (cause `body_fragmented`).

Cause: `IncomingBody` destroyed the request, and with it the connection, while the body arrived.

Change: the input is discarded without parsing it, which is what takes the time. The cause is gone, since nothing is cut.

Test (requestsAhead.test.ts), red before: no answer; now 200 and 503.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -271,7 +271,7 @@
     this.#options.metrics.refusals.inc({ code: refusal.code.name, run: refusal.run })
     context.status = refusal.status
     if (refusal.retryAfterSeconds !== undefined) context.set('retry-after', String(Math.ceil(refusal.retryAfterSeconds)))
-    const isBodyUnread = refusal.code === RefusalCode.BodyTooLarge || refusal.code === RefusalCode.RequestTimeout
+    const isBodyUnread = refusal.code === RefusalCode.BodyTooLarge || refusal.code === RefusalCode.RequestTimeout || (refusal.code === RefusalCode.Overloaded && !context.req.complete)
     if (isBodyUnread) context.set('connection', 'close')
     context.body = errorBody(refusal)
   }
--- a/src/server/closeCause.ts
+++ b/src/server/closeCause.ts
@@ -14,8 +14,6 @@
   HeadRefused: 'head_refused',
   /** The rest of a request that was refused did not arrive in time. */
   BodyUnread: 'body_unread',
-  /** A body came in too many small pieces. */
-  BodyFragmented: 'body_fragmented',
   /** A body did not arrive completely. */
   BodyBroken: 'body_broken',
   /** What an answer held that its caller did not read was needed for others. */
--- a/src/server/endAfterRequest.ts
+++ b/src/server/endAfterRequest.ts
@@ -4,6 +4,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import { CloseCause, recordCloseCause } from './closeCause.ts'
+import { discardsInput } from './discardInput.ts'
 import { IncomingBody } from './incomingBody.ts'
 
 /** After the response, the rest of its request is read for at most this time and up to so many bytes. */
@@ -22,6 +23,7 @@
  */
 export function endAfterRequest (response: ServerResponse): void {
   const { req: request } = response
+  if (discardsInput(request.socket)) return endConnectionAfter(response)
   let discardedBytes = 0
   const end = () => {
     clearTimeout(timer)
@@ -45,3 +47,10 @@
   request.once('end', end)
   request.once('close', end)
 }
+
+/** The end of the request can't be found any more. */
+function endConnectionAfter (response: ServerResponse): void {
+  const { socket } = response.req
+  response.once('finish', () => socket.destroySoon())
+  response.end()
+}
--- a/src/server/incomingBody.ts
+++ b/src/server/incomingBody.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { ByteCollector } from './byteCollector.ts'
-import { CloseCause, recordCloseCause } from './closeCause.ts'
+import { discardInput } from './discardInput.ts'
 
 /** Bytes kept before the body is read; ordinary bodies arrive completely by then. */
 const maximumEarlyBytes = 256 * 1024
@@ -116,11 +116,10 @@
     return true
   }
 
-  /** To read the rest, if only to discard it, is what takes the time. */
+  /** To parse the rest, if only to discard it, is what takes the time. The connection may have a request that is running. */
   #endFragmented (): void {
     this.#finish(BodyEnd.Fragmented)
-    recordCloseCause(this.#request.socket, CloseCause.BodyFragmented)
-    this.#request.destroy()
+    discardInput(this.#request.socket)
   }
 
   /** A body that arrived completely stays so when its connection closes. */
--- a/test/requestsAhead.test.ts
+++ b/test/requestsAhead.test.ts
@@ -110,3 +110,16 @@
   expect(ledger.received).toHaveLength(caller.statuses.filter(status => status === 200).length)
   if (path === '/release/') expect(caller.responses.at(-1)?.head).toMatch(/^connection: close$/im)
 })
+
+test('a request behind whose body comes in tiny pieces beside others like it is refused in its turn, and cuts no run', async () => {
+  ledger.handleWith((_request, response) => { setTimeout(() => response.end('done'), 600) })
+  const inPieces = (id: string) => requestHead('/release/pieces', { id }).replace('content-length: 0', 'transfer-encoding: chunked') + '1\r\nx\r\n'.repeat(1_100)
+  const others = [await RawCaller.connect(host), await RawCaller.connect(host)]
+  for (const other of others) other.write(inPieces('other'))
+  await pause(100)
+  caller.write(requestHead('/release/running', { id: 'running' }) + inPieces('behind'))
+  await caller.until(3)
+  for (const other of others) other.close()
+  expect(caller.statuses).toEqual([200, 503])
+  expect(caller.state).toBe(ConnectionState.Ended)
+})
