--- a/trial/soak/excuses.ts
+++ b/trial/soak/excuses.ts
@@ -68,7 +68,7 @@
 /** The store, or a gateway's way to it, was not stable all the while. */
 export function storeUnstable (gateway: string, { from, to }: Span, view: SoakView): boolean {
   const span = { from: from - stableMilliseconds, to }
-  const isHarmed = view.faultsAt('store', [PlatformFault.StoreBusy, PlatformFault.StoreSilent, PlatformFault.StoreLosesHistory], span).length > 0
+  const isHarmed = view.faultsAt('store', [PlatformFault.StoreBusy, PlatformFault.StoreSilent, PlatformFault.StoreLosesAnswers, PlatformFault.StoreLosesHistory], span).length > 0
   return isHarmed || view.faultsAt(storeLink(gateway), harmfulLinkFaults, span).length > 0
 }
 
