--- a/trial/soak/callerProcess.ts
+++ b/trial/soak/callerProcess.ts
@@ -2,8 +2,8 @@
  * A process of several callers. Its only argument is a `CallerProcessSettings` as JSON; each message that it gets is a
  * `CallerTargets`. It prints a record for each request, and ends by itself.
  */
-import { SeededRandomness } from '../../src/contract/index.ts'
 import { type CallerChoices, CallerPlan } from './callerPlan.ts'
+import { randomnessOf } from './faultPlan.ts'
 import { type CalledGateway, SoakCaller } from './soakCaller.ts'
 
 export interface CallerProcessSettings {
@@ -20,15 +20,12 @@
   readonly gateways: readonly CalledGateway[]
 }
 
-/** Keeps the numbers of callers of one seed apart from those of the next. */
-const seedStride = 1_000
-
 async function call ({ name, seed, callerCount, endsAt }: CallerProcessSettings): Promise<void> {
   let targets: CallerTargets = { gateways: [], routes: [], keys: [] }
   process.on('message', message => { targets = message as CallerTargets })
   process.on('disconnect', () => process.exit(0))
   const callers = Array.from({ length: callerCount }, (_, number) => {
-    const plan = new CallerPlan(new SeededRandomness(seed * seedStride + number), () => targets)
+    const plan = new CallerPlan(randomnessOf(seed, `${name}-${number}`), () => targets)
     return new SoakCaller(`${name}-${number}`, plan, () => targets.gateways, record => process.stdout.write(`${JSON.stringify(record)}\n`))
   })
   await Promise.all(callers.map(caller => caller.run(endsAt)))
--- a/trial/soak/callerProcesses.ts
+++ b/trial/soak/callerProcesses.ts
@@ -28,7 +28,7 @@
   constructor ({ seed, processCount, callersPerProcess, endsAt, program, logFolder, onRecord }: CallerProcessesOptions) {
     this.#processes = Array.from({ length: processCount }, (_, number) => {
       const name = `callers-${number}`
-      const settings: CallerProcessSettings = { name: `c${number}`, seed: seed * processCount + number, callerCount: callersPerProcess, endsAt }
+      const settings: CallerProcessSettings = { name: `c${number}`, seed, callerCount: callersPerProcess, endsAt }
       const command = [process.execPath, program, JSON.stringify(settings)]
       return new TrialProcess({ name, command, logFolder, onLine: line => onRecord(JSON.parse(line)), onMessage: () => undefined })
     })
