End the gateways of a soak that is killed, and its program folder with it

A guard, a process of its own, is told the id of each gateway, and ends those that are left once the channel to the soak has closed: after SIGKILL of the soak seven gateways had stayed; SIGINT and SIGTERM had left none. What the machine can bear moves into a module of its own.

--- a/trial/soak/orders.ts
+++ b/trial/soak/orders.ts
@@ -12,7 +12,9 @@
   Endpoint: 'endpoint',
   Proxies: 'proxies',
   /** Keeps a processor busy when it is told to. */
-  Load: 'load'
+  Load: 'load',
+  /** Ends the gateways when the soak itself has been killed. */
+  Guard: 'guard'
 } as const
 export type Role = typeof Role[keyof typeof Role]
 
@@ -42,6 +44,11 @@
 /** Orders to a process that keeps a processor busy. */
 export type LoadOrder = { readonly order: 'work', readonly milliseconds: number }
 
+/** Orders to the process that ends the gateways after the soak. */
+export type GuardOrder =
+  | { readonly order: 'watch', readonly processId: number }
+  | { readonly order: 'forget', readonly processId: number }
+
 interface OrderMessage<Order> {
   readonly id: number
   readonly order: Order
@@ -102,14 +109,17 @@
   }
 }
 
-/** Follows the orders of the soak until it ends, and tells it the address of this process, if it has one. */
-export function followOrders<Order> (address: string, follow: (order: Order) => unknown): void {
+/** Follows the orders of the soak until the soak ends, and tells it the address of this process, if it has one. */
+export function followOrders<Order> (address: string, follow: (order: Order) => unknown, onEnd: () => void = () => undefined): void {
   process.on('message', async message => {
     const { id, order } = message as OrderMessage<Order>
     const reply: ReplyMessage = await Promise.resolve(order).then(follow).then(value => ({ id, value }), error => ({ id, failure: String(error) }))
     process.send?.(reply)
   })
-  process.on('disconnect', () => process.exit(0))
+  process.on('disconnect', () => {
+    onEnd()
+    process.exit(0)
+  })
   // The terminal sends SIGINT to all; the soak itself ends its processes.
   process.on('SIGINT', () => undefined)
   process.send?.({ id: readyId, value: address } satisfies ReplyMessage)
--- a/trial/soak/role.ts
+++ b/trial/soak/role.ts
@@ -2,7 +2,7 @@
 import { StoreStandIn } from '../../platform/standin/index.ts'
 import { Table } from '../../platform/index.ts'
 import { type EndpointRoleOptions, runEndpoint } from './endpointRole.ts'
-import { type LoadOrder, type ProxyOrder, Role, type StoreOrder, followOrders } from './orders.ts'
+import { type GuardOrder, type LoadOrder, type ProxyOrder, Role, type StoreOrder, followOrders } from './orders.ts'
 import { FaultyProxy } from './proxy.ts'
 
 export interface StoreRoleOptions {
@@ -56,18 +56,35 @@
   })
 }
 
-async function runLoad (): Promise<void> {
+function runLoad (): void {
   followOrders<LoadOrder>('', ({ milliseconds }) => {
     const endsAt = performance.now() + milliseconds
     while (performance.now() < endsAt) Math.sqrt(endsAt)
   })
 }
 
+function runGuard (): void {
+  const processIds = new Set<number>()
+  followOrders<GuardOrder>('', ({ order, processId }) => {
+    if (order === 'watch') processIds.add(processId)
+    else processIds.delete(processId)
+  }, () => processIds.forEach(killIfRunning))
+}
+
+function killIfRunning (processId: number): void {
+  try {
+    process.kill(processId, 'SIGKILL')
+  } catch {
+    // It has ended meanwhile.
+  }
+}
+
 const [role, options = '{}'] = process.argv.slice(2)
 const run = {
   [Role.Store]: () => runStore(JSON.parse(options) as StoreRoleOptions),
   [Role.Endpoint]: () => runEndpoint(JSON.parse(options) as EndpointRoleOptions),
   [Role.Proxies]: () => runProxies(JSON.parse(options) as ProxiesRoleOptions),
-  [Role.Load]: runLoad
+  [Role.Load]: runLoad,
+  [Role.Guard]: runGuard
 }[role as Role]
 run()
--- a/trial/soak/soakGateway.ts
+++ b/trial/soak/soakGateway.ts
@@ -24,6 +24,9 @@
   readonly programDirectory: string
   readonly logFolder: string
   readonly commandPrefix: readonly string[]
+  /** Called when a process has started, and when it has ended. */
+  readonly onStart: (processId: number) => void
+  readonly onEnd: (processId: number) => void
   readonly onUnexpectedEnd: (end: EndRecord) => void
 }
 
@@ -83,14 +86,16 @@
   /** Starts a process, unless one runs, and waits until it is ready. */
   async start (): Promise<void> {
     if (this.isRunning || this.#isRetired) return
-    const { name, zone, boot, programDirectory, logFolder, commandPrefix, onUnexpectedEnd } = this.#options
+    const { name, zone, boot, programDirectory, logFolder, commandPrefix, onStart, onEnd, onUnexpectedEnd } = this.#options
     const started = new GatewayProcess(programDirectory, this.host, this.storeAddress, limits, this.seeds, {
       name, graceSeconds, logFolder, commandPrefix, boot: { ...boot, zone }
     })
     this.#process = started
     this.#isEndExpected = false
     this.#isReady = false
+    onStart(started.pid)
     started.ended.then(end => {
+      onEnd(started.pid)
       if (!this.#isExpected(end)) onUnexpectedEnd({ type: 'end', process: name, at: Date.now(), ...end })
     })
     await waitUntilReady(started)
--- a/trial/soak/soakWorld.ts
+++ b/trial/soak/soakWorld.ts
@@ -4,14 +4,15 @@
  */
 import { spawnSync } from 'node:child_process'
 import { mkdtempSync } from 'node:fs'
-import { tmpdir, totalmem } from 'node:os'
+import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { ConfigurationHistory, type StandInConfiguration, type StoreFault } from '../../platform/standin/index.ts'
 import { Table, configurationKey } from '../../platform/index.ts'
 import { buildProgram, removeProgram } from '../../test/fakes/gatewayProcess.ts'
 import { randomnessOf } from './faultPlan.ts'
+import { assertMemory, processorBinding } from './machine.ts'
 import type { LinkFault } from './faults.ts'
-import { type LoadOrder, OrderedProcess, type ProxyOrder, Role, type StoreOrder } from './orders.ts'
+import { type GuardOrder, type LoadOrder, OrderedProcess, type ProxyOrder, Role, type StoreOrder } from './orders.ts'
 import type { EndRecord, SoakRecord } from './records.ts'
 import { SoakEndpoint } from './soakEndpoint.ts'
 import { SoakGateway, graceSeconds } from './soakGateway.ts'
@@ -30,15 +31,13 @@
 const loopback = '127.0.0.1'
 const zones = { 'coast-1': 'coast', 'coast-2': 'coast', 'hills-1': 'hills' }
 const zoneNames = Object.keys(zones)
-const endpointCounts = { engines: 4, ledger: 3, archive: 2 }
+/** The service of each endpoint that is there from the start. */
+const endpointServices = ['engines', 'engines', 'engines', 'engines', 'ledger', 'ledger', 'ledger', 'archive', 'archive']
 const seedGateways = 3
 const heartbeatMilliseconds = 1_200
 const expiryMilliseconds = 3 * heartbeatMilliseconds
 const applyMilliseconds = 2_500
 const initialVersion = 'v1'
-const bytesPerGateway = 130_000_000
-const bytesPerOtherProcess = 80_000_000
-const memoryShare = 0.5
 const interruptedExitCode = 130
 
 /** The boot file's members that all gateways share. */
@@ -66,9 +65,14 @@
   readonly #history: ConfigurationHistory
   readonly #store: OrderedProcess<StoreOrder>
   readonly #proxies: OrderedProcess<ProxyOrder>
+  readonly #guard: OrderedProcess<GuardOrder>
   readonly #loads: readonly OrderedProcess<LoadOrder>[]
   readonly #openProxies = new Map<string, string>()
-  readonly #endAll = () => { this.#killAll() }
+  readonly #endAll = () => {
+    this.#killAll()
+    removeProgram(this.#directory)
+  }
+
   readonly #interrupt = () => process.exit(interruptedExitCode)
   #storeAddress = ''
   #isClosing = false
@@ -82,6 +86,7 @@
     process.once('exit', this.#endAll).once('SIGINT', this.#interrupt).once('SIGTERM', this.#interrupt)
     this.#store = this.#startRole<StoreOrder>('store', Role.Store, { host: loopback, expiryMilliseconds })
     this.#proxies = this.#startRole<ProxyOrder>('proxies', Role.Proxies, { host: loopback })
+    this.#guard = this.#startRole<GuardOrder>('guard', Role.Guard, {})
     this.#loads = numbers(busyProcesses).map(number => this.#startRole<LoadOrder>(`load-${number}`, Role.Load, {}))
     this.gateways = numbers(gateways).map(number => this.#createGateway(number))
   }
@@ -94,7 +99,7 @@
    * const world = await SoakWorld.start({ seed: 7, gateways: 8 })
    */
   static async start (options: SoakWorldOptions): Promise<SoakWorld> {
-    assertMemory(options.gateways)
+    assertMemory(options.gateways, endpointServices.length)
     const world = new SoakWorld(options)
     try {
       await world.#begin()
@@ -199,15 +204,14 @@
   }
 
   get #ownProcesses (): readonly OrderedProcess<never>[] {
-    return [this.#store, this.#proxies, ...this.#loads] as unknown as readonly OrderedProcess<never>[]
+    return [this.#store, this.#proxies, this.#guard, ...this.#loads] as unknown as readonly OrderedProcess<never>[]
   }
 
   async #begin (): Promise<void> {
     this.#storeAddress = String(await this.#store.ready)
     await Promise.all(this.#ownProcesses.map(each => each.ready))
     await this.#putConfiguration(this.#history.current)
-    const services = Object.entries(endpointCounts).flatMap(([service, count]) => numbers(count).map(() => service))
-    await Promise.all(services.map(service => this.addEndpoint(service, initialVersion, false)))
+    await Promise.all(endpointServices.map(service => this.addEndpoint(service, initialVersion, false)))
     const seeds = this.gateways.slice(0, seedGateways).map(gateway => gateway.linkAddress)
     await Promise.all(this.gateways.map(gateway => this.#startGateway(gateway, seeds)))
   }
@@ -245,6 +249,8 @@
       programDirectory: this.#directory,
       logFolder: this.logFolder,
       commandPrefix: this.#commandPrefix,
+      onStart: processId => { this.#guard.order({ order: 'watch', processId }).catch(() => undefined) },
+      onEnd: processId => { this.#guard.order({ order: 'forget', processId }).catch(() => undefined) },
       onUnexpectedEnd: end => this.#noteEnd(end)
     })
   }
@@ -276,18 +282,6 @@
   if (status !== 0) throw new Error(`${entry} was not bundled`)
 }
 
-/** The command that binds a program to some processors; empty if the machine has none. */
-function processorBinding (processors: number): readonly string[] {
-  const isPresent = spawnSync('taskset', ['--version']).status === 0
-  return isPresent ? ['taskset', '-c', `0-${processors - 1}`] : []
-}
-
-function assertMemory (gateways: number): void {
-  const otherProcesses = Object.values(endpointCounts).reduce((sum, count) => sum + count, 0)
-  const needed = gateways * bytesPerGateway + otherProcesses * bytesPerOtherProcess
-  if (needed > totalmem() * memoryShare) throw new Error(`${gateways} gateways would take more than half of the memory of this machine`)
-}
-
 function numbers (count: number): number[] {
   return Array.from({ length: count }, (_, index) => index + 1)
 }
