--- a/trial/soak/role.ts
+++ b/trial/soak/role.ts
@@ -1,4 +1,5 @@
 /** Entry of the soak's own processes: `node role.cjs ROLE OPTIONS`, with the options of the role as JSON. */
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import { StoreStandIn } from '../../platform/standin/index.ts'
 import { Table } from '../../platform/index.ts'
 import { type EndpointRoleOptions, runEndpoint } from './endpointRole.ts'
@@ -16,6 +17,8 @@
 }
 
 const expiryCheckMilliseconds = 200
+/** Orders that come meanwhile are read between two slices. */
+const loadSliceMilliseconds = 20
 
 async function runStore ({ host, expiryMilliseconds }: StoreRoleOptions): Promise<void> {
   const store = await StoreStandIn.start(host)
@@ -57,12 +60,21 @@
 }
 
 function runLoad (): void {
-  followOrders<LoadOrder>('', ({ milliseconds }) => {
-    const endsAt = performance.now() + milliseconds
-    while (performance.now() < endsAt) Math.sqrt(endsAt)
+  let endsAt = 0
+  followOrders<LoadOrder>('', async ({ milliseconds }) => {
+    endsAt = Math.max(endsAt, performance.now() + milliseconds)
+    while (performance.now() < endsAt) {
+      keepProcessorBusy(loadSliceMilliseconds)
+      await nextTurn()
+    }
   })
 }
 
+function keepProcessorBusy (milliseconds: number): void {
+  const endsAt = performance.now() + milliseconds
+  while (performance.now() < endsAt) Math.sqrt(endsAt)
+}
+
 function runGuard (): void {
   const processIds = new Set<number>()
   followOrders<GuardOrder>('', ({ order, processId }) => {
--- a/trial/soak/soakWorld.ts
+++ b/trial/soak/soakWorld.ts
@@ -156,8 +156,9 @@
     await this.#store.order({ order: 'compact' })
   }
 
-  /** Causes a fault at the proxy of that name: `callers/GATEWAY`, `store/GATEWAY` or `endpoint/ENDPOINT`. */
+  /** Causes a fault at the proxy of that name: `callers/GATEWAY`, `store/GATEWAY` or `endpoint/ENDPOINT`; that of an endpoint that starts may not be open yet. */
   async causeLinkFault (name: string, fault: LinkFault, milliseconds: number): Promise<void> {
+    if (!this.#openProxies.has(name)) return
     await this.#proxies.order({ order: 'fault', name, fault, milliseconds })
   }
 
