Find whole requests that were neither passed on nor refused, and excuse less of those behind a half-close

A request that was not run was excused by any harm of its gateway in the 4 s before; now only by the end of its process, and by an answer ahead that was cut or announced the close, which RequestRecord tells (announcesClose, optional).

--- a/test/soakChecks.test.ts
+++ b/test/soakChecks.test.ts
@@ -50,6 +50,7 @@
 }
 
 const lost = 'passed on and closed without a whole answer'
+const dropped = 'closed without being passed on or refused'
 const late = 'answered late'
 const halfClosed = 'closed without an answer to a caller that ended its own side only'
 const refusedAndRun = 'refused as not run, and run'
@@ -67,9 +68,17 @@
   expect(checksOf(cutOf({ end }), runOf({ end: RunEnd.Abandoned }))).toEqual([lost])
 })
 
-test('a request that was not passed on is not lost', () => {
-  expect(checksOf(cutOf())).toEqual([])
-  expect(checksOf(cutOf(), runOf({ end: RunEnd.NotRun }))).toEqual([])
+test('a whole request that was not passed on is dropped, unless its connection was about to close', () => {
+  expect(checksOf(cutOf())).toEqual([dropped])
+  expect(checksOf(cutOf(), runOf({ end: RunEnd.NotRun }))).toEqual([dropped])
+  expect(checksOf(cutOf({ wholeAt: undefined }))).toEqual([])
+  const behind = cutOf({ request: 'c0-0-0-1', position: 1 })
+  expect(checksOf(requestOf(), runOf(), behind)).toEqual([dropped])
+  expect(checksOf(requestOf({ announcesClose: true }), runOf(), behind)).toEqual([])
+  expect(checksOf(cutOf({ end: CallerEnd.Left }), behind)).toEqual([])
+  for (const fault of [GatewayFault.Restart, GatewayFault.Move, GatewayFault.Kill]) expect(checksOf(cutOf(), faultOf('gateway-1', fault))).toEqual([])
+  for (const fault of [GatewayFault.Freeze, GatewayFault.Reload]) expect(checksOf(cutOf(), faultOf('gateway-1', fault))).toEqual([dropped])
+  expect(checksOf(cutOf(), faultOf(callerLink('gateway-1'), LinkFault.Reset))).toEqual([])
 })
 
 test('a request that ran behind a stream which was cut is lost, and names the stream', () => {
@@ -164,6 +173,7 @@
   expect(checksOf(cutOf({ habit: 'half_close' }), runOf({ end: RunEnd.Faulty }))).toEqual([])
   expect(checksOf(cutOf({ habit: 'half_close' }), faultOf('gateway-1', GatewayFault.Restart))).toEqual([])
   expect(checksOf(cutOf({ habit: 'half_close' }), runOf(), faultOf('gateway-1', GatewayFault.Restart))).toEqual([halfClosed])
+  expect(checksOf(cutOf({ habit: 'half_close' }), faultOf('gateway-1', GatewayFault.Freeze))).toEqual([halfClosed])
 })
 
 test.each([408, 421, 429, 503])('a request that may run once, ran, and was answered %i is a broken promise', status => {
--- a/trial/soak/answerChecks.ts
+++ b/trial/soak/answerChecks.ts
@@ -1,10 +1,11 @@
 /** Checks of what callers got for their requests. */
 import { CallerHabit } from './callerPlan.ts'
-import { answerOwedAt, callerLeft, callerLinkBroken, endpointUnsound, gatewayKilled, gatewayOutOfTouch, mayRunAgain, ownTimeWasOver, wasAtWorkLateInStop } from './excuses.ts'
+import { answerOwedAt, callerLinkBroken, endpointUnsound, gatewayEnded, gatewayKilled, gatewayOutOfTouch, mayRunAgain, ownTimeWasOver, wasAtWorkLateInStop, wasBehindClose } from './excuses.ts'
 import type { Finding } from './finding.ts'
 import { CallerEnd, type RequestRecord, type RunRecord } from './records.ts'
 import type { SoakView } from './soakView.ts'
 
+const halfCloseCheck = 'closed without an answer to a caller that ended its own side only'
 /** How much later than owed an answer may come. */
 const lateAnswerMilliseconds = 500
 /** Statuses that promise that a request was not run, and never will be. */
@@ -12,12 +13,29 @@
 
 /** Requests that a sound endpoint ran, and whose connection was closed before a whole answer. */
 export function findLostRequests (view: SoakView): readonly Finding[] {
-  const isExcused = (request: RequestRecord) => callerLeft(request) || gatewayKilled(request, view) || callerLinkBroken(request, view) || ownTimeWasOver(request, view) || wasAtWorkLateInStop(request, view)
-  return view.requests.flatMap(request => {
-    if (request.end === CallerEnd.Answered || request.end === CallerEnd.Unanswered || request.habit === CallerHabit.HalfClose) return []
+  return closedRequests(view).flatMap(request => {
     const soundRuns = view.runsOf(request.request).filter(run => !endpointUnsound(run, view))
-    if (soundRuns.length === 0 || isExcused(request)) return []
-    return [findingOf('passed on and closed without a whole answer', request, `${describeRuns(soundRuns)}${describeAhead(request, view)}`)]
+    if (soundRuns.length === 0 || wasAtWorkLateInStop(request, view)) return []
+    const check = request.habit === CallerHabit.HalfClose ? halfCloseCheck : 'passed on and closed without a whole answer'
+    return [findingOf(check, request, `${describeRuns(soundRuns)}${describeAhead(request, view)}`)]
+  })
+}
+
+/** Whole requests that were neither passed on nor refused, on connections that were closed without a reason that callers know. */
+export function findDroppedRequests (view: SoakView): readonly Finding[] {
+  return closedRequests(view).flatMap(request => {
+    const wasRead = request.wholeAt !== undefined && view.runsOf(request.request).length === 0
+    if (!wasRead || wasBehindClose(request, view) || gatewayEnded(request, view)) return []
+    const check = request.habit === CallerHabit.HalfClose ? halfCloseCheck : 'closed without being passed on or refused'
+    return [findingOf(check, request, 'not run')]
+  })
+}
+
+/** Requests whose connection was closed before a whole answer, by neither the caller nor the soak, and while they had time. */
+function closedRequests (view: SoakView): readonly RequestRecord[] {
+  return view.requests.filter(request => {
+    const isClosed = request.end === CallerEnd.Closed || request.end === CallerEnd.Reset
+    return isClosed && !gatewayKilled(request, view) && !callerLinkBroken(request, view) && !ownTimeWasOver(request, view)
   })
 }
 
@@ -35,20 +53,6 @@
   })
 }
 
-/** Whole requests without a whole answer, whose callers had ended their own side and read on. */
-export function findUnansweredHalfCloses (view: SoakView): readonly Finding[] {
-  const isExcused = (request: RequestRecord) => gatewayKilled(request, view) || callerLinkBroken(request, view) || ownTimeWasOver(request, view) || wasAtWorkLateInStop(request, view)
-  return view.requests.flatMap(request => {
-    const { habit, wholeAt, end } = request
-    if (habit !== CallerHabit.HalfClose || wholeAt === undefined || end === CallerEnd.Answered || end === CallerEnd.Unanswered) return []
-    const runs = view.runsOf(request.request)
-    const isUnsound = runs.length > 0 && runs.every(run => endpointUnsound(run, view))
-    const mayCrossStop = runs.length === 0 && gatewayOutOfTouch(request.gateway, { from: request.sentAt, to: request.endedAt }, view)
-    if (isUnsound || mayCrossStop || isExcused(request)) return []
-    return [findingOf('closed without an answer to a caller that ended its own side only', request, `${describeRuns(runs)}${describeAhead(request, view)}`)]
-  })
-}
-
 /** Requests that were refused as not run, and ran. */
 export function findBrokenPromises (view: SoakView): readonly Finding[] {
   return view.requests.flatMap(request => {
--- a/trial/soak/checks.ts
+++ b/trial/soak/checks.ts
@@ -1,5 +1,5 @@
 /** All checks of a soak: pure functions from what was recorded to findings. */
-import { findBrokenPromises, findLateAnswers, findLostRequests, findMixedAnswers, findStreamGaps, findUnansweredHalfCloses } from './answerChecks.ts'
+import { findBrokenPromises, findDroppedRequests, findLateAnswers, findLostRequests, findMixedAnswers, findStreamGaps } from './answerChecks.ts'
 import type { Finding } from './finding.ts'
 import { findEndedProcesses, findFailures, findLargeProcesses, findLateStops } from './processChecks.ts'
 import { findRepeatedRuns, findRunsSideBySide } from './runChecks.ts'
@@ -8,8 +8,8 @@
 
 const checks: readonly ((view: SoakView) => readonly Finding[])[] = [
   findLostRequests,
+  findDroppedRequests,
   findLateAnswers,
-  findUnansweredHalfCloses,
   findBrokenPromises,
   findMixedAnswers,
   findStreamGaps,
--- a/trial/soak/excuses.ts
+++ b/trial/soak/excuses.ts
@@ -19,16 +19,21 @@
 const machine = 'machine'
 const harmfulLinkFaults = [LinkFault.Delay, LinkFault.Reset, LinkFault.CutTowardsClient, LinkFault.CutTowardsServer, LinkFault.Silence] as const
 
-/** The caller went away before its answer. */
-export function callerLeft ({ end }: RequestRecord): boolean {
-  return end === CallerEnd.Left
-}
-
 /** The gateway was killed while the request was open. */
 export function gatewayKilled (request: RequestRecord, view: SoakView): boolean {
   return view.faultsAt(request.gateway, [GatewayFault.Kill], { from: request.sentAt - deathShowsMilliseconds, to: request.endedAt }).length > 0
 }
 
+/** An answer ahead was cut, or announced the end of the connection, so that what wasn't passed on could get no answer on it. */
+export function wasBehindClose (request: RequestRecord, view: SoakView): boolean {
+  return view.requestsAhead(request).some(({ end, announcesClose }) => end !== CallerEnd.Answered || announcesClose === true)
+}
+
+/** The gateway's process was stopped or killed while the request was open, so that what wasn't passed on may have crossed its close. */
+export function gatewayEnded (request: RequestRecord, view: SoakView): boolean {
+  return view.faultsAt(request.gateway, [GatewayFault.Restart, GatewayFault.Move, GatewayFault.Kill], { from: request.sentAt, to: request.endedAt }).length > 0
+}
+
 /** The soak reset the caller's connection, or let it fall silent, since it was first used. */
 export function callerLinkBroken (request: RequestRecord, view: SoakView): boolean {
   const span = { from: view.connectionUsedFrom(request), to: request.endedAt }
--- a/trial/soak/records.ts
+++ b/trial/soak/records.ts
@@ -85,6 +85,8 @@
   readonly resumedAfter?: string | undefined
   /** When a caller that reads late began to read. */
   readonly readFrom?: number | undefined
+  /** Whether the answer announced the end of its connection. */
+  readonly announcesClose?: boolean | undefined
   /** API key that it was sent with. */
   readonly key?: string | undefined
 }
--- a/trial/soak/soakCaller.ts
+++ b/trial/soak/soakCaller.ts
@@ -185,6 +185,7 @@
       resumedAfter,
       readFrom: connection.readFrom,
       key: planned.key,
+      announcesClose: answer !== undefined && isClosing(answer),
       ...identityOf(begun)
     })
   }
