--- a/test/fakes/rawCaller.ts
+++ b/test/fakes/rawCaller.ts
@@ -96,11 +96,12 @@
     while (this.#state === ConnectionState.Open && this.responses.length < responseCount) await pause(10)
   }
 
-  /** Ends the own side, and goes on reading. */
-  halfClose (): void {
+  /** Sends nothing more, and goes on reading. */
+  endSending (): void {
     this.#socket.end()
   }
 
+  /** Closes the connection in a way that its other side is told of at once. */
   reset (): void {
     this.#socket.resetAndDestroy()
   }
--- a/trial/soak/soakCaller.ts
+++ b/trial/soak/soakCaller.ts
@@ -119,7 +119,7 @@
       sent.push(request)
       await this.#write(connection.caller, burst, request)
     }
-    if (burst.habit === CallerHabit.HalfClose) connection.caller.halfClose()
+    if (burst.habit === CallerHabit.HalfClose) connection.caller.endSending()
     return sent
   }
 
