--- a/trial/soak/faultRunner.ts
+++ b/trial/soak/faultRunner.ts
@@ -64,7 +64,7 @@
 
   #cause ({ place, fault, target, milliseconds }: PlannedFault): CausedFault {
     const gateway = this.#world.gateways[target % this.#world.gateways.length]!
-    const endpoints = this.#world.endpoints.filter(each => !each.isRetired)
+    const endpoints = this.#world.endpoints.filter(each => each.isInService)
     const endpoint = endpoints[target % endpoints.length]!
     switch (place) {
       case FaultPlace.Gateway: return { target: gateway.name, done: this.#harmGateway(gateway, fault as GatewayFault, milliseconds) }
--- a/trial/soak/soakEndpoint.ts
+++ b/trial/soak/soakEndpoint.ts
@@ -29,6 +29,7 @@
   #incarnation = 0
   #isEndExpected = false
   #isRetired = false
+  #hasProxy = false
 
   constructor (options: SoakEndpointOptions) {
     this.name = options.name
@@ -46,6 +47,11 @@
     return this.#isRetired
   }
 
+  /** Whether faults may be done to it and its link: its proxy is open, and its version in use. */
+  get isInService (): boolean {
+    return this.#hasProxy && !this.#isRetired
+  }
+
   /** The identity of its current process. */
   get identity (): string {
     return `${this.name}.${this.#incarnation}`
@@ -70,6 +76,7 @@
     })
     try {
       const address = await openProxy(this.name, String(await started.ready))
+      this.#hasProxy = true
       await started.order({ order: 'register', address })
     } catch (error) {
       // Another fault may end it while it starts.
