--- a/trial/soak/role.ts
+++ b/trial/soak/role.ts
@@ -1,8 +1,9 @@
 /** Entry of the soak's own processes: `node role.cjs ROLE OPTIONS`, with the options of the role as JSON. */
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import { StoreStandIn } from '../../platform/standin/index.ts'
 import { Table } from '../../platform/index.ts'
 import { type EndpointRoleOptions, runEndpoint } from './endpointRole.ts'
-import { type LoadOrder, type ProxyOrder, Role, type StoreOrder, followOrders } from './orders.ts'
+import { type GuardOrder, type LoadOrder, type ProxyOrder, Role, type StoreOrder, followOrders } from './orders.ts'
 import { FaultyProxy } from './proxy.ts'
 
 export interface StoreRoleOptions {
@@ -16,6 +17,8 @@
 }
 
 const expiryCheckMilliseconds = 200
+/** Orders that come meanwhile are read between two slices. */
+const loadSliceMilliseconds = 20
 
 async function runStore ({ host, expiryMilliseconds }: StoreRoleOptions): Promise<void> {
   const store = await StoreStandIn.start(host)
@@ -56,18 +59,44 @@
   })
 }
 
-async function runLoad (): Promise<void> {
-  followOrders<LoadOrder>('', ({ milliseconds }) => {
-    const endsAt = performance.now() + milliseconds
-    while (performance.now() < endsAt) Math.sqrt(endsAt)
+function runLoad (): void {
+  let endsAt = 0
+  followOrders<LoadOrder>('', async ({ milliseconds }) => {
+    endsAt = Math.max(endsAt, performance.now() + milliseconds)
+    while (performance.now() < endsAt) {
+      keepProcessorBusy(loadSliceMilliseconds)
+      await nextTurn()
+    }
   })
 }
 
+function keepProcessorBusy (milliseconds: number): void {
+  const endsAt = performance.now() + milliseconds
+  while (performance.now() < endsAt) Math.sqrt(endsAt)
+}
+
+function runGuard (): void {
+  const processIds = new Set<number>()
+  followOrders<GuardOrder>('', ({ order, processId }) => {
+    if (order === 'watch') processIds.add(processId)
+    else processIds.delete(processId)
+  }, () => processIds.forEach(killIfRunning))
+}
+
+function killIfRunning (processId: number): void {
+  try {
+    process.kill(processId, 'SIGKILL')
+  } catch {
+    // It has ended meanwhile.
+  }
+}
+
 const [role, options = '{}'] = process.argv.slice(2)
 const run = {
   [Role.Store]: () => runStore(JSON.parse(options) as StoreRoleOptions),
   [Role.Endpoint]: () => runEndpoint(JSON.parse(options) as EndpointRoleOptions),
   [Role.Proxies]: () => runProxies(JSON.parse(options) as ProxiesRoleOptions),
-  [Role.Load]: runLoad
+  [Role.Load]: runLoad,
+  [Role.Guard]: runGuard
 }[role as Role]
 run()
