Give no turn on a connection that is closing

After an answer that announced the end of its connection, a request behind it whose body was still arriving found itself first and would have been passed on. No path to this is known that passes the parser (suspected by reading, not seen); the queue now stays closed.

--- a/src/server/responseQueue.ts
+++ b/src/server/responseQueue.ts
@@ -12,6 +12,7 @@
 export class ResponseQueue {
   readonly #open = new Set<ServerResponse>()
   readonly #waiting = new Map<ServerResponse, TurnListener>()
+  #isClosed = false
 
   get size (): number {
     return this.#open.size
@@ -36,7 +37,7 @@
 
   /** The turn of a response; it never comes for one that is over. */
   turnOf (response: ServerResponse): ResponseTurn {
-    const hasCome = () => this.#first === response
+    const hasCome = () => this.#isFirst(response)
     return {
       get hasCome () { return hasCome() },
       untilCome: () => this.#untilFirst(response)
@@ -45,6 +46,7 @@
 
   /** Ends all waits: no further turn comes. */
   close (): void {
+    this.#isClosed = true
     for (const tell of this.#waiting.values()) tell(false)
     this.#waiting.clear()
   }
@@ -53,8 +55,12 @@
     return this.#open.values().next().value
   }
 
+  #isFirst (response: ServerResponse): boolean {
+    return !this.#isClosed && this.#first === response
+  }
+
   #untilFirst (response: ServerResponse): Promise<boolean> {
-    if (this.#first === response || !this.#open.has(response)) return Promise.resolve(this.#first === response)
+    if (this.#isClosed || this.#isFirst(response) || !this.#open.has(response)) return Promise.resolve(this.#isFirst(response))
     return new Promise(resolve => this.#waiting.set(response, resolve))
   }
 
