--- a/test/requestsAhead.test.ts
+++ b/test/requestsAhead.test.ts
@@ -123,3 +123,12 @@
   expect(caller.statuses).toEqual([200, 503])
   expect(caller.state).toBe(ConnectionState.Ended)
 })
+
+test('a running request outlasts the idle time and the time of a head behind it, which is refused after its answer', async () => {
+  harness.putConfiguration(2, { limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 200, idle_timeout_ms: 200 } })
+  await pause(200)
+  ledger.handleWith((_request, response) => { setTimeout(() => response.end('done'), 1_800) })
+  caller.write(requestHead('/release/running', { id: 'running' }) + requestHead('/release/behind', { id: 'behind' }).slice(0, 40))
+  await caller.until(2)
+  expect(caller.statuses).toEqual([200, 408])
+})
