End a call of the store at once that is over while it connects

What gateways saw: a call with a timeout of 200 ms to a store that accepted no connection ended after 1.5 s, with the connect timeout. It counted as possibly sent if the connection came in between.

Cause: the HTTP library takes notice of a request's signal only once the request has a connection.

Fix: what the library does not reject in the turn in which the signal aborts has no connection yet; the pool ends it there as not sent, which blames no connection.

--- a/src/httpClient/renewablePool.ts
+++ b/src/httpClient/renewablePool.ts
@@ -94,15 +94,31 @@
 async function sendOver<Value> (pool: Pool, { method, path, headers, body, overdue, ended, read }: PoolRequest<Value>): Promise<Result<Value, PoolFailure>> {
   const signal = ended === undefined ? overdue : AbortSignal.any([overdue, ended])
   try {
-    const response = await pool.request({ method, path, headers, body: body ?? null, signal })
+    const response = await endAtOnce(pool.request({ method, path, headers, body: body ?? null, signal }), signal)
     const bytes = await readBoundedResponse(response.body, maximumReplyBytes)
     const value = bytes.andThen(wholeBody => read({ status: response.statusCode, headers: response.headers, body: wholeBody }))
     return value.mapErr(reason => new PoolFailure(reason))
   } catch (error) {
-    return Err(new PoolFailure(reasonOf(error), !isConnectError(error)))
+    const mayHaveBeenSent = !(error instanceof UnsentRequest) && !isConnectError(error)
+    return Err(new PoolFailure(reasonOf(error), mayHaveBeenSent))
   }
 }
 
+/** A request that was over before it had a connection. */
+class UnsentRequest extends Error {}
+
+/**
+ * Ends a request once it is over. The HTTP library rejects one that has a connection in the same turn of the event loop. Of
+ * any other it takes notice only when there is a connection, and then sends nothing.
+ */
+function endAtOnce<Reply> (request: Promise<Reply>, over: AbortSignal): Promise<Reply> {
+  return new Promise((resolve, reject) => {
+    const end = () => { setImmediate(() => reject(new UnsentRequest(reasonOf(over.reason)))) }
+    over.addEventListener('abort', end, { once: true })
+    request.finally(() => over.removeEventListener('abort', end)).then(resolve, reject)
+  })
+}
+
 /** Whether a failure came before a connection was open. */
 function isConnectError (error: unknown): boolean {
   const code = error instanceof Error && 'code' in error ? error.code : undefined
