Deliver answers that had arrived before the end of a planned stop, however many steps their reading takes

What callers saw: a gateway that was held up over the end of its planned stop cut answers in many pieces that lay whole in its kernel.

Cause: the stop polls for input twice and then aborts the runs, while such answers are read over several turns.

Fix: the cut ends exchanges as their deadline does, with half of the time that the stop has left. test/answersBehindStall.test.ts counts by kind in a function that both of its tests use; the first test checks what it did, per round.

--- a/src/endpoint/arrivedInput.ts
+++ b/src/endpoint/arrivedInput.ts
@@ -6,7 +6,7 @@
  * and nothing more came, although the connection was not paused. A peer that sends without end is read no further than
  * a kernel can hold.
  */
-import { type Clock, maximumInputReadMilliseconds } from '../contract/index.ts'
+import type { Clock } from '../contract/index.ts'
 import { maximumTurnBytes } from './turnShare.ts'
 
 /** Polls in a row that have to find nothing: a sender may still hold what the kernel had no room for. */
@@ -28,14 +28,15 @@
 }
 
 /**
+ * @param maximumMilliseconds after which a response that goes on without end is read no further
  * @example
- * await untilArrivedIsRead(exchange, clock)
+ * await untilArrivedIsRead(exchange, clock, 100)
  * exchange.abort('the deadline of the request has passed')
  */
-export async function untilArrivedIsRead (reading: ReadingState, clock: Pick<Clock, 'now'>): Promise<void> {
+export async function untilArrivedIsRead (reading: ReadingState, clock: Pick<Clock, 'now'>, maximumMilliseconds: number): Promise<void> {
   const startedAt = clock.now()
   const bytesBefore = reading.receivedBytes
-  const isBounded = (turns: number) => turns < minimumTurns || clock.now() - startedAt < maximumInputReadMilliseconds
+  const isBounded = (turns: number) => turns < minimumTurns || clock.now() - startedAt < maximumMilliseconds
   let quiet = 0
   for (let turns = 0; !reading.isOver && quiet < quietTurns && isBounded(turns); turns++) {
     if (reading.receivedBytes - bytesBefore > maximumArrivedBytes) return
--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -27,7 +27,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
-import { Wait, invariant, scheduleReplyTimeout } from '../contract/index.ts'
+import { Wait, invariant, maximumInputReadMilliseconds, scheduleReplyTimeout } from '../contract/index.ts'
 import { untilArrivedIsRead } from './arrivedInput.ts'
 import { type ExchangeEvent, type ExchangeOptions, isOverdue, overdueReason } from './exchangeContract.ts'
 import { SecondHeadScanner } from './secondHeadScanner.ts'
@@ -183,9 +183,13 @@
     this.#controller?.abort(new Error(reason))
   }
 
-  /** Aborts the exchange once what has arrived of the response is read, unless that completes it. */
-  async abortAfterInput (reason: string): Promise<void> {
-    await untilArrivedIsRead(this, this.#options.clock)
+  /**
+   * Aborts the exchange once what has arrived of the response is read, unless that completes it.
+   *
+   * @param maximumMilliseconds after which a response that goes on without end is read no further
+   */
+  async abortAfterInput (reason: string, maximumMilliseconds = maximumInputReadMilliseconds): Promise<void> {
+    await untilArrivedIsRead(this, this.#options.clock, maximumMilliseconds)
     this.abort(reason)
   }
 
--- a/src/gateway/attemptOpener.ts
+++ b/src/gateway/attemptOpener.ts
@@ -16,6 +16,8 @@
 
 /** Added to the time that is left: the request's deadline ends a silent attempt, and only then the exchange's own timeout. */
 const inactivityMarginMilliseconds = 1_000
+/** Half of the time that a planned stop has left when it cuts: the other half is for telling the callers. */
+const cutReadMilliseconds = 50
 
 /** The request whose attempts are opened. All times are milliseconds of the process's clock. */
 export interface OpeningRequest {
@@ -151,14 +153,14 @@
   }
 
   /**
-   * Aborts an exchange when a planned stop cuts it, or ends the time for sending before it was sent.
+   * Aborts an exchange when a planned stop cuts it and what had arrived does not complete it, or ends the time for sending before it was sent.
    *
    * @returns a function that takes it back
    */
   #abortWithStop (exchange: Exchange): () => void {
     const { dependencies: { plannedStop }, sendWindow } = this.#request
     const forgetWait = plannedStop.onEnd(() => { if (!exchange.mayHaveSent) exchange.abort('stopping') }, sendWindow)
-    const forgetCut = plannedStop.onCut(() => exchange.abort('cut by the stop'))
+    const forgetCut = plannedStop.onCut(() => { exchange.abortAfterInput('cut by the stop', cutReadMilliseconds) })
     return () => {
       forgetWait()
       forgetCut()
--- a/test/answersBehindStall.test.ts
+++ b/test/answersBehindStall.test.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import { afterAll, afterEach, beforeAll, beforeEach, expect, test } from 'vitest'
+import { type EndpointStandIn, configurationDocument } from '../platform/standin/index.ts'
 import { ForwarderHarness, formatEvent } from './fakes/forwarderWorld.ts'
 import { GatewayProcess, allocateProcessHost, buildProgram, removeProgram } from './fakes/gatewayProcess.ts'
 import { pause } from './fakes/rawCaller.ts'
@@ -11,6 +12,8 @@
 /** Most pieces have been read by then, and the rest arrives in the stall, long before the deadline. */
 const stallAfterMilliseconds = 460
 const stallMilliseconds = 1_200
+/** The grace of a gateway process. */
+const graceMilliseconds = 2_000
 const callsPerKind = 5
 const rounds = 4
 /** More than is read of a connection in a few turns of the event loop. */
@@ -56,7 +59,7 @@
   response.end()
 }
 
-test('answers that were whole at their endpoint before their deadline are delivered whole by a gateway that is stopped over it, again and again', async () => {
+async function startEndpoints (): Promise<readonly EndpointStandIn[]> {
   const engine = await harness.startEndpoint('engines', { slots: 100 })
   engine.handleWith(({ path }, response) => {
     response.writeHead(path === '/query/error' ? 400 : 200, { 'content-type': 'text/event-stream', confidence: 90 })
@@ -65,17 +68,51 @@
   const ledger = await harness.startEndpoint('ledger', { slots: 100 })
   ledger.handleWith(({ path }, response) => sendPieces(response, path))
   await harness.waitUntilReady(gateway.host)
-  const cut = Object.fromEntries(Object.keys(kinds).map(kind => [kind, 0]))
+  return [engine, ledger]
+}
+
+/** Calls each kind some times, and resolves to how many answers of each were not whole. */
+async function countCut (names: readonly string[], calls: number, milliseconds: number): Promise<Record<string, number>> {
+  const counts = await Promise.all(names.map(async name => {
+    const { path, pieces } = kinds[name]!
+    const answers = await Promise.all(Array.from({ length: calls }, () => harness.call(gateway.host, path, { headers: { 'deadline-ms': String(milliseconds) } }).catch(() => undefined)))
+    return [name, answers.filter(answer => answer?.isComplete !== true || answer.body !== pieces.join('')).length] as const
+  }))
+  return Object.fromEntries(counts)
+}
+
+function show (cut: unknown): void {
+  if (process.env['LAVENDERDOOR_SHOW_TIMES'] !== undefined) console.log(JSON.stringify(cut))
+}
+
+const noneOf = (names: readonly string[]) => Object.fromEntries(names.map(name => [name, 0]))
+
+test('answers that were whole at their endpoint before their deadline are delivered whole by a gateway that is stopped over it, again and again', async () => {
+  const endpoints = await startEndpoints()
+  const names = Object.keys(kinds)
+  const cut: Record<string, number>[] = []
   for (let round = 0; round < rounds; round++) {
-    const calls = Object.entries(kinds).flatMap(([kind, { path, pieces }]) => Array.from({ length: callsPerKind }, async () => {
-      const answer = await harness.call(gateway.host, path, { headers: { 'deadline-ms': String(deadlineMilliseconds) } }).catch(() => undefined)
-      if (answer?.isComplete !== true || answer.body !== pieces.join('')) cut[kind]!++
-    }))
+    const counting = countCut(names, callsPerKind, deadlineMilliseconds)
     await pause(stallAfterMilliseconds)
     await gateway.holdUp(stallMilliseconds)
-    await Promise.all(calls)
+    cut.push(await counting)
   }
-  if (process.env['LAVENDERDOOR_SHOW_TIMES'] !== undefined) console.log(JSON.stringify({ calls: rounds * callsPerKind, cut }))
-  expect([...engine.received, ...ledger.received].filter(({ isAborted }) => isAborted)).toEqual([])
-  expect(cut).toEqual(Object.fromEntries(Object.keys(kinds).map(kind => [kind, 0])))
+  show(cut)
+  expect(endpoints.flatMap(({ received }) => received).filter(({ isAborted }) => isAborted)).toEqual([])
+  expect(cut).toEqual(Array(rounds).fill(noneOf(names)))
+}, 60_000)
+
+test('answers that were whole at their endpoint before a planned stop ends are delivered whole by a gateway that is stopped over its end', async () => {
+  harness.putConfiguration(2, { routes: configurationDocument(2).routes.map(route => ({ ...route, timeout_ms: 20_000 })) })
+  await startEndpoints()
+  const names = ['stream of many events', 'answer in many pieces', 'relayed answer']
+  const counting = countCut(names, 2, 20_000)
+  await pause(stallAfterMilliseconds - 100)
+  const hasEnded = gateway.stop(10_000)
+  await pause(100)
+  await gateway.holdUp(graceMilliseconds)
+  const cut = await counting
+  show(cut)
+  expect(cut).toEqual(noneOf(names))
+  expect(await hasEnded).toBe(true)
 }, 60_000)
