Look whether an endpoint is gone before its unframed answer counts as whole, also behind the deadline

What callers could see: an answer that only the end of its connection ends, read after its deadline because of a stall, counted as whole although its endpoint had been killed in the middle of it.

Cause: the look at the endpoint had until the deadline, so that behind it there was no look; without one it counts as alive.

--- a/src/gateway/endpointLiveness.ts
+++ b/src/gateway/endpointLiveness.ts
@@ -3,7 +3,7 @@
  * fleet often has a single run at an endpoint, so that nothing else shows that the endpoint is alive; it then
  * opens a connection, which a live endpoint accepts however busy it is.
  */
-import { type Clock, withDeadline } from '../contract/index.ts'
+import { type Clock, maximumInputReadMilliseconds, withDeadline } from '../contract/index.ts'
 import { ConnectionOutcome, type ConnectionProbe } from '../httpClient/index.ts'
 import type { EndpointLoads, EndpointRegistry } from '../placement/index.ts'
 import { type RoutedEndpoint, instanceKey } from '../routing/index.ts'
@@ -48,14 +48,16 @@
    * Whether an endpoint has ended without having said so: nothing listens at its address any more. One that
    * leaves as planned may stop listening while it still answers.
    *
-   * @param deadline milliseconds of the process's clock; an endpoint that has not shown its end by then counts as alive
+   * @param deadline milliseconds of the process's clock; an endpoint that has not shown its end by then counts as alive. A
+   *   response that is read after its deadline leaves some time all the same
    * @example
    * if (await liveness.hasEnded(endpoint, deadline)) discard(response)
    */
   async hasEnded (endpoint: RoutedEndpoint, deadline: number): Promise<boolean> {
     const { clock, probe, registry } = this.#options
     if (!registry.isServing(endpoint, clock.now())) return false
-    const outcome = await withDeadline(clock, deadline, probe(endpoint.address))
+    const latestAt = Math.max(deadline, clock.now() + maximumInputReadMilliseconds)
+    const outcome = await withDeadline(clock, latestAt, probe(endpoint.address))
     return outcome === ConnectionOutcome.Refused && registry.isServing(endpoint, clock.now())
   }
 
--- a/test/livenessChecks.test.ts
+++ b/test/livenessChecks.test.ts
@@ -2,6 +2,9 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { ForwarderHarness, formatEvent } from './fakes/forwarderWorld.ts'
 import { endpointDocument } from '../platform/standin/index.ts'
+import { EndpointLiveness } from '../src/gateway/index.ts'
+import { ConnectionOutcome } from '../src/httpClient/index.ts'
+import { ManualClock } from './fakes/manualClock.ts'
 
 let harness: ForwarderHarness
 let front: Server | undefined
@@ -11,6 +14,19 @@
   await harness.close()
 })
 
+test.each([0, 50, 10_000])('a response that only its connection ended is not taken for whole %i ms after its deadline without a look whether its endpoint is gone', async milliseconds => {
+  const clock = new ManualClock()
+  const probe = async () => {
+    await clock.sleep(5)
+    return ConnectionOutcome.Refused
+  }
+  const liveness = new EndpointLiveness({ probe, checkMilliseconds: 450, loads: { recordAcceptance: () => undefined }, registry: { isServing: () => true }, clock })
+  const endpoint = { identity: 'e', bornAt: 1, service: 'ledger', address: '127.0.0.1:1', place: { region: 'r', dataCentre: 'd' }, version: 'v1', isDraining: false, models: [] }
+  const hasEnded = liveness.hasEnded(endpoint, clock.now() - milliseconds)
+  await clock.advance(100)
+  expect(await hasEnded).toBe(true)
+})
+
 test('an engine that is silent is not asked by new connections while its stream could go on nowhere else', async () => {
   const engine = await harness.startEndpoint('engines')
   let connections = 0
