--- a/src/endpoint/exchange.ts
+++ b/src/endpoint/exchange.ts
@@ -27,8 +27,9 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher } from 'undici'
-import { Wait, invariant, maximumInputReadMilliseconds, scheduleReplyTimeout } from '../contract/index.ts'
+import { Wait, maximumInputReadMilliseconds, scheduleReplyTimeout } from '../contract/index.ts'
 import { untilArrivedIsRead } from './arrivedInput.ts'
+import { EventQueue } from './eventQueue.ts'
 import { type ExchangeEvent, type ExchangeOptions, isOverdue, overdueReason } from './exchangeContract.ts'
 import { SecondHeadScanner } from './secondHeadScanner.ts'
 import { TurnShare } from './turnShare.ts'
@@ -47,10 +48,9 @@
 /** A request and its response, read event by event. */
 export class Exchange implements Dispatcher.DispatchHandler {
   readonly #options: ExchangeOptions
-  readonly #events: ExchangeEvent[] = []
+  readonly #events = new EventQueue()
   readonly #secondHead: SecondHeadScanner | undefined
   #bytesBehind: Buffer = noBytes
-  #bufferedBytes = 0
   #receivedBytes = 0
   #bytesBeforeDeadline: number | undefined
   #eventCount = 0
@@ -59,7 +59,6 @@
   #controller: Dispatcher.DispatchController | undefined
   #mayHaveSent = false
   #finalEvent: ExchangeEvent | undefined
-  #wakeReader: (() => void) | undefined
   #isDiscarding = false
   #discardedBytes = 0
   readonly #turnShare = new TurnShare(() => this.#resume())
@@ -126,7 +125,7 @@
 
   /** Bytes received and not yet read. */
   get bufferedBytes (): number {
-    return this.#bufferedBytes
+    return this.#events.bufferedBytes
   }
 
   /** Bytes of the response's body received so far, read or not. */
@@ -167,13 +166,14 @@
 
   /** Returns the next event like `next`; undefined if there is none yet. Pieces of data that have arrived are one event. */
   poll (): ExchangeEvent | undefined {
-    const event = this.#takeEvent() ?? this.#finalEvent
-    return event === undefined ? undefined : this.#consume(event)
+    const event = this.#events.take()
+    if (event?.type === 'data') this.#resume()
+    return event ?? this.#finalEvent
   }
 
   /** Calls a function once when there is an event; replaces the one of an earlier call. */
   wakeOnEvent (wake: () => void): void {
-    this.#wakeReader = wake
+    this.#events.wakeOnEvent(wake)
   }
 
   /** Aborts the exchange and closes its connection, which is never reused. */
@@ -199,8 +199,7 @@
    * end or the failure of the exchange.
    */
   discardRest (): void {
-    this.#events.length = 0
-    this.#bufferedBytes = 0
+    this.#events.clear()
     if (this.#finalEvent !== undefined || this.#isDiscarding) return
     this.#isDiscarding = true
     this.#cancelDeadline()
@@ -233,10 +232,9 @@
     this.#silence.restart()
     if (this.#secondHead?.push(bytes) === true) return this.abort(secondHeadReason)
     if (this.#secondHead?.isUndecided === true) this.#bytesBehind = this.#options.bytesBehind?.(bytes) ?? noBytes
-    this.#bufferedBytes += bytes.length
     this.#receivedBytes += bytes.length
     this.#push({ type: 'data', bytes })
-    if (this.#bufferedBytes > maximumBufferedBytes) controller.pause()
+    if (this.bufferedBytes > maximumBufferedBytes) controller.pause()
   }
 
   onResponseEnd (): void {
@@ -256,35 +254,15 @@
 
   /** Resumes a paused connection, unless other input is to be read first or what has arrived of it is to be consumed. */
   #resume (): void {
-    if (this.#finalEvent !== undefined || this.#turnShare.isUsedUp || !this.isPaused || this.#bufferedBytes > maximumBufferedBytes / 2) return
+    if (this.#finalEvent !== undefined || this.#turnShare.isUsedUp || !this.isPaused || this.bufferedBytes > maximumBufferedBytes / 2) return
     this.#silence.restart()
     this.#controller?.resume()
   }
 
-  #takeEvent (): ExchangeEvent | undefined {
-    const first = this.#events.shift()
-    if (first?.type !== 'data' || this.#events[0]?.type !== 'data') return first
-    const pieces = [first.bytes]
-    for (let next = this.#events[0]; next?.type === 'data'; next = this.#events[0]) {
-      pieces.push(next.bytes)
-      this.#events.shift()
-    }
-    return { type: 'data', bytes: Buffer.concat(pieces) }
-  }
-
-  #consume (event: ExchangeEvent): ExchangeEvent {
-    if (event.type !== 'data') return event
-    this.#bufferedBytes -= event.bytes.length
-    invariant(this.#bufferedBytes >= 0, 'buffered bytes are counted', () => ({ bufferedBytes: this.#bufferedBytes }))
-    this.#resume()
-    return event
-  }
-
   #push (event: ExchangeEvent): void {
     if (this.#finalEvent !== undefined) return
-    this.#events.push(event)
     this.#eventCount++
-    this.#wake()
+    this.#events.push(event)
   }
 
   #finish (event: ExchangeEvent): void {
@@ -294,13 +272,7 @@
     this.#cancelInactivityWatch()
     this.#cancelDeadline()
     this.#cancelDiscardLimit()
-    this.#wake()
-  }
-
-  #wake (): void {
-    const wake = this.#wakeReader
-    this.#wakeReader = undefined
-    wake?.()
+    this.#events.wake()
   }
 
   /** The timer is set again only when it fires, since setting it for each event costs more than the event. */
