--- a/test/halfClose.test.ts
+++ b/test/halfClose.test.ts
@@ -91,3 +91,14 @@
   await pause(givenUpMilliseconds)
   expect(ledger.received[0]?.isAborted).toBe(true)
 })
+
+test('more requests than may be sent ahead are answered up to the bound although their caller half-closes', async () => {
+  caller.write(release)
+  await waitUntil(() => ledger.received.length === 1)
+  caller.write(lookUp.repeat(100))
+  caller.endSending()
+  await untilEnded()
+  expect(caller.statuses).toEqual([200, ...Array.from({ length: 63 }, () => 503)])
+  expect(caller.state).toBe(ConnectionState.Ended)
+  expect(ledger.received).toHaveLength(1)
+})
