--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -125,7 +125,7 @@
   async call (gateway: number, path: string, headers: Readonly<Record<string, string>>, left?: AbortSignal): Promise<CallOutcome> {
     const response = new RecordedResponse()
     left?.addEventListener('abort', () => response.destroy(), { once: true })
-    const request = Object.assign(Readable.from([]), { method: 'POST', url: path, headers: { host: queryRoute.host, ...headers }, rawHeaders: [], complete: true })
+    const request = Object.assign(Readable.from([]), { method: 'POST', url: path, headers: { host: queryRoute.host, ...headers }, rawHeaders: ['host', queryRoute.host], complete: true })
     await this.#gateways[gateway]!.handle(request as unknown as IncomingMessage, response as unknown as ServerResponse)
     return response.outcome
   }
