--- a/test/requestsAhead.test.ts
+++ b/test/requestsAhead.test.ts
@@ -110,3 +110,25 @@
   expect(ledger.received).toHaveLength(caller.statuses.filter(status => status === 200).length)
   if (path === '/release/') expect(caller.responses.at(-1)?.head).toMatch(/^connection: close$/im)
 })
+
+test('a request behind whose body comes in tiny pieces beside others like it is refused in its turn, and cuts no run', async () => {
+  ledger.handleWith((_request, response) => { setTimeout(() => response.end('done'), 600) })
+  const inPieces = (id: string) => requestHead('/release/pieces', { id }).replace('content-length: 0', 'transfer-encoding: chunked') + '1\r\nx\r\n'.repeat(1_100)
+  const others = [await RawCaller.connect(host), await RawCaller.connect(host)]
+  for (const other of others) other.write(inPieces('other'))
+  await pause(100)
+  caller.write(requestHead('/release/running', { id: 'running' }) + inPieces('behind'))
+  await caller.until(3)
+  for (const other of others) other.close()
+  expect(caller.statuses).toEqual([200, 503])
+  expect(caller.state).toBe(ConnectionState.Ended)
+})
+
+test('a running request outlasts the idle time and the time of a head behind it, which is refused after its answer', async () => {
+  harness.putConfiguration(2, { limits: { max_header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 200, idle_timeout_ms: 200 } })
+  await pause(200)
+  ledger.handleWith((_request, response) => { setTimeout(() => response.end('done'), 1_800) })
+  caller.write(requestHead('/release/running', { id: 'running' }) + requestHead('/release/behind', { id: 'behind' }).slice(0, 40))
+  await caller.until(2)
+  expect(caller.statuses).toEqual([200, 408])
+})
