--- a/trial/soak/callerPlan.ts
+++ b/trial/soak/callerPlan.ts
@@ -42,6 +42,8 @@
   readonly key: string
   readonly deadlineMilliseconds: number
   readonly bodyLength: number
+  /** Whether its body is a long one, which is sent slowly. */
+  readonly isLong: boolean
 }
 
 /** What is sent at once, each request ahead of the answers to those before it. */
@@ -107,13 +109,14 @@
     const isStream = isFirst && this.#randomness.fraction() < shareOfStreams
     const { routes, keys } = this.#choices()
     const route = this.pick(routes.filter(each => each.isStream === isStream))
-    const hasLongBody = isFirst && habit === CallerHabit.SlowBody
+    const isLong = isFirst && habit === CallerHabit.SlowBody
     return {
       route,
       run: isStream ? this.#streamRun(route.prefix) : { prefix: route.prefix, eventCount: 0, workMilliseconds: this.pick(plainWorkMilliseconds) },
       key: this.pick(keys),
       deadlineMilliseconds: this.pick(deadlinesMilliseconds),
-      bodyLength: hasLongBody ? longBodyBytes : this.#randomness.integerBelow(maximumBodyBytes)
+      bodyLength: isLong ? longBodyBytes : this.#randomness.integerBelow(maximumBodyBytes),
+      isLong
     }
   }
 
--- a/trial/soak/soakCaller.ts
+++ b/trial/soak/soakCaller.ts
@@ -15,7 +15,8 @@
 /** How long a caller waits past the time at which it is owed an answer, so that a late one is told from none. */
 const patienceMilliseconds = 4_000
 const reconnectMilliseconds = 50
-const maximumPieces = 12
+const pieceCount = 12
+const smallPauseMilliseconds = 4
 const streamHeaders = 'model: *\r\ntoken-usage: 10,10\r\nprefix-hash: a1:10\r\n'
 const sealPrefix = /^seal-of-/
 const wholeEvent = /^id: (\S+)\n(?:.+\n)*\n/gm
@@ -129,10 +130,11 @@
     const headers = planned.route.isStream ? `${streamHeaders}${resumption}` : ''
     const head = requestHead(askedRunPath(planned.run), { id, key: planned.key, bodyLength: planned.bodyLength, timeoutMilliseconds: planned.deadlineMilliseconds, headers })
     const text = head + 'b'.repeat(planned.bodyLength)
-    const isInPieces = habit === CallerHabit.SlowBody || habit === CallerHabit.SmallPieces
-    const pieceLength = isInPieces ? Math.ceil(text.length / maximumPieces) : text.length
+    const isSlow = habit === CallerHabit.SlowBody && planned.isLong
+    const pieceLength = isSlow || habit === CallerHabit.SmallPieces ? Math.ceil(text.length / pieceCount) : text.length
+    const pauseMilliseconds = isSlow ? habitMilliseconds / pieceCount : smallPauseMilliseconds
     for (let position = 0; position < text.length; position += pieceLength) {
-      if (position > 0) await pause(habitMilliseconds / maximumPieces / maximumPieces)
+      if (position > 0) await pause(pauseMilliseconds)
       if (caller.state !== ConnectionState.Open) return
       caller.write(text.slice(position, position + pieceLength))
     }
--- a/trial/soak/soakRun.ts
+++ b/trial/soak/soakRun.ts
@@ -19,7 +19,7 @@
 }
 
 const callerProcessCount = 3
-const callersPerProcess = 8
+const callersPerProcess = 12
 const tellIntervalMilliseconds = 200
 const memoryIntervalMilliseconds = 1_000
 const checkIntervalMilliseconds = 5_000
