--- a/src/forwarder/servingComposition.ts
+++ b/src/forwarder/servingComposition.ts
@@ -2,7 +2,7 @@
 import { readyPath } from '../../platform/index.ts'
 import { GatewayServer, OperationsServer } from '../gateway/index.ts'
 import { HeldBytes, watchCutRequests } from '../server/index.ts'
-import type { BootFileHolder, ForwarderDependencies } from './composition.ts'
+import type { BootFileHolder, ForwarderDependencies } from './forwarderDependencies.ts'
 
 /** Share of the VM's memory that may be held for callers. */
 const heldMemoryShare = 0.15
@@ -38,7 +38,7 @@
     plannedStop,
     clock,
     log,
-    handle: (request, response) => forwarding.handle(request, response),
+    handle: (request, response, turn) => forwarding.handle(request, response, turn),
     refuseLate: (request, response) => forwarding.refuseStopping(request, response),
     requestsInFlight: () => forwarding.inFlight,
     readRequests: () => forwarding.readRequests
--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -8,6 +8,7 @@
 import type { LogFields } from '../observe/index.ts'
 import { estimateWork } from '../placement/index.ts'
 import { type ResponseHead, type RequestHead, RouteType, type Route, type RoutedOrganisation, isRepeatable } from '../routing/index.ts'
+import { CallerDeparture } from './callerDeparture.ts'
 import { CallerResponse, type RequestState } from './callerResponse.ts'
 import { EndpointSelection } from './endpointSelection.ts'
 import type { ForwardingDependencies } from './forwardingDependencies.ts'
@@ -35,6 +36,8 @@
   /** The earlier of the caller's and the route's timeout, in milliseconds of the process's clock. */
   readonly deadline: number
   readonly sendWindow: SendWindow
+  /** How long it waited for the answers ahead of it; undefined if there were none. */
+  readonly waitedMilliseconds: number | undefined
   readonly snapshot: RoutingSnapshot
   readonly dependencies: ForwardingDependencies
 }
@@ -55,13 +58,13 @@
   readonly sendWindow: SendWindow
   readonly dependencies: ForwardingDependencies
   readonly callerResponse: CallerResponse
-  /** Aborted when the caller disconnects. */
-  readonly callerAbort = new AbortController()
   readonly prompt: SharedPrompt
   readonly selection: EndpointSelection
   readonly attempts: RequestAttempts
+  readonly #waitedMilliseconds: number | undefined
   readonly #snapshot: RoutingSnapshot
   readonly #bodyReadAt: number
+  readonly #departure: CallerDeparture
   #block: BlockedPrompt | undefined
 
   constructor (options: ForwardedRequestOptions) {
@@ -78,12 +81,10 @@
     this.sendWindow = sendWindow
     this.dependencies = dependencies
     this.prompt = sharedPromptOf(options)
+    this.#waitedMilliseconds = options.waitedMilliseconds
     this.#snapshot = snapshot
     this.#bodyReadAt = dependencies.clock.now()
-    response.once('close', () => {
-      if (!response.writableFinished) this.callerAbort.abort('caller disconnected')
-    })
-    if (response.destroyed) this.callerAbort.abort('caller disconnected')
+    this.#departure = new CallerDeparture(response, () => this.#isKept)
     this.callerResponse = new CallerResponse(response, this, dependencies)
     this.selection = new EndpointSelection(this)
     this.attempts = new RequestAttempts(this)
@@ -98,8 +99,19 @@
     return this.now >= this.deadline - timerToleranceMilliseconds
   }
 
+  /** Whether a run is under way that can't be taken back. */
+  get #isKept (): boolean {
+    return this.route.type === RouteType.AtMostOnce && this.attempts.isUnderWay
+  }
+
+  /** Aborted when the work for a caller who leaves ends. */
+  get callerAbort (): AbortController {
+    return this.#departure.abort
+  }
+
+  /** Whether nothing more is sent to endpoints, since the caller has left. */
   get hasCallerLeft (): boolean {
-    return this.callerAbort.signal.aborted
+    return this.#departure.hasLeft
   }
 
   get times (): RequestTimes {
@@ -107,6 +119,10 @@
     return { bodyReadAt: this.#bodyReadAt, firstSentAt, lastSentAt }
   }
 
+  get wasPassedOn (): boolean {
+    return this.attempts.firstSentAt !== undefined
+  }
+
   /** Whether it may be sent again once it may have run. */
   get isRepeatable (): boolean {
     return isRepeatable(this.route)
@@ -172,6 +188,7 @@
       route: this.route.name,
       organisation: this.organisation?.name,
       limit: Math.round(this.deadline - this.arrivedAt),
+      waitedMilliseconds: this.#waitedMilliseconds,
       allowedRegions: this.#allowedRegionsField(),
       ...this.#sizeFields(),
       settings: this.#snapshot.settings.version,
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -1,11 +1,13 @@
 /** One connection of a caller: what was read of it, and which of its responses are still open. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { recordCallerLeft } from './closeCause.ts'
+import { discardInput, discardsInput } from './discardInput.ts'
 import { markFollowed } from './followedResponse.ts'
 import { LingeringClose } from './lingeringClose.ts'
+import { ResponseQueue } from './responseQueue.ts'
+import type { ResponseTurn } from './responseTurn.ts'
 
-/** Requests of one connection that are served at a time; answers leave in order, so more of them only wait. */
-const maximumServed = 16
 /** Requests that a caller may send ahead of their answers. */
 const maximumOpenResponses = 64
 
@@ -13,10 +15,12 @@
 export interface UnfinishedRequests {
   /** Those whose body is arriving. */
   readonly arriving: number
-  /** Those that were read to their end. */
+  /** Those that were read to their end and whose turn had come. */
   readonly unanswered: number
   /** Those whose answer has been sent in part. */
   readonly begun: number
+  /** Those that waited for the answers ahead of them, and were not passed on. */
+  readonly waiting: number
 }
 
 /** The response to the latest request. */
@@ -43,23 +47,27 @@
 export class CallerConnection {
   readonly socket: Socket
   readonly #lingeringClose: LingeringClose
-  readonly #openResponses = new Set<ServerResponse>()
+  readonly #openResponses = new ResponseQueue()
   #last: LastResponse | undefined
   #isRetiring = false
   #takesRequests = true
+  #endsAfterAnswers = false
   /** Bytes received up to the end of the latest whole request. */
   #wholeRequestBytes = 0
   #headCount = 0
   #lastActiveAt = performance.now()
-  #servedCount = 0
-  /** Starts the requests that were read while others of this connection are served. */
-  readonly #backlog: (() => void)[] = []
 
   constructor (socket: Socket) {
     this.socket = socket
     this.#lingeringClose = new LingeringClose(socket)
     // Node.js calls it after an answer that announced the end of its connection.
     socket.destroySoon = () => this.#lingeringClose.begin()
+    socket.once('end', () => {
+      recordCallerLeft(socket)
+      this.retire()
+    })
+    socket.once('error', () => recordCallerLeft(socket))
+    socket.once('close', () => this.#closeQueued())
   }
 
   /** Responses of which the kernel has not taken all bytes yet. Node.js counts a response as ended before. */
@@ -79,12 +87,17 @@
 
   /** Bytes of a head that has not arrived completely. */
   get unfinishedHeadBytes (): number {
-    return this.isReadingBody ? 0 : this.socket.bytesRead - this.#wholeRequestBytes
+    return this.isReadingBody || discardsInput(this.socket) ? 0 : this.socket.bytesRead - this.#wholeRequestBytes
+  }
+
+  /** Whether the caller has sent as many requests ahead of their answers as it may. */
+  get hasManyRequests (): boolean {
+    return this.#openResponses.size >= maximumOpenResponses
   }
 
-  /** Whether the caller has sent more requests ahead of their answers than it may. */
-  get hasTooManyRequests (): boolean {
-    return this.#openResponses.size > maximumOpenResponses
+  /** Whether the connection ends when the requests that it has taken are answered. */
+  get endsAfterAnswers (): boolean {
+    return this.#endsAfterAnswers
   }
 
   /** Whether a request that was read to its end has not been answered. */
@@ -97,16 +110,24 @@
     return this.#answering.length < this.#openResponses.size
   }
 
+  /** The response whose turn it is to be sent. */
+  get leavingResponse (): ServerResponse | undefined {
+    return this.#openResponses.all.find(({ socket }) => socket !== null)
+  }
+
   /** Whether a response has been sent in part. */
   get hasBegunResponse (): boolean {
-    return [...this.#openResponses].some(({ headersSent }) => headersSent)
+    return this.#openResponses.all.some(({ headersSent }) => headersSent)
   }
 
   /** The requests that have no complete answer, by their state. */
   get unfinishedRequests (): UnfinishedRequests {
-    const begun = [...this.#openResponses].filter(({ headersSent }) => headersSent).length
-    const arriving = [...this.#openResponses].filter(({ headersSent, req }) => !headersSent && !req.complete).length
-    return { arriving, unanswered: this.#openResponses.size - begun - arriving, begun }
+    const { all } = this.#openResponses
+    const [first] = all
+    const begun = first?.headersSent === true ? 1 : 0
+    const arriving = all.filter(({ req }, index) => !req.complete && index >= begun).length
+    const unanswered = begun === 0 && first?.req.complete === true ? 1 : 0
+    return { arriving, unanswered, begun, waiting: all.length - arriving - unanswered - begun }
   }
 
   /** Resolves when the requests that were read to their end so far are answered. */
@@ -115,7 +136,7 @@
   }
 
   get #answering (): readonly ServerResponse[] {
-    return [...this.#openResponses].filter(({ req }) => req.complete)
+    return this.#openResponses.all.filter(({ req }) => req.complete)
   }
 
   /** Whether its end was announced, and its caller has yet to close its side. */
@@ -146,12 +167,18 @@
    */
   add (request: IncomingMessage, response: ServerResponse): boolean {
     if (!this.#takesRequests || this.#hasAnnouncedEnd || this.socket.destroyed) return false
+    if (this.hasManyRequests) {
+      this.endAfterAnswers()
+      return false
+    }
     this.#headCount++
     this.#lastActiveAt = performance.now()
     this.#openResponses.add(response)
     const close = () => {
-      this.#openResponses.delete(response)
+      this.#openResponses.remove(response)
       this.#lastActiveAt = performance.now()
+      if (this.#endsAfterAnswers && this.openResponseCount === 0) this.#lingeringClose.begin()
+      if (this.isClosing) this.#openResponses.close()
     }
     response.once('finish', close)
     response.once('close', close)
@@ -160,21 +187,9 @@
     return true
   }
 
-  /** Serves a request once few others of this connection are being served. */
-  serveInTurn (response: ServerResponse, serve: () => void): void {
-    if (this.#servedCount >= maximumServed) this.#backlog.push(() => this.#serve(response, serve))
-    else this.#serve(response, serve)
-  }
-
-  /** The next one begins in a later round of the event loop, so that other connections are served in between. */
-  #serve (response: ServerResponse, serve: () => void): void {
-    this.#servedCount++
-    response.once('close', () => {
-      this.#servedCount--
-      if (this.socket.destroyed) this.#backlog.length = 0
-      else if (this.#backlog.length > 0) setImmediate(() => this.#backlog.shift()?.())
-    })
-    serve()
+  /** The turn of a request that was added. */
+  turnOf (response: ServerResponse): ResponseTurn {
+    return this.#openResponses.turnOf(response)
   }
 
   /** Takes no further requests; those that were added are served. */
@@ -182,12 +197,31 @@
     this.#takesRequests = false
   }
 
+  /** Takes no further requests, discards what arrives, and ends the connection when those that were added are answered. */
+  endAfterAnswers (): void {
+    if (this.#endsAfterAnswers) return
+    this.#endsAfterAnswers = true
+    this.stopRequests()
+    this.retire()
+    discardInput(this.socket)
+  }
+
   /** Announces the end of the connection in its last response, unless the head of that has been sent. */
   retire (): void {
     this.#isRetiring = true
     if (this.#last !== undefined) announceEnd(this.#last.response)
   }
 
+  /** Node.js tells only the response whose turn it is that its connection has closed. */
+  #closeQueued (): void {
+    this.#openResponses.close()
+    for (const response of this.#openResponses.all) {
+      if (response.socket !== null) continue
+      response.destroy()
+      response.emit('close')
+    }
+  }
+
   get #hasAnnouncedEnd (): boolean {
     const response = this.#last?.response
     return response !== undefined && response.headersSent && !response.shouldKeepAlive
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -5,8 +5,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { CallerConnection } from './callerConnection.ts'
-import { CloseCause, recordCloseCause } from './closeCause.ts'
+import { CloseCause } from './closeCause.ts'
 import { ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
+import { refuseConnect } from './connectRefusal.ts'
+import { allowHalfOpen } from './halfClose.ts'
+import { discardsInput } from './discardInput.ts'
 import { IncomingBody } from './incomingBody.ts'
 import { listenOn } from './listenOn.ts'
 import { TrackedConnections } from './trackedConnections.ts'
@@ -39,9 +42,13 @@
   #serve: RequestListener | undefined
 
   constructor () {
-    this.server = createServer({ maxHeaderSize: parserMaximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMilliseconds }, (request, response) => this.#receive(request, response))
+    this.server = createServer({ maxHeaderSize: parserMaximumHeaderBytes, connectionsCheckingInterval: connectionCheckIntervalMilliseconds, requireHostHeader: false }, (request, response) => this.#receive(request, response))
     this.server.maxHeadersCount = unlimitedFields
+    allowHalfOpen(this.server)
     this.#connections = new TrackedConnections(this.server)
+    refuseConnect(this.server, socket => this.connectionOf(socket))
+    // An expectation that is not known is ignored, as RFC 9110 (10.1.1) allows.
+    this.server.on('checkExpectation', (request, response) => this.#receive(request, response))
     this.server.on('connection', socket => {
       if (this.#isRetiring) this.#connections.of(socket)?.retire()
       this.#guard?.admit()
@@ -86,7 +93,7 @@
   /** Serves the requests that are waiting and all further ones. */
   serveWith (serve: RequestListener): void {
     this.#serve = serve
-    for (const { request, response } of this.#waiting.splice(0)) this.#serveInTurn(request, response, serve)
+    for (const { request, response } of this.#waiting.splice(0)) serve(request, response)
   }
 
   /** Accepts no further connections; open ones stay. */
@@ -100,27 +107,23 @@
     for (const connection of this.connections) connection.retire()
   }
 
+  /** Node.js keeps a request that was read until its turn comes, which it never does; its head is not needed any more. */
+  #drop (request: IncomingMessage): void {
+    request.rawHeaders.length = 0
+    if (!discardsInput(request.socket)) request.resume()
+  }
+
   /** A request that can't be answered is not served: HTTP lets a caller expect nothing after `connection: close`. */
   #receive (request: IncomingMessage, response: ServerResponse): void {
+    const connection = this.#connections.of(request.socket)
+    const wasEnding: boolean = connection?.endsAfterAnswers ?? true
     if (!this.#connections.add(request, response)) {
-      request.resume()
+      if (!wasEnding && connection?.endsAfterAnswers === true) this.#onClose(CloseCause.RequestsAhead)
+      this.#drop(request)
       return
     }
     IncomingBody.of(request)
-    const connection = this.#connections.of(request.socket)
-    if (connection?.hasTooManyRequests) {
-      recordCloseCause(connection.socket, CloseCause.RequestsAhead)
-      connection.socket.destroy()
-      this.#onClose(CloseCause.RequestsAhead)
-      return
-    }
     if (this.#serve === undefined) this.#waiting.push({ request, response })
-    else this.#serveInTurn(request, response, this.#serve)
-  }
-
-  #serveInTurn (request: IncomingMessage, response: ServerResponse, serve: RequestListener): void {
-    const connection = this.#connections.of(request.socket)
-    if (connection === undefined) serve(request, response)
-    else connection.serveInTurn(response, () => serve(request, response))
+    else this.#serve(request, response)
   }
 }
--- a/src/server/closeCause.ts
+++ b/src/server/closeCause.ts
@@ -6,7 +6,7 @@
   Connections: 'connections',
   /** Heads that were arriving took too much memory. */
   Heads: 'heads',
-  /** Too many requests were sent ahead of their answers. */
+  /** Too many requests were sent ahead of their answers; the connection ends when those that it may send are answered. */
   RequestsAhead: 'requests_ahead',
   /** Nothing was requested within the idle time. */
   Idle: 'idle',
@@ -14,8 +14,6 @@
   HeadRefused: 'head_refused',
   /** The rest of a request that was refused did not arrive in time. */
   BodyUnread: 'body_unread',
-  /** A body came in too many small pieces. */
-  BodyFragmented: 'body_fragmented',
   /** A body did not arrive completely. */
   BodyBroken: 'body_broken',
   /** What an answer held that its caller did not read was needed for others. */
@@ -26,6 +24,8 @@
   Failure: 'failure',
   /** The planned stop ended. */
   Stop: 'stop',
+  /** Its caller closed it or broke it off. */
+  CallerLeft: 'caller_left',
   /** None was recorded: an answer had announced the end of its connection. */
   Announced: 'announced'
 } as const
@@ -33,7 +33,8 @@
 
 /** Kept at the socket itself: the launcher and the program that it loads each have a copy of this module. */
 const causeKey = Symbol.for('lavenderdoor.closeCause')
-type SocketWithCause = Socket & { [causeKey]?: CloseCause }
+const callerLeftKey = Symbol.for('lavenderdoor.callerLeft')
+type SocketWithCause = Socket & { [causeKey]?: CloseCause, [callerLeftKey]?: true }
 
 /**
  * Records why a connection is about to be closed; the first cause counts.
@@ -46,6 +47,16 @@
   socket[causeKey] ??= cause
 }
 
+/**
+ * Records that the caller of a connection has ended its side or broken it off. A cause of this process goes before that.
+ *
+ * @example
+ * socket.once('error', () => recordCallerLeft(socket))
+ */
+export function recordCallerLeft (socket: SocketWithCause): void {
+  socket[callerLeftKey] = true
+}
+
 /**
  * The recorded cause.
  *
@@ -53,5 +64,6 @@
  * socket.once('close', () => log.info('requests_cut', { cause: closeCauseOf(socket) }))
  */
 export function closeCauseOf (socket: SocketWithCause): CloseCause {
-  return socket[causeKey] ?? CloseCause.Announced
+  if (socket[causeKey] !== undefined) return socket[causeKey]
+  return socket[callerLeftKey] === true ? CloseCause.CallerLeft : CloseCause.Announced
 }
--- a/test/fakes/gatewayFleet.ts
+++ b/test/fakes/gatewayFleet.ts
@@ -1,6 +1,6 @@
 /** Gateways on virtual time that share simulated engines; each knows only its own requests. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { Readable, Writable } from 'node:stream'
+import { PassThrough, Readable, Writable } from 'node:stream'
 import { PlatformHeaders } from '../../platform/index.ts'
 import { EndpointRuns, PromptBreaker } from '../../src/breaker/index.ts'
 import { type Clock, type RetryLimits, SeededRandomness } from '../../src/contract/index.ts'
@@ -140,7 +140,7 @@
     const randomness = new SeededRandomness(seed)
     const log = new Log('info', {}, line => this.lines.push(JSON.parse(line)))
     this.stops.push(new PlannedStop(clock))
-    const [routing, registry, loads, announcedLimits, misdirected] = [new RoutingView(), new EndpointRegistry(), new EndpointLoads(() => undefined, () => clock.heldUpMilliseconds()), new AnnouncedLimits(), noMisdirected()]
+    const [routing, registry, loads, announcedLimits, misdirected] = [new RoutingView(), new EndpointRegistry(() => clock.heldUpMilliseconds()), new EndpointLoads(() => undefined, () => clock.heldUpMilliseconds()), new AnnouncedLimits(), noMisdirected()]
     const limits = limitsOf(announcedLimits)
     const breaker = new PromptBreaker({ name: `gateway-${seed}`, onChange: () => undefined })
     routing.install(settingsWith(timeoutMilliseconds))
@@ -195,7 +195,7 @@
 /** The caller's side of a response. */
 class RecordedResponse extends Writable {
   headersSent = false
-  readonly req = { complete: true, socket: {} }
+  readonly req = { complete: true, socket: new PassThrough() }
   readonly socket = null
   readonly chunkedEncoding = false
   #status: number | undefined
