--- a/test/soakChecks.test.ts
+++ b/test/soakChecks.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { findAll } from '../trial/soak/checks.ts'
 import { EndpointProcessFault, type Fault, GatewayFault, LinkFault, PlatformFault } from '../trial/soak/faults.ts'
-import { callerLink, endpointLink, storeLink } from '../trial/soak/linkNames.ts'
+import { callerLink, endpointLink, storeLink } from '../trial/soak/faultTargets.ts'
 import { CallerEnd, type ConfigurationRecord, type FaultRecord, type RequestRecord, RunEnd, type RunRecord, type SoakRecord, unaskedRequest } from '../trial/soak/records.ts'
 import { SoakView } from '../trial/soak/soakView.ts'
 
--- a/trial/soak/excuses.ts
+++ b/trial/soak/excuses.ts
@@ -1,6 +1,6 @@
 /** What excuses a finding. Each is one condition of the rules of the platform, or the soak's own doing; nothing else excuses anything. */
 import { EndpointProcessFault, GatewayFault, LinkFault, PlatformFault } from './faults.ts'
-import { callerLink, endpointLink, storeLink } from './linkNames.ts'
+import { callerLink, endpointLink, machineTarget, storeLink, storeTarget } from './faultTargets.ts'
 import { CallerEnd, type RequestRecord, RunEnd, type RunRecord } from './records.ts'
 import type { SoakView, Span } from './soakView.ts'
 
@@ -16,7 +16,6 @@
 
 /** Ends the identity of an endpoint's process, after the endpoint's name. */
 const incarnation = /\.\d+$/
-const machine = 'machine'
 const harmfulLinkFaults = [LinkFault.Delay, LinkFault.Reset, LinkFault.CutTowardsClient, LinkFault.CutTowardsServer, LinkFault.Silence] as const
 
 /** The gateway was killed while the request was open. */
@@ -67,13 +66,13 @@
   const processFaults = [GatewayFault.Kill, GatewayFault.Restart, GatewayFault.Move, GatewayFault.Freeze]
   const isProcessHarmed = view.faultsAt(gateway, processFaults, span).length > 0
   const isLinkHarmed = view.faultsAt(callerLink(gateway), [...harmfulLinkFaults, LinkFault.Pieces], span).length > 0
-  return isProcessHarmed || isLinkHarmed || view.faultsAt(machine, [PlatformFault.Load], span).length > 0
+  return isProcessHarmed || isLinkHarmed || view.faultsAt(machineTarget, [PlatformFault.Load], span).length > 0
 }
 
 /** The store, or a gateway's way to it, was not stable all the while. */
 export function storeUnstable (gateway: string, { from, to }: Span, view: SoakView): boolean {
   const span = { from: from - stableMilliseconds, to }
-  const isHarmed = view.faultsAt('store', [PlatformFault.StoreBusy, PlatformFault.StoreSilent, PlatformFault.StoreLosesAnswers, PlatformFault.StoreLosesHistory], span).length > 0
+  const isHarmed = view.faultsAt(storeTarget, [PlatformFault.StoreBusy, PlatformFault.StoreSilent, PlatformFault.StoreLosesAnswers, PlatformFault.StoreLosesHistory], span).length > 0
   return isHarmed || view.faultsAt(storeLink(gateway), harmfulLinkFaults, span).length > 0
 }
 
--- a/trial/soak/faultRunner.ts
+++ b/trial/soak/faultRunner.ts
@@ -3,6 +3,7 @@
 import { sleep } from '../demo/processes.ts'
 import { type PlannedFault, FaultPlace } from './faultPlan.ts'
 import { type EndpointFault, EndpointProcessFault, GatewayFault, type LinkFault, OperatorFault, PlatformFault } from './faults.ts'
+import { callerLink, endpointLink, machineTarget, storeLink, storeTarget } from './faultTargets.ts'
 import { RollOuts, drainMilliseconds } from './rollOuts.ts'
 import type { SoakEndpoint } from './soakEndpoint.ts'
 import type { SoakGateway } from './soakGateway.ts'
@@ -22,8 +23,6 @@
   [PlatformFault.StoreSilent]: 'silent',
   [PlatformFault.StoreLosesAnswers]: 'answers_lost'
 }
-const storeName = 'store'
-const machineName = 'machine'
 
 export class FaultRunner {
   readonly #world: SoakWorld
@@ -70,9 +69,9 @@
       case FaultPlace.Gateway: return { target: gateway.name, done: this.#harmGateway(gateway, fault as GatewayFault, milliseconds) }
       case FaultPlace.Endpoint: return { target: endpoint.name, done: this.#harmEndpoint(endpoint, fault as EndpointFault, milliseconds) }
       case FaultPlace.EndpointProcess: return { target: endpoint.name, done: harmEndpointProcess(endpoint, fault as EndpointProcessFault, milliseconds) }
-      case FaultPlace.CallerLink: return this.#harmLink(`callers/${gateway.name}`, fault as LinkFault, milliseconds)
-      case FaultPlace.StoreLink: return this.#harmLink(`store/${gateway.name}`, fault as LinkFault, milliseconds)
-      case FaultPlace.EndpointLink: return this.#harmLink(`endpoint/${endpoint.name}`, fault as LinkFault, milliseconds)
+      case FaultPlace.CallerLink: return this.#harmLink(callerLink(gateway.name), fault as LinkFault, milliseconds)
+      case FaultPlace.StoreLink: return this.#harmLink(storeLink(gateway.name), fault as LinkFault, milliseconds)
+      case FaultPlace.EndpointLink: return this.#harmLink(endpointLink(endpoint.name), fault as LinkFault, milliseconds)
       case FaultPlace.Operator: return this.#operate(fault as OperatorFault, endpoint.service)
       case FaultPlace.Platform: return this.#harmPlatform(fault as PlatformFault, milliseconds)
     }
@@ -106,7 +105,7 @@
   }
 
   #operate (fault: OperatorFault, service: string): CausedFault {
-    if (fault === OperatorFault.Configure) return { target: storeName, done: this.#world.configure() }
+    if (fault === OperatorFault.Configure) return { target: storeTarget, done: this.#world.configure() }
     return { target: service, done: this.#rollOut(service, fault === OperatorFault.RollOutBad) }
   }
 
@@ -115,8 +114,8 @@
   }
 
   #harmPlatform (fault: PlatformFault, milliseconds: number): CausedFault {
-    if (fault === PlatformFault.Load) return { target: machineName, done: this.#world.keepBusy(milliseconds) }
-    return { target: storeName, done: this.#harmStore(fault, milliseconds) }
+    if (fault === PlatformFault.Load) return { target: machineTarget, done: this.#world.keepBusy(milliseconds) }
+    return { target: storeTarget, done: this.#harmStore(fault, milliseconds) }
   }
 
   async #harmStore (fault: PlatformFault, milliseconds: number): Promise<void> {
--- a/trial/soak/linkNames.ts
+++ b/trial/soak/faultTargets.ts
@@ -1,4 +1,7 @@
-/** The names of proxied links, as fault records give them. */
+/** What faults are done to, as their records name it, besides gateways, endpoints and services. */
+
+export const storeTarget = 'store'
+export const machineTarget = 'machine'
 
 /** Between callers and a gateway. */
 export function callerLink (gateway: string): string {
--- a/trial/soak/soakWorld.ts
+++ b/trial/soak/soakWorld.ts
@@ -11,6 +11,7 @@
 import { buildProgram, removeProgram } from '../../test/fakes/gatewayProcess.ts'
 import { randomnessOf } from './faultPlan.ts'
 import { assertMemory, processorBinding } from './machine.ts'
+import { callerLink, endpointLink, storeLink } from './faultTargets.ts'
 import type { LinkFault } from './faults.ts'
 import { type GuardOrder, type LoadOrder, OrderedProcess, type ProxyOrder, Role, type StoreOrder } from './orders.ts'
 import type { EndRecord, SoakRecord } from './records.ts'
@@ -164,7 +165,7 @@
 
   /** Sends new connections of callers to where the gateway is now. */
   async retargetCallers (gateway: SoakGateway): Promise<void> {
-    await this.#proxies.order({ order: 'retarget', name: `callers/${gateway.name}`, target: gateway.ownAddress })
+    await this.#proxies.order({ order: 'retarget', name: callerLink(gateway.name), target: gateway.ownAddress })
   }
 
   async keepBusy (milliseconds: number): Promise<void> {
@@ -188,7 +189,7 @@
       logFolder: this.logFolder,
       command: options => this.command(this.roleProgram, Role.Endpoint, JSON.stringify(options)),
       onRecord: record => this.record(record),
-      openProxy: (name, target) => this.#openProxy(`endpoint/${name}`, target),
+      openProxy: (name, target) => this.#openProxy(endpointLink(name), target),
       onUnexpectedEnd: end => this.#noteEnd(end)
     })
     this.endpoints.push(endpoint)
@@ -219,8 +220,8 @@
 
   async #startGateway (gateway: SoakGateway, seeds: readonly string[]): Promise<void> {
     gateway.seeds = seeds
-    gateway.storeAddress = await this.#openProxy(`store/${gateway.name}`, this.#storeAddress)
-    gateway.callerAddress = await this.#openProxy(`callers/${gateway.name}`, gateway.ownAddress)
+    gateway.storeAddress = await this.#openProxy(storeLink(gateway.name), this.#storeAddress)
+    gateway.callerAddress = await this.#openProxy(callerLink(gateway.name), gateway.ownAddress)
     await gateway.start()
   }
 
