--- a/trial/soak/excuses.ts
+++ b/trial/soak/excuses.ts
@@ -69,10 +69,10 @@
   return isProcessHarmed || isLinkHarmed || view.faultsAt(machineTarget, [PlatformFault.Load], span).length > 0
 }
 
-/** The store, or a gateway's way to it, was not stable all the while. */
+/** The store, or a gateway's way to it, was not stable all the while. A store may discard its history at any time. */
 export function storeUnstable (gateway: string, { from, to }: Span, view: SoakView): boolean {
   const span = { from: from - stableMilliseconds, to }
-  const isHarmed = view.faultsAt(storeTarget, [PlatformFault.StoreBusy, PlatformFault.StoreSilent, PlatformFault.StoreLosesAnswers, PlatformFault.StoreLosesHistory], span).length > 0
+  const isHarmed = view.faultsAt(storeTarget, [PlatformFault.StoreBusy, PlatformFault.StoreSilent, PlatformFault.StoreLosesAnswers], span).length > 0
   return isHarmed || view.faultsAt(storeLink(gateway), harmfulLinkFaults, span).length > 0
 }
 
