--- a/test/soakChecks.test.ts
+++ b/test/soakChecks.test.ts
@@ -141,6 +141,15 @@
   expect(checksOf(cutOf({ path: '/balance/run?work=20' }), runOf({ end: RunEnd.Faulty }), runOf({ endpoint: 'ledger-2.1', startedAt: startedAt + 40, endedAt: startedAt + 60 }))).toEqual([lost])
 })
 
+test('a run that goes on with a stream and fails can only be cut, one that fails at first is lost', () => {
+  const cut = cutOf({ path: '/query/run?events=3&gap=20', status: 200, answeredBy: 'ledger-1.1', events: ['1'] })
+  const first = runOf({ end: RunEnd.Faulty, status: 200 })
+  const further = { endpoint: 'ledger-2.1', startedAt: startedAt + 40, endedAt: startedAt + 60 }
+  expect(checksOf(cut, first, runOf({ ...further, status: 500, resumedAfter: '1' }))).toEqual([])
+  expect(checksOf(cut, first, runOf({ ...further, status: 200, resumedAfter: '1' }))).toEqual([lost])
+  expect(checksOf(cutOf(), runOf({ status: 500 }))).toEqual([lost])
+})
+
 test('an answer is late half a second after the deadline or the timeout', () => {
   expect(checksOf(requestOf({ endedAt: startedAt + 2_501 }), runOf())).toEqual([late])
   expect(checksOf(requestOf({ endedAt: startedAt + 2_500 }), runOf())).toEqual([])
--- a/trial/soak/answerChecks.ts
+++ b/trial/soak/answerChecks.ts
@@ -1,6 +1,6 @@
 /** Checks of what callers got for their requests. */
 import { CallerHabit } from './callerPlan.ts'
-import { answerOwedAt, callerLinkBroken, endpointUnsound, gatewayEnded, gatewayKilled, gatewayOutOfTouch, mayRunAgain, ownTimeWasOver, wasAtWorkLateInStop, wasBehindClose } from './excuses.ts'
+import { answerOwedAt, callerLinkBroken, endpointUnsound, failedBehindBegunAnswer, gatewayEnded, gatewayKilled, gatewayOutOfTouch, mayRunAgain, ownTimeWasOver, wasAtWorkLateInStop, wasBehindClose } from './excuses.ts'
 import type { Finding } from './finding.ts'
 import { CallerEnd, type RequestRecord, type RunRecord } from './records.ts'
 import type { SoakView } from './soakView.ts'
@@ -14,7 +14,7 @@
 /** Requests that a sound endpoint ran, and whose connection was closed before a whole answer. */
 export function findLostRequests (view: SoakView): readonly Finding[] {
   return closedRequests(view).flatMap(request => {
-    const soundRuns = view.runsOf(request.request).filter(run => !endpointUnsound(run, view))
+    const soundRuns = view.runsOf(request.request).filter(run => !endpointUnsound(run, view) && !failedBehindBegunAnswer(run, request))
     if (soundRuns.length === 0 || wasAtWorkLateInStop(request, view)) return []
     const check = request.habit === CallerHabit.HalfClose ? halfCloseCheck : 'passed on and closed without a whole answer'
     return [findingOf(check, request, `${describeRuns(soundRuns)}${describeAhead(request, view)}`)]
--- a/trial/soak/excuses.ts
+++ b/trial/soak/excuses.ts
@@ -60,6 +60,11 @@
   return isProcessHarmed || view.faultsAt(endpointLink(endpoint), harmfulLinkFaults, span).length > 0
 }
 
+/** The run answered a failure, when an earlier run had begun the answer: it can only be cut. */
+export function failedBehindBegunAnswer (run: RunRecord, { status }: RequestRecord): boolean {
+  return run.resumedAfter !== undefined && run.status !== undefined && status !== undefined && run.status !== status
+}
+
 /** A gateway was not in touch all the while: its process, its callers' connections or the machine were harmed. */
 export function gatewayOutOfTouch (gateway: string, { from, to }: Span, view: SoakView): boolean {
   const span = { from: from - stableMilliseconds, to }
