--- a/trial/soak/figures.ts
+++ b/trial/soak/figures.ts
@@ -11,7 +11,7 @@
     `${requests.length} requests: ${describeCounts(requests.map(({ end, status }) => end === 'answered' ? `${status}` : end))}`,
     `habits: ${describeCounts(requests.flatMap(({ habit }) => habit ?? []))}; ${requests.filter(({ position }) => position > 0).length} on connections used before`,
     `${runs.length} runs: ${describeCounts(runs.map(({ end }) => end))}`,
-    `${faults.length} faults: ${describeCounts(faults.map(({ fault }) => fault))}`,
+    `${faults.length} faults: ${describeCounts(faults.map(({ fault, outcome }) => outcome === undefined ? fault : `${fault} (${outcome})`))}`,
     `${records.filter(record => record.type === 'configuration').length} configurations; largest gateway ${Math.round(peakBytes / 1024 / 1024)} MiB`
   ]
 }
