Leave the time without a processor out of what counts as late in a soak

The waits of gateways, proxies and callers for a processor are sampled from the kernel, and exactly they are left out.

--- a/test/fakes/gatewayProcess.ts
+++ b/test/fakes/gatewayProcess.ts
@@ -7,7 +7,6 @@
 import { bootDocument } from '../../platform/standin/index.ts'
 import { SystemClock } from '../../src/contract/index.ts'
 import { type ProcessEnd, TrialProcess } from '../../trial/trialProcess.ts'
-import { processorWaitMilliseconds } from './processorWait.ts'
 
 const defaultGraceSeconds = 2
 const clock = new SystemClock()
@@ -92,7 +91,7 @@
 
   /** For how long its main thread has been ready to run without a processor; 0 once it has ended. */
   get processorWaitMilliseconds (): number {
-    return processorWaitMilliseconds(this.pid)
+    return this.#process.processorWaitMilliseconds
   }
 
   /** Holds the process up for some milliseconds: it runs nothing meanwhile, while its kernel goes on receiving for it. */
--- a/test/soakChecks.test.ts
+++ b/test/soakChecks.test.ts
@@ -2,7 +2,7 @@
 import { findAll } from '../trial/soak/checks.ts'
 import { EndpointProcessFault, type Fault, GatewayFault, LinkFault, PlatformFault } from '../trial/soak/faults.ts'
 import { callerLink, endpointLink, storeLink } from '../trial/soak/faultTargets.ts'
-import { CallerEnd, type ConfigurationRecord, type FaultRecord, type RequestRecord, RunEnd, type RunRecord, type SoakRecord, unaskedRequest } from '../trial/soak/records.ts'
+import { CallerEnd, type ConfigurationRecord, type FaultRecord, type ProcessorWaitRecord, type RequestRecord, RunEnd, type RunRecord, type SoakRecord, unaskedRequest } from '../trial/soak/records.ts'
 import { SoakView } from '../trial/soak/soakView.ts'
 
 const startedAt = 1_000_000
@@ -166,6 +166,18 @@
   expect(checksOf(ahead, runOf(), requestOf({ request: 'c0-0-0-1', position: 1, endedAt }), runOf({ request: 'c0-0-0-1' }))).toEqual([])
 })
 
+test('the time for which gateway, proxies or callers waited for a processor does not count as late', () => {
+  const waitsOf = (process: string, milliseconds: number): readonly ProcessorWaitRecord[] => [
+    { type: 'processor_wait', process, at: startedAt - 500, milliseconds: 900 },
+    { type: 'processor_wait', process, at: startedAt + 1_000, milliseconds: 900 + milliseconds },
+    { type: 'processor_wait', process, at: startedAt + 3_000, milliseconds: 900 + milliseconds }
+  ]
+  const answered = [requestOf({ endedAt: startedAt + 2_600 }), runOf()]
+  for (const process of ['gateway-1', 'c0', 'proxies']) expect(checksOf(...answered, ...waitsOf(process, 100))).toEqual([])
+  expect(checksOf(...answered, ...waitsOf('gateway-1', 99))).toEqual([late])
+  expect(checksOf(...answered, ...waitsOf('gateway-2', 900))).toEqual([late])
+})
+
 test('a gateway that was out of touch may answer late', () => {
   const answered = [requestOf({ endedAt: startedAt + 3_000 }), runOf()]
   for (const fault of [GatewayFault.Freeze, GatewayFault.Restart, GatewayFault.Move, GatewayFault.Kill]) expect(checksOf(...answered, faultOf('gateway-1', fault))).toEqual([])
--- a/trial/soak/answerChecks.ts
+++ b/trial/soak/answerChecks.ts
@@ -1,6 +1,6 @@
 /** Checks of what callers got for their requests. */
 import { CallerHabit } from './callerPlan.ts'
-import { answerOwedAt, callerLinkBroken, endpointUnsound, failedBehindBegunAnswer, gatewayEnded, gatewayKilled, gatewayOutOfTouch, mayRunAgain, ownTimeWasOver, wasAtWorkLateInStop, wasBehindClose } from './excuses.ts'
+import { answerOwedAt, callerLinkBroken, endpointUnsound, failedBehindBegunAnswer, gatewayEnded, gatewayKilled, gatewayOutOfTouch, mayRunAgain, ownTimeWasOver, waitedForProcessors, wasAtWorkLateInStop, wasBehindClose } from './excuses.ts'
 import type { Finding } from './finding.ts'
 import { CallerEnd, type RequestRecord, type RunRecord } from './records.ts'
 import type { SoakView } from './soakView.ts'
@@ -43,7 +43,8 @@
 export function findLateAnswers (view: SoakView): readonly Finding[] {
   return view.requests.flatMap(request => {
     const { end, endedAt, wholeAt, gateway } = request
-    const milliseconds = endedAt - answerOwedAt(request, view)
+    const owedAt = answerOwedAt(request, view)
+    const milliseconds = endedAt - owedAt - waitedForProcessors(request, owedAt, view)
     const isInTime = wholeAt === undefined || milliseconds <= lateAnswerMilliseconds
     const isMissing = end === CallerEnd.Answered || end === CallerEnd.Unanswered
     if (!isMissing || isInTime) return []
--- a/trial/soak/excuses.ts
+++ b/trial/soak/excuses.ts
@@ -92,6 +92,14 @@
   return Math.max(...ownTimeEnds(request, view), request.wholeAt ?? Infinity, request.readFrom ?? 0, ...endsAhead)
 }
 
+/** For how long the machine gave no processor to those that an answer passes, before it was owed and after. */
+export function waitedForProcessors (request: RequestRecord, owedAt: number, view: SoakView): number {
+  const [callers = ''] = request.request.split('-')
+  const span = { from: Math.min(request.sentAt, owedAt), to: request.endedAt }
+  const waits = [request.gateway, callers, 'proxies'].map(process => view.processorWaitMilliseconds(process, span))
+  return waits.reduce((sum, wait) => sum + wait, 0)
+}
+
 /** The ends of the time that a request has for itself, by all timeouts that may be in force. */
 function ownTimeEnds (request: RequestRecord, view: SoakView): readonly number[] {
   return view.timeoutsMilliseconds(request).map(timeout => Math.min(request.deadlineAt, request.sentAt + timeout))
--- a/trial/soak/records.ts
+++ b/trial/soak/records.ts
@@ -160,4 +160,13 @@
   readonly bytes: number
 }
 
-export type SoakRecord = RunRecord | RunStartRecord | RequestRecord | FaultRecord | ConfigurationRecord | EndRecord | StopRecord | FailureRecord | MemoryRecord
+/** For how long a process had been ready to run without a processor, from its start to a moment. */
+export interface ProcessorWaitRecord {
+  readonly type: 'processor_wait'
+  /** A gateway, `proxies`, or the name that begins the ids of a caller process. */
+  readonly process: string
+  readonly at: number
+  readonly milliseconds: number
+}
+
+export type SoakRecord = RunRecord | RunStartRecord | RequestRecord | FaultRecord | ConfigurationRecord | EndRecord | StopRecord | FailureRecord | MemoryRecord | ProcessorWaitRecord
--- a/trial/soak/soakGateway.ts
+++ b/trial/soak/soakGateway.ts
@@ -78,6 +78,11 @@
     return this.#process?.peakMemoryBytes ?? 0
   }
 
+  /** For how long its process has been ready to run without a processor; 0 if none runs. */
+  get processorWaitMilliseconds (): number {
+    return this.#process?.processorWaitMilliseconds ?? 0
+  }
+
   /** Starts a process, unless one runs, and waits until it is ready. */
   async start (): Promise<void> {
     if (this.isRunning || this.#isRetired) return
--- a/trial/soak/soakRun.ts
+++ b/trial/soak/soakRun.ts
@@ -21,7 +21,7 @@
 const callerProcessCount = 3
 const callersPerProcess = 12
 const tellIntervalMilliseconds = 200
-const memoryIntervalMilliseconds = 1_000
+const sampleIntervalMilliseconds = 1_000
 const checkIntervalMilliseconds = 5_000
 /** Faults are recorded when they are over, and runs when they have ended: what is younger isn't checked yet. */
 const settleMilliseconds = 10_000
@@ -52,7 +52,7 @@
     })
     const timers = [
       setInterval(() => this.#tell(world, callers), tellIntervalMilliseconds),
-      setInterval(() => recordMemory(world), memoryIntervalMilliseconds),
+      setInterval(() => sample(world, callers), sampleIntervalMilliseconds),
       setInterval(() => this.#check(world.records, Date.now() - settleMilliseconds), checkIntervalMilliseconds)
     ]
     try {
@@ -85,9 +85,12 @@
   }
 }
 
-function recordMemory (world: SoakWorld): void {
+/** Records the memory of gateways, and for how long processes have waited for a processor. */
+function sample (world: SoakWorld, callers: CallerProcesses): void {
   const at = Date.now()
   for (const [gateway, bytes] of world.memoryBytes) world.record({ type: 'memory', gateway, at, bytes })
+  const waits = [...world.processorWaits, ...callers.processorWaits]
+  for (const [process, milliseconds] of waits) world.record({ type: 'processor_wait', process, at, milliseconds })
 }
 
 /** The routes of a configuration, as callers see them. */
--- a/trial/soak/soakView.ts
+++ b/trial/soak/soakView.ts
@@ -3,7 +3,7 @@
 import { type AskedRun, readAskedRun } from './askedRun.ts'
 import type { SoakRoute } from './callerPlan.ts'
 import type { Fault } from './faults.ts'
-import { type ConfigurationRecord, type EndRecord, type FailureRecord, type FaultRecord, type MemoryRecord, type RequestRecord, RunEnd, type RunRecord, type SoakRecord, type StopRecord, unaskedRequest } from './records.ts'
+import { type ConfigurationRecord, type EndRecord, type FailureRecord, type FaultRecord, type MemoryRecord, type ProcessorWaitRecord, type RequestRecord, RunEnd, type RunRecord, type SoakRecord, type StopRecord, unaskedRequest } from './records.ts'
 
 /** What the checks know of the world besides its records. */
 export interface SoakBounds {
@@ -47,6 +47,7 @@
   readonly #routes: ReadonlyMap<string, SoakRoute>
   readonly #runs = new Map<string, RunRecord[]>()
   readonly #connections = new Map<string, RequestRecord[]>()
+  readonly #processorWaits = new Map<string, ProcessorWaitRecord[]>()
   readonly #faultsByTarget = new Map<string, FaultRecord[]>()
 
   constructor (records: readonly SoakRecord[], bounds: SoakBounds) {
@@ -63,6 +64,7 @@
     this.#routes = new Map(bounds.routes.map(route => [route.prefix, route]))
     for (const run of records.filter(record => record.type === 'run')) getOrCreate(this.#runs, run.request, () => []).push(run)
     for (const request of this.requests) getOrCreate(this.#connections, connectionOf(request), () => []).push(request)
+    for (const wait of records.filter(record => record.type === 'processor_wait')) getOrCreate(this.#processorWaits, wait.process, () => []).push(wait)
     for (const fault of this.faults) getOrCreate(this.#faultsByTarget, fault.target, () => []).push(fault)
   }
 
@@ -105,6 +107,16 @@
     return timeouts.length === 0 ? [route.timeoutMilliseconds] : timeouts
   }
 
+  /** For how long at most a process was ready to run without a processor in a span, by the samples around it. */
+  processorWaitMilliseconds (process: string, { from, to }: Span): number {
+    const samples = this.#processorWaits.get(process) ?? []
+    const first = Math.max(0, samples.findLastIndex(({ at }) => at <= from))
+    const after = samples.findIndex(({ at }) => at >= to)
+    const around = samples.slice(first, after < 0 ? undefined : after + 1)
+    // A process that has started anew counts from 0.
+    return around.reduce((sum, { milliseconds }, index) => sum + Math.max(0, milliseconds - (around[index - 1]?.milliseconds ?? milliseconds)), 0)
+  }
+
   /** Faults of some kinds at a target, so far as they fall in a span. */
   faultsAt (target: string, kinds: readonly Fault[], { from, to }: Span): readonly FaultRecord[] {
     const faults = this.#faultsByTarget.get(target) ?? []
--- a/trial/soak/soakWorld.ts
+++ b/trial/soak/soakWorld.ts
@@ -121,6 +121,12 @@
     return new Map(this.gateways.filter(gateway => gateway.isRunning).map(gateway => [gateway.name, gateway.memoryBytes]))
   }
 
+  /** For how long the gateways and the proxies have been ready to run without a processor, in milliseconds since their starts. */
+  get processorWaits (): ReadonlyMap<string, number> {
+    const waits = [...this.gateways, this.#proxies].map(each => [each.name, each.processorWaitMilliseconds] as const)
+    return new Map(waits)
+  }
+
   /** The bundled program of the soak's own processes. */
   get roleProgram (): string {
     return join(this.#directory, 'role.cjs')
--- a/trial/trialProcess.ts
+++ b/trial/trialProcess.ts
@@ -3,6 +3,7 @@
 import { closeSync, existsSync, openSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { createInterface } from 'node:readline'
+import { processorWaitMilliseconds } from '../test/fakes/processorWait.ts'
 
 const bytesPerKilobyte = 1024
 
@@ -73,6 +74,11 @@
     return this.#memoryBytes('VmHWM')
   }
 
+  /** For how long its main thread has been ready to run without a processor; 0 once it has ended. */
+  get processorWaitMilliseconds (): number {
+    return processorWaitMilliseconds(this.pid)
+  }
+
   /** Sends a message, if the process has a channel for messages and runs. */
   send (message: object): void {
     if (this.#child.connected) this.#child.send(message, () => undefined)
