--- a/trial/soak/answerChecks.ts
+++ b/trial/soak/answerChecks.ts
@@ -1,6 +1,6 @@
 /** Checks of what callers got for their requests. */
 import { CallerHabit } from './callerPlan.ts'
-import { answerOwedAt, callerLinkBroken, endpointUnsound, gatewayEnded, gatewayKilled, gatewayOutOfTouch, mayRunAgain, ownTimeWasOver, wasAtWorkLateInStop, wasBehindClose } from './excuses.ts'
+import { answerOwedAt, callerLinkBroken, endpointUnsound, failedBehindBegunAnswer, gatewayEnded, gatewayKilled, gatewayOutOfTouch, mayRunAgain, ownTimeWasOver, waitedForProcessors, wasAtWorkLateInStop, wasBehindClose } from './excuses.ts'
 import type { Finding } from './finding.ts'
 import { CallerEnd, type RequestRecord, type RunRecord } from './records.ts'
 import type { SoakView } from './soakView.ts'
@@ -14,7 +14,7 @@
 /** Requests that a sound endpoint ran, and whose connection was closed before a whole answer. */
 export function findLostRequests (view: SoakView): readonly Finding[] {
   return closedRequests(view).flatMap(request => {
-    const soundRuns = view.runsOf(request.request).filter(run => !endpointUnsound(run, view))
+    const soundRuns = view.runsOf(request.request).filter(run => !endpointUnsound(run, view) && !failedBehindBegunAnswer(run, request))
     if (soundRuns.length === 0 || wasAtWorkLateInStop(request, view)) return []
     const check = request.habit === CallerHabit.HalfClose ? halfCloseCheck : 'passed on and closed without a whole answer'
     return [findingOf(check, request, `${describeRuns(soundRuns)}${describeAhead(request, view)}`)]
@@ -43,7 +43,8 @@
 export function findLateAnswers (view: SoakView): readonly Finding[] {
   return view.requests.flatMap(request => {
     const { end, endedAt, wholeAt, gateway } = request
-    const milliseconds = endedAt - answerOwedAt(request, view)
+    const owedAt = answerOwedAt(request, view)
+    const milliseconds = endedAt - owedAt - waitedForProcessors(request, owedAt, view)
     const isInTime = wholeAt === undefined || milliseconds <= lateAnswerMilliseconds
     const isMissing = end === CallerEnd.Answered || end === CallerEnd.Unanswered
     if (!isMissing || isInTime) return []
--- a/trial/soak/soakWorld.ts
+++ b/trial/soak/soakWorld.ts
@@ -11,6 +11,7 @@
 import { buildProgram, removeProgram } from '../../test/fakes/gatewayProcess.ts'
 import { randomnessOf } from './faultPlan.ts'
 import { assertMemory, processorBinding } from './machine.ts'
+import { callerLink, endpointLink, storeLink } from './faultTargets.ts'
 import type { LinkFault } from './faults.ts'
 import { type GuardOrder, type LoadOrder, OrderedProcess, type ProxyOrder, Role, type StoreOrder } from './orders.ts'
 import type { EndRecord, SoakRecord } from './records.ts'
@@ -120,6 +121,12 @@
     return new Map(this.gateways.filter(gateway => gateway.isRunning).map(gateway => [gateway.name, gateway.memoryBytes]))
   }
 
+  /** For how long the gateways and the proxies have been ready to run without a processor, in milliseconds since their starts. */
+  get processorWaits (): ReadonlyMap<string, number> {
+    const waits = [...this.gateways, this.#proxies].map(each => [each.name, each.processorWaitMilliseconds] as const)
+    return new Map(waits)
+  }
+
   /** The bundled program of the soak's own processes. */
   get roleProgram (): string {
     return join(this.#directory, 'role.cjs')
@@ -164,7 +171,7 @@
 
   /** Sends new connections of callers to where the gateway is now. */
   async retargetCallers (gateway: SoakGateway): Promise<void> {
-    await this.#proxies.order({ order: 'retarget', name: `callers/${gateway.name}`, target: gateway.ownAddress })
+    await this.#proxies.order({ order: 'retarget', name: callerLink(gateway.name), target: gateway.ownAddress })
   }
 
   async keepBusy (milliseconds: number): Promise<void> {
@@ -188,7 +195,7 @@
       logFolder: this.logFolder,
       command: options => this.command(this.roleProgram, Role.Endpoint, JSON.stringify(options)),
       onRecord: record => this.record(record),
-      openProxy: (name, target) => this.#openProxy(`endpoint/${name}`, target),
+      openProxy: (name, target) => this.#openProxy(endpointLink(name), target),
       onUnexpectedEnd: end => this.#noteEnd(end)
     })
     this.endpoints.push(endpoint)
@@ -219,8 +226,8 @@
 
   async #startGateway (gateway: SoakGateway, seeds: readonly string[]): Promise<void> {
     gateway.seeds = seeds
-    gateway.storeAddress = await this.#openProxy(`store/${gateway.name}`, this.#storeAddress)
-    gateway.callerAddress = await this.#openProxy(`callers/${gateway.name}`, gateway.ownAddress)
+    gateway.storeAddress = await this.#openProxy(storeLink(gateway.name), this.#storeAddress)
+    gateway.callerAddress = await this.#openProxy(callerLink(gateway.name), gateway.ownAddress)
     await gateway.start()
   }
 
