Start the work on few requests of a connection at a time, and count their time from their arrival

Requests that a caller sends while the program is loaded got a fresh deadline when it was.

Cause: since requests wait for their turn, all 64 of a connection were admitted on their arrival, each with its timers and signals; 16 were before.

Change: 16 requests of a connection are worked on up to their turn; further ones are only read, and started one by one as answers leave.

Tests (callerListener.test.ts), red before: 40 of 40 started, now 16, then 17; no time since the arrival.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -90,7 +90,7 @@
 
   async #forward (request: IncomingMessage, response: ServerResponse, holding: RequestHolding, turn: ResponseTurn): Promise<void> {
     const { clock, codec, plannedStop, routing, runDurations, untilTablesAreRead } = this.#dependencies
-    const arrivedAt = clock.now()
+    const arrivedAt = clock.now() - turn.millisecondsSinceArrival
     const headSize = headSizeOf(request)
     if (!this.#hasRoomFor(headSize, response) || !holding.tryAddHead(headSize)) return this.#refuse(request, response, ForwardRefusals.memoryFull)
     await plannedStop.orEnd(untilTablesAreRead(), plannedStop)
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -187,6 +187,11 @@
     return true
   }
 
+  /** Starts the work on a request that was added, once few others of this connection are worked on. */
+  start (response: ServerResponse, start: () => void): void {
+    this.#openResponses.start(response, start)
+  }
+
   /** The turn of a request that was added. */
   turnOf (response: ServerResponse): ResponseTurn {
     return this.#openResponses.turnOf(response)
--- a/src/server/callerListener.ts
+++ b/src/server/callerListener.ts
@@ -38,7 +38,8 @@
   #isRetiring = false
   #guard: ConnectionGuard | undefined
   #onClose: (cause: CloseCause) => void = () => undefined
-  readonly #waiting: { readonly request: IncomingMessage, readonly response: ServerResponse }[] = []
+  /** Start the work on requests that arrived before there was a program to serve them. */
+  readonly #waiting: (() => void)[] = []
   #serve: RequestListener | undefined
 
   constructor () {
@@ -93,7 +94,7 @@
   /** Serves the requests that are waiting and all further ones. */
   serveWith (serve: RequestListener): void {
     this.#serve = serve
-    for (const { request, response } of this.#waiting.splice(0)) serve(request, response)
+    for (const start of this.#waiting.splice(0)) start()
   }
 
   /** Accepts no further connections; open ones stay. */
@@ -123,7 +124,13 @@
       return
     }
     IncomingBody.of(request)
-    if (this.#serve === undefined) this.#waiting.push({ request, response })
+    const start = () => this.#start(request, response)
+    if (connection === undefined) start()
+    else connection.start(response, start)
+  }
+
+  #start (request: IncomingMessage, response: ServerResponse): void {
+    if (this.#serve === undefined) this.#waiting.push(() => this.#serve?.(request, response))
     else this.#serve(request, response)
   }
 }
--- a/src/server/responseTurn.ts
+++ b/src/server/responseTurn.ts
@@ -9,6 +9,7 @@
 export interface ResponseTurn {
   /** Whether no answer is ahead of it any more. */
   readonly hasCome: boolean
+  readonly millisecondsSinceArrival: number
   /** Resolves with true when the turn comes, and with false when the connection closes before. */
   untilCome (): Promise<boolean>
 }
@@ -24,7 +25,7 @@
 export type TurnOutcome = typeof TurnOutcome[keyof typeof TurnOutcome]
 
 /** Of a request that is alone on its connection. */
-export const immediateTurn: ResponseTurn = { hasCome: true, untilCome: async () => true }
+export const immediateTurn: ResponseTurn = { hasCome: true, millisecondsSinceArrival: 0, untilCome: async () => true }
 
 /**
  * Waits for a turn.
--- a/test/callerListener.test.ts
+++ b/test/callerListener.test.ts
@@ -1,11 +1,12 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { get, type IncomingMessage } from 'node:http'
+import { get, type IncomingMessage, type ServerResponse } from 'node:http'
+import { connect } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect, test } from 'vitest'
 import { readCallerAddress } from '../platform/index.ts'
 import { CallerListener } from '../src/server/index.ts'
-import { ForwarderHarness } from './fakes/forwarderWorld.ts'
+import { ForwarderHarness, waitUntil } from './fakes/forwarderWorld.ts'
 
 function fetchText (address: string): Promise<string> {
   return new Promise((resolve, reject) => {
@@ -68,3 +69,28 @@
   expect(readCallerAddress(undefined)).toBeUndefined()
   rmSync(directory, { recursive: true })
 })
+
+test('the time that a request waits before the program is loaded counts as time since its arrival', async () => {
+  const listener = new CallerListener()
+  const early = fetchText(await listener.listen('127.0.0.1:0'))
+  await new Promise(resolve => setTimeout(resolve, 200))
+  listener.serveWith((request, response) => { response.end(String(listener.connectionOf(request.socket)?.turnOf(response).millisecondsSinceArrival)) })
+  expect(Number(await early)).toBeGreaterThan(100)
+  listener.server.closeAllConnections()
+  listener.server.close()
+})
+
+test('of many requests that a caller sends ahead few are started, and each other one once an answer has left', async () => {
+  const listener = new CallerListener()
+  const responses: ServerResponse[] = []
+  listener.serveWith((_request, response) => { responses.push(response) })
+  const caller = connect(Number((await listener.listen('127.0.0.1:0')).split(':')[1]), '127.0.0.1')
+  caller.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(40))
+  await waitUntil(() => listener.openResponseCount === 40)
+  expect(responses).toHaveLength(16)
+  responses[0]?.end()
+  await waitUntil(() => responses.length > 16)
+  expect([responses.length, listener.openResponseCount]).toEqual([17, 39])
+  caller.destroy()
+  listener.server.close()
+})
