--- a/src/gateway/plainForwarding.ts
+++ b/src/gateway/plainForwarding.ts
@@ -16,13 +16,13 @@
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
 import { waitForDrain } from './responseDrain.ts'
+import { failureReasonOf, silentReason } from './runFailure.ts'
 import { startRun } from './runStart.ts'
 
 /** Responses larger than this are relayed as they arrive. */
 const maximumBufferedBytes = 256 * 1024
 /** Share of the latency target for which an idempotent attempt may be silent before another endpoint is tried. */
 const silenceTargetShare = 0.9
-const silentReason = 'silent'
 
 /** Outcome of one attempt. */
 type PlainOutcome =
@@ -91,7 +91,7 @@
   async #readResponse (attempt: OpenAttempt, reader: DeadlineReader): Promise<PlainOutcome> {
     const request = this.#request
     const head = await this.#nextEvent(attempt, reader)
-    if (head.type === 'failure') return this.#failAttempt(attempt, reasonOf(head))
+    if (head.type === 'failure') return this.#failAttempt(attempt, failureReasonOf(head))
     if (head.type !== 'head') return this.#failAttempt(attempt, 'body data before the response headers')
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
     if (!request.isOwnResponse(responseHead)) return this.#rejectForeignResponse(attempt, responseHead.attemptId)
@@ -111,7 +111,7 @@
     let bytes = 0
     for (;;) {
       const event = await this.#nextEvent(attempt, reader)
-      if (event.type === 'failure') return this.#failAttempt(attempt, reasonOf(event))
+      if (event.type === 'failure') return this.#failAttempt(attempt, failureReasonOf(event))
       if (event.type === 'end') break
       if (event.type !== 'data') continue
       chunks.push(event.bytes)
@@ -227,7 +227,3 @@
     return { type: 'lost' }
   }
 }
-
-function reasonOf (failure: Extract<ExchangeEvent, { type: 'failure' }>): string {
-  return isOverdue(failure) ? silentReason : failure.reason
-}
--- a/src/gateway/streamForwarding.ts
+++ b/src/gateway/streamForwarding.ts
@@ -17,6 +17,7 @@
 import { ModelChoice } from './modelChoice.ts'
 import { type OpenAttempt, NotExecutedReason, endpointEndedReason, isServerError } from './openAttempt.ts'
 import type { RoutedEndpoint } from '../routing/index.ts'
+import { failureReasonOf, silentReason } from './runFailure.ts'
 import { RunBounds } from './runBounds.ts'
 import { type PlannedHandover, RunHandover, silenceCheckIntervalMilliseconds } from './runHandover.ts'
 import { waitForDrain } from './responseDrain.ts'
@@ -29,7 +30,6 @@
 const maximumEventBytes = 1024 * 1024
 /** Largest error body that is relayed to the caller. */
 const maximumFailureBodyBytes = 64 * 1024
-const silentReason = 'silent'
 /** Says nothing of the endpoint, since others may hold the memory. */
 const noMemoryReason = 'no memory is left to hold what has arrived'
 /** Share of the route's maximum event gap within which an endpoint is to show that it is alive. */
@@ -104,7 +104,7 @@
     const request = this.#request
     const head = await this.#nextEvent(attempt, reader, false)
     if (isOverdue(head) || this.#handover.hasReplaced(attempt)) this.#choice.recordWaitEnd()
-    if (head.type !== 'head') return this.#failRun(attempt, reasonOf(head))
+    if (head.type !== 'head') return this.#failRun(attempt, failureReasonOf(head))
     const responseHead = request.dependencies.codec.readResponseHead(head.headers)
     if (!request.isOwnResponse(responseHead)) return this.#failRun(attempt, `response to another attempt: ${responseHead.attemptId ?? 'unnamed'}`, AttemptEnd.Cancelled)
     request.attempts.recordAnnouncements(attempt, head.status, responseHead)
@@ -160,7 +160,7 @@
       const event = await this.#nextEvent(attempt, reader, hasRunStarted)
       if (event.type === 'end' && splitter.pendingBytes === 0) return await this.#finishResponse(attempt, headers)
       if (hasRunStarted && (isOverdue(event) || this.#handover.hasReplaced(attempt))) this.#choice.recordEvents(0, wait.heardMilliseconds)
-      if (event.type !== 'data') return this.#failRun(attempt, reasonOf(event))
+      if (event.type !== 'data') return this.#failRun(attempt, failureReasonOf(event))
       const events = splitter.push(event.bytes)
       if (splitter.pendingBytes > maximumEventBytes) return this.#failRun(attempt, 'event too large')
       if (!request.holding.trySetAnswer(splitter.pendingBytes + this.#events.heldBytes)) return this.#failRun(attempt, noMemoryReason, AttemptEnd.Cancelled)
@@ -222,7 +222,7 @@
     for (;;) {
       const event = await this.#nextEvent(attempt, reader, true)
       if (event.type === 'end') break
-      if (event.type !== 'data') return this.#failRun(attempt, reasonOf(event))
+      if (event.type !== 'data') return this.#failRun(attempt, failureReasonOf(event))
       bytes += event.bytes.length
       if (bytes > maximumFailureBodyBytes) return this.#failRun(attempt, 'error body too large')
       if (!request.holding.trySetAnswer(bytes)) return this.#failRun(attempt, noMemoryReason, AttemptEnd.Cancelled)
@@ -296,9 +296,3 @@
     return `${reason}, after ${this.#lastEventId ?? 'nothing'}`
   }
 }
-
-function reasonOf (event: ExchangeEvent): string {
-  if (isOverdue(event)) return silentReason
-  if (event.type === 'failure') return event.reason
-  return event.type === 'end' ? 'stream ended in the middle of an event' : `unexpected ${event.type}`
-}
