--- a/test/soakChecks.test.ts
+++ b/test/soakChecks.test.ts
@@ -129,6 +129,16 @@
   expect(checksOf(configurationOf({ version: 2, ...long }), cut, runOf({ endedAt: startedAt + 4_000 }), stop)).toEqual([lost])
 })
 
+test('an older timeout ends a request only beside a store that was not stable', () => {
+  const short = configurationOf()
+  const long = configurationOf({ version: 2, sentAt: startedAt - 3_000, acknowledgedAt: startedAt - 3_000, routes: [{ prefix: '/release/', service: 'ledger', timeoutMilliseconds: 20_000 }] })
+  const cut = cutOf({ endedAt: startedAt + 2_001 })
+  expect(checksOf(short, long, cut, runOf())).toEqual([lost])
+  expect(checksOf(short, long, cut, runOf(), faultOf('store', PlatformFault.StoreSilent, { at: startedAt - 3_500, until: startedAt }))).toEqual([])
+  expect(checksOf(short, long, cut, runOf(), faultOf('store', PlatformFault.StoreSilent, { at: startedAt - 9_000, until: startedAt - 6_501 }))).toEqual([lost])
+  expect(checksOf(short, long, cutOf({ endedAt: startedAt + 1_900 }), runOf(), faultOf('store', PlatformFault.StoreSilent))).toEqual([lost])
+})
+
 test('an endpoint that broke off, ended, froze or was out of reach is not sound', () => {
   expect(checksOf(cutOf(), runOf({ end: RunEnd.Faulty }))).toEqual([])
   for (const fault of Object.values(EndpointProcessFault)) expect(checksOf(cutOf(), runOf(), faultOf('ledger-1', fault))).toEqual([])
--- a/trial/soak/excuses.ts
+++ b/trial/soak/excuses.ts
@@ -102,5 +102,7 @@
 
 /** The ends of the time that a request has for itself, by all timeouts that may be in force. */
 function ownTimeEnds (request: RequestRecord, view: SoakView): readonly number[] {
-  return view.timeoutsMilliseconds(request).map(timeout => Math.min(request.deadlineAt, request.sentAt + timeout))
+  const span = { from: request.sentAt - view.bounds.applyMilliseconds, to: request.endedAt }
+  const mayBeLate = storeUnstable(request.gateway, span, view)
+  return view.timeoutsMilliseconds(request, mayBeLate).map(timeout => Math.min(request.deadlineAt, request.sentAt + timeout))
 }
