--- a/test/soakChecks.test.ts
+++ b/test/soakChecks.test.ts
@@ -197,6 +197,15 @@
   expect(checksOf(cutOf({ habit: 'half_close' }), faultOf('gateway-1', GatewayFault.Freeze))).toEqual([halfClosed])
 })
 
+test('a caller that ends its own side cancels a begun stream that may be resumed, and nothing else', () => {
+  const cut = cutOf({ habit: 'half_close', path: '/query/run?events=3&gap=20', status: 200, answeredBy: 'ledger-1.1', events: ['1'] })
+  const abandoned = runOf({ end: RunEnd.Abandoned })
+  expect(checksOf(cut, abandoned)).toEqual([])
+  expect(checksOf({ ...cut, habit: undefined }, abandoned)).toEqual([lost])
+  expect(checksOf({ ...cut, status: undefined, answeredBy: undefined }, abandoned)).toEqual([halfClosed])
+  expect(checksOf({ ...cut, path: '/release/run?work=20' }, abandoned)).toEqual([halfClosed])
+})
+
 test.each([408, 421, 429, 503])('a request that may run once, ran, and was answered %i is a broken promise', status => {
   expect(checksOf(requestOf({ status, answeredBy: undefined }), runOf())).toEqual([refusedAndRun])
   expect(checksOf(requestOf({ status, answeredBy: undefined }))).toEqual([])
--- a/trial/soak/excuses.ts
+++ b/trial/soak/excuses.ts
@@ -1,4 +1,5 @@
 /** What excuses a finding. Each is one condition of the rules of the platform, or the soak's own doing; nothing else excuses anything. */
+import { CallerHabit } from './callerPlan.ts'
 import { EndpointProcessFault, GatewayFault, LinkFault, PlatformFault } from './faults.ts'
 import { callerLink, endpointLink, machineTarget, storeLink, storeTarget } from './faultTargets.ts'
 import { CallerEnd, type RequestRecord, RunEnd, type RunRecord } from './records.ts'
@@ -23,6 +24,12 @@
   return view.faultsAt(request.gateway, [GatewayFault.Kill], { from: request.sentAt - deathShowsMilliseconds, to: request.endedAt }).length > 0
 }
 
+/** The caller ended its own side while a stream that may be resumed was under way: that cancels the stream. */
+export function cancelledItsStream (request: RequestRecord, view: SoakView): boolean {
+  const { route } = view.askedOf(request)
+  return request.habit === CallerHabit.HalfClose && request.status !== undefined && route.isStream && route.isRepeatable
+}
+
 /** An answer ahead was cut, or announced the end of the connection, so that what wasn't passed on could get no answer on it. */
 export function wasBehindClose (request: RequestRecord, view: SoakView): boolean {
   return view.requestsAhead(request).some(({ end, announcesClose }) => end !== CallerEnd.Answered || announcesClose === true)
