--- a/test/soakChecks.test.ts
+++ b/test/soakChecks.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { findAll } from '../trial/soak/checks.ts'
-import { EndpointProcessFault, type Fault, GatewayFault, LinkFault, PlatformFault } from '../trial/soak/faults.ts'
+import { EndpointFault, EndpointProcessFault, type Fault, GatewayFault, LinkFault, PlatformFault } from '../trial/soak/faults.ts'
 import { callerLink, endpointLink, storeLink } from '../trial/soak/faultTargets.ts'
 import { CallerEnd, type ConfigurationRecord, type FaultRecord, type ProcessorWaitRecord, type RequestRecord, RunEnd, type RunRecord, type SoakRecord, unaskedRequest } from '../trial/soak/records.ts'
 import { SoakView } from '../trial/soak/soakView.ts'
@@ -137,6 +137,13 @@
   expect(checksOf(cutOf(), runOf(), faultOf(endpointLink('ledger-1'), LinkFault.Pieces))).toEqual([lost])
 })
 
+test('an endpoint that fell silent in a run that was given up was not sound, one whose run was whole was', () => {
+  const silence = faultOf('ledger-1', EndpointFault.FallSilent)
+  expect(checksOf(cutOf(), runOf({ end: RunEnd.Abandoned }), silence)).toEqual([])
+  expect(checksOf(cutOf(), runOf(), silence)).toEqual([lost])
+  expect(checksOf(cutOf(), runOf({ end: RunEnd.Abandoned }), faultOf('ledger-1', EndpointFault.FallSilent, { at: startedAt + 31, until: startedAt + 60 }))).toEqual([lost])
+})
+
 test('a request that ran at an endpoint that broke off and then at a sound one is lost', () => {
   expect(checksOf(cutOf({ path: '/balance/run?work=20' }), runOf({ end: RunEnd.Faulty }), runOf({ endpoint: 'ledger-2.1', startedAt: startedAt + 40, endedAt: startedAt + 60 }))).toEqual([lost])
 })
