--- a/test/soakChecks.test.ts
+++ b/test/soakChecks.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { findAll } from '../trial/soak/checks.ts'
-import { EndpointProcessFault, type Fault, GatewayFault, LinkFault, PlatformFault } from '../trial/soak/faults.ts'
+import { EndpointFault, EndpointProcessFault, type Fault, GatewayFault, LinkFault, PlatformFault } from '../trial/soak/faults.ts'
 import { callerLink, endpointLink, storeLink } from '../trial/soak/faultTargets.ts'
 import { CallerEnd, type ConfigurationRecord, type FaultRecord, type ProcessorWaitRecord, type RequestRecord, RunEnd, type RunRecord, type SoakRecord, unaskedRequest } from '../trial/soak/records.ts'
 import { SoakView } from '../trial/soak/soakView.ts'
@@ -147,6 +147,13 @@
   expect(checksOf(cutOf(), runOf(), faultOf(endpointLink('ledger-1'), LinkFault.Pieces))).toEqual([lost])
 })
 
+test('an endpoint that fell silent in a run that was given up was not sound, one whose run was whole was', () => {
+  const silence = faultOf('ledger-1', EndpointFault.FallSilent)
+  expect(checksOf(cutOf(), runOf({ end: RunEnd.Abandoned }), silence)).toEqual([])
+  expect(checksOf(cutOf(), runOf(), silence)).toEqual([lost])
+  expect(checksOf(cutOf(), runOf({ end: RunEnd.Abandoned }), faultOf('ledger-1', EndpointFault.FallSilent, { at: startedAt + 31, until: startedAt + 60 }))).toEqual([lost])
+})
+
 test('a request that ran at an endpoint that broke off and then at a sound one is lost', () => {
   expect(checksOf(cutOf({ path: '/balance/run?work=20' }), runOf({ end: RunEnd.Faulty }), runOf({ endpoint: 'ledger-2.1', startedAt: startedAt + 40, endedAt: startedAt + 60 }))).toEqual([lost])
 })
@@ -207,6 +214,15 @@
   expect(checksOf(cutOf({ habit: 'half_close' }), faultOf('gateway-1', GatewayFault.Freeze))).toEqual([halfClosed])
 })
 
+test('a caller that ends its own side cancels a begun stream that may be resumed, and nothing else', () => {
+  const cut = cutOf({ habit: 'half_close', path: '/query/run?events=3&gap=20', status: 200, answeredBy: 'ledger-1.1', events: ['1'] })
+  const abandoned = runOf({ end: RunEnd.Abandoned })
+  expect(checksOf(cut, abandoned)).toEqual([])
+  expect(checksOf({ ...cut, habit: undefined }, abandoned)).toEqual([lost])
+  expect(checksOf({ ...cut, status: undefined, answeredBy: undefined }, abandoned)).toEqual([halfClosed])
+  expect(checksOf({ ...cut, path: '/release/run?work=20' }, abandoned)).toEqual([halfClosed])
+})
+
 test.each([408, 421, 429, 503])('a request that may run once, ran, and was answered %i is a broken promise', status => {
   expect(checksOf(requestOf({ status, answeredBy: undefined }), runOf())).toEqual([refusedAndRun])
   expect(checksOf(requestOf({ status, answeredBy: undefined }))).toEqual([])
