--- a/test/exchangeDeadline.test.ts
+++ b/test/exchangeDeadline.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest'
 import { SystemClock } from '../src/contract/index.ts'
+import { untilArrivedIsRead } from '../src/endpoint/arrivedInput.ts'
 import { isOverdue } from '../src/endpoint/index.ts'
 import { Exchange, maximumBufferedBytes } from '../src/endpoint/exchange.ts'
 import { block } from './fakes/rawCaller.ts'
@@ -85,3 +86,10 @@
   exchange.onResponseEnd()
   expect(await exchange.next()).toEqual({ type: 'end' })
 })
+
+test('a response that goes on beyond its deadline is read no further than two polls where its connection keeps up', async () => {
+  let receivedBytes = 0
+  const reading = { isOver: false, isPaused: false, get receivedBytes () { return ++receivedBytes } }
+  await untilArrivedIsRead(reading, clock, 100)
+  expect(receivedBytes).toBeLessThan(5)
+})
