Pass nothing on at a daemon whose time to stop is over

What callers saw: a daemon that stops went on passing on requests that waited behind others of their connection, and cut the last one.

Cause: since requests wait for their turn, they outlast the drain, and nobody asked for the stop when the turn came.

Change: once the server closes, a request whose turn comes is refused as not run. Those that wait while the daemon drains are still served.

Test (callerServerConnections.test.ts): red without the refusal, green with it.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -66,6 +66,7 @@
   readonly #options: CallerServerOptions
   readonly #server: Server
   readonly #connections: TrackedConnections
+  #isClosing = false
 
   constructor (options: CallerServerOptions) {
     this.#options = options
@@ -104,6 +105,7 @@
   /** Stops listening and closes connections as they become idle. Running responses complete. */
   async close (): Promise<void> {
     const { clock } = this.#options
+    this.#isClosing = true
     this.#connections.stopListening()
     const closeAllAt = clock.now() + closeAllDelayMilliseconds
     for (;;) {
@@ -122,7 +124,7 @@
     const leave = this.#options.drain.enter()
     if (leave === undefined) {
       context.set('connection', 'close')
-      return this.#refuse(context, new Refusal(RefusalCode.Stopping, RunState.NotRun, 'this VM is stopping', 1))
+      return this.#refuse(context, stopping())
     }
     this.#options.metrics.inFlight.inc()
     // A request ends when its response has been sent completely or its connection is closed.
@@ -204,9 +206,10 @@
     const outcome = await awaitTurn(turn, this.#options.clock, deadline)
     if (outcome === TurnOutcome.Overdue) this.#refuse(context, new Refusal(RefusalCode.DeadlineExceeded, RunState.NotRun, 'the deadline passed while answers ahead on the connection were on their way'))
     if (outcome === TurnOutcome.Closed) this.#options.log.info('request_not_passed_on', { request: id, trace: context.state.trace?.traceId })
-    const isAbandoned = outcome === TurnOutcome.Come && signal.aborted
-    if (isAbandoned) this.#refuse(context, callerLeft())
-    return outcome === TurnOutcome.Come && !isAbandoned
+    if (outcome !== TurnOutcome.Come) return false
+    if (signal.aborted) this.#refuse(context, callerLeft())
+    else if (this.#isClosing) this.#refuse(context, stopping())
+    return !signal.aborted && !this.#isClosing
   }
 
   async #readChatCall (context: Koa.Context, caller: AuthenticatedRequest): Promise<Result<{ readonly call: ChatCall, readonly includeUsage: boolean }, Refusal>> {
@@ -291,3 +294,7 @@
   if (key.length <= maximumIdempotencyKeyCharacters) return Ok(key)
   return Err(new Refusal(RefusalCode.InvalidRequest, RunState.NotRun, `the Idempotency-Key header has more than ${maximumIdempotencyKeyCharacters} characters`))
 }
+
+function stopping (): Refusal {
+  return new Refusal(RefusalCode.Stopping, RunState.NotRun, 'this VM is stopping', 1)
+}
--- a/test/callerServerConnections.test.ts
+++ b/test/callerServerConnections.test.ts
@@ -48,3 +48,19 @@
   expect(received).toContain('not_run')
   expect(await harness.engineRuns()).toHaveLength(1)
 })
+
+test('a daemon whose time to stop is over passes on nothing that waits behind another request, and answers what it has passed on', async () => {
+  for (let call = 0; call < 8; call++) await harness.injectFault('service', { fault: 'slow', milliseconds: 400 })
+  const body = JSON.stringify({ amount: 1 })
+  const refunds = Array.from({ length: 8 }, (_, call) => `POST /v1/services/ledger/refunds HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${harbourKey}\r\ncontent-type: application/json\r\nidempotency-key: r-${call}\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+  const answers = receive(refunds.join(''), 4_000)
+  await pause(600)
+  harness.drain.begin()
+  const closed = harness.closeServer()
+  const statuses = (await answers).match(/HTTP\/1.1 \d+/g) ?? []
+  const runs = await harness.serviceRuns()
+  expect(statuses).toHaveLength(8)
+  expect(statuses.filter(status => status === 'HTTP/1.1 201')).toHaveLength(runs.length)
+  expect(runs.length).toBeLessThan(8)
+  await closed
+})
--- a/test/fakes/entryWorld.ts
+++ b/test/fakes/entryWorld.ts
@@ -61,6 +61,7 @@
   readonly leavingEndpoints = new Set<string>()
   /** Incarnations of engines that report a load, by name. */
   readonly engineIncarnations = new Map<string, number>()
+  #closeServer: () => Promise<void> = async () => undefined
   readonly #cleanups: Array<() => Promise<void>> = []
   #engineAddress = ''
   #serviceAddress = ''
@@ -81,6 +82,7 @@
     harness.settings.install(harness.settingsText())
     const server = harness.#createServer(versionPolicy, maximumBodyBytes, engines, services)
     harness.address = await server.listen('127.0.0.1:0')
+    harness.#closeServer = () => server.close()
     harness.#cleanups.push(() => server.close(), () => engine.close(), () => service.close())
     return harness
   }
@@ -144,6 +146,11 @@
     return await (await fetch(`http://${this.#serviceAddress}/records`)).json() as ServiceRun[]
   }
 
+  /** Ends the server for callers, as a daemon does when its time to stop is over. */
+  async closeServer (): Promise<void> {
+    await this.#closeServer()
+  }
+
   async close (): Promise<void> {
     for (const close of this.#cleanups) await close()
   }
