End a connection in order when an answer on it is broken off

What callers saw: four once-only calls of 60 KB and a stream on one connection; the caller reads late, the stream is cut at its deadline, and the caller sends one more request.

Cause: a connection was destroyed to break an answer off. When a caller's bytes arrive after that, the kernel resets the connection and drops what it has taken and not sent yet. That the kernel had an answer was taken for its delivery.

Change: an answer with a length or chunks is broken off by the end of this side, as after an announced end: what arrives is read and discarded until the caller closes, for a second at most, and for three if bytes are left to send. It looks as incomplete as before. No further turn comes on such a connection. requests_cut goes by the cause of the close, since the caller's own end now comes before it; its line is written when the connection closes, up to a second later, which the tests of requestsAhead.test.ts now wait for (their expectations are the same).

--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -3,7 +3,7 @@
  * it ends, one line is logged with everything that determined the outcome.
  */
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
-import { ResponseFrame, cutResponse, endWithoutFrame, frameOf, isSelfDelimited, maximumSingleWriteBytes } from './responseFraming.ts'
+import { ResponseFrame, breakOffResponse, endWithoutFrame, frameOf, isSelfDelimited, maximumSingleWriteBytes } from './responseFraming.ts'
 import type { BlockedPrompt } from '../breaker/index.ts'
 import type { LogFields } from '../observe/index.ts'
 import type { ForwardingDependencies } from './forwardingDependencies.ts'
@@ -144,7 +144,7 @@
   /** Ends the request by closing its connection, so that the response does not look complete. */
   abort (reason: string): void {
     this.#recordEnd(reason, undefined)
-    cutResponse(this.response, CloseCause.AnswerBroken)
+    breakOffResponse(this.response, CloseCause.AnswerBroken)
   }
 
   /** Ends the request as unfinished, unless it has ended already. */
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -5,7 +5,7 @@
 import { CloseCause, HeadTimeLimits, type ResponseTurn, immediateTurn } from '../server/index.ts'
 import { Drain, type DrainOptions } from './drain.ts'
 import { HeadRefusals } from './headRefusals.ts'
-import { cutResponse } from './responseFraming.ts'
+import { breakOffResponse } from './responseFraming.ts'
 
 export interface GatewayServerOptions extends DrainOptions {
   /** Forwards a request; it is passed on when its turn comes. */
@@ -37,7 +37,7 @@
     listener.serveWith((request, response) => {
       this.#serve(request, response).catch(error => {
         log.error('request_failed', { reason: error instanceof Error ? error.stack : String(error) })
-        cutResponse(response, CloseCause.Failure)
+        breakOffResponse(response, CloseCause.Failure)
       })
     })
     return await listener.listen(address)
--- a/src/gateway/responseFraming.ts
+++ b/src/gateway/responseFraming.ts
@@ -88,10 +88,24 @@
 }
 
 /**
- * Ends a response that will not be completed by closing its connection, once it is its turn on it.
+ * Ends a response that can't be completed by the orderly end of its connection, so that the answers before it reach a caller
+ * that reads late and goes on sending. A length or chunks show that the response is not complete.
  *
  * @example
- * cutResponse(response, CloseCause.AnswerBroken)
+ * breakOffResponse(response, CloseCause.AnswerBroken)
+ */
+export function breakOffResponse (response: ServerResponse, cause: CloseCause): void {
+  const { socket } = response
+  if (socket === null || delimitingConnections.has(socket)) return cutResponse(response, cause)
+  recordCloseCause(socket, cause)
+  socket.destroySoon()
+}
+
+/**
+ * Ends a response at once by closing its connection, once it is its turn on it. What it holds is given back.
+ *
+ * @example
+ * cutResponse(response, CloseCause.Evicted)
  */
 export function cutResponse (response: ServerResponse, cause: CloseCause): void {
   if (response.socket === null) recordCloseCause(response.req.socket, cause)
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -61,7 +61,7 @@
     this.socket = socket
     this.#lingeringClose = new LingeringClose(socket)
     // Node.js calls it after an answer that announced the end of its connection.
-    socket.destroySoon = () => this.#lingeringClose.begin()
+    socket.destroySoon = () => this.#end()
     socket.once('end', () => {
       recordCallerLeft(socket)
       this.retire()
@@ -217,6 +217,16 @@
     if (this.#last !== undefined) announceEnd(this.#last.response)
   }
 
+  /** Ends the connection behind its first response, which may have been broken off. */
+  #end (): void {
+    const [first] = this.#openResponses.all
+    const isBrokenOff = first !== undefined && !first.writableEnded
+    this.stopRequests()
+    this.#openResponses.close()
+    if (isBrokenOff) this.#lingeringClose.beginBrokenOff()
+    else this.#lingeringClose.begin()
+  }
+
   /** Node.js tells only the response whose turn it is that its connection has closed. */
   #closeQueued (): void {
     this.#openResponses.close()
--- a/src/server/cutRequests.ts
+++ b/src/server/cutRequests.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { CallerConnection, UnfinishedRequests } from './callerConnection.ts'
-import { type CloseCause, closeCauseOf } from './closeCause.ts'
+import { CloseCause, closeCauseOf } from './closeCause.ts'
 
 /** The connections that are watched. */
 export interface WatchedConnections {
@@ -30,12 +30,9 @@
 
 function watch (connection: CallerConnection, onCut: CutRequestsListener): void {
   const { socket } = connection
-  let hasCallerLeft = false
-  const recordLeaving = () => { hasCallerLeft = true }
-  socket.once('end', recordLeaving)
-  socket.once('error', recordLeaving)
   // The HTTP server forgets the responses of a connection when it closes.
   socket.prependOnceListener('close', () => {
-    if (!hasCallerLeft && connection.openResponseCount > 0) onCut(closeCauseOf(socket), connection.unfinishedRequests)
+    const cause = closeCauseOf(socket)
+    if (cause !== CloseCause.CallerLeft && connection.openResponseCount > 0) onCut(cause, connection.unfinishedRequests)
   })
 }
--- a/test/requestsAhead.test.ts
+++ b/test/requestsAhead.test.ts
@@ -52,9 +52,10 @@
   script()
   caller.write(streamAhead + requestsBehind)
   await waitUntil(() => caller.state !== ConnectionState.Open)
-  await pause(50)
+  const cutLine = () => lines.mock.calls.find(([event]) => event === 'requests_cut')
+  await waitUntil(() => cutLine() !== undefined)
   expect(ledger.received.map(({ path }) => path)).toEqual([])
-  expect(lines.mock.calls.find(([event]) => event === 'requests_cut')?.[1]).toMatchObject({ begun: 1, waiting: behind.length })
+  expect(cutLine()?.[1]).toMatchObject({ begun: 1, waiting: behind.length })
 })
 
 test('requests behind a stream that ends whole are passed on one after the other, and their log tells how long they waited', async () => {
