End a connection in order behind a refused body that goes on too long

What callers saw: once-only calls, and behind them a request that is refused while more than 4 MB of its body arrive.

Cause: the rest of the body was left unread and the connection destroyed, so that the kernel reset it.

Change: the input is discarded, and the connection ends in order.

--- a/src/server/endAfterRequest.ts
+++ b/src/server/endAfterRequest.ts
@@ -4,7 +4,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import { CloseCause, recordCloseCause } from './closeCause.ts'
-import { discardsInput } from './discardInput.ts'
+import { discardInput, discardsInput } from './discardInput.ts'
 import { IncomingBody } from './incomingBody.ts'
 
 /** After the response, the rest of its request is read for at most this time and up to so many bytes. */
@@ -31,10 +31,11 @@
     response.end()
   }
   const giveUp = () => {
-    request.pause()
+    clearTimeout(timer)
+    request.off('data', discard)
     recordCloseCause(request.socket, CloseCause.BodyUnread)
-    response.once('finish', () => request.destroy())
-    end()
+    discardInput(request.socket)
+    endConnectionAfter(response)
   }
   const discard = (chunk: Buffer) => {
     discardedBytes += chunk.length
@@ -48,7 +49,7 @@
   request.once('close', end)
 }
 
-/** The end of the request can't be found any more. */
+/** The end of the request is not looked for any more. */
 function endConnectionAfter (response: ServerResponse): void {
   const { socket } = response.req
   response.once('finish', () => socket.destroySoon())
--- a/test/answersBeforeCut.test.ts
+++ b/test/answersBeforeCut.test.ts
@@ -5,6 +5,7 @@
 import { RawCaller, pause, requestHead } from './fakes/rawCaller.ts'
 
 const limits = { memory_mb: 210, max_fds: 2_212, link_mbps: 1_000 }
+const megabyte = 1024 * 1024
 const callerCount = 6
 /** More than the kernel takes for a caller that reads late. */
 const answerBytes = 60_000
@@ -58,3 +59,12 @@
   expect(whole).toEqual(Array(callerCount).fill(4))
   expect(ledger.received).toHaveLength(4 * callerCount)
 }, 30_000)
+
+test('answers that left before the connection is closed for a body that was refused reach a caller that reads late', async () => {
+  const whole = await Promise.all(Array.from({ length: callerCount }, (_, number) => readLate(async caller => {
+    caller.write(once(number) + requestHead('/nowhere', { id: `refused-${number}`, bodyLength: 40 * megabyte }))
+    for (let written = 0; written < 6; written++) caller.write('x'.repeat(megabyte))
+    await pause(1_300)
+  })))
+  expect(whole).toEqual(Array(callerCount).fill(4))
+}, 30_000)
