--- a/src/gateway/forwardedRequest.ts
+++ b/src/gateway/forwardedRequest.ts
@@ -33,6 +33,8 @@
   readonly holding: RequestHolding
   /** Milliseconds of the process's clock. */
   readonly arrivedAt: number
+  /** Milliseconds of the process's clock. */
+  readonly bodyReadAt: number
   /** The earlier of the caller's and the route's timeout, in milliseconds of the process's clock. */
   readonly deadline: number
   readonly sendWindow: SendWindow
@@ -83,7 +85,7 @@
     this.prompt = sharedPromptOf(options)
     this.#waitedMilliseconds = options.waitedMilliseconds
     this.#snapshot = snapshot
-    this.#bodyReadAt = dependencies.clock.now()
+    this.#bodyReadAt = options.bodyReadAt
     this.#departure = new CallerDeparture(response, () => this.#isKept)
     this.callerResponse = new CallerResponse(response, this, dependencies)
     this.selection = new EndpointSelection(this)
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -107,11 +107,12 @@
     const body = await plannedStop.orEnd(readBoundedBody(request, { maximumBytes: snapshot.settings.limits.maximumBodyBytes, timeoutMilliseconds: bodyTimeoutMilliseconds, holding, evicted: holding.evicted }), sendWindow)
     if (body === undefined) return this.#refuse(request, response, ForwardRefusals.stopping, head)
     if (body.err) return this.#refuseBody(request, response, body.val, head)
+    const bodyReadAt = clock.now()
     const wait = new TurnWait(turn, clock)
     const waitEnd = await wait.run({ plannedStop, deadline, sendWindow, evicted: holding.evicted })
     if (waitEnd !== TurnWaitEnd.Come) return this.#endWaiting(request, response, head, { end: waitEnd, route: admitted.route, waitedMilliseconds: wait.milliseconds })
     holding.beginWork()
-    const forwardedRequest = new ForwardedRequest({ ...admitted, holding, waitedMilliseconds: wait.milliseconds, request, response, head, body: body.val, arrivedAt, deadline, sendWindow, snapshot, dependencies: this.#dependencies })
+    const forwardedRequest = new ForwardedRequest({ ...admitted, holding, waitedMilliseconds: wait.milliseconds, request, response, head, body: body.val, arrivedAt, bodyReadAt, deadline, sendWindow, snapshot, dependencies: this.#dependencies })
     await this.#run(forwardedRequest)
   }
 
