--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -5,6 +5,7 @@
 import { discardInput, discardsInput } from './discardInput.ts'
 import { markFollowed } from './followedResponse.ts'
 import { LingeringClose } from './lingeringClose.ts'
+import type { ParsedSocket } from './parsedSocket.ts'
 import { ResponseQueue } from './responseQueue.ts'
 import type { ResponseTurn } from './responseTurn.ts'
 
@@ -30,14 +31,6 @@
   readonly mayKeepAlive: boolean
 }
 
-/** A socket that is read by Node.js's HTTP parser. What the parser tells of itself is not documented, so it may be missing. */
-interface ParsedSocket extends Socket {
-  readonly parser?: {
-    /** How long the parser has been at the present request, in milliseconds; 0 between two requests. */
-    readonly duration?: () => number
-  } | null
-}
-
 /**
  * @example
  * const connection = new CallerConnection(socket)
--- a/src/server/discardInput.ts
+++ b/src/server/discardInput.ts
@@ -3,6 +3,7 @@
  * connection goes on to be read, so that it shows when its caller leaves; a paused one would not.
  */
 import type { Socket } from 'node:net'
+import type { ParsedSocket } from './parsedSocket.ts'
 
 /** More bytes than this are left to the kernel. */
 const maximumDiscardedBytes = 4 * 1024 * 1024
@@ -11,11 +12,6 @@
 const discardsKey = Symbol.for('lavenderdoor.discardsInput')
 type DiscardingSocket = Socket & { [discardsKey]?: true }
 
-/** A socket that is read by Node.js's HTTP parser. What the parser keeps of a head that is arriving is not documented, so it may be missing. */
-interface ParsedSocket extends Socket {
-  readonly parser?: { readonly _headers?: string[] } | null
-}
-
 /**
  * Discards all further input of a connection; later calls have no effect.
  *
--- a/src/server/halfClose.ts
+++ b/src/server/halfClose.ts
@@ -26,7 +26,7 @@
 }
 
 function endWhenUnread (socket: Socket, unreadMilliseconds: number): void {
-  // Node.js would close the connection after an idle time also while a request runs.
+  // The idle time, of Node.js and of HeadTimeLimits, would close the connection also while a request runs.
   socket.removeAllListeners('timeout')
   socket.setTimeout(unreadMilliseconds)
   socket.on('timeout', () => {
