Keep one rule for what a caller's leaving ends, at gateways and daemons

The gateway's CallerDeparture and the daemon's abortWhenCallerLeaves followed the same events with code of their own. The class moves to server, and the daemon uses it with no run to keep. A connection closes its queue of responses in one place, where it ends, so that the check behind each response goes. No behaviour is meant to change.

--- a/src/entry/callerLeaves.ts
+++ b/src/entry/callerLeaves.ts
@@ -1,7 +1,7 @@
-/** What a caller's leaving means for its request: see `server/callerLeaving`. Calls that run once go on all the same. */
+/** What a caller's leaving means for its request: see `server/callerDeparture`. Calls that run once go on all the same. */
 import type Koa from 'koa'
 import { Refusal, RefusalCode, RunState } from '../contract/index.ts'
-import { CallerLeaving } from '../server/index.ts'
+import { CallerDeparture } from '../server/index.ts'
 
 /**
  * A signal that is aborted when the caller ends its sending or its connection before its response is complete.
@@ -9,17 +9,8 @@
  * @example
  * const signal = abortWhenCallerLeaves(context)
  */
-export function abortWhenCallerLeaves ({ req, res }: Koa.Context): AbortSignal {
-  const controller = new AbortController()
-  const leaving = CallerLeaving.of(req.socket)
-  const abort = () => controller.abort()
-  const unfollow = leaving.follow({ onEnd: abort, onClose: abort })
-  res.once('close', () => {
-    unfollow()
-    if (!res.writableFinished) abort()
-  })
-  if (leaving.hasEnded) abort()
-  return controller.signal
+export function abortWhenCallerLeaves ({ res }: Koa.Context): AbortSignal {
+  return new CallerDeparture(res, () => false).abort.signal
 }
 
 /**
--- a/src/server/callerConnection.ts
+++ b/src/server/callerConnection.ts
@@ -170,8 +170,7 @@
     const close = () => {
       this.#openResponses.remove(response)
       this.#lastActiveAt = performance.now()
-      if (this.#endsAfterAnswers && this.openResponseCount === 0) this.#lingeringClose.begin()
-      if (this.isClosing) this.#openResponses.close()
+      if (this.#endsAfterAnswers && this.openResponseCount === 0) this.#end()
     }
     response.once('finish', close)
     response.once('close', close)
--- a/src/gateway/callerDeparture.ts
+++ b/src/server/callerDeparture.ts
@@ -3,7 +3,7 @@
  * that it is kept while the caller may still read its answer; all else is given up as soon as the caller ends its sending.
  */
 import type { ServerResponse } from 'node:http'
-import { CallerLeaving } from '../server/index.ts'
+import { CallerLeaving } from './callerLeaving.ts'
 
 const leftReason = 'caller disconnected'
 
--- a/src/server/index.ts
+++ b/src/server/index.ts
@@ -1,7 +1,7 @@
 /** Helpers shared by the HTTP servers: listening on an IP address, limits on sizes and times, and ending responses. */
 export type { CallerConnection, UnfinishedRequests } from './callerConnection.ts'
 export { CallerListener, type ConnectionLimits, type RequestListener } from './callerListener.ts'
-export { CallerLeaving, type LeavingListener } from './callerLeaving.ts'
+export { CallerDeparture } from './callerDeparture.ts'
 export { CloseCause, closeCauseOf, recordCloseCause } from './closeCause.ts'
 export { type ConnectionFinder, refuseConnect } from './connectRefusal.ts'
 export { ConnectionGuard, type ConnectionGuardOptions } from './connectionGuard.ts'
