--- /dev/null
+++ b/review/stand-ins-2/runner.mjs
@@ -0,0 +1,75 @@
+/**
+ * A stand-in for a runner, as a process of its own. It runs one request at a time on a connection, checks
+ * `Expect-Instance`, echoes `Attempt-Id` and seals its answers. Its parent keeps its row in the store and tells it what
+ * to do; it tells its parent of each run.
+ *
+ * Settings (JSON, the only argument): id, host, isFramed (whether answers have a length or chunks), events and
+ * gapMilliseconds (of a stream), plainMilliseconds and plainBytes (of another answer), headers (of all answers),
+ * poison (a part of a prompt that ends the process when it begins to write an answer on it), refusals (requests that it
+ * turns away with 503 at first) and retryAfterSeconds (which it then states).
+ */
+import { createServer } from 'node:http'
+
+const settings = { isFramed: true, events: 8, gapMilliseconds: 50, plainMilliseconds: 40, plainBytes: 800, headers: {}, refusals: 0, ...JSON.parse(process.argv[2]) }
+const sleep = milliseconds => new Promise(resolve => setTimeout(resolve, milliseconds))
+const tell = message => new Promise(resolve => process.send({ ...message, runner: settings.id }, resolve))
+
+async function serve (request, response) {
+  const chunks = []
+  for await (const chunk of request) chunks.push(chunk)
+  const attempt = request.headers['attempt-id']
+  if (request.url === '/healthz') return response.writeHead(200, { 'Instance-Id': settings.id, 'content-length': 0 }).end()
+  if (attempt === undefined) return response.writeHead(400, { 'Not-Executed': '1', 'content-length': 0 }).end()
+  if (request.headers['expect-instance'] !== settings.id) {
+    return response.writeHead(421, { 'Instance-Id': settings.id, 'Attempt-Id': attempt, 'content-length': 0 }).end()
+  }
+  if (settings.refusals-- > 0) {
+    await tell({ type: 'refused', attempt })
+    return response.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': attempt, 'Retry-After': String(settings.retryAfterSeconds), 'content-length': 0 }).end()
+  }
+  const parts = (request.headers['prefix-hash'] ?? '').split(',').filter(part => part !== '').map(part => part.split(':')[0])
+  await tell({ type: 'run', attempt, path: request.url, after: request.headers['last-event-id'], parts })
+  if (settings.poison !== undefined && parts.includes(settings.poison)) {
+    await tell({ type: 'crash', attempt })
+    process.exit(1)
+  }
+  if (parts.length > 0) await writeStream(request, response, attempt)
+  else await writePlain(response, attempt)
+}
+
+/** Without a frame, the answer ends with its connection. */
+function begin (response, attempt, headers) {
+  const all = { 'Attempt-Id': attempt, 'Server-Seal': `seal-${settings.id}-${attempt}`, ...settings.headers, ...headers }
+  if (!settings.isFramed) {
+    response.useChunkedEncodingByDefault = false
+    response.shouldKeepAlive = false
+  }
+  response.writeHead(200, all)
+}
+
+async function writeStream (request, response, attempt) {
+  const first = Number(request.headers['last-event-id'] ?? 0) + 1
+  begin(response, attempt, { 'Content-Type': 'text/event-stream', 'Weight-Versions': '1', Confidence: '90' })
+  for (let id = first; id <= settings.events && !response.destroyed; id++) {
+    response.write(`id: ${id}\ndata: piece ${id} of ${attempt}\n\n`)
+    await sleep(settings.gapMilliseconds)
+  }
+  if (response.destroyed) return
+  response.end()
+  await tell({ type: 'ran', attempt })
+}
+
+async function writePlain (response, attempt) {
+  await sleep(settings.plainMilliseconds)
+  const body = Buffer.alloc(settings.plainBytes, 'x')
+  begin(response, attempt, settings.isFramed ? { 'content-length': body.length } : {})
+  response.end(body)
+  await tell({ type: 'ran', attempt })
+}
+
+const server = createServer((request, response) => {
+  serve(request, response).catch(() => response.destroy())
+})
+server.keepAliveTimeout = 10_000
+server.listen(settings.port ?? 0, settings.host, () => tell({ type: 'listening', address: `${settings.host}:${server.address().port}` }))
+process.on('disconnect', () => process.exit(0))
