--- a/review/stand-ins-2/runner.mjs
+++ b/review/stand-ins-2/runner.mjs
@@ -3,14 +3,14 @@
  * `Expect-Instance`, echoes `Attempt-Id` and seals its answers. Its parent keeps its row in the store and tells it what
  * to do; it tells its parent of each run.
  *
- * Settings (JSON, the only argument): id, host, isFramed (whether answers have a length or chunks), events and
+ * Settings (JSON, the only argument): id, host, unframedEvery (each such answer has neither length nor chunks), events and
  * gapMilliseconds (of a stream), plainMilliseconds and plainBytes (of another answer), headers (of all answers),
  * poison (a part of a prompt that ends the process when it begins to write an answer on it), refusals (requests that it
  * turns away with 503 at first) and retryAfterSeconds (which it then states).
  */
 import { createServer } from 'node:http'
 
-const settings = { isFramed: true, events: 8, gapMilliseconds: 50, plainMilliseconds: 40, plainBytes: 800, headers: {}, refusals: 0, ...JSON.parse(process.argv[2]) }
+const settings = { unframedEvery: Infinity, events: 8, gapMilliseconds: 50, plainMilliseconds: 40, plainBytes: 800, headers: {}, refusals: 0, ...JSON.parse(process.argv[2]) }
 const sleep = milliseconds => new Promise(resolve => setTimeout(resolve, milliseconds))
 const tell = message => new Promise(resolve => process.send({ ...message, runner: settings.id }, resolve))
 
@@ -37,10 +37,14 @@
   else await writePlain(response, attempt)
 }
 
-/** Without a frame, the answer ends with its connection. */
-function begin (response, attempt, headers) {
+let answers = 0
+
+/** Whether the next answer has a frame. Without one, it ends with its connection. */
+const isNextFramed = () => ++answers % settings.unframedEvery !== 0
+
+function begin (response, attempt, headers, isFramed) {
   const all = { 'Attempt-Id': attempt, 'Server-Seal': `seal-${settings.id}-${attempt}`, ...settings.headers, ...headers }
-  if (!settings.isFramed) {
+  if (!isFramed) {
     response.useChunkedEncodingByDefault = false
     response.shouldKeepAlive = false
   }
@@ -49,7 +53,9 @@
 
 async function writeStream (request, response, attempt) {
   const first = Number(request.headers['last-event-id'] ?? 0) + 1
-  begin(response, attempt, { 'Content-Type': 'text/event-stream', 'Weight-Versions': '1', Confidence: '90' })
+  const isFramed = isNextFramed()
+  if (!isFramed) await tell({ type: 'unframed', attempt })
+  begin(response, attempt, { 'Content-Type': 'text/event-stream', 'Weight-Versions': '1', Confidence: '90' }, isFramed)
   for (let id = first; id <= settings.events && !response.destroyed; id++) {
     response.write(`id: ${id}\ndata: piece ${id} of ${attempt}\n\n`)
     await sleep(settings.gapMilliseconds)
@@ -62,7 +68,7 @@
 async function writePlain (response, attempt) {
   await sleep(settings.plainMilliseconds)
   const body = Buffer.alloc(settings.plainBytes, 'x')
-  begin(response, attempt, settings.isFramed ? { 'content-length': body.length } : {})
+  begin(response, attempt, { 'content-length': body.length }, true)
   response.end(body)
   await tell({ type: 'ran', attempt })
 }
