--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -14,7 +14,7 @@
 const crashesBeforeBound = 5
 const allowedRequests = 3
 
-const world = new World(import.meta.dirname)
+const world = new World(process.argv[2])
 await world.startStore()
 world.configure(1, [{ prefix: '/query/', route_type: 'streaming', timeout_ms: 25_000, target_latency_ms: 2_000, target_gap_ms: 1_200, resumable: true, affinity: true, backend: 'assist-llm' }], ['assist-llm'])
 for (let number = 1; number <= runnerCount; number++) {
--- a/review/stand-ins-2/runner.mjs
+++ b/review/stand-ins-2/runner.mjs
@@ -29,11 +29,7 @@
   }
   const parts = (request.headers['prefix-hash'] ?? '').split(',').filter(part => part !== '').map(part => part.split(':')[0])
   await tell({ type: 'run', attempt, path: request.url, after: request.headers['last-event-id'], parts })
-  if (settings.poison !== undefined && parts.includes(settings.poison)) {
-    await tell({ type: 'crash', attempt })
-    process.exit(1)
-  }
-  if (parts.length > 0) await writeStream(request, response, attempt)
+  if (parts.length > 0) await writeStream(request, response, attempt, parts.includes(settings.poison))
   else await writePlain(response, attempt)
 }
 
@@ -51,11 +47,12 @@
   response.writeHead(200, all)
 }
 
-async function writeStream (request, response, attempt) {
+async function writeStream (request, response, attempt, isKilling) {
   const first = Number(request.headers['last-event-id'] ?? 0) + 1
   const isFramed = isNextFramed()
   if (!isFramed) await tell({ type: 'unframed', attempt })
   begin(response, attempt, { 'Content-Type': 'text/event-stream', 'Weight-Versions': '1', Confidence: '90' }, isFramed)
+  if (isKilling) await crash(response, attempt)
   for (let id = first; id <= settings.events && !response.destroyed; id++) {
     response.write(`id: ${id}\ndata: piece ${id} of ${attempt}\n\n`)
     await sleep(settings.gapMilliseconds)
@@ -65,6 +62,14 @@
   await tell({ type: 'ran', attempt })
 }
 
+/** The process ends in the middle of the first event. */
+async function crash (response, attempt) {
+  response.write('id: 1\ndata: piece 1')
+  await sleep(settings.gapMilliseconds)
+  await tell({ type: 'crash', attempt })
+  process.exit(1)
+}
+
 async function writePlain (response, attempt) {
   await sleep(settings.plainMilliseconds)
   const body = Buffer.alloc(settings.plainBytes, 'x')
--- a/review/stand-ins-2/world.mjs
+++ b/review/stand-ins-2/world.mjs
@@ -37,9 +37,9 @@
   #attempts = 0
   #beats
 
-  /** @param caseFolder where `record.txt` is written */
-  constructor (caseFolder) {
-    this.#record = join(caseFolder, 'record.txt')
+  /** @param record path of the file to which is written what was sent, answered and run */
+  constructor (record) {
+    this.#record = record
     writeFileSync(this.#record, `# ${isTroubled ? 'with' : 'without'} the disruption; milliseconds since the start\n`)
     process.on('exit', () => this.#killAll())
     // A fault of the script itself must not look like a broken rule.
