--- a/review/stand-ins-2/runner.mjs
+++ b/review/stand-ins-2/runner.mjs
@@ -1,16 +1,16 @@
 /**
- * A stand-in for a runner, as a process of its own. It runs one request at a time on a connection, checks
- * `Expect-Instance`, echoes `Attempt-Id` and seals its answers. Its parent keeps its row in the store and tells it what
+ * A stand-in for a runner, as a process of its own. It runs one request at a time on a connection and as many at once as
+ * it has slots, queues some more and refuses further ones, checks `Expect-Instance`, echoes `Attempt-Id` and seals its answers. Its parent keeps its row in the store and tells it what
  * to do; it tells its parent of each run.
  *
- * Settings (JSON, the only argument): id, host, unframedEvery (each such answer has neither length nor chunks), events and
+ * Settings (JSON, the only argument): id, host, slots, queue, unframedEvery (each such answer has neither length nor chunks), events and
  * gapMilliseconds (of a stream), plainMilliseconds and plainBytes (of another answer), headers (of all answers),
  * poison (a part of a prompt that ends the process when it begins to write an answer on it), refusals (requests that it
  * turns away with 503 at first) and retryAfterSeconds (which it then states).
  */
 import { createServer } from 'node:http'
 
-const settings = { unframedEvery: Infinity, events: 8, gapMilliseconds: 50, plainMilliseconds: 40, plainBytes: 800, headers: {}, refusals: 0, ...JSON.parse(process.argv[2]) }
+const settings = { slots: 48, queue: 100, unframedEvery: Infinity, events: 8, gapMilliseconds: 50, plainMilliseconds: 40, plainBytes: 800, headers: {}, refusals: 0, ...JSON.parse(process.argv[2]) }
 const sleep = milliseconds => new Promise(resolve => setTimeout(resolve, milliseconds))
 const tell = message => new Promise(resolve => process.send({ ...message, runner: settings.id }, resolve))
 
@@ -27,6 +27,34 @@
     await tell({ type: 'refused', attempt })
     return response.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': attempt, 'Retry-After': String(settings.retryAfterSeconds), 'content-length': 0 }).end()
   }
+  if (!await takeSlot()) return response.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': attempt, 'content-length': 0 }).end()
+  try {
+    await run(request, response, attempt)
+  } finally {
+    giveSlot()
+  }
+}
+
+let running = 0
+const waiting = []
+
+/** Waits for a slot; returns whether there is one. */
+async function takeSlot () {
+  if (running >= settings.slots && waiting.length >= settings.queue) return false
+  if (running >= settings.slots) await new Promise(resolve => waiting.push(resolve))
+  else running++
+  return true
+}
+
+/** The slot goes to the request that has waited longest. */
+function giveSlot () {
+  const next = waiting.shift()
+  if (next === undefined) running--
+  else next()
+}
+
+async function run (request, response, attempt) {
+  if (response.destroyed) return
   const parts = (request.headers['prefix-hash'] ?? '').split(',').filter(part => part !== '').map(part => part.split(':')[0])
   await tell({ type: 'run', attempt, path: request.url, after: request.headers['last-event-id'], parts })
   if (parts.length > 0) await writeStream(request, response, attempt, parts.includes(settings.poison))
